--- /dev/null
+++ b/oakcroft/__init__.py
@@ -0,0 +1,1 @@
+"""oakcroft decides who plays, where and at what quality."""
--- /dev/null
+++ b/oakcroft/choice.py
@@ -0,0 +1,624 @@
+"""Every decision of oakcroft: who plays, on which playout node and at what rung.
+
+A host (types and Protocols in `oakcroft/interface.py`) makes one `Controller` per front end from its
+`Terms`, a seed and itself, then calls `listed`, `arrived`, `resumed`, `playing`, `noted`, `tried`, `left`
+and `alarm` as things happen; the module answers by calling the host within the same call.
+
+The design (SA2C, docs/design.md) decides the ordinary path: `_interval` samples, fits and blends the load
+into x, moves the marks and steps playing rungs; `arrived` refuses in the band; `_place` picks the holder
+and the rung.
+
+Mechanisms beside the design, six at most:
+1 distrust  failed or unanswered set-ups make a node lose its turn until the score fades;
+2 cold pace a node that may just have started gets set-ups only in this front's slots of time;
+3 tries     what an outcome proves, when a further try may follow, and how long one may take;
+4 squeeze   short-delivery notes raise a node's load, or its rack's, past what reports can say;
+5 near load a title's own holders count as x for it, and a link past T3 steps down by itself;
+6 stale     links with no fresh report push err towards 1, so that x is measured, not extrapolated.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import deque
+from collections.abc import Iterable
+from enum import Enum
+from random import Random
+
+from oakcroft.interface import (
+    MS,
+    SECOND,
+    Effect,
+    Entry,
+    Group,
+    Host,
+    Listing,
+    ListKind,
+    Note,
+    Outcome,
+    Plan,
+    Terms,
+)
+
+# The design's open constants.
+INTERVAL = SECOND  # between samples
+WINDOW = 5  # samples in the fit
+ALPHA = 0.95  # mean against variance
+T1, T2, T3, FULL = 0.86, 1.10, 0.92, 1.30  # marks on x; FULL is the paper's C
+MARK = 0.90  # on a link: set-ups and step-ups stay under it
+MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
+PACE = 0.25  # of the playbacks concerned, at most, in an interval
+
+DISTRUST_HALF = 4 * SECOND
+DISTRUSTED = 0.7
+SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
+TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
+SHORT = 0.98  # delivery under this is short
+UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
+TOO_OLD = 2 * SECOND  # past its due time, a report is stale
+
+
+class Fading:
+    """A sum that halves every `half`; brought up to date when it is read."""
+
+    def __init__(self, half: int) -> None:
+        self.half, self.sum, self.at = half, 0.0, 0
+
+    def read(self, now: int) -> float:
+        if now > self.at:
+            self.sum *= 0.5 ** ((now - self.at) / self.half)
+            self.at = now
+        return self.sum
+
+    def add(self, amount: float, now: int) -> None:
+        self.sum = max(0.0, self.read(now) + amount)
+
+
+class State(Enum):
+    """Where a playback stands."""
+
+    ARRIVED = "arrived"
+    SETTING_UP = "setting up"
+    BETWEEN = "between tries"
+    PLAYING = "playing"
+    CLOSED = "closed, its try still out"
+    ENDED = "ended"
+    REJECTED = "rejected"
+    ABORTED = "aborted"
+
+
+NEXT = {
+    State.ARRIVED: {State.SETTING_UP, State.PLAYING, State.REJECTED, State.ABORTED, State.ENDED},
+    State.SETTING_UP: {State.PLAYING, State.BETWEEN, State.CLOSED, State.ENDED},
+    State.BETWEEN: {State.SETTING_UP, State.REJECTED, State.ABORTED},
+    State.PLAYING: {State.CLOSED, State.ENDED},
+    State.CLOSED: {State.ENDED},
+    State.ENDED: set(),
+    State.REJECTED: set(),
+    State.ABORTED: set(),
+}
+HOLDS = {State.SETTING_UP, State.PLAYING, State.CLOSED}
+
+
+class Rack:
+    """Nodes behind one uplink: what they carry, in kB a second, and how tight it has proved."""
+
+    def __init__(self) -> None:
+        self.nodes: list[Node] = []
+        self.carried = 0.0
+        self.tight = 1.0
+
+
+class Node:
+    """A playout node as this front knows it."""
+
+    def __init__(self, name: str) -> None:
+        self.name, self.zone, self.cell = name, "", 0
+        self.listing, self.started_at = Listing.GONE, 0
+        self.link, self.places = 1.0, 0.0
+        self.rack = Rack()
+        self.playbacks: dict[Playback, None] = {}
+        self.waiting: dict[Playback, int] = {}
+        self.own: deque[tuple[int, float]] = deque()  # own changes, kB a second, since the last report
+        self.reported, self.reported_at = 0.0, 0
+        self.heard = False
+        self.level = 0.0  # load of its link, as estimated now
+        self.short, self.short_at = 1.0, 0  # delivered share, as last told
+        self.samples: deque[float] = deque(maxlen=WINDOW)
+        self.forecast = 0.0
+        self.distrust = Fading(DISTRUST_HALF)
+        self.failed_at, self.slot, self.slot_used = 0, -1, 0
+
+
+class Title:
+    """What is watched, the cells that hold it, and the seats taken in each plan."""
+
+    def __init__(self, name: str, home: int, copies: int) -> None:
+        self.name, self.home, self.copies = name, home, copies
+        self.seats: dict[Plan, int] = {}
+        self.holders: list[Node] = []
+        self.known = -1
+
+
+class Playback:
+    """One viewer's request and the playback that it becomes."""
+
+    def __init__(self, title: Title, plan: Plan, top: int, abandon: int, moved: bool) -> None:
+        self.title, self.plan, self.abandon, self.moved = title, plan, abandon, moved
+        self.top = max(plan.floor, min(top, plan.top))
+        self.state = State.ARRIVED
+        self.rung = plan.floor
+        self.node: Node | None = None
+        self.tries: list[tuple[Node, int]] = []
+        self.may_have_run: list[tuple[Node, int]] = []
+        self.changed_at = 0
+        self.fresh = False  # its next link note tells of now
+
+    @property
+    def over(self) -> bool:
+        return not NEXT[self.state]
+
+
+class Controller:
+    """The decisions of one front end."""
+
+    def __init__(self, terms: Terms, seed: int, host: Host, now: int) -> None:
+        self.terms, self.host, self.rng = terms, host, Random(seed)
+        self.started = now
+        self.nodes: dict[Node, None] = {}
+        self.racks = [Rack() for _ in range(terms.racks)]
+        self.version = 0
+        self.t2, self.t3 = T2, T3
+        self.x, self.err, self.predicted = 0.0, 1.0, 0.0
+        self.mode = "open"
+        self.taken: deque[int] = deque()
+        self.further: deque[int] = deque()
+        self.asked_at = now
+        if terms.must_follow:
+            host.follow()
+        host.alarm(now + INTERVAL)
+
+    # The list of playout nodes.
+
+    def listed(self, kind: ListKind, entries: Iterable[Entry], now: int) -> None:
+        """Takes in the list, or its changes."""
+        if kind is ListKind.FAILED:
+            return  # `alarm` asks again
+        missing = dict(self.nodes) if kind is not ListKind.CHANGES else {}
+        for e in entries:
+            node = e.node
+            missing.pop(node, None)
+            if e.started_at > node.started_at:  # a new process: nothing known of the old one holds
+                node.distrust.add(-node.distrust.read(now), now)
+            node.listing, node.started_at = e.listing, e.started_at
+            node.link, node.places = max(1.0, e.link), e.places
+            node.rack = self.racks[node.cell % self.terms.racks]
+            self.nodes[node] = None
+        for node in missing:
+            node.listing = Listing.GONE
+        for node in [n for n in self.nodes if n.listing is Listing.GONE]:
+            del self.nodes[node]
+        for i, rack in enumerate(self.racks):
+            rack.nodes = [n for n in self.nodes if n.cell % self.terms.racks == i]
+        self.version += 1
+        self._carry()
+
+    def _holders(self, title: Title) -> list[Node]:
+        """The nodes that hold a title, in the hash order that all fronts share."""
+        if title.known != self.version:
+            terms = self.terms
+
+            def rank(node: Node) -> bytes:
+                return hashlib.blake2b(f"{title.name}\0{node.name}".encode(), digest_size=8).digest()
+
+            copies = title.copies if 0 < title.copies < terms.cells else terms.cells
+            held = [n for n in self.nodes if (n.cell - title.home) % terms.cells < copies]
+            title.holders, title.known = sorted(held, key=rank), self.version
+        return title.holders
+
+    # Load.
+
+    def _rate(self, pb: Playback, rung: int) -> float:
+        return self.terms.rates[rung] * pb.plan.rate_factor
+
+    def _level(self, node: Node) -> float:
+        """Asked of the link over what it gives: the last report and own changes since."""
+        if not node.heard:
+            own = sum(self._rate(pb, pb.rung) for pb in node.playbacks)
+            return own * self.terms.fronts / node.link
+        return max(0.0, node.reported + sum(kb for at, kb in node.own if at > node.reported_at) / node.link)
+
+    def _carry(self) -> None:
+        for rack in self.racks:
+            rack.carried = sum(n.level * n.link for n in rack.nodes)
+
+    def _load(self, node: Node, now: int, more: float = 0.0) -> float:
+        """The load that a playback on this node feels, with `more` kB a second added."""
+        load = node.level + more / node.link
+        if self.terms.uplink > 0:
+            load = max(load, (node.rack.carried + more) * node.rack.tight / self.terms.uplink)
+        if now - node.short_at < 2 * SECOND and node.short < SHORT:
+            load = max(load, 1 / max(node.short, 0.2) + more / node.link)
+        return load
+
+    def _shift(self, node: Node, kb: float, now: int) -> None:
+        node.own.append((now, kb))
+        while node.own[0][0] < now - 8 * SECOND:
+            node.own.popleft()
+        node.level = max(0.0, node.level + kb / node.link)
+        node.rack.carried += kb
+
+    def _report(self, node: Node, value: float, age: int, now: int) -> None:
+        """A report of what is asked of a link, as it was `age` ago."""
+        if now - age < node.reported_at:
+            return
+        old = node.level
+        node.reported, node.reported_at, node.heard = value, now - age, True
+        node.level = self._level(node)
+        node.rack.carried += (node.level - old) * node.link
+
+    def noted(self, pb: Playback, kind: Note, value: float, now: int) -> None:
+        """News on one playback, which mostly speaks of its node."""
+        node = pb.node
+        if kind is Note.RUNG:
+            rung = min(max(int(value), 0), len(self.terms.rates) - 1)
+            if node and pb.state in HOLDS and rung != pb.rung:
+                self._shift(node, self._rate(pb, rung) - self._rate(pb, pb.rung), now)
+            pb.rung = rung
+        elif not node:
+            return
+        elif kind is Note.LINK_ASKED:
+            self._report(node, value, 0 if pb.fresh else self.terms.seen_after, now)
+            pb.fresh = False
+        elif kind is Note.DELIVERED:
+            node.short, node.short_at = value, now
+            self._squeeze(node, now)
+
+    def _squeeze(self, node: Node, now: int) -> None:
+        """Short delivery that the link's own load does not explain is laid to the rack's uplink.
+
+        Guards against uplinks that give less than their mean, which no report tells; covers any
+        shared bottleneck behind several nodes. Harm: two slow links at once look like a tight rack
+        until the estimate relaxes in `_interval`.
+        """
+        rack = node.rack
+        hurt = [n for n in rack.nodes if n.short < SHORT and now - n.short_at < 2 * SECOND]
+        if node.short >= SHORT or len(hurt) < 2 or rack.carried <= 0 or self.terms.uplink <= 0:
+            return
+        felt = 1 / max(min(n.short for n in hurt), 0.4)
+        if max(n.level for n in hurt) < felt - 0.05:
+            rack.tight = min(3.0, max(rack.tight, felt * self.terms.uplink / rack.carried))
+
+    # The design's interval.
+
+    def alarm(self, now: int) -> None:
+        """The interval is over."""
+        self._interval(now)
+        if self.terms.must_follow and now - self.asked_at >= self.terms.ask_within // 2:
+            self.asked_at = now
+            self.host.follow()
+        self.host.alarm(now + INTERVAL)
+
+    def _interval(self, now: int) -> None:
+        ready = [n for n in self.nodes if n.listing is Listing.READY]
+        if not ready:
+            return
+        due = self.terms.reports_every + self.terms.seen_after + TOO_OLD
+        stale = 0
+        for node in ready:
+            stale += now - node.reported_at > due
+            node.samples.append(self._load(node, now))
+            node.forecast = forecast(node.samples)
+        for rack in self.racks:
+            quiet = all(now - n.short_at > 3 * SECOND for n in rack.nodes)
+            if quiet and self.terms.uplink > 0 and rack.carried * rack.tight / self.terms.uplink > MARK - 0.1:
+                rack.tight = max(0.5, rack.tight * 0.99)
+        measured = cluster_load([n.samples[-1] for n in ready])
+        gap = abs(self.predicted - measured) / measured if measured > 0 else 1.0
+        self.err = min(1.0, max(gap, stale / len(ready)))
+        self.predicted = cluster_load([n.forecast for n in ready])
+        self.x = blend(self.err, self.predicted, measured)
+        self._move_marks()
+        self._steps(ready, now)
+
+    def _move_marks(self) -> None:
+        x = self.x
+        if x < T1:
+            self.t2, self.t3 = T2, T3
+        if x > self.t2:
+            self.t2 -= min(x - self.t2, MOVE * (self.t2 - T1))
+        if x > self.t3:
+            self.t3 -= min(x - self.t3, MOVE * (self.t3 - T1))
+        mode = "open" if x <= T1 else "band" if x <= self.t2 else "closed"
+        mode += ", stepping down" if x > self.t3 else ""
+        if mode != self.mode:
+            self.mode = mode
+            self.host.log(f"mode {mode}: x={x:.2f} err={self.err:.2f} T2={self.t2:.2f} T3={self.t3:.2f}")
+
+    def _steps(self, ready: list[Node], now: int) -> None:
+        """Playing rungs go down past T3 and up under T1, at a bounded pace."""
+        for node in ready:
+            playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
+            if not playing:
+                continue
+            most = max(1, round(PACE * len(playing)))
+            load = self._load(node, now)
+            if load > self.t3:
+                p = step_down_probability(max(self.x, load), self.t3)
+                down = sorted((pb for pb in playing if pb.rung > pb.plan.floor), key=self._loss)
+                for pb in down[:most]:
+                    if self._load(node, now) > T1 and self.rng.random() < p:
+                        self._set_rung(pb, pb.rung - 1, now)
+            elif self.x < T1 and load < MARK:
+                up = sorted((pb for pb in playing if pb.rung < pb.top), key=self._gain)
+                for pb in up[:most]:
+                    more = self._rate(pb, pb.rung + 1) - self._rate(pb, pb.rung)
+                    if now - pb.changed_at > 2 * SECOND and self._load(node, now, more) < MARK:
+                        self._set_rung(pb, pb.rung + 1, now)
+
+    def _loss(self, pb: Playback) -> float:
+        """Revenue lost for each kB a second that a step down frees."""
+        return self._worth_per_kb(pb, pb.rung - 1)
+
+    def _gain(self, pb: Playback) -> float:
+        return -self._worth_per_kb(pb, pb.rung)
+
+    def _worth_per_kb(self, pb: Playback, low: int) -> float:
+        worth = pb.plan.revenue * (self.terms.rung_worth[low + 1] - self.terms.rung_worth[low])
+        return worth / max(1.0, self._rate(pb, low + 1) - self._rate(pb, low))
+
+    def _set_rung(self, pb: Playback, rung: int, now: int) -> None:
+        if pb.node:
+            self._shift(pb.node, self._rate(pb, rung) - self._rate(pb, pb.rung), now)
+        pb.rung, pb.changed_at = rung, now
+        self.host.set_rung(pb, rung)
+
+    # Requests.
+
+    def arrived(self, pb: Playback, now: int) -> None:
+        """A request is refused in the band, or placed."""
+        self.taken.append(now)
+        x = self.x
+        holders = [n for n in self._holders(pb.title) if n.samples]
+        if holders and len(holders) < len(self.nodes):
+            # Guards against a hot title that fills its holders while the fleet's x stays low; covers
+            # any few holders in trouble. Harm: none on a fleet where every node holds every title.
+            measured = cluster_load([n.samples[-1] for n in holders])
+            x = max(x, blend(self.err, cluster_load([n.forecast for n in holders]), measured))
+        if not pb.moved and self.rng.random() < refusal_probability(x, self.t2):
+            self._give_up(pb, now)
+        else:
+            self._place(pb, now)
+
+    def _place(self, pb: Playback, now: int) -> None:
+        """The less used of the first two holders with room, at the highest rung under the mark."""
+        plan, low = pb.plan, self._rate(pb, pb.plan.floor)
+        two: list[Node] = []
+        if not plan.seats or pb.title.seats.get(plan, 0) < plan.seats:
+            for node in self._holders(pb.title):
+                if self._may_try(pb, node, now) and self._load(node, now, low) <= MARK:
+                    two.append(node)
+                    if len(two) == 2:
+                        break
+        if not two:
+            self._give_up(pb, now)
+            return
+        node = min(two, key=lambda n: self._load(n, now))
+        rung = plan.floor
+        while rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= MARK:
+            rung += 1
+        self._send(pb, node, rung, now)
+
+    def _send(self, pb: Playback, node: Node, rung: int, now: int) -> None:
+        if rung != pb.rung or pb.tries or rung != pb.plan.floor:
+            pb.rung = rung
+            self.host.set_rung(pb, rung)
+        if pb.tries:
+            self.further.append(now)
+        slot = self._slot(node, now)[0]
+        if slot != node.slot:
+            node.slot, node.slot_used = slot, 0
+        node.slot_used += 1
+        last = pb.abandon - 10 * MS
+        until = last
+        if pb.plan.effect is not Effect.PAID and len(pb.tries) + 1 < self.terms.most_tries:
+            until = min(last, now + int(pb.plan.startup_target * TRY_SHARE))
+        pb.tries.append((node, now))
+        self._change(pb, State.SETTING_UP, now, node)
+        self.host.send(pb, node, until)
+
+    def _may_try(self, pb: Playback, node: Node, now: int) -> bool:
+        """Whether the rules and this front's trust let a try go to this node now."""
+        if node.listing is not Listing.READY or any(n is node for n, _ in pb.tries):
+            return False
+        for ran, at in pb.may_have_run:
+            if not self._repeats_safely(pb, ran, at, node, now):
+                return False
+        return self._trusted(pb, node, now) and self._warm_enough(node, now)
+
+    def _trusted(self, pb: Playback, node: Node, now: int) -> bool:
+        """Guards against nodes that are dead, silent, hung or cut off, before any list says so; covers
+        every fault that leaves set-ups unanswered. Harm: a burst of slow answers idles a good node for
+        some seconds; a try of a plan that may be repeated brings it back."""
+        if any(now - at > SILENT for at in node.waiting.values()):
+            return False
+        score = node.distrust.read(now)
+        if score < DISTRUSTED:
+            return True
+        return score < 2 * DISTRUSTED and not node.waiting and pb.plan.effect is Effect.FREE
+
+    def _slot(self, node: Node, now: int) -> tuple[int, int]:
+        """The running slot of time, and how many set-ups it allows this front on a cold node."""
+        terms = self.terms
+        since = max(node.started_at, node.failed_at)
+        age = min(max(0, now - since), terms.cold_for)
+        share = terms.cold_share + (1 - terms.cold_share) * (age / max(1, terms.cold_for)) ** 2
+        pace = terms.fall_multiple * share * node.places / max(1, terms.cold_for)  # set-ups a ns
+        allowed = int(0.45 * pace * terms.fall_window)
+        if allowed >= 1:
+            return now // terms.fall_window, allowed
+        length = int(2 * max(terms.fall_window, 1 / max(pace, 1e-15)))
+        return now // length, 1 if now % length < length // 2 else 0
+
+    def _warm_enough(self, node: Node, now: int) -> bool:
+        """Guards against all fronts together pushing over a node that has just started: each sends only
+        in its own slots of time, so that any window holds at most two fronts' slots. Covers nodes that
+        this front saw fail, and every node right after its own start unless a playback it was handed
+        plays there. Harm: a warm node that failed once is paced for a while."""
+        terms = self.terms
+        since = max(node.started_at, node.failed_at)
+        unheard = now - self.started < UNHEARD and not node.heard and not node.playbacks
+        if not unheard and now - since >= terms.cold_for:
+            return True
+        slot, allowed = self._slot(node, now)
+        if slot % terms.fronts != terms.front % terms.fronts:
+            return False
+        return (node.slot_used if slot == node.slot else 0) < allowed
+
+    def _repeats_safely(self, pb: Playback, ran: Node, at: int, node: Node, now: int) -> bool:
+        plan = pb.plan
+        if plan.effect is Effect.FREE:
+            return True
+        if plan.effect is Effect.PAID or now - at >= plan.key_lasts:
+            return False
+        same = {Group.ALL: True, Group.ZONE: node.zone == ran.zone, Group.CELL: node.cell == ran.cell}
+        return same[plan.group]
+
+    def _may_try_again(self, pb: Playback, now: int) -> bool:
+        terms = self.terms
+        if len(pb.tries) >= terms.most_tries or now >= pb.abandon - 20 * MS:
+            return False
+        if terms.tries_free is None:
+            return True
+        while self.taken and self.taken[0] <= now - terms.tries_window:
+            self.taken.popleft()
+        while self.further and self.further[0] < now - terms.tries_window:
+            self.further.popleft()
+        return len(self.further) + 1 <= terms.tries_free + terms.tries_share * len(self.taken)
+
+    def _give_up(self, pb: Playback, now: int) -> None:
+        """The final answer, at once: rejected where no rule forbids it, else aborted."""
+        plan = pb.plan
+        harmless = plan.effect is Effect.KEYED and plan.group is Group.ALL
+        if pb.may_have_run and plan.effect is not Effect.FREE and not harmless:
+            self._change(pb, State.ABORTED, now)
+            self.host.abort(pb)
+        else:
+            self._change(pb, State.REJECTED, now)
+            self.host.reject(pb, min(self.terms.stay_away_most, INTERVAL))
+
+    # What becomes of them.
+
+    def resumed(self, pb: Playback, node: Node, now: int) -> None:
+        """A playback handed over at the start; it plays already."""
+        pb.tries.append((node, now))
+        self._change(pb, State.PLAYING, now, node)
+
+    def playing(self, pb: Playback, took: int, now: int) -> None:
+        """The set-up is done."""
+        pb.fresh = True
+        if pb.node:
+            pb.node.distrust.add(-0.5, now)
+        if pb.state is State.SETTING_UP:
+            self._change(pb, State.PLAYING, now)
+
+    def tried(
+        self, pb: Playback, outcome: Outcome, closed: bool,
+        asked: float | None, used: float | None, uplink: float | None, now: int,
+    ) -> None:  # fmt: skip
+        """A setup try, or the playback that it started, is over."""
+        node, state = pb.node, pb.state
+        if node is None:
+            return
+        if asked is not None:
+            self._report(node, asked, 300 * MS, now)
+        elif used is not None and (used < 0.99 or node.level < 1):
+            self._report(node, used, 300 * MS, now)  # it stops at 1: past that the notes tell
+        proven = outcome in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
+        if outcome in (Outcome.NO_CONNECTION, Outcome.RESET, Outcome.LATE):
+            node.failed_at = now
+            node.distrust.add(1.0, now)
+        elif outcome is Outcome.ERROR:
+            node.distrust.add(0.4, now)
+        elif outcome is Outcome.FULL and self.terms.full_at > 0:
+            node.level = max(node.level, self.terms.full_at)
+            node.reported, node.reported_at, node.heard = node.level, now, True
+        if closed or state is not State.SETTING_UP:
+            self._change(pb, State.ENDED, now)
+            return
+        if not proven:
+            pb.may_have_run.append(pb.tries[-1])
+        self._change(pb, State.BETWEEN, now)
+        if self._may_try_again(pb, now):
+            self._place(pb, now)
+        else:
+            self._give_up(pb, now)
+
+    def left(self, pb: Playback, now: int) -> None:
+        """The viewer has gone; a try that is out still reports."""
+        if pb.state in (State.SETTING_UP, State.PLAYING):
+            self._change(pb, State.CLOSED, now)
+        elif pb.state is State.ARRIVED:
+            self._change(pb, State.ENDED, now)
+
+    def _change(self, pb: Playback, state: State, now: int, node: Node | None = None) -> None:
+        """The one place where a playback changes state; seats and loads follow from it."""
+        if state not in NEXT[pb.state]:
+            raise ValueError(f"a playback cannot go from {pb.state.value} to {state.value}")
+        held, pb.state = pb.state in HOLDS, state
+        if node:
+            pb.node = node
+        at = pb.node
+        if at is None:
+            return
+        if state is State.SETTING_UP:
+            at.waiting[pb] = now
+        else:
+            at.waiting.pop(pb, None)
+        if held != (state in HOLDS):
+            sign = -1 if held else 1
+            seats = pb.title.seats
+            seats[pb.plan] = seats.get(pb.plan, 0) + sign
+            if held:
+                del at.playbacks[pb]
+            else:
+                at.playbacks[pb] = None
+            self._shift(at, sign * self._rate(pb, pb.rung), now)
+
+
+# The design's formulas.
+
+
+def forecast(samples: deque[float]) -> float:
+    """The next value on the straight line fitted to equally spaced samples."""
+    n = len(samples)
+    mean = sum(samples) / n
+    if n < 2:
+        return mean
+    mid = (n - 1) / 2
+    slope = sum((i - mid) * s for i, s in enumerate(samples)) / sum((i - mid) ** 2 for i in range(n))
+    return max(0.0, mean + slope * (n - mid))
+
+
+def cluster_load(loads: list[float]) -> float:
+    """l_c: alpha times the mean and 1 - alpha times the variance."""
+    mean = sum(loads) / len(loads)
+    return ALPHA * mean + (1 - ALPHA) * sum((v - mean) ** 2 for v in loads) / len(loads)
+
+
+def blend(err: float, predicted: float, measured: float) -> float:
+    """x: predicted as far as the last prediction held, else measured."""
+    return (1 - err) * predicted + err * measured
+
+
+def refusal_probability(x: float, t2: float) -> float:
+    """Nothing under T1, everything past T2, rising between."""
+    if x <= T1:
+        return 0.0
+    return 1.0 if x >= t2 else (x - T1) / (t2 - T1)
+
+
+def step_down_probability(x: float, t3: float) -> float:
+    """max(pu, 1 - pu), pu = 1 - |(x - T3) / (C - T3)|, within 0 and 1."""
+    pu = 1 - min(1.0, abs((x - t3) / (FULL - t3)))
+    return max(pu, 1 - pu)
--- /dev/null
+++ b/oakcroft/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts instances of the decision module on the simulator's wire."""
--- /dev/null
+++ b/oakcroft/wirehost/instance.py
@@ -0,0 +1,119 @@
+"""One front end on the wire: ids to objects on the way in, objects to ids on the way out."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from oakcroft.choice import Controller, Node, Playback, Title
+from oakcroft.interface import Entry, ListKind
+from oakcroft.wirehost import codec
+
+Message = dict[str, Any]
+
+
+class Instance:
+    """Holds the id maps of one front end and speaks to its controller."""
+
+    def __init__(self, who: str, event: Message, now: int, out: list[Message]) -> None:
+        env = event["env"]
+        self.who = who
+        self.out = out
+        self.terms = codec.terms(env)
+        self.plans = codec.plans(env)
+        self.link_per_weight: float = env["familyInfo"]["weightKb"]
+        self.places = dict(zip(env["models"], env["familyInfo"]["kindSlots"], strict=False))
+        self.nodes: dict[str, Node] = {}
+        self.titles: dict[str, Title] = {}
+        self.playbacks: dict[str, Playback] = {}
+        self.ids: dict[Playback, str] = {}
+        self.controller = Controller(self.terms, event["seed"], self, now)
+
+    # What the module may ask for.
+
+    def _act(self, op: str, **fields: Any) -> None:
+        self.out.append({"op": op, "who": self.who, **fields})
+
+    def send(self, pb: Playback, node: Node, abandon_at: int) -> None:
+        self._act("deliver", rid=self.ids[pb], node=node.name, abandonAtMs=codec.millis(abandon_at))
+
+    def reject(self, pb: Playback, stay_away: int) -> None:
+        self._act("pushBack", rid=self.ids[pb], stayAwayMs=codec.millis(stay_away))
+
+    def abort(self, pb: Playback) -> None:
+        self._act("abort", rid=self.ids[pb])
+
+    def set_rung(self, pb: Playback, rung: int) -> None:
+        self._act("setRung", rid=self.ids[pb], grade=rung)
+
+    def alarm(self, at: int) -> None:
+        self._act("setAlarm", alarmTimeMs=codec.millis(at), label=0)
+
+    def follow(self) -> None:
+        self._act("follow", active=True)
+
+    def log(self, line: str) -> None:
+        self._act("record", message=line)
+
+    # What the wire says.
+
+    def hear(self, event: Message, now: int, lists: dict[int, list[Message]]) -> None:
+        """One event, in order of arrival."""
+        pb = self.playbacks.get(event.get("rid", ""))
+        match event["op"]:
+            case "accept":
+                self.controller.arrived(self._playback(event, now), now)
+            case "resumed":
+                pb = self._playback(event, now)
+                self.controller.resumed(pb, self._node(event["node"]), now)
+            case "flowing":
+                if pb:
+                    self.controller.playing(pb, codec.nanos(event["delaySeenMs"]), now)
+            case "reply":
+                if pb:
+                    self.controller.tried(
+                        pb, codec.OUTCOMES[event["outcome"]], event["doneFlag"],
+                        *codec.report_values(event.get("report")), now,
+                    )  # fmt: skip
+            case "updateOf":
+                note = codec.NOTES.get(event["kind"])
+                if pb and note:
+                    self.controller.noted(pb, note, event["x"], now)
+            case "gone":
+                if pb:
+                    self.controller.left(pb, now)
+            case "timeoutFired":
+                self.controller.alarm(now)
+            case "registry":
+                kind = codec.LIST_KINDS[event["how"]]
+                lines = lists[event["rosterId"]] if kind is not ListKind.FAILED else []
+                self.controller.listed(kind, [self._entry(e) for e in lines], now)
+        if (rid := event.get("rid")) in self.playbacks and self.playbacks[rid].over:
+            del self.ids[self.playbacks.pop(rid)]
+
+    def _node(self, name: str) -> Node:
+        if name not in self.nodes:
+            self.nodes[name] = Node(name)
+        return self.nodes[name]
+
+    def _entry(self, e: Message) -> Entry:
+        node = self._node(e["node"])
+        node.cell, node.zone = e["cell"], e["zone"]
+        weight = e.get("share")
+        return Entry(
+            node,
+            codec.LISTINGS[e["availability"]],
+            codec.nanos(e["startedAtMs"]),
+            self.link_per_weight * (1.0 if weight is None else weight),
+            self.places.get(e["classOfHost"], 0.0),
+        )
+
+    def _playback(self, e: Message, now: int) -> Playback:
+        name = e["programme"]
+        if name not in self.titles:
+            self.titles[name] = Title(name, e["home"], e["copies"])
+        pb = Playback(
+            self.titles[name], self.plans[e["profile"]], e["topRung"],
+            now + codec.nanos(e["budgetMs"]), e["backFromMove"],
+        )  # fmt: skip
+        self.playbacks[e["rid"]], self.ids[pb] = pb, e["rid"]
+        return pb
