--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -45,7 +45,9 @@
 WINDOW = 5  # samples in the fit
 ALPHA = 0.95  # mean against variance
 T1, T2, T3, FULL = 0.86, 1.10, 0.92, 1.30  # marks on x; FULL is the paper's C
-MARK = 0.90  # on a link: set-ups and step-ups stay under it
+MARK = 0.90  # on a link: set-ups stay under it
+UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
+REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
 PACE = 0.25  # of the playbacks concerned, at most, in an interval
 
@@ -347,13 +349,13 @@
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = sorted((pb for pb in playing if pb.rung > pb.plan.floor), key=self._loss)
                 for pb in down[:most]:
-                    if self._load(node, now) > T1 and self.rng.random() < p:
+                    if self._load(node, now) > self.t3 and self.rng.random() < p:
                         self._set_rung(pb, pb.rung - 1, now)
-            elif self.x < T1 and load < MARK:
+            elif self.x < T1 and load < UP_MARK:
                 up = sorted((pb for pb in playing if pb.rung < pb.top), key=self._gain)
                 for pb in up[:most]:
                     more = self._rate(pb, pb.rung + 1) - self._rate(pb, pb.rung)
-                    if now - pb.changed_at > 2 * SECOND and self._load(node, now, more) < MARK:
+                    if now - pb.changed_at > REST and self._load(node, now, more) < UP_MARK:
                         self._set_rung(pb, pb.rung + 1, now)
 
     def _loss(self, pb: Playback) -> float:
