--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -44,12 +44,12 @@
 INTERVAL = SECOND  # between samples
 WINDOW = 5  # samples in the fit
 ALPHA = 0.95  # mean against variance
-T1, T2, T3, FULL = 0.86, 1.10, 0.92, 1.30  # marks on x; FULL is the paper's C
+T1, T2, T3, FULL = 0.96, 1.40, 0.92, 1.60  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
-PACE = 0.25  # of the playbacks concerned, at most, in an interval
+PACE = 0.5  # of the playbacks concerned, at most, in an interval
 
 DISTRUST_HALF = 4 * SECOND
 DISTRUSTED = 0.7
@@ -330,7 +330,7 @@
         if x > self.t2:
             self.t2 -= min(x - self.t2, MOVE * (self.t2 - T1))
         if x > self.t3:
-            self.t3 -= min(x - self.t3, MOVE * (self.t3 - T1))
+            self.t3 -= min(x - self.t3, MOVE * (abs(self.t3 - T1)))
         mode = "open" if x <= T1 else "band" if x <= self.t2 else "closed"
         mode += ", stepping down" if x > self.t3 else ""
         if mode != self.mode:
