--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -44,12 +44,12 @@
 INTERVAL = SECOND  # between samples
 WINDOW = 5  # samples in the fit
 ALPHA = 0.95  # mean against variance
-T1, T2, T3, FULL = 0.96, 1.40, 0.92, 1.60  # marks on x; FULL is the paper's C
+T1, T2, T3, FULL = 0.92, 1.30, 0.95, 1.50  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
-PACE = 0.5  # of the playbacks concerned, at most, in an interval
+PACE = 0.25  # of the playbacks concerned, at most, in an interval
 
 DISTRUST_HALF = 4 * SECOND
 DISTRUSTED = 0.7
@@ -239,11 +239,14 @@
         load = node.level + more / node.link
         if self.terms.uplink > 0:
             load = max(load, (node.rack.carried + more) * node.rack.tight / self.terms.uplink)
-        if now - node.short_at < 2 * SECOND and node.short < SHORT:
-            load = max(load, 1 / max(node.short, 0.2) + more / node.link)
         return load
 
-    def _shift(self, node: Node, kb: float, now: int) -> None:
+    def _shift(self, node: Node, kb: float, now: int, echo: bool = False) -> None:
+        """Own change of what a node carries. A step answers a load that every front sees, so the others
+        are taken to step too (`echo`), or all of them would each answer the whole of it."""
+        if echo:
+            own = sum(self._rate(pb, pb.rung) for pb in node.playbacks)
+            kb *= min(max(1.0, node.level * node.link / max(own, 1.0)), self.terms.fronts)
         node.own.append((now, kb))
         while node.own[0][0] < now - 8 * SECOND:
             node.own.popleft()
@@ -274,9 +277,11 @@
             pb.fresh = False
         elif kind is Note.DELIVERED:
             node.short, node.short_at = value, now
-            self._squeeze(node, now)
+            alone = self._squeeze(node, now)
+            if value < SHORT and alone and 1 / max(value, 0.2) > node.level + 0.05:
+                self._report(node, 1 / max(value, 0.2), self.terms.seen_after, now)
 
-    def _squeeze(self, node: Node, now: int) -> None:
+    def _squeeze(self, node: Node, now: int) -> bool:
         """Short delivery that the link's own load does not explain is laid to the rack's uplink.
 
         Guards against uplinks that give less than their mean, which no report tells; covers any
@@ -286,10 +291,12 @@
         rack = node.rack
         hurt = [n for n in rack.nodes if n.short < SHORT and now - n.short_at < 2 * SECOND]
         if node.short >= SHORT or len(hurt) < 2 or rack.carried <= 0 or self.terms.uplink <= 0:
-            return
+            return True
         felt = 1 / max(min(n.short for n in hurt), 0.4)
         if max(n.level for n in hurt) < felt - 0.05:
             rack.tight = min(3.0, max(rack.tight, felt * self.terms.uplink / rack.carried))
+            return False
+        return True
 
     # The design's interval.
 
@@ -371,7 +378,7 @@
 
     def _set_rung(self, pb: Playback, rung: int, now: int) -> None:
         if pb.node:
-            self._shift(pb.node, self._rate(pb, rung) - self._rate(pb, pb.rung), now)
+            self._shift(pb.node, self._rate(pb, rung) - self._rate(pb, pb.rung), now, echo=True)
         pb.rung, pb.changed_at = rung, now
         self.host.set_rung(pb, rung)
 
