--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -282,21 +282,19 @@
                 self._report(node, 1 / max(value, 0.2), self.terms.seen_after, now)
 
     def _squeeze(self, node: Node, now: int) -> bool:
-        """Short delivery that the link's own load does not explain is laid to the rack's uplink.
+        """Whether short delivery is the node's own. An uplink gives all its nodes the same share at most,
+        so the best-off node of the rack tells how far past it is; one node that is well served clears it.
 
-        Guards against uplinks that give less than their mean, which no report tells; covers any
-        shared bottleneck behind several nodes. Harm: two slow links at once look like a tight rack
-        until the estimate relaxes in `_interval`.
+        Guards against uplinks that give less than their mean, which no report tells; covers any shared
+        bottleneck behind several nodes. Harm: a rack whose links are all too full looks tight until
+        `_interval` has relaxed the estimate.
         """
         rack = node.rack
-        hurt = [n for n in rack.nodes if n.short < SHORT and now - n.short_at < 2 * SECOND]
-        if node.short >= SHORT or len(hurt) < 2 or rack.carried <= 0 or self.terms.uplink <= 0:
+        shares = [n.short if now - n.short_at < 2 * SECOND else 1.0 for n in rack.nodes if n.playbacks]
+        if len(shares) < 2 or max(shares) >= SHORT or rack.carried <= 0 or self.terms.uplink <= 0:
             return True
-        felt = 1 / max(min(n.short for n in hurt), 0.4)
-        if max(n.level for n in hurt) < felt - 0.05:
-            rack.tight = min(3.0, max(rack.tight, felt * self.terms.uplink / rack.carried))
-            return False
-        return True
+        rack.tight = min(2.0, max(rack.tight, self.terms.uplink / max(shares) / rack.carried))
+        return False
 
     # The design's interval.
 
@@ -319,9 +317,9 @@
             node.samples.append(self._load(node, now))
             node.forecast = forecast(node.samples)
         for rack in self.racks:
-            quiet = all(now - n.short_at > 3 * SECOND for n in rack.nodes)
-            if quiet and self.terms.uplink > 0 and rack.carried * rack.tight / self.terms.uplink > MARK - 0.1:
-                rack.tight = max(0.5, rack.tight * 0.99)
+            uplink = rack.carried * rack.tight / self.terms.uplink if self.terms.uplink > 0 else 0.0
+            if uplink > T1 and all(now - n.short_at > 3 * SECOND for n in rack.nodes):
+                rack.tight = max(0.5, rack.tight * (0.97 if uplink < 1 else 1 / uplink))
         measured = cluster_load([n.samples[-1] for n in ready])
         gap = abs(self.predicted - measured) / measured if measured > 0 else 1.0
         self.err = min(1.0, max(gap, stale / len(ready)))
