--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -58,6 +58,8 @@
 SHORT = 0.98  # delivery under this is short
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
+USUAL = 0.7  # load taken for a link while none has told
+FORGET = 0.3  # of the way to the usual load, in an interval, for a link whose report is stale
 
 
 class Fading:
@@ -172,6 +174,7 @@
         self.version = 0
         self.t2, self.t3 = T2, T3
         self.x, self.err, self.predicted = 0.0, 1.0, 0.0
+        self.usual = USUAL  # load of a link that tells nothing: the mean of those that do
         self.mode = "open"
         self.taken: deque[int] = deque()
         self.further: deque[int] = deque()
@@ -194,6 +197,7 @@
                 node.distrust.add(-node.distrust.read(now), now)
             node.listing, node.started_at = e.listing, e.started_at
             node.link, node.places = max(1.0, e.link), e.places
+            node.level = self._level(node)
             node.rack = self.racks[node.cell % self.terms.racks]
             self.nodes[node] = None
         for node in missing:
@@ -227,7 +231,7 @@
         """Asked of the link over what it gives: the last report and own changes since."""
         if not node.heard:
             own = sum(self._rate(pb, pb.rung) for pb in node.playbacks)
-            return own * self.terms.fronts / node.link
+            return max(self.usual, own * self.terms.fronts / node.link)
         return max(0.0, node.reported + sum(kb for at, kb in node.own if at > node.reported_at) / node.link)
 
     def _carry(self) -> None:
@@ -312,8 +316,17 @@
             return
         due = self.terms.reports_every + self.terms.seen_after + TOO_OLD
         stale = 0
+        fresh = [n.level for n in ready if n.heard and now - n.reported_at <= due]
+        if fresh:
+            self.usual = sum(fresh) / len(fresh)
         for node in ready:
-            stale += now - node.reported_at > due
+            if now - node.reported_at > due:
+                # Guards against a link remembered as full that nobody tells of any more, since only those
+                # with playbacks there hear; covers late and lost reports. Harm: a full link is tried again.
+                stale += 1
+                goal = self.usual if fresh else USUAL
+                node.reported += FORGET * (goal - node.level)
+                node.level = self._level(node)
             node.samples.append(self._load(node, now))
             node.forecast = forecast(node.samples)
         for rack in self.racks:
