--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -195,6 +195,7 @@
             missing.pop(node, None)
             if e.started_at > node.started_at:  # a new process: nothing known of the old one holds
                 node.distrust.add(-node.distrust.read(now), now)
+                node.heard, node.reported, node.reported_at = True, 0.0, now
             node.listing, node.started_at = e.listing, e.started_at
             node.link, node.places = max(1.0, e.link), e.places
             node.level = self._level(node)
@@ -231,7 +232,10 @@
         """Asked of the link over what it gives: the last report and own changes since."""
         if not node.heard:
             own = sum(self._rate(pb, pb.rung) for pb in node.playbacks)
-            return max(self.usual, own * self.terms.fronts / node.link)
+            if own:
+                return own * self.terms.fronts / node.link
+            room = self.terms.uplink / max(1.0, sum(n.link for n in node.rack.nodes))
+            return self.usual * min(1.0, room or 1.0)
         return max(0.0, node.reported + sum(kb for at, kb in node.own if at > node.reported_at) / node.link)
 
     def _carry(self) -> None:
