--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -331,6 +331,8 @@
                 goal = self.usual if fresh else USUAL
                 node.reported += FORGET * (goal - node.level)
                 node.level = self._level(node)
+        self._carry()
+        for node in ready:
             node.samples.append(self._load(node, now))
             node.forecast = forecast(node.samples)
         for rack in self.racks:
