--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -55,6 +55,7 @@
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
+FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 SHORT = 0.98  # delivery under this is short
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
@@ -131,7 +132,7 @@
         self.samples: deque[float] = deque(maxlen=WINDOW)
         self.forecast = 0.0
         self.distrust = Fading(DISTRUST_HALF)
-        self.failed_at, self.slot, self.slot_used = 0, -1, 0
+        self.failed_at, self.full_at, self.slot, self.slot_used = 0, 0, -1, 0
 
 
 class Title:
@@ -457,6 +458,8 @@
         """Whether the rules and this front's trust let a try go to this node now."""
         if node.listing is not Listing.READY or any(n is node for n, _ in pb.tries):
             return False
+        if now - node.full_at < FULL_REST and node.full_at:
+            return False
         for ran, at in pb.may_have_run:
             if not self._repeats_safely(pb, ran, at, node, now):
                 return False
@@ -566,9 +569,8 @@
             node.distrust.add(1.0, now)
         elif outcome is Outcome.ERROR:
             node.distrust.add(0.4, now)
-        elif outcome is Outcome.FULL and self.terms.full_at > 0:
-            node.level = max(node.level, self.terms.full_at)
-            node.reported, node.reported_at, node.heard = node.level, now, True
+        elif outcome is Outcome.FULL:
+            node.full_at = now
         if closed or state is not State.SETTING_UP:
             self._change(pb, State.ENDED, now)
             return
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -101,7 +101,6 @@
     rates: tuple[float, ...]
     rung_worth: tuple[float, ...]
     uplink: float
-    full_at: float
     join_adds: float
     seen_after: int
     reports_every: int
--- a/oakcroft/wirehost/codec.py
+++ b/oakcroft/wirehost/codec.py
@@ -75,7 +75,6 @@
         rates=tuple(info["ratesKb"]),
         rung_worth=tuple(info["rungWorth"]),
         uplink=info["uplinkKb"],
-        full_at=info["guard"],
         join_adds=info["joinAdds"],
         seen_after=nanos(info["seenAfterMs"]),
         reports_every=nanos(info["reportsEveryMs"]),
