Smooth reports harder, 0.4 new

Tried: Reports weigh 0.4 against 0.6 for the running estimate; noise was the largest loss Conclusion: kept.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -47,7 +47,7 @@
 T1, T2, T3, FULL = 0.92, 1.30, 1.00, 1.50  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
-REST = 12 * SECOND  # between a playback's change of rung and its next step up
+REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
 PACE = 0.25  # of the playbacks concerned, at most, in an interval
 
@@ -269,7 +269,7 @@
         old = node.level
         node.reported, node.reported_at = value, now - age
         seen = self._level(node) if node.heard else value
-        node.reported += 0.4 * (old - seen) if node.heard else 0.0
+        node.reported += 0.6 * (old - seen) if node.heard else 0.0
         node.heard = True
         node.level = self._level(node)
         node.rack.carried += (node.level - old) * node.link
