--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -639,7 +639,7 @@
 
 def blend(err: float, predicted: float, measured: float) -> float:
     """x: predicted as far as the last prediction held, else measured."""
-    return (1 - err) * predicted + err * measured
+    return (1 - err) * predicted + err * measured  # eq 9
 
 
 def refusal_probability(x: float, t2: float) -> float:
