--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -49,7 +49,7 @@
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
-PACE = 0.4  # of the playbacks concerned, at most, in an interval
+PACE = 0.15  # of the playbacks concerned, at most, in an interval
 
 DISTRUST_HALF = 4 * SECOND
 DISTRUSTED = 0.7
