--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -51,7 +51,7 @@
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
 PACE = 0.15  # of the playbacks concerned, at most, in an interval
 
-DISTRUST_HALF = 2 * SECOND
+DISTRUST_HALF = 4 * SECOND
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
@@ -60,7 +60,7 @@
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
 USUAL = 0.7  # load taken for a link while none has told
-FORGET = 0.3  # of the way to the usual load, in an interval, for a link whose report is stale
+FORGET = 0.15  # of the way to the usual load, in an interval, for a link whose report is stale
 
 
 class Fading:
