--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -45,6 +45,7 @@
 WINDOW = 5  # samples in the fit
 ALPHA = 0.95  # mean against variance
 T1, T2, T3, FULL = 0.92, 1.30, 1.00, 1.50  # marks on x; FULL is the paper's C
+ROOM = 1.0  # on a link: a set-up at its plan's floor needs this much
 MARK = 0.90  # on a link: set-ups stay under it
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
@@ -60,7 +61,7 @@
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
 USUAL = 0.7  # load taken for a link while none has told
-FORGET = 0.15  # of the way to the usual load, in an interval, for a link whose report is stale
+FORGET = 0.3  # of the way to the usual load, in an interval, for a link whose report is stale
 
 
 class Fading:
@@ -426,7 +427,7 @@
         two: list[Node] = []
         if not plan.seats or pb.title.seats.get(plan, 0) < plan.seats:
             for node in self._holders(pb.title):
-                if self._may_try(pb, node, now) and self._load(node, now, low) <= MARK:
+                if self._may_try(pb, node, now) and self._load(node, now, low) <= ROOM:
                     two.append(node)
                     if len(two) == 2:
                         break
