--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -45,7 +45,6 @@
 WINDOW = 5  # samples in the fit
 ALPHA = 0.95  # mean against variance
 T1, T2, T3, FULL = 0.92, 1.30, 1.00, 1.50  # marks on x; FULL is the paper's C
-ROOM = 1.0  # on a link: a set-up at its plan's floor needs this much
 MARK = 0.90  # on a link: set-ups stay under it
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
@@ -427,7 +426,7 @@
         two: list[Node] = []
         if not plan.seats or pb.title.seats.get(plan, 0) < plan.seats:
             for node in self._holders(pb.title):
-                if self._may_try(pb, node, now) and self._load(node, now, low) <= ROOM:
+                if self._may_try(pb, node, now) and self._load(node, now, low) <= MARK:
                     two.append(node)
                     if len(two) == 2:
                         break
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,175 @@
+"""Each failure found, small and without a bench."""
+
+from __future__ import annotations
+
+from helpers import FREE, PAID, TERMS, Fleet
+
+from oakcroft.choice import MARK, T1, Playback, Title
+from oakcroft.interface import MS, SECOND, Listing, ListKind, Note, Outcome
+
+
+def tick(fleet: Fleet, seconds: int) -> None:
+    for _ in range(seconds):
+        fleet.now += SECOND
+        fleet.control.alarm(fleet.now)
+
+
+def plays(fleet: Fleet, node: int, rung: int = 0) -> Playback:
+    pb = Playback(Title(f"t{node}", 0, 0), FREE, 2, fleet.now, False)
+    pb.rung = rung
+    fleet.control.resumed(pb, fleet.nodes[node], fleet.now)
+    return pb
+
+
+def test_a_full_link_that_nobody_tells_of_is_forgotten() -> None:
+    fleet = Fleet()
+    for node in range(4):
+        pb = plays(fleet, node)
+        fleet.control.noted(pb, Note.LINK_ASKED, 1.4, fleet.now)
+        fleet.control.tried(pb, Outcome.WITHDRAWN, True, None, None, None, fleet.now)
+    tick(fleet, 1)
+    assert fleet.answers(fleet.ask()) == ["reject"]
+    tick(fleet, 20)
+    assert fleet.answers(fleet.ask()) == []
+
+
+def test_one_well_served_node_clears_its_rack() -> None:
+    fleet = Fleet()
+    a, b = plays(fleet, 0), plays(fleet, 2)
+    rack = fleet.nodes[0].rack
+    fleet.control.noted(a, Note.DELIVERED, 0.6, fleet.now)
+    assert rack.tight == 1.0
+    fleet.control.noted(b, Note.DELIVERED, 0.6, fleet.now)
+    assert rack.tight > 1.0
+
+
+def test_a_step_counts_for_the_other_fronts_too() -> None:
+    fleet = Fleet()
+    pb = plays(fleet, 0, rung=2)
+    fleet.control.noted(pb, Note.LINK_ASKED, 1.2, fleet.now)
+    before = fleet.nodes[0].level
+    fleet.control._set_rung(pb, 1, fleet.now)
+    assert before - fleet.nodes[0].level > 1.5 * 400 / 4000
+
+
+def test_noise_of_one_report_moves_the_estimate_only_in_part() -> None:
+    fleet = Fleet()
+    pb = plays(fleet, 0)
+    for value in (0.5, 0.9):
+        fleet.now += 2 * SECOND
+        fleet.control.noted(pb, Note.LINK_ASKED, value, fleet.now)
+    assert 0.5 < fleet.nodes[0].level < 0.8
+
+
+def test_a_report_that_stops_at_one_does_not_hide_a_worse_link() -> None:
+    fleet = Fleet()
+    pb = plays(fleet, 0)
+    fleet.control.noted(pb, Note.LINK_ASKED, 1.4, fleet.now)
+    other = fleet.ask()
+    fleet.control.tried(pb, Outcome.WITHDRAWN, True, None, 1.0, None, fleet.now)
+    assert fleet.nodes[0].level > 1.2
+    assert other.node is not fleet.nodes[0]
+
+
+def test_a_silent_node_loses_its_turn_before_any_time_out() -> None:
+    fleet = Fleet()
+    first = fleet.ask(PAID)
+    fleet.now += SECOND
+    title = Title("t", 0, 0)
+    assert all(fleet.ask(PAID, title).node is not first.node for _ in range(5))
+
+
+def test_a_node_that_answered_full_is_left_alone_and_the_next_one_tried() -> None:
+    fleet = Fleet()
+    pb = fleet.ask(PAID)
+    first = pb.node
+    fleet.control.tried(pb, Outcome.FULL, False, None, None, None, fleet.now)
+    assert len(fleet.sends()) == 2
+    assert fleet.ask().node is not first
+
+
+def test_paid_playback_is_aborted_at_once_after_an_unproven_try() -> None:
+    fleet = Fleet()
+    pb = fleet.ask(PAID)
+    fleet.control.tried(pb, Outcome.RESET, False, None, None, None, fleet.now)
+    assert fleet.answers(pb) == ["abort"]
+
+
+def test_after_its_own_start_a_front_paces_every_node() -> None:
+    fleet = Fleet(warm=False)
+    for _ in range(40):
+        fleet.ask()
+    assert len(fleet.sends()) <= len(fleet.nodes)
+
+
+def test_a_restarted_node_is_empty_but_cold() -> None:
+    fleet = Fleet()
+    pb = plays(fleet, 0)
+    fleet.control.noted(pb, Note.LINK_ASKED, 1.3, fleet.now)
+    fleet.relist(ListKind.CHANGES, started_at=fleet.now)
+    assert fleet.nodes[0].level < 0.2
+    for _ in range(40):
+        fleet.ask()
+    assert len(fleet.sends()) <= len(fleet.nodes)
+
+
+def test_hot_title_is_refused_by_its_own_holders_load() -> None:
+    fleet = Fleet(nodes=4)
+    for node in fleet.nodes[:2]:
+        node.samples.extend([1.9] * 5)
+        node.forecast = 1.9
+        node.level = 0.1
+    for node in fleet.nodes[2:]:
+        node.samples.extend([0.1] * 5)
+        node.forecast = 0.1
+    fleet.control.x = 0.5 * T1
+    assert fleet.answers(fleet.ask(title=Title("hot", 0, 2))) == ["reject"]
+    assert fleet.answers(fleet.ask(title=Title("calm", 2, 2))) == []
+
+
+def test_stale_reports_push_err_to_one() -> None:
+    fleet = Fleet()
+    for node in range(4):
+        fleet.control.noted(plays(fleet, node), Note.LINK_ASKED, 0.5, fleet.now)
+    tick(fleet, 5)
+    assert fleet.control.err < 0.5
+    tick(fleet, 10)
+    assert fleet.control.err == 1.0
+
+
+def test_steps_go_down_past_t3_and_up_under_t1() -> None:
+    fleet = Fleet()
+    pb = plays(fleet, 0, rung=2)
+    for _ in range(3):
+        fleet.control.noted(pb, Note.LINK_ASKED, 1.5, fleet.now)
+        tick(fleet, 1)
+    assert pb.state.value == "playing"
+    assert pb.rung < 2
+    low = pb.rung
+    for _ in range(12):
+        tick(fleet, 1)
+        fleet.control.noted(pb, Note.LINK_ASKED, 0.1, fleet.now)
+    assert pb.rung > low
+
+
+def test_marks_move_towards_t1_and_reset() -> None:
+    fleet = Fleet()
+    t2 = fleet.control.t2
+    fleet.control.x = 2.0
+    fleet.control._move_marks()
+    assert T1 < fleet.control.t2 < t2
+    fleet.control.x = T1 / 2
+    fleet.control._move_marks()
+    assert fleet.control.t2 == t2
+
+
+def test_draining_or_missing_nodes_get_nothing() -> None:
+    fleet = Fleet()
+    fleet.relist(ListKind.CHANGES, listing=Listing.DRAINING)
+    assert fleet.answers(fleet.ask()) == ["reject"]
+    fleet.nodes, fleet.calls = fleet.nodes[:1], []
+    fleet.relist(ListKind.WHOLE)
+    pb = fleet.ask()
+    assert fleet.sends() == [pb.node] == fleet.nodes
+    assert fleet.nodes[0].level <= MARK
+    assert TERMS.most_tries * MS > 0
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,131 @@
+"""A plain, slow model of the six rules beside the module, on generated days."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from helpers import FREE, KEYED, PAID, START, TERMS, Fleet
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oakcroft.choice import Node, Playback, Title
+from oakcroft.interface import MS, SECOND, Effect, Listing, ListKind, Outcome
+
+NEVER_RAN = {Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT}
+PLANS = [FREE, PAID, KEYED, replace(FREE, floor=1, seats=2)]
+BUDGETED = replace(TERMS, tries_free=1.0, tries_share=0.5, tries_window=3 * SECOND)
+STEP = st.tuples(
+    st.sampled_from(["ask", "ask", "end", "end", "wait", "drain", "back", "play", "leave"]),
+    st.integers(0, 20),
+    st.sampled_from([o for o in Outcome if o is not Outcome.DONE]),
+)
+
+
+class Model:
+    """What the rules allow, read off the calls one by one."""
+
+    def __init__(self, fleet: Fleet, budgeted: bool) -> None:
+        self.fleet, self.budgeted, self.seen = fleet, budgeted, 0
+        self.taken: list[int] = []
+        self.further: list[int] = []
+        self.tries: dict[Playback, list[tuple[Node, int]]] = {}
+        self.ran: dict[Playback, list[tuple[Node, int]]] = {}
+        self.out: dict[Playback, Node] = {}
+        self.answered: set[Playback] = set()
+        self.cold: dict[Node, list[int]] = {}
+
+    def check(self) -> None:
+        now = self.fleet.now
+        for call in self.fleet.calls[self.seen :]:
+            if call[0] == "send":
+                self.check_send(call[1], call[2], now)
+            elif call[0] in ("reject", "abort"):
+                pb = call[1]
+                assert pb not in self.answered
+                assert pb not in self.out
+                if call[0] == "reject":
+                    assert pb.plan.effect is Effect.FREE or not self.ran.get(pb)
+                self.answered.add(pb)
+        self.seen = len(self.fleet.calls)
+
+    def check_send(self, pb: Playback, node: Node, now: int) -> None:
+        assert pb not in self.answered
+        assert pb not in self.out
+        assert node.listing is Listing.READY
+        for ran, at in self.ran.get(pb, []):
+            assert pb.plan.effect is not Effect.PAID
+            if pb.plan.effect is Effect.KEYED:
+                assert ran.zone == node.zone
+                assert now - at < pb.plan.key_lasts
+        seats = [p for p in self.out if (p.title, p.plan) == (pb.title, pb.plan)]
+        assert not pb.plan.seats or len(seats) < pb.plan.seats
+        if pb in self.tries and self.budgeted:
+            self.further.append(now)
+            span = now - BUDGETED.tries_window
+            allowed = 1.0 + 0.5 * sum(t > span for t in self.taken)
+            assert sum(t >= span for t in self.further) <= allowed
+        if now - node.started_at < TERMS.cold_for:
+            sent = self.cold.setdefault(node, [])
+            sent.append(now)
+            full = TERMS.fall_multiple * 12 / TERMS.cold_for * TERMS.fall_window
+            assert sum(t > now - TERMS.fall_window for t in sent) <= max(1.0, full / TERMS.fronts)
+        self.tries.setdefault(pb, []).append((node, now))
+        self.out[pb] = node
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.lists(STEP, min_size=5, max_size=60), st.booleans())
+def test_module_and_model_agree_on_what_is_allowed(
+    steps: list[tuple[str, int, Outcome]], budget: bool
+) -> None:
+    fleet = Fleet(terms=BUDGETED if budget else TERMS)
+    model = Model(fleet, budget)
+    titles = [Title(f"t{i}", i % 4, 3) for i in range(3)]
+    for what, k, outcome in steps:
+        held = list(model.out)
+        pb = held[k % len(held)] if held else None
+        if what == "ask":
+            model.taken.append(fleet.now)
+            asked = fleet.ask(PLANS[k % len(PLANS)], titles[k % 3])
+            model.check()
+            assert asked in model.out or asked in model.answered
+        elif what == "wait":
+            fleet.now += k * 100 * MS
+            fleet.control.alarm(fleet.now)
+        elif what in ("drain", "back"):
+            node = fleet.nodes[k % len(fleet.nodes)]
+            rest, fleet.nodes = fleet.nodes, [node]
+            listing = Listing.DRAINING if what == "drain" else Listing.READY
+            fleet.relist(ListKind.CHANGES, 0 if what == "drain" else fleet.now, listing)
+            fleet.nodes = rest
+        elif pb and what == "end":
+            if outcome not in NEVER_RAN:
+                model.ran.setdefault(pb, []).append(model.tries[pb][-1])
+            closed = pb.over or pb.state.value == "playing"
+            del model.out[pb]
+            fleet.control.tried(pb, outcome, closed, None, None, None, fleet.now)
+            model.check()
+            assert closed or pb in model.out or pb in model.answered
+        elif pb and what == "play":
+            fleet.control.playing(pb, 100 * MS, fleet.now)
+        elif pb and what == "leave" and pb.state.value == "playing":
+            fleet.control.left(pb, fleet.now)
+            fleet.control.tried(pb, Outcome.WITHDRAWN, True, None, None, None, fleet.now)
+            del model.out[pb]
+        model.check()
+    assert fleet.now >= START
+
+
+def test_limits_of_the_settings_neither_crash_nor_break_a_rule() -> None:
+    small = replace(TERMS, fronts=1, cells=1, racks=1, rates=(200.0,), rung_worth=(1.0,), uplink=0.0,
+                    reports_every=0, most_tries=1, stay_away_most=0)  # fmt: skip
+    fleet = Fleet(nodes=1, terms=small)
+    plan = replace(FREE, top=0)
+    pb = Playback(Title("t", 0, 0), plan, 0, fleet.now + SECOND, False)
+    fleet.control.arrived(pb, fleet.now)
+    fleet.control.alarm(fleet.now)
+    fleet.control.tried(pb, Outcome.LATE, False, None, None, None, fleet.now)
+    assert fleet.answers(pb) == ["reject"]
+    empty = Fleet(nodes=0)
+    empty.control.alarm(empty.now)
+    assert empty.answers(empty.ask()) == ["reject"]
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,70 @@
+"""Exchanges through the started adapter."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from typing import Any
+
+ENV: dict[str, Any] = {
+    "balancers": 1, "me": 0, "membershipMode": "automatic", "models": ["k"],
+    "classes": [{"deadlineMs": 4000.0, "effect": "free", "name": "p", "objectiveMs": 800.0, "worth": 1.0}],
+    "familyInfo": {
+        "cells": 1, "classSeats": [0], "classTop": [2], "floorByClass": [0], "groups": 1, "joinAdds": 1.0,
+        "kindSlots": [10], "live": [False], "rateFactor": [1.0], "ratesKb": [100.0, 200.0, 400.0],
+        "reportsEveryMs": 3000.0, "rungWorth": [0.3, 0.6, 1.0], "seenAfterMs": 900.0, "uplinkKb": 9000.0,
+        "weightKb": 4000.0,
+    },
+    "permissions": {"maxAttempts": 3, "maxRetryAfterMs": 1000.0, "retryAfter": True},
+    "rules": {"coldMs": 8000.0, "coldShare": 0.4, "drainGraceMs": 250.0, "fallMultiple": 2.5,
+              "overloadForMs": 1000.0},
+}  # fmt: skip
+NODE = {"classOfHost": "k", "share": 1, "startedAtMs": None, "node": "n", "cell": 0, "zone": "z",
+        "availability": 1}  # fmt: skip
+ASK = {"op": "accept", "who": "e", "rid": "r", "programme": "t", "partitionKey": "k", "budgetMs": 4000.0,
+       "profile": "p", "backFromMove": False, "home": 0, "copies": 1, "topRung": 2, "extra": 1}  # fmt: skip
+
+
+def exchange(*lines: str) -> tuple[list[Any], int, str]:
+    text = "".join(line + "\n" for line in lines)
+    done = subprocess.run(
+        [sys.executable, "-m", "oakcroft.wirehost"], input=text, capture_output=True, text=True, check=False
+    )
+    return [json.loads(line)["do"] for line in done.stdout.splitlines()], done.returncode, done.stderr
+
+
+def batch(ms: float, *news: dict[str, Any]) -> str:
+    return json.dumps({"momentMs": ms, "news": news})
+
+
+def test_a_playback_from_start_to_end() -> None:
+    start = batch(
+        1.0,
+        {"op": "powerOn", "who": "e", "seed": 3, "env": ENV},
+        {"op": "page", "rosterId": 0, "nodesList": [NODE]},
+        {"op": "registry", "who": "e", "how": 2, "index": 1, "rosterId": 0},
+    )
+    end = {"op": "reply", "who": "e", "rid": "r", "doneFlag": True, "delaySeenMs": 9.0, "outcome": "GOOD",
+           "node": "n", "sendNo": 0, "report": {"x0": 0.2, "new": 1.0}}  # fmt: skip
+    gone = {"op": "gone", "who": "e", "rid": "r"}
+    replies, code, _ = exchange(start, batch(9001.0, ASK), batch(9900.0, end, gone), batch(9901.0, gone))
+    sent = [a["node"] for a in replies[1] if a["op"] == "deliver"]
+    assert sent == ["n"]
+    assert replies[2:] == [[], []]
+    assert code == 0
+
+
+def test_a_fault_inside_goes_out_with_its_cause() -> None:
+    replies, code, _ = exchange(batch(1.0, {"op": "powerOn", "who": "e", "seed": 3, "env": {}}))
+    assert replies[0][-1]["op"] == "giveIn"
+    assert "KeyError" in replies[0][-1]["message"]
+    assert code == 0
+
+
+def test_a_line_that_is_no_batch_ends_the_adapter_plainly() -> None:
+    for line in ("nonsense", "[]", '{"momentMs": 1}'):
+        replies, code, errors = exchange(line)
+        assert replies == []
+        assert code != 0
+        assert len(errors.splitlines()) == 1
