--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -21,24 +21,11 @@
 
 import hashlib
 from collections import deque
-from collections.abc import Iterable
-from enum import Enum
+from collections.abc import Iterable, Sequence
 from random import Random
 
-from oakcroft.interface import (
-    MS,
-    SECOND,
-    Effect,
-    Entry,
-    Group,
-    Host,
-    Listing,
-    ListKind,
-    Note,
-    Outcome,
-    Plan,
-    Terms,
-)
+from oakcroft.interface import MS, SECOND, Effect, Entry, Group, Host, Listing, ListKind, Node, Note
+from oakcroft.interface import Outcome, Playback, Rack, State, Terms, Title
 
 # The design's open constants.
 INTERVAL = SECOND  # between samples
@@ -63,35 +50,6 @@
 FORGET = 0.3  # of the way to the usual load, in an interval, for a link whose report is stale
 
 
-class Fading:
-    """A sum that halves every `half`; brought up to date when it is read."""
-
-    def __init__(self, half: int) -> None:
-        self.half, self.sum, self.at = half, 0.0, 0
-
-    def read(self, now: int) -> float:
-        if now > self.at:
-            self.sum *= 0.5 ** ((now - self.at) / self.half)
-            self.at = now
-        return self.sum
-
-    def add(self, amount: float, now: int) -> None:
-        self.sum = max(0.0, self.read(now) + amount)
-
-
-class State(Enum):
-    """Where a playback stands."""
-
-    ARRIVED = "arrived"
-    SETTING_UP = "setting up"
-    BETWEEN = "between tries"
-    PLAYING = "playing"
-    CLOSED = "closed, its try still out"
-    ENDED = "ended"
-    REJECTED = "rejected"
-    ABORTED = "aborted"
-
-
 NEXT = {
     State.ARRIVED: {State.SETTING_UP, State.PLAYING, State.REJECTED, State.ABORTED, State.ENDED},
     State.SETTING_UP: {State.PLAYING, State.BETWEEN, State.CLOSED, State.ENDED},
@@ -105,65 +63,6 @@
 HOLDS = {State.SETTING_UP, State.PLAYING, State.CLOSED}
 
 
-class Rack:
-    """Nodes behind one uplink: what they carry, in kB a second, and how tight it has proved."""
-
-    def __init__(self) -> None:
-        self.nodes: list[Node] = []
-        self.carried = 0.0
-        self.tight = 1.0
-
-
-class Node:
-    """A playout node as this front knows it."""
-
-    def __init__(self, name: str) -> None:
-        self.name, self.zone, self.cell = name, "", 0
-        self.listing, self.started_at = Listing.GONE, 0
-        self.link, self.places = 1.0, 0.0
-        self.rack = Rack()
-        self.playbacks: dict[Playback, None] = {}
-        self.waiting: dict[Playback, int] = {}
-        self.own: deque[tuple[int, float]] = deque()  # own changes, kB a second, since the last report
-        self.reported, self.reported_at = 0.0, 0
-        self.heard = False
-        self.level = 0.0  # load of its link, as estimated now
-        self.short, self.short_at = 1.0, 0  # delivered share, as last told
-        self.samples: deque[float] = deque(maxlen=WINDOW)
-        self.forecast = 0.0
-        self.distrust = Fading(DISTRUST_HALF)
-        self.failed_at, self.full_at, self.slot, self.slot_used = 0, 0, -1, 0
-
-
-class Title:
-    """What is watched, the cells that hold it, and the seats taken in each plan."""
-
-    def __init__(self, name: str, home: int, copies: int) -> None:
-        self.name, self.home, self.copies = name, home, copies
-        self.seats: dict[Plan, int] = {}
-        self.holders: list[Node] = []
-        self.known = -1
-
-
-class Playback:
-    """One viewer's request and the playback that it becomes."""
-
-    def __init__(self, title: Title, plan: Plan, top: int, abandon: int, moved: bool) -> None:
-        self.title, self.plan, self.abandon, self.moved = title, plan, abandon, moved
-        self.top = max(plan.floor, min(top, plan.top))
-        self.state = State.ARRIVED
-        self.rung = plan.floor
-        self.node: Node | None = None
-        self.tries: list[tuple[Node, int]] = []
-        self.may_have_run: list[tuple[Node, int]] = []
-        self.changed_at = 0
-        self.fresh = False  # its next link note tells of now
-
-    @property
-    def over(self) -> bool:
-        return not NEXT[self.state]
-
-
 class Controller:
     """The decisions of one front end."""
 
@@ -195,7 +94,7 @@
             node = e.node
             missing.pop(node, None)
             if e.started_at > node.started_at:  # a new process: nothing known of the old one holds
-                node.distrust.add(-node.distrust.read(now), now)
+                node.distrust.clear()
                 node.heard, node.reported, node.reported_at = True, 0.0, now
             node.listing, node.started_at = e.listing, e.started_at
             node.link, node.places = max(1.0, e.link), e.places
@@ -337,7 +236,7 @@
                 node.level = self._level(node)
         self._carry()
         for node in ready:
-            node.samples.append(self._load(node, now))
+            node.samples = [*node.samples[1 - WINDOW :], self._load(node, now)]
             node.forecast = forecast(node.samples)
         for rack in self.racks:
             uplink = rack.carried * rack.tight / self.terms.uplink if self.terms.uplink > 0 else 0.0
@@ -474,7 +373,7 @@
         some seconds; a try of a plan that may be repeated brings it back."""
         if any(now - at > SILENT for at in node.waiting.values()):
             return False
-        score = node.distrust.read(now)
+        score = node.distrust.read(now, DISTRUST_HALF)
         if score < DISTRUSTED:
             return True
         return score < 2 * DISTRUSTED and not node.waiting and pb.plan.effect is Effect.FREE
@@ -550,7 +449,7 @@
         """The set-up is done."""
         pb.fresh = True
         if pb.node:
-            pb.node.distrust.add(-0.5, now)
+            pb.node.distrust.add(-0.5, now, DISTRUST_HALF)
         if pb.state is State.SETTING_UP:
             self._change(pb, State.PLAYING, now)
 
@@ -569,9 +468,9 @@
         proven = outcome in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
         if outcome in (Outcome.NO_CONNECTION, Outcome.RESET, Outcome.LATE):
             node.failed_at = now
-            node.distrust.add(1.0, now)
+            node.distrust.add(1.0, now, DISTRUST_HALF)
         elif outcome is Outcome.ERROR:
-            node.distrust.add(0.4, now)
+            node.distrust.add(0.4, now, DISTRUST_HALF)
         elif outcome is Outcome.FULL:
             node.full_at = now
         if closed or state is not State.SETTING_UP:
@@ -592,6 +491,10 @@
         elif pb.state is State.ARRIVED:
             self._change(pb, State.ENDED, now)
 
+    def over(self, pb: Playback) -> bool:
+        """Whether nothing more can come for a playback."""
+        return not NEXT[pb.state]
+
     def _change(self, pb: Playback, state: State, now: int, node: Node | None = None) -> None:
         """The one place where a playback changes state; seats and loads follow from it."""
         if state not in NEXT[pb.state]:
@@ -620,7 +523,7 @@
 # The design's formulas.
 
 
-def forecast(samples: deque[float]) -> float:
+def forecast(samples: Sequence[float]) -> float:
     """The next value on the straight line fitted to equally spaced samples."""
     n = len(samples)
     mean = sum(samples) / n
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -6,12 +6,10 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Protocol
-
-if TYPE_CHECKING:
-    from oakcroft.choice import Node, Playback
+from typing import Protocol
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -115,6 +113,93 @@
     tries_window: int
 
 
+class Fading:
+    """A sum that halves every so often; brought up to date when it is read."""
+
+    def __init__(self) -> None:
+        self.sum, self.at = 0.0, 0
+
+    def read(self, now: int, half: int) -> float:
+        if now > self.at:
+            self.sum *= 0.5 ** ((now - self.at) / half)
+            self.at = now
+        return self.sum
+
+    def add(self, amount: float, now: int, half: int) -> None:
+        self.sum = max(0.0, self.read(now, half) + amount)
+
+    def clear(self) -> None:
+        self.sum = 0.0
+
+
+class State(Enum):
+    """Where a playback stands."""
+
+    ARRIVED = "arrived"
+    SETTING_UP = "setting up"
+    BETWEEN = "between tries"
+    PLAYING = "playing"
+    CLOSED = "closed, its try still out"
+    ENDED = "ended"
+    REJECTED = "rejected"
+    ABORTED = "aborted"
+
+
+class Rack:
+    """Nodes behind one uplink: what they carry, in kB a second, and how tight it has proved."""
+
+    def __init__(self) -> None:
+        self.nodes: list[Node] = []
+        self.carried = 0.0
+        self.tight = 1.0
+
+
+class Node:
+    """A playout node, with what one front end has heard and guessed of it."""
+
+    def __init__(self, name: str) -> None:
+        self.name, self.zone, self.cell = name, "", 0
+        self.listing, self.started_at = Listing.GONE, 0
+        self.link, self.places = 1.0, 0.0
+        self.rack = Rack()
+        self.playbacks: dict[Playback, None] = {}
+        self.waiting: dict[Playback, int] = {}  # set-ups without an answer, and when they were sent
+        self.own: deque[tuple[int, float]] = deque()  # own changes of what it carries, kB a second
+        self.heard, self.reported, self.reported_at = False, 0.0, 0
+        self.level = 0.0  # load of its link, as estimated now
+        self.short, self.short_at = 1.0, 0  # delivered share, as last told
+        self.samples: list[float] = []
+        self.forecast = 0.0
+        self.distrust = Fading()
+        self.failed_at, self.full_at = 0, 0
+        self.slot, self.slot_used = -1, 0
+
+
+class Title:
+    """What is watched, the cells that hold it, and the seats taken in each plan."""
+
+    def __init__(self, name: str, home: int, copies: int) -> None:
+        self.name, self.home, self.copies = name, home, copies
+        self.seats: dict[Plan, int] = {}
+        self.holders: list[Node] = []
+        self.known = -1  # the version of the list that `holders` was made from
+
+
+class Playback:
+    """One viewer's request and the playback that it becomes."""
+
+    def __init__(self, title: Title, plan: Plan, top: int, abandon: int, moved: bool) -> None:
+        self.title, self.plan, self.abandon, self.moved = title, plan, abandon, moved
+        self.top = max(plan.floor, min(top, plan.top))
+        self.state = State.ARRIVED
+        self.rung = plan.floor
+        self.node: Node | None = None
+        self.tries: list[tuple[Node, int]] = []
+        self.may_have_run: list[tuple[Node, int]] = []
+        self.changed_at = 0
+        self.fresh = False  # its next link note tells of now
+
+
 @dataclass(frozen=True)
 class Entry:
     """One line of the list of playout nodes."""
--- a/oakcroft/wirehost/instance.py
+++ b/oakcroft/wirehost/instance.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from oakcroft.choice import Controller, Node, Playback, Title
-from oakcroft.interface import Entry, ListKind
+from oakcroft.choice import Controller
+from oakcroft.interface import Entry, ListKind, Node, Playback, Title
 from oakcroft.wirehost import codec
 
 Message = dict[str, Any]
@@ -61,7 +61,8 @@
         pb = self.playbacks.get(event.get("rid", ""))
         match event["op"]:
             case "accept":
-                self.controller.arrived(self._playback(event, now), now)
+                pb = self._playback(event, now)
+                self.controller.arrived(pb, now)
             case "resumed":
                 pb = self._playback(event, now)
                 self.controller.resumed(pb, self._node(event["node"]), now)
@@ -87,8 +88,8 @@
                 kind = codec.LIST_KINDS[event["how"]]
                 lines = lists[event["rosterId"]] if kind is not ListKind.FAILED else []
                 self.controller.listed(kind, [self._entry(e) for e in lines], now)
-        if (rid := event.get("rid")) in self.playbacks and self.playbacks[rid].over:
-            del self.ids[self.playbacks.pop(rid)]
+        if pb and self.controller.over(pb):
+            del self.ids[self.playbacks.pop(event["rid"])]
 
     def _node(self, name: str) -> Node:
         if name not in self.nodes:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,9 @@
 from dataclasses import replace
 from typing import Any
 
-from oakcroft.choice import Controller, Node, Playback, Title
-from oakcroft.interface import MS, SECOND, Effect, Entry, Group, Listing, ListKind, Plan, Terms
+from oakcroft.choice import Controller
+from oakcroft.interface import MS, SECOND, Effect, Entry, Group, Listing, ListKind, Node, Plan, Playback
+from oakcroft.interface import Terms, Title
 
 START = 100 * SECOND
 TERMS = Terms(
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,8 +4,8 @@
 
 from helpers import FREE, PAID, TERMS, Fleet
 
-from oakcroft.choice import MARK, T1, Playback, Title
-from oakcroft.interface import MS, SECOND, Listing, ListKind, Note, Outcome
+from oakcroft.choice import MARK, T1
+from oakcroft.interface import MS, SECOND, Listing, ListKind, Note, Outcome, Playback, Title
 
 
 def tick(fleet: Fleet, seconds: int) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from oakcroft.choice import Node, Playback, Title
-from oakcroft.interface import MS, SECOND, Effect, Listing, ListKind, Outcome
+from oakcroft.interface import MS, SECOND, Effect, Listing, ListKind, Node, Outcome, Playback, Title
 
 NEVER_RAN = {Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT}
 PLANS = [FREE, PAID, KEYED, replace(FREE, floor=1, seats=2)]
@@ -101,7 +100,7 @@
         elif pb and what == "end":
             if outcome not in NEVER_RAN:
                 model.ran.setdefault(pb, []).append(model.tries[pb][-1])
-            closed = pb.over or pb.state.value == "playing"
+            closed = fleet.control.over(pb) or pb.state.value == "playing"
             del model.out[pb]
             fleet.control.tried(pb, outcome, closed, None, None, None, fleet.now)
             model.check()
