--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -44,6 +44,7 @@
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 SHORT = 0.98  # delivery under this is short
+DEAD = 0.2  # delivery under this is a node that stands still
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
 USUAL = 0.7  # load taken for a link while none has told
@@ -187,6 +188,9 @@
             self._report(node, value, 0 if pb.fresh else self.terms.seen_after, now)
             pb.fresh = False
         elif kind is Note.DELIVERED:
+            if value < DEAD:
+                node.distrust.add(1.0, now, DISTRUST_HALF)  # not a full link, but one that gives nothing
+                return
             node.short, node.short_at = value, now
             alone = self._squeeze(node, now)
             if value < SHORT and alone and 1 / max(value, 0.2) > node.level + 0.05:
@@ -218,9 +222,11 @@
         self.host.alarm(now + INTERVAL)
 
     def _interval(self, now: int) -> None:
-        ready = [n for n in self.nodes if n.listing is Listing.READY]
-        if not ready:
+        listed = [n for n in self.nodes if n.listing is Listing.READY]
+        if not listed:
             return
+        # A node that answers nothing carries no load: counted as full it would shut the door to the others.
+        ready = [n for n in listed if self._sound(n, now)] or listed
         due = self.terms.reports_every + self.terms.seen_after + TOO_OLD
         stale = 0
         fresh = [n.level for n in ready if n.heard and now - n.reported_at <= due]
@@ -371,12 +377,14 @@
         """Guards against nodes that are dead, silent, hung or cut off, before any list says so; covers
         every fault that leaves set-ups unanswered. Harm: a burst of slow answers idles a good node for
         some seconds; a try of a plan that may be repeated brings it back."""
-        if any(now - at > SILENT for at in node.waiting.values()):
-            return False
-        score = node.distrust.read(now, DISTRUST_HALF)
-        if score < DISTRUSTED:
+        if self._sound(node, now):
             return True
-        return score < 2 * DISTRUSTED and not node.waiting and pb.plan.effect is Effect.FREE
+        faint = node.distrust.read(now, DISTRUST_HALF) < 2 * DISTRUSTED
+        return faint and not node.waiting and pb.plan.effect is Effect.FREE
+
+    def _sound(self, node: Node, now: int) -> bool:
+        silent = any(now - at > SILENT for at in node.waiting.values())
+        return not silent and node.distrust.read(now, DISTRUST_HALF) < DISTRUSTED
 
     def _slot(self, node: Node, now: int) -> tuple[int, int]:
         """The running slot of time, and how many set-ups it allows this front on a cold node."""
