--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -43,6 +43,7 @@
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
+CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
 SHORT = 0.98  # delivery under this is short
 DEAD = 0.2  # delivery under this is a node that stands still
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
@@ -141,7 +142,7 @@
 
     def _carry(self) -> None:
         for rack in self.racks:
-            rack.carried = sum(n.level * n.link for n in rack.nodes)
+            rack.carried = sum(min(n.level, CROWDED) * n.link for n in rack.nodes)
 
     def _load(self, node: Node, now: int, more: float = 0.0) -> float:
         """The load that a playback on this node feels, with `more` kB a second added."""
@@ -172,7 +173,7 @@
         node.reported += 0.6 * (old - seen) if node.heard else 0.0
         node.heard = True
         node.level = self._level(node)
-        node.rack.carried += (node.level - old) * node.link
+        node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
 
     def noted(self, pb: Playback, kind: Note, value: float, now: int) -> None:
         """News on one playback, which mostly speaks of its node."""
@@ -242,7 +243,7 @@
                 node.level = self._level(node)
         self._carry()
         for node in ready:
-            node.samples = [*node.samples[1 - WINDOW :], self._load(node, now)]
+            node.samples = [*node.samples[1 - WINDOW :], min(FULL, self._load(node, now))]
             node.forecast = forecast(node.samples)
         for rack in self.racks:
             uplink = rack.carried * rack.tight / self.terms.uplink if self.terms.uplink > 0 else 0.0
