--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -207,9 +207,10 @@
         """
         rack = node.rack
         shares = [n.short if now - n.short_at < 2 * SECOND else 1.0 for n in rack.nodes if n.playbacks]
-        if len(shares) < 2 or max(shares) >= SHORT or rack.carried <= 0 or self.terms.uplink <= 0:
+        carried = max(rack.carried, *rack.lately)  # the note is late: it tells of what was carried then
+        if len(shares) < 2 or max(shares) >= SHORT or carried <= 0 or self.terms.uplink <= 0:
             return True
-        rack.tight = min(2.0, max(rack.tight, self.terms.uplink / max(shares) / rack.carried))
+        rack.tight = min(2.0, max(rack.tight, self.terms.uplink / max(shares) / carried))
         return False
 
     # The design's interval.
@@ -246,6 +247,7 @@
             node.samples = [*node.samples[1 - WINDOW :], min(FULL, self._load(node, now))]
             node.forecast = forecast(node.samples)
         for rack in self.racks:
+            rack.lately = [*rack.lately[-2:], rack.carried]
             uplink = rack.carried * rack.tight / self.terms.uplink if self.terms.uplink > 0 else 0.0
             if uplink > T1 and all(now - n.short_at > 3 * SECOND for n in rack.nodes):
                 rack.tight = max(0.5, rack.tight * (0.97 if uplink < 1 else 1 / uplink))
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -150,7 +150,7 @@
 
     def __init__(self) -> None:
         self.nodes: list[Node] = []
-        self.carried = 0.0
+        self.carried, self.lately = 0.0, [0.0]
         self.tight = 1.0
 
 
