--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -279,8 +279,8 @@
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
             if not playing:
                 continue
-            most = max(1, round(PACE * len(playing)))
             load = self._load(node, now)
+            most = max(1, round(min(2 * PACE, PACE + max(0.0, load - self.t3) / 2) * len(playing)))
             if load > self.t3:
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = sorted((pb for pb in playing if pb.rung > pb.plan.floor), key=self._loss)
