--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -280,7 +280,7 @@
             if not playing:
                 continue
             load = self._load(node, now)
-            most = max(1, round(min(2 * PACE, PACE + max(0.0, load - self.t3) / 2) * len(playing)))
+            most = max(1, round((PACE if load < 1.15 else 3 * PACE) * len(playing)))
             if load > self.t3:
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = sorted((pb for pb in playing if pb.rung > pb.plan.floor), key=self._loss)
