--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -48,7 +48,7 @@
 DEAD = 0.2  # delivery under this is a node that stands still
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
-USUAL = 0.7  # load taken for a link while none has told
+USUAL = 0.5  # load taken for a link while none has told
 FORGET = 0.3  # of the way to the usual load, in an interval, for a link whose report is stale
 
 
