--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -42,13 +42,14 @@
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
+PRESS_HALF = 2 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
 SHORT = 0.98  # delivery under this is short
 DEAD = 0.2  # delivery under this is a node that stands still
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
-USUAL = 0.5  # load taken for a link while none has told
+USUAL = 0.7  # load taken for a link while none has told
 FORGET = 0.3  # of the way to the usual load, in an interval, for a link whose report is stale
 
 
@@ -280,12 +281,13 @@
             if not playing:
                 continue
             most = max(1, round(PACE * len(playing)))
-            load = self._load(node, now)
+            press = node.pressed.read(now, PRESS_HALF)
+            load = self._load(node, now, press)
             if load > self.t3:
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = sorted((pb for pb in playing if pb.rung > pb.plan.floor), key=self._loss)
                 for pb in down[:most]:
-                    if self._load(node, now) > self.t3 and self.rng.random() < p:
+                    if self._load(node, now, press) > self.t3 and self.rng.random() < p:
                         self._set_rung(pb, pb.rung - 1, now)
             elif self.x < T1 and load < UP_MARK:
                 up = sorted((pb for pb in playing if pb.rung < pb.top), key=self._gain)
@@ -339,6 +341,7 @@
                     if len(two) == 2:
                         break
         if not two:
+            self._press(pb, now)
             self._give_up(pb, now)
             return
         node = min(two, key=lambda n: self._load(n, now))
@@ -347,6 +350,14 @@
             rung += 1
         self._send(pb, node, rung, now)
 
+    def _press(self, pb: Playback, now: int) -> None:
+        """Guards against a fleet that plays high rungs and turns viewers away at the door, each link just
+        under T3: who is refused for load counts in the step-downs of the first two holders. Covers any
+        crowd on few holders. Harm: viewers who come back again and again press more than once."""
+        homes = [n for n in self._holders(pb.title) if self._may_try(pb, n, now)][:2]
+        for node in homes:
+            node.pressed.add(self._rate(pb, pb.plan.floor), now, PRESS_HALF)
+
     def _send(self, pb: Playback, node: Node, rung: int, now: int) -> None:
         if rung != pb.rung or pb.tries or rung != pb.plan.floor:
             pb.rung = rung
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -171,6 +171,7 @@
         self.samples: list[float] = []
         self.forecast = 0.0
         self.distrust = Fading()
+        self.pressed = Fading()  # kB a second of requests refused for its load
         self.failed_at, self.full_at = 0, 0
         self.slot, self.slot_used = -1, 0
 
