--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -356,7 +356,7 @@
         crowd on few holders. Harm: viewers who come back again and again press more than once."""
         homes = [n for n in self._holders(pb.title) if self._may_try(pb, n, now)][:2]
         for node in homes:
-            node.pressed.add(self._rate(pb, pb.plan.floor), now, PRESS_HALF)
+            self.err or node.pressed.add(self._rate(pb, pb.plan.floor), now, PRESS_HALF)
 
     def _send(self, pb: Playback, node: Node, rung: int, now: int) -> None:
         if rung != pb.rung or pb.tries or rung != pb.plan.floor:
