--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -42,7 +42,7 @@
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
-PRESS_HALF = 2 * SECOND
+PRESS_HALF = 4 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
 SHORT = 0.98  # delivery under this is short
@@ -356,7 +356,7 @@
         crowd on few holders. Harm: viewers who come back again and again press more than once."""
         homes = [n for n in self._holders(pb.title) if self._may_try(pb, n, now)][:2]
         for node in homes:
-            self.err or node.pressed.add(self._rate(pb, pb.plan.floor), now, PRESS_HALF)
+            node.pressed.add(self._rate(pb, pb.plan.floor), now, PRESS_HALF)
 
     def _send(self, pb: Playback, node: Node, rung: int, now: int) -> None:
         if rung != pb.rung or pb.tries or rung != pb.plan.floor:
