--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -30,8 +30,8 @@
 # The design's open constants.
 INTERVAL = SECOND  # between samples
 WINDOW = 5  # samples in the fit
-ALPHA = 0.95  # mean against variance
-T1, T2, T3, FULL = 0.92, 1.30, 0.97, 1.50  # marks on x; FULL is the paper's C
+ALPHA = 1.00  # mean against variance
+T1, T2, T3, FULL = 0.96, 1.30, 1.00, 1.50  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
@@ -42,7 +42,7 @@
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
-PRESS_HALF = 2 * SECOND
+PRESS_HALF = 4 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
 SHORT = 0.98  # delivery under this is short
@@ -251,7 +251,7 @@
             rack.lately = [*rack.lately[-2:], rack.carried]
             uplink = rack.carried * rack.tight / self.terms.uplink if self.terms.uplink > 0 else 0.0
             if uplink > T1 and all(now - n.short_at > 3 * SECOND for n in rack.nodes):
-                rack.tight = max(0.5, rack.tight * (0.97 if uplink < 1 else 1 / uplink))
+                rack.tight = max(0.5, rack.tight * (0.94 if uplink < 1 else 1 / uplink))
         measured = cluster_load([n.samples[-1] for n in ready])
         gap = abs(self.predicted - measured) / measured if measured > 0 else 1.0
         self.err = min(1.0, max(gap, stale / len(ready)))
@@ -356,7 +356,7 @@
         crowd on few holders. Harm: viewers who come back again and again press more than once."""
         homes = [n for n in self._holders(pb.title) if self._may_try(pb, n, now)][:2]
         for node in homes:
-            self.err or node.pressed.add(self._rate(pb, pb.plan.floor), now, PRESS_HALF)
+            node.pressed.add(self._rate(pb, pb.plan.floor), now, PRESS_HALF)
 
     def _send(self, pb: Playback, node: Node, rung: int, now: int) -> None:
         if rung != pb.rung or pb.tries or rung != pb.plan.floor:
