--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -30,8 +30,8 @@
 # The design's open constants.
 INTERVAL = SECOND  # between samples
 WINDOW = 5  # samples in the fit
-ALPHA = 1.00  # mean against variance
-T1, T2, T3, FULL = 0.96, 1.30, 1.00, 1.50  # marks on x; FULL is the paper's C
+ALPHA = 0.95  # mean against variance
+T1, T2, T3, FULL = 0.92, 1.30, 1.00, 1.50  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
@@ -42,7 +42,7 @@
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
-PRESS_HALF = 4 * SECOND
+PRESS_HALF = 2 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
 SHORT = 0.98  # delivery under this is short
