--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -171,7 +171,7 @@
         old = node.level
         node.reported, node.reported_at = value, now - age
         seen = self._level(node) if node.heard else value
-        node.reported += 0.7 * (old - seen) if node.heard else 0.0
+        node.reported += 0.5 * (old - seen) if node.heard else 0.0
         node.heard = True
         node.level = self._level(node)
         node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
