--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -32,7 +32,7 @@
 WINDOW = 5  # samples in the fit
 ALPHA = 0.95  # mean against variance
 T1, T2, T3, FULL = 0.92, 1.30, 0.97, 1.50  # marks on x; FULL is the paper's C
-MARK = 0.90  # on a link: set-ups stay under it
+MARK = 0.93  # on a link: set-ups stay under it
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
@@ -171,7 +171,7 @@
         old = node.level
         node.reported, node.reported_at = value, now - age
         seen = self._level(node) if node.heard else value
-        node.reported += 0.5 * (old - seen) if node.heard else 0.0
+        node.reported += 0.6 * (old - seen) if node.heard else 0.0
         node.heard = True
         node.level = self._level(node)
         node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
