--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -33,8 +33,8 @@
 ALPHA = 0.95  # mean against variance
 T1, T2, T3, FULL = 0.92, 1.30, 0.97, 1.50  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
-UP_MARK = 0.76  # on a link: step-ups stay under it, well clear of T3
-REST = 8 * SECOND  # between a playback's change of rung and its next step up
+UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
+REST = 12 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
 PACE = 0.15  # of the playbacks concerned, at most, in an interval
 
