--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -34,7 +34,7 @@
 T1, T2, T3, FULL = 0.92, 1.30, 0.97, 1.50  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
-REST = 12 * SECOND  # between a playback's change of rung and its next step up
+REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
 PACE = 0.15  # of the playbacks concerned, at most, in an interval
 
@@ -407,7 +407,7 @@
         age = min(max(0, now - since), terms.cold_for)
         share = terms.cold_share + (1 - terms.cold_share) * (age / max(1, terms.cold_for)) ** 2
         pace = terms.fall_multiple * share * node.places / max(1, terms.cold_for)  # set-ups a ns
-        allowed = int(0.45 * pace * terms.fall_window)
+        allowed = int(0.8 * pace * terms.fall_window)
         if allowed >= 1:
             return now // terms.fall_window, allowed
         length = int(2 * max(terms.fall_window, 1 / max(pace, 1e-15)))
