--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -41,7 +41,7 @@
 DISTRUST_HALF = 4 * SECOND
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
-TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
+TRY_SHARE = 0.6  # of the startup target, for a try that may be followed by another
 PRESS_HALF = 2 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
@@ -407,7 +407,7 @@
         age = min(max(0, now - since), terms.cold_for)
         share = terms.cold_share + (1 - terms.cold_share) * (age / max(1, terms.cold_for)) ** 2
         pace = terms.fall_multiple * share * node.places / max(1, terms.cold_for)  # set-ups a ns
-        allowed = int(0.8 * pace * terms.fall_window)
+        allowed = int(0.45 * pace * terms.fall_window)
         if allowed >= 1:
             return now // terms.fall_window, allowed
         length = int(2 * max(terms.fall_window, 1 / max(pace, 1e-15)))
