--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -40,7 +40,7 @@
 
 DISTRUST_HALF = 4 * SECOND
 DISTRUSTED = 0.7
-SILENT = 400 * MS  # an unanswered set-up older than this speaks against its node
+SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
 PRESS_HALF = 2 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
