--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -42,6 +42,7 @@
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
+KEPT = 0.6  # of the running estimate when a report comes: reports are noisy
 PRESS_HALF = 2 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
@@ -164,14 +165,14 @@
         node.level = max(0.0, node.level + kb / node.link)
         node.rack.carried += kb
 
-    def _report(self, node: Node, value: float, age: int, now: int) -> None:
+    def _report(self, node: Node, value: float, age: int, now: int, kept: float = KEPT) -> None:
         """A report of what is asked of a link, as it was `age` ago."""
         if now - age < node.reported_at:
             return
         old = node.level
         node.reported, node.reported_at = value, now - age
         seen = self._level(node) if node.heard else value
-        node.reported += 0.6 * (old - seen) if node.heard else 0.0
+        node.reported += kept * (old - seen) if node.heard else 0.0
         node.heard = True
         node.level = self._level(node)
         node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
@@ -196,7 +197,7 @@
             node.short, node.short_at = value, now
             alone = self._squeeze(node, now)
             if value < SHORT and alone and 1 / max(value, 0.2) > node.level + 0.05:
-                self._report(node, 1 / max(value, 0.2), self.terms.seen_after, now)
+                self._report(node, 1 / max(value, 0.2), self.terms.seen_after, now, kept=0.0)
 
     def _squeeze(self, node: Node, now: int) -> bool:
         """Whether short delivery is the node's own. An uplink gives all its nodes the same share at most,
