--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -42,7 +42,7 @@
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
-KEPT = 0.6  # of the running estimate when a report comes: reports are noisy
+CROSSING = 3.0  # load that a full crossing fee weighs when two holders are compared
 PRESS_HALF = 2 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
@@ -165,14 +165,14 @@
         node.level = max(0.0, node.level + kb / node.link)
         node.rack.carried += kb
 
-    def _report(self, node: Node, value: float, age: int, now: int, kept: float = KEPT) -> None:
+    def _report(self, node: Node, value: float, age: int, now: int) -> None:
         """A report of what is asked of a link, as it was `age` ago."""
         if now - age < node.reported_at:
             return
         old = node.level
         node.reported, node.reported_at = value, now - age
         seen = self._level(node) if node.heard else value
-        node.reported += kept * (old - seen) if node.heard else 0.0
+        node.reported += 0.6 * (old - seen) if node.heard else 0.0
         node.heard = True
         node.level = self._level(node)
         node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
@@ -197,7 +197,7 @@
             node.short, node.short_at = value, now
             alone = self._squeeze(node, now)
             if value < SHORT and alone and 1 / max(value, 0.2) > node.level + 0.05:
-                self._report(node, 1 / max(value, 0.2), self.terms.seen_after, now, kept=0.0)
+                self._report(node, 1 / max(value, 0.2), self.terms.seen_after, now)
 
     def _squeeze(self, node: Node, now: int) -> bool:
         """Whether short delivery is the node's own. An uplink gives all its nodes the same share at most,
@@ -345,7 +345,7 @@
             self._press(pb, now)
             self._give_up(pb, now)
             return
-        node = min(two, key=lambda n: self._load(n, now))
+        node = min(two, key=lambda n: self._load(n, now) + (0.0 if n.zone == self.terms.zone else CROSSING * self.terms.cross_fee))
         rung = plan.floor
         while rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= MARK:
             rung += 1
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -91,6 +91,8 @@
     """What a deployment states at start, as far as the module reads it."""
 
     fronts: int
+    zone: str
+    cross_fee: float
     front: int
     must_follow: bool
     ask_within: int
