--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -42,7 +42,6 @@
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
-CROSSING = 3.0  # load that a full crossing fee weighs when two holders are compared
 PRESS_HALF = 2 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
@@ -50,7 +49,7 @@
 DEAD = 0.2  # delivery under this is a node that stands still
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
-USUAL = 0.7  # load taken for a link while none has told
+USUAL = 0.84  # load taken for a link while none has told
 FORGET = 0.3  # of the way to the usual load, in an interval, for a link whose report is stale
 
 
@@ -345,7 +344,7 @@
             self._press(pb, now)
             self._give_up(pb, now)
             return
-        node = min(two, key=lambda n: self._load(n, now) + (0.0 if n.zone == self.terms.zone else CROSSING * self.terms.cross_fee))
+        node = min(two, key=lambda n: self._load(n, now))
         rung = plan.floor
         while rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= MARK:
             rung += 1
