--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -49,7 +49,7 @@
 DEAD = 0.2  # delivery under this is a node that stands still
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
-USUAL = 0.84  # load taken for a link while none has told
+USUAL = 0.7  # load taken for a link while none has told
 FORGET = 0.3  # of the way to the usual load, in an interval, for a link whose report is stale
 
 
@@ -346,7 +346,7 @@
             return
         node = min(two, key=lambda n: self._load(n, now))
         rung = plan.floor
-        while rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= MARK:
+        while node.heard and rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= MARK:
             rung += 1
         self._send(pb, node, rung, now)
 
