--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -346,8 +346,11 @@
             return
         node = min(two, key=lambda n: self._load(n, now))
         rung = plan.floor
-        while node.heard and rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= MARK:
+        while rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= MARK:
             rung += 1
+        playing = [q.rung for q in node.playbacks]
+        if len(playing) > 2:
+            rung = max(plan.floor, min(rung, round(sum(playing) / len(playing)) + 1))
         self._send(pb, node, rung, now)
 
     def _press(self, pb: Playback, now: int) -> None:
