--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -346,7 +346,7 @@
             return
         node = min(two, key=lambda n: self._load(n, now))
         rung = plan.floor
-        while rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= MARK:
+        while rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= (MARK if rung < len(self.terms.rates) // 2 else MARK - 0.1):
             rung += 1
         playing = [q.rung for q in node.playbacks]
         if len(playing) > 2:
