--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -280,9 +280,9 @@
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
             if not playing:
                 continue
-            most = max(1, round(PACE * len(playing)))
             press = node.pressed.read(now, PRESS_HALF)
             load = self._load(node, now, press)
+            most = max(1, round(PACE * len(playing) * (1 + 4 * max(0.0, load - 1.1))))
             if load > self.t3:
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = sorted((pb for pb in playing if pb.rung > pb.plan.floor), key=self._loss)
