--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -280,16 +280,16 @@
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
             if not playing:
                 continue
+            most = max(1, round(PACE * len(playing)))
             press = node.pressed.read(now, PRESS_HALF)
             load = self._load(node, now, press)
-            most = max(1, round(PACE * len(playing) * (1 + 4 * max(0.0, load - 1.1))))
             if load > self.t3:
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = sorted((pb for pb in playing if pb.rung > pb.plan.floor), key=self._loss)
                 for pb in down[:most]:
                     if self._load(node, now, press) > self.t3 and self.rng.random() < p:
                         self._set_rung(pb, pb.rung - 1, now)
-            elif self.x < T1 and load < UP_MARK:
+            elif load < UP_MARK:
                 up = sorted((pb for pb in playing if pb.rung < pb.top), key=self._gain)
                 for pb in up[:most]:
                     more = self._rate(pb, pb.rung + 1) - self._rate(pb, pb.rung)
