--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -289,7 +289,7 @@
                 for pb in down[:most]:
                     if self._load(node, now, press) > self.t3 and self.rng.random() < p:
                         self._set_rung(pb, pb.rung - 1, now)
-            elif self.x < T1 and self._load(node, now) < UP_MARK:
+            elif self.x < T1 and load < UP_MARK:
                 up = sorted((pb for pb in playing if pb.rung < pb.top), key=self._gain)
                 for pb in up[:most]:
                     more = self._rate(pb, pb.rung + 1) - self._rate(pb, pb.rung)
@@ -461,7 +461,7 @@
             self.host.abort(pb)
         else:
             self._change(pb, State.REJECTED, now)
-            self.host.reject(pb, min(self.terms.stay_away_most, INTERVAL))
+            self.host.reject(pb, min(self.terms.stay_away_most, INTERVAL // 2))
 
     # What becomes of them.
 
