--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -42,6 +42,7 @@
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
+SLOPE = 0.1  # by which the mark falls for each rung over what the link plays
 PRESS_HALF = 2 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
@@ -346,13 +347,15 @@
             return
         node = min(two, key=lambda n: self._load(n, now))
         rung = plan.floor
-        while rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= (MARK if rung < len(self.terms.rates) // 2 else MARK - 0.1):
+        while rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= self._mark(node, rung + 1):
             rung += 1
-        playing = [q.rung for q in node.playbacks]
-        if len(playing) > 2:
-            rung = max(plan.floor, min(rung, round(sum(playing) / len(playing)) + 1))
         self._send(pb, node, rung, now)
 
+    def _mark(self, node: Node, rung: int) -> float:
+        playing = [pb.rung for pb in node.playbacks]
+        usual = sum(playing) / len(playing) if playing else len(self.terms.rates) / 2
+        return MARK - SLOPE * max(0.0, rung - usual)
+
     def _press(self, pb: Playback, now: int) -> None:
         """Guards against a fleet that plays high rungs and turns viewers away at the door, each link just
         under T3: who is refused for load counts in the step-downs of the first two holders. Covers any
@@ -461,7 +464,7 @@
             self.host.abort(pb)
         else:
             self._change(pb, State.REJECTED, now)
-            self.host.reject(pb, min(self.terms.stay_away_most, INTERVAL // 2))
+            self.host.reject(pb, min(self.terms.stay_away_most, INTERVAL))
 
     # What becomes of them.
 
