--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -42,7 +42,7 @@
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
-SLOPE = 0.2  # by which the mark falls for each rung over what the link plays
+TIGHT = 1.1  # a rack's estimate past this is logged
 PRESS_HALF = 2 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
@@ -231,6 +231,7 @@
             return
         # A node that answers nothing carries no load: counted as full it would shut the door to the others.
         ready = [n for n in listed if self._sound(n, now)] or listed
+        self._log_health(listed, now)
         due = self.terms.reports_every + self.terms.seen_after + TOO_OLD
         stale = 0
         fresh = [n.level for n in ready if n.heard and now - n.reported_at <= due]
@@ -261,6 +262,18 @@
         self._move_marks()
         self._steps(ready, now)
 
+    def _log_health(self, listed: list[Node], now: int) -> None:
+        for node in listed:
+            if node.out == self._sound(node, now):
+                node.out = not node.out
+                score, unanswered = node.distrust.read(now, DISTRUST_HALF), len(node.waiting)
+                word = "out" if node.out else "back"
+                self.host.log(f"node {node.name} {word}: distrust {score:.1f}, {unanswered} unanswered")
+        for i, rack in enumerate(self.racks):
+            if rack.logged != (rack.tight > TIGHT):
+                rack.logged = not rack.logged
+                self.host.log(f"rack {i} {'tight' if rack.logged else 'eased'}: {rack.tight:.2f}")
+
     def _move_marks(self) -> None:
         x = self.x
         if x < T1:
@@ -347,15 +360,15 @@
             return
         node = min(two, key=lambda n: self._load(n, now))
         rung = plan.floor
-        while rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= self._mark(node, rung + 1):
+        while rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= (
+            MARK if rung < len(self.terms.rates) // 2 else MARK - 0.1
+        ):
             rung += 1
+        playing = [q.rung for q in node.playbacks]
+        if len(playing) > 2:
+            rung = max(plan.floor, min(rung, round(sum(playing) / len(playing)) + 1))
         self._send(pb, node, rung, now)
 
-    def _mark(self, node: Node, rung: int) -> float:
-        playing = [pb.rung for pb in node.playbacks]
-        usual = sum(playing) / len(playing) if playing else len(self.terms.rates) / 2
-        return MARK - SLOPE * max(0.0, rung - usual)
-
     def _press(self, pb: Playback, now: int) -> None:
         """Guards against a fleet that plays high rungs and turns viewers away at the door, each link just
         under T3: who is refused for load counts in the step-downs of the first two holders. Covers any
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -91,8 +91,6 @@
     """What a deployment states at start, as far as the module reads it."""
 
     fronts: int
-    zone: str
-    cross_fee: float
     front: int
     must_follow: bool
     ask_within: int
@@ -153,7 +151,7 @@
     def __init__(self) -> None:
         self.nodes: list[Node] = []
         self.carried, self.lately = 0.0, [0.0]
-        self.tight = 1.0
+        self.tight, self.logged = 1.0, False
 
 
 class Node:
@@ -172,7 +170,7 @@
         self.short, self.short_at = 1.0, 0  # delivered share, as last told
         self.samples: list[float] = []
         self.forecast = 0.0
-        self.distrust = Fading()
+        self.distrust, self.out = Fading(), False
         self.pressed = Fading()  # kB a second of requests refused for its load
         self.failed_at, self.full_at = 0, 0
         self.slot, self.slot_used = -1, 0
--- a/oakcroft/wirehost/codec.py
+++ b/oakcroft/wirehost/codec.py
@@ -68,8 +68,6 @@
     return Terms(
         fronts=max(1, env["balancers"]),
         front=env["me"],
-        zone=env.get("zone", ""),
-        cross_fee=env.get("fees", {}).get("crossZone", 0.0),
         must_follow=env["membershipMode"] == "subscribe",
         ask_within=nanos(rules.get("askWithinMs")),
         cells=max(1, info["cells"]),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -11,7 +11,7 @@
 
 START = 100 * SECOND
 TERMS = Terms(
-    fronts=2, zone="east", cross_fee=0.01, front=0, must_follow=False, ask_within=10 * SECOND, cells=4, racks=2,
+    fronts=2, front=0, must_follow=False, ask_within=10 * SECOND, cells=4, racks=2,
     rates=(200.0, 400.0, 800.0), rung_worth=(0.3, 0.6, 1.0), uplink=20000.0, join_adds=1.0,
     seen_after=SECOND, reports_every=3 * SECOND, most_tries=3, stay_away_most=2 * SECOND,
     cold_share=0.4, cold_for=10 * SECOND, fall_multiple=2.5, fall_window=SECOND,
