Keep every node cold-paced after a front's own start until the list is sure

Found by a test: after its own start a front paced a node for one set-up only, since the first playback there made the node look known. Only a playback handed over at the start proves a warm node now. Starting rungs are put in one function.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -33,6 +33,7 @@
 ALPHA = 0.95  # mean against variance
 T1, T2, T3, FULL = 0.92, 1.30, 0.97, 1.50  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
+UPPER_MARK = 0.80  # the same for the ladder's upper half
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
@@ -100,6 +101,7 @@
             if e.started_at > node.started_at:  # a new process: nothing known of the old one holds
                 node.distrust.clear()
                 node.heard, node.reported, node.reported_at = True, 0.0, now
+                node.handed_over = False
             node.listing, node.started_at = e.listing, e.started_at
             node.link, node.places = max(1.0, e.link), e.places
             node.level = self._level(node)
@@ -359,15 +361,22 @@
             self._give_up(pb, now)
             return
         node = min(two, key=lambda n: self._load(n, now))
-        rung = plan.floor
-        while rung < pb.top and self._load(node, now, self._rate(pb, rung + 1)) <= (
-            MARK if rung < len(self.terms.rates) // 2 else MARK - 0.1
-        ):
-            rung += 1
-        playing = [q.rung for q in node.playbacks]
+        self._send(pb, node, self._start_rung(pb, node, now), now)
+
+    def _start_rung(self, pb: Playback, node: Node, now: int) -> int:
+        """The highest rung that keeps the link under its mark, which is lower for the ladder's upper half;
+        and no more than one over what the link plays, or the first to come would take what the next lack.
+        Covers fronts that start and know of no load yet. Harm: a lone viewer starts lower than could be."""
+        most, playing = pb.top, [other.rung for other in node.playbacks]
         if len(playing) > 2:
-            rung = max(plan.floor, min(rung, round(sum(playing) / len(playing)) + 1))
-        self._send(pb, node, rung, now)
+            most = max(pb.plan.floor, min(most, round(sum(playing) / len(playing)) + 1))
+        rung = pb.plan.floor
+        while rung < most:
+            mark = MARK if rung < len(self.terms.rates) // 2 else UPPER_MARK
+            if self._load(node, now, self._rate(pb, rung + 1)) > mark:
+                break
+            rung += 1
+        return rung
 
     def _press(self, pb: Playback, now: int) -> None:
         """Guards against a fleet that plays high rungs and turns viewers away at the door, each link just
@@ -419,11 +428,17 @@
         silent = any(now - at > SILENT for at in node.waiting.values())
         return not silent and node.distrust.read(now, DISTRUST_HALF) < DISTRUSTED
 
+    def _age(self, node: Node, now: int) -> int:
+        """How long a node has surely been up; a front that has just started can't tell unless it was handed
+        a playback there."""
+        if now - self.started < UNHEARD and not node.handed_over:
+            return 0
+        return max(0, now - max(node.started_at, node.failed_at))
+
     def _slot(self, node: Node, now: int) -> tuple[int, int]:
         """The running slot of time, and how many set-ups it allows this front on a cold node."""
         terms = self.terms
-        since = max(node.started_at, node.failed_at)
-        age = min(max(0, now - since), terms.cold_for)
+        age = min(self._age(node, now), terms.cold_for)
         share = terms.cold_share + (1 - terms.cold_share) * (age / max(1, terms.cold_for)) ** 2
         pace = terms.fall_multiple * share * node.places / max(1, terms.cold_for)  # set-ups a ns
         allowed = int(0.45 * pace * terms.fall_window)
@@ -438,9 +453,7 @@
         this front saw fail, and every node right after its own start unless a playback it was handed
         plays there. Harm: a warm node that failed once is paced for a while."""
         terms = self.terms
-        since = max(node.started_at, node.failed_at)
-        unheard = now - self.started < UNHEARD and not node.heard and not node.playbacks
-        if not unheard and now - since >= terms.cold_for:
+        if self._age(node, now) >= terms.cold_for:
             return True
         slot, allowed = self._slot(node, now)
         if slot % terms.fronts != terms.front % terms.fronts:
@@ -484,6 +497,7 @@
     def resumed(self, pb: Playback, node: Node, now: int) -> None:
         """A playback handed over at the start; it plays already."""
         pb.tries.append((node, now))
+        node.handed_over = True
         self._change(pb, State.PLAYING, now, node)
 
     def playing(self, pb: Playback, took: int, now: int) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -98,10 +98,56 @@
 def test_after_its_own_start_a_front_paces_every_node() -> None:
     fleet = Fleet(warm=False)
     for _ in range(40):
-        fleet.ask()
+        fleet.control.playing(fleet.ask(), 50 * MS, fleet.now)
     assert len(fleet.sends()) <= len(fleet.nodes)
 
 
+def test_a_start_is_no_more_than_one_rung_over_what_the_link_plays() -> None:
+    fleet = Fleet(nodes=1)
+    pb = [plays(fleet, 0) for _ in range(3)][0]
+    fleet.now += 3 * SECOND
+    fleet.control.noted(pb, Note.LINK_ASKED, 0.1, fleet.now)
+    assert fleet.ask().rung == 1
+
+
+def test_a_request_without_room_presses_playing_rungs_down() -> None:
+    fleet = Fleet(nodes=1)
+    playing = [plays(fleet, 0, rung=2) for _ in range(4)]
+    fleet.now += 3 * SECOND
+    for _ in range(3):
+        fleet.control.noted(playing[0], Note.LINK_ASKED, 0.94, fleet.now)
+        tick(fleet, 1)
+        assert {pb.rung for pb in playing} == {2}
+    fleet.control.noted(playing[0], Note.LINK_ASKED, 0.94, fleet.now)
+    assert all(fleet.answers(fleet.ask()) == ["reject"] for _ in range(5))
+    tick(fleet, 1)
+    assert min(pb.rung for pb in playing) == 1
+
+
+def test_squeezed_links_and_silent_nodes_leave_the_door_open() -> None:
+    fleet = Fleet()
+    for node, load in enumerate((0.5, 0.5, 5.0, 0.5)):
+        fleet.control.noted(plays(fleet, node), Note.LINK_ASKED, load, fleet.now)
+    fleet.control.noted(next(iter(fleet.nodes[3].playbacks)), Note.DELIVERED, 0.0, fleet.now)
+    tick(fleet, 1)
+    assert fleet.control.x < T1
+    assert any("n3 out" in str(call[1]) for call in fleet.calls if call[0] == "log")
+
+
+def test_a_late_note_of_short_delivery_is_set_against_what_was_carried_then() -> None:
+    fleet = Fleet()
+    pair = [plays(fleet, 0, rung=2), plays(fleet, 2, rung=2)]
+    for pb in pair:
+        fleet.control.noted(pb, Note.LINK_ASKED, 1.0, fleet.now)
+    tick(fleet, 1)
+    carried = fleet.nodes[0].rack.carried
+    for pb in pair:
+        fleet.control._set_rung(pb, 0, fleet.now)
+    for pb in pair:
+        fleet.control.noted(pb, Note.DELIVERED, 0.5, fleet.now)
+    assert fleet.nodes[0].rack.tight <= min(2.0, TERMS.uplink / 0.5 / carried) + 0.01
+
+
 def test_a_restarted_node_is_empty_but_cold() -> None:
     fleet = Fleet()
     pb = plays(fleet, 0)
