--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -104,7 +104,7 @@
 
 def test_a_start_is_no_more_than_one_rung_over_what_the_link_plays() -> None:
     fleet = Fleet(nodes=1)
-    pb = [plays(fleet, 0) for _ in range(3)][0]
+    pb, *_ = [plays(fleet, 0) for _ in range(3)]
     fleet.now += 3 * SECOND
     fleet.control.noted(pb, Note.LINK_ASKED, 0.1, fleet.now)
     assert fleet.ask().rung == 1
