--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -523,7 +523,7 @@
         proven = outcome in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
         if outcome in (Outcome.NO_CONNECTION, Outcome.RESET, Outcome.LATE):
             node.failed_at = now
-            node.distrust.add(1.0, now, DISTRUST_HALF)
+            node.distrust.add(min(1.0, max(0.0, 2.0 - node.distrust.read(now, DISTRUST_HALF))), now, DISTRUST_HALF)
         elif outcome is Outcome.ERROR:
             node.distrust.add(0.4, now, DISTRUST_HALF)
         elif outcome is Outcome.FULL:
