--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -42,7 +42,7 @@
 DISTRUST_HALF = 4 * SECOND
 DISTRUSTED = 0.7
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
-TRY_SHARE = 0.6  # of the startup target, for a try that may be followed by another
+TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
 TIGHT = 1.1  # a rack's estimate past this is logged
 PRESS_HALF = 2 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
@@ -522,7 +522,8 @@
             self._report(node, used, 300 * MS, now)  # it stops at 1: past that the notes tell
         proven = outcome in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
         if outcome in (Outcome.NO_CONNECTION, Outcome.RESET, Outcome.LATE):
-            node.failed_at = now
+            if outcome is not Outcome.LATE or node.distrust.read(now, DISTRUST_HALF) > 1:
+                node.failed_at = now
             node.distrust.add(1.0, now, DISTRUST_HALF)
         elif outcome is Outcome.ERROR:
             node.distrust.add(0.4, now, DISTRUST_HALF)
