--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -44,6 +44,7 @@
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
 TIGHT = 1.1  # a rack's estimate past this is logged
+LONE = 1.05  # past it a link steps down by itself, though x is low and nobody presses
 PRESS_HALF = 2 * SECOND
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
@@ -214,7 +215,7 @@
         carried = max(rack.carried, *rack.lately)  # the note is late: it tells of what was carried then
         if len(shares) < 2 or max(shares) >= SHORT or carried <= 0 or self.terms.uplink <= 0:
             return True
-        rack.tight = max(rack.tight, (rack.tight + min(2.0, self.terms.uplink / max(shares) / carried)) / 2)
+        rack.tight = min(2.0, max(rack.tight, self.terms.uplink / max(shares) / carried))
         return False
 
     # The design's interval.
@@ -299,11 +300,12 @@
             most = max(1, round(PACE * len(playing)))
             press = node.pressed.read(now, PRESS_HALF)
             load = self._load(node, now, press)
-            if load > self.t3:
+            mark = self.t3 if self.x > self.t3 or press > self._rate(playing[0], 0) else max(self.t3, LONE)
+            if load > mark:
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = sorted((pb for pb in playing if pb.rung > pb.plan.floor), key=self._loss)
                 for pb in down[:most]:
-                    if self._load(node, now, press) > self.t3 and self.rng.random() < p:
+                    if self._load(node, now, press) > mark and self.rng.random() < p:
                         self._set_rung(pb, pb.rung - 1, now)
             elif self.x < T1 and load < UP_MARK:
                 up = sorted((pb for pb in playing if pb.rung < pb.top), key=self._gain)
