--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -84,7 +84,7 @@
         self.mode = "open"
         self.taken: deque[int] = deque()
         self.further: deque[int] = deque()
-        self.asked_at = now
+        self.asked_at, self.following = now, False
         if terms.must_follow:
             host.follow()
         host.alarm(now + INTERVAL)
@@ -93,6 +93,7 @@
 
     def listed(self, kind: ListKind, entries: Iterable[Entry], now: int) -> None:
         """Takes in the list, or its changes."""
+        self.following = kind in (ListKind.CHANGES, ListKind.WHOLE)
         if kind is ListKind.FAILED:
             return  # `alarm` asks again
         missing = dict(self.nodes) if kind is not ListKind.CHANGES else {}
@@ -135,6 +136,12 @@
     def _rate(self, pb: Playback, rung: int) -> float:
         return self.terms.rates[rung] * pb.plan.rate_factor
 
+    def _adds(self, pb: Playback, node: Node, rung: int) -> float:
+        """What a set-up would add here: less where it joins a stream that runs."""
+        same = ((other.title, other.plan, other.rung) for other in node.playbacks)
+        joins = pb.plan.shares_stream and (pb.title, pb.plan, rung) in same
+        return self._rate(pb, rung) * (self.terms.join_adds if joins else 1.0)
+
     def _level(self, node: Node) -> float:
         """Asked of the link over what it gives: the last report and own changes since."""
         if not node.heard:
@@ -180,6 +187,11 @@
         node.level = self._level(node)
         node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
 
+    def _uplink_report(self, rack: Rack, value: float) -> None:
+        """Where the uplink's own load is told, nothing need be inferred."""
+        if rack.carried > 0 and self.terms.uplink > 0:
+            rack.tight = min(2.0, max(0.5, value * self.terms.uplink / rack.carried))
+
     def noted(self, pb: Playback, kind: Note, value: float, now: int) -> None:
         """News on one playback, which mostly speaks of its node."""
         node = pb.node
@@ -193,6 +205,8 @@
         elif kind is Note.LINK_ASKED:
             self._report(node, value, 0 if pb.fresh else self.terms.seen_after, now)
             pb.fresh = False
+        elif kind is Note.UPLINK_ASKED:
+            self._uplink_report(node.rack, value)
         elif kind is Note.DELIVERED:
             if value < DEAD:
                 node.distrust.add(1.0, now, DISTRUST_HALF)  # not a full link, but one that gives nothing
@@ -223,7 +237,8 @@
     def alarm(self, now: int) -> None:
         """The interval is over."""
         self._interval(now)
-        if self.terms.must_follow and now - self.asked_at >= self.terms.ask_within // 2:
+        due = now - self.asked_at >= self.terms.ask_within // 2
+        if self.terms.must_follow and due and not self.following:
             self.asked_at = now
             self.host.follow()
         self.host.alarm(now + INTERVAL)
@@ -303,25 +318,25 @@
             mark = self.t3 if self.x > self.t3 or press > self._rate(playing[0], 0) else max(self.t3, LONE)
             if load > mark:
                 p = step_down_probability(max(self.x, load), self.t3)
-                down = sorted((pb for pb in playing if pb.rung > pb.plan.floor), key=self._loss)
+                down = sorted(
+                    (pb for pb in playing if pb.rung > pb.plan.floor),
+                    key=lambda pb: self._worth_per_kb(pb, pb.rung - 1),
+                )
                 for pb in down[:most]:
                     if self._load(node, now, press) > mark and self.rng.random() < p:
                         self._set_rung(pb, pb.rung - 1, now)
             elif self.x < T1 and load < UP_MARK:
-                up = sorted((pb for pb in playing if pb.rung < pb.top), key=self._gain)
+                up = sorted(
+                    (pb for pb in playing if pb.rung < pb.top),
+                    key=lambda pb: -self._worth_per_kb(pb, pb.rung),
+                )
                 for pb in up[:most]:
                     more = self._rate(pb, pb.rung + 1) - self._rate(pb, pb.rung)
                     if now - pb.changed_at > REST and self._load(node, now, more) < UP_MARK:
                         self._set_rung(pb, pb.rung + 1, now)
 
-    def _loss(self, pb: Playback) -> float:
-        """Revenue lost for each kB a second that a step down frees."""
-        return self._worth_per_kb(pb, pb.rung - 1)
-
-    def _gain(self, pb: Playback) -> float:
-        return -self._worth_per_kb(pb, pb.rung)
-
     def _worth_per_kb(self, pb: Playback, low: int) -> float:
+        """Revenue that the step between a rung and the next is worth, for each kB a second."""
         worth = pb.plan.revenue * (self.terms.rung_worth[low + 1] - self.terms.rung_worth[low])
         return worth / max(1.0, self._rate(pb, low + 1) - self._rate(pb, low))
 
@@ -335,7 +350,8 @@
 
     def arrived(self, pb: Playback, now: int) -> None:
         """A request is refused in the band, or placed."""
-        self.taken.append(now)
+        if self.terms.tries_free is not None:
+            self.taken.append(now)
         x = self.x
         holders = [n for n in self._holders(pb.title) if n.samples]
         if holders and len(holders) < len(self.nodes):
@@ -350,10 +366,11 @@
 
     def _place(self, pb: Playback, now: int) -> None:
         """The less used of the first two holders with room, at the highest rung under the mark."""
-        plan, low = pb.plan, self._rate(pb, pb.plan.floor)
+        plan = pb.plan
         two: list[Node] = []
         if not plan.seats or pb.title.seats.get(plan, 0) < plan.seats:
             for node in self._holders(pb.title):
+                low = self._adds(pb, node, plan.floor)
                 if self._may_try(pb, node, now) and self._load(node, now, low) <= MARK:
                     two.append(node)
                     if len(two) == 2:
@@ -375,7 +392,7 @@
         rung = pb.plan.floor
         while rung < most:
             mark = MARK if rung < len(self.terms.rates) // 2 else UPPER_MARK
-            if self._load(node, now, self._rate(pb, rung + 1)) > mark:
+            if self._load(node, now, self._adds(pb, node, rung + 1)) > mark:
                 break
             rung += 1
         return rung
@@ -389,7 +406,7 @@
             node.pressed.add(self._rate(pb, pb.plan.floor), now, PRESS_HALF)
 
     def _send(self, pb: Playback, node: Node, rung: int, now: int) -> None:
-        if rung != pb.rung or pb.tries or rung != pb.plan.floor:
+        if rung != pb.rung:
             pb.rung = rung
             self.host.set_rung(pb, rung)
         if pb.tries:
@@ -398,23 +415,20 @@
         if slot != node.slot:
             node.slot, node.slot_used = slot, 0
         node.slot_used += 1
-        last = pb.abandon - 10 * MS
-        until = last
+        until = pb.abandon - 10 * MS
         if pb.plan.effect is not Effect.PAID and len(pb.tries) + 1 < self.terms.most_tries:
-            until = min(last, now + int(pb.plan.startup_target * TRY_SHARE))
+            until = min(until, now + int(pb.plan.startup_target * TRY_SHARE))
         pb.tries.append((node, now))
         self._change(pb, State.SETTING_UP, now, node)
         self.host.send(pb, node, until)
 
     def _may_try(self, pb: Playback, node: Node, now: int) -> bool:
         """Whether the rules and this front's trust let a try go to this node now."""
-        if node.listing is not Listing.READY or any(n is node for n, _ in pb.tries):
+        tried = any(n is node for n, _ in pb.tries)
+        if tried or node.listing is not Listing.READY or 0 < node.full_at > now - FULL_REST:
             return False
-        if now - node.full_at < FULL_REST and node.full_at:
+        if not all(self._repeats_safely(pb, ran, at, node, now) for ran, at in pb.may_have_run):
             return False
-        for ran, at in pb.may_have_run:
-            if not self._repeats_safely(pb, ran, at, node, now):
-                return False
         return self._trusted(pb, node, now) and self._warm_enough(node, now)
 
     def _trusted(self, pb: Playback, node: Node, now: int) -> bool:
@@ -468,8 +482,9 @@
             return True
         if plan.effect is Effect.PAID or now - at >= plan.key_lasts:
             return False
-        same = {Group.ALL: True, Group.ZONE: node.zone == ran.zone, Group.CELL: node.cell == ran.cell}
-        return same[plan.group]
+        return {Group.ALL: True, Group.ZONE: node.zone == ran.zone, Group.CELL: node.cell == ran.cell}[
+            plan.group
+        ]
 
     def _may_try_again(self, pb: Playback, now: int) -> bool:
         terms = self.terms
@@ -522,6 +537,8 @@
             self._report(node, asked, 300 * MS, now)
         elif used is not None and (used < 0.99 or node.level < 1):
             self._report(node, used, 300 * MS, now)  # it stops at 1: past that the notes tell
+        if uplink is not None:
+            self._uplink_report(node.rack, uplink)
         proven = outcome in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
         if outcome in (Outcome.NO_CONNECTION, Outcome.RESET, Outcome.LATE):
             if outcome is not Outcome.LATE or node.distrust.read(now, DISTRUST_HALF) > 1:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from helpers import FREE, PAID, TERMS, Fleet
 
 from oakcroft.choice import MARK, T1
@@ -219,3 +221,22 @@
     assert fleet.sends() == [pb.node] == fleet.nodes
     assert fleet.nodes[0].level <= MARK
     assert TERMS.most_tries * MS > 0
+
+
+def test_subscription_is_asked_for_again_only_after_a_failure() -> None:
+    fleet = Fleet(terms=replace(TERMS, must_follow=True), warm=False)
+    fleet.relist(ListKind.CHANGES)
+    tick(fleet, 20)
+    assert fleet.calls.count(("follow",)) == 1
+    fleet.control.listed(ListKind.FAILED, [], fleet.now)
+    tick(fleet, 20)
+    assert fleet.calls.count(("follow",)) > 1
+
+
+def test_a_viewer_who_joins_a_stream_adds_only_its_part() -> None:
+    fleet = Fleet(nodes=1, terms=replace(TERMS, join_adds=0.2))
+    live = replace(FREE, shares_stream=True)
+    first = fleet.ask(live)
+    second = Playback(first.title, live, 2, fleet.now, False)
+    rate = fleet.control._rate(second, first.rung)
+    assert fleet.control._adds(second, fleet.nodes[0], first.rung) == 0.2 * rate
