--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -39,13 +39,17 @@
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
 PACE = 0.15  # of the playbacks concerned, at most, in an interval
 
-DISTRUST_HALF = 4 * SECOND
-DISTRUSTED = 0.7
+DISTRUST_HALF, DISTRUSTED = 4 * SECOND, 0.7  # a node is out from this score on
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
 TIGHT = 1.1  # a rack's estimate past this is logged
 LONE = 1.05  # past it a link steps down by itself, though x is low and nobody presses
-PRESS_HALF = 2 * SECOND
+PRESS_HALF = 2 * SECOND  # requests refused for load count so long in step-downs
+COLD_PART = 0.45  # of the budget of a slot of time: two slots may fall into one window
+KEPT = 0.6  # of the running estimate when a report comes, against noise
+AGE = 300 * MS  # of a report that comes with an answer
+NOTED = 2 * SECOND  # a note of short delivery holds so long
+RELAX, TIGHTEST, LOOSEST = 0.94, 2.0, 0.5  # a rack's estimate, an interval without short delivery
 FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
 SHORT = 0.98  # delivery under this is short
@@ -62,10 +66,7 @@
     State.BETWEEN: {State.SETTING_UP, State.REJECTED, State.ABORTED},
     State.PLAYING: {State.CLOSED, State.ENDED},
     State.CLOSED: {State.ENDED},
-    State.ENDED: set(),
-    State.REJECTED: set(),
-    State.ABORTED: set(),
-}
+}  # and nothing follows on the rest
 HOLDS = {State.SETTING_UP, State.PLAYING, State.CLOSED}
 
 
@@ -182,7 +183,7 @@
         old = node.level
         node.reported, node.reported_at = value, now - age
         seen = self._level(node) if node.heard else value
-        node.reported += 0.6 * (old - seen) if node.heard else 0.0
+        node.reported += KEPT * (old - seen) if node.heard else 0.0
         node.heard = True
         node.level = self._level(node)
         node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
@@ -190,7 +191,7 @@
     def _uplink_report(self, rack: Rack, value: float) -> None:
         """Where the uplink's own load is told, nothing need be inferred."""
         if rack.carried > 0 and self.terms.uplink > 0:
-            rack.tight = min(2.0, max(0.5, value * self.terms.uplink / rack.carried))
+            rack.tight = min(TIGHTEST, max(LOOSEST, value * self.terms.uplink / rack.carried))
 
     def noted(self, pb: Playback, kind: Note, value: float, now: int) -> None:
         """News on one playback, which mostly speaks of its node."""
@@ -225,11 +226,11 @@
         `_interval` has relaxed the estimate.
         """
         rack = node.rack
-        shares = [n.short if now - n.short_at < 2 * SECOND else 1.0 for n in rack.nodes if n.playbacks]
+        shares = [n.short if now - n.short_at < NOTED else 1.0 for n in rack.nodes if n.playbacks]
         carried = max(rack.carried, *rack.lately)  # the note is late: it tells of what was carried then
         if len(shares) < 2 or max(shares) >= SHORT or carried <= 0 or self.terms.uplink <= 0:
             return True
-        rack.tight = min(2.0, max(rack.tight, self.terms.uplink / max(shares) / carried))
+        rack.tight = min(TIGHTEST, max(rack.tight, self.terms.uplink / max(shares) / carried))
         return False
 
     # The design's interval.
@@ -251,18 +252,15 @@
         ready = [n for n in listed if self._sound(n, now)] or listed
         self._log_health(listed, now)
         due = self.terms.reports_every + self.terms.seen_after + TOO_OLD
-        stale = 0
         fresh = [n.level for n in ready if n.heard and now - n.reported_at <= due]
         if fresh:
             self.usual = sum(fresh) / len(fresh)
-        for node in ready:
-            if now - node.reported_at > due:
-                # Guards against a link remembered as full that nobody tells of any more, since only those
-                # with playbacks there hear; covers late and lost reports. Harm: a full link is tried again.
-                stale += 1
-                goal = self.usual if fresh else USUAL
-                node.reported += FORGET * (goal - node.level)
-                node.level = self._level(node)
+        stale = [n for n in ready if now - n.reported_at > due]
+        for node in stale:
+            # Guards against a link remembered as full that nobody tells of any more, since only those with
+            # playbacks there hear; covers late and lost reports. Harm: a full link is tried again.
+            node.reported += FORGET * ((self.usual if fresh else USUAL) - node.level)
+            node.level = self._level(node)
         self._carry()
         for node in ready:
             node.samples = [*node.samples[1 - WINDOW :], min(FULL, self._load(node, now))]
@@ -270,11 +268,11 @@
         for rack in self.racks:
             rack.lately = [*rack.lately[-2:], rack.carried]
             uplink = rack.carried * rack.tight / self.terms.uplink if self.terms.uplink > 0 else 0.0
-            if uplink > T1 and all(now - n.short_at > 3 * SECOND for n in rack.nodes):
-                rack.tight = max(0.5, rack.tight * (0.94 if uplink < 1 else 1 / uplink))
+            if uplink > T1 and all(now - n.short_at > NOTED + INTERVAL for n in rack.nodes):
+                rack.tight = max(LOOSEST, rack.tight * (RELAX if uplink < 1 else 1 / uplink))
         measured = cluster_load([n.samples[-1] for n in ready])
         gap = abs(self.predicted - measured) / measured if measured > 0 else 1.0
-        self.err = min(1.0, max(gap, stale / len(ready)))
+        self.err = min(1.0, max(gap, len(stale) / len(ready)))
         self.predicted = cluster_load([n.forecast for n in ready])
         self.x = blend(self.err, self.predicted, measured)
         self._move_marks()
@@ -299,7 +297,7 @@
         if x > self.t2:
             self.t2 -= min(x - self.t2, MOVE * (self.t2 - T1))
         if x > self.t3:
-            self.t3 -= min(x - self.t3, MOVE * (abs(self.t3 - T1)))
+            self.t3 -= min(x - self.t3, MOVE * (self.t3 - T1))
         mode = "open" if x <= T1 else "band" if x <= self.t2 else "closed"
         mode += ", stepping down" if x > self.t3 else ""
         if mode != self.mode:
@@ -457,7 +455,7 @@
         age = min(self._age(node, now), terms.cold_for)
         share = terms.cold_share + (1 - terms.cold_share) * (age / max(1, terms.cold_for)) ** 2
         pace = terms.fall_multiple * share * node.places / max(1, terms.cold_for)  # set-ups a ns
-        allowed = int(0.45 * pace * terms.fall_window)
+        allowed = int(COLD_PART * pace * terms.fall_window)
         if allowed >= 1:
             return now // terms.fall_window, allowed
         length = int(2 * max(terms.fall_window, 1 / max(pace, 1e-15)))
@@ -534,9 +532,9 @@
         if node is None:
             return
         if asked is not None:
-            self._report(node, asked, 300 * MS, now)
+            self._report(node, asked, AGE, now)
         elif used is not None and (used < 0.99 or node.level < 1):
-            self._report(node, used, 300 * MS, now)  # it stops at 1: past that the notes tell
+            self._report(node, used, AGE, now)  # it stops at 1: past that the notes tell
         if uplink is not None:
             self._uplink_report(node.rack, uplink)
         proven = outcome in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
@@ -568,11 +566,11 @@
 
     def over(self, pb: Playback) -> bool:
         """Whether nothing more can come for a playback."""
-        return not NEXT[pb.state]
+        return pb.state not in NEXT
 
     def _change(self, pb: Playback, state: State, now: int, node: Node | None = None) -> None:
         """The one place where a playback changes state; seats and loads follow from it."""
-        if state not in NEXT[pb.state]:
+        if state not in NEXT.get(pb.state, ()):
             raise ValueError(f"a playback cannot go from {pb.state.value} to {state.value}")
         held, pb.state = pb.state in HOLDS, state
         if node:
