--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -33,7 +33,7 @@
 ALPHA = 0.95  # mean against variance
 T1, T2, T3, FULL = 0.92, 1.30, 0.97, 1.50  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
-UPPER_MARK = 0.75  # the same for the ladder's upper half
+UPPER_MARK = 0.80  # the same for the ladder's upper half
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
@@ -386,7 +386,7 @@
         Covers fronts that start and know of no load yet. Harm: a lone viewer starts lower than could be."""
         most, playing = pb.top, [other.rung for other in node.playbacks]
         if len(playing) > 2:
-            most = max(pb.plan.floor, min(most, round(sum(playing) / len(playing)) + 1))
+            most = max(pb.plan.floor, min(most, round(sum(playing) / len(playing))))
         rung = pb.plan.floor
         while rung < most:
             mark = MARK if rung < len(self.terms.rates) // 2 else UPPER_MARK
