--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -37,7 +37,7 @@
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
-PACE = 0.20  # of the playbacks concerned, at most, in an interval
+PACE = 0.15  # of the playbacks concerned, at most, in an interval
 
 DISTRUST_HALF, DISTRUSTED = 4 * SECOND, 0.7  # a node is out from this score on
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
