--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -268,7 +268,7 @@
         for rack in self.racks:
             rack.lately = [*rack.lately[-2:], rack.carried]
             uplink = rack.carried * rack.tight / self.terms.uplink if self.terms.uplink > 0 else 0.0
-            if uplink > T1 and all(now - n.short_at > NOTED + INTERVAL for n in rack.nodes):
+            if uplink > UP_MARK and all(now - n.short_at > NOTED + INTERVAL for n in rack.nodes):
                 rack.tight = max(LOOSEST, rack.tight * (RELAX if uplink < 1 else 1 / uplink))
         measured = cluster_load([n.samples[-1] for n in ready])
         gap = abs(self.predicted - measured) / measured if measured > 0 else 1.0
