--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -268,8 +268,8 @@
         for rack in self.racks:
             rack.lately = [*rack.lately[-2:], rack.carried]
             uplink = rack.carried * rack.tight / self.terms.uplink if self.terms.uplink > 0 else 0.0
-            if uplink > UP_MARK and all(now - n.short_at > NOTED + INTERVAL for n in rack.nodes):
-                rack.tight = max(LOOSEST, rack.tight * (SLOWLY if uplink < T1 else RELAX if uplink < 1 else 1 / uplink))
+            if uplink > T1 and all(now - n.short_at > NOTED + INTERVAL for n in rack.nodes):
+                rack.tight = max(LOOSEST, rack.tight * (RELAX if uplink < 1 else 1 / uplink))
         measured = cluster_load([n.samples[-1] for n in ready])
         gap = abs(self.predicted - measured) / measured if measured > 0 else 1.0
         self.err = min(1.0, max(gap, len(stale) / len(ready)))
