--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -13,7 +13,7 @@
 2 cold pace a node that may just have started gets set-ups only in this front's slots of time;
 3 tries     what an outcome proves, when a further try may follow, and how long one may take;
 4 squeeze   short-delivery notes raise a node's load, or its rack's, past what reports can say;
-5 near load a title's own holders count as x for it, and a link past T3 steps down by itself;
+5 near load full holders and lone full links step their own down, refused requests press, starts are even;
 6 stale     links with no fresh report push err towards 1, so that x is measured, not extrapolated.
 """
 
