--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -28,7 +28,7 @@
 from oakcroft.interface import Outcome, Playback, Rack, State, Terms, Title
 
 # The design's open constants.
-INTERVAL = SECOND // 2  # between samples
+INTERVAL = SECOND  # between samples
 WINDOW = 5  # samples in the fit
 ALPHA = 0.95  # mean against variance
 T1, T2, T3, FULL = 0.92, 1.30, 0.97, 1.50  # marks on x; FULL is the paper's C
