--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -164,12 +164,8 @@
             load = max(load, (node.rack.carried + more) * node.rack.tight / self.terms.uplink)
         return load
 
-    def _shift(self, node: Node, kb: float, now: int, echo: bool = False) -> None:
-        """Own change of what a node carries. A step answers a load that every front sees, so the others
-        are taken to step too (`echo`), or all of them would each answer the whole of it."""
-        if echo:
-            own = sum(self._rate(pb, pb.rung) for pb in node.playbacks)
-            kb *= min(max(1.0, node.level * node.link / max(own, 1.0)), self.terms.fronts)
+    def _shift(self, node: Node, kb: float, now: int) -> None:
+        """A change of what a node carries that no report has told of yet."""
         node.own.append((now, kb))
         while node.own[0][0] < now - 8 * SECOND:
             node.own.popleft()
@@ -310,28 +306,36 @@
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
             if not playing:
                 continue
-            most = max(1, round(PACE * len(playing)))
             press = node.pressed.read(now, PRESS_HALF)
-            load = self._load(node, now, press)
+            load, pace = self._load(node, now, press), PACE * len(playing)
             mark = self.t3 if self.x > self.t3 or press > self._rate(playing[0], 0) else max(self.t3, LONE)
             if load > mark:
                 p = step_down_probability(max(self.x, load), self.t3)
-                down = sorted(
-                    (pb for pb in playing if pb.rung > pb.plan.floor),
-                    key=lambda pb: self._worth_per_kb(pb, pb.rung - 1),
-                )
-                for pb in down[:most]:
-                    if self._load(node, now, press) > mark and self.rng.random() < p:
-                        self._set_rung(pb, pb.rung - 1, now)
+                down = [pb for pb in playing if pb.rung > pb.plan.floor]
+                down.sort(key=lambda pb: self._worth_per_kb(pb, pb.rung - 1))
+                self._step(node, down, -1, (load - mark) * node.link, pace, p, now)
             elif self.x < T1 and load < UP_MARK:
-                up = sorted(
-                    (pb for pb in playing if pb.rung < pb.top),
-                    key=lambda pb: -self._worth_per_kb(pb, pb.rung),
-                )
-                for pb in up[:most]:
-                    more = self._rate(pb, pb.rung + 1) - self._rate(pb, pb.rung)
-                    if now - pb.changed_at > REST and self._load(node, now, more) < UP_MARK:
-                        self._set_rung(pb, pb.rung + 1, now)
+                up = [pb for pb in playing if pb.rung < pb.top and now - pb.changed_at > REST]
+                up.sort(key=lambda pb: -self._worth_per_kb(pb, pb.rung))
+                self._step(node, up, 1, (UP_MARK - load) * node.link, pace, 1.0, now)
+
+    def _step(
+        self, node: Node, playbacks: list[Playback], way: int, gap: float, pace: float, p: float, now: int
+    ) -> None:
+        """Closes a gap of kB a second. It answers a load that every front sees, so the others are taken to
+        step in the same way, and each takes its part by chance: whole steps of many fronts that hold one
+        playback each would overshoot together. Harm: a front alone on a link is slower by chance."""
+        own = sum(self._rate(pb, pb.rung) for pb in node.playbacks)
+        many = min(max(1.0, node.level * node.link / max(own, 1.0)), self.terms.fronts)
+        for pb in playbacks:
+            kb = abs(self._rate(pb, pb.rung + way) - self._rate(pb, pb.rung))
+            part = min(1.0, pace, gap / max(1.0, kb * many))
+            if part <= 0:
+                break
+            gap, pace = gap - part * kb * many, pace - part
+            self._shift(node, way * kb * (many - 1) * part * p, now)
+            if self.rng.random() < part * p:
+                self._set_rung(pb, pb.rung + way, now)
 
     def _worth_per_kb(self, pb: Playback, low: int) -> float:
         """Revenue that the step between a rung and the next is worth, for each kB a second."""
@@ -340,7 +344,7 @@
 
     def _set_rung(self, pb: Playback, rung: int, now: int) -> None:
         if pb.node:
-            self._shift(pb.node, self._rate(pb, rung) - self._rate(pb, pb.rung), now, echo=True)
+            self._shift(pb.node, self._rate(pb, rung) - self._rate(pb, pb.rung), now)
         pb.rung, pb.changed_at = rung, now
         self.host.set_rung(pb, rung)
 
@@ -350,14 +354,7 @@
         """A request is refused in the band, or placed."""
         if self.terms.tries_free is not None:
             self.taken.append(now)
-        x = self.x
-        holders = [n for n in self._holders(pb.title) if n.samples]
-        if holders and len(holders) < len(self.nodes):
-            # Guards against a hot title that fills its holders while the fleet's x stays low; covers
-            # any few holders in trouble. Harm: none on a fleet where every node holds every title.
-            measured = cluster_load([n.samples[-1] for n in holders])
-            x = max(x, blend(self.err, cluster_load([n.forecast for n in holders]), measured))
-        if not pb.moved and self.rng.random() < refusal_probability(x, self.t2):
+        if not pb.moved and self.rng.random() < refusal_probability(self.x, self.t2):
             self._give_up(pb, now)
         else:
             self._place(pb, now)
