Judge an unheard link near the usual load, its own share counting little at many fronts

Cause: an unheard node with one own playback was taken to carry that times the number of fronts, so with 200 fronts it looked overfull many times; and equal loads always fell to the first holder, on all fronts alike. The own share is now weighed as the one sample that it is, and ties fall by chance.

Next: hot titles fill the same two holders on all fronts, which know of few nodes.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -56,6 +56,7 @@
 DEAD = 0.2  # delivery under this is a node that stands still
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
+LIKE = 4  # how alike the loads of links are: the number of fronts whose view counts as much as the mean
 USUAL = 0.7  # load taken for a link while none has told
 FORGET = 0.3  # of the way to the usual load, in an interval, for a link whose report is stale
 
@@ -147,10 +148,10 @@
         """Asked of the link over what it gives: the last report and own changes since."""
         if not node.heard:
             own = sum(self._rate(pb, pb.rung) for pb in node.playbacks)
-            if own:
-                return own * self.terms.fronts / node.link
             room = self.terms.uplink / max(1.0, sum(n.link for n in node.rack.nodes))
-            return self.usual * min(1.0, room or 1.0)
+            usual = self.usual * min(1.0, room or 1.0)
+            # One playback of many fronts' says little of what the others have there.
+            return usual + (own * self.terms.fronts / node.link - usual) / (1 + self.terms.fronts / LIKE)
         return max(0.0, node.reported + sum(kb for at, kb in node.own if at > node.reported_at) / node.link)
 
     def _carry(self) -> None:
@@ -374,7 +375,7 @@
             self._press(pb, now)
             self._give_up(pb, now)
             return
-        node = min(two, key=lambda n: self._load(n, now))
+        node = min(two, key=lambda n: (self._load(n, now), self.rng.random()))
         self._send(pb, node, self._start_rung(pb, node, now), now)
 
     def _start_rung(self, pb: Playback, node: Node, now: int) -> int:
