Pass over holders that tell nothing as often as those that tell are full

Cause: with 200 fronts a front hears of few nodes, so every front sends a hot title to its first two holders and finds them full by its own harm. A holder without a fresh report is now passed over with the share of telling links that are past the step-up mark, and taken all the same if nobody better is found. FULL counts as a report of a full link, which fades like any other, in place of a second's rest of its own.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -50,7 +50,6 @@
 AGE = 300 * MS  # of a report that comes with an answer
 NOTED = 2 * SECOND  # a note of short delivery holds so long
 RELAX, TIGHTEST, LOOSEST = 0.94, 2.0, 0.5  # a rack's estimate, an interval without short delivery
-FULL_REST = SECOND  # a node that turned a set-up away is left alone so long
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
 SHORT = 0.98  # delivery under this is short
 DEAD = 0.2  # delivery under this is a node that stands still
@@ -83,9 +82,10 @@
         self.t2, self.t3 = T2, T3
         self.x, self.err, self.predicted = 0.0, 1.0, 0.0
         self.usual = USUAL  # load of a link that tells nothing: the mean of those that do
+        self.crowded = 0.0  # share of links that tell and have no room
+        self.due = terms.reports_every + terms.seen_after + TOO_OLD  # age of a report that is still fresh
         self.mode = "open"
-        self.taken: deque[int] = deque()
-        self.further: deque[int] = deque()
+        self.taken, self.further = deque[int](), deque[int]()
         self.asked_at, self.following = now, False
         if terms.must_follow:
             host.follow()
@@ -248,11 +248,11 @@
         # A node that answers nothing carries no load: counted as full it would shut the door to the others.
         ready = [n for n in listed if self._sound(n, now)] or listed
         self._log_health(listed, now)
-        due = self.terms.reports_every + self.terms.seen_after + TOO_OLD
-        fresh = [n.level for n in ready if n.heard and now - n.reported_at <= due]
+        fresh = [n.level for n in ready if n.heard and now - n.reported_at <= self.due]
         if fresh:
             self.usual = sum(fresh) / len(fresh)
-        stale = [n for n in ready if now - n.reported_at > due]
+            self.crowded = sum(load > UP_MARK for load in fresh) / (len(fresh) + 1)
+        stale = [n for n in ready if now - n.reported_at > self.due]
         for node in stale:
             # Guards against a link remembered as full that nobody tells of any more, since only those with
             # playbacks there hear; covers late and lost reports. Harm: a full link is tried again.
@@ -363,14 +363,18 @@
     def _place(self, pb: Playback, now: int) -> None:
         """The less used of the first two holders with room, at the highest rung under the mark."""
         plan = pb.plan
-        two: list[Node] = []
+        two, unsure = list[Node](), list[Node]()
         if not plan.seats or pb.title.seats.get(plan, 0) < plan.seats:
             for node in self._holders(pb.title):
                 low = self._adds(pb, node, plan.floor)
                 if self._may_try(pb, node, now) and self._load(node, now, low) <= MARK:
-                    two.append(node)
+                    # Guards against all fronts filling a title's first holders, of which most hear nothing:
+                    # a link that tells nothing is taken to be full as often as those that tell.
+                    old = now - node.reported_at > self.due
+                    (unsure if old and self.rng.random() < self.crowded else two).append(node)
                     if len(two) == 2:
                         break
+        two = [*two, *unsure][:2]
         if not two:
             self._press(pb, now)
             self._give_up(pb, now)
@@ -421,7 +425,7 @@
     def _may_try(self, pb: Playback, node: Node, now: int) -> bool:
         """Whether the rules and this front's trust let a try go to this node now."""
         tried = any(n is node for n, _ in pb.tries)
-        if tried or node.listing is not Listing.READY or 0 < node.full_at > now - FULL_REST:
+        if tried or node.listing is not Listing.READY:
             return False
         if not all(self._repeats_safely(pb, ran, at, node, now) for ran, at in pb.may_have_run):
             return False
@@ -543,7 +547,7 @@
         elif outcome is Outcome.ERROR:
             node.distrust.add(0.4, now, DISTRUST_HALF)
         elif outcome is Outcome.FULL:
-            node.full_at = now
+            self._report(node, max(node.level, T1), 0, now)  # all places taken, though the link may have room
         if closed or state is not State.SETTING_UP:
             self._change(pb, State.ENDED, now)
             return
