Pass over holders that tell nothing at 0.7 at least

Cause as before: even with few telling links full, hot titles fill their first holders on all fronts unseen.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -371,7 +371,7 @@
                     # Guards against all fronts filling a title's first holders, of which most hear nothing:
                     # a link that tells nothing is taken to be full as often as those that tell.
                     old = now - node.reported_at > self.due
-                    (unsure if old and self.rng.random() < self.crowded else two).append(node)
+                    (unsure if old and self.rng.random() < max(0.7, self.crowded) else two).append(node)
                     if len(two) == 2:
                         break
         two = [*two, *unsure][:2]
