Take a lone short node whose link is not full as a tight uplink

Cause: at size a front mostly plays on one node of a rack, and its short-delivery notes were always put down to the node's link; the next link report then read low and the rungs went up again into the same full uplink.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -216,7 +216,8 @@
 
     def _squeeze(self, node: Node, now: int) -> bool:
         """Whether short delivery is the node's own. An uplink gives all its nodes the same share at most,
-        so the best-off node of the rack tells how far past it is; one node that is well served clears it.
+        so the best-off node of the rack tells how far past it is; one node that is well served clears it. A
+        front that plays on one node only goes by whether that link's own load explains the shortness.
 
         Guards against uplinks that give less than their mean, which no report tells; covers any shared
         bottleneck behind several nodes. Harm: a rack whose links are all too full looks tight until
@@ -225,7 +226,8 @@
         rack = node.rack
         shares = [n.short if now - n.short_at < NOTED else 1.0 for n in rack.nodes if n.playbacks]
         carried = max(rack.carried, *rack.lately)  # the note is late: it tells of what was carried then
-        if len(shares) < 2 or max(shares) >= SHORT or carried <= 0 or self.terms.uplink <= 0:
+        explained = len(shares) < 2 and 1 / max(shares) < max([node.level, *node.samples[-3:]]) + 0.1
+        if explained or max(shares) >= SHORT or carried <= 0 or self.terms.uplink <= 0:
             return True
         rack.tight = min(TIGHTEST, max(rack.tight, self.terms.uplink / max(shares) / carried))
         return False
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -45,6 +45,15 @@
     assert rack.tight > 1.0
 
 
+def test_a_lone_node_is_short_by_its_uplink_when_its_link_is_not_full() -> None:
+    for load, tight in ((1.6, False), (0.6, True)):
+        fleet = Fleet()
+        pb = plays(fleet, 0)
+        fleet.control.noted(pb, Note.LINK_ASKED, load, fleet.now)
+        fleet.control.noted(pb, Note.DELIVERED, 0.7, fleet.now)
+        assert (fleet.nodes[0].rack.tight > 1.0) is tight
+
+
 def test_many_fronts_on_one_link_step_in_part_and_count_for_each_other() -> None:
     stepped = 0
     for front in range(20):
