--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -37,7 +37,7 @@
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
-PACE = 0.15  # of the playbacks concerned, at most, in an interval
+PACE, DOWN_PACE = 0.15, 0.40  # of the playbacks concerned, at most, in an interval, up and down
 
 DISTRUST_HALF, DISTRUSTED = 4 * SECOND, 0.7  # a node is out from this score on
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
@@ -310,17 +310,17 @@
             if not playing:
                 continue
             press = node.pressed.read(now, PRESS_HALF)
-            load, pace = self._load(node, now, press), PACE * len(playing)
+            load = self._load(node, now, press)
             mark = self.t3 if self.x > self.t3 or press > self._rate(playing[0], 0) else max(self.t3, LONE)
             if load > mark:
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = [pb for pb in playing if pb.rung > pb.plan.floor]
                 down.sort(key=lambda pb: self._worth_per_kb(pb, pb.rung - 1))
-                self._step(node, down, -1, (load - mark) * node.link, pace, p, now)
+                self._step(node, down, -1, (load - mark) * node.link, DOWN_PACE * len(playing), p, now)
             elif self.x < T1 and load < UP_MARK:
                 up = [pb for pb in playing if pb.rung < pb.top and now - pb.changed_at > REST]
                 up.sort(key=lambda pb: -self._worth_per_kb(pb, pb.rung))
-                self._step(node, up, 1, (UP_MARK - load) * node.link, pace, 1.0, now)
+                self._step(node, up, 1, (UP_MARK - load) * node.link, PACE * len(playing), 1.0, now)
 
     def _step(
         self, node: Node, playbacks: list[Playback], way: int, gap: float, pace: float, p: float, now: int
