--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -37,7 +37,7 @@
 UP_MARK = 0.80  # on a link: step-ups stay under it, well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
-PACE, DOWN_PACE = 0.15, 0.40  # of the playbacks concerned, at most, in an interval, up and down
+PACE, DOWN_PACE = 0.15, 0.25  # of the playbacks concerned, at most, in an interval, up and down
 
 DISTRUST_HALF, DISTRUSTED = 4 * SECOND, 0.7  # a node is out from this score on
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
@@ -209,7 +209,7 @@
             if value < DEAD:
                 node.distrust.add(1.0, now, DISTRUST_HALF)  # not a full link, but one that gives nothing
                 return
-            node.short, node.short_at = value, now
+            node.short, node.short_at = value, now if value < SHORT else node.short_at - NOTED
             alone = self._squeeze(node, now)
             if value < SHORT and alone and 1 / max(value, 0.2) > node.level + 0.05:
                 self._report(node, 1 / max(value, 0.2), self.terms.seen_after, now)
@@ -311,7 +311,9 @@
                 continue
             press = node.pressed.read(now, PRESS_HALF)
             load = self._load(node, now, press)
-            mark = self.t3 if self.x > self.t3 or press > self._rate(playing[0], 0) else max(self.t3, LONE)
+            # Reports are noisy, so a link steps down by itself only past LONE; delivery told short is not.
+            sure = self.x > self.t3 or press > self._rate(playing[0], 0) or now - node.short_at < NOTED
+            mark = self.t3 if sure else max(self.t3, LONE)
             if load > mark:
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = [pb for pb in playing if pb.rung > pb.plan.floor]
