Pass over holders not told to be under the usual load by the share of silent nodes

Cause: links that a front hears of are mostly busy ones, and they were preferred to unheard ones however full; the chance of 0.7 was a constant for one size. A holder is now passed over, unless it tells of less than the usual load, with the share of nodes that tell nothing; when all are, two of them are drawn by lot.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -82,7 +82,7 @@
         self.t2, self.t3 = T2, T3
         self.x, self.err, self.predicted = 0.0, 1.0, 0.0
         self.usual = USUAL  # load of a link that tells nothing: the mean of those that do
-        self.crowded = 0.0  # share of links that tell and have no room
+        self.blind = 0.0  # share of nodes that tell nothing
         self.due = terms.reports_every + terms.seen_after + TOO_OLD  # age of a report that is still fresh
         self.mode = "open"
         self.taken, self.further = deque[int](), deque[int]()
@@ -251,9 +251,9 @@
         ready = [n for n in listed if self._sound(n, now)] or listed
         self._log_health(listed, now)
         fresh = [n.level for n in ready if n.heard and now - n.reported_at <= self.due]
+        self.blind = 1 - len(fresh) / len(ready)
         if fresh:
             self.usual = sum(fresh) / len(fresh)
-            self.crowded = sum(load > UP_MARK for load in fresh) / (len(fresh) + 1)
         stale = [n for n in ready if now - n.reported_at > self.due]
         for node in stale:
             # Guards against a link remembered as full that nobody tells of any more, since only those with
@@ -373,11 +373,13 @@
                 low = self._adds(pb, node, plan.floor)
                 if self._may_try(pb, node, now) and self._load(node, now, low) <= MARK:
                     # Guards against all fronts filling a title's first holders, of which most hear nothing:
-                    # a link that tells nothing is taken to be full as often as those that tell.
-                    old = now - node.reported_at > self.due
-                    (unsure if old and self.rng.random() < max(0.7, self.crowded) else two).append(node)
+                    # one that does not tell of less than the usual load is passed over with the share of
+                    # nodes that tell nothing, which is next to none where few fronts serve few nodes.
+                    fresh = now - node.reported_at <= self.due and self._load(node, now) < self.usual
+                    (two if fresh or self.rng.random() >= self.blind else unsure).append(node)
                     if len(two) == 2:
                         break
+        self.rng.shuffle(unsure)
         two = [*two, *unsure][:2]
         if not two:
             self._press(pb, now)
