Share a cold node's slot of time among as many fronts as its budget holds

Cause: with 80 to 200 fronts a front's own slot on a cold node came once in minutes, and a restarted front, to which every node is cold for six seconds, could send nowhere in most of them. A slot's budget is now dealt out in single set-ups to as many fronts as it holds, and to other fronts on each node, so that every front has some.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -471,16 +471,18 @@
 
     def _warm_enough(self, node: Node, now: int) -> bool:
         """Guards against all fronts together pushing over a node that has just started: each sends only
-        in its own slots of time, so that any window holds at most two fronts' slots. Covers nodes that
+        in its own slots of time, which it shares with as many fronts as the budget holds set-ups, and which
+        differ from node to node, so that any window holds at most two slots. Covers nodes that
         this front saw fail, and every node right after its own start unless a playback it was handed
         plays there. Harm: a warm node that failed once is paced for a while."""
-        terms = self.terms
-        if self._age(node, now) >= terms.cold_for:
+        if self._age(node, now) >= self.terms.cold_for:
             return True
         slot, allowed = self._slot(node, now)
-        if slot % terms.fronts != terms.front % terms.fronts:
+        turns = -(-self.terms.fronts // allowed) if allowed else 0  # every so many slots it is this front's
+        offset = int.from_bytes(hashlib.blake2b(node.name.encode(), digest_size=4).digest(), "big")
+        if not turns or (slot + self.terms.front + offset) % turns:
             return False
-        return (node.slot_used if slot == node.slot else 0) < allowed
+        return (node.slot_used if slot == node.slot else 0) < max(1, allowed // self.terms.fronts)
 
     def _repeats_safely(self, pb: Playback, ran: Node, at: int, node: Node, now: int) -> bool:
         plan = pb.plan
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -118,6 +118,19 @@
     assert len(fleet.sends()) <= len(fleet.nodes)
 
 
+def test_fronts_share_a_cold_nodes_slot_and_differ_from_node_to_node() -> None:
+    terms = replace(TERMS, fronts=60, fall_multiple=5.0)
+    sent: dict[str, int] = {}
+    for front in range(60):
+        fleet = Fleet(terms=replace(terms, front=front), warm=False)
+        for pb in [fleet.ask() for _ in range(6)]:
+            if pb.node:
+                sent[pb.node.name] = sent.get(pb.node.name, 0) + 1
+    budget = terms.fall_multiple * terms.cold_share * 12 / terms.cold_for * terms.fall_window
+    assert len(sent) > 1
+    assert max(sent.values()) <= budget / 2
+
+
 def test_a_start_is_no_more_than_one_rung_over_what_the_link_plays() -> None:
     fleet = Fleet(nodes=1)
     pb, *_ = [plays(fleet, 0) for _ in range(3)]
