--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -389,14 +389,9 @@
         self._send(pb, node, self._start_rung(pb, node, now), now)
 
     def _start_rung(self, pb: Playback, node: Node, now: int) -> int:
-        """The highest rung that keeps the link under its mark, which is lower for the ladder's upper half;
-        and no more than one over what the link plays, or the first to come would take what the next lack.
-        Covers fronts that start and know of no load yet. Harm: a lone viewer starts lower than could be."""
-        most, playing = pb.top, [other.rung for other in node.playbacks]
-        if len(playing) > 2:
-            most = max(pb.plan.floor, min(most, round(sum(playing) / len(playing)) + 1))
+        """The highest rung that keeps the link under its mark, which is lower for the ladder's upper half."""
         rung = pb.plan.floor
-        while rung < most:
+        while rung < pb.top:
             mark = MARK if rung < len(self.terms.rates) // 2 else UPPER_MARK
             if self._load(node, now, self._adds(pb, node, rung + 1)) > mark:
                 break
