Bound a start by the mean rung of all the front's playbacks where it plays few on the node

Cause: at size a front plays one or two on a node, so the bound that keeps starts even never acted, and the first to come took what the next lacked. Where two or fewer play on the node, the mean of all its own playbacks bounds.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -84,6 +84,9 @@
         self.usual = USUAL  # load of a link that tells nothing: the mean of those that do
         self.blind = 0.0  # share of nodes that tell nothing
         self.due = terms.reports_every + terms.seen_after + TOO_OLD  # age of a report that is still fresh
+        self.mean_rung = float(
+            len(terms.rates)
+        )  # of the front's playbacks, before the first interval unknown
         self.mode = "open"
         self.taken, self.further = deque[int](), deque[int]()
         self.asked_at, self.following = now, False
@@ -305,6 +308,8 @@
 
     def _steps(self, ready: list[Node], now: int) -> None:
         """Playing rungs go down past T3 and up under T1, at a bounded pace."""
+        rungs = [pb.rung for node in ready for pb in node.playbacks]
+        self.mean_rung = sum(rungs) / len(rungs) if rungs else float(len(self.terms.rates))
         for node in ready:
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
             if not playing:
@@ -389,9 +394,15 @@
         self._send(pb, node, self._start_rung(pb, node, now), now)
 
     def _start_rung(self, pb: Playback, node: Node, now: int) -> int:
-        """The highest rung that keeps the link under its mark, which is lower for the ladder's upper half."""
+        """The highest rung that keeps the link under its mark, which is lower for the ladder's upper half;
+        and no more than one over what the link plays, or this front's links where it plays few there, or the
+        first to come would take what the next lack.
+        Covers fronts that start and know of no load yet. Harm: a lone viewer starts lower than could be."""
+        playing = [other.rung for other in node.playbacks]
+        mean = sum(playing) / len(playing) if len(playing) > 2 else self.mean_rung
+        most = max(pb.plan.floor, min(pb.top, round(mean) + 1))
         rung = pb.plan.floor
-        while rung < pb.top:
+        while rung < most:
             mark = MARK if rung < len(self.terms.rates) // 2 else UPPER_MARK
             if self._load(node, now, self._adds(pb, node, rung + 1)) > mark:
                 break
