Start on the second rung at most where a front plays nothing yet

Cause: a restarted front plays nothing, so nothing bounded its starts, and a roll of the fronts has every viewer start again at once.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -309,7 +309,7 @@
     def _steps(self, ready: list[Node], now: int) -> None:
         """Playing rungs go down past T3 and up under T1, at a bounded pace."""
         rungs = [pb.rung for node in ready for pb in node.playbacks]
-        self.mean_rung = sum(rungs) / len(rungs) if rungs else float(len(self.terms.rates))
+        self.mean_rung = sum(rungs) / len(rungs) if rungs else 0.0
         for node in ready:
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
             if not playing:
