Try: sample and fit only the links that tell, so that err is the fit's own

Links without a fresh report are left out of the sample; before, their share pushed err to 1, which at size is always.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -14,7 +14,7 @@
 3 tries     what an outcome proves, when a further try may follow, and how long one may take;
 4 squeeze   short-delivery notes raise a node's load, or its rack's, past what reports can say;
 5 near load full holders and lone full links step their own down, refused requests press, starts are even;
-6 stale     links with no fresh report push err towards 1, so that x is measured, not extrapolated.
+6 silence   links with no fresh report are left out of x, drift to the usual load, and are passed over.
 """
 
 from __future__ import annotations
@@ -78,18 +78,13 @@
         self.started = now
         self.nodes: dict[Node, None] = {}
         self.racks = [Rack() for _ in range(terms.racks)]
-        self.version = 0
-        self.t2, self.t3 = T2, T3
-        self.x, self.err, self.predicted = 0.0, 1.0, 0.0
+        self.version, self.asked_at, self.following = 0, now, False
+        self.t2, self.t3, self.x, self.err, self.predicted = T2, T3, 0.0, 1.0, 0.0
         self.usual = USUAL  # load of a link that tells nothing: the mean of those that do
-        self.blind = 0.0  # share of nodes that tell nothing
         self.due = terms.reports_every + terms.seen_after + TOO_OLD  # age of a report that is still fresh
-        self.mean_rung = float(
-            len(terms.rates)
-        )  # of the front's playbacks, before the first interval unknown
+        self.blind, self.mean_rung = 0.0, 0.0  # share of nodes that tell nothing; of own playbacks
         self.mode = "open"
         self.taken, self.further = deque[int](), deque[int]()
-        self.asked_at, self.following = now, False
         if terms.must_follow:
             host.follow()
         host.alarm(now + INTERVAL)
@@ -127,13 +122,10 @@
         """The nodes that hold a title, in the hash order that all fronts share."""
         if title.known != self.version:
             terms = self.terms
-
-            def rank(node: Node) -> bytes:
-                return hashlib.blake2b(f"{title.name}\0{node.name}".encode(), digest_size=8).digest()
-
             copies = title.copies if 0 < title.copies < terms.cells else terms.cells
             held = [n for n in self.nodes if (n.cell - title.home) % terms.cells < copies]
-            title.holders, title.known = sorted(held, key=rank), self.version
+            held.sort(key=lambda n: digest(f"{title.name}\0{n.name}"))
+            title.holders, title.known = held, self.version
         return title.holders
 
     # Load.
@@ -189,7 +181,6 @@
         node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
 
     def _uplink_report(self, rack: Rack, value: float) -> None:
-        """Where the uplink's own load is told, nothing need be inferred."""
         if rack.carried > 0 and self.terms.uplink > 0:
             rack.tight = min(TIGHTEST, max(LOOSEST, value * self.terms.uplink / rack.carried))
 
@@ -222,9 +213,8 @@
         so the best-off node of the rack tells how far past it is; one node that is well served clears it. A
         front that plays on one node only goes by whether that link's own load explains the shortness.
 
-        Guards against uplinks that give less than their mean, which no report tells; covers any shared
-        bottleneck behind several nodes. Harm: a rack whose links are all too full looks tight until
-        `_interval` has relaxed the estimate.
+        Guards against uplinks that give less than their mean, which no report tells; covers any bottleneck
+        behind several nodes. Harm: a rack whose links are all too full looks tight until that relaxes.
         """
         rack = node.rack
         shares = [n.short if now - n.short_at < NOTED else 1.0 for n in rack.nodes if n.playbacks]
@@ -253,18 +243,20 @@
         # A node that answers nothing carries no load: counted as full it would shut the door to the others.
         ready = [n for n in listed if self._sound(n, now)] or listed
         self._log_health(listed, now)
-        fresh = [n.level for n in ready if n.heard and now - n.reported_at <= self.due]
+        fresh = [n for n in ready if n.heard and now - n.reported_at <= self.due]
         self.blind = 1 - len(fresh) / len(ready)
         if fresh:
-            self.usual = sum(fresh) / len(fresh)
-        stale = [n for n in ready if now - n.reported_at > self.due]
-        for node in stale:
+            self.usual = sum(n.level for n in fresh) / len(fresh)
+        for node in self.nodes:
             # Guards against a link remembered as full that nobody tells of any more, since only those with
             # playbacks there hear; covers late and lost reports. Harm: a full link is tried again.
-            node.reported += FORGET * ((self.usual if fresh else USUAL) - node.level)
+            if now - node.reported_at > self.due:
+                node.reported += FORGET * ((self.usual if fresh else USUAL) - node.level)
+                node.samples = []
             node.level = self._level(node)
         self._carry()
-        for node in ready:
+        telling = fresh or ready
+        for node in telling:
             node.samples = [*node.samples[1 - WINDOW :], min(FULL, self._load(node, now))]
             node.forecast = forecast(node.samples)
         for rack in self.racks:
@@ -272,10 +264,10 @@
             uplink = rack.carried * rack.tight / self.terms.uplink if self.terms.uplink > 0 else 0.0
             if uplink > T1 and all(now - n.short_at > NOTED + INTERVAL for n in rack.nodes):
                 rack.tight = max(LOOSEST, rack.tight * (RELAX if uplink < 1 else 1 / uplink))
-        measured = cluster_load([n.samples[-1] for n in ready])
-        gap = abs(self.predicted - measured) / measured if measured > 0 else 1.0
-        self.err = min(1.0, max(gap, len(stale) / len(ready)))
-        self.predicted = cluster_load([n.forecast for n in ready])
+        measured = cluster_load([n.samples[-1] for n in telling])
+        gap = abs(self.predicted - measured) / measured if fresh and measured > 0 else 1.0
+        self.err = min(1.0, gap)
+        self.predicted = cluster_load([n.forecast for n in telling])
         self.x = blend(self.err, self.predicted, measured)
         self._move_marks()
         self._steps(ready, now)
@@ -284,9 +276,8 @@
         for node in listed:
             if node.out == self._sound(node, now):
                 node.out = not node.out
-                score, unanswered = node.distrust.read(now, DISTRUST_HALF), len(node.waiting)
-                word = "out" if node.out else "back"
-                self.host.log(f"node {node.name} {word}: distrust {score:.1f}, {unanswered} unanswered")
+                why = f"distrust {node.distrust.read(now, DISTRUST_HALF):.1f}, {len(node.waiting)} unanswered"
+                self.host.log(f"node {node.name} {'out' if node.out else 'back'}: {why}")
         for i, rack in enumerate(self.racks):
             if rack.logged != (rack.tight > TIGHT):
                 rack.logged = not rack.logged
@@ -323,21 +314,20 @@
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = [pb for pb in playing if pb.rung > pb.plan.floor]
                 down.sort(key=lambda pb: self._worth_per_kb(pb, pb.rung - 1))
-                self._step(node, down, -1, (load - mark) * node.link, DOWN_PACE * len(playing), p, now)
+                self._step(node, down, -1, (load - mark) * node.link, p, now)
             elif self.x < T1 and load < UP_MARK:
                 up = [pb for pb in playing if pb.rung < pb.top and now - pb.changed_at > REST]
                 up.sort(key=lambda pb: -self._worth_per_kb(pb, pb.rung))
-                self._step(node, up, 1, (UP_MARK - load) * node.link, PACE * len(playing), 1.0, now)
+                self._step(node, up, 1, (UP_MARK - load) * node.link, 1.0, now)
 
-    def _step(
-        self, node: Node, playbacks: list[Playback], way: int, gap: float, pace: float, p: float, now: int
-    ) -> None:
+    def _step(self, node: Node, some: list[Playback], way: int, gap: float, p: float, now: int) -> None:
         """Closes a gap of kB a second. It answers a load that every front sees, so the others are taken to
         step in the same way, and each takes its part by chance: whole steps of many fronts that hold one
         playback each would overshoot together. Harm: a front alone on a link is slower by chance."""
         own = sum(self._rate(pb, pb.rung) for pb in node.playbacks)
         many = min(max(1.0, node.level * node.link / max(own, 1.0)), self.terms.fronts)
-        for pb in playbacks:
+        pace = (PACE if way > 0 else DOWN_PACE) * len(node.playbacks)
+        for pb in some:
             kb = abs(self._rate(pb, pb.rung + way) - self._rate(pb, pb.rung))
             part = min(1.0, pace, gap / max(1.0, kb * many))
             if part <= 0:
@@ -485,8 +475,7 @@
             return True
         slot, allowed = self._slot(node, now)
         turns = -(-self.terms.fronts // allowed) if allowed else 0  # every so many slots it is this front's
-        offset = int.from_bytes(hashlib.blake2b(node.name.encode(), digest_size=4).digest(), "big")
-        if not turns or (slot + self.terms.front + offset) % turns:
+        if not turns or (slot + self.terms.front + digest(node.name)) % turns:
             return False
         return (node.slot_used if slot == node.slot else 0) < max(1, allowed // self.terms.fronts)
 
@@ -496,9 +485,8 @@
             return True
         if plan.effect is Effect.PAID or now - at >= plan.key_lasts:
             return False
-        return {Group.ALL: True, Group.ZONE: node.zone == ran.zone, Group.CELL: node.cell == ran.cell}[
-            plan.group
-        ]
+        same = {Group.ALL: True, Group.ZONE: node.zone == ran.zone, Group.CELL: node.cell == ran.cell}
+        return same[plan.group]
 
     def _may_try_again(self, pb: Playback, now: int) -> bool:
         terms = self.terms
@@ -612,6 +600,11 @@
 # The design's formulas.
 
 
+def digest(text: str) -> int:
+    """The same number on all fronts."""
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
 def forecast(samples: Sequence[float]) -> float:
     """The next value on the straight line fitted to equally spaced samples."""
     n = len(samples)
