--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -22,6 +22,7 @@
 import hashlib
 from collections import deque
 from collections.abc import Iterable, Sequence
+from math import exp
 from random import Random
 
 from oakcroft.interface import MS, SECOND, Effect, Entry, Group, Host, Listing, ListKind, Node, Note
@@ -246,7 +247,10 @@
         fresh = [n for n in ready if n.heard and now - n.reported_at <= self.due]
         self.blind = 1 - len(fresh) / len(ready)
         if fresh:
-            self.usual = sum(n.level for n in fresh) / len(fresh)
+            # A busy link is heard of sooner than an idle one, most so where each front plays little.
+            each = sum(len(n.playbacks) for n in ready) / (self.usual * len(ready))
+            rarity = [1 / (1 - exp(-max(0.01, n.level * each))) for n in fresh]
+            self.usual = max(0.1, sum(w * n.level for w, n in zip(rarity, fresh, strict=True)) / sum(rarity))
         for node in self.nodes:
             # Guards against a link remembered as full that nobody tells of any more, since only those with
             # playbacks there hear; covers late and lost reports. Harm: a full link is tried again.
@@ -264,10 +268,11 @@
             uplink = rack.carried * rack.tight / self.terms.uplink if self.terms.uplink > 0 else 0.0
             if uplink > T1 and all(now - n.short_at > NOTED + INTERVAL for n in rack.nodes):
                 rack.tight = max(LOOSEST, rack.tight * (RELAX if uplink < 1 else 1 / uplink))
-        measured = cluster_load([n.samples[-1] for n in telling])
+        silent = [self.usual] * (len(ready) - len(telling))
+        measured = cluster_load([n.samples[-1] for n in telling] + silent)
         gap = abs(self.predicted - measured) / measured if fresh and measured > 0 else 1.0
         self.err = min(1.0, gap)
-        self.predicted = cluster_load([n.forecast for n in telling])
+        self.predicted = cluster_load([n.forecast for n in telling] + silent)
         self.x = blend(self.err, self.predicted, measured)
         self._move_marks()
         self._steps(ready, now)
