Take an unheard link at the usual load, whatever its rack's uplink

A fold: the usual load is measured in the same racks, so the factor for a small uplink counted it twice.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -22,7 +22,6 @@
 import hashlib
 from collections import deque
 from collections.abc import Iterable, Sequence
-from math import exp
 from random import Random
 
 from oakcroft.interface import MS, SECOND, Effect, Entry, Group, Host, Listing, ListKind, Node, Note
@@ -144,10 +143,10 @@
         """Asked of the link over what it gives: the last report and own changes since."""
         if not node.heard:
             own = sum(self._rate(pb, pb.rung) for pb in node.playbacks)
-            room = self.terms.uplink / max(1.0, sum(n.link for n in node.rack.nodes))
-            usual = self.usual * min(1.0, room or 1.0)
             # One playback of many fronts' says little of what the others have there.
-            return usual + (own * self.terms.fronts / node.link - usual) / (1 + self.terms.fronts / LIKE)
+            return self.usual + (own * self.terms.fronts / node.link - self.usual) / (
+                1 + self.terms.fronts / LIKE
+            )
         return max(0.0, node.reported + sum(kb for at, kb in node.own if at > node.reported_at) / node.link)
 
     def _carry(self) -> None:
@@ -247,10 +246,7 @@
         fresh = [n for n in ready if n.heard and now - n.reported_at <= self.due]
         self.blind = 1 - len(fresh) / len(ready)
         if fresh:
-            # A busy link is heard of sooner than an idle one, most so where each front plays little.
-            each = sum(len(n.playbacks) for n in ready) / (self.usual * len(ready))
-            rarity = [1 / (1 - exp(-max(0.01, n.level * each))) for n in fresh]
-            self.usual = max(0.1, sum(w * n.level for w, n in zip(rarity, fresh, strict=True)) / sum(rarity))
+            self.usual = sum(n.level for n in fresh) / len(fresh)
         for node in self.nodes:
             # Guards against a link remembered as full that nobody tells of any more, since only those with
             # playbacks there hear; covers late and lost reports. Harm: a full link is tried again.
@@ -268,11 +264,10 @@
             uplink = rack.carried * rack.tight / self.terms.uplink if self.terms.uplink > 0 else 0.0
             if uplink > T1 and all(now - n.short_at > NOTED + INTERVAL for n in rack.nodes):
                 rack.tight = max(LOOSEST, rack.tight * (RELAX if uplink < 1 else 1 / uplink))
-        silent = [self.usual] * (len(ready) - len(telling))
-        measured = cluster_load([n.samples[-1] for n in telling] + silent)
+        measured = cluster_load([n.samples[-1] for n in telling])
         gap = abs(self.predicted - measured) / measured if fresh and measured > 0 else 1.0
         self.err = min(1.0, gap)
-        self.predicted = cluster_load([n.forecast for n in telling] + silent)
+        self.predicted = cluster_load([n.forecast for n in telling])
         self.x = blend(self.err, self.predicted, measured)
         self._move_marks()
         self._steps(ready, now)
