--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -83,6 +83,8 @@
         self.usual = USUAL  # load of a link that tells nothing: the mean of those that do
         self.due = terms.reports_every + terms.seen_after + TOO_OLD  # age of a report that is still fresh
         self.blind, self.mean_rung = 0.0, 0.0  # share of nodes that tell nothing; of own playbacks
+        self.held, self.links = 0.0, 1.0  # kB a second of own playbacks, and of all links
+        self.held_then = deque([(now, 0.0)], maxlen=12)  # at the ends of intervals
         self.mode = "open"
         self.taken, self.further = deque[int](), deque[int]()
         if terms.must_follow:
@@ -116,6 +118,7 @@
         for i, rack in enumerate(self.racks):
             rack.nodes = [n for n in self.nodes if n.cell % self.terms.racks == i]
         self.version += 1
+        self.links = max(1.0, sum(n.link for n in self.nodes))
         self._carry()
 
     def _holders(self, title: Title) -> list[Node]:
@@ -147,7 +150,19 @@
             return self.usual + (own * self.terms.fronts / node.link - self.usual) / (
                 1 + self.terms.fronts / LIKE
             )
-        return max(0.0, node.reported + sum(kb for at, kb in node.own if at > node.reported_at) / node.link)
+        since = sum(kb for at, kb in node.own if at > node.reported_at) / node.link
+        return max(0.0, node.reported + since + self._unseen(node.reported_at))
+
+    def _unseen(self, at: int) -> float:
+        """What the other fronts have added to a link since then, as this front's set-ups and losses tell.
+
+        Guards against crowds that come between two reports, and against remembering links as full that a
+        loss has emptied; covers any swing that all fronts see. Harm: viewers that change fronts count as new.
+        """
+        then = next((kb for t, kb in reversed(self.held_then) if t <= at), self.held_then[0][1])
+        net, unit = self.held - then, self.terms.rates[len(self.terms.rates) // 2]
+        sure = abs(net) / (abs(net) + unit)  # one playback alone may be chance
+        return sure * net * (self.terms.fronts - 1) / self.links
 
     def _carry(self) -> None:
         for rack in self.racks:
@@ -155,9 +170,10 @@
 
     def _load(self, node: Node, now: int, more: float = 0.0) -> float:
         """The load that a playback on this node feels, with `more` kB a second added."""
-        load = node.level + more / node.link
+        crowd = self._unseen(self.held_then[-1][0])
+        load = node.level + more / node.link + crowd
         if self.terms.uplink > 0:
-            load = max(load, (node.rack.carried + more) * node.rack.tight / self.terms.uplink)
+            load = max(load, (node.rack.carried + more) * node.rack.tight / self.terms.uplink + crowd)
         return load
 
     def _shift(self, node: Node, kb: float, now: int) -> None:
@@ -247,6 +263,10 @@
         self.blind = 1 - len(fresh) / len(ready)
         if fresh:
             self.usual = sum(n.level for n in fresh) / len(fresh)
+        if now - self.started > UNHEARD:
+            self.held_then.append((now, self.held))
+        else:
+            self.held_then[0] = (now, self.held)
         for node in self.nodes:
             # Guards against a link remembered as full that nobody tells of any more, since only those with
             # playbacks there hear; covers late and lost reports. Harm: a full link is tried again.
@@ -517,6 +537,7 @@
         """A playback handed over at the start; it plays already."""
         pb.tries.append((node, now))
         node.handed_over = True
+        self.held_then[0] = (now, self.held + self._rate(pb, pb.rung))
         self._change(pb, State.PLAYING, now, node)
 
     def playing(self, pb: Playback, took: int, now: int) -> None:
@@ -594,6 +615,7 @@
                 del at.playbacks[pb]
             else:
                 at.playbacks[pb] = None
+            self.held += sign * self._rate(pb, pb.rung)
             self._shift(at, sign * self._rate(pb, pb.rung), now)
 
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -253,3 +253,16 @@
     second = Playback(first.title, live, 2, fleet.now, False)
     rate = fleet.control._rate(second, first.rung)
     assert fleet.control._adds(second, fleet.nodes[0], first.rung) == 0.2 * rate
+
+
+def test_a_crowd_on_one_front_counts_for_all_and_its_loss_opens_the_door() -> None:
+    fleet = Fleet(nodes=4, terms=replace(TERMS, fronts=20, uplink=0.0))
+    for node in range(4):
+        fleet.control.noted(plays(fleet, node), Note.LINK_ASKED, 0.5, fleet.now)
+    tick(fleet, 1)
+    before = fleet.control._load(fleet.nodes[3], fleet.now)
+    crowd = [fleet.ask() for _ in range(4)]
+    assert fleet.control._load(fleet.nodes[3], fleet.now) > before + 0.2
+    for pb in crowd:
+        fleet.control.tried(pb, Outcome.NO_CONNECTION, True, None, None, None, fleet.now)
+    assert fleet.control._load(fleet.nodes[3], fleet.now) < before + 0.1
