--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -57,6 +57,7 @@
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
 LIKE = 4  # how alike the loads of links are: the number of fronts whose view counts as much as the mean
 USUAL = 0.7  # load taken for a link while none has told
+FORGET = 0.1  # of the way to the usual load, in an interval, for a link whose report is stale
 
 
 NEXT = {
@@ -267,8 +268,11 @@
         else:
             self.held_then[0] = (now, self.held)
         for node in self.nodes:
-            if now - node.reported_at > self.due:  # nobody tells of it any more
-                node.heard, node.samples = False, []
+            # Guards against a link remembered as full that nobody tells of any more, since only those with
+            # playbacks there hear; covers late and lost reports. Harm: a full link is tried again.
+            if now - node.reported_at > self.due:
+                node.reported += FORGET * ((self.usual if fresh else USUAL) - node.level)
+                node.samples = []
             node.level = self._level(node)
         self._carry()
         telling = fresh or ready
