Drop the press of refused requests and the drift of silent links

Both are covered by counting a front's own set-ups and losses for all: a crowd raises the load itself, a loss lowers it.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -44,7 +44,6 @@
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
 TIGHT = 1.1  # a rack's estimate past this is logged
 LONE = 1.05  # past it a link steps down by itself, though x is low and nobody presses
-PRESS_HALF = 2 * SECOND  # requests refused for load count so long in step-downs
 COLD_PART = 0.45  # of the budget of a slot of time: two slots may fall into one window
 KEPT = 0.6  # of the running estimate when a report comes, against noise
 AGE = 300 * MS  # of a report that comes with an answer
@@ -57,7 +56,6 @@
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
 LIKE = 4  # how alike the loads of links are: the number of fronts whose view counts as much as the mean
 USUAL = 0.7  # load taken for a link while none has told
-FORGET = 0.1  # of the way to the usual load, in an interval, for a link whose report is stale
 
 
 NEXT = {
@@ -268,11 +266,8 @@
         else:
             self.held_then[0] = (now, self.held)
         for node in self.nodes:
-            # Guards against a link remembered as full that nobody tells of any more, since only those with
-            # playbacks there hear; covers late and lost reports. Harm: a full link is tried again.
-            if now - node.reported_at > self.due:
-                node.reported += FORGET * ((self.usual if fresh else USUAL) - node.level)
-                node.samples = []
+            if now - node.reported_at > self.due:  # nobody tells of it any more
+                node.heard, node.samples = False, []
             node.level = self._level(node)
         self._carry()
         telling = fresh or ready
@@ -325,10 +320,9 @@
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
             if not playing:
                 continue
-            press = node.pressed.read(now, PRESS_HALF)
-            load = self._load(node, now, press)
+            load = self._load(node, now)
             # Reports are noisy, so a link steps down by itself only past LONE; delivery told short is not.
-            sure = self.x > self.t3 or press > self._rate(playing[0], 0) or now - node.short_at < NOTED
+            sure = self.x > self.t3 or now - node.short_at < NOTED
             mark = self.t3 if sure else max(self.t3, LONE)
             if load > mark:
                 p = step_down_probability(max(self.x, load), self.t3)
@@ -397,7 +391,6 @@
         self.rng.shuffle(unsure)
         two = [*two, *unsure][:2]
         if not two:
-            self._press(pb, now)
             self._give_up(pb, now)
             return
         node = min(two, key=lambda n: (self._load(n, now), self.rng.random()))
@@ -419,14 +412,6 @@
             rung += 1
         return rung
 
-    def _press(self, pb: Playback, now: int) -> None:
-        """Guards against a fleet that plays high rungs and turns viewers away at the door, each link just
-        under T3: who is refused for load counts in the step-downs of the first two holders. Covers any
-        crowd on few holders. Harm: viewers who come back again and again press more than once."""
-        homes = [n for n in self._holders(pb.title) if self._may_try(pb, n, now)][:2]
-        for node in homes:
-            node.pressed.add(self._rate(pb, pb.plan.floor), now, PRESS_HALF)
-
     def _send(self, pb: Playback, node: Node, rung: int, now: int) -> None:
         if rung != pb.rung:
             pb.rung = rung
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -171,7 +171,6 @@
         self.samples: list[float] = []
         self.forecast = 0.0
         self.distrust, self.out = Fading(), False
-        self.pressed = Fading()  # kB a second of requests refused for its load
         self.failed_at = 0
         self.handed_over = False  # a playback that this front was handed at its start plays here
         self.slot, self.slot_used = -1, 0
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -139,20 +139,6 @@
     assert fleet.ask().rung == 1
 
 
-def test_a_request_without_room_presses_playing_rungs_down() -> None:
-    fleet = Fleet(nodes=1)
-    playing = [plays(fleet, 0, rung=2) for _ in range(4)]
-    fleet.now += 3 * SECOND
-    for _ in range(3):
-        fleet.control.noted(playing[0], Note.LINK_ASKED, 0.94, fleet.now)
-        tick(fleet, 1)
-        assert {pb.rung for pb in playing} == {2}
-    fleet.control.noted(playing[0], Note.LINK_ASKED, 0.94, fleet.now)
-    assert all(fleet.answers(fleet.ask()) == ["reject"] for _ in range(5))
-    tick(fleet, 1)
-    assert min(pb.rung for pb in playing) == 1
-
-
 def test_squeezed_links_and_silent_nodes_leave_the_door_open() -> None:
     fleet = Fleet()
     for node, load in enumerate((0.5, 0.5, 5.0, 0.5)):
