Step up only what plays no more than half a rung over the front's mean

Cause: one link's playbacks rose to the top rung on room that the next arrivals needed, while others played the lowest; the ladder's worth is concave, so evenness earns more. The bound that starts have now holds for step-ups.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -31,7 +31,7 @@
 INTERVAL = SECOND  # between samples
 WINDOW = 5  # samples in the fit
 ALPHA = 0.95  # mean against variance
-T1, T2, T3, FULL = 0.92, 1.30, 0.94, 1.50  # marks on x; FULL is the paper's C
+T1, T2, T3, FULL = 0.92, 1.30, 0.97, 1.50  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
 UPPER_MARK = 0.70  # the same for the ladder's upper half
 UP_MARK = 0.70  # on a link: step-ups stay under it, well clear of T3
@@ -43,7 +43,7 @@
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
 TIGHT = 1.1  # a rack's estimate past this is logged
-LONE = 0.99  # past it a link steps down by itself, though x is low and nobody presses
+LONE = 1.05  # past it a link steps down by itself, though x is low and nobody presses
 COLD_PART = 0.45  # of the budget of a slot of time: two slots may fall into one window
 KEPT = 0.6  # of the running estimate when a report comes, against noise
 AGE = 300 * MS  # of a report that comes with an answer
@@ -330,7 +330,12 @@
                 down.sort(key=lambda pb: self._worth_per_kb(pb, pb.rung - 1))
                 self._step(node, down, -1, (load - mark) * node.link, p, now)
             elif self.x < T1 and load < UP_MARK:
-                up = [pb for pb in playing if pb.rung < pb.top and now - pb.changed_at > REST]
+                even = min(self.mean_rung + 0.5, len(self.terms.rates))
+                up = [
+                    pb
+                    for pb in playing
+                    if pb.rung < pb.top and now - pb.changed_at > REST and pb.rung <= even
+                ]
                 up.sort(key=lambda pb: -self._worth_per_kb(pb, pb.rung))
                 self._step(node, up, 1, (UP_MARK - load) * node.link, 1.0, now)
 
