--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -24,7 +24,7 @@
 from collections.abc import Iterable, Sequence
 from random import Random
 
-from oakcroft.interface import MS, SECOND, Effect, Entry, Group, Host, Listing, ListKind, Node, Note
+from oakcroft.interface import MS, SECOND, Effect, Entry, Fading, Group, Host, Listing, ListKind, Node, Note
 from oakcroft.interface import Outcome, Playback, Rack, State, Terms, Title
 
 # The design's open constants.
@@ -83,6 +83,7 @@
         self.blind, self.mean_rung = 0.0, 0.0  # share of nodes that tell nothing; of own playbacks
         self.held, self.links = 0.0, 1.0  # kB a second of own playbacks, and of all links
         self.held_then = deque([(now, 0.0)], maxlen=12)  # at the ends of intervals
+        self.faults: dict[str, Fading] = {}  # distrust of each zone, for nodes that tell nothing
         self.mode = "open"
         self.taken, self.further = deque[int](), deque[int]()
         if terms.must_follow:
@@ -215,7 +216,7 @@
             self._uplink_report(node.rack, value)
         elif kind is Note.DELIVERED:
             if value < DEAD:
-                node.distrust.add(1.0, now, DISTRUST_HALF)  # not a full link, but one that gives nothing
+                self._blame(node, 1.0, now)  # not a full link, but one that gives nothing
                 return
             node.short, node.short_at = value, now if value < SHORT else node.short_at - NOTED
             alone = self._squeeze(node, now)
@@ -389,11 +390,14 @@
                     # Guards against all fronts filling a title's first holders, of which most hear nothing:
                     # one that does not tell of less than the usual load is passed over with the share of
                     # nodes that tell nothing, which is next to none where few fronts serve few nodes.
-                    fresh = now - node.reported_at <= self.due and self._load(node, now) < self.usual
+                    # After failures any that tells will do, and silent ones come by their zones' faults.
+                    known = self._load(node, now) < self.usual or self._faults(node, now) > 1
+                    fresh = now - node.reported_at <= self.due and known
                     (two if fresh or self.rng.random() >= self.blind else unsure).append(node)
                     if len(two) == 2:
                         break
         self.rng.shuffle(unsure)
+        unsure.sort(key=lambda n: round(self._faults(n, now)))
         two = [*two, *unsure][:2]
         if not two:
             self._give_up(pb, now)
@@ -401,6 +405,13 @@
         node = min(two, key=lambda n: (self._load(n, now), self.rng.random()))
         self._send(pb, node, self._start_rung(pb, node, now), now)
 
+    def _faults(self, node: Node, now: int) -> float:
+        return self.faults.setdefault(node.zone, Fading()).read(now, DISTRUST_HALF)
+
+    def _blame(self, node: Node, much: float, now: int) -> None:
+        node.distrust.add(much, now, DISTRUST_HALF)
+        self.faults.setdefault(node.zone, Fading()).add(much, now, DISTRUST_HALF)
+
     def _start_rung(self, pb: Playback, node: Node, now: int) -> int:
         """The highest rung that keeps the link under its mark, which is lower for the ladder's upper half;
         and no more than one over what the link plays, or this front's links where it plays few there, or the
@@ -534,7 +545,7 @@
         """The set-up is done."""
         pb.fresh = True
         if pb.node:
-            pb.node.distrust.add(-0.5, now, DISTRUST_HALF)
+            self._blame(pb.node, -0.5, now)
         if pb.state is State.SETTING_UP:
             self._change(pb, State.PLAYING, now)
 
@@ -556,9 +567,9 @@
         if outcome in (Outcome.NO_CONNECTION, Outcome.RESET, Outcome.LATE):
             if outcome is not Outcome.LATE or node.distrust.read(now, DISTRUST_HALF) > 1:
                 node.failed_at = now
-            node.distrust.add(1.0, now, DISTRUST_HALF)
+            self._blame(node, 1.0, now)
         elif outcome is Outcome.ERROR:
-            node.distrust.add(0.4, now, DISTRUST_HALF)
+            self._blame(node, 0.4, now)
         elif outcome is Outcome.FULL:
             self._report(node, max(node.level, T1), 0, now)  # all places taken, though the link may have room
         if closed or state is not State.SETTING_UP:
