Open cold nodes to chance where their budget is large

A cold node's slot went to few fronts in turn, and seldom did one of them have a request, so nodes that came back stayed empty for their whole warm-up. Where a slot's part holds four set-ups or more, any front may now send with the chance that keeps all fronts, taken to be as busy as this one, at half of that part. A new process is no longer the emptiest node to every one of many fronts at once.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -44,6 +44,7 @@
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
 TIGHT = 1.1  # a rack's estimate past this is logged
 LONE = 1.05  # past it a link steps down by itself, though x is low and nobody presses
+FREELY, UNEVEN = 4, 3  # set-ups in a cold slot that leave room for chance; how uneven nodes are wanted
 COLD_PART = 0.45  # of the budget of a slot of time: two slots may fall into one window
 KEPT = 0.6  # of the running estimate when a report comes, against noise
 AGE = 300 * MS  # of a report that comes with an answer
@@ -83,7 +84,7 @@
         self.blind, self.mean_rung = 0.0, 0.0  # share of nodes that tell nothing; of own playbacks
         self.held, self.links = 0.0, 1.0  # kB a second of own playbacks, and of all links
         self.held_then = deque([(now, 0.0)], maxlen=12)  # at the ends of intervals
-        self.faults: dict[str, Fading] = {}  # distrust of each zone, for nodes that tell nothing
+        self.asked = Fading()  # requests
         self.mode = "open"
         self.taken, self.further = deque[int](), deque[int]()
         if terms.must_follow:
@@ -103,7 +104,8 @@
             missing.pop(node, None)
             if e.started_at > node.started_at:  # a new process: nothing known of the old one holds
                 node.distrust.clear()
-                node.heard, node.reported, node.reported_at = True, 0.0, now
+                # Empty; but if each of many fronts knew of no emptier one, all would go there.
+                node.heard, node.reported, node.reported_at = self.rng.random() >= self.blind, 0.0, now
                 node.handed_over = False
             node.listing, node.started_at = e.listing, e.started_at
             node.link, node.places = max(1.0, e.link), e.places
@@ -216,7 +218,7 @@
             self._uplink_report(node.rack, value)
         elif kind is Note.DELIVERED:
             if value < DEAD:
-                self._blame(node, 1.0, now)  # not a full link, but one that gives nothing
+                node.distrust.add(1.0, now, DISTRUST_HALF)  # not a full link, but one that gives nothing
                 return
             node.short, node.short_at = value, now if value < SHORT else node.short_at - NOTED
             alone = self._squeeze(node, now)
@@ -374,6 +376,7 @@
         """A request is refused in the band, or placed."""
         if self.terms.tries_free is not None:
             self.taken.append(now)
+        self.asked.add(1.0, now, self.terms.fall_window)
         if not pb.moved and self.rng.random() < refusal_probability(self.x, self.t2):
             self._give_up(pb, now)
         else:
@@ -390,14 +393,11 @@
                     # Guards against all fronts filling a title's first holders, of which most hear nothing:
                     # one that does not tell of less than the usual load is passed over with the share of
                     # nodes that tell nothing, which is next to none where few fronts serve few nodes.
-                    # After failures any that tells will do, and silent ones come by their zones' faults.
-                    known = self._load(node, now) < self.usual or self._faults(node, now) > 1
-                    fresh = now - node.reported_at <= self.due and known
+                    fresh = node.heard and self._load(node, now) < self.usual
                     (two if fresh or self.rng.random() >= self.blind else unsure).append(node)
                     if len(two) == 2:
                         break
         self.rng.shuffle(unsure)
-        unsure.sort(key=lambda n: round(self._faults(n, now)))
         two = [*two, *unsure][:2]
         if not two:
             self._give_up(pb, now)
@@ -405,13 +405,6 @@
         node = min(two, key=lambda n: (self._load(n, now), self.rng.random()))
         self._send(pb, node, self._start_rung(pb, node, now), now)
 
-    def _faults(self, node: Node, now: int) -> float:
-        return self.faults.setdefault(node.zone, Fading()).read(now, DISTRUST_HALF)
-
-    def _blame(self, node: Node, much: float, now: int) -> None:
-        node.distrust.add(much, now, DISTRUST_HALF)
-        self.faults.setdefault(node.zone, Fading()).add(much, now, DISTRUST_HALF)
-
     def _start_rung(self, pb: Playback, node: Node, now: int) -> int:
         """The highest rung that keeps the link under its mark, which is lower for the ladder's upper half;
         and no more than one over what the link plays, or this front's links where it plays few there, or the
@@ -496,9 +489,12 @@
             return True
         slot, allowed = self._slot(node, now)
         turns = -(-self.terms.fronts // allowed) if allowed else 0  # every so many slots it is this front's
-        if not turns or (slot + self.terms.front + digest(node.name)) % turns:
-            return False
-        return (node.slot_used if slot == node.slot else 0) < max(1, allowed // self.terms.fronts)
+        if turns and not (slot + self.terms.front + digest(node.name)) % turns:
+            return (node.slot_used if slot == node.slot else 0) < max(1, allowed // self.terms.fronts)
+        # Seldom is the front in turn the one with a request. Where the budget is large enough for chance to
+        # stay under it, others may send too: so many that all, as busy as this one, make up half a slot's.
+        all_here = self.terms.fronts * self.asked.read(now, self.terms.fall_window) / len(self.nodes)
+        return allowed >= FREELY and self.rng.random() < allowed / 2 / (UNEVEN * max(all_here, 0.01))
 
     def _repeats_safely(self, pb: Playback, ran: Node, at: int, node: Node, now: int) -> bool:
         plan = pb.plan
@@ -545,7 +541,7 @@
         """The set-up is done."""
         pb.fresh = True
         if pb.node:
-            self._blame(pb.node, -0.5, now)
+            pb.node.distrust.add(-0.5, now, DISTRUST_HALF)
         if pb.state is State.SETTING_UP:
             self._change(pb, State.PLAYING, now)
 
@@ -567,9 +563,9 @@
         if outcome in (Outcome.NO_CONNECTION, Outcome.RESET, Outcome.LATE):
             if outcome is not Outcome.LATE or node.distrust.read(now, DISTRUST_HALF) > 1:
                 node.failed_at = now
-            self._blame(node, 1.0, now)
+            node.distrust.add(1.0, now, DISTRUST_HALF)
         elif outcome is Outcome.ERROR:
-            self._blame(node, 0.4, now)
+            node.distrust.add(0.4, now, DISTRUST_HALF)
         elif outcome is Outcome.FULL:
             self._report(node, max(node.level, T1), 0, now)  # all places taken, though the link may have room
         if closed or state is not State.SETTING_UP:
