--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -394,7 +394,7 @@
                     # one that does not tell of less than the usual load is passed over with the share of
                     # nodes that tell nothing, which is next to none where few fronts serve few nodes.
                     fresh = node.heard and self._load(node, now) < self.usual
-                    (two if fresh or self.rng.random() >= self.blind else unsure).append(node)
+                    (two if fresh or self.rng.random() >= min(0.6, self.blind) else unsure).append(node)
                     if len(two) == 2:
                         break
         self.rng.shuffle(unsure)
