--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -317,7 +317,8 @@
 
     def _steps(self, ready: list[Node], now: int) -> None:
         """Playing rungs go down past T3 and up under T1, at a bounded pace."""
-        rungs = [pb.rung for node in ready for pb in node.playbacks]
+        own = [pb for node in ready for pb in node.playbacks]
+        rungs = [pb.rung for pb in own if pb.rung < pb.top] or [len(self.terms.rates)] * len(own)
         self.mean_rung = sum(rungs) / len(rungs) if rungs else 0.0
         for node in ready:
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
@@ -394,7 +395,7 @@
                     # one that does not tell of less than the usual load is passed over with the share of
                     # nodes that tell nothing, which is next to none where few fronts serve few nodes.
                     fresh = node.heard and self._load(node, now) < self.usual
-                    (two if fresh or self.rng.random() >= min(0.6, self.blind) else unsure).append(node)
+                    (two if fresh or self.rng.random() >= self.blind else unsure).append(node)
                     if len(two) == 2:
                         break
         self.rng.shuffle(unsure)
