--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -46,7 +46,6 @@
 LONE = 1.05  # past it a link steps down by itself, though x is low and nobody presses
 FREELY, UNEVEN = 4, 3  # set-ups in a cold slot that leave room for chance; how uneven nodes are wanted
 COLD_PART = 0.45  # of the budget of a slot of time: two slots may fall into one window
-KEPT = 0.6  # of the running estimate when a report comes, against noise
 AGE = 300 * MS  # of a report that comes with an answer
 NOTED = 2 * SECOND  # a note of short delivery holds so long
 RELAX, TIGHTEST, LOOSEST = 0.94, 2.0, 0.5  # a rack's estimate, an interval without short delivery
@@ -190,10 +189,7 @@
         if now - age < node.reported_at:
             return
         old = node.level
-        node.reported, node.reported_at = value, now - age
-        seen = self._level(node) if node.heard else value
-        node.reported += KEPT * (old - seen) if node.heard else 0.0
-        node.heard = True
+        node.reported, node.reported_at, node.heard = value, now - age, True
         node.level = self._level(node)
         node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
 
@@ -317,8 +313,7 @@
 
     def _steps(self, ready: list[Node], now: int) -> None:
         """Playing rungs go down past T3 and up under T1, at a bounded pace."""
-        own = [pb for node in ready for pb in node.playbacks]
-        rungs = [pb.rung for pb in own if pb.rung < pb.top] or [len(self.terms.rates)] * len(own)
+        rungs = [pb.rung for node in ready for pb in node.playbacks]
         self.mean_rung = sum(rungs) / len(rungs) if rungs else 0.0
         for node in ready:
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
@@ -395,7 +390,7 @@
                     # one that does not tell of less than the usual load is passed over with the share of
                     # nodes that tell nothing, which is next to none where few fronts serve few nodes.
                     fresh = node.heard and self._load(node, now) < self.usual
-                    (two if fresh or self.rng.random() >= self.blind else unsure).append(node)
+                    (two if fresh or self.rng.random() >= min(0.6, self.blind) else unsure).append(node)
                     if len(two) == 2:
                         break
         self.rng.shuffle(unsure)
