Let every link step down past T3 by itself, as the design has it

A fold: the mark of 1.05 for lone links guarded whole steps against noise; steps are taken in parts now.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -43,9 +43,9 @@
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
 TIGHT = 1.1  # a rack's estimate past this is logged
-LONE = 1.05  # past it a link steps down by itself, though x is low and nobody presses
 FREELY, UNEVEN = 4, 3  # set-ups in a cold slot that leave room for chance; how uneven nodes are wanted
 COLD_PART = 0.45  # of the budget of a slot of time: two slots may fall into one window
+KEPT = 0.6  # of the running estimate when a report comes, against noise
 AGE = 300 * MS  # of a report that comes with an answer
 NOTED = 2 * SECOND  # a note of short delivery holds so long
 RELAX, TIGHTEST, LOOSEST = 0.94, 2.0, 0.5  # a rack's estimate, an interval without short delivery
@@ -189,7 +189,10 @@
         if now - age < node.reported_at:
             return
         old = node.level
-        node.reported, node.reported_at, node.heard = value, now - age, True
+        node.reported, node.reported_at = value, now - age
+        seen = self._level(node) if node.heard else value
+        node.reported += KEPT * (old - seen) if node.heard else 0.0
+        node.heard = True
         node.level = self._level(node)
         node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
 
@@ -320,14 +323,11 @@
             if not playing:
                 continue
             load = self._load(node, now)
-            # Reports are noisy, so a link steps down by itself only past LONE; delivery told short is not.
-            sure = self.x > self.t3 or now - node.short_at < NOTED
-            mark = self.t3 if sure else max(self.t3, LONE)
-            if load > mark:
+            if load > self.t3:
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = [pb for pb in playing if pb.rung > pb.plan.floor]
                 down.sort(key=lambda pb: self._worth_per_kb(pb, pb.rung - 1))
-                self._step(node, down, -1, (load - mark) * node.link, p, now)
+                self._step(node, down, -1, (load - self.t3) * node.link, p, now)
             elif self.x < T1 and load < UP_MARK:
                 even = min(self.mean_rung + 0.5, len(self.terms.rates))
                 up = [
@@ -390,7 +390,7 @@
                     # one that does not tell of less than the usual load is passed over with the share of
                     # nodes that tell nothing, which is next to none where few fronts serve few nodes.
                     fresh = node.heard and self._load(node, now) < self.usual
-                    (two if fresh or self.rng.random() >= min(0.6, self.blind) else unsure).append(node)
+                    (two if fresh or self.rng.random() >= self.blind else unsure).append(node)
                     if len(two) == 2:
                         break
         self.rng.shuffle(unsure)
