--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -10,11 +10,12 @@
 
 Mechanisms beside the design, six at most:
 1 distrust  failed or unanswered set-ups make a node lose its turn until the score fades;
-2 cold pace a node that may just have started gets set-ups only in this front's slots of time;
+2 cold pace a node that may just have started gets set-ups only in this front's turn, or by a small chance;
 3 tries     what an outcome proves, when a further try may follow, and how long one may take;
 4 squeeze   short-delivery notes raise a node's load, or its rack's, past what reports can say;
-5 near load full holders and lone full links step their own down, refused requests press, starts are even;
-6 silence   links with no fresh report are left out of x, drift to the usual load, and are passed over.
+5 sampling  a front is one sample of all: its own set-ups, losses and steps count for the others, and links
+            that tell nothing are taken as usual and passed over as often as there are such;
+6 evenness  nobody starts or steps up further than about a rung over what plays already.
 """
 
 from __future__ import annotations
@@ -33,8 +34,7 @@
 ALPHA = 0.95  # mean against variance
 T1, T2, T3, FULL = 0.92, 1.30, 0.97, 1.50  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
-UPPER_MARK = 0.70  # the same for the ladder's upper half
-UP_MARK = 0.70  # on a link: step-ups stay under it, well clear of T3
+UP_MARK = 0.70  # the same for starts in the ladder's upper half, and for step-ups: well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
 PACE, DOWN_PACE = 0.15, 0.25  # of the playbacks concerned, at most, in an interval, up and down
@@ -42,16 +42,14 @@
 DISTRUST_HALF, DISTRUSTED = 4 * SECOND, 0.7  # a node is out from this score on
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
-TIGHT = 1.1  # a rack's estimate past this is logged
 FREELY, UNEVEN = 4, 3  # set-ups in a cold slot that leave room for chance; how uneven nodes are wanted
 COLD_PART = 0.45  # of the budget of a slot of time: two slots may fall into one window
 KEPT = 0.6  # of the running estimate when a report comes, against noise
 AGE = 300 * MS  # of a report that comes with an answer
 NOTED = 2 * SECOND  # a note of short delivery holds so long
-RELAX, TIGHTEST, LOOSEST = 0.94, 2.0, 0.5  # a rack's estimate, an interval without short delivery
+RELAX, TIGHTEST, LOOSEST, TIGHT = 0.94, 2.0, 0.5, 1.1  # of a rack's estimate; the last is logged
 CROWDED = 1.2  # a link past this has lost capacity: its rack carries no more than that
-SHORT = 0.98  # delivery under this is short
-DEAD = 0.2  # delivery under this is a node that stands still
+SHORT, DEAD = 0.98, 0.2  # delivery under this is short; that of a node that stands still
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
 LIKE = 4  # how alike the loads of links are: the number of fronts whose view counts as much as the mean
@@ -64,7 +62,7 @@
     State.BETWEEN: {State.SETTING_UP, State.REJECTED, State.ABORTED},
     State.PLAYING: {State.CLOSED, State.ENDED},
     State.CLOSED: {State.ENDED},
-}  # and nothing follows on the rest
+}
 HOLDS = {State.SETTING_UP, State.PLAYING, State.CLOSED}
 
 
@@ -73,9 +71,8 @@
 
     def __init__(self, terms: Terms, seed: int, host: Host, now: int) -> None:
         self.terms, self.host, self.rng = terms, host, Random(seed)
-        self.started = now
+        self.started, self.racks = now, [Rack() for _ in range(terms.racks)]
         self.nodes: dict[Node, None] = {}
-        self.racks = [Rack() for _ in range(terms.racks)]
         self.version, self.asked_at, self.following = 0, now, False
         self.t2, self.t3, self.x, self.err, self.predicted = T2, T3, 0.0, 1.0, 0.0
         self.usual = USUAL  # load of a link that tells nothing: the mean of those that do
@@ -83,8 +80,7 @@
         self.blind, self.mean_rung = 0.0, 0.0  # share of nodes that tell nothing; of own playbacks
         self.held, self.links = 0.0, 1.0  # kB a second of own playbacks, and of all links
         self.held_then = deque([(now, 0.0)], maxlen=12)  # at the ends of intervals
-        self.asked = Fading()  # requests
-        self.mode = "open"
+        self.mode, self.asked = "open", Fading()  # and requests of late
         self.taken, self.further = deque[int](), deque[int]()
         if terms.must_follow:
             host.follow()
@@ -113,8 +109,7 @@
             self.nodes[node] = None
         for node in missing:
             node.listing = Listing.GONE
-        for node in [n for n in self.nodes if n.listing is Listing.GONE]:
-            del self.nodes[node]
+        self.nodes = {n: None for n in self.nodes if n.listing is not Listing.GONE}
         for i, rack in enumerate(self.racks):
             rack.nodes = [n for n in self.nodes if n.cell % self.terms.racks == i]
         self.version += 1
@@ -124,9 +119,9 @@
     def _holders(self, title: Title) -> list[Node]:
         """The nodes that hold a title, in the hash order that all fronts share."""
         if title.known != self.version:
-            terms = self.terms
-            copies = title.copies if 0 < title.copies < terms.cells else terms.cells
-            held = [n for n in self.nodes if (n.cell - title.home) % terms.cells < copies]
+            cells = self.terms.cells
+            copies = title.copies if 0 < title.copies < cells else cells
+            held = [n for n in self.nodes if (n.cell - title.home) % cells < copies]
             held.sort(key=lambda n: digest(f"{title.name}\0{n.name}"))
             title.holders, title.known = held, self.version
         return title.holders
@@ -147,9 +142,8 @@
         if not node.heard:
             own = sum(self._rate(pb, pb.rung) for pb in node.playbacks)
             # One playback of many fronts' says little of what the others have there.
-            return self.usual + (own * self.terms.fronts / node.link - self.usual) / (
-                1 + self.terms.fronts / LIKE
-            )
+            over = own * self.terms.fronts / node.link - self.usual
+            return self.usual + over / (1 + self.terms.fronts / LIKE)
         since = sum(kb for at, kb in node.own if at > node.reported_at) / node.link
         return max(0.0, node.reported + since + self._unseen(node.reported_at))
 
@@ -204,10 +198,9 @@
         """News on one playback, which mostly speaks of its node."""
         node = pb.node
         if kind is Note.RUNG:
-            rung = min(max(int(value), 0), len(self.terms.rates) - 1)
-            if node and pb.state in HOLDS and rung != pb.rung:
-                self._shift(node, self._rate(pb, rung) - self._rate(pb, pb.rung), now)
-            pb.rung = rung
+            if node and pb.state in HOLDS:
+                self._shift(node, self._rate(pb, int(value)) - self._rate(pb, pb.rung), now)
+            pb.rung = int(value)
         elif not node:
             return
         elif kind is Note.LINK_ASKED:
@@ -225,9 +218,8 @@
                 self._report(node, 1 / max(value, 0.2), self.terms.seen_after, now)
 
     def _squeeze(self, node: Node, now: int) -> bool:
-        """Whether short delivery is the node's own. An uplink gives all its nodes the same share at most,
-        so the best-off node of the rack tells how far past it is; one node that is well served clears it. A
-        front that plays on one node only goes by whether that link's own load explains the shortness.
+        """Whether short delivery is the node's own. An uplink gives all its nodes the same share at most, so
+        the best-off node tells how far past it is; a lone node goes by whether its link's load explains it.
 
         Guards against uplinks that give less than their mean, which no report tells; covers any bottleneck
         behind several nodes. Harm: a rack whose links are all too full looks tight until that relaxes.
@@ -263,10 +255,9 @@
         self.blind = 1 - len(fresh) / len(ready)
         if fresh:
             self.usual = sum(n.level for n in fresh) / len(fresh)
-        if now - self.started > UNHEARD:
-            self.held_then.append((now, self.held))
-        else:
-            self.held_then[0] = (now, self.held)
+        if now - self.started <= UNHEARD:
+            self.held_then.clear()
+        self.held_then.append((now, self.held))
         for node in self.nodes:
             if now - node.reported_at > self.due:  # nobody tells of it any more
                 node.heard, node.samples = False, []
@@ -282,8 +273,7 @@
             if uplink > T1 and all(now - n.short_at > NOTED + INTERVAL for n in rack.nodes):
                 rack.tight = max(LOOSEST, rack.tight * (RELAX if uplink < 1 else 1 / uplink))
         measured = cluster_load([n.samples[-1] for n in telling])
-        gap = abs(self.predicted - measured) / measured if fresh and measured > 0 else 1.0
-        self.err = min(1.0, gap)
+        self.err = min(1.0, abs(self.predicted / measured - 1)) if fresh and measured > 0 else 1.0
         self.predicted = cluster_load([n.forecast for n in telling])
         self.x = blend(self.err, self.predicted, measured)
         self._move_marks()
@@ -301,8 +291,7 @@
                 self.host.log(f"rack {i} {'tight' if rack.logged else 'eased'}: {rack.tight:.2f}")
 
     def _move_marks(self) -> None:
-        x = self.x
-        if x < T1:
+        if (x := self.x) < T1:
             self.t2, self.t3 = T2, T3
         if x > self.t2:
             self.t2 -= min(x - self.t2, MOVE * (self.t2 - T1))
@@ -318,10 +307,8 @@
         """Playing rungs go down past T3 and up under T1, at a bounded pace."""
         rungs = [pb.rung for node in ready for pb in node.playbacks]
         self.mean_rung = sum(rungs) / len(rungs) if rungs else 0.0
-        for node in ready:
+        for node in [n for n in ready if n.playbacks]:
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
-            if not playing:
-                continue
             load = self._load(node, now)
             if load > self.t3:
                 p = step_down_probability(max(self.x, load), self.t3)
@@ -339,9 +326,9 @@
                 self._step(node, up, 1, (UP_MARK - load) * node.link, 1.0, now)
 
     def _step(self, node: Node, some: list[Playback], way: int, gap: float, p: float, now: int) -> None:
-        """Closes a gap of kB a second. It answers a load that every front sees, so the others are taken to
-        step in the same way, and each takes its part by chance: whole steps of many fronts that hold one
-        playback each would overshoot together. Harm: a front alone on a link is slower by chance."""
+        """Closes a gap of kB a second that every front sees: the others are taken to step likewise, and each
+        takes its part by chance, or many that hold one playback each would overshoot together. Covers any
+        number of fronts. Harm: chance may leave a front alone on a link slower."""
         own = sum(self._rate(pb, pb.rung) for pb in node.playbacks)
         many = min(max(1.0, node.level * node.link / max(own, 1.0)), self.terms.fronts)
         pace = (PACE if way > 0 else DOWN_PACE) * len(node.playbacks)
@@ -353,19 +340,15 @@
             gap, pace = gap - part * kb * many, pace - part
             self._shift(node, way * kb * (many - 1) * part * p, now)
             if self.rng.random() < part * p:
-                self._set_rung(pb, pb.rung + way, now)
+                self._shift(node, way * kb, now)
+                pb.rung, pb.changed_at = pb.rung + way, now
+                self.host.set_rung(pb, pb.rung)
 
     def _worth_per_kb(self, pb: Playback, low: int) -> float:
         """Revenue that the step between a rung and the next is worth, for each kB a second."""
         worth = pb.plan.revenue * (self.terms.rung_worth[low + 1] - self.terms.rung_worth[low])
         return worth / max(1.0, self._rate(pb, low + 1) - self._rate(pb, low))
 
-    def _set_rung(self, pb: Playback, rung: int, now: int) -> None:
-        if pb.node:
-            self._shift(pb.node, self._rate(pb, rung) - self._rate(pb, pb.rung), now)
-        pb.rung, pb.changed_at = rung, now
-        self.host.set_rung(pb, rung)
-
     # Requests.
 
     def arrived(self, pb: Playback, now: int) -> None:
@@ -386,32 +369,31 @@
             for node in self._holders(pb.title):
                 low = self._adds(pb, node, plan.floor)
                 if self._may_try(pb, node, now) and self._load(node, now, low) <= MARK:
-                    # Guards against all fronts filling a title's first holders, of which most hear nothing:
-                    # one that does not tell of less than the usual load is passed over with the share of
-                    # nodes that tell nothing, which is next to none where few fronts serve few nodes.
+                    # Guards against all fronts filling a title's first holders unseen: unless it tells of
+                    # less than usual, one is passed over with the share of nodes that tell nothing, near none
+                    # for few fronts. Harm: a title spreads over more holders than it needs.
                     fresh = node.heard and self._load(node, now) < self.usual
                     (two if fresh or self.rng.random() >= self.blind else unsure).append(node)
                     if len(two) == 2:
                         break
         self.rng.shuffle(unsure)
         two = [*two, *unsure][:2]
-        if not two:
+        if two:
+            node = min(two, key=lambda n: (self._load(n, now), self.rng.random()))
+            self._send(pb, node, self._start_rung(pb, node, now), now)
+        else:
             self._give_up(pb, now)
-            return
-        node = min(two, key=lambda n: (self._load(n, now), self.rng.random()))
-        self._send(pb, node, self._start_rung(pb, node, now), now)
 
     def _start_rung(self, pb: Playback, node: Node, now: int) -> int:
         """The highest rung that keeps the link under its mark, which is lower for the ladder's upper half;
-        and no more than one over what the link plays, or this front's links where it plays few there, or the
-        first to come would take what the next lack.
-        Covers fronts that start and know of no load yet. Harm: a lone viewer starts lower than could be."""
+        and at most one over what plays there, or on this front where few play there, or the first to come
+        would take what the next lack. Covers fronts that know no load yet. Harm: a lone viewer starts low."""
         playing = [other.rung for other in node.playbacks]
         mean = sum(playing) / len(playing) if len(playing) > 2 else self.mean_rung
         most = max(pb.plan.floor, min(pb.top, round(mean) + 1))
         rung = pb.plan.floor
         while rung < most:
-            mark = MARK if rung < len(self.terms.rates) // 2 else UPPER_MARK
+            mark = MARK if rung < len(self.terms.rates) // 2 else UP_MARK
             if self._load(node, now, self._adds(pb, node, rung + 1)) > mark:
                 break
             rung += 1
@@ -436,29 +418,26 @@
 
     def _may_try(self, pb: Playback, node: Node, now: int) -> bool:
         """Whether the rules and this front's trust let a try go to this node now."""
-        tried = any(n is node for n, _ in pb.tries)
-        if tried or node.listing is not Listing.READY:
+        if node.listing is not Listing.READY or any(n is node for n, _ in pb.tries):
             return False
         if not all(self._repeats_safely(pb, ran, at, node, now) for ran, at in pb.may_have_run):
             return False
         return self._trusted(pb, node, now) and self._warm_enough(node, now)
 
     def _trusted(self, pb: Playback, node: Node, now: int) -> bool:
-        """Guards against nodes that are dead, silent, hung or cut off, before any list says so; covers
-        every fault that leaves set-ups unanswered. Harm: a burst of slow answers idles a good node for
-        some seconds; a try of a plan that may be repeated brings it back."""
+        """Guards against nodes that are dead, silent, hung or cut off, before any list says so; covers all
+        that leaves set-ups unanswered. Harm: slow answers idle a good node until a free try revives it."""
         if self._sound(node, now):
             return True
         faint = node.distrust.read(now, DISTRUST_HALF) < 2 * DISTRUSTED
         return faint and not node.waiting and pb.plan.effect is Effect.FREE
 
     def _sound(self, node: Node, now: int) -> bool:
-        silent = any(now - at > SILENT for at in node.waiting.values())
-        return not silent and node.distrust.read(now, DISTRUST_HALF) < DISTRUSTED
+        answers = all(now - at <= SILENT for at in node.waiting.values())
+        return answers and node.distrust.read(now, DISTRUST_HALF) < DISTRUSTED
 
     def _age(self, node: Node, now: int) -> int:
-        """How long a node has surely been up; a front that has just started can't tell unless it was handed
-        a playback there."""
+        """How long a node has surely been up; a fresh front can't tell unless handed a playback there."""
         if now - self.started < UNHEARD and not node.handed_over:
             return 0
         return max(0, now - max(node.started_at, node.failed_at))
@@ -477,18 +456,17 @@
 
     def _warm_enough(self, node: Node, now: int) -> bool:
         """Guards against all fronts together pushing over a node that has just started: each sends only
-        in its own slots of time, which it shares with as many fronts as the budget holds set-ups, and which
-        differ from node to node, so that any window holds at most two slots. Covers nodes that
-        this front saw fail, and every node right after its own start unless a playback it was handed
-        plays there. Harm: a warm node that failed once is paced for a while."""
+        in its own slots of time, shared with as many fronts as the budget holds set-ups and differing from
+        node to node, so that any window holds at most two slots. Covers nodes that this front saw fail, and
+        all right after its own start but those it was handed. Harm: a warm node that failed is paced too."""
         if self._age(node, now) >= self.terms.cold_for:
             return True
         slot, allowed = self._slot(node, now)
         turns = -(-self.terms.fronts // allowed) if allowed else 0  # every so many slots it is this front's
         if turns and not (slot + self.terms.front + digest(node.name)) % turns:
             return (node.slot_used if slot == node.slot else 0) < max(1, allowed // self.terms.fronts)
-        # Seldom is the front in turn the one with a request. Where the budget is large enough for chance to
-        # stay under it, others may send too: so many that all, as busy as this one, make up half a slot's.
+        # Seldom has the front in turn a request. Where the budget is large enough for chance to stay under
+        # it, others may send too: so many that all, as busy as this one, make up half a slot's part.
         all_here = self.terms.fronts * self.asked.read(now, self.terms.fall_window) / len(self.nodes)
         return allowed >= FREELY and self.rng.random() < allowed / 2 / (UNEVEN * max(all_here, 0.01))
 
