--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -32,12 +32,12 @@
 INTERVAL = SECOND  # between samples
 WINDOW = 5  # samples in the fit
 ALPHA = 0.95  # mean against variance
-T1, T2, T3, FULL = 0.92, 1.30, 0.97, 1.50  # marks on x; FULL is the paper's C
+T1, T2, T3, FULL = 0.92, 1.30, 1.02, 1.50  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
 UP_MARK = 0.70  # the same for starts in the ladder's upper half, and for step-ups: well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
 MOVE = 0.10  # of a mark's gap to T1, at most, in an interval
-PACE, DOWN_PACE = 0.15, 0.40  # of the playbacks concerned, at most, in an interval, up and down
+PACE, DOWN_PACE = 0.15, 0.25  # of the playbacks concerned, at most, in an interval, up and down
 
 DISTRUST_HALF, DISTRUSTED = 4 * SECOND, 0.7  # a node is out from this score on
 SILENT = 600 * MS  # an unanswered set-up older than this speaks against its node
