--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -32,7 +32,7 @@
 INTERVAL = SECOND  # between samples
 WINDOW = 5  # samples in the fit
 ALPHA = 0.95  # mean against variance
-T1, T2, T3, FULL = 0.92, 1.15, 1.02, 1.50  # marks on x; FULL is the paper's C
+T1, T2, T3, FULL = 0.92, 1.30, 1.02, 1.50  # marks on x; FULL is the paper's C
 MARK = 0.90  # on a link: set-ups stay under it
 UP_MARK = 0.70  # the same for starts in the ladder's upper half, and for step-ups: well clear of T3
 REST = 8 * SECOND  # between a playback's change of rung and its next step up
