--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -310,18 +310,16 @@
         for node in [n for n in ready if n.playbacks]:
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
             load = self._load(node, now)
-            if load > self.t3:
+            mark = T1 if now - node.short_at < NOTED else self.t3  # short notes carry no noise
+            if load > mark:
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = [pb for pb in playing if pb.rung > pb.plan.floor]
                 down.sort(key=lambda pb: self._worth_per_kb(pb, pb.rung - 1))
-                self._step(node, down, -1, (load - self.t3) * node.link, p, now)
+                self._step(node, down, -1, (load - mark) * node.link, p, now)
             elif self.x < T1 and load < UP_MARK:
-                even = min(self.mean_rung + 0.5, len(self.terms.rates))
-                up = [
-                    pb
-                    for pb in playing
-                    if pb.rung < pb.top and now - pb.changed_at > REST and pb.rung <= even
-                ]
+                even = self.mean_rung + 0.5
+                rested = [pb for pb in playing if now - pb.changed_at > REST]
+                up = [pb for pb in rested if pb.rung < pb.top and pb.rung <= even]
                 up.sort(key=lambda pb: -self._worth_per_kb(pb, pb.rung))
                 self._step(node, up, 1, (UP_MARK - load) * node.link, 1.0, now)
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -252,3 +252,17 @@
     for pb in crowd:
         fleet.control.tried(pb, Outcome.NO_CONNECTION, True, None, None, None, fleet.now)
     assert fleet.control._load(fleet.nodes[3], fleet.now) < before + 0.1
+
+
+def test_delivery_told_short_steps_down_further_than_a_noisy_report() -> None:
+    for short, steps in ((False, False), (True, True)):
+        fleet = Fleet(nodes=1, terms=replace(TERMS, uplink=0.0))
+        playing = [plays(fleet, 0, rung=2) for _ in range(6)]
+        fleet.now += 3 * SECOND
+        for _ in range(12):
+            fleet.control.noted(playing[0], Note.LINK_ASKED, 0.97, fleet.now)
+        for _ in range(4):
+            if short:
+                fleet.control.noted(playing[0], Note.DELIVERED, 0.96, fleet.now)
+            tick(fleet, 1)
+        assert (min(pb.rung for pb in playing) < 2) is steps
