--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -310,7 +310,7 @@
         for node in [n for n in ready if n.playbacks]:
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
             load = self._load(node, now)
-            mark = 0.84 if now - node.short_at < NOTED else self.t3  # short notes carry no noise
+            mark = T1 if now - node.short_at < NOTED else self.t3  # short notes carry no noise
             if load > mark:
                 p = step_down_probability(max(self.x, load), self.t3)
                 down = [pb for pb in playing if pb.rung > pb.plan.floor]
