--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -252,7 +252,7 @@
         ready = [n for n in listed if self._sound(n, now)] or listed
         self._log_health(listed, now)
         fresh = [n for n in ready if n.heard and now - n.reported_at <= self.due]
-        self.blind = 1 - len(fresh) / len(ready)
+        self.blind = (1 - len(fresh) / len(ready)) ** 2  # squared: a few silent nodes are no reason to stray
         if fresh:
             self.usual = sum(n.level for n in fresh) / len(fresh)
         if now - self.started <= UNHEARD:
