--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -77,7 +77,7 @@
         self.t2, self.t3, self.x, self.err, self.predicted = T2, T3, 0.0, 1.0, 0.0
         self.usual = USUAL  # load of a link that tells nothing: the mean of those that do
         self.due = terms.reports_every + terms.seen_after + TOO_OLD  # age of a report that is still fresh
-        self.blind, self.mean_rung = 0.0, 0.0  # by the share of nodes that tell nothing; of own playbacks
+        self.blind, self.mean_rung = 0.0, 0.0  # how few nodes tell; of own playbacks
         self.held, self.links = 0.0, 1.0  # kB a second of own playbacks, and of all links
         self.held_then = deque([(now, 0.0)], maxlen=12)  # at the ends of intervals
         self.mode, self.asked = "open", Fading()  # and requests of late
@@ -252,8 +252,8 @@
         ready = [n for n in listed if self._sound(n, now)] or listed
         self._log_health(listed, now)
         fresh = [n for n in ready if n.heard and now - n.reported_at <= self.due]
-        silent = 1 - len(fresh) / len(ready)
-        self.blind = silent**2 * (3 - 2 * silent)  # few silent nodes are no reason to stray, most are
+        silent = 1 - len(fresh) / len(ready)  # few silent nodes are no reason to stray, many are
+        self.blind = silent**3 / (silent**3 + (1 - silent) ** 3)
         if fresh:
             self.usual = sum(n.level for n in fresh) / len(fresh)
         if now - self.started <= UNHEARD:
