--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -131,6 +131,20 @@
     assert max(sent.values()) <= budget / 2
 
 
+def test_chance_on_cold_nodes_keeps_many_busy_fronts_under_the_budget() -> None:
+    terms = replace(TERMS, fronts=60, fall_multiple=25.0)
+    sent: dict[str, int] = {}
+    for front in range(60):
+        fleet = Fleet(terms=replace(terms, front=front), warm=False)
+        fleet.control.rng.seed(front)
+        for pb in [fleet.ask() for _ in range(3)]:
+            if pb.node:
+                sent[pb.node.name] = sent.get(pb.node.name, 0) + 1
+    budget = terms.fall_multiple * terms.cold_share * 12 / terms.cold_for * terms.fall_window
+    assert max(sent.values()) <= budget
+    assert sum(sent.values()) > len(fleet.nodes) * 5  # as many as have their turn
+
+
 def test_a_start_is_no_more_than_one_rung_over_what_the_link_plays() -> None:
     fleet = Fleet(nodes=1)
     pb, *_ = [plays(fleet, 0) for _ in range(3)]
