--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -421,7 +421,7 @@
             return False
         if not all(self._repeats_safely(pb, ran, at, node, now) for ran, at in pb.may_have_run):
             return False
-        return self._trusted(pb, node, now) and self._warm_enough(node, now)
+        return self._trusted(pb, node, now) and self._warm_enough(pb, node, now)
 
     def _trusted(self, pb: Playback, node: Node, now: int) -> bool:
         """Guards against nodes that are dead, silent, hung or cut off, before any list says so; covers all
@@ -453,7 +453,7 @@
         length = int(2 * max(terms.fall_window, 1 / max(pace, 1e-15)))
         return now // length, 1 if now % length < length // 2 else 0
 
-    def _warm_enough(self, node: Node, now: int) -> bool:
+    def _warm_enough(self, pb: Playback, node: Node, now: int) -> bool:
         """Guards against all fronts together pushing over a node that has just started: each sends only
         in its own slots of time, shared with as many fronts as the budget holds set-ups and differing from
         node to node, so that any window holds at most two slots. Covers nodes that this front saw fail, and
@@ -465,9 +465,9 @@
         if turns and not (slot + self.terms.front + digest(node.name)) % turns:
             return (node.slot_used if slot == node.slot else 0) < max(1, allowed // self.terms.fronts)
         # Seldom has the front in turn a request. Where the budget is large enough for chance to stay under
-        # it, others may send too: so many that all, as busy as this one, make up half a slot's part.
-        all_here = self.terms.fronts * self.asked.read(now, self.terms.fall_window) / len(self.nodes)
-        return allowed >= FREELY and self.rng.random() < allowed / 2 / (UNEVEN * max(all_here, 0.01))
+        # it, others may send too: so many that all, as busy and asked for this title, make up half a part.
+        each = UNEVEN * self.asked.read(now, self.terms.fall_window) / len(self._holders(pb.title))
+        return allowed >= FREELY and self.rng.random() * each * self.terms.fronts < allowed / 2
 
     def _repeats_safely(self, pb: Playback, ran: Node, at: int, node: Node, now: int) -> bool:
         plan = pb.plan
