Test the whole path end to end on loopback; one step of a stopping front at a time

The front had no test of its own over sockets. Fifteen tests drive WHEP and WHIP clients through every decision to stand-in nodes: paid playbacks on hung nodes, proofs by refusal, dying nodes, lost answers, kept lists, stops, slow and malformed clients.

--- a/oakcroft/decisions/stopping.py
+++ b/oakcroft/decisions/stopping.py
@@ -69,13 +69,13 @@
         return self.course is Course.SERVING
 
     def look(self, unanswered: int, playing: int, farewells: int, now: int) -> Course:
-        """The course now, given what is still open."""
+        """The course now, given what is still open; one step at most, so that each is acted on."""
         if self.course is Course.DRAINING:
             within = max(self.drain_within, self.longest_abandon)
             if not unanswered and (not playing or now - self.since >= within):
                 self._change(Course.LEAVING, now)
             elif now - self.since >= within + self.longest_abandon:
                 self._change(Course.LEAVING, now)  # nothing may hold a front for ever
-        if self.course is Course.LEAVING and (not farewells or now - self.since >= self.leave_within):
+        elif self.course is Course.LEAVING and (not farewells or now - self.since >= self.leave_within):
             self._change(Course.GONE, now)
         return self.course
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -233,6 +233,10 @@
             return
         v.ending = True
         self.controller.left(v.pb, self.clock.now())
+        self._say_farewell(v)
+
+    def _say_farewell(self, v: Viewing) -> None:
+        self.farewells += 1
         self.nursery.start_soon(self._farewell, v)
 
     def wished(self, v: Viewing, rung: int) -> None:
@@ -245,7 +249,6 @@
             self.set_rung(v.pb, rung)
 
     async def _farewell(self, v: Viewing) -> None:
-        self.farewells += 1
         try:
             if v.upstream is not None and (leg := self.legs.get(v.upstream.node)):
                 await leg.farewell(v.upstream.resource)
@@ -339,7 +342,7 @@
                 v.settle(Final.ABORTED, answers.aborted(v.plan.plan.effect))
                 self.repeats.settled(v.key, Final.ABORTED, v, now)
             v.ending = True
-            self.nursery.start_soon(self._farewell, v)
+            self._say_farewell(v)
             return
         self.upstreams[leg.name, end.upstream.resource] = v
         self.controller.playing(pb, end.took, now)
--- a/oakcroft/standins/fleet.py
+++ b/oakcroft/standins/fleet.py
@@ -115,8 +115,8 @@
         self.heap: list[tuple[float, int, PlayoutNode, str, str, object]] = []
         self.heap_number = 0
         self.list = ListService(day, clock, record)
-        self.squeezed: dict[str, list[float]] = {}
         self.short: dict[str, bool] = {}
+        self.list_port = 0
         for place in day.nodes:
             self._add(place, place.name)
 
@@ -152,8 +152,7 @@
             self.publish()
             nursery.start_soon(service.run, listeners)
             nursery.start_soon(self._notes)
-            ports = {"list": listeners[0].socket.getsockname()[1]}
-            print(orjson.dumps(ports).decode(), flush=True)
+            self.list_port = listeners[0].socket.getsockname()[1]
             ready.set()
             for fault in self.day.faults:
                 nursery.start_soon(self._befall, fault, start)
@@ -253,7 +252,10 @@
 
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(fleet.run, start, trio.Event())
+            ready = trio.Event()
+            nursery.start_soon(fleet.run, start, ready)
+            await ready.wait()
+            print(orjson.dumps({"list": fleet.list_port}).decode(), flush=True)
             nursery.start_soon(orphaned, nursery.cancel_scope)
             async for _ in signals:
                 nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,137 @@
+"""A front and a small fleet in one event loop, on loopback, for end-to-end tests."""
+
+from __future__ import annotations
+
+import io
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+import structlog
+import trio
+
+from oakcroft.front.clock import Clock
+from oakcroft.front.serve import Front
+from oakcroft.httpwire.client import Peer
+from oakcroft.httpwire.message import Response
+from oakcroft.rehearsal.viewers import offer
+from oakcroft.settings.deployment import deployment
+from oakcroft.settings.reader import only, read
+from oakcroft.signalling import sdp
+from oakcroft.standins.day import day
+from oakcroft.standins.fleet import Fleet
+from oakcroft.standins.playout import PlayoutNode
+from oakcroft.standins.record import Record
+from oakcroft.standins.record import read as read_record
+
+SITE = """(site (fronts 1) (cells 2) (racks 1) (ladder (rates 200kB/s 400kB/s 800kB/s) (worth 0.3 0.6 1))
+  (plan course (effect paid) (startup-target 400ms) (abandon 1200ms) (revenue 2))
+  (plan open (effect free) (startup-target 400ms) (abandon 1500ms) (revenue 1) (floor 0))
+  (route "/whep/course/" (plan course)) (route "/whep/open/" (plan open))
+  (route "/whip/open/" (plan open) (for publish))
+  (seen-after 50ms) (reports-every 500ms) (cold-for 200ms) (fall-multiple 50) (fall-window 1s)
+  (stay-away-most 2s) (silent-after 1200ms) (lost-after 2500ms) (drain-grace 250ms) (drain-within 1s) (leave-within 1s)
+  (ice-servers "stun:127.0.0.1:3478") EXTRA)"""
+DAY = """(day (length 60s) (fronts west) (late 10ms 20ms) (setup 2ms 4ms) SITE
+  (node n1 (wing west) (cell 0) (link 40000kB/s) (places 40)) (node n2 (wing west) (cell 1) (link 40000kB/s) (places 40))
+  (viewers (rate 1) (titles 3) (plan course (share 1) (life 5s))))"""
+
+
+def run(test: Callable[[], Awaitable[None]], seconds: float = 30) -> None:
+    """Runs an async test within a time."""
+
+    async def bounded() -> None:
+        with trio.fail_after(seconds):
+            await test()
+
+    trio.run(bounded)
+
+
+async def until(true: Callable[[], object], seconds: float = 6) -> None:
+    """Waits for an event that the test has caused."""
+    with trio.fail_after(seconds):
+        while not true():
+            await trio.sleep(0.01)
+
+
+@dataclass
+class Rig:
+    """One front before a fleet."""
+
+    port: int
+    fleet: Fleet
+    record: Record
+    folder: Path
+    log: io.BytesIO
+    stop: trio.Event
+    front_scope: trio.CancelScope
+    site: str
+
+    def node(self, name: str) -> PlayoutNode:
+        return self.fleet.nodes[name]
+
+    def playing(self) -> list[PlayoutNode]:
+        return [n for n in self.fleet.nodes.values() if n.sessions]
+
+    def facts(self, kind: str) -> list[dict[str, Any]]:
+        self.record.out.flush()
+        return [f for f in read_record(self.folder / "fleet.jsonl") if f["kind"] == kind]
+
+    def logged(self) -> list[dict[str, Any]]:
+        return [orjson.loads(line) for line in self.log.getvalue().splitlines()]
+
+    async def ask(self, method: str, path: str, body: bytes = b"", **headers: str) -> Response:
+        peer = Peer("127.0.0.1", self.port)
+        fields = [(k.replace("_", "-"), v) for k, v in headers.items()]
+        response = await peer.ask(method, path, fields, body)
+        await peer.close()
+        return response
+
+    async def watch(self, path: str = "/whep/open/t", kbit: int = 20_000, **headers: str) -> Response:
+        headers.setdefault("Content_Type", sdp.MEDIA_TYPE)
+        return await self.ask("POST", path, offer(kbit, 1, path.startswith("/whip")).encode(), **headers)
+
+
+@asynccontextmanager
+async def standing(folder: Path, extra: str = "", clients: str = "") -> AsyncIterator[Rig]:
+    """A front that serves and two warm nodes that it knows."""
+    site = SITE.replace("EXTRA", extra)
+    plot = day(only(read(DAY.replace("SITE", site), "day"), "day", "day"), "day")
+    record, out = Record(folder / "fleet.jsonl"), io.BytesIO()
+    async with trio.open_nursery() as nursery:
+        fleet, up = Fleet(plot, record, Clock()), trio.Event()
+        nursery.start_soon(fleet.run, 0, up)
+        await up.wait()
+        rig = Rig(0, fleet, record, folder, out, trio.Event(), trio.CancelScope(), site)
+        await start_front(nursery, rig)
+        await until(lambda: any(e["event"] == "list" for e in rig.logged()))
+        yield rig
+        nursery.cancel_scope.cancel()
+    record.close()
+
+
+async def start_front(nursery: trio.Nursery, rig: Rig, list_port: int | None = None) -> None:
+    """Starts a front (again)."""
+    port = rig.fleet.list_port if list_port is None else list_port
+    text = f'(front (listen "127.0.0.1" 0) (list-service "127.0.0.1" {port}) (kept "{rig.folder}/kept") {rig.site})'
+    told = deployment(only(read(text, "front"), "front", "front"))
+    log = structlog.wrap_logger(
+        structlog.BytesLogger(rig.log), wrapper_class=structlog.make_filtering_bound_logger(10),
+        processors=[structlog.processors.add_log_level, structlog.processors.JSONRenderer(serializer=orjson.dumps)],
+    )  # fmt: skip
+    up, stop, scope = trio.Event(), trio.Event(), trio.CancelScope()
+
+    async def ready(number: int) -> None:
+        rig.port = number
+        up.set()
+
+    async def live() -> None:
+        with scope:
+            await Front(told, log).run(ready, signals=False, stop=stop)
+
+    nursery.start_soon(live)
+    rig.stop, rig.front_scope = stop, scope
+    await up.wait()
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,321 @@
+"""The whole path on loopback: viewers over HTTP, every decision, nodes and back, with the failures it must survive."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import orjson
+import pytest
+import trio
+from rig import Rig, run, standing, start_front, until
+
+from oakcroft.decisions.resource import SDPFRAG
+from oakcroft.httpwire.client import Peer
+from oakcroft.httpwire.message import Response
+from oakcroft.rehearsal.viewers import offer
+from oakcroft.signalling import sdp, words
+
+FRAGMENT = (
+    b"a=ice-ufrag:v0000001\r\na=candidate:1 1 udp 2130706431 127.0.0.1 9 typ host\r\na=end-of-candidates\r\n"
+)
+RESTART = b"a=ice-ufrag:fresh001\r\na=ice-pwd:" + b"q" * 24 + b"\r\n"
+
+
+def test_a_playback_from_offer_to_farewell(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            sat = await rig.watch("/whep/course/intro")
+            assert (sat.status, sat.header("content-type")) == (201, sdp.MEDIA_TYPE)
+            assert [m.kind for m in sdp.parse(sat.body.decode()).media] == ["audio", "video"]
+            here, tag = sat.header("location") or "", sat.header("etag") or ""
+            links = words.links(sat.all("link"))
+            assert links[words.REL_ICE] == "stun:127.0.0.1:3478"
+            assert links[words.REL_EVENTS] == here + "/events"
+            assert len(rig.playing()) == 1
+            trickle = {"Content_Type": SDPFRAG}
+            assert (await rig.ask("PATCH", here, FRAGMENT, If_Match=tag, **trickle)).status == 204
+            assert (await rig.ask("PATCH", here, FRAGMENT, **trickle)).status == 428
+            assert (await rig.ask("PATCH", here, FRAGMENT, If_Match='"old"', **trickle)).status == 412
+            assert (await rig.ask("PATCH", here, b"junk", If_Match=tag, **trickle)).status == 400
+            restarted = await rig.ask("PATCH", here, RESTART, If_Match="*", **trickle)
+            assert restarted.status == 200
+            assert restarted.header("etag") not in (None, tag)
+            assert b"ice-ufrag" in restarted.body
+            assert (await rig.ask("PATCH", here, FRAGMENT, If_Match=tag, **trickle)).status == 412
+            assert (await rig.ask("DELETE", here)).status == 200
+            assert (await rig.ask("DELETE", here)).status == 404
+            await until(lambda: not rig.playing())
+
+    run(test)
+
+
+def test_what_cannot_be_served_gets_its_own_answer(tmp_path: Path) -> None:
+    good, form = offer(900, 1).encode(), {"Content_Type": sdp.MEDIA_TYPE}
+    bad_direction = offer(900, 1, publishes=True).encode()
+
+    async def test() -> None:
+        async with standing(tmp_path, '(tokens "secret-one" "secret-two")') as rig:
+            token = {"Authorization": "Bearer secret-two"}
+            cases: list[tuple[int, str, str, bytes, dict[str, str]]] = [
+                (401, "POST", "/whep/open/t", good, form),
+                (401, "POST", "/whep/open/t", good, {**form, "Authorization": "Bearer wrong"}),
+                (404, "POST", "/nowhere", good, {**form, **token}),
+                (404, "POST", "/whep/open/", good, {**form, **token}),
+                (405, "GET", "/whep/open/t", b"", token),
+                (406, "POST", "/whep/open/t", good, {**form, **token, "Accept": "text/html;q=1, */*;q=0"}),
+                (415, "POST", "/whep/open/t", good, {**token, "Content_Type": "text/plain"}),
+                (400, "POST", "/whep/open/t", b"v=1\n", {**form, **token}),
+                (400, "POST", "/whep/open/t", b"\xff\xfe", {**form, **token}),
+                (400, "POST", "/whep/open/t", good, {**form, **token, "Idempotency_Key": '"unended'}),
+                (422, "POST", "/whep/open/t", bad_direction, {**form, **token}),
+                (413, "POST", "/whep/open/t", b"x" * 70_000, {**form, **token}),
+                (431, "POST", "/whep/open/t", b"", {f"x{i}": "y" for i in range(80)}),
+                (404, "DELETE", "/session/unknown", b"", token),
+                (405, "PUT", "/session/unknown", b"", token),
+            ]
+            for status, method, path, body, headers in cases:
+                answer = await rig.ask(method, path, body, **headers)
+                assert answer.status == status, (path, headers)
+                assert orjson.loads(answer.body)["status"] == status
+                assert answer.header("content-type") == words.PROBLEM
+            wanted = (await rig.ask("POST", "/whep/open/t", good, **form)).header("www-authenticate")
+            assert wanted == 'Bearer realm="oakcroft"'
+            asked = await rig.ask("OPTIONS", "/whep/open/t")
+            assert (asked.status, asked.header("accept-post")) == (204, sdp.MEDIA_TYPE)
+            assert asked.header("access-control-allow-origin") == "*"
+            assert (await rig.watch(Authorization="Bearer secret-two")).status == 201
+            assert b"secret" not in rig.log.getvalue()
+            assert b"ice-pwd" not in rig.log.getvalue()
+
+    run(test)
+
+
+def test_a_paid_playback_that_may_run_unseen_is_aborted_and_never_sent_again(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            for node in rig.fleet.nodes.values():
+                node.ails.hung = True
+            began = trio.current_time()
+            sat = await rig.watch("/whep/course/t", Idempotency_Key='"k"')
+            assert trio.current_time() - began < 1.2
+            assert sat.status == 504
+            assert orjson.loads(sat.body)["retry"] is False
+            assert sat.header("retry-after") is None
+            for node in rig.fleet.nodes.values():
+                node.ails.hung = False
+                node.stir()
+            again = await rig.watch("/whep/course/t", Idempotency_Key='"k"')
+            assert again.status == 504
+            assert len(rig.facts("setup")) == 1
+            await until(lambda: not rig.playing(), 8)  # what ran unseen is found and ended
+
+    run(test)
+
+
+def test_a_free_playback_goes_on_past_a_node_that_hangs(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            for node in rig.fleet.nodes.values():
+                node.ails.hung = True
+            answers: list[Response] = []
+
+            async def ask() -> None:
+                answers.append(await rig.watch("/whep/open/t"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await until(lambda: len(rig.facts("setup")) == 1)
+                hung = rig.facts("setup")[0]["node"]
+                for node in rig.fleet.nodes.values():
+                    node.ails.hung = node.name == hung
+            assert answers[0].status == 201
+            assert rig.facts("setup")[0]["node"] == hung
+            assert {f["node"] for f in rig.facts("answer")} == {n for n in rig.fleet.nodes if n != hung}
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", ["dead", "full", "draining"])
+def test_a_paid_playback_goes_on_after_a_proof_that_nothing_ran(tmp_path: Path, how: str) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            first = await rig.watch("/whep/course/t")  # finds the node that the title goes to
+            chosen = rig.playing()[0]
+            await rig.ask("DELETE", first.header("location") or "")
+            await until(lambda: not rig.playing())
+            if how == "dead":
+                chosen.kill()  # the list does not know yet
+            elif how == "full":
+                chosen.machine.places = 0
+            else:
+                chosen.ails.draining = True
+            for i in range(3):
+                sat = await rig.watch("/whep/course/t", Idempotency_Key=f'"p{i}"')
+                assert sat.status == 201
+            assert chosen not in rig.playing()
+
+    run(test)
+
+
+def test_the_viewer_hears_when_its_node_dies(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            sat = await rig.watch()
+            here = sat.header("location") or ""
+            placed = await rig.ask("POST", here + "/events", b'["inactive", "nonsense"]')
+            assert placed.status == 201
+            heard: list[str] = []
+            async with Peer("127.0.0.1", rig.port).stream("GET", placed.header("location") or "", []) as (
+                head,
+                chunks,
+            ):
+                assert head.header("content-type") == words.EVENTS
+                await until(lambda: rig.playing()[0].ears)
+                await trio.sleep(0.1)
+                rig.playing()[0].kill()
+                reader = words.EventReader()
+                async for chunk in chunks:
+                    heard += [name for name, _ in reader.feed(chunk) if name]
+            assert heard == ["inactive"]
+            assert (await rig.ask("DELETE", here)).status == 404
+
+    run(test)
+
+
+def test_a_viewer_that_leaves_while_its_set_up_is_out_leaves_nothing_behind(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            for node in rig.fleet.nodes.values():
+                node.ails.hung = True
+            with trio.move_on_after(0.15):
+                await rig.watch("/whep/open/t")
+            for node in rig.fleet.nodes.values():
+                node.ails.hung = False
+                node.stir()
+            await until(lambda: rig.facts("ran") and not rig.playing())
+            assert (await rig.watch()).status == 201
+
+    run(test)
+
+
+def test_layers_and_lowering_the_best_rung(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            low = await rig.watch(kbit=1000)
+            assert rig.facts("setup")[-1]["rung"] == 0
+            assert low.status == 201
+            here = (await rig.watch()).header("location") or ""
+            assert (await rig.ask("POST", here + "/layer", b'{"encodingId": "7"}')).status == 422
+            assert (await rig.ask("POST", here + "/layer", b"[]")).status == 400
+            assert (await rig.ask("POST", here + "/layer", b'{"encodingId": "0"}')).status == 200
+
+    run(test)
+
+
+def test_a_title_has_one_publisher(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            first = await rig.watch("/whip/open/live")
+            assert first.status == 201
+            assert words.REL_LAYER not in words.links(first.all("link"))
+            assert (await rig.watch("/whip/open/live")).status == 409
+            assert (await rig.ask("DELETE", first.header("location") or "")).status == 200
+            assert (await rig.watch("/whip/open/live")).status == 201
+
+    run(test)
+
+
+def test_a_front_restarted_with_only_its_last_list_serves(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig, trio.open_nursery() as nursery:
+            assert (await rig.watch("/whep/course/t")).status == 201
+            await until(lambda: (tmp_path / "kept").exists())
+            rig.front_scope.cancel()  # killed: nothing is said to anybody
+            rig.log.truncate(0)
+            rig.log.seek(0)
+            await start_front(nursery, rig, list_port=1)
+            assert (await rig.watch("/whep/course/t")).status == 201
+            kinds = [e["kind"] for e in rig.logged() if e["event"] == "list"]
+            assert kinds == ["kept"]
+            (tmp_path / "kept").write_bytes(b"0\n{}")
+            rig.front_scope.cancel()
+            await start_front(nursery, rig, list_port=1)
+            assert any(e["event"] == "kept list unusable" for e in rig.logged())
+            assert (await rig.watch("/whep/course/t")).status == 503
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
+def test_a_stopped_front_takes_nothing_new_and_ends_what_plays(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            sat = await rig.watch()
+            rig.stop.set()
+            await until(lambda: rig.stop.is_set())
+            await trio.sleep(0.05)
+            refused = await rig.watch()
+            assert (refused.status, refused.header("retry-after")) == (503, "1")
+            assert (
+                await rig.ask("POST", (sat.header("location") or "") + "/layer", b'{"encodingId": "1"}')
+            ).status == 200
+            await until(lambda: any(e["event"] == "gone" for e in rig.logged()))
+            assert not rig.playing()
+
+    run(test)
+
+
+def test_lists_that_cannot_be_right_change_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            for trouble, event in (("list-empty", "list refused"), ("list-broken", "list service failing")):
+                rig.fleet.list.trouble = trouble
+                rig.fleet.list.changed.set()
+                rig.fleet.list.changed = trio.Event()
+                await until(lambda event=event: any(e["event"] == event for e in rig.logged()))  # type: ignore[misc]
+                assert (await rig.watch()).status == 201
+                rig.fleet.list.trouble = ""
+                await until(lambda: rig.logged()[-1]["event"] == "list service back" or rig.facts("poll"))
+
+    run(test)
+
+
+async def dribble(rig: Rig, data: bytes, pause: float) -> bytes:
+    stream = await trio.open_tcp_stream("127.0.0.1", rig.port)
+    async with stream:
+        got = b""
+        try:
+            for i in range(0, len(data), 8):
+                await stream.send_all(data[i : i + 8])
+                await trio.sleep(pause)
+        except trio.BrokenResourceError:
+            pass
+        with trio.move_on_after(3):
+            while chunk := await stream.receive_some(4096):
+                got += chunk
+        return got
+
+
+def test_slow_half_sent_and_malformed_requests_cost_nobody_else_anything(tmp_path: Path) -> None:
+    limits = "(limits (head-within 300ms) (body-within 300ms) (idle 400ms) (head-bytes 4kB))"
+
+    async def test() -> None:
+        async with standing(tmp_path, limits) as rig:
+            answers = list[bytes]()
+
+            async def slow(data: bytes, pause: float) -> None:
+                answers.append(await dribble(rig, data, pause))
+
+            async with trio.open_nursery() as nursery:
+                head = b"POST /whep/open/t HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n"
+                nursery.start_soon(slow, head, 0.2)  # a head that never ends in time
+                nursery.start_soon(slow, head + b"v=0", 0.0)  # a body half sent
+                nursery.start_soon(slow, b"\x16\x03\x01 not http\r\n\r\n", 0.0)
+                nursery.start_soon(slow, b"GET / HTTP/1.1\r\nX: " + b"y" * 9000, 0.0)
+                nursery.start_soon(slow, b"", 0.0)  # nothing at all
+                for _ in range(5):
+                    assert (await rig.watch()).status == 201
+            codes = sorted(a.split(b" ")[1] if a else b"-" for a in answers)
+            assert codes == [b"-", b"400", b"408", b"408", b"431"]
+
+    run(test)
