--- a/oakcroft/httpwire/client.py
+++ b/oakcroft/httpwire/client.py
@@ -188,17 +188,16 @@
             return Response(event.status_code, headers)
 
     async def _next(self, line: Line) -> object:
+        ended = False
         try:
             while (event := line.http.next_event()) is h11.NEED_DATA:
-                line.http.receive_data(await line.stream.receive_some(65_536))
+                data = await line.stream.receive_some(65_536)
+                ended = not data
+                line.http.receive_data(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise Ended(End.BROKEN, str(error)) from error
         except h11.RemoteProtocolError as error:
-            if line.http.their_state is h11.SEND_RESPONSE and not line.http.trailing_data[0]:
-                raise Ended(End.BROKEN, "closed without an answer") from error
-            if "without sending complete" in str(error) or "peer closed" in str(error):
-                raise Ended(End.BROKEN, "the answer broke off") from error
-            raise Ended(End.GARBLED, str(error)) from error
+            raise Ended(End.BROKEN if ended else End.GARBLED, str(error)) from error
         return event
 
     @staticmethod
--- /dev/null
+++ b/tests/test_signalling.py
@@ -0,0 +1,161 @@
+"""What parses bytes from outside: strict, with a clear fault, and never anything but that fault."""
+
+from __future__ import annotations
+
+import contextlib
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oakcroft.front.listing import BadList, parse
+from oakcroft.rehearsal.viewers import offer
+from oakcroft.settings.reader import SettingsFault, read
+from oakcroft.signalling import sdp, words
+
+OFFER = offer(800, 7)
+
+
+@pytest.mark.parametrize(
+    ("change", "why"),
+    [
+        (("v=0", "v=1"), "begin with v=0"),
+        (("s=-\r\n", ""), "no s="),
+        (("b=AS:800", "b=AS:many"), "whole number"),
+        (("t=0 0", "t=0 0\r\nt=0 0\r\nx"), "not a line"),
+        (("m=audio 9", "m=audio 99999"), "m= names"),
+        (("t=0 0", "t=0 0\r\no=- 1 1 IN IP4 127.0.0.1"), "twice"),
+        (("c=IN IP4 0.0.0.0", "t=0 0"), "no place in a media section"),
+    ],
+)
+def test_a_broken_description_is_told_by_line(change: tuple[str, str], why: str) -> None:
+    with pytest.raises(sdp.SdpFault, match=why):
+        sdp.parse(OFFER.replace(*change))
+
+
+@pytest.mark.parametrize(
+    ("change", "why"),
+    [
+        (("a=recvonly", "a=sendonly"), "wanted recvonly"),
+        (("a=ice-pwd:" + "p" * 24, "a=ice-pwd:short"), "ice-pwd"),
+        (("sha-256", "md5"), "fingerprint"),
+        (("a=setup:actpass", "a=setup:passive"), "setup"),
+        (("BUNDLE 0 1", "BUNDLE 0"), "BUNDLE"),
+        (("a=mid:1", "a=mid:0"), "twice"),
+        (("UDP/TLS/RTP/SAVPF", "RTP/AVP"), "not secured"),
+    ],
+)
+def test_an_offer_is_checked_for_what_whep_demands(change: tuple[str, str], why: str) -> None:
+    sdp.check_offer(sdp.parse(OFFER), False)
+    with pytest.raises(sdp.SdpFault, match=why):
+        sdp.check_offer(sdp.parse(OFFER.replace(*change)), False)
+
+
+def test_an_answer_is_a_description_in_the_other_direction() -> None:
+    for publishes in (False, True):
+        asked = sdp.parse(offer(800, 7, publishes))
+        sdp.check_offer(asked, publishes)
+        given_ = sdp.parse(sdp.answer(asked, 3, ("u" * 8, "p" * 24), "sha-256 " + ":".join(["AB"] * 32)))
+        assert [given_.direction(m) for m in given_.media] == ["recvonly" if publishes else "sendonly"] * 2
+
+
+def test_bandwidth_is_the_sessions_or_the_sum_of_its_media() -> None:
+    assert sdp.bandwidth(sdp.parse(OFFER)) == (800, None)
+    parts = OFFER.replace("b=AS:800\r\n", "").replace("c=IN IP4 0.0.0.0", "c=IN IP4 0.0.0.0\r\nb=TIAS:5000")
+    assert sdp.bandwidth(sdp.parse(parts)) == (None, 10_000)
+
+
+def test_headers_are_read_by_their_texts() -> None:
+    value = '<a>; rel="x y"; q=1, <b,c>;rel=z , <d>'
+    assert words.links([value]) == {"x": "a", "y": "a", "z": "b,c"}
+    made = words.link("/s", words.REL_EVENTS, events="a,b")
+    assert words.links([made]) == {words.REL_EVENTS: "/s"}
+    assert words.idempotency_key('"a b"') == "a b"
+    assert words.idempotency_key("8e03978e-40d5") == "8e03978e-40d5"
+    assert words.idempotency_key('"') is None
+    assert words.accepts("text/*;q=0.5, application/sdp", sdp.MEDIA_TYPE)
+    assert not words.accepts("application/sdp;q=0.000", sdp.MEDIA_TYPE)
+
+
+def test_load_reports_in_both_forms_and_nothing_from_others() -> None:
+    load = words.Load(1.25, 1.0, 0.5)
+    assert words.read_load(words.load_report(load)) == load
+    assert words.read_load('JSON {"named_metrics": {"link_asked": 0.5}}') == words.Load(0.5)
+    for bad in (None, "", "BIN AAAA", "JSON [", "JSON 3", "TEXT named_metrics.link_asked=nan", "TEXT a=b=c",
+                "TEXT named_metrics.link_asked=-1", 'JSON {"named_metrics": {"link_asked": true}}'):  # fmt: skip
+        assert words.read_load(bad) == words.Load()
+
+
+def test_event_streams_come_in_any_pieces() -> None:
+    data = words.event("share", {"share": 0.5}) + words.BEAT + b"data: 1\r\ndata: 2\r\n\r\n"
+    for size in (1, 2, 7, 100):
+        reader, got = words.EventReader(), list[tuple[str, bytes]]()
+        for i in range(0, len(data), size):
+            got += reader.feed(data[i : i + size])
+        assert got == [("share", b'{"share":0.5}'), ("", b""), ("message", b"1\n2")]
+    with pytest.raises(ValueError, match="too long"):
+        list(words.EventReader(100).feed(b"x" * 200))
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.data())
+def test_mutated_offers_give_a_description_or_the_parsers_fault(data: st.DataObject) -> None:
+    raw = bytearray(OFFER.encode())
+    for _ in range(data.draw(st.integers(1, 6))):
+        at = data.draw(st.integers(0, len(raw) - 1))
+        raw[at : at + data.draw(st.integers(0, 9))] = data.draw(st.binary(max_size=6))
+    text = bytes(raw).decode("latin-1")
+    try:
+        offer_ = sdp.parse(text)
+        sdp.check_offer(offer_, False)
+    except sdp.SdpFault:
+        return
+    sdp.parse(sdp.answer(offer_, 1, ("uuuu", "p" * 22), "sha-256 " + ":".join(["AB"] * 32)))
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.binary(max_size=200), st.text(max_size=80))
+def test_no_bytes_from_outside_raise_anything_unexpected(raw: bytes, text: str) -> None:
+    for parser, fault in ((sdp.parse, sdp.SdpFault), (sdp.parse_fragment, sdp.SdpFault)):
+        with contextlib.suppress(fault):
+            parser(text)
+    words.links([text])
+    words.idempotency_key(text)
+    words.accepts(text, sdp.MEDIA_TYPE)
+    words.read_load("JSON " + text)
+    words.read_load("TEXT " + text)
+    words.problem_type(raw)
+    with contextlib.suppress(ValueError):
+        list(words.EventReader().feed(raw))
+    with contextlib.suppress(BadList):
+        parse(raw)
+    with contextlib.suppress(SettingsFault):
+        read(text, "f")
+
+
+LIST = {
+    "version_info": "3", "control_plane": {"identifier": "s"},
+    "resources": [{"cluster_name": "playout", "endpoints": [{"locality": {"zone": "w"}, "lb_endpoints": [{
+        "endpoint": {"address": {"socket_address": {"address": "127.0.0.1", "port_value": 9}}},
+        "health_status": "DRAINING",
+        "metadata": {"filter_metadata": {"oakcroft": {"name": "n", "cell": 0, "link_kb": 5, "places": 2}}},
+    }]}]}],
+}  # fmt: skip
+
+
+def test_a_discovery_response_is_read_or_refused_with_its_place() -> None:
+    lines, version, service = parse(orjson.dumps(LIST))
+    assert (lines[0].name, lines[0].zone, lines[0].listing.value, version, service) == (
+        "n",
+        "w",
+        "draining",
+        3,
+        "s",
+    )
+    raw = orjson.dumps(LIST)
+    for old, new, why in (
+        (b'"cell":0', b'"cell":"x"', "cell"), (b"DRAINING", b"LIMPING", "LIMPING"), (b'"3"', b'"-3"', "whole number"),
+    ):  # fmt: skip
+        with pytest.raises(BadList, match=why):
+            parse(raw.replace(old, new))
