--- a/oakcroft/settings/reader.py
+++ b/oakcroft/settings/reader.py
@@ -75,7 +75,7 @@
         tree = _parser().parse(text)
     except UnexpectedInput as fault:
         column = max(1, fault.column)
-        at_end = "$END" in str(getattr(fault, "token", ""))
+        at_end = getattr(getattr(fault, "token", None), "type", "") == "$END"
         line = text.count("\n") + 1 if at_end else max(1, fault.line)
         found = "the text ends inside a list" if at_end else "this is out of place here"
         raise SettingsFault(Place(file, line, column if not at_end else 1), found) from None
--- a/oakcroft/standins/fleet.py
+++ b/oakcroft/standins/fleet.py
@@ -255,7 +255,8 @@
             ready = trio.Event()
             nursery.start_soon(fleet.run, start, ready)
             await ready.wait()
-            print(orjson.dumps({"list": fleet.list_port}).decode(), flush=True)
+            ports = {"list": fleet.list_port, "nodes": [n.port for n in fleet.nodes.values()]}
+            print(orjson.dumps(ports).decode(), flush=True)
             nursery.start_soon(orphaned, nursery.cancel_scope)
             async for _ in signals:
                 nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_rehearsal.py
@@ -0,0 +1,114 @@
+"""A short bad day through real processes, and the translation of bench days."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import orjson
+import pytest
+from click.testing import CliRunner
+
+from oakcroft.cli import main
+from oakcroft.rehearsal.bench_day import KINDS, translate
+from oakcroft.rehearsal.viewers import plan_visits
+from oakcroft.rehearsal import report, runner
+from oakcroft.settings.reader import only, read
+from oakcroft.standins.day import FAULTS, Day, day
+
+SHORT = """(day (length 7s) (seed 3) (fronts west east) (late 200ms 600ms) (guard 1.2) (setup 3ms 10ms)
+  (site (fronts 2) (cells 4) (racks 2) (copies 4)
+    (ladder (rates 200kB/s 400kB/s 800kB/s) (worth 0.3 0.6 1))
+    (plan course (effect paid) (startup-target 1s) (abandon 3s) (revenue 2))
+    (plan open (effect free) (startup-target 1s) (abandon 3s) (revenue 1) (floor 1) (seats 20))
+    (route "/whep/course/" (plan course)) (route "/whep/open/" (plan open))
+    (seen-after 200ms) (reports-every 1s) (cold-share 0.4) (cold-for 4s) (fall-multiple 4) (fall-window 1s)
+    (stay-away-most 1s) (drain-grace 250ms) (silent-after 1s) (lost-after 3s)
+    (tries-budget (free 4) (share 20%) (window 3s)))
+  (node n1 (wing west) (cell 0) (link 20000kB/s) (places 40)) (node n2 (wing east) (cell 1) (link 20000kB/s) (places 40))
+  (node n3 (wing west) (cell 2) (link 20000kB/s) (places 40)) (node n4 (wing east) (cell 3) (link 20000kB/s) (places 40))
+  (viewers (rate 16) (titles 6) (back-after 300ms 900ms)
+    (plan course (share 0.5) (life 2s)) (plan open (share 0.5) (life 3s)))
+  (fault crash (at 1s) (for 2s) (on n2)) (fault hang (at 1500ms) (for 2s) (on n1))
+  (fault answer-lost (at 2500ms) (for 2s) (on n3) (size 0.5))
+  (fault preempt (at 3s) (for 1s) (on n4) (size 0.4) (extra 1))
+  (fault front-stall (at 3500ms) (for 1500ms) (on 1) (size 1) (extra 1))
+  (fault front-kill (at 4500ms) (for 500ms) (on 0) (extra 0.3)))"""
+
+
+def plot(body: str) -> Day:
+    return day(only(read(body, "day"), "day", "day"), "day")
+
+
+def test_a_short_bad_day_keeps_every_rule_on_the_sockets() -> None:
+    said: list[str] = []
+    outcome = runner.play(plot(SHORT), SHORT, "oakcroft", said.append)
+    text = report.whole(outcome, None)
+    assert outcome.kept, text
+    assert outcome.tally.answers["201"] > 30, text
+    assert {"crash", "hang", "answer-lost", "preempt", "front-stall", "front-kill"} <= set(outcome.faults)
+    assert [f.rule for f in outcome.findings] == [1, 2, 3, 4, 5, 6]
+    assert said
+
+
+def test_the_viewers_of_a_day_come_from_its_seed_alone() -> None:
+    one = plot(SHORT)
+    assert plan_visits(one) == plan_visits(one)
+    assert plan_visits(one) != plan_visits(one.seeded(4))
+
+
+def drawn(kind: str) -> bytes:
+    plan = {"name": "p", "share": 1.0, "work": 1e5, "aim": 8e5, "deadline": 5e6, "worth": 2.0, "effect": "unsafe",
+            "group": "all", "window": 5e6}  # fmt: skip
+    return orjson.dumps({
+        "length": 5e7, "noise": 5, "zones": ["a", "b"], "traffic": {"load": 0.8},
+        "clients": {"max_retry_after": 2e6}, "discovery": {"notice": 3e6, "add": 1e6},
+        "allow": {"max_attempts": 3, "retry_after": True}, "drain_grace": 2.5e5, "fall_multiple": 4.0, "fall_for": 3e6,
+        "classes": [plan],
+        "tiers": [{"kinds": [{"cores": 3, "cold_from": 0.5, "cold": 6e6}]}],
+        "servers": [{"zone": i % 2, "kind": 0} for i in range(60)], "balancers": [{"zone": i % 2} for i in range(20)],
+        "troubles": [{"kind": kind, "at": 1e7, "len": 2e7, "size": 0.5, "extra": 2.0, "on": [20, 15, 4], "which": 0}],
+        "fam": {"uplink_kb": [50000.0] * 6, "core_kb": 2677.0, "core_slots": 8.2, "rates": [200.0, 400.0, 800.0],
+                "worth": [0.3, 0.6, 1.0], "life_s": 40.0,
+                "uses": [{"scale": 1.2, "life": 0.7, "floor": 0, "top": 5, "seats": 0}],
+                "copies": 1.5, "guard": 1.2, "stall": 9.0, "see": 770108, "tell": 4250000, "titles": 186,
+                "title_zipf": 0.7, "returns": 0.8, "rejoin_us": 2.5e6, "small_screens": 0.2},
+    })  # fmt: skip
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_every_kind_of_bench_trouble_becomes_one_of_ours(kind: str) -> None:
+    body, notes = translate(drawn(kind), "d")
+    translated = plot(body)
+    assert [f.kind for f in translated.faults] == [KINDS[kind]]
+    assert KINDS[kind] in FAULTS
+    assert len(translated.nodes) == 24
+    assert any(kind in note for note in notes)
+
+
+def test_unknown_troubles_are_named_and_other_files_refused() -> None:
+    _, notes = translate(drawn("meteor"), "d")
+    assert "not mapped: meteor" in notes
+    with pytest.raises(ValueError, match="not a day"):
+        translate(b'{"fam": 1}', "d")
+
+
+def test_the_command_line_tells_where_a_file_is_wrong(tmp_path: Path) -> None:
+    good = 'front (listen "127.0.0.1" 0) (list-service "127.0.0.1" 1)'
+    body = SHORT[SHORT.index("(site") : SHORT.index("(node n1")]
+    (tmp_path / "good").write_text(f"({good} {body})")
+    (tmp_path / "bad").write_text(
+        f"({good}\n {body.replace('(startup-target 1s)', '(startup-target 1)', 1)})"
+    )
+    (tmp_path / "odd").write_text(f"({good}\n (sed 1) {body})")
+    (tmp_path / "open").write_text(f"({good}")
+    cli = CliRunner()
+    assert cli.invoke(main, ["check", str(tmp_path / "good")]).exit_code == 0
+    for name, why in (
+        ("bad", "bad:4:"),
+        ("odd", "odd:2:2: (front …) has no field sed; did you mean seed?"),
+        ("open", "ends inside"),
+    ):
+        result = cli.invoke(main, ["check", str(tmp_path / name)])
+        assert result.exit_code == 2
+        assert why in result.output
+    assert cli.invoke(main, ["--help"]).exit_code == 0
