Move the front onto the configuration language: schemas, includes, routes, pools, limits, versions

Hand-edited routes for dozens of nodes frighten the operators. The interim reader goes; the new language has a grammar on lark, definitions with parameters, includes, units as part of figures, and schemas from which the checker, the reference and completion come. Decisions: a route table without an order of its own, pools, limits held as a front's share, and versions taken whole at one instant. choice.py takes one line: a playback may be held to a pool of nodes. Plans carry a family number, so that seats count over versions.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -419,6 +419,8 @@
         """Whether the rules and this front's trust let a try go to this node now."""
         if node.listing is not Listing.READY or any(n is node for n, _ in pb.tries):
             return False
+        if pb.admits is not None and not pb.admits(node):
+            return False
         if not all(self._repeats_safely(pb, ran, at, node, now) for ran, at in pb.may_have_run):
             return False
         return self._trusted(pb, node, now) and self._warm_enough(pb, node, now)
--- /dev/null
+++ b/oakcroft/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration language: S-expressions with units, definitions and includes, checked whole, compiled, compared."""
--- /dev/null
+++ b/oakcroft/config/compare.py
@@ -0,0 +1,177 @@
+"""What two configurations mean, compared: changes, what they do to requests, and applying them."""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from oakcroft.config import forms
+from oakcroft.config.compile import Meaning, route_of
+from oakcroft.config.schema import Field, Schema, say
+from oakcroft.decisions.routing import Asked, RouteTable, example
+
+ABSENT = object()
+
+
+@dataclass(frozen=True)
+class Change:
+    """One thing that means something else: a form's name, the name of the one meant ("" where it stands once), the
+    field (None: the whole form), and its values before and after (ABSENT: not there)."""
+
+    form: str
+    name: str
+    field: str | None
+    before: Any
+    after: Any
+
+
+def compare(a: Meaning, b: Meaning) -> list[Change]:
+    """All changes from a to b; none exactly when both mean the same."""
+    out: list[Change] = []
+    for form in sorted({*a, *b}, key=_order):
+        schema = forms.ALL[form]
+        old, new = a.get(form), b.get(form)
+        if schema.head is None:
+            out += _fields(form, "", old, new)
+            continue
+        for name in sorted({*(old or {}), *(new or {})}):
+            out += _fields(form, name, (old or {}).get(name), (new or {}).get(name))
+    return out
+
+
+def _order(form: str) -> int:
+    return list(forms.ALL).index(form)
+
+
+def _fields(
+    form: str, name: str, old: Mapping[str, Any] | None, new: Mapping[str, Any] | None
+) -> list[Change]:
+    if old is None or new is None:
+        if old is new:
+            return []
+        return [Change(form, name, None, ABSENT if old is None else old, ABSENT if new is None else new)]
+    return [Change(form, name, f, old.get(f, ABSENT), new.get(f, ABSENT))
+            for f in [*old, *(f for f in new if f not in old)] if old.get(f, ABSENT) != new.get(f, ABSENT)]  # fmt: skip
+
+
+def apply(changes: list[Change], a: Meaning) -> Meaning:
+    """What a means after the changes. ValueError where a is not what they start from."""
+    out = copy.deepcopy(a)
+    for c in changes:
+        single = forms.ALL[c.form].head is None
+        home: dict[str, Any] = out if single else out.setdefault(c.form, {})
+        key = c.form if single else c.name
+        if c.field is not None:
+            home, key = home[key], c.field
+        if home.get(key, ABSENT) != c.before:
+            raise ValueError(f"{c.form} {c.name} is not what the change starts from")
+        if c.after is ABSENT:
+            del home[key]
+        else:
+            home[key] = copy.deepcopy(c.after)
+    for schema in forms.NAMED:
+        out[schema.name] = dict(sorted(out.get(schema.name, {}).items()))
+    return out
+
+
+def tell(changes: list[Change]) -> list[str]:
+    """Changes as lines for people."""
+    out = []
+    for c in changes:
+        what = f"{c.form} {c.name}".strip()
+        schema = forms.ALL[c.form]
+        if c.field is None:
+            if c.before is ABSENT:
+                out.append(f"+ {what} added: {_summary(schema, c.after)}")
+            else:
+                out.append(f"- {what} taken out")
+            continue
+        field = schema.field(c.field)
+        assert field is not None
+        out.append(f"~ {what}: {_told(field, c.before, c.after)}")
+    return out
+
+
+def _told(field: Field, old: Any, new: Any) -> str:
+    if field.name == "secret":
+        return "its secret is another"
+    if (isinstance(old, tuple) and isinstance(new, tuple) and field.most > 2) or field.repeats:
+        more = [_value(field, v) for v in new if v not in old]
+        less = [_value(field, v) for v in old if v not in new]
+        parts = [f"{field.name} now with {', '.join(more)}"] if more else []
+        parts += [f"{'' if more else field.name + ' '}no longer with {', '.join(less)}"] if less else []
+        if parts:
+            return ", ".join(parts)
+    return f"{field.name} from {_value(field, old)} to {_value(field, new)}"
+
+
+def _summary(schema: Schema, values: Mapping[str, Any]) -> str:
+    parts = []
+    for f in schema.fields:
+        value = values.get(f.name)
+        if value not in (None, "", ()) and value != f.default and f.name != "secret":
+            parts.append(f"{f.name} {_value(f, value)}")
+    return ", ".join(parts) or "as by default"
+
+
+def _value(field: Field, value: Any) -> str:
+    if value is ABSENT or value is None or value == "" or value == ():
+        return "none"
+    if isinstance(value, Mapping):
+        return ", ".join(f"{k} {v}" for k, v in value.items())
+    if isinstance(value, tuple):
+        if field.kind is forms.ADDRESS:
+            return f"{value[0]}:{value[1]}"
+        return " ".join(_value(field, v) for v in value)
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        return say(field.kind, value)
+    return str(value)
+
+
+@dataclass(frozen=True)
+class Moved:
+    """A request that goes elsewhere, or is served otherwise."""
+
+    asked: Asked
+    before: str
+    after: str
+
+
+def elsewhere(a: Meaning, b: Meaning, most: int = 20) -> list[Moved]:
+    """Example requests, one for each route of either, that are taken differently: by another route, plan or pool, or by none."""
+    routes = [{n: route_of(n, r) for n, r in m["route"].items()} for m in (a, b)]
+    tables = [RouteTable(r.values()) for r in routes]
+    wings = sorted({*a["fleet"]["wings"], *b["fleet"]["wings"]}) or [""]
+    seen: set[tuple[str, str, str]] = set()
+    out: list[Moved] = []
+    asks: list[Asked] = []
+    for some in routes:
+        for route in some.values():
+            asks += [example(route, wing) for wing in wings]
+    for asked in sorted(asks, key=lambda x: (x.path, x.side.value, x.wing, sorted(x.claims.items()))):
+        before, after = (_lead(m, t, asked) for m, t in zip((a, b), tables, strict=True))
+        key = (asked.path, before, after)
+        if before != after and key not in seen:
+            seen.add(key)
+            out.append(Moved(asked, before, after))
+            if len(out) >= most:
+                break
+    return out
+
+
+def _lead(m: Meaning, table: RouteTable, asked: Asked) -> str:
+    route = table.find(asked)
+    if route is None:
+        return "nothing"
+    pool = f" in pool {route.pool}" if route.pool else ""
+    return f"route {route.name}, plan {route.plan}{pool}"
+
+
+def told_move(moved: Moved) -> str:
+    """One such request as a line."""
+    a = moved.asked
+    claims = "".join(f" with {k} {v}" for k, v in sorted(a.claims.items()))
+    wing = f" in {a.wing}" if a.wing else ""
+    return f"{a.side.value} {a.path}{wing}{claims}: from {moved.before} to {moved.after}"
--- /dev/null
+++ b/oakcroft/config/forms.py
@@ -0,0 +1,240 @@
+"""Every form of the language, once: the checker, the reference page and completion are made from these."""
+
+from __future__ import annotations
+
+import re
+
+from oakcroft.config.schema import (
+    NAME, NUMBER, PACES, RATES, SIZES, TEXT, TIMES, WHOLE, Bad, Field, Kind, Schema, choice,
+)  # fmt: skip
+from oakcroft.config.syntax import Atom
+from oakcroft.interface import MS, SECOND
+
+MANY = 10_000
+
+
+def _address(atom: Atom) -> tuple[str, int]:
+    host, colon, port = atom.text.rpartition(":")
+    if not colon or not host:
+        raise Bad(f"{atom.raw} is not an address", 'write it as "127.0.0.1:8080"')
+    if not port.isascii() or not port.isdigit() or int(port) > 65_535:
+        raise Bad(f"port {port} does not exist", "write a port from 0 to 65535 (0: any free one)")
+    return host.strip("[]"), int(port)
+
+
+def _prefix(atom: Atom) -> str:
+    path = atom.text
+    if not path.startswith("/") or not path.endswith("/"):
+        raise Bad(f"{atom.raw} is not a path that a title can follow", f'write "/{path.strip("/")}/"')
+    if path.startswith("/session/"):
+        raise Bad("/session/ is the front's own", "choose another path")
+    if not re.fullmatch(r"[A-Za-z0-9._~!$&'()*+,;=:@%/\-]+", path) or "//" in path:
+        raise Bad(
+            f"{atom.raw} holds what a path cannot", "use letters, digits and -._~ between single slashes"
+        )
+    return path
+
+
+def _title(atom: Atom) -> str:
+    if "*" in atom.text[:-1] or "/" in atom.text or not atom.text:
+        raise Bad(
+            f"{atom.raw} is not a title or a beginning of titles",
+            "write a title, or how titles begin and then *",
+        )
+    return atom.text
+
+
+def _ice(atom: Atom) -> str:
+    if not re.fullmatch(r"(stun|stuns|turn|turns):\S+", atom.text):
+        raise Bad(f"{atom.raw} is not an ICE server", 'write it as "stun:host:3478"')
+    return atom.text
+
+
+def _secret(atom: Atom) -> str:
+    if len(atom.text) < 8 or not re.fullmatch(r"[A-Za-z0-9._~+/\-]+=*", atom.text):
+        raise Bad(
+            "this secret is no bearer token of 8 letters or more", "make one with: openssl rand -hex 16"
+        )
+    return atom.text
+
+
+def _share(atom: Atom) -> float:
+    value = float(NUMBER.read(atom))
+    if not 0 <= value <= 1:
+        raise Bad(f"{atom.raw} is not a share", "write a share from 0 to 1, or in %")
+    return value
+
+
+ADDRESS = Kind("address", 'a host and a port, as "127.0.0.1:8080"', _address)
+PATH = Kind("path", 'a path that a title can follow, as "/whep/open/"', _prefix)
+TITLE = Kind("title", "a title, or how titles begin and then *", _title)
+ICE = Kind("ICE server", 'as "stun:host:3478"', _ice)
+SECRET = Kind("secret", "a bearer token of 8 letters or more", _secret)
+SHARE = Kind("share", "from 0 to 1, or in %", _share)
+EFFECTS = ("free", "keyed", "paid")
+
+FRONT = Schema(
+    "front", "This front's own place; one a file, in the file that a front is started with.",
+    (
+        Field("number", "which of the fronts this is, from 0", WHOLE, 0),
+        Field("zone", "the wing it stands in", NAME, ""),
+        Field("listen", "where viewers reach it", ADDRESS, required=True),
+        Field("list-service", "where the list of nodes is asked for", ADDRESS, required=True),
+        Field("kept", "file in which the last list is kept; none: a restart begins without", TEXT, ""),
+        Field("seed", "of the front's random numbers", WHOLE, 1),
+        Field("log", "how log lines are written", choice("form of log", ("json", "console")), "json"),
+    ),
+)  # fmt: skip
+BUDGET = Schema(
+    "tries-budget", "Rule 6: setup tries beyond each playback's first.",
+    (
+        Field("free", "so many in any window", NUMBER, required=True),
+        Field("share", "and so many for each playback taken in it", SHARE, required=True),
+        Field("window", "the window", TIMES, required=True, at_least=1, usual=(100 * MS, 600 * SECOND, "a budget over moments or hours guards little")),
+    ),
+)  # fmt: skip
+FLEET = Schema(
+    "fleet", "What all fronts share about the nodes and the rules' figures. A change needs a restart.",
+    (
+        Field("fronts", "how many fronts there are", WHOLE, 1, at_least=1),
+        Field("wings", "names of the wings", NAME, (), most=MANY),
+        Field("kinds", "kinds of nodes that the list names", NAME, (), most=MANY),
+        Field("cells", "places of nodes, by which titles are held", WHOLE, required=True, at_least=1),
+        Field("racks", "a node's rack is its cell modulo this", WHOLE, 1, at_least=1),
+        Field("uplink", "mean uplink of a rack; 0kB/s: none binds", RATES, 0.0),
+        Field("copies", "cells that hold a title; 0: all", WHOLE, 0),
+        Field("join-adds", "part of a stream's rate that a further viewer of a live title adds", SHARE, 1.0),
+        Field("seen-after", "how late a node's notes are", TIMES, SECOND, usual=(0, 30 * SECOND, "notes later than that tell nothing")),
+        Field("reports-every", "how often nodes tell of their load", TIMES, 3 * SECOND, usual=(100 * MS, 60 * SECOND, "the module's interval is a second")),
+        Field("most-tries", "setup tries for a playback", WHOLE, 3, at_least=1, usual=(1, 10, "each try costs time")),
+        Field("stay-away-most", "longest Retry-After; 0s: none is named", TIMES, 0, usual=(0, 60 * SECOND, "viewers are gone by then")),
+        Field("cold-share", "share of its pace that a node begins with", SHARE, 0.4),
+        Field("cold-for", "how long a node warms up", TIMES, 10 * SECOND, usual=(0, 3600 * SECOND, "nodes warm in seconds")),
+        Field("fall-multiple", "times its present pace that pushes a cold node over", NUMBER, 2.5, at_least=1),
+        Field("fall-window", "over so long", TIMES, SECOND, at_least=1, usual=(100 * MS, 60 * SECOND, "the rule counts seconds")),
+        Field("drain-grace", "rule 3: nothing new to a draining node later than this", TIMES, SECOND, usual=(0, 60 * SECOND, "")),
+        Field("tries-budget", BUDGET.doc, form=BUDGET),
+    ),
+)  # fmt: skip
+LADDER = Schema(
+    "ladder", "The rungs of quality, lowest first. A change needs a restart.",
+    (
+        Field("rates", "rate of each rung", RATES, required=True, most=64, usual=(1, 1e6, "a video stream has kB/s to MB/s")),
+        Field("worth", "what each rung earns", NUMBER, required=True, most=64),
+    ),
+)  # fmt: skip
+PLAN = Schema(
+    "plan", "What a plan was promised. What plays keeps the terms it was taken under.",
+    (
+        Field("effect", "what a repeated set-up would do: nothing (free), nothing while a key lasts (keyed), be paid twice (paid)",
+              choice("effect", EFFECTS), required=True),
+        Field("startup-target", "wanted playing within", TIMES, required=True, at_least=1, usual=(50 * MS, 30 * SECOND, "viewers wait seconds, not minutes")),
+        Field("abandon", "given up after", TIMES, required=True, at_least=1, usual=(200 * MS, 120 * SECOND, "viewers wait seconds, not minutes")),
+        Field("revenue", "of one second at a rung of worth 1", NUMBER, required=True, at_least=0),
+        Field("floor", "lowest rung that it may play on", WHOLE, 0),
+        Field("top", "highest rung; none: the ladder's", WHOLE),
+        Field("seats", "playbacks of one title that a front holds at most; 0: no limit", WHOLE, 0),
+        Field("rate-factor", "its rates over the ladder's", NUMBER, 1.0, at_least=0.001, usual=(0.05, 20, "")),
+        Field("key-lasts", "how long a keyed set-up is recognised", TIMES, 5 * SECOND),
+        Field("group", "where it is recognised", choice("group", ("all", "zone", "cell")), "all"),
+        Field("shares-stream", "viewers of one title at one node share a stream", choice("answer", ("yes", "no")), "no"),
+    ),
+    NAME, "the plan's name", "(plan open-lesson (effect free) (startup-target 1s) (abandon 5s) (revenue 1))",
+)  # fmt: skip
+POOL = Schema(
+    "pool", "Nodes that routes may be held to. Each part that stands must hold.",
+    (
+        Field("wings", "in one of these wings", NAME, (), most=MANY),
+        Field("racks", "in one of these racks", WHOLE, (), most=MANY),
+        Field("kinds", "of one of these kinds", NAME, (), most=MANY),
+        Field("tags", "with all of these tags", NAME, (), most=MANY),
+        Field("nodes", "of these names; a replacement NAME+1 counts as NAME", NAME, (), most=MANY),
+        Field("but", "without these", NAME, (), most=MANY),
+    ),
+    NAME, "the pool's name", "(pool west-boxes (wings west))",
+)  # fmt: skip
+CLAIM = Field("claim", "a claim and its value", NAME, (), least=2, most=2, repeats=True)
+ROUTE = Schema(
+    "route", "Which requests become playbacks of which plan. The most particular route that matches takes a request.",
+    (
+        Field("path", "the path before the title", PATH, required=True),
+        Field("for", "viewers or publishers", choice("side", ("watch", "publish")), "watch"),
+        Field("titles", "titles, or how titles begin and then *; none: all", TITLE, (), most=MANY),
+        Field("wing", "only at fronts in this wing", NAME, ""),
+        Field("claim", "only with a token that has this claim", NAME, (), least=2, most=2, repeats=True),
+        Field("plan", "the plan", NAME, required=True),
+        Field("pool", "the nodes that may be used; none: all that hold the title", NAME, ""),
+        Field("top", "highest rung here", WHOLE),
+    ),
+    NAME, "the route's name", '(route open (path "/whep/open/") (plan open-lesson))',
+)  # fmt: skip
+LIMIT = Schema(
+    "limit", "How many playbacks may come or be held. Looked at from tokens over routes, plans and wings to all.",
+    (
+        Field("on", "what it stands on: token, route, plan or wing with a name or * (each by itself), or all", NAME, required=True, least=1, most=2),
+        Field("rate", "new playbacks a second", PACES, usual=(0.01, 100_000, "")),
+        Field("burst", "so many at one moment; none: one second's worth", NUMBER, at_least=1),
+        Field("at-once", "playbacks held at once, set-ups included", WHOLE),
+        Field("of", "whole: the figures are for all fronts together; front: for each by itself", choice("share", ("whole", "front")), "whole"),
+    ),
+    NAME, "the limit's name", "(limit everyone (on all) (rate 200/s) (at-once 5000))",
+)  # fmt: skip
+TOKEN = Schema(
+    "token", "A bearer token. Where any stands, every request needs one.",
+    (
+        Field("secret", "the token itself", SECRET, required=True),
+        Field("claim", "a claim and its value, for routes", NAME, (), least=2, most=2, repeats=True),
+    ),
+    NAME, "a name to speak of it", '(token portal (secret "…"))',
+)  # fmt: skip
+TITLE_FORM = Schema(
+    "title", "Where one title is held, if not by the rule for all.",
+    (
+        Field("home", "first cell that holds it", WHOLE, required=True),
+        Field("copies", "so many cells in a row", WHOLE, required=True, at_least=1),
+    ),
+    NAME, "the title", "(title intro (home 0) (copies 6))",
+)  # fmt: skip
+SIGNALLING = Schema(
+    "signalling", "How the front speaks with viewers.",
+    (
+        Field("ice-servers", "told to clients", ICE, (), most=32),
+        Field("way-back", "kept of each abandon time for the answer's way", TIMES, 40 * MS, usual=(1 * MS, 2 * SECOND, "it is taken off every wait")),
+        Field("keep-keys", "how long an answer is remembered by its Idempotency-Key", TIMES, 300 * SECOND),
+    ),
+)  # fmt: skip
+NODES = Schema(
+    "nodes", "How the front judges its connections to nodes.",
+    (
+        Field("connect-within", "a connection stands by then or never", TIMES, 250 * MS, at_least=1, usual=(10 * MS, 5 * SECOND, "")),
+        Field("silent-after", "a stream without a byte for so long is opened anew", TIMES, 3 * SECOND, at_least=1),
+        Field("lost-after", "and its playbacks count as lost after so long", TIMES, 8 * SECOND, at_least=1),
+    ),
+)  # fmt: skip
+DOOR = Schema(
+    "door", "What one client may cost.",
+    (
+        Field("connections", "at once", WHOLE, 20_000, at_least=1),
+        Field("connections-from-one", "from one address", WHOLE, 20_000, at_least=1),
+        Field("waiting", "requests without an answer", WHOLE, 2_000, at_least=1),
+        Field("head-bytes", "of a request", SIZES, 16_384, at_least=256),
+        Field("headers", "lines of a request", WHOLE, 64, at_least=1),
+        Field("body-bytes", "of a request", SIZES, 65_536, at_least=256),
+        Field("idle", "between two requests", TIMES, 30 * SECOND, at_least=1),
+        Field("head-within", "a head is read by then", TIMES, 5 * SECOND, at_least=1),
+        Field("body-within", "a body is read by then", TIMES, 5 * SECOND, at_least=1),
+        Field("write-within", "a client takes what is written by then", TIMES, 5 * SECOND, at_least=1),
+        Field("event-backlog", "events that a reader may be behind", WHOLE, 64, at_least=4),
+    ),
+)  # fmt: skip
+STOPPING = Schema(
+    "stopping", "How a front ends.",
+    (
+        Field("drain-within", "playbacks may play on for so long", TIMES, 60 * SECOND),
+        Field("leave-within", "nodes are told of the rest for so long", TIMES, 5 * SECOND),
+    ),
+)  # fmt: skip
+SINGLE = (FRONT, FLEET, LADDER, SIGNALLING, NODES, DOOR, STOPPING)
+NAMED = (PLAN, POOL, ROUTE, LIMIT, TOKEN, TITLE_FORM)
+ALL = {s.name: s for s in (*SINGLE, *NAMED)}
+WORDS = ("include", "define", "use")
--- /dev/null
+++ b/oakcroft/config/told.py
@@ -0,0 +1,83 @@
+"""What one front is told, compiled: plain values that the program works with."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from oakcroft.decisions.doors import Bounds
+from oakcroft.decisions.limits import Limit
+from oakcroft.decisions.pools import Pool
+from oakcroft.decisions.routing import RouteTable
+from oakcroft.interface import Plan, Terms
+
+
+@dataclass(frozen=True)
+class PlanTerms:
+    """A plan with what the front itself needs of it beside the module's part. Times in ns."""
+
+    name: str
+    plan: Plan
+    abandon: int
+
+
+@dataclass(frozen=True)
+class Holding:
+    """Which cells hold a title."""
+
+    home: int
+    copies: int
+
+
+@dataclass(frozen=True)
+class Token:
+    """A bearer token by its digest; the secret itself is not kept."""
+
+    name: str
+    claims: dict[str, str]
+
+
+@dataclass(frozen=True)
+class Site:
+    """What all fronts of a deployment share."""
+
+    terms: Terms
+    plans: dict[str, PlanTerms]
+    table: RouteTable
+    pools: dict[str, Pool]
+    limits: tuple[Limit, ...]
+    tokens: dict[bytes, Token]
+    titles: dict[str, Holding]
+    copies: int
+    ice: tuple[str, ...]
+    bounds: Bounds
+    way_back: int  # margin of the answer's way back, ns
+    drain_grace: int
+    drain_within: int
+    leave_within: int
+    silent_after: int
+    lost_after: int
+    connect_within: int
+    keep_keys: int
+
+
+@dataclass(frozen=True)
+class Stand:
+    """One front's own place."""
+
+    host: str
+    port: int
+    list_host: str
+    list_port: int
+    kept: str
+    zone: str
+    seed: int
+    log: str
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """All that one front is told, and what it means as plain data."""
+
+    site: Site
+    stand: Stand
+    meaning: dict[str, dict[str, object]]
--- a/oakcroft/decisions/answers.py
+++ b/oakcroft/decisions/answers.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from oakcroft.decisions.limits import Over
 from oakcroft.interface import SECOND, Effect
 
 
@@ -63,6 +64,12 @@
     )
 
 
+def over(limit: Over) -> Reply:
+    """The answer of a limit that is reached: 429 (RFC 6585 4), with the time after which it has room where it knows."""
+    title = f"Limit {limit.limit} is reached: {limit.what}"
+    return Reply(429, "urn:oakcroft:problem:limit", title, whole_seconds(limit.back_after or 0))
+
+
 REFUSALS = {
     Refusal.BUSY: Reply(503, "urn:oakcroft:problem:busy", "Too many requests wait here", 1),
     Refusal.TOO_LATE: Reply(503, "urn:oakcroft:problem:too-late", "No time left to answer in", None),
--- a/oakcroft/decisions/doors.py
+++ b/oakcroft/decisions/doors.py
@@ -156,9 +156,13 @@
     def __init__(self, bounds: Bounds) -> None:
         self.bounds, self.waiting = bounds, dict[int, int]()
 
+    def has_room(self) -> bool:
+        """Whether one more may wait."""
+        return len(self.waiting) < self.bounds.waiting
+
     def enter(self, number: int, now: int) -> bool:
         """Whether the request may wait."""
-        if len(self.waiting) >= self.bounds.waiting:
+        if not self.has_room():
             return False
         self.waiting[number] = now
         return True
--- a/oakcroft/decisions/roster.py
+++ b/oakcroft/decisions/roster.py
@@ -26,6 +26,8 @@
     started_at: int
     link: float
     places: float
+    kind: str = ""
+    tags: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -114,6 +116,7 @@
         if node is None:
             node = self.nodes[line.name] = Node(line.name)
         node.zone, node.cell = line.zone, line.cell
+        node.kind, node.tags = line.kind, frozenset(line.tags)
         return Entry(node, listing, line.started_at, line.link, line.places)
 
     def may_contact(self, name: str) -> bool:
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -20,16 +20,18 @@
 from oakcroft.decisions import answers
 from oakcroft.decisions.answers import Final
 from oakcroft.decisions.lifeline import Patience
+from oakcroft.decisions.limits import Ledger
 from oakcroft.decisions.patience import BEAT, Due, Stillness
 from oakcroft.decisions.repeats import Repeats
 from oakcroft.decisions.resource import Resource
 from oakcroft.decisions.roster import Line, Refused, Roster
 from oakcroft.decisions.titles import Shelf
+from oakcroft.decisions.versions import InForce, Offer, Verdict
 from oakcroft.front.clock import Clock
 from oakcroft.front.nodeleg import LONGEST_TRY_GRACE, NodeLeg, Told, TryEnd, sound
 from oakcroft.front.viewing import Viewing
 from oakcroft.interface import Entry, Host, ListKind, Node, Note, Outcome, Playback, State, Terms
-from oakcroft.settings.deployment import PlanTerms, Site
+from oakcroft.config.told import Deployment, PlanTerms, Site
 from oakcroft.signalling import words
 
 
@@ -80,7 +82,7 @@
 
     def __init__(
         self,
-        site: Site,
+        told: Deployment,
         seed: int,
         me: str,
         clock: Clock,
@@ -88,13 +90,16 @@
         log: structlog.typing.FilteringBoundLogger,
         decide: Decide = Controller,
     ) -> None:
-        self.site, self.me, self.clock, self.nursery, self.log_ = site, me, clock, nursery, log
+        self.me, self.clock, self.nursery, self.log_ = me, clock, nursery, log
+        self.versions = InForce(Offer(0, told.meaning, told))
+        site = told.site
         self.rng = Random(seed + 1)  # of errands; the module has its own
         self.events, self.inbox = trio.open_memory_channel[Event](MOST_EVENTS)
         self.roster, self.lines = Roster(), dict[str, Line]()
         self.legs: dict[str, NodeLeg] = {}
-        stated = {name: (h.home, h.copies) for name, h in site.titles.items()}
-        self.titles = Shelf(MOST_TITLES, site.terms.cells, site.copies, stated)
+        self.titles = Shelf(MOST_TITLES, site.terms.cells, site.copies, stated(site))
+        self.ledger = Ledger(site.terms.front, site.terms.fronts)
+        self.ledger.take_version(site.limits)
         self.viewings: dict[Playback, Viewing] = {}
         self.sessions: dict[str, Viewing] = {}  # by the id of their resource here
         self.upstreams: dict[tuple[str, str], Viewing] = {}  # by node and resource there
@@ -105,6 +110,30 @@
         self.longest_abandon = max(p.abandon for p in site.plans.values())
         self.controller = decide(site.terms, seed, self, clock.now())
 
+    @property
+    def site(self) -> Site:
+        """What the version in force says."""
+        return self.versions.offer.compiled.site
+
+    def take_version(self, offer: Offer[Deployment] | None) -> tuple[Verdict, list[str]]:
+        """A version is offered; taken here and now, between two events, or refused whole."""
+        before = self.site
+        verdict, parts = self.versions.consider(offer)
+        if verdict is Verdict.TAKEN:
+            site = self.site
+            self.titles.take_version(site.copies, stated(site))
+            self.ledger.take_version(site.limits)
+            self.longest_abandon = max(self.longest_abandon, *(p.abandon for p in site.plans.values()))
+            self.repeats.keep = site.keep_keys
+            over = [f"{t.name}: {t.seats[p.plan]} of {p.plan.seats}" for t in self.titles.titles.values()
+                    for p in site.plans.values() if p.plan.seats and t.seats.get(p.plan, 0) > p.plan.seats]  # fmt: skip
+            gone = sorted(set(before.plans) - set(site.plans))
+            self.log_.info("configuration taken", version=self.versions.offer.number, routes=len(site.table.routes),
+                           over_seats=over[:10], plans_gone=gone)  # fmt: skip
+        else:
+            self.log_.warning("configuration not taken", verdict=verdict.value, parts=parts)
+        return verdict, parts
+
     # Events in.
 
     async def run(self) -> None:
@@ -215,6 +244,7 @@
     def arrived(self, v: Viewing) -> None:
         """The module is asked."""
         if v.final is not None:
+            self._free(v)
             return  # its viewer left while the event waited
         self.viewings[v.pb] = v
         self.controller.arrived(v.pb, self.clock.now())
@@ -437,12 +467,17 @@
                 v.readers.remove(reader)
                 reader.send.close()
 
+    def _free(self, v: Viewing) -> None:
+        if v.ticket is not None:
+            self.ledger.back(v.ticket)
+
     def _forget(self, v: Viewing) -> None:
         """Lets go of a playback that nothing more can come for."""
         if not self.controller.over(v.pb):
             return
         if self.viewings.pop(v.pb, None) is None:
             return
+        self._free(v)
         if v.final is Final.PLAYS:
             self.playing -= 1
             self.bell.ring()
@@ -454,3 +489,8 @@
         for reader in v.readers:
             reader.send.close()
         v.readers.clear()
+
+
+def stated(site: Site) -> dict[str, tuple[int, int]]:
+    """Titles whose place is stated: first cell and how many."""
+    return {name: (h.home, h.copies) for name, h in site.titles.items()}
--- a/oakcroft/front/listing.py
+++ b/oakcroft/front/listing.py
@@ -55,6 +55,8 @@
     link_kb: float
     places: float
     started_at_ms: float = 0.0
+    kind: str = ""
+    tags: list[str] = []
 
 
 class FilterMetadata(msgspec.Struct):
@@ -116,7 +118,8 @@
             more, address = e.metadata.filter_metadata.oakcroft, e.endpoint.address.socket_address
             lines.append(Line(
                 more.name, address.address, address.port_value, locality.locality.zone, more.cell,
-                HEALTH[e.health_status], round(more.started_at_ms * MS), more.link_kb, more.places,
+                HEALTH[e.health_status], round(more.started_at_ms * MS), more.link_kb, more.places, more.kind,
+                tuple(more.tags),
             ))  # fmt: skip
     return lines, int(version), response.control_plane.identifier
 
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -11,8 +11,9 @@
 import trio
 
 from oakcroft.choice import Controller
-from oakcroft.decisions.doors import Door
+from oakcroft.decisions.doors import Door, Queue
 from oakcroft.decisions.stopping import Course, Stopping
+from oakcroft.decisions.versions import Offer, Verdict
 from oakcroft.front.clock import Clock
 from oakcroft.front.helm import Bell, Decide, Helm
 from oakcroft.front.listing import BadList, Follower, kept, parse
@@ -20,16 +21,25 @@
 from oakcroft.httpwire.client import Peer
 from oakcroft.httpwire.message import Request
 from oakcroft.httpwire.server import Server
-from oakcroft.settings.deployment import Deployment
+from oakcroft.config.told import Deployment
+
+
+Source = Callable[[dict[str, int]], "Deployment | list[str]"]
+"""Reads the configuration anew: what it says (plans keep the family numbers that are handed in), or what is wrong."""
 
 
 class Front:
     """A front end; `run` serves until it is stopped."""
 
     def __init__(
-        self, told: Deployment, log: structlog.typing.FilteringBoundLogger, decide: Decide = Controller
-    ) -> None:
-        self.told, self.log, self.decide = told, log, decide
+        self, told: Deployment, log: structlog.typing.FilteringBoundLogger, decide: Decide = Controller,
+        source: Source | None = None,
+    ) -> None:  # fmt: skip
+        self.told, self.log, self.decide, self.source = told, log, decide, source
+        self.helm: Helm | None = None
+        self.door: Door | None = None
+        self.queue: Queue | None = None
+        self.reads = 0
 
     async def run(
         self,
@@ -44,10 +54,12 @@
         stopping = Stopping(site.drain_within, site.leave_within, longest)
         me = f"front-{site.terms.front}-{clock.now() // 1_000_000:x}"
         async with trio.open_nursery() as nursery:
-            helm = Helm(site, stand.seed, me, clock, nursery, self.log, self.decide)
+            helm = Helm(self.told, stand.seed, me, clock, nursery, self.log, self.decide)
             door = Door(site.bounds)
-            viewers = Viewers(site, helm, door, stopping, clock, self.log)
+            self.helm, self.door = helm, door
+            viewers = Viewers(stand.zone, helm, door, stopping, clock, self.log)
             server = Server(viewers.handle, door, clock.now, self._failed)
+            self.queue = viewers.queue
             nursery.start_soon(helm.run)
             nursery.start_soon(helm.beat)
             nursery.start_soon(helm.look_after)
@@ -64,6 +76,7 @@
             if ready is not None:
                 await ready(port)
             if signals:
+                nursery.start_soon(self._reloads)
                 nursery.start_soon(self._signals, stopping, clock, helm.bell)
             if stop is not None:
                 nursery.start_soon(self._stopped, stop, stopping, clock, helm.bell)
@@ -98,6 +111,38 @@
             elif course is Course.GONE:
                 return
 
+    async def _reloads(self) -> None:
+        """SIGHUP: the front's file is read again."""
+        with trio.open_signal_receiver(signal.SIGHUP) as received:
+            async for _ in received:
+                await self.reload()
+
+    async def reload(self) -> Verdict | None:
+        """Reads and checks the configuration beside the event loop, then offers it; None where there is no source."""
+        if self.source is None or self.helm is None:
+            return None
+        self.reads += 1
+        number, source, known = (
+            self.reads,
+            self.source,
+            {n: p.plan.family for n, p in self.helm.site.plans.items()},
+        )
+        return await self.offer(number, await trio.to_thread.run_sync(source, known))
+
+    async def offer(self, number: int, found: Deployment | list[str]) -> Verdict:
+        """Offers a version that was read as the so-many-th: what it says, or why it is not sound."""
+        assert self.helm is not None
+        helm, door = self.helm, self.door
+        if isinstance(found, list):
+            self.log.warning("configuration broken", errors=len(found), first=found[0] if found else "")
+            return helm.take_version(None)[0]
+        verdict, _ = helm.take_version(Offer(number, found.meaning, found))
+        if verdict is Verdict.TAKEN and door is not None:
+            door.bounds = helm.site.bounds
+            if self.queue is not None:
+                self.queue.bounds = door.bounds
+        return verdict
+
     async def _signals(self, stopping: Stopping, clock: Clock, bell: Bell) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
             async for number in received:
--- a/oakcroft/front/viewers.py
+++ b/oakcroft/front/viewers.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import hashlib
-import hmac
 import secrets
 from collections.abc import AsyncIterator
 from functools import partial
@@ -20,15 +19,17 @@
 from oakcroft.decisions import answers, ladder
 from oakcroft.decisions.answers import REFUSALS, Final, Refusal, Reply
 from oakcroft.decisions.doors import SHORTEST_SETUP, Door, Queue
+from oakcroft.decisions.limits import Over, Party
 from oakcroft.decisions.patience import due, hopeless
 from oakcroft.decisions.repeats import Turn
 from oakcroft.decisions.resource import SDPFRAG, Act, Said
+from oakcroft.decisions.routing import Asked, Route, Side, Why, refuses
 from oakcroft.decisions.stopping import Stopping
 from oakcroft.front.clock import Clock
 from oakcroft.front.helm import Helm
 from oakcroft.front.viewing import Reader, Viewing
 from oakcroft.httpwire.message import Headers, Request, Response
-from oakcroft.settings.deployment import Route, Site
+from oakcroft.config.told import Site, Token
 from oakcroft.signalling import sdp, words
 
 READER_KINDS = ("active", "inactive", "layers")
@@ -58,13 +59,12 @@
 class Viewers:
     """Handles what comes from outside."""
 
-    def __init__(self, site: Site, helm: Helm, door: Door, stopping: Stopping, clock: Clock,
+    def __init__(self, zone: str, helm: Helm, door: Door, stopping: Stopping, clock: Clock,
                  log: structlog.typing.FilteringBoundLogger) -> None:  # fmt: skip
-        self.site, self.helm, self.door, self.stopping = site, helm, door, stopping
+        self.zone, self.helm, self.door, self.stopping = zone, helm, door, stopping
         self.clock, self.log, self.queue = clock, log, Queue(door.bounds)
         self.number = 0
         self.publishing: dict[str, Viewing] = {}
-        self.routes = sorted(site.routes, key=lambda r: -len(r.prefix))
 
     async def handle(self, request: Request) -> Response:
         """The answer to one request, whatever it is."""
@@ -79,16 +79,18 @@
     async def _handle(self, request: Request) -> Response:
         if request.path.startswith("/session/"):
             return await self._session(request)
-        route = next((r for r in self.routes if request.path.startswith(r.prefix)), None)
-        title = unquote(request.path[len(route.prefix) :], errors="replace") if route else ""
-        if route is None or not title or "/" in title or len(title) > MOST_TITLE or not title.isprintable():
+        site = self.helm.site  # the version under which this request is decided, from here to its answer
+        prefix, _, last = request.path.rpartition("/")
+        title = unquote(last, errors="replace")
+        sides = site.table.sides(request.path)
+        if not sides or not title or "/" in title or len(title) > MOST_TITLE or not title.isprintable():
             raise Faulty(404, "urn:oakcroft:problem:no-route", "Nothing is served at this path")
         if request.method == "OPTIONS":
             return self._options(ENDPOINT_METHODS, [("Accept-Post", sdp.MEDIA_TYPE)])
         if request.method != "POST":
             raise self._method(ENDPOINT_METHODS)
-        self._authorise(request)
-        return await self._post(request, route, title)
+        token = self._authorise(request, site)
+        return await self._post(request, site, sides, f"{prefix}/{title}", title, token)
 
     @staticmethod
     def _options(methods: str, more: Headers) -> Response:
@@ -103,23 +105,35 @@
             405, "urn:oakcroft:problem:method", "This method is not for here", headers=[("Allow", allowed)]
         )
 
-    def _authorise(self, request: Request) -> None:
-        """A bearer token (RFC 6750), where the site states any; compared in constant time."""
-        if not self.site.tokens:
-            return
+    @staticmethod
+    def _authorise(request: Request, site: Site) -> Token | None:
+        """The bearer token (RFC 6750) that came, where the site states any. Tokens are found by their digest, so that the
+        time of a look-up tells nothing of them."""
+        if not site.tokens:
+            return None
         scheme, _, given = (request.header("authorization") or "").partition(" ")
-        if not given:
-            challenge = 'Bearer realm="oakcroft"'
-        elif scheme.lower() == "bearer" and any(
-            hmac.compare_digest(given.strip().encode(), token.encode()) for token in self.site.tokens
-        ):
-            return
-        else:
-            challenge = 'Bearer realm="oakcroft", error="invalid_token"'
+        token = site.tokens.get(hashlib.blake2b(given.strip().encode(), digest_size=32).digest())
+        if scheme.lower() == "bearer" and token is not None:
+            return token
+        challenge = 'Bearer realm="oakcroft"' + (', error="invalid_token"' if given else "")
         raise Faulty(401, "urn:oakcroft:problem:token", "A valid bearer token is needed",
                      headers=[("WWW-Authenticate", challenge)])  # fmt: skip
 
-    def _offer(self, request: Request, publishes: bool) -> tuple[str, sdp.Description]:
+    def _route(
+        self, site: Site, sides: set[Side], offer: sdp.Description, path: str, token: Token | None
+    ) -> Route:
+        publishes = any(offer.direction(m) == "sendonly" for m in offer.media)
+        side = next(iter(sides)) if len(sides) == 1 else Side.PUBLISH if publishes else Side.WATCH
+        asked = Asked(side, path, self.zone, token.claims if token else {})
+        route = site.table.find(asked)
+        if route is not None:
+            return route
+        if any(refuses(r.match, asked) is Why.CLAIM for r in site.table.routes.values() if r.match.claims):
+            raise Faulty(403, "urn:oakcroft:problem:claim", "This token does not give access to this title")
+        raise Faulty(404, "urn:oakcroft:problem:no-route", "Nothing is served at this path")
+
+    @staticmethod
+    def _offer(request: Request) -> tuple[str, sdp.Description]:
         if words.media_type(request.header("content-type") or "") != sdp.MEDIA_TYPE:
             raise Faulty(415, "urn:oakcroft:problem:media-type", f"An offer comes as {sdp.MEDIA_TYPE}",
                          headers=[("Accept-Post", sdp.MEDIA_TYPE)])  # fmt: skip
@@ -132,23 +146,32 @@
             raise Faulty(
                 400, "urn:oakcroft:problem:sdp", "The offer is no session description", str(fault)
             ) from None
+        return text, offer
+
+    @staticmethod
+    def _check(offer: sdp.Description, publishes: bool) -> None:
         try:
             sdp.check_offer(offer, publishes)
         except sdp.SdpFault as fault:
             raise Faulty(
                 422, "urn:oakcroft:problem:offer", "The offer cannot be answered", str(fault)
             ) from None
-        return text, offer
 
     # A request for a playback.
 
-    async def _post(self, request: Request, route: Route, title: str) -> Response:
-        text, offer = self._offer(request, route.publishes)
+    async def _post(
+        self, request: Request, site: Site, sides: set[Side], where: str, title: str, token: Token | None
+    ) -> Response:
+        text, offer = self._offer(request)
+        route = self._route(site, sides, offer, where, token)
+        publishes = route.match.side is Side.PUBLISH
+        self._check(offer, publishes)
         given = request.header("idempotency-key")
         key = words.idempotency_key(given) if given is not None else secrets.token_urlsafe(15)
         if key is None:
             raise Faulty(400, "urn:oakcroft:problem:key", "Idempotency-Key holds a quoted string")
-        now, plan = self.clock.now(), route.plan
+        now, plan, who = self.clock.now(), site.plans[route.plan], token.name if token else ""
+        key = f"{who}/{key}" if who else key  # one client's key is no other's
         about = hashlib.blake2b(f"{request.path}\0{text}".encode(), digest_size=16).hexdigest()
         turn, refusal, earlier = self.helm.repeats.turn(key, about, now)
         if turn is Turn.REFUSE and refusal is not None:
@@ -157,26 +180,36 @@
             return self._answer(earlier)
         if not self.stopping.takes_new():
             return self._refused(Refusal.DRAINING)
-        other = self.publishing.get(title) if route.publishes else None
+        other = self.publishing.get(title) if publishes else None
         if other is not None and (other.final is None or other.id in self.helm.sessions):
             raise Faulty(409, "urn:oakcroft:problem:published", "This title is being published already")
         written = self.helm.stillness.written_at(request.read_at, request.idle_before)
-        wait = due(written, plan.abandon, request.all("prefer"), self.site.way_back)
+        wait = due(written, plan.abandon, request.all("prefer"), site.way_back)
         if hopeless(wait, now, SHORTEST_SETUP):
             return self._refused(Refusal.TOO_LATE)
         takes = ladder.bytes_a_second(*sdp.bandwidth(offer))
-        top = ladder.best_rung(self.site.terms.rates, plan.plan.rate_factor, takes)
-        path = route.prefix + request.path[len(route.prefix) :]
-        v = self.helm.viewing(path, title, plan, route.publishes, key, text, sdp.ufrag(offer), top, wait)
+        top = ladder.best_rung(site.terms.rates, plan.plan.rate_factor, takes)
+        top = top if route.top is None else min(top, route.top)
+        v = self.helm.viewing(request.path, title, plan, publishes, key, text, sdp.ufrag(offer), top, wait)
+        if v is None or not self.queue.has_room():
+            return self._refused(Refusal.BUSY)
+        v.token = who
+        if route.pool:
+            pool, racks = site.pools[route.pool], site.terms.racks
+            v.pb.admits = lambda node: pool.admits(node, racks)
+        ticket = self.helm.ledger.ask(Party(who, route.name, route.plan, self.zone), now)
+        if isinstance(ticket, Over):
+            return self._reply(answers.over(ticket))
+        v.ticket = ticket
         self.number += 1
         number = self.number
-        if v is None or not self.queue.enter(number, now):
-            return self._refused(Refusal.BUSY)
+        self.queue.enter(number, now)
         if not self.helm.offer(partial(self.helm.arrived, v)):
             self.queue.leave(number)
+            self.helm.ledger.back(ticket)
             return self._refused(Refusal.BUSY)
         self.helm.repeats.begin(key, about, plan.plan.effect.value == "paid", now)
-        if route.publishes:
+        if publishes:
             self.publishing[title] = v
         self.helm.unanswered += 1
         try:
@@ -196,7 +229,7 @@
                 self.helm.repeats.left(key)
                 self.helm.insist(partial(self.helm.left, v))
                 v.answered.set()
-            if route.publishes and v.final is not Final.PLAYS:
+            if publishes and v.final is not Final.PLAYS:
                 self.publishing.pop(title, None)
             self.helm.bell.ring()
 
@@ -224,7 +257,7 @@
             return self._reply(v.reply or answers.rejected(0))
         here = f"/session/{v.id}"
         headers = [("Content-Type", sdp.MEDIA_TYPE), ("Location", here), ("ETag", f'"{v.resource.tag}"')]
-        headers += [("Link", words.link(server, words.REL_ICE)) for server in self.site.ice]
+        headers += [("Link", words.link(server, words.REL_ICE)) for server in self.helm.site.ice]
         if not v.publishes:
             events = words.link(f"{here}/events", words.REL_EVENTS, events=",".join(READER_KINDS))
             headers += [("Link", events), ("Link", words.link(f"{here}/layer", words.REL_LAYER))]
@@ -245,10 +278,12 @@
             return self._options(methods, [("Accept-Patch", SDPFRAG)] if not part else [])
         if request.method not in methods:
             raise self._method(methods)
-        self._authorise(request)
+        token = self._authorise(request, self.helm.site)
         v = self.helm.sessions.get(name)
         if v is None or v.resource is None or v.upstream is None:
             raise Faulty(404, "urn:oakcroft:problem:no-session", "No such session")
+        if token is not None and v.token and token.name != v.token:
+            raise Faulty(403, "urn:oakcroft:problem:claim", "This session is another client's")
         if part == "layer":
             return await self._layer(request, v)
         if part == "events":
--- a/oakcroft/front/viewing.py
+++ b/oakcroft/front/viewing.py
@@ -7,10 +7,11 @@
 import trio
 
 from oakcroft.decisions.answers import Final, Reply
+from oakcroft.decisions.limits import Ticket
 from oakcroft.decisions.patience import Due
 from oakcroft.decisions.resource import Resource
 from oakcroft.interface import Playback
-from oakcroft.settings.deployment import PlanTerms
+from oakcroft.config.told import PlanTerms
 
 
 @dataclass
@@ -56,6 +57,8 @@
     rung_at_work: bool = False
     ending: bool = False
     readers: list[Reader] = field(default_factory=list)
+    token: str = ""  # the name of the token that it was asked with
+    ticket: Ticket | None = None  # what it holds of the limits
 
     def settle(self, final: Final, reply: Reply | None = None) -> bool:
         """Gives the one final answer; False if there was one before."""
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -84,6 +85,13 @@
     seats: int
     rate_factor: float
     shares_stream: bool
+    family: int = -1  # one number for a plan in all its versions, whose seats count together; -1: it has one
+
+    def __eq__(self, other: object) -> bool:
+        return self is other or (isinstance(other, Plan) and self.family == other.family >= 0)
+
+    def __hash__(self) -> int:
+        return self.family if self.family >= 0 else id(self)
 
 
 @dataclass(frozen=True, eq=False)
@@ -159,6 +167,7 @@
 
     def __init__(self, name: str) -> None:
         self.name, self.zone, self.cell = name, "", 0
+        self.kind, self.tags = "", frozenset[str]()
         self.listing, self.started_at = Listing.GONE, 0
         self.link, self.places = 1.0, 0.0
         self.rack = Rack()
@@ -199,6 +208,7 @@
         self.may_have_run: list[tuple[Node, int]] = []
         self.changed_at = 0
         self.fresh = False  # its next link note tells of now
+        self.admits: Callable[[Node], bool] | None = None  # the nodes that it may go to; none: all holders
 
 
 @dataclass(frozen=True)
--- a/oakcroft/rehearsal/runner.py
+++ b/oakcroft/rehearsal/runner.py
@@ -133,8 +133,8 @@
         kept = self.folder / f"front-{front.number}.list"
         front.file.write_text(
             f"(front (number {front.number}) (seed {self.day.seed * 1000 + front.number})\n"
-            f'  (listen "127.0.0.1" {front.port}) (list-service "127.0.0.1" {self.list_port}) (kept "{kept}")\n'
-            f'  (zone "{self.day.fronts[front.number]}")\n  {self.day.site_text})\n'
+            f'  (listen "127.0.0.1:{front.port}") (list-service "127.0.0.1:{self.list_port}") (kept "{kept}")\n'
+            f'  (zone "{self.day.fronts[front.number]}"))\n{self.day.site_text}\n'
         )
 
     async def _boot(self, front: FrontProcess) -> None:
--- a/oakcroft/rulecheck/rules.py
+++ b/oakcroft/rulecheck/rules.py
@@ -13,7 +13,7 @@
 
 from oakcroft.decisions.evidence import DRAINING_TYPE, FULL_TYPE
 from oakcroft.interface import MS, SECOND, Effect
-from oakcroft.settings.deployment import Site
+from oakcroft.config.told import Site
 
 Fact = dict[str, Any]
 PROOFS = (FULL_TYPE, DRAINING_TYPE)
--- a/oakcroft/settings/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""What a deployment states, read from S-expressions and checked."""
