--- a/oakcroft/cli.py
+++ b/oakcroft/cli.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pickle
+import subprocess
 import sys
 from functools import partial
 from pathlib import Path
@@ -45,6 +47,16 @@
         return [f"{file}: {fault}"]
 
 
+def read_apart(file: Path, families: dict[str, int]) -> Deployment | list[str]:
+    """The same, checked by a process of its own: a large check would take the serving one's turns."""
+    command = [sys.executable, "-m", "oakcroft", "config", "meaning", str(file)]
+    done = subprocess.run(command, capture_output=True, timeout=120, check=False)
+    if done.returncode == 0:
+        return told(pickle.loads(done.stdout), families)
+    said = done.stderr.decode("utf-8", "replace").strip()
+    return [said or f"the check ended with {done.returncode}"]
+
+
 def serve_file(file: Path, decide: Decide = Controller) -> int:
     """Serves by a front's file until a stop signal; the exit code."""
     found = read_anew(file, {})
@@ -58,7 +70,7 @@
 
     log, code = set_up(stand.log, found.site.terms.front), 0
     try:
-        trio.run(Front(found, log, decide, partial(read_anew, file)).run, ready)
+        trio.run(Front(found, log, decide, partial(read_apart, file)).run, ready)
     except* OSError as group:
         code = BROKEN
         for error in group.exceptions:
@@ -182,6 +194,13 @@
         click.echo(line)
 
 
+@config.command("meaning", hidden=True)
+@click.argument("file", type=FILE)
+def config_meaning(file: Path) -> None:
+    """Print what FILE means, for a serving front that reads it again."""
+    sys.stdout.buffer.write(pickle.dumps(sound(file, True)))
+
+
 @config.command("reference")
 def config_reference() -> None:
     """Print the reference page, made from the schemas."""
--- a/oakcroft/config/compile.py
+++ b/oakcroft/config/compile.py
@@ -77,6 +77,8 @@
                     also,
                 )
             mine.setdefault(record.head, record)
+    if problems.unread:
+        return checked
     start = Place(min(problems.texts, default="configuration"), 1, 1)
     for wanted in [forms.FLEET, forms.LADDER, *([forms.FRONT] if front else [])]:
         if checked.one(wanted) is None:
@@ -177,6 +179,7 @@
         record.at(field),
         f"there is no {what} {name}{there}",
         f"write {guess}" if guess else f"add ({what} {name} …)",
+        record.also,
     )
     return False
 
@@ -334,7 +337,7 @@
             known = {"plan": plans, "route": routes, "token": tokens, "wing": wings}[on[0]]
             if on[0] != "wing" or known:
                 _known(record, "on", known, on[0], problems, on[1])
-        if record.get("rate") is None and record.get("at-once") is None:
+        if "rate" not in record.places and "at-once" not in record.places:
             problems.error(
                 record.place,
                 f"limit {name} says neither rate nor at-once",
@@ -557,7 +560,8 @@
 def check_forms(some: Iterable[Form], problems: Problems, front: bool) -> tuple[Meaning | None, Problems]:
     """Checks plain forms."""
     checked = records(some, problems, front)
-    cross_check(checked, problems)
+    if not problems.unread:
+        cross_check(checked, problems)
     return (None if problems.errors else meaning(checked)), problems
 
 
--- a/oakcroft/config/expand.py
+++ b/oakcroft/config/expand.py
@@ -79,6 +79,7 @@
             text = self.open(name)
         except OSError as fault:
             why = fault.strerror or str(fault)
+            self.problems.unread = True
             self.problems.error(
                 at, f"{name} cannot be read: {why}", "correct the path; it counts from the including file"
             )
@@ -133,7 +134,11 @@
         names = [p.text for p in parameters.items if isinstance(p, Atom)]
         body = [p for p in items[3:] if isinstance(p, Form)]
         if len(names) != len(parameters.items) or len(set(names)) != len(names):
-            self.problems.error(parameters.place, "parameters are names, each once", "")
+            self.problems.error(
+                parameters.place,
+                "after its name a definition lists its parameters, each once",
+                "write (plan rate), or () for none",
+            )
             return
         if len(body) != len(items) - 3 or not body:
             self.problems.error(form.place, f"definition {head.text} holds forms (name …), one at least", "")
--- a/oakcroft/config/problems.py
+++ b/oakcroft/config/problems.py
@@ -46,6 +46,7 @@
     texts: dict[str, list[str]] = field(default_factory=dict)
     found: list[Problem] = field(default_factory=list)
     most: int = 1000
+    unread: bool = False  # a part could not be read, so that nothing can be said of what is missing
 
     def error(self, place: Place, what: str, fix: str = "", also: Iterable[str] = ()) -> None:
         """Notes an error."""
@@ -101,7 +102,7 @@
 
 def near(word: str, known: Iterable[str]) -> str:
     """A known word that is meant perhaps, "" where none is close."""
-    found = difflib.get_close_matches(word, sorted(known), 1, 0.6)
+    found = difflib.get_close_matches(word, sorted(known), 1, 0.7)
     return found[0] if found else ""
 
 
--- a/oakcroft/config/schema.py
+++ b/oakcroft/config/schema.py
@@ -32,9 +32,9 @@
 class Bad(Exception):
     """A value that is not of its kind: what is wrong and what to write."""
 
-    def __init__(self, what: str, fix: str = "") -> None:
+    def __init__(self, what: str, fix: str = "", bare: bool = False) -> None:
         super().__init__(what)
-        self.what, self.fix = what, fix
+        self.what, self.fix, self.bare = what, fix, bare  # bare: a figure that lacks its unit
 
 
 @dataclass(frozen=True)
@@ -62,6 +62,7 @@
             raise Bad(
                 f"{atom.raw} has no unit; a {name} is written with one",
                 f"write {match[1]}{_unit(usual[0])}, if so meant",
+                True,
             )
         if unit not in units:
             guess = near(unit, units) or _unit(usual[0])
@@ -123,9 +124,7 @@
     def read(atom: Atom) -> str:
         if atom.text not in words:
             guess = near(atom.text, words)
-            raise Bad(
-                f"{atom.raw} is not a {name}; it is {or_list(words)}", f"write {guess}" if guess else ""
-            )
+            raise Bad(f"{atom.raw} is no {name}; it is {or_list(words)}", f"write {guess}" if guess else "")
         return atom.text
 
     return Kind(name, or_list(words), read)
@@ -176,6 +175,7 @@
     schema: Schema
     place: Place
     head: str = ""
+    also: tuple[str, ...] = ()
     values: dict[str, Any] = field(default_factory=dict)
     places: dict[str, Place] = field(default_factory=dict)
 
@@ -195,7 +195,7 @@
 def read_form(schema: Schema, form: Form, problems: Problems) -> Record:
     """A form by its schema. What is wrong is noted; the record holds what could be read."""
     also = tuple(f"used at {place}" for place in form.used)
-    record, items = Record(schema, form.place), list(form.items[1:])
+    record, items = Record(schema, form.place, also=also), list(form.items[1:])
     if schema.head is not None:
         if items and isinstance(items[0], Atom):
             record.head = _value(schema.head, items.pop(0), problems, also) or ""
@@ -255,35 +255,35 @@
     return f"write {schema.example}" if schema.example else ""
 
 
+SAMPLES = {
+    "time": "1s", "size": "64KiB", "rate": "400kB/s", "pace": "40/s", "whole number": "3", "figure": "1", "share": "20%",
+    "name": "NAME", "text": "TEXT", "path": '"/whep/open/"', "title": "intro", "address": '"127.0.0.1:8080"',
+    "ICE server": '"stun:host:3478"', "secret": '"…"',
+}  # fmt: skip
+
+
 def sample(wanted: Field) -> str:
     """A field as it might be written."""
     if wanted.form is not None:
         return f"({wanted.name} …)"
-    shown = {
-        "time": "1s",
-        "size": "64KiB",
-        "rate": "400kB/s",
-        "pace": "40/s",
-        "whole number": "3",
-        "figure": "1",
-    }
-    value = shown.get(
-        wanted.kind.name,
-        wanted.kind.how.split(",")[0].split(" or ")[0]
-        if wanted.kind.name not in ("name", "text")
-        else "NAME",
-    )
-    return f"({wanted.name} {value})"
-
-
-def _value(kind: Kind, item: Atom | Form, problems: Problems, also: tuple[str, ...]) -> Any:
+    value = SAMPLES.get(wanted.kind.name) or wanted.kind.how.split(",")[0].split(" or ")[0]
+    return f"({wanted.name} {' '.join([value] * max(1, min(wanted.least, 2)))})"
+
+
+def _value(
+    kind: Kind, item: Atom | Form, problems: Problems, also: tuple[str, ...], wanted: Field | None = None
+) -> Any:
     if isinstance(item, Form):
         problems.error(item.place, f"a list stands where a {kind.name} is wanted: {kind.how}", "", also)
         return None
     try:
         return kind.read(item)
     except Bad as bad:
-        problems.error(item.place, bad.what, bad.fix, also)
+        fix = bad.fix
+        if bad.bare and wanted is not None and wanted.usual is not None:
+            meant = slip(wanted, item, wanted.usual[0], wanted.usual[1])
+            fix = f"write {meant}, if so meant" if meant else fix
+        problems.error(item.place, bad.what, fix, also)
         return None
 
 
@@ -310,7 +310,7 @@
         return None
     values = []
     for item in items:
-        value = _value(wanted.kind, item, problems, also)
+        value = _value(wanted.kind, item, problems, also, wanted)
         if value is None:
             return None
         assert isinstance(item, Atom)
@@ -340,7 +340,7 @@
         low, high, think = wanted.usual
         between = f"{say(wanted.kind, low)} to {say(wanted.kind, high)}"
         guess = slip(wanted, atom, low, high)
-        problems.warn(atom.place, f"a {wanted.name} of {atom.raw} is suspicious: usual are {between}; {think}",
+        problems.warn(atom.place, f"{wanted.name} {atom.raw} is suspicious: usual are {between}" + (f"; {think}" if think else ""),
                       f"write {guess}, if that was meant" if guess else "", also)  # fmt: skip
 
 
--- a/oakcroft/config/syntax.py
+++ b/oakcroft/config/syntax.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from functools import cache
@@ -61,9 +62,7 @@
 class _Build(Transformer[Token, list[Part]]):
     """Makes forms while lark parses."""
 
-    def __init__(self, file: str) -> None:
-        super().__init__()
-        self.file = file
+    file = ""
 
     def _place(self, token: Token, length: int) -> Place:
         return Place(self.file, token.line or 1, token.column or 1, length)
@@ -106,25 +105,46 @@
     return Lark((Path(__file__).parent / "grammar.lark").read_text(), parser="lalr")
 
 
+LOCAL = threading.local()
+
+
+def _building() -> tuple[Lark, _Build]:
+    """A parser that makes forms as it goes, one for each thread since it holds the name of the file."""
+    if not hasattr(LOCAL, "pair"):
+        build = _Build()
+        LOCAL.pair = (
+            Lark((Path(__file__).parent / "grammar.lark").read_text(), parser="lalr", transformer=build),
+            build,
+        )
+    pair: tuple[Lark, _Build] = LOCAL.pair
+    return pair
+
+
 def read(text: str, file: str, problems: Problems) -> list[Part]:
     """All parts of a text; none where it is not of the language, which is noted with its place."""
     problems.texts[file] = text.split("\n")
     if len(text) > MOST_BYTES:
+        problems.unread = True
         problems.error(
             Place(file, 1, 1), f"the file is over {MOST_BYTES // 1_000_000} MB", "split it with (include …)"
         )
         return []
     if (deep := _too_deep(text)) is not None:
+        problems.unread = True
         problems.error(
             Place(file, deep[0], deep[1]), f"lists are nested over {MOST_DEPTH} deep here", "flatten them"
         )
         return []
+    parser, build = _building()
+    build.file = file
     try:
-        tree = _lexing().parse(text)
+        parts = parser.parse(text)
     except UnexpectedInput as fault:
+        problems.unread = True
         _explain(text, file, fault, problems)
         return []
-    return _Build(file).transform(tree)
+    assert isinstance(parts, list)
+    return parts
 
 
 def _too_deep(text: str) -> tuple[int, int] | None:
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -134,7 +134,9 @@
         assert self.helm is not None
         helm, door = self.helm, self.door
         if isinstance(found, list):
-            self.log.warning("configuration broken", errors=len(found), first=found[0] if found else "")
+            self.log.warning(
+                "configuration broken", errors=len(found), first=found[0].split("\n")[0] if found else ""
+            )
             return helm.take_version(None)[0]
         verdict, _ = helm.take_version(Offer(number, found.meaning, found))
         if verdict is Verdict.TAKEN and door is not None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -69,6 +69,7 @@
     stop: trio.Event
     front_scope: trio.CancelScope
     site: str
+    front: Front | None = None
 
     def node(self, name: str) -> PlayoutNode:
         return self.fleet.nodes[name]
@@ -129,9 +130,11 @@
         rig.port = number
         up.set()
 
+    rig.front = front = Front(told(found), log)
+
     async def live() -> None:
         with scope:
-            await Front(told(found), log).run(ready, signals=False, stop=stop)
+            await front.run(ready, signals=False, stop=stop)
 
     nursery.start_soon(live)
     rig.stop, rig.front_scope = stop, scope
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,395 @@
+"""The configuration language: what its checker says, that its formatter and diff keep meaning, and its decisions."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oakcroft.cli import main
+from oakcroft.config import reference
+from oakcroft.config.compare import apply, compare, elsewhere, tell, told_move
+from oakcroft.config.compile import Meaning, check, load_meaning, route_of, told
+from oakcroft.config.expand import Folder
+from oakcroft.config.explain import explain
+from oakcroft.config.format import fmt
+from oakcroft.config.problems import Problems, Unsound
+from oakcroft.config.syntax import read
+from oakcroft.decisions.limits import Ledger, Limit, Over, Party, Scope, Ticket, burst_of, share_of
+from oakcroft.decisions.pools import Pool
+from oakcroft.decisions.routing import (
+    Asked,
+    Match,
+    Route,
+    RouteTable,
+    Side,
+    best_rank,
+    clashes,
+    covers,
+    rank,
+    refuses,
+)
+from oakcroft.decisions.versions import InForce, Offer, Verdict, families
+from oakcroft.interface import SECOND, Node
+
+HERE = Path(__file__).parent
+
+
+def sections() -> dict[str, dict[str, str]]:
+    out: dict[str, dict[str, str]] = {}
+    for section in (HERE / "broken.txt").read_text().split("=== ")[1:]:
+        name, _, rest = section.partition("\n")
+        files = [part.partition("\n") for part in rest.split("--- ")[1:]]
+        out[name] = {file: text.removesuffix("\n") for file, _, text in files}
+    return out
+
+
+BROKEN = sections()
+BASE = BROKEN.pop("base")["base.oak"]
+
+
+def opener(files: dict[str, str]):  # type: ignore[no-untyped-def]
+    def open_(name: str) -> str:
+        if name not in files:
+            raise OSError("no such file")
+        return files[name]
+
+    return open_
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_a_broken_file_is_told_with_place_and_fix(name: str) -> None:
+    files = {"base.oak": BASE, **BROKEN[name]}
+    found, problems = check("main.oak", opener(files))
+    assert "\n".join(problems.show(p) for p in problems.sorted()) == files["says"]
+    assert (found is None) == (": error: " in files["says"])
+
+
+def test_there_are_enough_broken_files_and_the_base_is_sound() -> None:
+    assert len(BROKEN) >= 60
+    found, problems = check("base.oak", opener({"base.oak": BASE}))
+    assert found is not None
+    assert not problems.found
+
+
+def meaning(text: str) -> Meaning:
+    found, problems = check("main.oak", opener({"main.oak": text, "base.oak": BASE}))
+    assert found is not None, [problems.show(p) for p in problems.errors]
+    return found
+
+
+# Generated configurations.
+
+TITLES = st.sampled_from(["a", "ab", "abc", "a*", "ab*", "live-*", "live-b", "x y"])
+PACES = st.sampled_from(
+    ["(rate 1/s)", "(rate 60/min)", "(rate 40/s) (burst 9)", "(at-once 50)", "(rate 2/s) (at-once 7)"]
+)
+
+
+@st.composite
+def configurations(draw: st.DrawFn) -> str:
+    quiet = st.sampled_from(["", " ", "\n", "\n\n", "\n ; said\n", "  ; so\n", "\n\n\n  "])
+    forms = ['(include "base.oak")']
+    for i in range(draw(st.integers(0, 3))):
+        target, abandon = draw(st.sampled_from([("1s", "5s"), ("1000ms", "0.1min"), ("800ms", "2s")]))
+        seats = f"(seats {i})" if draw(st.booleans()) else ""
+        forms.append(
+            f"(plan p{i} (effect free) (startup-target {target}) (abandon {abandon}) (revenue {i}) {seats})"
+        )
+    plans = ["course", *(f"p{i}" for i in range(len(forms) - 1))]
+    for i in range(draw(st.integers(0, 3))):
+        titles = " ".join(f'"{t}"' for t in draw(st.lists(TITLES, min_size=1, max_size=3)))
+        wing = draw(st.sampled_from(["", "(wing west)"]))
+        plan = draw(st.sampled_from(plans))
+        forms.append(f'(route r{i} (path "/r{i}/") (titles {titles}) {wing} (plan {plan}))')
+    for i in range(draw(st.integers(0, 2))):
+        on = draw(st.sampled_from(["all", "plan course", "plan *", "wing west"]))
+        forms.append(f"(limit l{i} (on {on}) {draw(PACES)})")
+    if draw(st.booleans()):
+        forms.append(
+            '(pool w (wings west east)(but n1 n2))\n(route pooled (path "/w/") (plan course) (pool w))'
+        )
+    head, rest = forms[0], draw(st.permutations(forms[1:]))
+    out = head
+    for form in rest:
+        spaced = form.replace(") (", f"){draw(quiet) or ' '}(").replace("))", f"){draw(quiet)})")
+        out += (draw(quiet) or "\n") + spaced
+    return out + draw(st.sampled_from(["", "\n", "\n; the end", "\n\n"]))
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(configurations())
+def test_layout_is_a_fixed_point_and_never_changes_meaning(text: str) -> None:
+    once = fmt(text, "main.oak")
+    assert fmt(once, "main.oak") == once
+    assert meaning(once) == meaning(text)
+    assert compare(meaning(text), meaning(once)) == []
+    kept = [line.partition(";")[2].strip() for line in text.split("\n") if ";" in line]
+    assert [line.partition(";")[2].strip() for line in once.split("\n") if ";" in line] == kept
+
+
+@settings(derandomize=True, deadline=None, max_examples=120)
+@given(configurations(), configurations())
+def test_a_diff_is_empty_only_for_equals_and_leads_from_one_to_the_other(one: str, other: str) -> None:
+    a, b = meaning(one), meaning(other)
+    changes = compare(a, b)
+    assert (not changes) == (a == b)
+    assert apply(changes, a) == b
+    assert len(tell(changes)) == len(changes)
+    if not changes:
+        assert elsewhere(a, b) == []
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.text(alphabet='()"; $ab1s%/\n\\{}', max_size=120))
+def test_no_text_crashes_the_reader_the_checker_or_the_formatter(text: str) -> None:
+    problems = Problems()
+    parts = read(text, "f", problems)
+    check("f", opener({"f": text}))
+    if problems.found:
+        with pytest.raises(Unsound):
+            fmt(text, "f")
+    else:
+        once = fmt(text, "f")
+        assert fmt(once, "f") == once
+        assert parts or not once.strip() or once.lstrip().startswith(";")
+
+
+def test_what_is_too_deep_or_leads_out_of_the_folder_is_refused(tmp_path: Path) -> None:
+    _, problems = check("f", opener({"f": "(" * 5000}))
+    assert "nested" in problems.errors[0].what
+    (tmp_path / "in").mkdir()
+    (tmp_path / "secret.oak").write_text("(plan x)")
+    (tmp_path / "in" / "link.oak").symlink_to(tmp_path / "secret.oak")
+    (tmp_path / "in" / "main.oak").write_text(f'(include "link.oak")\n{BASE}')
+    _, problems = check("main.oak", Folder(tmp_path / "in").open)
+    assert "outside" in problems.errors[0].what
+    (tmp_path / "in" / "main.oak").write_bytes(b"\xff")
+    with pytest.raises(Unsound, match="UTF-8"):
+        load_meaning(tmp_path / "in" / "main.oak")
+
+
+def test_order_units_includes_and_definitions_make_no_difference() -> None:
+    plain = meaning(
+        '(include "base.oak")\n(limit a (on plan course) (rate 60/min))\n(limit b (on all) (at-once 9))'
+    )
+    other = meaning('(define l (n p) (limit $n (on plan $p) (rate 1/s)))\n(limit b (at-once 9) (on all))\n(use l a course)\n'
+                    '(include "base.oak")')  # fmt: skip
+    assert compare(plain, other) == []
+
+
+def test_a_diff_speaks_of_meaning_and_shows_requests_that_go_elsewhere() -> None:
+    a = meaning('(include "base.oak")\n(pool w (nodes n1))\n(route w (path "/w/") (plan course) (pool w))\n'
+                "(limit all (on all) (rate 40/s))")  # fmt: skip
+    b = meaning('(include "base.oak")\n(pool w (nodes n1 n2 n3))\n(route w (path "/w/") (plan course) (pool w))\n'
+                '(route live (path "/w/") (titles "live-*") (plan course))\n(limit all (on all) (rate 60/s))')  # fmt: skip
+    said = tell(compare(a, b))
+    assert "~ pool w: nodes now with n2, n3" in said
+    assert "~ limit all: rate from 40/s to 60/s" in said
+    assert any(line.startswith("+ route live added: path /w/") for line in said)
+    moved = [told_move(m) for m in elsewhere(a, b)]
+    assert moved == [
+        "watch /w/live-1 in east: from route w, plan course in pool w to route live, plan course"
+    ]
+    assert any(line.startswith("- route live") for line in tell(compare(b, a)))
+
+
+def test_explain_names_the_route_and_why_others_do_not() -> None:
+    site = told(meaning('(include "base.oak")\n(route vip (path "/whep/course/") (titles "vip-*") (plan course) (top 1))\n'
+                        '(limit each (on plan *) (rate 8/s) (at-once 6))')).site  # fmt: skip
+    lines = explain(site, Asked(Side.WATCH, "/whep/course/a", "west", {}), "", 0)
+    assert "  not route vip: the title is none of its titles" in lines
+    assert "route course takes it" in lines
+    assert "limit each on plan *: 8/s, here 2/s; 6 at once, here 2" in lines
+    assert "no route takes it: 404" in explain(site, Asked(Side.WATCH, "/nope/a", "", {}), "", 0)
+
+
+def test_the_reference_page_is_as_the_schemas_make_it() -> None:
+    assert (HERE.parent / "docs" / "reference.md").read_text() == reference.page()
+    assert reference.complete("", "pl") == ["plan"]
+    assert reference.complete("plan", "s") == ["seats", "shares-stream", "startup-target"]
+    assert reference.complete("tries-budget", "") == ["free", "share", "window"]
+
+
+def test_the_commands(tmp_path: Path) -> None:
+    cli, good, bad = CliRunner(), tmp_path / "good.oak", tmp_path / "bad.oak"
+    good.write_text(BASE)
+    bad.write_text(BASE.replace("(effect paid)", "(effect pade)"))
+    assert cli.invoke(main, ["config", "check", str(good)]).exit_code == 0
+    broken = cli.invoke(main, ["config", "check", "--json", str(bad)])
+    assert broken.exit_code == 2
+    assert '"fix":"write paid"' in broken.output
+    assert cli.invoke(main, ["config", "fmt", "--check", str(good)]).exit_code == 2
+    assert cli.invoke(main, ["config", "fmt", str(good)]).exit_code == 0
+    assert cli.invoke(main, ["config", "fmt", "--check", str(good)]).exit_code == 0
+    assert cli.invoke(main, ["config", "diff", str(good), str(good)]).exit_code == 0
+    assert cli.invoke(main, ["config", "diff", str(good), str(bad)]).exit_code == 2
+    asked = cli.invoke(main, ["config", "explain", str(good), "/whep/course/x"])
+    assert "route course takes it" in asked.output
+    assert cli.invoke(main, ["serve", str(bad)]).exit_code == 2
+
+
+# Routing against a plain model.
+
+MATCHES = st.builds(
+    Match, st.sampled_from(list(Side)), st.sampled_from(["/a/", "/b/"]),
+    st.lists(st.sampled_from(["x", "xy", "x*", "xy*", "z*"]), max_size=2, unique=True).map(tuple),
+    st.sampled_from(["", "west"]), st.sampled_from([(), (("r", "1"),), (("r", "1"), ("s", "2")), (("s", "2"),)]),
+)  # fmt: skip
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(
+    st.lists(MATCHES, max_size=8),
+    st.sampled_from(["x", "xy", "xyz", "z", "q", ""]),
+    st.booleans(),
+    st.booleans(),
+)
+def test_the_table_finds_what_a_walk_over_all_routes_finds(
+    matches: list[Match], title: str, west: bool, claims: bool
+) -> None:
+    routes = [Route(f"r{i}", m, "p") for i, m in enumerate(matches)]
+    asked = Asked(
+        Side.WATCH, "/a/" + title, "west" if west else "", {"r": "1", "s": "2"} if claims else {"r": "1"}
+    )
+
+    def at(route: Route) -> tuple[int, int, int]:
+        fits = [p for p in route.match.titles if covers(p, title)]
+        return max((rank(p, route.match) for p in fits), default=rank(None, route.match))
+
+    taking = [r for r in routes if refuses(r.match, asked) is None]
+    found = RouteTable(routes).find(asked)
+    if not taking:
+        assert found is None
+        return
+    best = max(at(r) for r in taking)
+    assert found is not None
+    assert at(found) == best
+    if sum(at(r) == best for r in taking) > 1:
+        assert clashes(routes)
+    assert best_rank(found) >= best
+
+
+def test_a_lookup_does_not_visit_routes_that_cannot_match() -> None:
+    routes = [Route(f"r{i}", Match(Side.WATCH, f"/p{i % 50}/", (f"t{i}*",)), "p") for i in range(5000)]
+    bucket = RouteTable(routes).buckets[Side.WATCH, "/p7/"]
+    assert [[r.name for r in some] for some in bucket.candidates("t57-x") if some] == [["r57"]]
+    found = RouteTable(routes).find(Asked(Side.WATCH, "/p7/t57-x", "", {}))
+    assert found is not None
+    assert found.name == "r57"
+
+
+def test_pools_admit_by_every_part_that_stands() -> None:
+    node = Node("n1+2")
+    node.zone, node.cell, node.kind, node.tags = "west", 4, "big", frozenset({"gpu", "new"})
+    assert Pool("p", ("west",), (1,), ("big",), ("gpu",), ("n1",)).admits(node, 3)
+    for wrong in (Pool("p", ("east",)), Pool("p", racks=(0,)), Pool("p", kinds=("small",)), Pool("p", tags=("gpu", "old")),
+                  Pool("p", nodes=("n2",)), Pool("p", but=("n1+2",))):  # fmt: skip
+        assert not wrong.admits(node, 3)
+
+
+# Limits.
+
+
+def test_limits_charge_all_or_nothing_in_their_order() -> None:
+    ledger = Ledger()
+    ledger.take_version([
+        Limit("slow", Scope.ALL, "", rate=1.0, burst=2), Limit("each", Scope.PLAN, "*", at_once=1),
+        Limit("tok", Scope.TOKEN, "t", at_once=5),
+    ])  # fmt: skip
+    party = Party("t", "r", "p", "w")
+    first = ledger.ask(party, 0)
+    assert isinstance(first, Ticket)
+    refused = ledger.ask(party, 0)
+    assert refused == Over("each", "1 at once", None)
+    assert ledger.held == {("tok", "t"): 1, ("each", "p"): 1, ("slow", ""): 1}
+    assert isinstance(ledger.ask(Party("t", "r", "q", "w"), 0), Ticket)
+    late = ledger.ask(Party("t", "r", "s", "w"), 0)
+    assert isinstance(late, Over)
+    assert late.back_after == SECOND
+    ledger.back(first)
+    ledger.back(first)
+    assert isinstance(ledger.ask(party, SECOND), Ticket)
+
+
+def test_clocks_that_jump_or_stand_still_give_nothing_away() -> None:
+    ledger, party = Ledger(), Party("", "r", "p", "w")
+    ledger.take_version([Limit("l", Scope.ALL, "", rate=10.0, burst=3)])
+    assert sum(isinstance(ledger.ask(party, 0), Ticket) for _ in range(5)) == 3
+    assert sum(isinstance(ledger.ask(party, 3600 * SECOND), Ticket) for _ in range(50)) == 3
+    assert isinstance(ledger.ask(party, 5), Over)  # the clock went back
+    assert isinstance(ledger.ask(party, 3600 * SECOND), Over)
+
+
+def test_counts_outlive_a_version() -> None:
+    ledger, party = Ledger(), Party("", "r", "p", "w")
+    ledger.take_version([Limit("l", Scope.ALL, "", at_once=3)])
+    tickets = [t for _ in range(3) if isinstance(t := ledger.ask(party, 0), Ticket)]
+    ledger.take_version([Limit("l", Scope.ALL, "", at_once=1)])
+    for ticket in tickets[:2]:
+        ledger.back(ticket)
+        assert isinstance(ledger.ask(party, 1), Over)
+    ledger.back(tickets[2])
+    assert isinstance(ledger.ask(party, 1), Ticket)
+
+
+@given(st.integers(0, 200), st.integers(1, 60))
+def test_the_shares_of_all_fronts_are_the_whole(at_once: int, fronts: int) -> None:
+    whole = Limit("l", Scope.ALL, "", rate=30.0, burst=60.0, at_once=at_once)
+    shares = [share_of(whole, i, fronts) for i in range(fronts)]
+    assert sum(s.at_once or 0 for s in shares) == at_once
+    assert abs(sum(s.rate or 0 for s in shares) - 30.0) < 1e-6
+
+
+@settings(derandomize=True, deadline=None, max_examples=120)
+@given(st.lists(st.tuples(st.integers(0, 2 * SECOND), st.sampled_from("pq"), st.booleans()), max_size=60))
+def test_no_window_ever_passes_more_than_burst_and_rate(steps: list[tuple[int, str, bool]]) -> None:
+    limits = [
+        Limit("all", Scope.ALL, "", rate=2.0, burst=4.0),
+        Limit("each", Scope.PLAN, "*", rate=1.0, at_once=3),
+    ]
+    ledger, now, passed, out = Ledger(), 0, list[tuple[int, str]](), list[tuple[str, Ticket]]()
+    ledger.take_version(limits)
+    for wait, plan, ends in steps:
+        now += wait
+        if ends and out:
+            ledger.back(out.pop(0)[1])
+        answer = ledger.ask(Party("", "", plan, ""), now)
+        if isinstance(answer, Ticket):
+            passed.append((now, plan))
+            out.append((plan, answer))
+        assert sum(p == plan for p, _ in out) <= 3
+    for i, (start, _) in enumerate(passed):
+        for j in range(i, len(passed)):
+            span = (passed[j][0] - start) / SECOND
+            assert j - i + 1 <= burst_of(limits[0]) + 2.0 * span + 1e-6
+
+
+# Versions.
+
+
+def test_versions_are_taken_whole_in_the_order_of_their_reading() -> None:
+    a, b, c = ({"plan": {"p": i}, "ladder": {"": 1}} for i in range(3))
+    force = InForce(Offer(0, a, "a"))
+    assert force.consider(None) == (Verdict.BROKEN, [])
+    assert force.consider(Offer(2, c, "c")) == (Verdict.TAKEN, [])
+    assert force.consider(Offer(1, b, "b")) == (Verdict.OLDER, [])
+    assert force.consider(Offer(3, c, "again")) == (Verdict.SAME, [])
+    assert force.offer.compiled == "c"
+    assert force.consider(Offer(4, {**c, "ladder": {"": 2}}, "d")) == (Verdict.RESTART, ["ladder"])
+    assert families({"x": 0}, ["y", "x"]) == {"x": 0, "y": 1}
+
+
+def test_seats_count_over_versions_of_a_plan() -> None:
+    one = told(meaning('(include "base.oak")')).site.plans["course"].plan
+    two = (
+        told(meaning('(include "base.oak")\n(limit l (on all) (rate 1/s))'), {"course": one.family})
+        .site.plans["course"]
+        .plan
+    )
+    assert one is not two
+    assert {one: 3}[two] == 3
+    assert route_of("r", meaning(BASE)["route"]["course"]).plan == "course"
