--- a/oakcroft/decisions/claims.py
+++ b/oakcroft/decisions/claims.py
@@ -85,6 +85,10 @@
         for session in self.unclaimed:
             self.unclaimed[session] += for_ns
 
+    def presumed(self) -> list[str]:
+        """The node is silent for too long: the sessions claimed there, which stay so until their end is known."""
+        return list(self.mine)
+
     def all_lost(self) -> list[str]:
         """The node is lost: every claimed session, which it forgets."""
         lost, self.mine = list(self.mine), {}
--- a/oakcroft/decisions/lifeline.py
+++ b/oakcroft/decisions/lifeline.py
@@ -29,6 +29,13 @@
     GONE = "the node knows no session of this front"
 
 
+class Loss(Enum):
+    """How surely a node's playbacks are lost."""
+
+    PROVEN = "its process is gone"
+    PRESUMED = "it has been silent for too long"
+
+
 @dataclass(frozen=True)
 class Patience:
     """How long without a beat counts as silent, and how long a break or silence may last, all in ns."""
@@ -42,10 +49,11 @@
 
     Guards against playbacks that are kept as playing on a node that died, which would hold places, and against
     ending them all for a stream that broke while the node played on. A process that names itself anew has
-    lost them for certain; so has one that refuses two connections in a row, since nothing listens there. A reset
-    may be the stream alone, so it is opened again first; silence is given `lost_after`, as set-ups to a silent
-    node are stopped by the module's distrust much sooner. Harm: viewers of a node cut off for longer are told
-    that their playback ended though the node would have played on.
+    lost them for certain; so has one that refuses two connections in a row, since nothing listens there, or that says
+    it knows nothing. A reset may be the stream alone, so it is opened again first. Silence is given `lost_after`, as
+    set-ups to a silent node are stopped by the module's distrust much sooner; a loss by silence is presumed only, so
+    that the node may play on: its seats stay taken until it has confirmed the end or had time for it. Harm: viewers
+    of a node cut off for longer are told that their playback ended though the node would have played on.
     """
 
     def __init__(self, patience: Patience, now: int) -> None:
@@ -57,39 +65,46 @@
         changed, self.state = self.state is not state, state
         return changed
 
-    def opened(self, process: str, now: int) -> bool:
-        """The stream stands and names the node's process. True when that is another than before: all
-        playbacks of the former are lost."""
+    def wanted(self, now: int) -> None:
+        """A stream is wanted from now on: silence counts from here, not from when the node was first listed."""
+        if self.state in (Life.UNTRIED, Life.LOST):
+            self._change(Life.UNTRIED)
+            self.last_heard, self.broken_at, self.refusals = now, 0, 0
+
+    def opened(self, process: str, now: int) -> Loss | None:
+        """The stream stands and names the node's process. A loss when that is another than before."""
         another = bool(self.process) and process != self.process
         self.process, self.last_heard, self.broken_at, self.refusals = process, now, 0, 0
         self._change(Life.HEARD)
-        return another
+        return Loss.PROVEN if another else None
 
     def beat(self, now: int) -> None:
         """Anything came on the stream."""
         self.last_heard, self.broken_at = now, 0
         self._change(Life.HEARD)
 
-    def broke(self, why: Break, now: int) -> bool:
-        """The stream ended or could not be opened. True when the node's playbacks count as lost from now."""
+    def broke(self, why: Break, now: int) -> Loss | None:
+        """The stream ended or could not be opened; the loss of the node's playbacks, if it comes to that now."""
         if self.state is Life.LOST:
-            return False
+            return None
         self.broken_at = self.broken_at or now
         self.refusals = self.refusals + 1 if why is Break.REFUSED else 0
         if why is Break.GONE or self.refusals >= 2:
-            return self._lose()
+            return self._lose(Loss.PROVEN)
         self._change(Life.SILENT)
         return self.look(now)
 
-    def look(self, now: int) -> bool:
-        """To be called now and then. True when the playbacks count as lost from now."""
+    def look(self, now: int) -> Loss | None:
+        """To be called now and then; the loss of the node's playbacks, if it comes to that now."""
         if self.state is Life.LOST:
-            return False
+            return None
         if now - self.last_heard > self.patience.silent_after:
             self._change(Life.SILENT)
         since = self.broken_at or self.last_heard
-        return now - since > self.patience.lost_after and self._lose()
+        return self._lose(Loss.PRESUMED) if now - since > self.patience.lost_after else None
 
-    def _lose(self) -> bool:
-        self.process, self.refusals = "", 0
-        return self._change(Life.LOST)
+    def _lose(self, how: Loss) -> Loss | None:
+        if how is Loss.PROVEN:
+            self.process = ""
+        self.refusals = 0
+        return how if self._change(Life.LOST) else None
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -19,7 +19,7 @@
 from oakcroft.choice import Controller, digest
 from oakcroft.decisions import answers
 from oakcroft.decisions.answers import Final
-from oakcroft.decisions.lifeline import Patience
+from oakcroft.decisions.lifeline import Loss, Patience
 from oakcroft.decisions.limits import Ledger
 from oakcroft.decisions.patience import BEAT, Due, Stillness
 from oakcroft.decisions.repeats import Repeats
@@ -174,8 +174,8 @@
             await trio.sleep(0.5)
             now = self.clock.now()
             for leg in list(self.legs.values()):
-                if leg.watched and leg.lifeline.look(now):
-                    await self.tell(partial(self._node_lost, leg, "silent for too long"))
+                if leg.watched and (loss := leg.lifeline.look(now)) is not None:
+                    await self.tell(partial(self._node_lost, leg, loss, "silent for too long"))
                 for session in leg.claims.orphans(now):
                     self.log_.info("orphan ended", node=leg.name)
                     self.nursery.start_soon(leg.farewell, session)
@@ -220,7 +220,7 @@
     def _new_leg(self, line: Line) -> None:
         old = self.legs.get(line.name)
         if old is not None:
-            self._node_lost(old, "it has another address")
+            self._node_lost(old, Loss.PROVEN, "it has another address")
         patience = Patience(self.site.silent_after, self.site.lost_after)
         claim_within = self.longest_abandon + LONGEST_TRY_GRACE
         self.legs[line.name] = NodeLeg(
@@ -362,6 +362,8 @@
         if end.upstream.events and leg.events != end.upstream.events:
             leg.events = end.upstream.events
         if leg.events:
+            if not leg.wake.is_set():
+                leg.lifeline.wanted(now)
             leg.wake.set()
             if not leg.watched:
                 leg.watched = True
@@ -414,15 +416,26 @@
                 if told.uplink is not None and sound(told.uplink):
                     self.controller.noted(pb, Note.UPLINK_ASKED, told.uplink, now)
 
-    async def _lost(self, leg: NodeLeg, why: str) -> None:
-        await self.tell(partial(self._node_lost, leg, why))
+    async def _lost(self, leg: NodeLeg, loss: Loss, why: str) -> None:
+        await self.tell(partial(self._node_lost, leg, loss, why))
 
-    def _node_lost(self, leg: NodeLeg, why: str) -> None:
-        lost = leg.claims.all_lost()
+    def _node_lost(self, leg: NodeLeg, loss: Loss, why: str) -> None:
+        """Ends what played on a node. Where its loss is only presumed, the module hears that nothing is delivered
+        there, the viewers are told, and seats stay taken until the node confirms the end or has had its time."""
+        proven = loss is Loss.PROVEN
+        lost = leg.claims.all_lost() if proven else leg.claims.presumed()
         if lost:
-            self.log_.warning("node lost", node=leg.name, why=why, playbacks=len(lost))
+            self.log_.warning("node lost", node=leg.name, why=why, how=loss.value, playbacks=len(lost))
         for session in lost:
-            self._session_over(leg, session, Outcome.RESET)
+            v = self.upstreams.get((leg.name, session))
+            if v is None:
+                continue
+            if proven:
+                self._over(v, Outcome.RESET)
+                continue
+            self.controller.noted(v.pb, Note.DELIVERED, 0.0, self.clock.now())
+            self._hide(v, Outcome.RESET)
+            self.end(v)
 
     def _session_over(self, leg: NodeLeg, session: str, how: Outcome) -> None:
         if v := self.upstreams.get((leg.name, session)):
@@ -435,9 +448,19 @@
         now = self.clock.now()
         self.controller.tried(v.pb, how, True, None, None, None, now)
         self.repeats.ended(v.key, now)
-        self._publish(v, "inactive", {"why": how.value})
+        self._hide(v, how)
         self._forget(v)
 
+    def _hide(self, v: Viewing, how: Outcome) -> None:
+        """The viewer's session ends, whatever the node still holds."""
+        self._publish(v, "inactive", {"why": how.value})
+        if v.resource is not None:
+            v.resource.ended()
+        self.sessions.pop(v.id, None)
+        for reader in v.readers:
+            reader.send.close()
+        v.readers.clear()
+
     def unsent(self, v: Viewing) -> None:
         """The viewer's connection broke under its answer, so nobody holds the session's name."""
         self.insist(partial(self.end, v))
@@ -483,12 +506,6 @@
             self.bell.ring()
         if v.upstream is not None:
             self.upstreams.pop((v.upstream.node, v.upstream.resource), None)
-        if v.resource is not None:
-            v.resource.ended()
-        self.sessions.pop(v.id, None)
-        for reader in v.readers:
-            reader.send.close()
-        v.readers.clear()
 
 
 def stated(site: Site) -> dict[str, tuple[int, int]]:
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -21,7 +21,7 @@
 from oakcroft.decisions.again import EVENTS, FAREWELL, RUNG, Again
 from oakcroft.decisions.claims import Claims
 from oakcroft.decisions.evidence import End, Trail, outcome
-from oakcroft.decisions.lifeline import Break, Life, Lifeline, Patience
+from oakcroft.decisions.lifeline import Break, Life, Lifeline, Loss, Patience
 from oakcroft.decisions.resource import SDPFRAG
 from oakcroft.front.clock import Clock
 from oakcroft.front.viewing import Upstream, Viewing
@@ -59,6 +59,7 @@
 
 
 Hear = Callable[[str, Told], Awaitable[None]]
+Lost = Callable[[Loss, str], Awaitable[None]]
 
 
 class NodeLeg:
@@ -130,7 +131,7 @@
         return parts.path + (f"?{parts.query}" if parts.query else "")
 
     async def _errand(
-        self, again: Again, method: str, target: str, headers: Headers, body: bytes
+        self, again: Again, method: str, target: str, headers: Headers, body: bytes, insists: bool = False
     ) -> Response | None:
         """A call that may be repeated until it is answered; None when it was given up."""
         while True:
@@ -141,7 +142,7 @@
                     return response
             except (Ended, trio.TooSlowError):
                 pass
-            if self.lifeline.state is Life.LOST:
+            if self.lifeline.state is Life.LOST and not insists:
                 return None
             wait = again.failed(self.clock.now())
             if wait is None:
@@ -151,7 +152,7 @@
     async def farewell(self, resource: str) -> bool:
         """Ends a session; whether the node has confirmed it."""
         again = Again(FAREWELL, self.rng, self.clock.now())
-        response = await self._errand(again, "DELETE", resource, [], b"")
+        response = await self._errand(again, "DELETE", resource, [], b"", insists=True)
         return response is not None
 
     async def set_rung(self, upstream: Upstream, rung: int) -> bool:
@@ -173,19 +174,21 @@
         except (Ended, trio.TooSlowError):
             return None
 
-    async def watch(self, hear: Hear, lost: Callable[[str], Awaitable[None]]) -> None:
+    async def watch(self, hear: Hear, lost: Lost) -> None:
         """Keeps the event stream open for as long as the front runs; tells what comes and when the node is lost."""
         again = Again(EVENTS, self.rng, self.clock.now())
         while True:
             await self.wake.wait()
             why = await self._listen(hear, lost, again)
-            if why is Break.GONE or self.lifeline.broke(why, self.clock.now()):
-                await lost(why.value)
+            loss = self.lifeline.broke(why, self.clock.now())
+            if loss is not None:
+                await lost(loss, why.value)
+            if self.lifeline.state is Life.LOST:
                 self.wake = trio.Event()  # the next set-up that works wakes it
                 continue
             await trio.sleep((again.failed(self.clock.now()) or 0) / 1e9)
 
-    async def _listen(self, hear: Hear, lost: Callable[[str], Awaitable[None]], again: Again) -> Break:
+    async def _listen(self, hear: Hear, lost: Lost, again: Again) -> Break:
         reader, headers = words.EventReader(), self._headers(Accept=words.EVENTS)
         try:
             with trio.CancelScope() as silence:
@@ -202,8 +205,9 @@
                             if name == "hello":
                                 again.worked(self.clock.now())
                                 told = msgspec.json.decode(data, type=Told)
-                                if self.lifeline.opened(told.process, self.clock.now()):
-                                    await lost("the process is another")
+                                loss = self.lifeline.opened(told.process, self.clock.now())
+                                if loss is not None:
+                                    await lost(loss, "the process is another")
                                 await hear(name, told)
                             elif name in NOTES:
                                 await hear(name, msgspec.json.decode(data, type=Told))
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -32,7 +32,8 @@
   (plan course (effect paid) (startup-target 400ms) (abandon 1200ms) (revenue 2))
   (plan open (effect free) (startup-target 400ms) (abandon 1500ms) (revenue 1) (floor 0))
   (route course (path "/whep/course/") (plan course)) (route open (path "/whep/open/") (plan open))
-  (route studio (path "/whip/open/") (plan open) (for publish))
+  (plan seats (effect free) (startup-target 400ms) (abandon 1500ms) (revenue 1) (seats 2))
+  (route seats (path "/whep/seats/") (plan seats)) (route studio (path "/whip/open/") (plan open) (for publish))
   (nodes (silent-after 1200ms) (lost-after 2500ms)) (stopping (drain-within 1s) (leave-within 1s))
   (signalling (ice-servers "stun:127.0.0.1:3478")) EXTRA"""
 DAY = """(day (length 60s) (fronts west) (late 10ms 20ms) (setup 2ms 4ms) (site SITE)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -24,7 +24,7 @@
 )
 from oakcroft.decisions.doors import status_when_slow, time_allowed
 from oakcroft.decisions.evidence import FULL_TYPE, End, Stage, Trail, leaves_session, never_ran, outcome
-from oakcroft.decisions.lifeline import Break, Life, Lifeline, Patience
+from oakcroft.decisions.lifeline import Break, Life, Lifeline, Loss, Patience
 from oakcroft.decisions.patience import BEAT, Stillness
 from oakcroft.decisions.repeats import Repeats, Turn
 from oakcroft.decisions.resource import SDPFRAG, Act, Phase as Standing, Resource, Said
@@ -312,23 +312,34 @@
 def test_a_node_is_lost_when_it_names_itself_anew_refuses_twice_or_stays_silent() -> None:
     patience_ = Patience(SECOND, 4 * SECOND)
     life = Lifeline(patience_, 0)
-    assert not life.opened("p1", 0)
-    assert not life.broke(Break.RESET, SECOND)
-    assert not life.opened("p1", 2 * SECOND)  # the stream alone had broken
-    assert life.opened("p2", 3 * SECOND)
-    assert not life.broke(Break.REFUSED, 4 * SECOND)
-    assert life.broke(Break.REFUSED, 4 * SECOND)
+    life.wanted(0)
+    assert life.opened("p1", 0) is None
+    assert life.broke(Break.RESET, SECOND) is None
+    assert life.opened("p1", 2 * SECOND) is None  # the stream alone had broken
+    assert life.opened("p2", 3 * SECOND) is Loss.PROVEN
+    assert life.broke(Break.REFUSED, 4 * SECOND) is None
+    assert life.broke(Break.REFUSED, 4 * SECOND) is Loss.PROVEN
     assert life.state is Life.LOST
-    assert not life.broke(Break.REFUSED, 5 * SECOND)
+    assert life.broke(Break.REFUSED, 5 * SECOND) is None
     silent = Lifeline(patience_, 0)
     silent.opened("p", 0)
-    assert not silent.look(3 * SECOND)
+    assert silent.look(3 * SECOND) is None
     assert silent.state is Life.SILENT
-    assert silent.look(5 * SECOND)
-    assert not silent.look(6 * SECOND)
+    assert silent.look(5 * SECOND) is Loss.PRESUMED
+    assert silent.look(6 * SECOND) is None
+    assert silent.opened("q", 7 * SECOND) is Loss.PROVEN  # it had died while it was silent
     gone = Lifeline(patience_, 0)
     gone.opened("p", 0)
-    assert gone.broke(Break.GONE, 1)
+    assert gone.broke(Break.GONE, 1) is Loss.PROVEN
+
+
+def test_silence_counts_from_when_a_stream_is_wanted() -> None:
+    life = Lifeline(Patience(SECOND, 4 * SECOND), 0)
+    life.wanted(60 * SECOND)  # listed long ago, first set-up now
+    assert life.look(61 * SECOND) is None
+    assert life.look(65 * SECOND) is Loss.PRESUMED
+    life.wanted(70 * SECOND)
+    assert life.look(71 * SECOND) is None
 
 
 def test_sessions_nobody_claims_are_ended_and_ends_unheard_are_found() -> None:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -321,3 +321,38 @@
             assert codes == [b"-", b"400", b"408", b"408", b"431"]
 
     run(test)
+
+
+def test_seats_of_a_silent_node_stay_taken_until_it_confirms_the_end(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            sat = [await rig.watch("/whep/seats/t") for _ in range(2)]
+            assert [s.status for s in sat] == [201, 201]
+            await until(lambda: all(n.ears for n in rig.playing()))
+            for node in rig.fleet.nodes.values():
+                node.ails.silent = True
+                node.stir()
+            await until(lambda: any(e["event"] == "node lost" for e in rig.logged()), 8)
+            here = sat[0].header("location") or ""
+            await until(
+                lambda: rig.front is not None and rig.front.helm is not None and not rig.front.helm.sessions
+            )
+            assert (await rig.ask("DELETE", here)).status == 404  # its viewer was told that it ended
+            for node in rig.fleet.nodes.values():
+                node.ails.silent = False
+            assert (await rig.watch("/whep/seats/t")).status == 503  # both may play on there
+            for node in rig.fleet.nodes.values():
+                node.stir()
+            await until(lambda: not rig.playing(), 10)
+            helm = rig.front.helm if rig.front else None
+            assert helm is not None
+            await until(lambda: not helm.viewings)
+            assert (await rig.watch("/whep/seats/t")).status in (201, 503)
+            count = 0
+            for _, step in sorted(
+                [(f["t"], 1) for f in rig.facts("ran")] + [(f["t"], -1) for f in rig.facts("over")]
+            ):
+                count += step
+                assert count <= 2
+
+    run(test, 40)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -42,7 +42,7 @@
     return (
         [problems.show(p) for p in problems.errors]
         if found is None
-        else told(found, {"course": 0, "open": 1})
+        else told(found, {"course": 0, "open": 1, "seats": 2})
     )
 
 
