Move playbacks off draining and fading nodes while they play, made before they are broken

Viewers of long lessons stalled when their node drained. The copy goes through the module: in choice.py it counts as a further try. Stand-ins send RTP, players measure gaps from packets alone.

Tests on sockets found that refused connections were never told as such, so that dead nodes counted as silent for seconds.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -352,8 +352,11 @@
 
     def arrived(self, pb: Playback, now: int) -> None:
         """A request is refused in the band, or placed."""
-        if self.terms.tries_free is not None:
-            self.taken.append(now)
+        if pb.beside is not None and not self._may_try_again(pb, now):
+            self._give_up(pb, now)
+            return
+        if self.terms.tries_free is not None:  # a copy is a further try of its playback
+            (self.taken if pb.beside is None else self.further).append(now)
         self.asked.add(1.0, now, self.terms.fall_window)
         if not pb.moved and self.rng.random() < refusal_probability(self.x, self.t2):
             self._give_up(pb, now)
--- a/oakcroft/config/compile.py
+++ b/oakcroft/config/compile.py
@@ -537,7 +537,7 @@
         terms, plans, RouteTable(route_of(n, r) for n, r in m["route"].items()),
         {n: pool_of(n, p) for n, p in m["pool"].items()}, tuple(limit_of(n, x) for n, x in m["limit"].items()), tokens,
         {n: Holding(t["home"], t["copies"]) for n, t in m["title"].items()}, fleet["copies"],
-        tuple(signalling["ice-servers"]), replace(Bounds(), **door), signalling["way-back"], fleet["drain-grace"],
+        tuple(signalling["ice-servers"]), replace(Bounds(), **door), signalling["way-back"], fleet["drain-grace"], fleet["usual-notice"],
         m["stopping"]["drain-within"], m["stopping"]["leave-within"], nodes["silent-after"], nodes["lost-after"],
         nodes["connect-within"], signalling["keep-keys"],
     )  # fmt: skip
--- a/oakcroft/config/forms.py
+++ b/oakcroft/config/forms.py
@@ -113,6 +113,7 @@
         Field("fall-multiple", "times its present pace that pushes a cold node over", NUMBER, 2.5, at_least=1),
         Field("fall-window", "over so long", TIMES, SECOND, at_least=1, usual=(100 * MS, 60 * SECOND, "the rule counts seconds")),
         Field("drain-grace", "rule 3: nothing new to a draining node later than this", TIMES, SECOND, usual=(0, 60 * SECOND, "")),
+        Field("usual-notice", "how long a draining node stays, until drains have taught it", TIMES, 3 * SECOND, usual=(200 * MS, 3600 * SECOND, "")),
         Field("tries-budget", BUDGET.doc, form=BUDGET),
     ),
 )  # fmt: skip
--- a/oakcroft/config/told.py
+++ b/oakcroft/config/told.py
@@ -52,6 +52,7 @@
     bounds: Bounds
     way_back: int  # margin of the answer's way back, ns
     drain_grace: int
+    usual_notice: int
     drain_within: int
     leave_within: int
     silent_after: int
--- /dev/null
+++ b/oakcroft/decisions/may_move.py
@@ -0,0 +1,64 @@
+"""Which playbacks may move at all, and how, from the six rules alone.
+
+A move is a second set-up of a playback that plays.
+
+- Paid (rule 2): the first set-up has run, so a second one would be paid twice. Never, whatever happens to its node.
+- Keyed (rule 2): only while the node's group still recognises the key, counted from the first set-up, and only to
+  nodes of that group; later a second set-up has an effect of its own.
+- Free: always.
+- Seats (rule 5): a playback and its copy are two. Where a seat is left, the copy is made first. At the limit the move
+  waits for a seat, and breaks before it makes only when the notice runs out, since a short gap is better than an end.
+- Tries (rule 6): the copy's set-up is a further try of its playback and is charged to that budget.
+- Players: one that has not said that it can be moved cannot be; it stays and finishes where it is.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from oakcroft.interface import Effect, Group, Node, Plan
+
+
+class Way(Enum):
+    """How a playback may move now."""
+
+    MAKE_FIRST = "make before break"
+    BREAK_FIRST = "break before make"
+    WAIT = "wait for a seat"
+    STAY = "stay"
+
+
+class Reason(Enum):
+    """Why a playback stays."""
+
+    PAID = "it is paid at set-up"
+    KEY = "its key is no longer recognised"
+    PLAYER = "its player cannot be moved"
+
+
+def stays(plan: Plan, set_up_at: int, now: int, longest_setup: int, movable: bool) -> Reason | None:
+    """Why a playback must stay where it is; None where it may move. A keyed one must be set up again, at the
+    latest, before its key lapses."""
+    if plan.effect is Effect.PAID:
+        return Reason.PAID
+    if plan.effect is Effect.KEYED and now + longest_setup - set_up_at >= plan.key_lasts:
+        return Reason.KEY
+    return None if movable else Reason.PLAYER
+
+
+def way(plan: Plan, seats_taken: int, notice_left: int, reserve: int) -> Way:
+    """How a playback that may move does it now. `seats_taken`: of its title and plan, its own included; `reserve`:
+    the time that a break and a new set-up need."""
+    if not plan.seats or seats_taken < plan.seats:
+        return Way.MAKE_FIRST
+    return Way.WAIT if notice_left > reserve else Way.BREAK_FIRST
+
+
+def allowed(plan: Plan, source: Node, node: Node) -> bool:
+    """Whether a node may be the target as far as the key goes; the module decides the rest."""
+    if node is source:
+        return False
+    if plan.effect is not Effect.KEYED:
+        return plan.effect is Effect.FREE
+    same = {Group.ALL: True, Group.ZONE: node.zone == source.zone, Group.CELL: node.cell == source.cell}
+    return same[plan.group]
--- a/oakcroft/decisions/roster.py
+++ b/oakcroft/decisions/roster.py
@@ -28,6 +28,7 @@
     places: float
     kind: str = ""
     tags: tuple[str, ...] = ()
+    drains_until: int | None = None  # told only of some draining nodes
 
 
 @dataclass(frozen=True)
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -19,6 +19,7 @@
 from oakcroft.choice import Controller, digest
 from oakcroft.decisions import answers
 from oakcroft.decisions.answers import Final
+from oakcroft.decisions.handover import Happening
 from oakcroft.decisions.lifeline import Loss, Patience
 from oakcroft.decisions.limits import Ledger
 from oakcroft.decisions.patience import BEAT, Due, Stillness
@@ -28,6 +29,7 @@
 from oakcroft.decisions.titles import Shelf
 from oakcroft.decisions.versions import InForce, Offer, Verdict
 from oakcroft.front.clock import Clock
+from oakcroft.front.moves import Moves
 from oakcroft.front.nodeleg import LONGEST_TRY_GRACE, NodeLeg, Told, TryEnd, sound
 from oakcroft.front.viewing import Viewing
 from oakcroft.interface import Entry, Host, ListKind, Node, Note, Outcome, Playback, State, Terms
@@ -108,6 +110,7 @@
         self.unanswered = self.playing = self.farewells = 0
         self.bell = Bell()
         self.longest_abandon = max(p.abandon for p in site.plans.values())
+        self.moves = Moves(self, Random(seed + 3), site.usual_notice, log)
         self.controller = decide(site.terms, seed, self, clock.now())
 
     @property
@@ -212,6 +215,7 @@
             if leg is None or leg.address != (line.address, line.port):
                 self._new_leg(line)
         self.controller.listed(kind, entries, now)
+        self.moves.listed(entries, {x.name: x.drains_until for x in self.roster.lines.values()}, now)
         changes = ", ".join(f"{e.node.name} {e.listing.value}" for e in entries[:6])
         self.log_.info("list", kind=kind.value, version=version, nodes=len(self.roster.lines), changes=changes,
                        changed=len(entries))  # fmt: skip
@@ -259,12 +263,32 @@
 
     def end(self, v: Viewing) -> None:
         """A playing session is ended by its viewer or by this front."""
+        self.moves.viewer_left(v)
         if v.ending or v.pb not in self.viewings or v.pb.state is not State.PLAYING:
             return
         v.ending = True
         self.controller.left(v.pb, self.clock.now())
         self._say_farewell(v)
 
+    def end_beside(self, other: Viewing) -> None:
+        """The copy of a move is not wanted any more, whether it plays or its set-up is out."""
+        if other.pb.state is State.PLAYING:
+            self.end(other)
+        else:
+            self.left(other)
+
+    def break_off(self, v: Viewing) -> None:
+        """A move that can only break before it makes: the viewer is told, and comes again."""
+        self.hide(v)
+        self.end(v)
+
+    def rebind(self, v: Viewing) -> None:
+        """A viewing has another playback and another upstream than before."""
+        if v.pb in self.viewings:
+            self.viewings[v.pb] = v
+        if v.upstream is not None and (v.upstream.node, v.upstream.resource) in self.upstreams:
+            self.upstreams[v.upstream.node, v.upstream.resource] = v
+
     def _say_farewell(self, v: Viewing) -> None:
         self.farewells += 1
         self.nursery.start_soon(self._farewell, v)
@@ -291,6 +315,8 @@
     # What the module asks for.
 
     def send(self, pb: Playback, node: Node, abandon_at: int) -> None:
+        if self.viewings[pb].beside is not None:
+            self.moves.chosen(self.viewings[pb], node.name)
         self.nursery.start_soon(self._try, self.viewings[pb], node.name, pb.rung, abandon_at)
 
     def reject(self, pb: Playback, stay_away: int) -> None:
@@ -336,7 +362,7 @@
                 leg = self.legs.get(v.upstream.node)
                 if leg is None or not await leg.set_rung(v.upstream, rung):
                     return  # the node's own note tells which is in force
-                self._publish(v, "layers", {"encodingId": str(rung)})
+                self.publish(v, "layers", {"encodingId": str(rung)})
         finally:
             v.rung_at_work = False
 
@@ -382,9 +408,14 @@
             self.controller.noted(pb, Note.LINK_ASKED, end.load.asked, now)
         if end.load.uplink is not None:
             self.controller.noted(pb, Note.UPLINK_ASKED, end.load.uplink, now)
-        v.resource = Resource(end.upstream.tag, v.ufrag)
-        self.sessions[v.id] = v
-        self._settle(v, Final.PLAYS, None)
+        if v.beside is None:
+            v.resource = Resource(end.upstream.tag, v.ufrag)
+            self.sessions[v.id] = v
+            self._settle(v, Final.PLAYS, None)
+        elif (move := self.moves.of(v)) is not None:
+            self.moves.happens(move, Happening.PLACED)
+        else:
+            self.end(v)
         if not alive:
             self._over(v, Outcome.RESET)
 
@@ -409,6 +440,9 @@
         elif node is not None and node.playbacks:
             pb = next(iter(node.playbacks))
             if name == "share" and sound(told.share):
+                others = [n.short for n in self.roster.nodes.values() if n is not node and n.playbacks]
+                usual = sum(others) / len(others) if others else 0.0
+                self.moves.shared(leg.name, min(1.0, told.share), usual, now)
                 self.controller.noted(pb, Note.DELIVERED, min(1.0, told.share), now)
             elif name == "link":
                 if told.asked is not None and sound(told.asked):
@@ -434,26 +468,46 @@
                 self._over(v, Outcome.RESET)
                 continue
             self.controller.noted(v.pb, Note.DELIVERED, 0.0, self.clock.now())
-            self._hide(v, Outcome.RESET)
+            if self.moves.of(v) is not None:
+                self._over(self._part(v), Outcome.RESET, presumed=True)
+                if not self.moves.over(v, True):
+                    self.hide(v)
+                continue
+            self.hide(v)
             self.end(v)
 
+    def _part(self, v: Viewing) -> Viewing:
+        """Takes a viewing's playback from it: the rest of the move goes on without."""
+        rest = Viewing(secrets.token_urlsafe(15), v.path, v.plan, v.publishes, v.key, "", "", v.due, v.pb)
+        rest.final, rest.upstream, rest.beside = v.final, v.upstream, v
+        self.rebind(rest)
+        return rest
+
     def _session_over(self, leg: NodeLeg, session: str, how: Outcome) -> None:
         if v := self.upstreams.get((leg.name, session)):
             self._over(v, how)
 
-    def _over(self, v: Viewing, how: Outcome) -> None:
+    def _over(self, v: Viewing, how: Outcome, presumed: bool = False) -> None:
         """A playback that played, or whose viewer left while it was set up, is over."""
         if v.pb not in self.viewings or self.controller.over(v.pb):
             return
-        now = self.clock.now()
-        self.controller.tried(v.pb, how, True, None, None, None, now)
-        self.repeats.ended(v.key, now)
-        self._hide(v, how)
+        if presumed:  # it may play on: the module keeps its seat until the farewell is done
+            self.end(v)
+            return
+        self.controller.tried(v.pb, how, True, None, None, None, self.clock.now())
+        if self.moves.of(v) is not None:
+            rest = self._part(v)
+            if self.moves.over(v, how is Outcome.RESET):
+                self._forget(rest)
+                return
+            v = rest if v.beside is not None else v
+        self.repeats.ended(v.key, self.clock.now())
+        self.hide(v, how)
         self._forget(v)
 
-    def _hide(self, v: Viewing, how: Outcome) -> None:
+    def hide(self, v: Viewing, how: Outcome = Outcome.RESET) -> None:
         """The viewer's session ends, whatever the node still holds."""
-        self._publish(v, "inactive", {"why": how.value})
+        self.publish(v, "inactive", {"why": how.value})
         if v.resource is not None:
             v.resource.ended()
         self.sessions.pop(v.id, None)
@@ -468,6 +522,10 @@
     # Answers, readers, and forgetting.
 
     def _settle(self, v: Viewing, final: Final, reply: answers.Reply | None) -> None:
+        if v.beside is not None:
+            if (move := self.moves.of(v)) is not None:
+                self.moves.happens(move, Happening.NO_PLACE)
+            return
         if not v.settle(final, reply):
             return
         if final is Final.PLAYS:
@@ -478,7 +536,7 @@
         self.log_.info("answer", playback=v.id, plan=v.plan.name, final=final.value, ms=took, tries=len(v.pb.tries),
                        node=node, rung=v.pb.rung)  # fmt: skip
 
-    def _publish(self, v: Viewing, kind: str, data: dict[str, str]) -> None:
+    def publish(self, v: Viewing, kind: str, data: dict[str, str]) -> None:
         for reader in list(v.readers):
             if kind not in reader.kinds:
                 continue
@@ -501,7 +559,7 @@
         if self.viewings.pop(v.pb, None) is None:
             return
         self._free(v)
-        if v.final is Final.PLAYS:
+        if v.final is Final.PLAYS and v.beside is None:
             self.playing -= 1
             self.bell.ring()
         if v.upstream is not None:
--- a/oakcroft/front/listing.py
+++ b/oakcroft/front/listing.py
@@ -57,6 +57,7 @@
     started_at_ms: float = 0.0
     kind: str = ""
     tags: list[str] = []
+    drains_until_ms: float | None = None
 
 
 class FilterMetadata(msgspec.Struct):
@@ -119,7 +120,7 @@
             lines.append(Line(
                 more.name, address.address, address.port_value, locality.locality.zone, more.cell,
                 HEALTH[e.health_status], round(more.started_at_ms * MS), more.link_kb, more.places, more.kind,
-                tuple(more.tags),
+                tuple(more.tags), None if more.drains_until_ms is None else round(more.drains_until_ms * MS),
             ))  # fmt: skip
     return lines, int(version), response.control_plane.identifier
 
--- a/oakcroft/front/logs.py
+++ b/oakcroft/front/logs.py
@@ -8,13 +8,13 @@
 import orjson
 import structlog
 
-SECRETS = ("token", "authorization", "offer", "answer", "sdp", "key", "pwd", "ufrag")
+SECRETS = {"token", "tokens", "authorization", "offer", "answer", "sdp", "key", "secret", "pwd", "ufrag"}
 
 
 def mask(_: Any, __: str, event: structlog.typing.EventDict) -> structlog.typing.EventDict:
     """Guards against a secret that slips into a field by its name; covers what callers add later."""
     for name in event:
-        if any(secret in name.lower() for secret in SECRETS):
+        if SECRETS & set(name.lower().replace("-", "_").split("_")):
             event[name] = "***"
     return event
 
--- /dev/null
+++ b/oakcroft/front/moves.py
@@ -0,0 +1,296 @@
+"""Carries out moves: hears of drains and weak nodes, begins what the mover says is due, walks each handover's steps.
+
+All of it runs in the helm's task but for the timers. What is decided stands in `oakcroft/decisions/`: handover, mover,
+may_move, notice, fading; where a playback goes is the module's choice.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+
+import structlog
+import trio
+
+from oakcroft.decisions.answers import Final, Reply
+from oakcroft.decisions.fading import Fadings
+from oakcroft.decisions.handover import Act, Course, Handover, Happening
+from oakcroft.decisions.may_move import Way, allowed, stays, way
+from oakcroft.decisions.mover import LONGEST_CONFIRM, LONGEST_OFFER, Mover, Pace, Why, waits
+from oakcroft.decisions.notice import Notices
+from oakcroft.decisions.resource import Resource
+from oakcroft.front.viewing import Viewing
+from oakcroft.interface import SECOND, Entry, Listing, State
+
+if TYPE_CHECKING:
+    from oakcroft.front.helm import Helm
+
+STAY = Reply(503, "urn:oakcroft:problem:stay", "No other place was found: stay where you are", None, False)
+TIMES = {Happening.NO_OFFER: LONGEST_OFFER, Happening.UNCONFIRMED: LONGEST_CONFIRM}
+
+
+@dataclass(eq=False)
+class Move:
+    """One move: the viewing that its player knows, and the one beside it. Before the switch `v` plays at the source;
+    after it `v` has the target, and `other` the source that is being ended."""
+
+    v: Viewing
+    hand: Handover
+    source: str
+    other: Viewing | None = None
+    began: int = 0
+    closed: bool = False
+
+
+class Moves:
+    """All moves of one front."""
+
+    def __init__(
+        self, helm: Helm, rng: Random, usual_notice: int, log: structlog.typing.FilteringBoundLogger
+    ) -> None:
+        self.helm, self.rng, self.log = helm, rng, log
+        self.mover = Mover(Pace(), rng)
+        self.notices, self.fadings = Notices(usual_notice), Fadings()
+        self.moves: dict[str, Move] = {}  # by the session's id
+        self.roles: dict[Viewing, Move] = {}
+        self.wake = trio.Event()
+        self.done = self.stayed = self.lost = 0
+
+    # What calls for moves.
+
+    def listed(self, entries: list[Entry], until: dict[str, int | None], now: int) -> None:
+        """The list has changed."""
+        for e in entries:
+            name = e.node.name
+            if e.listing is Listing.DRAINING:
+                if self.notices.begins(name, now, until.get(name)):
+                    self.fadings.forget(name)
+                    self._leave(name, Why.DRAIN, now)
+                for move in [m for m in self.moves.values() if self._target(m) == name]:
+                    self.happens(move, Happening.TARGET_DRAINS)
+            elif e.listing is Listing.READY:
+                if self.notices.taken_back(name):
+                    self._recall(name)
+            else:
+                self.notices.gone(name, now)
+                self.fadings.forget(name)
+
+    def shared(self, name: str, share: float, usual: float, now: int) -> None:
+        """A note of the share delivered at a node; `usual` is what the others deliver."""
+        was = name in self.fadings.leaving
+        if self.fadings.note(name, share, usual, now):
+            self.log.info("mode", change=f"node {name} fades: {share:.2f} delivered, {usual:.2f} elsewhere")
+            self._leave(name, Why.FADING, now)
+        elif was and name not in self.fadings.leaving and name not in self.notices.drains:
+            self._recall(name)
+
+    def _leave(self, name: str, why: Why, now: int) -> None:
+        node = self.helm.roster.nodes.get(name)
+        playing = (
+            [self.helm.viewings[pb] for pb in node.playbacks if pb in self.helm.viewings] if node else []
+        )
+        some, rest = [], 0
+        for v in playing:
+            if v.beside is not None or v.ending or v.id not in self.helm.sessions:
+                continue
+            if stays(v.pb.plan, v.pb.tries[0][1], now, TIMES[Happening.NO_OFFER], movable(v)) is not None:
+                rest += 1
+                continue
+            worth = v.pb.plan.revenue * self.helm.site.terms.rung_worth[v.pb.rung]
+            some.append((v.id, worth))
+        notice = self.notices.left(name, now)
+        planned = self.mover.leave(name, some, 5 * SECOND if notice is None else notice, why, now)
+        self.log.info("leaving node", node=name, why=why.value, moves=planned, stay=rest,
+                      notice_ms=None if notice is None else notice // 1_000_000)  # fmt: skip
+        self._stir()
+
+    def _recall(self, name: str) -> None:
+        for key in self.mover.taken_back(name):
+            if key in self.moves:
+                self.happens(self.moves[key], Happening.TAKEN_BACK)
+
+    @staticmethod
+    def _target(move: Move) -> str:
+        at = move.v if move.hand.state is Course.SWITCHED else move.other
+        node = at.pb.node if at is not None else None
+        return node.name if node is not None else ""
+
+    # Beginning.
+
+    def _stir(self) -> None:
+        self.wake.set()
+        self.wake = trio.Event()
+
+    async def run(self) -> None:
+        """Begins moves as they fall due."""
+        while True:
+            now = self.helm.clock.now()
+            due = self.mover.next_due(now)
+            if due is not None and due <= now:
+                await self.helm.tell(self._begin)
+                await trio.sleep(0.02)
+                continue
+            wake = self.wake
+            with trio.move_on_after(3600 if due is None else (due - now) / 1e9):
+                await wake.wait()
+
+    def _begin(self) -> None:
+        now = self.helm.clock.now()
+        for wish in self.mover.begin(now, self.mover.pace.at_once):
+            v = self.helm.sessions.get(wish.key)
+            left = self.notices.left(wish.node, now)
+            if v is None or v.ending or v.pb.state is not State.PLAYING:
+                self.mover.forget(wish.key)
+                continue
+            if stays(v.pb.plan, v.pb.tries[0][1], now, LONGEST_OFFER, movable(v)) is not None:
+                self.mover.forget(wish.key)
+                continue
+            taken = v.pb.title.seats.get(v.pb.plan, 0)
+            how = way(v.pb.plan, taken, 60 * SECOND if left is None else left, self.mover.pace.needs)
+            if how is Way.MAKE_FIRST:
+                move = Move(v, Handover(), wish.node, began=now)
+                self.moves[v.id] = self.roles[v] = move
+                self.happens(move, Happening.DUE)
+            elif how is Way.WAIT:
+                wish.under_way, wish.tries, wish.due = False, wish.tries - 1, waits(how, now, self.rng)
+            else:
+                self.log.info("move breaks first", playback=v.id, node=wish.node)
+                self.mover.forget(wish.key)
+                self.helm.break_off(v)
+
+    # One move.
+
+    def of(self, v: Viewing) -> Move | None:
+        """The move that a viewing is part of."""
+        return self.roles.get(v)
+
+    def offered(self, move: Move, other: Viewing) -> bool:
+        """The player has made its offer; False when it is not wanted any more."""
+        if not move.hand.takes_offer() or move.v.pb.node is None:
+            return False
+        move.other, other.beside = other, move.v
+        self.roles[other] = move
+        other.pb.beside, other.pb.moved = move.v.pb, True
+        source, plan, key, inner = move.v.pb.node, move.v.pb.plan, move.v.id, move.v.pb.admits
+        other.pb.admits = lambda n: (
+            allowed(plan, source, n) and self.mover.may_go_to(key, n.name) and (inner is None or inner(n))
+        )
+        self.happens(move, Happening.OFFER)
+        return True
+
+    def chosen(self, other: Viewing, node: str) -> None:
+        """The module sends the copy's set-up to a node."""
+        if move := self.roles.get(other):
+            self.mover.goes_to(move.v.id, node)
+
+    def happens(self, move: Move, what: Happening) -> None:
+        """One step of a move."""
+        before = move.hand.state
+        act = move.hand.happens(what)
+        if move.hand.state is before and act is Act.NOTHING:
+            return
+        self.log.debug("move", playback=move.v.id, what=what.value, state=move.hand.state.value)
+        self._do(move, act)
+        timer = move.hand.waits_for()
+        if timer is not None and move.hand.state is not before:
+            self.helm.nursery.start_soon(self._timer, move, timer, move.hand.state)
+        if move.hand.over:
+            self._close(move)
+
+    async def _timer(self, move: Move, what: Happening, state: Course) -> None:
+        await trio.sleep(TIMES[what] / 1e9)
+        await self.helm.tell(lambda: self.happens(move, what) if move.hand.state is state else None)
+
+    def _do(self, move: Move, act: Act) -> None:
+        v, other, helm = move.v, move.other, self.helm
+        match act:
+            case Act.ASK:
+                helm.publish(v, "move", {"offer": f"/session/{v.id}/move"})
+            case Act.PLACE if other is not None:
+                helm.arrived(other)
+            case Act.REFUSE if other is not None:
+                other.settle(Final.REJECTED, STAY)
+            case Act.GIVE if other is not None:
+                other.settle(Final.PLAYS)
+            case Act.SWITCH if other is not None:
+                self._switch(move)
+            case Act.GIVE_AS_ONLY if other is not None:
+                self._switch(move)
+                other.settle(Final.PLAYS)
+            case Act.END_SOURCE if other is not None:
+                self._switch(move)
+                helm.end(other)
+            case Act.END_TARGET if other is not None:
+                helm.end(other)
+            case Act.END_TARGET_AND_REFUSE if other is not None:
+                other.settle(Final.REJECTED, STAY)
+                helm.end(other)
+            case Act.END_ALL:
+                if other is not None:
+                    other.settle(Final.REJECTED, STAY)
+                    helm.end_beside(other)
+            case Act.TELL_LOST:
+                if other is not None:
+                    other.settle(Final.REJECTED, STAY)
+                helm.hide(v)
+
+    def _switch(self, move: Move) -> None:
+        """The player's viewing gets the target; the other one takes over what is left of the source."""
+        v, other = move.v, move.other
+        assert other is not None
+        assert other.upstream is not None
+        v.pb, other.pb = other.pb, v.pb
+        v.upstream, other.upstream = other.upstream, v.upstream
+        v.resource = Resource(v.upstream.tag if v.upstream else "", other.ufrag)
+        v.ufrag, v.rung_wanted = other.ufrag, None
+        self.helm.rebind(v)
+        self.helm.rebind(other)
+        self.helm.publish(v, "layers", {"encodingId": str(v.pb.rung)})
+
+    def _close(self, move: Move) -> None:
+        if move.closed:
+            return
+        move.closed = True
+        state, now = move.hand.state, self.helm.clock.now()
+        self.done += state is Course.DONE
+        self.stayed += state is Course.STAYED
+        self.lost += state is Course.LOST
+        self.moves.pop(move.v.id, None)
+        for part in (move.v, move.other):
+            if part is not None:
+                self.roles.pop(part, None)
+        left = self.notices.left(move.source, now)
+        if left is None and move.source in self.fadings.leaving:
+            left = 5 * SECOND
+        again = self.mover.over(move.v.id, state is not Course.STAYED, now, left)
+        if again:
+            self._stir()
+        target = move.v.pb.node.name if state is Course.DONE and move.v.pb.node else None
+        self.log.info("moved", playback=move.v.id, source=move.source, target=target, end=state.value, again=again,
+                      ms=(now - move.began) // 1_000_000, way=[c.name for c in move.hand.way])  # fmt: skip
+
+    # What becomes of its parts.
+
+    def over(self, part: Viewing, died: bool) -> bool:
+        """A part of a move is over; True when the player's playback goes on all the same."""
+        move = self.roles.get(part)
+        if move is None:
+            return False
+        is_source = (part is move.v) != (move.hand.state is Course.SWITCHED)
+        if is_source:
+            self.happens(move, Happening.SOURCE_DIED if died else Happening.SOURCE_ENDED)
+        else:
+            self.happens(move, Happening.TARGET_DIED)
+        return part is not move.v or move.hand.state is not Course.LOST
+
+    def viewer_left(self, v: Viewing) -> None:
+        """The viewer has ended its session, or this front does."""
+        self.mover.forget(v.id)
+        if move := self.moves.get(v.id):
+            self.happens(move, Happening.VIEWER_LEFT)
+
+
+def movable(v: Viewing) -> bool:
+    """Whether a player has said that it can be moved: it listens for that event."""
+    return any("move" in reader.kinds for reader in v.readers)
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -25,7 +25,7 @@
 from oakcroft.decisions.resource import SDPFRAG
 from oakcroft.front.clock import Clock
 from oakcroft.front.viewing import Upstream, Viewing
-from oakcroft.httpwire.client import Ended, Peer
+from oakcroft.httpwire.client import REFUSED, Ended, Peer
 from oakcroft.httpwire.message import Headers, Response
 from oakcroft.interface import MS, SECOND, Outcome
 from oakcroft.signalling import sdp, words
@@ -214,7 +214,7 @@
             if silence.cancelled_caught:
                 return Break.UNANSWERED
         except Ended as ended:
-            return Break.REFUSED if ended.end is End.UNREACHED and "refused" in ended.cause else Break.RESET
+            return Break.REFUSED if ended.cause == REFUSED else Break.RESET
         except (ValueError, msgspec.DecodeError):
             return Break.RESET
         return Break.CLOSED
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -63,6 +63,7 @@
             nursery.start_soon(helm.run)
             nursery.start_soon(helm.beat)
             nursery.start_soon(helm.look_after)
+            nursery.start_soon(helm.moves.run)
             await self._take_kept(helm)
             peer = Peer(stand.list_host, stand.list_port)
             rng = Random(stand.seed + 2)
--- a/oakcroft/front/viewers.py
+++ b/oakcroft/front/viewers.py
@@ -19,6 +19,7 @@
 from oakcroft.decisions import answers, ladder
 from oakcroft.decisions.answers import REFUSALS, Final, Refusal, Reply
 from oakcroft.decisions.doors import SHORTEST_SETUP, Door, Queue
+from oakcroft.decisions.handover import Course, Happening
 from oakcroft.decisions.limits import Over, Party
 from oakcroft.decisions.patience import due, hopeless
 from oakcroft.decisions.repeats import Turn
@@ -27,16 +28,21 @@
 from oakcroft.decisions.stopping import Stopping
 from oakcroft.front.clock import Clock
 from oakcroft.front.helm import Helm
+from oakcroft.front.moves import STAY, Move
 from oakcroft.front.viewing import Reader, Viewing
 from oakcroft.httpwire.message import Headers, Request, Response
 from oakcroft.config.told import Site, Token
 from oakcroft.signalling import sdp, words
 
-READER_KINDS = ("active", "inactive", "layers")
+READER_KINDS = ("active", "inactive", "layers", "move")
 MOST_READERS = 4
 MOST_TITLE = 200
 TURN = 0.02  # seconds, of the margin for the way back
 EXPOSED = "Location, Link, ETag, Retry-After, Accept-Post, Accept-Patch"
+SESSION_PARTS = {
+    "": "OPTIONS, PATCH, DELETE", "layer": "OPTIONS, POST", "events": "OPTIONS, GET, POST", "move": "OPTIONS, POST",
+    "move/done": "OPTIONS, POST",
+}  # fmt: skip
 ENDPOINT_METHODS, SESSION_METHODS = "OPTIONS, POST", "OPTIONS, PATCH, DELETE"
 
 
@@ -271,9 +277,9 @@
     async def _session(self, request: Request) -> Response:
         _, _, rest = request.path.partition("/session/")
         name, _, part = rest.partition("/")
-        if part not in ("", "layer", "events"):
+        if part not in SESSION_PARTS:
             raise Faulty(404, "urn:oakcroft:problem:no-route", "Nothing is served at this path")
-        methods = {"": SESSION_METHODS, "layer": "OPTIONS, POST", "events": "OPTIONS, GET, POST"}[part]
+        methods = SESSION_PARTS[part]
         if request.method == "OPTIONS":
             return self._options(methods, [("Accept-Patch", SDPFRAG)] if not part else [])
         if request.method not in methods:
@@ -288,6 +294,8 @@
             return await self._layer(request, v)
         if part == "events":
             return self._events(request, v)
+        if part.startswith("move"):
+            return await self._move(request, v, part == "move/done")
         return await (self._patch(request, v) if request.method == "PATCH" else self._delete(v))
 
     @staticmethod
@@ -358,6 +366,44 @@
         await self.helm.tell(partial(self.helm.wished, v, rung))
         return Response(200)
 
+    async def _move(self, request: Request, v: Viewing, done: bool) -> Response:
+        """A player that was told to move makes a new offer here, and says when it plays by the answer."""
+        move = self.helm.moves.moves.get(v.id)
+        if done:
+            if move is not None:
+                await self.helm.tell(partial(self.helm.moves.happens, move, Happening.CONFIRMED))
+            return Response(204)
+        text, offer = self._offer(request)
+        self._check(offer, v.publishes)
+        given = words.idempotency_key(request.header("idempotency-key") or "") or secrets.token_urlsafe(15)
+        if move is None or not move.hand.takes_offer():
+            raise Faulty(409, "urn:oakcroft:problem:no-move", "This session is not being moved")
+        wait = due(self.clock.now(), v.plan.abandon, request.all("prefer"), self.helm.site.way_back)
+        title = v.pb.title.name
+        other = self.helm.viewing(
+            v.path, title, v.plan, v.publishes, given, text, sdp.ufrag(offer), v.pb.top, wait
+        )
+        if other is None:
+            return self._refused(Refusal.BUSY)
+        await self.helm.tell(partial(self._begin_move, move, other))
+        with trio.CancelScope(deadline=self.clock.deadline(wait.abandon)):
+            await other.answered.wait()
+        if other.final is not Final.PLAYS or v.upstream is None:
+            return self._reply(other.reply or STAY)
+        upstream = other.upstream if move.hand.state is Course.BESIDE else v.upstream
+        if upstream is None:
+            return self._reply(STAY)
+        headers = [
+            ("Content-Type", sdp.MEDIA_TYPE),
+            ("Location", f"/session/{v.id}"),
+            ("ETag", f'"{upstream.tag}"'),
+        ]
+        return Response(201, headers, upstream.answer.encode())
+
+    def _begin_move(self, move: Move, other: Viewing) -> None:
+        if not self.helm.moves.offered(move, other):
+            other.settle(Final.REJECTED, STAY)
+
     def _events(self, request: Request, v: Viewing) -> Response:
         """Server-sent events of one session. POST names the kinds wanted and gets the place of the stream."""
         here = f"/session/{v.id}/events"
--- a/oakcroft/front/viewing.py
+++ b/oakcroft/front/viewing.py
@@ -58,6 +58,7 @@
     ending: bool = False
     readers: list[Reader] = field(default_factory=list)
     token: str = ""  # the name of the token that it was asked with
+    beside: Viewing | None = None  # the one that its player knows, of which this is the copy in a move
     ticket: Ticket | None = None  # what it holds of the limits
 
     def settle(self, final: Final, reply: Reply | None = None) -> bool:
--- a/oakcroft/httpwire/client.py
+++ b/oakcroft/httpwire/client.py
@@ -132,7 +132,9 @@
             with trio.fail_after(self.connect_within):
                 stream = await trio.open_tcp_stream(self.host, self.port)
         except (OSError, trio.TooSlowError) as error:
-            raise Ended(End.UNREACHED, str(error) or type(error).__name__) from error
+            raise Ended(
+                End.UNREACHED, REFUSED if was_refused(error) else str(error) or "no connection in time"
+            ) from error
         return Line(stream, h11.Connection(h11.CLIENT, max_incomplete_event_size=32_768), now)
 
     async def _exchange(
@@ -205,6 +207,17 @@
         return line.http.our_state is h11.DONE and line.http.their_state is h11.DONE
 
 
+REFUSED = "connection refused"
+
+
+def was_refused(error: BaseException) -> bool:
+    """Whether nobody listens at the address: trio hides that in a group behind the error that it raises."""
+    if isinstance(error, BaseExceptionGroup):
+        return any(was_refused(e) for e in error.exceptions)
+    cause = error.__cause__
+    return isinstance(error, ConnectionRefusedError) or (cause is not None and was_refused(cause))
+
+
 def readable(stream: trio.SocketStream) -> bool:
     """Whether an idle connection has anything to read, which can only be its end or stray bytes."""
     poll = select.poll()
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -208,6 +208,9 @@
         self.may_have_run: list[tuple[Node, int]] = []
         self.changed_at = 0
         self.fresh = False  # its next link note tells of now
+        self.beside: Playback | None = (
+            None  # the one that plays on meanwhile, of which this is to be the copy
+        )
         self.admits: Callable[[Node], bool] | None = None  # the nodes that it may go to; none: all holders
 
 
--- a/oakcroft/rehearsal/runner.py
+++ b/oakcroft/rehearsal/runner.py
@@ -37,6 +37,7 @@
     faults: list[str] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
     falls: int = 0
+    audience: Audience | None = None
 
     @property
     def kept(self) -> bool:
@@ -59,10 +60,12 @@
 class Rehearsal:
     """One run of one day."""
 
-    def __init__(self, day: Day, folder: Path, policy: str, say: Say) -> None:
+    def __init__(
+        self, day: Day, folder: Path, policy: str, say: Say, audience: type[Audience] = Audience
+    ) -> None:
         self.day, self.folder, self.policy, self.say = day, folder, policy, say
         self.record = Record(folder / "viewers.jsonl")
-        self.audience = Audience(day, self.record)
+        self.audience = audience(day, self.record)
         self.fronts: list[FrontProcess] = []
         self.list_port = 0
         self.failures: list[str] = []
@@ -225,6 +228,8 @@
                 elif front.running and front.process.returncode not in (0, -signal.SIGTERM):
                     self.failures.append(f"front {front.number} ended with {front.process.returncode}")
                 await front.process.wait()
+        if fleet.poll() is not None:
+            self.failures.append(f"the fleet ended early: {(self.folder / 'fleet.log').read_text()[-300:]}")
         fleet.terminate()
         with trio.move_on_after(10) as scope:
             await fleet.wait()
@@ -246,11 +251,17 @@
     return b""
 
 
-def play(day: Day, body: str, policy: str, say: Say, keep: Path | None = None) -> Outcome:
-    """Plays a day whose text is `body`. `keep`: the folder for records and logs, else a temporary one."""
+def play(
+    day: Day, body: str, policy: str, say: Say, keep: Path | None = None, audience: type[Audience] = Audience
+) -> Outcome:
+    """Plays a day whose text is `body`. `keep`: the folder for records and logs, else a temporary one. `audience`: who
+    comes."""
     with tempfile.TemporaryDirectory(prefix="oakcroft-") as temporary:
         folder = keep or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
         (folder / "day.oak").write_text(body)
         os.environ.setdefault("PYTHONUNBUFFERED", "1")
-        return trio.run(Rehearsal(day, folder, policy, say).run)
+        rehearsal = Rehearsal(day, folder, policy, say, audience)
+        outcome = trio.run(rehearsal.run)
+        outcome.audience = rehearsal.audience
+        return outcome
--- a/oakcroft/rulecheck/rules.py
+++ b/oakcroft/rulecheck/rules.py
@@ -161,9 +161,40 @@
     for key, some in by_key.items():
         if key.startswith("ran ") and len(some) > 1:
             found.breach(f"{key[4:]}: paid and set up {len(some)} times")
+    _moves(facts, tries, site, found)
     return found
 
 
+def base(key: str) -> str:
+    """The playback that a key speaks of: a player's key for the n-th move of `k` is `k~n`."""
+    return key.partition("~")[0]
+
+
+def _moves(facts: list[Fact], tries: list[Try], site: Site, found: Finding) -> None:
+    """The same for a playback and its copies: a paid one has none, no try of one is out beside another's, and never
+    more than two play."""
+    some: dict[str, list[Try]] = defaultdict(list)
+    for one in tries:
+        some[base(one.key)].append(one)
+    for key, mine in some.items():
+        if len({one.key for one in mine}) == 1:
+            continue
+        found.cases += 1
+        if site.plans[mine[0].plan].plan.effect is Effect.PAID:
+            found.breach(f"{key}: paid and moved")
+        for earlier, later in pairwise(mine):
+            if earlier.key != later.key and (earlier.ended is None or earlier.ended > later.t + TRANSIT):
+                found.breach(f"{key}: a copy's try on {later.node} beside one on {earlier.node}")
+        steps = [(one.ended or one.t, 1) for one in mine if one.status == 201]
+        steps += [(one.over + TRANSIT, -1) for one in mine if one.status == 201 and one.over is not None]
+        play = 0
+        for _, step in sorted(steps):
+            play += step
+            if play > 2:
+                found.breach(f"{key}: {play} copies play at once")
+                break
+
+
 def drains_kept(facts: list[Fact], tries: list[Try], site: Site) -> Finding:
     """3: nothing new to a draining or gone node later than the grace after the front was told.
 
--- a/oakcroft/standins/playout.py
+++ b/oakcroft/standins/playout.py
@@ -20,6 +20,7 @@
 from oakcroft.httpwire.server import Server
 from oakcroft.config.told import Site
 from oakcroft.signalling import sdp, words
+from oakcroft.standins import rtp
 from oakcroft.standins.links import Machine, Stream
 from oakcroft.standins.record import Record
 
@@ -37,6 +38,8 @@
     plan: str
     title: str
     tag: int = 1
+    media: tuple[str, int] | None = None  # where the player receives, if it says
+    sequence: int = 0
 
 
 @dataclass
@@ -76,6 +79,7 @@
         self.streams: set[trio.SocketStream] = set()
         self.changed = trio.Event()
         self.earned: dict[str, float] = {}
+        self.packets = 0
 
     @property
     def process(self) -> str:
@@ -105,7 +109,32 @@
                 self.streams.discard(stream)
 
         with trio.CancelScope() as self.scope:
-            await trio.serve_listeners(serve, listeners)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._media)
+                await trio.serve_listeners(serve, listeners)
+
+    async def _media(self) -> None:
+        """RTP to every player that receives it, at the media clock's pace."""
+        with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as out:
+            while True:
+                tick = rtp.tick(self.clock()) + 1
+                await trio.sleep(max(0.0, (tick * rtp.INTERVAL - self.clock()) / 1e9))
+                if self.ails.hung or self.ails.silent:
+                    continue
+                for session in list(self.sessions.values()):
+                    stream = self.machine.streams.get(
+                        session.id
+                    )  # it may have ended while others were sent to
+                    if session.media is not None and stream is not None:
+                        packet = rtp.packet(
+                            session.sequence, tick, rtp.ssrc(session.id), self.clock(), stream.rung
+                        )
+                        session.sequence += 1
+                        self.packets += 1
+                        try:
+                            await out.sendto(packet, session.media)
+                        except OSError:
+                            session.media = None
 
     def _failed(self, request: Request, error: BaseException) -> None:
         self.record.note("stand-in failed", node=self.name, path=request.path, error=repr(error))
@@ -220,7 +249,7 @@
             await trio.sleep(self.rng.uniform(*self.setup) / 1e9 * min(20.0, machine.slowness))
         finally:
             machine.waiting -= 1
-        session = Session(number.replace(".", "-"), front, key, plan, title)
+        session = Session(number.replace(".", "-"), front, key, plan, title, media=rtp.receiver(offer))
         self._start(session, rung)
         while self.ails.hung or self._mute(front):
             await self.changed.wait()
--- /dev/null
+++ b/oakcroft/standins/rtp.py
@@ -0,0 +1,91 @@
+"""RTP (RFC 3550) as the stand-ins send it: small packets, true in timing and sequence, on one media clock."""
+
+from __future__ import annotations
+
+import hashlib
+import struct
+from dataclasses import dataclass
+
+from oakcroft.interface import MS
+from oakcroft.signalling.sdp import Description
+
+INTERVAL = 40 * MS
+"""Between two packets: all nodes send the same media at the same tick, as copies of one lesson do."""
+
+RATE = 90_000
+HEADER = struct.Struct("!BBHII")
+EXTRA = struct.Struct("!QB")
+VIDEO = 96
+
+
+def tick(now: int) -> int:
+    """The media tick at a time, ns."""
+    return now // INTERVAL
+
+
+def ssrc(session: str) -> int:
+    """The source of a session's packets, by its name."""
+    return int.from_bytes(hashlib.blake2b(session.encode(), digest_size=4).digest(), "big")
+
+
+def packet(sequence: int, tick_: int, source: int, sent: int, rung: int) -> bytes:
+    """One packet; its payload is the sender's time and the rung."""
+    timestamp = tick_ * RATE * INTERVAL // 1_000_000_000 & 0xFFFFFFFF
+    return HEADER.pack(0x80, VIDEO, sequence & 0xFFFF, timestamp, source) + EXTRA.pack(sent, rung)
+
+
+@dataclass(frozen=True)
+class Packet:
+    """A packet as received."""
+
+    sequence: int
+    timestamp: int
+    source: int
+    sent: int
+    rung: int
+
+
+def parse(data: bytes) -> Packet | None:
+    """Reads a packet; None for what is none of ours."""
+    if len(data) != HEADER.size + EXTRA.size or data[0] != 0x80 or data[1] & 0x7F != VIDEO:
+        return None
+    _, _, sequence, timestamp, source = HEADER.unpack_from(data)
+    sent, rung = EXTRA.unpack_from(data, HEADER.size)
+    return Packet(sequence, timestamp, source, sent, rung)
+
+
+def receiver(offer: Description) -> tuple[str, int] | None:
+    """Where an offer's host candidate (RFC 8839 5.1) says that media is received; None without one."""
+    for media in offer.media:
+        for name, value in media.attributes:
+            parts = value.split(" ")
+            if name == "candidate" and len(parts) >= 8 and parts[7] == "host" and parts[5].isdigit():
+                return parts[4], int(parts[5])
+    return None
+
+
+class Playout:
+    """What a player has played, from packets alone: overlap of two copies played once, the longest gap kept.
+
+    A packet plays when its timestamp is later than all that played. A gap is the time between the arrivals of two
+    packets that play.
+    """
+
+    def __init__(self) -> None:
+        self.last_timestamp, self.last_at = -1, 0
+        self.played = self.doubles = 0
+        self.longest = 0
+        self.sources: set[int] = set()
+
+    def take(self, p: Packet, now: int) -> bool:
+        """A packet arrived; whether it played."""
+        self.sources.add(p.source)
+        ahead = (p.timestamp - self.last_timestamp) & 0xFFFFFFFF
+        if self.last_timestamp >= 0 and (ahead == 0 or ahead > 1 << 31):
+            self.doubles += 1
+            return False
+        if self.last_at:
+            self.longest = max(self.longest, now - self.last_at)
+        self.last_timestamp, self.last_at = p.timestamp, now
+        self.played += 1
+        return True
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -98,16 +98,16 @@
 
 
 @asynccontextmanager
-async def standing(folder: Path, extra: str = "", clients: str = "") -> AsyncIterator[Rig]:
+async def standing(folder: Path, extra: str = "", fleet: str = "") -> AsyncIterator[Rig]:
     """A front that serves and two warm nodes that it knows."""
-    site = SITE.replace("EXTRA", extra)
+    site = SITE.replace("EXTRA", extra).replace("(drain-grace 250ms)", f"(drain-grace 250ms) {fleet}")
     plot = parse(DAY.replace("SITE", site), "day")
     record, out = Record(folder / "fleet.jsonl"), io.BytesIO()
     async with trio.open_nursery() as nursery:
-        fleet, up = Fleet(plot, record, Clock()), trio.Event()
-        nursery.start_soon(fleet.run, 0, up)
+        nodes, up = Fleet(plot, record, Clock()), trio.Event()
+        nursery.start_soon(nodes.run, 0, up)
         await up.wait()
-        rig = Rig(0, fleet, record, folder, out, trio.Event(), trio.CancelScope(), site)
+        rig = Rig(0, nodes, record, folder, out, trio.Event(), trio.CancelScope(), site)
         await start_front(nursery, rig)
         await until(lambda: any(e["event"] == "list" for e in rig.logged()))
         yield rig
