--- a/benchmarks/moving.py
+++ b/benchmarks/moving.py
@@ -18,6 +18,7 @@
 from oakcroft.standins.day import parse
 
 NODES = 8
+ALL = " ".join(f"n{i + 1}" for i in range(NODES))
 SITE = """(site
     (fleet (fronts 2) (wings west east) (cells 8) (racks 2) (copies 8) (seen-after 300ms) (reports-every 1s)
       (cold-share 0.4) (cold-for 4s) (fall-multiple 4) (fall-window 1s) (stay-away-most 1s) (drain-grace 250ms)
@@ -33,7 +34,7 @@
     "drains": "".join(
         f"(fault preempt (at {6 + 4 * i}s) (for 1s) (on n{i + 1}) (size 4) (extra 1))" for i in range(6)
     ),
-    "deploy": f"(fault deploy (at 6s) (for 24s) (on {' '.join(f'n{i + 1}' for i in range(NODES))}) (size 0.25) (extra 4))",
+    "deploy": f"(fault deploy (at 6s) (for 24s) (on {ALL}) (size 0.25) (extra 4))",
     "deaths": "".join(
         f"(fault preempt (at {6 + 4 * i}s) (for 1s) (on n{i + 1}) (size 3) (extra 1))" for i in range(6)
     )
@@ -67,15 +68,19 @@
     gaps = HdrHistogram(1, 60_000_000, 3)
     for one in seen.playbacks:
         gaps.record_value(max(1, one.longest // 1000))
-    print(
-        f"scene {scene}, players {mode}, seed {seed}: {len(seen.playbacks)} playbacks, rules {'kept' if outcome.kept else 'BROKEN'}"
-    )
+    kept = "kept" if outcome.kept else "BROKEN"
+    print(f"scene {scene}, players {mode}, seed {seed}: {len(seen.playbacks)} playbacks, rules {kept}")
     for plan in sorted({w.plan for w in seen.playbacks}):
         some = [w for w in seen.playbacks if w.plan == plan]
         moved = [w for w in some if w.moves]
         still = sum(not w.stalled for w in some)
-        print(f"  {plan:8} {len(some):4} playbacks, {still / len(some):6.1%} without a stall; {sum(w.moves for w in some)} moves of "
-              f"{len(moved)}, of these {sum(not w.stalled for w in moved)} without a stall; {sum(w.refused for w in some)} told to stay")  # fmt: skip
+        moves, refused = sum(w.moves for w in some), sum(w.refused for w in some)
+        smooth = sum(not w.stalled for w in moved)
+        print(
+            f"  {plan:8} {len(some):4} playbacks, {still / len(some):6.1%} without a stall; "
+            f"{moves} moves of {len(moved)}, "
+            f"of these {smooth} without a stall; {refused} told to stay"
+        )
     figures = "  ".join(f"p{p:g} {gaps.get_value_at_percentile(p) / 1000:.0f}" for p in (50, 90, 99, 100))
     print(f"  longest gap of each playback, ms: {figures}")
     if seen.gaps_of_moves:
