--- a/benchmarks/mass_drain.py
+++ b/benchmarks/mass_drain.py
@@ -212,7 +212,8 @@
     warm = [n for n in world.machines if n not in drained and "+" not in n]
     cold = [n for n in world.machines if "+" in n]
     left = sum(len(world.machines[n].streams) for n in drained)
-X
+    where = f"{given.fronts} fronts, {given.nodes} nodes, {len(drained)} drain in {given.notice} s"
+    print(f"{where}, seed {given.seed}")
     print(f"  {dict(world.count)}; left on draining nodes {left}")
     for what, some in (("warm", warm), ("cold", cold)):
         peaks = sorted(max(world.setups[n].values(), default=0) for n in some)
@@ -224,9 +225,8 @@
     print(f"  a node that has just started stands {pace:.0f} set-ups a second for {WINDOW // SECOND} s")
     full = max(len(world.machines[n].streams) for n in warm + cold)
     asked = max(world.machines[n].asked() for n in warm + cold)
-    print(
-        f"  fullest target: {full} of 60 places, {asked:.2f} of its link; {time.perf_counter() - began:.1f} s of computing"
-    )
+    took = time.perf_counter() - began
+    print(f"  fullest target: {full} of 60 places, {asked:.2f} of its link; {took:.1f} s of computing")
 
 
 if __name__ == "__main__":
