--- /dev/null
+++ b/oakcroft/client/blocking.py
@@ -0,0 +1,57 @@
+"""The same clients for programs that do not run an event loop: one thread of trio behind plain calls."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Awaitable, Callable
+from types import TracebackType
+from typing import TypeVar
+
+import trio
+
+from oakcroft.client.whep import Playing, WhepClient
+
+T = TypeVar("T")
+
+
+class BlockingWhepClient:
+    """`with BlockingWhepClient(base) as client: playing = client.ask(path, offer)`."""
+
+    def __init__(self, base: str, token: str = "") -> None:
+        self.base, self.token = base, token
+        self.started = threading.Event()
+        self.thread = threading.Thread(
+            target=lambda: trio.run(self._live), name="oakcroft-client", daemon=True
+        )
+
+    async def _live(self) -> None:
+        self.trio_token, self.stop = trio.lowlevel.current_trio_token(), trio.Event()
+        self.client = WhepClient(self.base, self.token)
+        self.started.set()
+        await self.stop.wait()
+        await self.client.close()
+
+    def __enter__(self) -> BlockingWhepClient:
+        self.thread.start()
+        self.started.wait(10)
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self._call(self._end)
+        self.thread.join(10)
+
+    async def _end(self) -> None:
+        self.stop.set()
+
+    def _call(self, what: Callable[..., Awaitable[T]], *given: object) -> T:
+        return trio.from_thread.run(what, *given, trio_token=self.trio_token)
+
+    def ask(self, path: str, offer: str, wait: int | None = None) -> Playing:
+        """As `WhepClient.ask`."""
+        return self._call(self.client.ask, path, offer, wait)
+
+    def end(self, playing: Playing) -> None:
+        """As `WhepClient.end`."""
+        self._call(self.client.end, playing)
--- /dev/null
+++ b/oakcroft/client/retry.py
@@ -0,0 +1,77 @@
+"""When a client may ask again, and when: decided without I/O, by the answer alone.
+
+A request goes out under one Idempotency-Key. While its connection broke or the front said `outstanding`, the same key is
+asked again: the front gives the first answer, never a second set-up. A rejected one (503, 429) may be asked anew with a
+new key, no earlier than it was told, with jitter, within a budget. An aborted one that must not be repeated never is.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+
+class Refused(Exception):
+    """The front rejected the request, and asking again was no use or not allowed. `status` and `kind` as it said."""
+
+    def __init__(self, status: int, kind: str, title: str) -> None:
+        super().__init__(f"{status} {title}")
+        self.status, self.kind, self.title = status, kind, title
+
+
+class Unsure(Refused):
+    """A set-up may have run without an answer: a paid playback must not be asked for again."""
+
+
+class Next(Enum):
+    """What to do after an answer, or the lack of one."""
+
+    DONE = "take it"
+    SAME_KEY = "ask again with the same key"
+    NEW_KEY = "ask again with a new key"
+    GIVE_UP = "give up"
+
+
+@dataclass
+class Retries:
+    """The state of one request's repeats: at most `most`, and within `budget` shared by all requests of a client, which
+    refills by `share` for each request, so that a crowd of clients cannot multiply its load."""
+
+    rng: Random
+    most: int = 4
+    budget: float = 10.0
+    share: float = 0.2
+    first_wait: float = 0.2
+    longest_wait: float = 5.0
+
+    def began(self) -> None:
+        """A new request of the client."""
+        self.budget = min(10.0, self.budget + self.share)
+
+    def after(
+        self, tries: int, status: int | None, kind: str, retry: bool, retry_after: float | None
+    ) -> tuple[Next, float]:
+        """What follows an answer (None: the connection broke before one), and the seconds to wait first."""
+        if status is not None and status < 300:
+            return Next.DONE, 0.0
+        how = self._how(status, kind, retry)
+        if how is Next.GIVE_UP or tries >= self.most or self.budget < 1.0:
+            return Next.GIVE_UP, 0.0
+        self.budget -= 1.0
+        ceiling = min(self.longest_wait, self.first_wait * 2.0**tries)
+        wait = ceiling * (0.5 + 0.5 * self.rng.random())
+        return how, max(wait, (retry_after or 0.0) * (1.0 + 0.25 * self.rng.random()))
+
+    @staticmethod
+    def _how(status: int | None, kind: str, retry: bool) -> Next:
+        if status is None or kind.endswith(":outstanding"):
+            return Next.SAME_KEY
+        if status in (429, 503) and retry:
+            return Next.NEW_KEY
+        return Next.NEW_KEY if status == 504 and retry else Next.GIVE_UP
+
+
+def fault(status: int, kind: str, title: str, retry: bool) -> Refused:
+    """The error for an answer that is final."""
+    return Unsure(status, kind, title) if status == 504 and not retry else Refused(status, kind, title)
--- /dev/null
+++ b/oakcroft/client/session.py
@@ -0,0 +1,224 @@
+"""The session API over WebSocket, with resumption: a break of the connection is not seen by what waits for answers."""
+
+from __future__ import annotations
+
+import itertools
+import uuid
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from random import Random
+from urllib.parse import urlsplit
+
+import trio
+import wsproto
+from wsproto import events
+
+from oakcroft.client.retry import Next, Retries, fault
+from oakcroft.signalling import session_api as api
+
+PATH = "/api/v1"
+
+
+class Playback:
+    """One playback: its answer, and its events as they come."""
+
+    def __init__(self, id_: str, answer: str, tag: str) -> None:
+        self.id, self.answer, self.tag = id_, answer, tag
+        self.send, self.events = trio.open_memory_channel[api.Event](256)
+
+
+class SessionClient:
+    """A client of one front: `async with SessionClient.open(url) as client`."""
+
+    def __init__(
+        self, url: str, token: str, subprotocol: str, nursery: trio.Nursery, retries: Retries
+    ) -> None:
+        parts = urlsplit(url)
+        self.host, self.port, self.token = parts.hostname or "127.0.0.1", parts.port or 80, token
+        self.subprotocol, self.codec, self.nursery = subprotocol, api.Codec(subprotocol), nursery
+        self.numbers, self.seen, self.pass_ = itertools.count(1), 0, ""
+        self.waiting: dict[int, trio.MemorySendChannel[object]] = {}
+        self.unsent: dict[
+            int, object
+        ] = {}  # calls without an answer, sent again where the front has lost the seat
+        self.playbacks: dict[str, Playback] = {}
+        self.stream: trio.SocketStream | None = None
+        self.ws: wsproto.WSConnection | None = None
+        self.up, self.retries, self.resumed, self.lost = trio.Event(), retries, 0, 0
+        self.closing = False
+        self.turn = trio.Lock()  # one message at a time on the stream
+
+    @classmethod
+    @asynccontextmanager
+    async def open(
+        cls, url: str, token: str = "", subprotocol: str = api.JSON, retries: Retries | None = None
+    ) -> AsyncIterator[SessionClient]:
+        """A connected client, which stays so until the block ends; then it says goodbye."""
+        async with trio.open_nursery() as nursery:
+            client = cls(url, token, subprotocol, nursery, retries or Retries(Random()))
+            nursery.start_soon(client._run)
+            await client.up.wait()
+            try:
+                yield client
+            finally:
+                with trio.CancelScope(shield=True), trio.move_on_after(1):
+                    client.closing = True
+                    await client._send(api.Bye())
+                nursery.cancel_scope.cancel()
+
+    # The connection.
+
+    async def _run(self) -> None:
+        tries = 0
+        while not self.closing:
+            try:
+                await self._connect()
+                tries = 0
+                await self._read()
+            except (
+                OSError,
+                wsproto.utilities.ProtocolError,
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ):
+                pass
+            self.up = trio.Event() if self.up.is_set() else self.up
+            if self.stream is not None:
+                await trio.aclose_forcefully(self.stream)
+            tries += 1
+            await trio.sleep(min(2.0, 0.05 * 2**tries) * (0.5 + self.retries.rng.random()))
+
+    async def _connect(self) -> None:
+        self.stream = await trio.open_tcp_stream(self.host, self.port)
+        self.ws = wsproto.WSConnection(wsproto.ConnectionType.CLIENT)
+        request = events.Request(
+            host=f"{self.host}:{self.port}", target=PATH, subprotocols=[self.subprotocol]
+        )
+        await self.stream.send_all(self.ws.send(request))
+        accepted = await self._next()
+        if not isinstance(accepted, events.AcceptConnection):
+            raise OSError("the front does not take the connection")
+        await self._send(api.Hello(self.pass_, self.seen, self.token))
+        welcome = await self._message()
+        if not isinstance(welcome, api.Welcome):
+            raise OSError("the front does not welcome the client")
+        if welcome.back:
+            self.resumed += 1
+        else:
+            self._start_anew()
+        self.pass_ = welcome.resume
+        self.up.set()
+
+    def _start_anew(self) -> None:
+        """The front does not know the seat any more: what played is lost, what waits is asked anew with its keys."""
+        self.seen = 0
+        if self.pass_:
+            self.lost += len(self.playbacks)
+        for playback in self.playbacks.values():
+            playback.send.close()
+        self.playbacks.clear()
+        for message in list(self.unsent.values()):
+            self.nursery.start_soon(self._send, message)
+
+    async def _next(self) -> events.Event:
+        assert self.ws is not None
+        assert self.stream is not None
+        while True:
+            for event in self.ws.events():
+                return event
+            self.ws.receive_data(await self.stream.receive_some(65_536) or None)
+
+    async def _message(self) -> api.ToClient:
+        whole = bytearray()
+        while True:
+            event = await self._next()
+            if isinstance(event, events.TextMessage | events.BytesMessage):
+                whole += event.data.encode() if isinstance(event.data, str) else bytes(event.data)
+                if event.message_finished:
+                    return self.codec.read_server(bytes(whole))
+            elif isinstance(event, events.Ping) and self.ws is not None and self.stream is not None:
+                async with self.turn:
+                    await self.stream.send_all(self.ws.send(event.response()))
+            elif isinstance(event, events.CloseConnection):
+                raise OSError(f"closed: {event.code} {event.reason}")
+
+    async def _read(self) -> None:
+        while True:
+            message = await self._message()
+            number = getattr(message, "n", 0)
+            if number:
+                if number <= self.seen:
+                    continue
+                self.seen = number
+                await self._send(api.Ack(number))
+            match message:
+                case api.Answer() | api.Done() | api.MovedTo():
+                    self.unsent.pop(message.id, None)
+                    if message.id in self.waiting:
+                        self.waiting.pop(message.id).send_nowait(message)
+                case api.Event() if message.playback in self.playbacks:
+                    playback = self.playbacks[message.playback]
+                    with suppress(trio.WouldBlock, trio.BrokenResourceError):  # nobody reads them
+                        playback.send.send_nowait(message)
+                    if message.kind == "inactive":
+                        playback.send.close()
+                        del self.playbacks[message.playback]
+
+    async def _send(self, message: object) -> None:
+        data = self.codec.write(message)
+        frame = (
+            events.BytesMessage(data=data) if self.codec.binary else events.TextMessage(data=data.decode())
+        )
+        try:
+            async with self.turn:
+                if self.ws is not None and self.stream is not None:
+                    await self.stream.send_all(self.ws.send(frame))
+        except (trio.BrokenResourceError, trio.ClosedResourceError, wsproto.utilities.LocalProtocolError):
+            pass  # it is said again, or answered already, once the connection stands
+
+    async def call(self, make: object) -> object:
+        """Sends a message with an id and waits for what answers it, over as many connections as it takes."""
+        id_ = getattr(make, "id", 0)
+        send, receive = trio.open_memory_channel[object](1)
+        self.waiting[id_], self.unsent[id_] = send, make
+        try:
+            await self.up.wait()
+            await self._send(make)
+            return await receive.receive()
+        finally:
+            self.waiting.pop(id_, None)
+            self.unsent.pop(id_, None)
+
+    # What a player does.
+
+    async def play(self, path: str, offer: str, wait: int = 0, top: int | None = None) -> Playback:
+        """Asks for a playback, and again where that is safe. Refused or Unsure where no try succeeds."""
+        self.retries.began()
+        key, tries = str(uuid.uuid4()), 0
+        while True:
+            answer = await self.call(api.Ask(next(self.numbers), path, offer, key, wait, top))
+            assert isinstance(answer, api.Answer)
+            tries += 1
+            if answer.status == 201:
+                playback = self.playbacks[answer.playback] = Playback(
+                    answer.playback, answer.answer, answer.tag
+                )
+                return playback
+            how, seconds = self.retries.after(
+                tries, answer.status, answer.kind, answer.retry, answer.retry_after_s
+            )
+            if how is Next.GIVE_UP:
+                raise fault(answer.status, answer.kind, answer.title, answer.retry)
+            await trio.sleep(seconds)
+            if how is Next.NEW_KEY:
+                key = str(uuid.uuid4())
+
+    async def end(self, playback: Playback) -> None:
+        """Ends a playback."""
+        self.playbacks.pop(playback.id, None)
+        await self.call(api.End(playback.id, next(self.numbers)))
+
+    async def layer(self, playback: Playback, rung: int) -> int:
+        """Names the highest rung wanted; the status."""
+        done = await self.call(api.Layer(playback.id, rung, next(self.numbers)))
+        return done.status if isinstance(done, api.Done) else 0
--- /dev/null
+++ b/oakcroft/client/whep.py
@@ -0,0 +1,95 @@
+"""WHEP and WHIP over HTTP."""
+
+from __future__ import annotations
+
+import uuid
+from dataclasses import dataclass
+from random import Random
+from urllib.parse import urlsplit
+
+import orjson
+import trio
+
+from oakcroft.client.retry import Next, Retries, fault
+from oakcroft.httpwire.client import Ended, Peer
+from oakcroft.httpwire.message import Headers, Response
+from oakcroft.signalling import sdp, words
+
+
+@dataclass
+class Playing:
+    """A playback or a publication: its resource, the answer, and the tag of its ICE session."""
+
+    resource: str
+    answer: str
+    tag: str
+
+
+class WhepClient:
+    """Asks one front. `base`: as http://127.0.0.1:8080."""
+
+    def __init__(self, base: str, token: str = "", retries: Retries | None = None) -> None:
+        parts = urlsplit(base)
+        self.peer = Peer(parts.hostname or "127.0.0.1", parts.port or 80, 2.0)
+        self.headers: Headers = [("Authorization", f"Bearer {token}")] if token else []
+        self.retries = retries or Retries(Random())
+
+    async def ask(self, path: str, offer: str, wait: int | None = None, key: str | None = None) -> Playing:
+        """Asks for a playback at a path, or to publish there, and repeats where that is safe. `wait`: seconds for each
+        try. Refused or Unsure where no try succeeds."""
+        self.retries.began()
+        key, tries = key or str(uuid.uuid4()), 0
+        while True:
+            response = await self._once(path, offer, key, wait)
+            tries += 1
+            if response is not None and response.status == 201:
+                tag = (response.header("etag") or "").strip('"')
+                return Playing(response.header("location") or "", response.body.decode(), tag)
+            status, kind, title, retry, after = said(response)
+            how, seconds = self.retries.after(tries, status, kind, retry, after)
+            if how is Next.GIVE_UP:
+                raise fault(status or 0, kind, title or "no answer", retry)
+            await trio.sleep(seconds)
+            if how is Next.NEW_KEY:
+                key = str(uuid.uuid4())
+
+    async def _once(self, path: str, offer: str, key: str, wait: int | None) -> Response | None:
+        headers = [*self.headers, ("Content-Type", sdp.MEDIA_TYPE), ("Idempotency-Key", words.quoted(key))]
+        if wait is not None:
+            headers.append(("Prefer", f"wait={wait}"))
+        try:
+            with trio.fail_after((wait or 30) + 2):
+                return await self.peer.ask("POST", path, headers, offer.encode())
+        except (Ended, trio.TooSlowError):
+            return None
+
+    async def end(self, playing: Playing) -> None:
+        """Ends it; one that has ended by itself is no error."""
+        try:
+            await self.peer.ask("DELETE", playing.resource, self.headers, b"")
+        except Ended as ended:
+            raise fault(0, "", str(ended), True) from ended
+
+    async def close(self) -> None:
+        """Closes idle connections."""
+        await self.peer.close()
+
+
+def said(response: Response | None) -> tuple[int | None, str, str, bool, float | None]:
+    """Status, problem type and title, whether to ask again, and the seconds to wait, of an answer."""
+    if response is None:
+        return None, "", "", True, None
+    try:
+        body = orjson.loads(response.body)
+    except orjson.JSONDecodeError:
+        body = {}
+    body = body if isinstance(body, dict) else {}
+    after = response.header("retry-after")
+    wait = float(after) if after and after.isdigit() else None
+    return (
+        response.status,
+        str(body.get("type", "")),
+        str(body.get("title", "")),
+        bool(body.get("retry", True)),
+        wait,
+    )
--- /dev/null
+++ b/oakcroft/front/core.py
@@ -0,0 +1,393 @@
+"""The session core: what every signalling shares. It takes requests for playbacks, owns their one answer each, and
+changes and ends sessions; it knows no HTTP and no WebSocket. `viewers` (WHIP, WHEP) and `sockets` (the session API) are
+adapters to it, neither of which knows the other.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+from dataclasses import dataclass, field
+from functools import partial
+from urllib.parse import unquote
+
+import structlog
+import trio
+
+from oakcroft.config.told import Site, Token
+from oakcroft.decisions import answers, ladder
+from oakcroft.decisions.answers import REFUSALS, Final, Refusal, Reply
+from oakcroft.decisions.doors import SHORTEST_SETUP, Door, Queue, slow_reader
+from oakcroft.decisions.handover import Course, Happening
+from oakcroft.decisions.limits import Over, Party
+from oakcroft.decisions.patience import BEAT, due, hopeless
+from oakcroft.decisions.repeats import Turn
+from oakcroft.decisions.resource import SDPFRAG, Act, Said
+from oakcroft.decisions.routing import Asked, Route, Side, Why, refuses
+from oakcroft.decisions.shedding import Line, Waiting, Window
+from oakcroft.decisions.stopping import Stopping
+from oakcroft.front.clock import Clock
+from oakcroft.front.helm import Helm
+from oakcroft.front.moves import STAY, Move
+from oakcroft.front.viewing import Reader, Viewing
+from oakcroft.signalling import sdp
+
+READER_KINDS = ("active", "inactive", "layers", "move")
+MOST_READERS = 4
+MOST_TITLE = 200
+TURN = 0.02  # seconds, of the margin for the way back
+
+
+class Faulty(Exception):
+    """A request that gets a problem (RFC 9457) for its answer."""
+
+    def __init__(self, status: int, kind: str, title: str, detail: str = "") -> None:
+        super().__init__(title)
+        self.status, self.kind, self.title, self.detail = (
+            status,
+            f"urn:oakcroft:problem:{kind}",
+            title,
+            detail,
+        )
+
+
+@dataclass
+class Ask:
+    """A request for a playback, however it came. `written`: the earliest time at which it may have been written."""
+
+    path: str
+    offer: str
+    key: str | None
+    written: int
+    token: Token | None = None
+    client: str = ""
+    prefer: list[str] = field(default_factory=list)
+    top: int | None = None
+
+
+@dataclass
+class Patched:
+    """What a fragment led to: nothing to say, or a new ICE session."""
+
+    tag: str = ""
+    fragment: bytes = b""
+
+
+class Core:
+    """Sessions of one front."""
+
+    def __init__(self, zone: str, helm: Helm, door: Door, stopping: Stopping, clock: Clock,
+                 log: structlog.typing.FilteringBoundLogger) -> None:  # fmt: skip
+        self.zone, self.helm, self.door, self.stopping, self.clock, self.log = (
+            zone,
+            helm,
+            door,
+            stopping,
+            clock,
+            log,
+        )
+        self.queue, self.number = Queue(door.bounds), 0
+        self.publishing: dict[str, Viewing] = {}
+        weights = {name: p.plan.revenue for name, p in helm.site.plans.items()}
+        self.line = Line(weights, Window(), SHORTEST_SETUP)
+        self.turns: dict[int, trio.Event] = {}
+        self.granted: set[int] = set()
+
+    # The line before the module.
+
+    async def beat(self) -> None:
+        """Knows how late the loop is, and lets those go on whose turn it is."""
+        while True:
+            at = trio.current_time()
+            await trio.sleep(BEAT / 1e9)
+            self.line.window.beat(round((trio.current_time() - at) * 1e9) - BEAT)
+            for one in self.line.hopeless(self.clock.now()):
+                self.turns.pop(one.number).set()
+            self._advance()
+
+    def _advance(self) -> None:
+        while (one := self.line.next()) is not None:
+            self.granted.add(one.number)
+            self.turns.pop(one.number).set()
+
+    async def _turn(self, one: Waiting) -> bool:
+        """Waits for a request's turn; False where it can no longer be answered in time, or too many wait."""
+        if self.line.full:
+            return False
+        if self.line.enter(one):
+            return True
+        event = self.turns[one.number] = trio.Event()
+        taken = False
+        try:
+            await event.wait()
+            taken = one.number in self.granted and one.abandon - self.clock.now() >= SHORTEST_SETUP
+        finally:
+            if not event.is_set():
+                self.turns.pop(one.number, None)
+                self.line.leave(one.number)
+            if one.number in self.granted:
+                self.granted.discard(one.number)
+                if not taken:  # its turn came too late for it, or its viewer left in that moment
+                    self.line.done()
+        return taken
+
+    # Requests.
+
+    def token(self, given: str | None) -> Token | None:
+        """The token of a bearer (RFC 6750), where the site states any: found by its digest, so that the time of a look-up
+        tells nothing of it. Faulty 401 without a good one."""
+        tokens = self.helm.site.tokens
+        if not tokens:
+            return None
+        token = tokens.get(hashlib.blake2b((given or "").strip().encode(), digest_size=32).digest())
+        if token is None:
+            raise Faulty(401, "token", "A valid bearer token is needed", "invalid_token" if given else "")
+        return token
+
+    def served(self, path: str) -> set[Side]:
+        """For whom anything is served at a path. Faulty 404 where nothing is."""
+        title = unquote(path.rpartition("/")[2], errors="replace")
+        sides = self.helm.site.table.sides(path)
+        if not sides or not title or "/" in title or len(title) > MOST_TITLE or not title.isprintable():
+            raise Faulty(404, "no-route", "Nothing is served at this path")
+        return sides
+
+    @staticmethod
+    def parse(text: str, publishes: bool | None = None) -> sdp.Description:
+        """An offer, read and, for a known side, checked. Faulty 400 or 422."""
+        try:
+            offer = sdp.parse(text)
+        except sdp.SdpFault as fault:
+            raise Faulty(400, "sdp", "The offer is no session description", str(fault)) from None
+        if publishes is not None:
+            try:
+                sdp.check_offer(offer, publishes)
+            except sdp.SdpFault as fault:
+                raise Faulty(422, "offer", "The offer cannot be answered", str(fault)) from None
+        return offer
+
+    def _route(self, site: Site, ask: Ask, offer: sdp.Description, title: str) -> Route:
+        sides = self.served(ask.path)
+        publishes = any(offer.direction(m) == "sendonly" for m in offer.media)
+        side = next(iter(sides)) if len(sides) == 1 else Side.PUBLISH if publishes else Side.WATCH
+        path = f"{ask.path.rpartition('/')[0]}/{title}"
+        asked = Asked(side, path, self.zone, ask.token.claims if ask.token else {})
+        route = site.table.find(asked)
+        if route is not None:
+            return route
+        if any(refuses(r.match, asked) is Why.CLAIM for r in site.table.routes.values() if r.match.claims):
+            raise Faulty(403, "claim", "This token does not give access to this title")
+        raise Faulty(404, "no-route", "Nothing is served at this path")
+
+    async def ask(self, ask: Ask) -> tuple[Viewing | Reply, bool]:
+        """The one answer to a request: the viewing with its `final`, or a refusal before it became a playback; and
+        whether it is given for the first time. Faulty where the request itself is wrong. A caller that is cancelled
+        has left."""
+        site = self.helm.site  # the version under which this request is decided, from here to its answer
+        title = unquote(ask.path.rpartition("/")[2], errors="replace")
+        offer = self.parse(ask.offer)
+        route = self._route(site, ask, offer, title)
+        publishes = route.match.side is Side.PUBLISH
+        self.parse(ask.offer, publishes)
+        now, plan, who = self.clock.now(), site.plans[route.plan], ask.token.name if ask.token else ""
+        key = ask.key if ask.key is not None else secrets.token_urlsafe(15)
+        key = f"{who}/{key}" if who else key  # one client's key is no other's
+        about = hashlib.blake2b(f"{ask.path}\0{ask.offer}".encode(), digest_size=16).hexdigest()
+        turn, refusal, earlier = self.helm.repeats.turn(key, about, now)
+        if turn is Turn.REFUSE and refusal is not None:
+            return REFUSALS[refusal], True
+        if turn is Turn.AGAIN and isinstance(earlier, Viewing):
+            return earlier, False
+        if not self.stopping.takes_new():
+            return REFUSALS[Refusal.DRAINING], True
+        other = self.publishing.get(title) if publishes else None
+        if other is not None and (other.final is None or other.id in self.helm.sessions):
+            raise Faulty(409, "published", "This title is being published already")
+        wait = due(ask.written, plan.abandon, ask.prefer, site.way_back)
+        if hopeless(wait, now, SHORTEST_SETUP):
+            return REFUSALS[Refusal.TOO_LATE], True
+        takes = ladder.bytes_a_second(*sdp.bandwidth(offer))
+        tops = [ladder.best_rung(site.terms.rates, plan.plan.rate_factor, takes), route.top, ask.top]
+        top = min(t for t in tops if t is not None)
+        v = self.helm.viewing(ask.path, title, plan, publishes, key, ask.offer, sdp.ufrag(offer), top, wait)
+        if v is None or not self.queue.has_room():
+            return REFUSALS[Refusal.BUSY], True
+        v.token = who
+        if route.pool:
+            pool, racks = site.pools[route.pool], site.terms.racks
+            v.pb.admits = lambda node: pool.admits(node, racks)
+        ticket = self.helm.ledger.ask(Party(who, route.name, route.plan, self.zone), now)
+        if isinstance(ticket, Over):
+            return answers.over(ticket), True
+        v.ticket = ticket
+        self.number += 1
+        return await self._answered(v, self.number, about, ask.client or who)
+
+    async def _answered(
+        self, v: Viewing, number: int, about: str, client: str
+    ) -> tuple[Viewing | Reply, bool]:
+        """Lets a request through the line to the module and waits for its answer."""
+        paid = v.plan.plan.effect.value == "paid"
+        self.queue.enter(number, self.clock.now())
+        self.helm.repeats.begin(v.key, about, paid, self.clock.now())
+        if v.publishes:
+            self.publishing[v.pb.title.name] = v
+        self.helm.unanswered += 1
+        at_work = asked = False
+        try:
+            at_work = await self._turn(Waiting(v.due.abandon, number, v.plan.name, client))
+            asked = at_work and self.helm.offer(partial(self.helm.arrived, v))
+            if not asked:
+                reply = REFUSALS[Refusal.BUSY if at_work or self.line.full else Refusal.TOO_LATE]
+                v.settle(Final.REJECTED, reply)
+                self.helm.repeats.settled(v.key, Final.REJECTED, v, self.clock.now())
+                return reply, True
+            with trio.CancelScope(deadline=self.clock.deadline(v.due.abandon)):
+                await v.answered.wait()
+            if v.final is None:  # both fell due in one moment, as after standing still: the module goes first
+                with trio.move_on_after(TURN):
+                    await v.answered.wait()
+            if v.final is None:  # the module owes it; a defence against any fault on the way there
+                self.log.error("no answer in time", playback=v.id, plan=v.plan.name)
+                v.settle(Final.ABORTED, answers.aborted(v.plan.plan.effect))
+                self.helm.repeats.settled(v.key, Final.ABORTED, v, self.clock.now())
+                self.helm.insist(partial(self.helm.left, v))
+            return v, True
+        finally:
+            if at_work:
+                self.line.done()
+                self._advance()
+            self.helm.unanswered -= 1
+            self.queue.leave(number)
+            if not asked and v.ticket is not None:
+                self.helm.ledger.back(v.ticket)
+            if v.final is None:  # the viewer has gone
+                self.helm.repeats.left(v.key)
+                if asked:
+                    self.helm.insist(partial(self.helm.left, v))
+                else:
+                    v.settle(Final.REJECTED)
+                    self.helm.repeats.settled(v.key, Final.REJECTED, v, self.clock.now())
+                v.answered.set()
+            if v.publishes and v.final is not Final.PLAYS:
+                self.publishing.pop(v.pb.title.name, None)
+            self.helm.bell.ring()
+
+    # Sessions that play.
+
+    def session(self, name: str, token: Token | None) -> Viewing:
+        """A session by its id. Faulty 404, or 403 for another client's."""
+        v = self.helm.sessions.get(name)
+        if v is None or v.resource is None or v.upstream is None:
+            raise Faulty(404, "no-session", "No such session")
+        if token is not None and v.token and token.name != v.token:
+            raise Faulty(403, "claim", "This session is another client's")
+        return v
+
+    @staticmethod
+    def _said(said: Said) -> Faulty:
+        return Faulty(said.status, said.kind.rpartition(":")[2], said.title)
+
+    async def patch(self, v: Viewing, kind: str, tags: list[str] | None, body: bytes) -> Patched:
+        """A trickle fragment for a session (RFC 9725 4.3)."""
+        assert v.resource is not None
+        assert v.upstream is not None
+        fragment = sdp.Fragment("", "", [], True)
+        if kind == SDPFRAG:
+            try:
+                fragment = sdp.parse_fragment(body.decode("utf-8"))
+            except (UnicodeDecodeError, sdp.SdpFault) as fault:
+                raise Faulty(400, "sdp", "This is no trickle fragment", str(fault)) from None
+        act = v.resource.patched(kind, tags, fragment.ufrag, len(fragment.candidates))
+        if isinstance(act, Said):
+            raise self._said(act)
+        leg, resource = self.helm.legs.get(v.upstream.node), v.resource
+        if act is Act.TRICKLE:
+            reply = await leg.patch(v.upstream, f'"{v.upstream.tag}"', body) if leg else None
+            if reply is None or reply.status not in (200, 204):
+                raise Faulty(502, "node", "The playout node did not take the candidates")
+            return Patched()
+        done = False
+        try:
+            reply = await leg.patch(v.upstream, "*", body) if leg else None
+            tag = (reply.header("etag") or "").strip('"') if reply is not None else ""
+            if reply is None or reply.status != 200 or not tag:
+                raise Faulty(502, "node", "The playout node did not restart ICE")
+            v.upstream.tag = tag
+            resource.restarted(tag, fragment.ufrag)
+            done = True
+            return Patched(tag, reply.body)
+        finally:
+            if not done:
+                resource.restart_failed()
+
+    async def end(self, v: Viewing) -> None:
+        """Ends a session for its viewer. Faulty 404 for one that has ended."""
+        assert v.resource is not None
+        act = v.resource.deleted()
+        if isinstance(act, Said):
+            raise self._said(act)
+        if v.publishes:
+            self.publishing.pop(v.pb.title.name, None)
+        await self.helm.tell(partial(self.helm.end, v))
+
+    async def layer(self, v: Viewing, wish: str) -> None:
+        """The viewer names the rung that it takes at most; under it the module goes on choosing."""
+        plan = v.pb.plan
+        rung = ladder.rung_wished(wish, plan.floor, plan.top)
+        if rung is None:
+            raise Faulty(422, "layer", "No such layer in this plan", f"rungs {plan.floor} to {plan.top}")
+        await self.helm.tell(partial(self.helm.wished, v, rung))
+
+    def reader(self, v: Viewing, kinds: frozenset[str]) -> Reader:
+        """A reader of a session's events, which begins with the present state. Faulty 409 for one too many."""
+        if len(v.readers) >= MOST_READERS:
+            raise Faulty(409, "events", f"{MOST_READERS} streams of this session are open")
+        send, receive = trio.open_memory_channel[tuple[str, dict[str, str]]](self.door.bounds.event_backlog)
+        reader = Reader(kinds, send, receive)
+        v.readers.append(reader)
+        if "active" in kinds:
+            send.send_nowait(("active", {}))
+        if "layers" in kinds:
+            send.send_nowait(("layers", {"encodingId": str(v.pb.rung)}))
+        assert not slow_reader(2, self.door.bounds)
+        return reader
+
+    @staticmethod
+    def unread(v: Viewing, reader: Reader) -> None:
+        """A reader has gone."""
+        reader.receive.close()
+        if reader in v.readers:
+            v.readers.remove(reader)
+
+    async def move(self, v: Viewing, text: str, key: str, prefer: list[str]) -> tuple[str, str] | Reply:
+        """A player that was told to move makes a new offer: the target's answer and tag, or that it stays."""
+        self.parse(text, v.publishes)
+        offer = sdp.parse(text)
+        move = self.helm.moves.moves.get(v.id)
+        if move is None or not move.hand.takes_offer():
+            raise Faulty(409, "no-move", "This session is not being moved")
+        wait = due(self.clock.now(), v.plan.abandon, prefer, self.helm.site.way_back)
+        title = v.pb.title.name
+        other = self.helm.viewing(
+            v.path, title, v.plan, v.publishes, key, text, sdp.ufrag(offer), v.pb.top, wait
+        )
+        if other is None:
+            return REFUSALS[Refusal.BUSY]
+        await self.helm.tell(partial(self._begin_move, move, other))
+        with trio.CancelScope(deadline=self.clock.deadline(wait.abandon)):
+            await other.answered.wait()
+        upstream = other.upstream if move.hand.state is Course.BESIDE else v.upstream
+        if other.final is not Final.PLAYS or upstream is None:
+            return other.reply or STAY
+        return upstream.answer, upstream.tag
+
+    def _begin_move(self, move: Move, other: Viewing) -> None:
+        if not self.helm.moves.offered(move, other):
+            other.settle(Final.REJECTED, STAY)
+
+    async def moved(self, v: Viewing) -> None:
+        """The player plays from the target."""
+        move = self.helm.moves.moves.get(v.id)
+        if move is not None:
+            await self.helm.tell(partial(self.helm.moves.happens, move, Happening.CONFIRMED))
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -34,7 +34,6 @@
 from oakcroft.front.viewing import Viewing
 from oakcroft.interface import Entry, Host, ListKind, Node, Note, Outcome, Playback, State, Terms
 from oakcroft.config.told import Deployment, PlanTerms, Site
-from oakcroft.signalling import words
 
 
 class Bell:
@@ -541,7 +540,7 @@
             if kind not in reader.kinds:
                 continue
             try:
-                reader.send.send_nowait(words.event(kind, data))
+                reader.send.send_nowait((kind, data))
             except (
                 trio.WouldBlock
             ):  # too far behind: its stream ends, a new one begins with the present state
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -15,8 +15,10 @@
 from oakcroft.decisions.stopping import Course, Stopping
 from oakcroft.decisions.versions import Offer, Verdict
 from oakcroft.front.clock import Clock
+from oakcroft.front.core import Core
 from oakcroft.front.helm import Bell, Decide, Helm
 from oakcroft.front.listing import BadList, Follower, kept, parse
+from oakcroft.front.sockets import PATH, SessionApi
 from oakcroft.front.viewers import Viewers
 from oakcroft.httpwire.client import Peer
 from oakcroft.httpwire.message import Request
@@ -39,6 +41,7 @@
         self.helm: Helm | None = None
         self.door: Door | None = None
         self.queue: Queue | None = None
+        self.sessions: SessionApi | None = None
         self.reads = 0
 
     async def run(
@@ -57,9 +60,14 @@
             helm = Helm(self.told, stand.seed, me, clock, nursery, self.log, self.decide)
             door = Door(site.bounds)
             self.helm, self.door = helm, door
-            viewers = Viewers(stand.zone, helm, door, stopping, clock, self.log)
+            core = Core(stand.zone, helm, door, stopping, clock, self.log)
+            sessions = SessionApi(core, nursery, self.log)
+            viewers = Viewers(core, (PATH, sessions.response))
+            nursery.start_soon(sessions.look_after)
+            self.sessions = sessions
             server = Server(viewers.handle, door, clock.now, self._failed)
-            self.queue = viewers.queue
+            self.queue = core.queue
+            nursery.start_soon(core.beat)
             nursery.start_soon(helm.run)
             nursery.start_soon(helm.beat)
             nursery.start_soon(helm.look_after)
--- a/oakcroft/front/viewing.py
+++ b/oakcroft/front/viewing.py
@@ -31,8 +31,8 @@
     """One reader of a session's event stream."""
 
     kinds: frozenset[str]
-    send: trio.MemorySendChannel[bytes]
-    receive: trio.MemoryReceiveChannel[bytes]
+    send: trio.MemorySendChannel[tuple[str, dict[str, str]]]
+    receive: trio.MemoryReceiveChannel[tuple[str, dict[str, str]]]
 
 
 @dataclass(eq=False)
--- a/oakcroft/httpwire/message.py
+++ b/oakcroft/httpwire/message.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from urllib.parse import unquote
 
+import trio
+
 Headers = list[tuple[str, str]]
 
 
@@ -52,6 +54,7 @@
     body: bytes = b""
     stream: AsyncIterator[bytes] | None = None
     close: bool = False
+    upgrade: Callable[[trio.SocketStream, bytes], Awaitable[None]] | None = None  # takes the connection over
     unsent: Callable[[], None] | None = None  # called when it could not be written whole
 
     def header(self, name: str) -> str | None:
--- a/oakcroft/httpwire/server.py
+++ b/oakcroft/httpwire/server.py
@@ -123,6 +123,9 @@
                 if fault.status is None:
                     return
                 response = fault_response(fault.status)
+            if response.upgrade is not None:
+                await response.upgrade(self.stream, self.http.trailing_data[0])
+                return
             written = False
             try:
                 await self._write(response)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -9,7 +9,7 @@
 
 ROOT = Path(__file__).parents[1] / "oakcroft"
 PURE = {"__future__", "collections", "dataclasses", "enum", "hashlib", "math", "random", "re", "typing", "itertools",
-        "bisect", "heapq", "functools", "fnmatch"}  # fmt: skip
+        "bisect", "heapq", "functools", "fnmatch", "hmac", "base64"}  # fmt: skip
 BELOW = {  # each package may import these beside itself
     "decisions": {"interface"},
     "signalling": set[str](),
@@ -17,6 +17,7 @@
     "httpwire": {"decisions", "signalling"},
     "front": {"choice", "decisions", "httpwire", "interface", "config", "signalling"},
     "rulecheck": {"config", "decisions", "interface"},
+    "client": {"decisions", "httpwire", "signalling"},
     "wirehost": {"choice", "interface"},
 }
 
--- /dev/null
+++ b/tests/test_sessions.py
@@ -0,0 +1,493 @@
+"""The session API: seats that outlive connections, the line before the module, and whole sessions over WebSocket."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+
+import pytest
+import trio
+import wsproto
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from rig import Rig, run, standing, until
+from wsproto import events
+
+from oakcroft.client import Refused, Retries, SessionClient, Unsure, WhepClient
+from oakcroft.client.blocking import BlockingWhepClient
+from oakcroft.client.retry import Next
+from oakcroft.decisions.clients import Allowance, Client, Word
+from oakcroft.decisions.passes import Invalid, Passes
+from oakcroft.decisions.resumption import Outbox, Pulse, Seat, Standing
+from oakcroft.decisions.shedding import Line, Waiting, Window
+from oakcroft.front.helm import Helm
+from oakcroft.front.sockets import SessionApi
+from oakcroft.interface import MS, SECOND
+from oakcroft.rehearsal.viewers import offer
+from oakcroft.signalling import session_api as api
+
+HERE = Path(__file__).parent
+OFFER = offer(9_000, 4)
+
+
+# Decisions.
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.lists(st.tuples(st.sampled_from("pacb"), st.integers(0, 6)), max_size=60))
+def test_a_client_hears_each_message_once_and_in_order_over_any_breaks(steps: list[tuple[str, int]]) -> None:
+    seat, now, conn = Seat[int](10 * SECOND, Outbox(16), connection=1), 0, 1
+    heard, sent, wire = list[int](), 0, list[tuple[int, int]]()
+    for what, k in steps:
+        now += MS
+        if what == "p" and not seat.over:
+            number = seat.put(sent, now)
+            if number is not None:
+                sent += 1
+                if seat.standing is Standing.ATTACHED:
+                    wire.append((number, sent - 1))
+        elif what == "a":  # the connection delivers some, the client acknowledges
+            for number, message in wire[:k]:
+                if number == len(heard) + 1:
+                    heard.append(message)
+            del wire[:k]
+            assert seat.outbox.acknowledged(len(heard))
+        elif what == "c":  # it breaks and comes back: what was on the wire is lost
+            seat.detached(conn, now)
+            wire.clear()
+            conn += 1
+            claim = seat.attach(conn, len(heard), now)
+            if claim is not None:
+                wire += claim[0]
+        elif what == "b":
+            seat.detached(conn, now)
+            wire.clear()
+    claim = seat.attach(conn + 1, len(heard), now)
+    if claim is None:
+        assert seat.standing is Standing.OVERRUN
+        return
+    assert heard + [m for _, m in claim[0]] == list(range(sent))
+
+
+def test_the_later_connection_wins_and_a_seat_ends_in_time() -> None:
+    seat = Seat[str](SECOND, Outbox(4), connection=1)
+    assert seat.put("a", 0) == 1
+    assert seat.attach(2, 0, 1) == ([(1, "a")], 1)
+    assert not seat.detached(1, 2)  # the earlier one no longer speaks for it
+    assert not seat.left(1, 2)
+    assert seat.detached(2, 3)
+    assert not seat.look(SECOND)
+    assert seat.look(2 * SECOND)
+    assert seat.attach(3, 0, 2 * SECOND) is None
+    liar = Seat[str](SECOND, Outbox(4), connection=1)
+    assert not liar.outbox.acknowledged(1)
+    assert liar.attach(2, 5, 0) is None  # it claims what was never sent
+    pulse = Pulse(SECOND)
+    assert [pulse.due(t * SECOND) for t in (1, 1, 2, 3)] == [True, False, True, True]
+    assert pulse.dead
+
+
+def test_passes_are_sealed_bound_expiring_and_rotate() -> None:
+    passes = Passes(10 * SECOND, SECOND)
+    passes.take_key(0, b"k" * 32, 0)
+    given_ = passes.give("seat-1", "alice", 0)
+    assert passes.open(given_, "alice", 1) == "seat-1"
+    assert passes.open(given_, "bob", 1) is Invalid.SEAL
+    assert passes.open(given_.replace("seat-1", "seat-2"), "alice", 1) is Invalid.SEAL
+    assert passes.open(given_, "alice", 11 * SECOND) is Invalid.EXPIRED
+    assert passes.open("no pass", "alice", 1) is Invalid.SHAPE
+    assert passes.wants_key(2 * SECOND)
+    passes.take_key(1, b"l" * 32, 2 * SECOND)
+    assert passes.open(given_, "alice", 3 * SECOND) == "seat-1"
+    passes.take_key(2, b"m" * 32, 4 * SECOND)
+    assert passes.open(given_, "alice", 5 * SECOND) is Invalid.KEY
+    restarted = Passes(10 * SECOND)
+    restarted.take_key(9, b"z" * 32, 0)
+    assert restarted.open(given_, "alice", 1) is Invalid.KEY
+
+
+def test_a_client_holds_what_it_may() -> None:
+    client = Client(Allowance(connections=1, asks=2, playbacks=3, messages=1.0, burst=2.0))
+    assert [client.connects(), client.connects()] == [Word.PASS, Word.TOO_MANY_CONNECTIONS]
+    assert [client.asks_for() for _ in range(3)] == [Word.PASS, Word.PASS, Word.TOO_MANY_ASKS]
+    client.answered(True)
+    client.answered(True)
+    assert client.asks_for() is Word.PASS
+    client.answered(True)
+    assert client.asks_for() is Word.TOO_MANY_PLAYBACKS
+    assert [client.says(0), client.says(0), client.says(0), client.says(SECOND)] == [
+        Word.PASS, Word.PASS, Word.TOO_FAST, Word.PASS,
+    ]  # fmt: skip
+    assert not client.idle
+
+
+def test_the_line_answers_in_time_or_at_once_and_starves_no_plan() -> None:
+    served: dict[str, dict[str, int]] = {}
+    for order in ("line", "first come"):
+        line = Line({"dear": 9.0, "cheap": 1.0}, Window(least=1, most=1, size=1.0), 50 * MS)
+        rng, now, number, in_time = Random(3), 0, 0, {"dear": 0, "cheap": 0}
+        queue = list[Waiting]()
+        finishes: list[int] = []
+        for now in range(0, 20 * SECOND, 10 * MS):
+            for _ in range(
+                rng.choice([0, 1, 1, 2])
+            ):  # a hundred a second for one that takes 50 ms each: five times over
+                number += 1
+                one = Waiting(now + 500 * MS, number, rng.choice(["dear", "cheap"]), f"c{rng.randrange(5)}")
+                if order == "first come":
+                    queue.append(one)
+                elif line.enter(one):
+                    in_time[one.plan] += 1
+                    finishes.append(now + 50 * MS)
+            for at in [f for f in finishes if f <= now]:
+                finishes.remove(at)
+                line.done() if order == "line" else None
+            if order == "line":
+                line.hopeless(now)
+                while (turn := line.next()) is not None:
+                    in_time[turn.plan] += 1
+                    finishes.append(now + 50 * MS)
+            elif queue and not finishes:
+                one = queue.pop(0)
+                finishes.append(now + 50 * MS)
+                in_time[one.plan] += one.abandon >= now + 50 * MS
+        served[order] = in_time
+    revenue = {order: 9 * s["dear"] + s["cheap"] for order, s in served.items()}
+    assert revenue["line"] > 5 * revenue["first come"]
+    assert served["line"]["cheap"] >= 0.08 * sum(served["line"].values())  # its least share
+    assert served["line"]["dear"] > 4 * served["line"]["cheap"]
+
+
+def test_the_window_gives_way_to_a_late_loop_and_comes_back() -> None:
+    window = Window(least=4, most=100, size=100.0)
+    for _ in range(30):
+        window.beat(80 * MS)
+    assert window.size == 4
+    for _ in range(30):
+        window.beat(0)
+    assert window.size == 100
+
+
+def test_a_client_asks_again_only_where_that_is_safe() -> None:
+    retries = Retries(Random(1), most=3)
+    assert retries.after(1, 201, "", True, None)[0] is Next.DONE
+    assert retries.after(1, None, "", True, None)[0] is Next.SAME_KEY
+    assert retries.after(1, 409, "urn:oakcroft:problem:outstanding", True, 1.0)[0] is Next.SAME_KEY
+    how, wait = retries.after(1, 503, "", True, 2.0)
+    assert how is Next.NEW_KEY
+    assert 2.0 <= wait <= 2.5
+    assert retries.after(1, 504, "", False, None)[0] is Next.GIVE_UP
+    assert retries.after(3, 503, "", True, None)[0] is Next.GIVE_UP
+    assert retries.after(1, 400, "", True, None)[0] is Next.GIVE_UP
+    while retries.after(1, 503, "", True, None)[0] is Next.NEW_KEY:
+        pass
+    assert retries.budget < 1.0
+
+
+def test_the_api_page_is_as_the_messages_make_it() -> None:
+    assert (HERE.parent / "docs" / "session-api.md").read_text() == api.reference()
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.binary(max_size=120), st.sampled_from(api.SUBPROTOCOLS))
+def test_no_bytes_make_the_codec_fail_otherwise(data: bytes, subprotocol: str) -> None:
+    codec = api.Codec(subprotocol)
+    try:
+        message = codec.read(data)
+    except ValueError:
+        return
+    assert codec.read(codec.write(message)) == message
+
+
+# Whole sessions.
+
+
+def parts(rig: Rig) -> tuple[Helm, SessionApi]:
+    assert rig.front is not None
+    assert rig.front.helm is not None
+    assert rig.front.sessions is not None
+    return rig.front.helm, rig.front.sessions
+
+
+class Raw:
+    """A WebSocket client that does just what a test says."""
+
+    def __init__(self, stream: trio.SocketStream, ws: wsproto.WSConnection) -> None:
+        self.stream, self.ws = stream, ws
+
+    async def say(self, message: object) -> None:
+        await self.stream.send_all(
+            self.ws.send(events.TextMessage(data=api.Codec(api.JSON).write(message).decode()))
+        )
+
+    async def event(self) -> events.Event:
+        while True:
+            for event in self.ws.events():
+                return event
+            self.ws.receive_data(await self.stream.receive_some(65_536) or None)
+
+    async def hear(self) -> api.ToClient:
+        while True:
+            event = await self.event()
+            if isinstance(event, events.TextMessage):
+                return api.Codec(api.JSON).read_server(event.data.encode())
+            assert not isinstance(event, events.CloseConnection), (event.code, event.reason)
+
+    async def code(self) -> int:
+        while not isinstance(event := await self.event(), events.CloseConnection):
+            pass
+        return event.code
+
+    async def cut(self) -> None:
+        await trio.aclose_forcefully(self.stream)
+
+
+async def dial(rig: Rig) -> Raw:
+    stream = await trio.open_tcp_stream("127.0.0.1", rig.port)
+    ws = wsproto.WSConnection(wsproto.ConnectionType.CLIENT)
+    await stream.send_all(ws.send(events.Request(host="a", target="/api/v1", subprotocols=[api.JSON])))
+    one = Raw(stream, ws)
+    assert isinstance(await one.event(), events.AcceptConnection)
+    return one
+
+
+@asynccontextmanager
+async def raw(rig: Rig, hello: api.Hello | None = None) -> AsyncIterator[Raw]:
+    one = await dial(rig)
+    try:
+        if hello is not None:
+            await one.say(hello)
+        yield one
+    finally:
+        await one.cut()
+
+
+def test_a_playback_over_websocket_and_the_client_library(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            helm, sessions = parts(rig)
+            for subprotocol in api.SUBPROTOCOLS:
+                async with SessionClient.open(
+                    f"http://127.0.0.1:{rig.port}", subprotocol=subprotocol
+                ) as client:
+                    playback = await client.play("/whep/open/t", OFFER)
+                    assert "m=video" in playback.answer
+                    assert await client.layer(playback, 1) == 200
+                    assert await client.layer(playback, 9) == 422
+                    with pytest.raises(Refused, match="404"):
+                        await client.play("/nowhere/t", OFFER)
+                    rig.playing()[0].kill()
+                    with trio.fail_after(5):
+                        heard = [e.kind async for e in playback.events]
+                    assert heard[-1] == "inactive"
+                    second = await client.play("/whep/course/t", OFFER)
+                    assert rig.playing()
+                    await client.end(second)
+                    await until(lambda: not rig.playing())
+                    third = await client.play("/whep/course/u", OFFER)
+                    assert third.id in helm.sessions
+                await until(lambda: not rig.playing() and not helm.viewings)  # it said goodbye
+                await until(lambda: not sessions.holders)
+                for node in rig.fleet.nodes.values():
+                    if node.ails.dead:
+                        node.machine.restart(0)
+                        await rig.fleet.boot(node)
+
+    run(test, 40)
+
+
+def test_one_key_over_both_ways_is_one_playback(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig, raw(rig, api.Hello()) as one:
+            assert isinstance(await one.hear(), api.Welcome)
+            sat = await rig.ask(
+                "POST",
+                "/whep/course/t",
+                OFFER.encode(),
+                Content_Type="application/sdp",
+                Idempotency_Key='"k"',
+            )
+            await one.say(api.Ask(1, "/whep/course/t", OFFER, "k"))
+            answer = await one.hear()
+            assert isinstance(answer, api.Answer)
+            assert (answer.status, answer.again) == (201, True)
+            assert f"/session/{answer.playback}" == sat.header("location")
+            assert len(rig.facts("ran")) == 1
+
+    run(test)
+
+
+SCRIPT: list[object] = [
+    api.Ask(1, "/whep/open/a", OFFER, "ka"), api.Ask(2, "/whep/course/b", OFFER, "kb"), api.Layer("?", 1, 3),
+    api.End("?", 4),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("cut", range(2 * len(SCRIPT) + 1))
+def test_a_cut_at_any_message_loses_and_doubles_nothing(tmp_path: Path, cut: int) -> None:
+    """The connection is cut before or after each message of a script, then taken up again, to the script's end."""
+
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            helm, sessions = parts(rig)
+            heard, numbers, playing, pass_ = list[object](), list[int](), dict[int, str](), ""
+
+            async def connect() -> Raw:
+                nonlocal pass_
+                one = await dial(rig)
+                await one.say(api.Hello(pass_, numbers[-1] if numbers else 0))
+                welcome = await one.hear()
+                assert isinstance(welcome, api.Welcome)
+                assert welcome.back is bool(pass_)
+                pass_ = welcome.resume
+                return one
+
+            one = await connect()
+            for i, message in enumerate(SCRIPT):
+                if cut == 2 * i:  # before it is said
+                    await one.cut()
+                    one = await connect()
+                if isinstance(message, api.Layer):
+                    message = api.Layer(playing[1], message.rung, message.id)
+                elif isinstance(message, api.End):
+                    message = api.End(playing[1], message.id)
+                await one.say(message)
+                if cut == 2 * i + 1:  # said, its answer unheard
+                    await trio.sleep(0.05)
+                    await one.cut()
+                    one = await connect()
+                await collect(one, heard, numbers, playing, i + 1)
+            if cut == 2 * len(SCRIPT):
+                await one.cut()
+                one = await connect()
+            answers = [m.id for m in heard if isinstance(m, api.Answer | api.Done)]
+            assert answers == [1, 2, 3, 4]
+            assert numbers == list(range(1, len(numbers) + 1))  # each once, in order
+            assert len(rig.facts("ran")) == 2
+            await one.say(api.Bye())
+            assert await one.code() == 1000
+            await one.cut()
+            await until(lambda: not helm.viewings and not sessions.holders and not rig.playing())
+            await until(lambda: not sessions.clients and helm.unanswered == 0)
+
+    run(test)
+
+
+async def collect(
+    one: Raw, heard: list[object], numbers: list[int], playing: dict[int, str], wanted: int
+) -> None:
+    """Hears until the answers to the first so many calls are in."""
+    with trio.fail_after(5):
+        while len([m for m in heard if isinstance(m, api.Answer | api.Done)]) < wanted:
+            message = await one.hear()
+            heard.append(message)
+            numbers.append(getattr(message, "n", 0))
+            if isinstance(message, api.Answer):
+                playing[message.id] = message.playback
+
+
+def test_the_later_connection_replaces_and_a_lost_seat_is_told(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig, raw(rig, api.Hello()) as one:
+            welcome = await one.hear()
+            assert isinstance(welcome, api.Welcome)
+            async with raw(rig, api.Hello(welcome.resume, 0)) as two:
+                again = await two.hear()
+                assert isinstance(again, api.Welcome)
+                assert again.back
+                assert isinstance(await one.hear(), api.Replaced)
+                assert await one.code() == 4001
+            async with raw(rig, api.Hello("1.2.x.y", 0)) as three:
+                fresh = await three.hear()
+                assert isinstance(fresh, api.Welcome)
+                assert (fresh.back, fresh.why) == (False, Invalid.KEY.value)
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        (b"\x81\x05hello", 1002),  # a client's frames are masked (5.1)
+        (b"\x83\x80\0\0\0\0", 1002),  # a reserved opcode (5.2)
+        (b"\xc1\x80\0\0\0\0", 1002),  # a reserved bit (5.2)
+        (b"\x09\x80\0\0\0\0", 1002),  # a control frame in pieces (5.5)
+        (b"\x89\xfe\x00\x7e\0\0\0\0" + b"x" * 126, 1002),  # a control frame over 125 bytes (5.5)
+        (b"\x80\x80\0\0\0\0", 1002),  # a continuation of nothing (5.4)
+        (b"\x81\x82\0\0\0\0\xff\xfe", 1007),  # text that is not UTF-8 (8.1)
+        (b"\x82\x82\0\0\0\0{}", 1003),  # a binary frame under the JSON subprotocol
+        (b"\x81\x82\0\0\0\0{}", 1007),  # no message
+        (b"\x88\x82\0\0\0\0\x03\xe8", 1000),  # a close is answered by a close (5.5.1)
+        (b"\x88\x81\0\0\0\0x", 1002),  # a close with half a code (5.5.1)
+    ],
+)
+def test_frames_that_the_rfc_forbids_close_with_its_code(tmp_path: Path, data: bytes, code: int) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig, raw(rig) as one:
+            await one.stream.send_all(data)
+            with trio.fail_after(3):
+                assert await one.code() == code
+            assert (await rig.watch()).status == 201
+
+    run(test)
+
+
+def test_pieces_pings_and_silence(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig, raw(rig) as one:
+            text = api.Codec(api.JSON).write(api.Hello()).decode()
+            await one.stream.send_all(one.ws.send(events.TextMessage(data=text[:5], message_finished=False)))
+            await one.stream.send_all(
+                one.ws.send(events.Ping(payload=b"p"))
+            )  # a control frame between pieces (5.4)
+            assert isinstance(await one.event(), events.Pong)
+            await one.stream.send_all(one.ws.send(events.TextMessage(data=text[5:], message_finished=True)))
+            assert isinstance(await one.hear(), api.Welcome)
+            await one.say(api.Ack(7))
+            assert await one.code() == 1008
+            huge = await rig.ask("GET", "/api/v1")
+            assert huge.status == 426
+
+    run(test)
+
+
+def test_random_bytes_after_the_upgrade_hurt_nobody(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            rng = Random(5)
+            for _ in range(25):
+                async with raw(rig) as one:
+                    await one.stream.send_all(rng.randbytes(rng.randrange(1, 200)))
+            assert (await rig.watch()).status == 201
+            assert not any(e["event"] == "request failed" for e in rig.logged())
+
+    run(test)
+
+
+def test_the_http_client_repeats_safely(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            client = WhepClient(f"http://127.0.0.1:{rig.port}", retries=Retries(Random(1), first_wait=0.01))
+            playing = await client.ask("/whep/open/t", OFFER)
+            await client.end(playing)
+            for node in rig.fleet.nodes.values():
+                node.ails.hung = True
+            with pytest.raises(Unsure):
+                await client.ask("/whep/course/t", OFFER)
+            assert len([f for f in rig.facts("setup") if f["plan"] == "course"]) == 1
+            for node in rig.fleet.nodes.values():
+                node.ails.hung = False
+                node.stir()
+
+            def plain() -> int:
+                with BlockingWhepClient(f"http://127.0.0.1:{rig.port}") as blocking:
+                    sat = blocking.ask("/whep/open/t", OFFER)
+                    blocking.end(sat)
+                    return len(sat.answer)
+
+            await until(lambda: not rig.playing(), 10)
+            assert await trio.to_thread.run_sync(plain) > 100
+
+    run(test)
