--- a/oakcroft/cli.py
+++ b/oakcroft/cli.py
@@ -224,8 +224,14 @@
 @click.option(
     "--keep", type=click.Path(file_okay=False, path_type=Path), help="Keep records and logs in this folder."
 )
+@click.option("--mixed", is_flag=True, help="Every second viewer comes over the WebSocket session API.")
 def rehearse(
-    file: Path | None, seed: int | None, baseline: bool, bench_day: Path | None, keep: Path | None
+    file: Path | None,
+    seed: int | None,
+    baseline: bool,
+    bench_day: Path | None,
+    keep: Path | None,
+    mixed: bool,
 ) -> None:
     """Play a day FILE through real fronts on loopback and judge the rules from the sockets.
 
@@ -233,6 +239,8 @@
     """
     from oakcroft.rehearsal import report, runner
     from oakcroft.rehearsal.bench_day import translate
+    from oakcroft.rehearsal.mixed import Mixed
+    from oakcroft.rehearsal.viewers import Audience
     from oakcroft.standins.day import parse
 
     try:
@@ -250,7 +258,8 @@
         sys.exit(FAULTY)
     if seed is not None:
         plot = plot.seeded(seed)
-    outcome = runner.play(plot, body, "oakcroft", click.echo, keep)
+    audience = Mixed if mixed else Audience
+    outcome = runner.play(plot, body, "oakcroft", click.echo, keep, audience)
     other = None
     if baseline:
         click.echo("the naive baseline on the same day:")
