--- a/oakcroft/client/retry.py
+++ b/oakcroft/client/retry.py
@@ -1,7 +1,9 @@
 """When a client may ask again, and when: decided without I/O, by the answer alone.
 
-A request goes out under one Idempotency-Key. While its connection broke or the front said `outstanding`, the same key is
-asked again: the front gives the first answer, never a second set-up. A rejected one (503, 429) may be asked anew with a
+A request goes out under one Idempotency-Key. Where the front said `outstanding`, the same key is asked again: it gives
+the first answer, never a second set-up. Where the connection broke after the request was out, the front may have been
+killed and have forgotten the key, and what it set up may run and be paid for: such a request is asked again only where
+the caller says that a repeat does no harm (`repeatable`, a free plan). A rejected one (503, 429) may be asked anew with a
 new key, no earlier than it was told, with jitter, within a budget. An aborted one that must not be repeated never is.
 """
 
@@ -44,18 +46,30 @@
     share: float = 0.2
     first_wait: float = 0.2
     longest_wait: float = 5.0
+    repeatable: bool = False
 
     def began(self) -> None:
         """A new request of the client."""
         self.budget = min(10.0, self.budget + self.share)
 
     def after(
-        self, tries: int, status: int | None, kind: str, retry: bool, retry_after: float | None
+        self,
+        tries: int,
+        status: int | None,
+        kind: str,
+        retry: bool,
+        retry_after: float | None,
+        sent: bool = True,
     ) -> tuple[Next, float]:
-        """What follows an answer (None: the connection broke before one), and the seconds to wait first."""
+        """What follows an answer (None: none came; `sent`: the request may have been read), and the seconds to wait
+        first."""
         if status is not None and status < 300:
             return Next.DONE, 0.0
-        how = self._how(status, kind, retry)
+        how = (
+            Next.GIVE_UP
+            if status is None and sent and not self.repeatable
+            else self._how(status, kind, retry)
+        )
         if how is Next.GIVE_UP or tries >= self.most or self.budget < 1.0:
             return Next.GIVE_UP, 0.0
         self.budget -= 1.0
@@ -74,4 +88,4 @@
 
 def fault(status: int, kind: str, title: str, retry: bool) -> Refused:
     """The error for an answer that is final."""
-    return Unsure(status, kind, title) if status == 504 and not retry else Refused(status, kind, title)
+    return Unsure(status, kind, title) if status in (0, 504) and not retry else Refused(status, kind, title)
--- a/oakcroft/client/session.py
+++ b/oakcroft/client/session.py
@@ -17,6 +17,8 @@
 from oakcroft.signalling import session_api as api
 
 PATH = "/api/v1"
+LOST_ASK = api.Answer(0, 0, 504, "urn:oakcroft:problem:front-lost", "The front has lost its memory", False)
+LOST_CALL = api.Done(0, 0, 404, "urn:oakcroft:problem:front-lost", "The front has lost its memory")
 
 
 class Playback:
@@ -110,15 +112,21 @@
         self.up.set()
 
     def _start_anew(self) -> None:
-        """The front does not know the seat any more: what played is lost, what waits is asked anew with its keys."""
+        """The front does not know the seat any more, as after a restart: what played is lost. What waited may have run
+        there and be paid for, and a front without memory would set it up again under the same key, so it is not said
+        again: its caller hears that nothing is known of it."""
         self.seen = 0
         if self.pass_:
             self.lost += len(self.playbacks)
         for playback in self.playbacks.values():
             playback.send.close()
         self.playbacks.clear()
-        for message in list(self.unsent.values()):
-            self.nursery.start_soon(self._send, message)
+        for id_, message in list(self.unsent.items()):
+            if not self.pass_:
+                self.nursery.start_soon(self._send, message)
+            elif id_ in self.waiting:
+                lost = LOST_ASK if isinstance(message, api.Ask) else LOST_CALL
+                self.waiting.pop(id_).send_nowait(lost)
 
     async def _next(self) -> events.Event:
         assert self.ws is not None
--- a/oakcroft/client/whep.py
+++ b/oakcroft/client/whep.py
@@ -11,6 +11,7 @@
 import trio
 
 from oakcroft.client.retry import Next, Retries, fault
+from oakcroft.decisions.evidence import End
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.httpwire.message import Headers, Response
 from oakcroft.signalling import sdp, words
@@ -40,28 +41,33 @@
         self.retries.began()
         key, tries = key or str(uuid.uuid4()), 0
         while True:
-            response = await self._once(path, offer, key, wait)
+            response, sent = await self._once(path, offer, key, wait)
             tries += 1
             if response is not None and response.status == 201:
                 tag = (response.header("etag") or "").strip('"')
                 return Playing(response.header("location") or "", response.body.decode(), tag)
             status, kind, title, retry, after = said(response)
-            how, seconds = self.retries.after(tries, status, kind, retry, after)
+            how, seconds = self.retries.after(tries, status, kind, retry, after, sent)
             if how is Next.GIVE_UP:
-                raise fault(status or 0, kind, title or "no answer", retry)
+                raise fault(
+                    status or 0, kind, title or "no answer", retry and (response is not None or not sent)
+                )
             await trio.sleep(seconds)
             if how is Next.NEW_KEY:
                 key = str(uuid.uuid4())
 
-    async def _once(self, path: str, offer: str, key: str, wait: int | None) -> Response | None:
+    async def _once(self, path: str, offer: str, key: str, wait: int | None) -> tuple[Response | None, bool]:
+        """The answer, if any, and whether the front may have read the request."""
         headers = [*self.headers, ("Content-Type", sdp.MEDIA_TYPE), ("Idempotency-Key", words.quoted(key))]
         if wait is not None:
             headers.append(("Prefer", f"wait={wait}"))
         try:
             with trio.fail_after((wait or 30) + 2):
-                return await self.peer.ask("POST", path, headers, offer.encode())
-        except (Ended, trio.TooSlowError):
-            return None
+                return await self.peer.ask("POST", path, headers, offer.encode()), True
+        except Ended as ended:
+            return None, ended.end is not End.UNREACHED
+        except trio.TooSlowError:
+            return None, True
 
     async def end(self, playing: Playing) -> None:
         """Ends it; one that has ended by itself is no error."""
--- a/oakcroft/decisions/clients.py
+++ b/oakcroft/decisions/clients.py
@@ -10,10 +10,10 @@
 
 @dataclass(frozen=True)
 class Allowance:
-    """The figures: connections of one client, requests without an answer, playbacks, messages a second with bursts,
-    bytes of one message, and messages that it may be behind."""
+    """The figures: connections of one caller; requests without an answer, playbacks, messages a second with bursts,
+    bytes of one message, and messages that it may be behind, of one seat."""
 
-    connections: int = 8
+    connections: int = 20_000
     asks: int = 64
     playbacks: int = 512
     messages: float = 50.0
@@ -38,7 +38,8 @@
 
 @dataclass
 class Client:
-    """What one client holds now. A client is its token, or its address where no tokens stand."""
+    """What one client holds now. Requests, playbacks and messages are counted by seat, since a portal's viewers share
+    its token, and those behind one network its address; connections by token or address."""
 
     allowance: Allowance
     connections: int = 0
--- a/oakcroft/decisions/resumption.py
+++ b/oakcroft/decisions/resumption.py
@@ -150,7 +150,7 @@
     """Whether a connection that looks alive is: it is asked (ping) when nothing came for `every`, and counts as dead
     when two questions in a row stay without an answer."""
 
-    every: int = 10 * SECOND
+    every: int = 30 * SECOND
     heard_at: int = 0
     asked: int = 0
 
--- a/oakcroft/front/sockets.py
+++ b/oakcroft/front/sockets.py
@@ -75,7 +75,7 @@
         self.allowance = Allowance()
         self.passes = Passes(KEEP + 60 * SECOND)
         self.holders: dict[str, Holder] = {}
-        self.clients: dict[str, Client] = {}
+        self.callers: dict[str, Client] = {}  # connections by token or address; the rest is counted by seat
         self.numbers = 0
 
     # Seats.
@@ -94,8 +94,8 @@
                 if holder.seat.look(now):
                     self.log.info("client gone", seat=holder.id, playbacks=len(holder.playbacks))
                     await self.end(holder)
-            for name in [n for n, c in self.clients.items() if c.idle]:
-                del self.clients[name]
+            for name in [n for n, c in self.callers.items() if c.idle]:
+                del self.callers[name]
 
     async def end(self, holder: Holder) -> None:
         """A seat is over: its requests are left, its playbacks end."""
@@ -157,11 +157,11 @@
                 nursery.cancel_scope.deadline = trio.current_time() + 1  # for what is still to be written
                 link.finish()
         finally:
+            if link.caller is not None:
+                link.caller.connections -= 1
             holder = link.holder
-            if holder is not None:
-                holder.client.connections -= 1
-                if holder.seat.detached(link.number, self.clock.now()):
-                    holder.link = None
+            if holder is not None and holder.seat.detached(link.number, self.clock.now()):
+                holder.link = None
 
     async def _speak(self, link: Link, request: Request) -> None:
         """Reads messages until the connection ends."""
@@ -209,11 +209,12 @@
         self._key()
         token, now = self.core.token(hello.token or None), self.clock.now()
         who = token.name if token else source
-        client = self.clients.setdefault(who, Client(self.allowance))
-        word = client.connects()
+        caller = self.callers.setdefault(who, Client(self.allowance))
+        word = caller.connects()
         if word is not Word.PASS:
             link.close(CLOSE[word], word.value)
             return False
+        link.caller = caller
         why = ""
         if hello.resume:
             opened = self.passes.open(hello.resume, who, now)
@@ -228,7 +229,7 @@
                 else "the seat is over, or what was missed cannot be told"
             )
         seat = Seat[object](KEEP, Outbox(self.allowance.behind), connection=link.number, since=now)
-        holder = Holder(secrets.token_urlsafe(12), seat, client, token, source, link=link)
+        holder = Holder(secrets.token_urlsafe(12), seat, Client(self.allowance), token, source, link=link)
         self.holders[holder.id] = holder
         link.holder = holder
         link.send(api.Welcome(self.passes.give(holder.id, who, now), KEEP // 1_000_000, False, why))
@@ -386,6 +387,7 @@
         self.ws = wsproto.WSConnection(wsproto.ConnectionType.SERVER)
         self.out, self.queue = trio.open_memory_channel[bytes](allowance.behind + 16)
         self.holder: Holder | None = None
+        self.caller: Client | None = None
         self.pulse = Pulse(heard_at=now)
         self.inbox: list[bytes] = []
         self.partial = bytearray()
--- a/oakcroft/rehearsal/mixed.py
+++ b/oakcroft/rehearsal/mixed.py
@@ -85,6 +85,10 @@
         finally:
             self.tally.waiting -= 1
         assert isinstance(answer, api.Answer)
+        if answer.kind.endswith(":front-lost"):
+            self.record.note("cut", key=key, front=front, why=answer.title)
+            self.tally.answers["cut"] += 1
+            return None
         self.record.note("got", key=key, status=answer.status, type=answer.kind, extra=False)
         self.tally.answers[f"{answer.status} {answer.kind.rpartition(':')[2]}".strip()] += 1
         if answer.status == 201:
--- a/oakcroft/rehearsal/players.py
+++ b/oakcroft/rehearsal/players.py
@@ -117,6 +117,9 @@
             refused = isinstance(fault, Ended) and fault.end.name == "UNREACHED"
             self.record.note("unreached" if refused else "cut", key=key, front=front, why=str(fault))
             return None
+        except trio.Cancelled:
+            self.record.note("left", key=key, front=front)
+            raise
         finally:
             self.tally.waiting -= 1
             await peer.close()
--- a/tests/test_rulecheck.py
+++ b/tests/test_rulecheck.py
@@ -83,6 +83,8 @@
     assert broken(asked(20, "x"), got(30, "x", 503), got(31, "x", 503)) == {1: 1}
     assert broken(asked(20, "x"), got(30, "x", 201, extra=True)) == {1: 1}
     assert broken(asked(20, "x"), at(4500, "cut", key="x", front=0, why="late")) == {1: 1}
+    assert broken(asked(20, "x"), at(900, "left", key="x", front=0)) == {}
+    assert broken(asked(20, "x"), at(4500, "left", key="x", front=0)) == {1: 1}
     assert broken(asked(20, "x"), at(25, "unreached", key="x", front=0, why="refused")) == {}
 
 
