Say again what a break swallowed, take it once; shed before parsing; a page to try the API

In a mixed rehearsal one request over WebSocket stayed without an answer: the connection broke before the front had read it, and the client did not say it again on its resumed seat. It does now, and a seat takes no call twice by its id. Offers are parsed once, and not at all where the line is full.

--- a/benchmarks/front_cost.py
+++ b/benchmarks/front_cost.py
@@ -49,13 +49,13 @@
     """A child process with one line of greeting."""
 
     def __init__(self, *arguments: str) -> None:
-        self.arguments = arguments
+        self.command = [sys.executable, "-m", "oakcroft", *arguments]
         self.child: trio.Process | None = None
 
     async def start(self, log: Path) -> bytes:
         """Its first line."""
         self.child = await trio.lowlevel.open_process(
-            [sys.executable, "-m", "oakcroft", *self.arguments], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+            self.command, stdin=subprocess.PIPE, stdout=subprocess.PIPE,
             stderr=log.open("wb"),
         )  # fmt: skip
         assert self.child.stdout is not None
--- /dev/null
+++ b/benchmarks/overload.py
@@ -0,0 +1,136 @@
+"""A front at two, five and ten times what it can do: revenue answered within the startup target, with the line before the
+module and first come first served.
+
+    python -m benchmarks.overload [--capacity 250] [--times 2 5 10]
+
+Four load processes send requests open-loop over kept-alive connections; a third of them are for a plan of nine times the
+revenue. An answer counts when a 201 comes within the startup target (1 s) of when its request was due.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import platform
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from random import Random
+
+import orjson
+import trio
+
+from benchmarks.front_cost import SITE, WARM, Process, day
+from oakcroft.httpwire.client import Ended, Peer
+from oakcroft.rehearsal.viewers import offer
+from oakcroft.signalling import sdp
+
+PLANS = (
+    SITE
+    + """
+  (plan dear (effect free) (startup-target 1s) (abandon 3s) (revenue 9)) (route dear (path "/whep/dear/") (plan dear))
+  (plan cheap (effect free) (startup-target 1s) (abandon 3s) (revenue 1))
+  (route cheap (path "/whep/cheap/") (plan cheap))"""
+)
+
+
+async def load(port: int, rate: float, seconds: float, seed: int) -> None:
+    """One load process; prints what was asked and answered in time, by plan."""
+    rng, asked, served = Random(seed), {"dear": 0, "cheap": 0}, {"dear": 0, "cheap": 0}
+    peer, body = Peer("127.0.0.1", port, most=4000, most_idle=4000), offer(20_000, 1).encode()
+
+    async def one(at: float) -> None:
+        plan = "dear" if rng.random() < 1 / 3 else "cheap"
+        asked[plan] += 1
+        try:
+            with trio.move_on_at(at + 3):
+                sat = await peer.ask(
+                    "POST", f"/whep/{plan}/t{rng.randrange(50)}", [("Content-Type", sdp.MEDIA_TYPE)], body
+                )
+                if sat.status == 201:
+                    served[plan] += trio.current_time() - at <= 1.0
+                    await peer.ask("DELETE", sat.header("location") or "", [], b"")
+        except Ended:
+            pass
+
+    async with trio.open_nursery() as nursery:
+        start, due = trio.current_time(), 0.0
+        while due < seconds:
+            await trio.sleep_until(start + due)
+            nursery.start_soon(one, start + due)
+            due += rng.expovariate(rate)
+    print(orjson.dumps([asked, served]).decode())
+
+
+async def measure(module: list[str], rate: float, seconds: float) -> tuple[dict[str, int], dict[str, int]]:
+    """One front under one load."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        (folder / "day.oak").write_text(day(10).replace(SITE.format(nodes=10), PLANS.format(nodes=10)))
+        fleet = Process("stand-in", str(folder / "day.oak"), "--seed", "1", "--start", str(1 << 62),
+                        "--record", str(folder / "record"))  # fmt: skip
+        greeting = orjson.loads(await fleet.start(folder / "fleet.log"))
+        own = f'(front (listen "127.0.0.1:0") (list-service "127.0.0.1:{greeting["list"]}"))'
+        (folder / "front.oak").write_text(f"{own}\n{PLANS.format(nodes=10)}")
+        front = Process("serve", str(folder / "front.oak"))
+        front.command = [sys.executable, "-m", *module, str(folder / "front.oak")]
+        port = int((await front.start(folder / "front.log")).split(b":")[-1])
+        asked, served = {"dear": 0, "cheap": 0}, {"dear": 0, "cheap": 0}
+        try:
+            await trio.sleep(WARM)
+
+            async def part(seed: int) -> None:
+                command = [
+                    sys.executable,
+                    "-m",
+                    "benchmarks.overload",
+                    "--load",
+                    str(port),
+                    str(rate / 4),
+                    str(seconds),
+                    str(seed),
+                ]
+                done = await trio.run_process(command, capture_stdout=True, stderr=subprocess.DEVNULL)
+                for total, mine in zip((asked, served), orjson.loads(done.stdout), strict=True):
+                    for plan, n in mine.items():
+                        total[plan] += n
+
+            async with trio.open_nursery() as nursery:
+                for seed in range(4):
+                    nursery.start_soon(part, seed)
+        finally:
+            await front.stop()
+            await fleet.stop()
+        return asked, served
+
+
+def main() -> None:
+    """Runs and prints."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--capacity", type=float, default=250)
+    parser.add_argument("--times", type=float, nargs="+", default=[2, 5, 10])
+    parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--load", nargs=4, help=argparse.SUPPRESS)
+    given = parser.parse_args()
+    if given.load:
+        port, rate, seconds, seed = given.load
+        trio.run(load, int(port), float(rate), float(seconds), int(seed))
+        return
+    where = f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}"
+    print(f"{where}; capacity taken as {given.capacity:.0f} a second")
+    for times in given.times:
+        for what, module in (
+            ("line", ["oakcroft", "serve"]),
+            ("first come", ["oakcroft.rehearsal.firstcome"]),
+        ):
+            asked, served = trio.run(measure, module, given.capacity * times, given.seconds)
+            revenue = 9 * served["dear"] + served["cheap"]
+            print(f"{times:4.0f} times, {what:10}: revenue in time {revenue:6}, dear {served['dear']}/{asked['dear']}, "
+                  f"cheap {served['cheap']}/{asked['cheap']}", flush=True)  # fmt: skip
+
+
+if __name__ == "__main__":
+    main()
--- a/oakcroft/client/session.py
+++ b/oakcroft/client/session.py
@@ -105,7 +105,9 @@
         if not isinstance(welcome, api.Welcome):
             raise OSError("the front does not welcome the client")
         if welcome.back:
-            self.resumed += 1
+            self.resumed += 1  # what the front did not read is said again; it takes no call twice by its id
+            for message in list(self.unsent.values()):
+                self.nursery.start_soon(self._send, message)
         else:
             self._start_anew()
         self.pass_ = welcome.resume
--- a/oakcroft/decisions/shedding.py
+++ b/oakcroft/decisions/shedding.py
@@ -93,8 +93,9 @@
 
     @property
     def full(self) -> bool:
-        """Whether nobody more may wait."""
-        return len(self.waiting) >= self.most
+        """Whether nobody more may wait: a line several times as long as what is at work cannot be answered in time, and
+        reading its requests takes the turns of those that can."""
+        return len(self.waiting) >= min(self.most, max(64, 4 * self.window.size))
 
     def _serve(self, name: str) -> None:
         plan = self.plans.setdefault(name, _Plan(LEAST_SHARE, self.clock))
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -153,18 +153,19 @@
         return sides
 
     @staticmethod
-    def parse(text: str, publishes: bool | None = None) -> sdp.Description:
-        """An offer, read and, for a known side, checked. Faulty 400 or 422."""
+    def parse(text: str) -> sdp.Description:
+        """An offer, read. Faulty 400."""
         try:
-            offer = sdp.parse(text)
+            return sdp.parse(text)
         except sdp.SdpFault as fault:
             raise Faulty(400, "sdp", "The offer is no session description", str(fault)) from None
-        if publishes is not None:
-            try:
-                sdp.check_offer(offer, publishes)
-            except sdp.SdpFault as fault:
-                raise Faulty(422, "offer", "The offer cannot be answered", str(fault)) from None
-        return offer
+
+    @staticmethod
+    def _check(offer: sdp.Description, publishes: bool) -> None:
+        try:
+            sdp.check_offer(offer, publishes)
+        except sdp.SdpFault as fault:
+            raise Faulty(422, "offer", "The offer cannot be answered", str(fault)) from None
 
     def _route(self, site: Site, ask: Ask, offer: sdp.Description, title: str) -> Route:
         sides = self.served(ask.path)
@@ -185,10 +186,12 @@
         has left."""
         site = self.helm.site  # the version under which this request is decided, from here to its answer
         title = unquote(ask.path.rpartition("/")[2], errors="replace")
+        if self.line.full:  # before anything is parsed: under a crowd, reading requests is what costs
+            return REFUSALS[Refusal.BUSY], True
         offer = self.parse(ask.offer)
         route = self._route(site, ask, offer, title)
         publishes = route.match.side is Side.PUBLISH
-        self.parse(ask.offer, publishes)
+        self._check(offer, publishes)
         now, plan, who = self.clock.now(), site.plans[route.plan], ask.token.name if ask.token else ""
         key = ask.key if ask.key is not None else secrets.token_urlsafe(15)
         key = f"{who}/{key}" if who else key  # one client's key is no other's
@@ -362,8 +365,8 @@
 
     async def move(self, v: Viewing, text: str, key: str, prefer: list[str]) -> tuple[str, str] | Reply:
         """A player that was told to move makes a new offer: the target's answer and tag, or that it stays."""
-        self.parse(text, v.publishes)
-        offer = sdp.parse(text)
+        offer = self.parse(text)
+        self._check(offer, v.publishes)
         move = self.helm.moves.moves.get(v.id)
         if move is None or not move.hand.takes_offer():
             raise Faulty(409, "no-move", "This session is not being moved")
--- a/oakcroft/front/sockets.py
+++ b/oakcroft/front/sockets.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import secrets
+from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
@@ -37,6 +38,7 @@
 KINDS = frozenset({"inactive", "layers", "move"})
 HELLO_WITHIN = 5.0
 WRITE_WITHIN = 5.0
+MOST_CALLS = 4096
 Make = Callable[[int], object]
 
 
@@ -53,9 +55,21 @@
     playbacks: dict[str, Viewing] = field(default_factory=dict)
     readers: dict[str, Reader] = field(default_factory=dict)
     tops: dict[str, int] = field(default_factory=dict)
-    asks: set[int] = field(default_factory=set)
+    calls: OrderedDict[int, None] = field(
+        default_factory=OrderedDict
+    )  # ids of late, so that none is taken twice
     link: Link | None = None
 
+    def takes(self, call: int) -> bool:
+        """Whether a call is new: a client says again after a break what it does not know to be read."""
+        if call and call in self.calls:
+            return False
+        if call:
+            self.calls[call] = None
+            while len(self.calls) > MOST_CALLS:
+                self.calls.popitem(last=False)
+        return True
+
     @contextmanager
     def task(self) -> Iterator[None]:
         """Runs something under the seat, that ends when the seat does."""
@@ -201,7 +215,7 @@
             elif isinstance(message, api.Hello):
                 link.close(1008, "hello comes once")
                 return
-            else:
+            elif holder.takes(getattr(message, "id", 0)):
                 self.nursery.start_soon(self._call, holder, message, self.clock.now())
 
     def _attach(self, link: Link, hello: api.Hello, source: str) -> bool:
--- a/oakcroft/front/viewers.py
+++ b/oakcroft/front/viewers.py
@@ -5,6 +5,7 @@
 import secrets
 from collections.abc import AsyncIterator, Callable
 from functools import partial
+from pathlib import Path
 
 import orjson
 import trio
@@ -17,6 +18,7 @@
 from oakcroft.httpwire.message import Headers, Request, Response
 from oakcroft.signalling import sdp, words
 
+TRY = Path(__file__).parent / "try.html"
 EXPOSED = "Location, Link, ETag, Retry-After, Accept-Post, Accept-Patch"
 SESSION_PARTS = {
     "": "OPTIONS, PATCH, DELETE", "layer": "OPTIONS, POST", "events": "OPTIONS, GET, POST", "move": "OPTIONS, POST",
@@ -67,6 +69,9 @@
     async def _handle(self, request: Request) -> Response:
         if self.other is not None and request.path == self.other[0]:
             return self.other[1](request)
+        if request.path == "/try" and request.method == "GET":
+            headers = [("Content-Type", "text/html; charset=utf-8"), ("Cache-Control", "no-store")]
+            return Response(200, headers, TRY.read_bytes())
         if request.path.startswith("/session/"):
             return await self._session(request)
         self.core.served(request.path)
--- a/oakcroft/rehearsal/mixed.py
+++ b/oakcroft/rehearsal/mixed.py
@@ -9,9 +9,10 @@
 from oakcroft.client.retry import Retries
 from oakcroft.client.session import Playback, SessionClient
 from oakcroft.decisions.routing import Side
+from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.interface import SECOND
 from oakcroft.rehearsal.viewers import Audience, Visit, offer
-from oakcroft.signalling import session_api as api
+from oakcroft.signalling import sdp, session_api as api, words
 
 
 class Mixed(Audience):
@@ -47,6 +48,8 @@
                                 self.tally.in_target[name] += (
                                     trio.current_time() - began <= plan.plan.startup_target / 1e9
                                 )
+                            if visit.number % 10 == 5:
+                                await self._other_way(visit, front, key, answer.playback)
                             playback = Playback(answer.playback, answer.answer, answer.tag)
                             client.playbacks[answer.playback] = playback
                             sat = trio.current_time()
@@ -65,17 +68,13 @@
 
     async def _say(self, client: SessionClient, visit: Visit, front: int, key: str) -> api.Answer | None:
         """One request, recorded."""
-        site, wait = self.day.site, visit.plan.abandon
-        prefix = next(r.match.prefix for r in site.table.routes.values()
-                      if r.plan == visit.plan.name and r.match.side is Side.WATCH)  # fmt: skip
-        rate = site.terms.rates[visit.top] * visit.plan.plan.rate_factor
+        wait, (prefix, body) = visit.plan.abandon, self._asked(visit)
         self.tally.requests += 1
         self.tally.waiting += 1
         sent = trio.current_time()
         self.record.note("ask", key=key, front=front, plan=visit.plan.name, title=visit.title, wait=wait)
         try:
             with trio.fail_after(wait / 1e9 + 3):
-                body = offer(int(rate * 8 * 1.02) + 1, visit.number)
                 ask = api.Ask(next(client.numbers), prefix + visit.title, body, key, -(-wait // SECOND))
                 answer = await client.call(ask)
         except trio.TooSlowError:
@@ -95,6 +94,31 @@
             self.tally.waits.append(round((trio.current_time() - sent) * 1e9))
         return answer
 
+    async def _other_way(self, visit: Visit, front: int, key: str, playback: str) -> None:
+        """The same request under the same key over HTTP: it must hear of the same playback."""
+        prefix, body = self._asked(visit)
+        peer = Peer("127.0.0.1", self.ports.get(front, 1), 1.0)
+        headers = [("Content-Type", sdp.MEDIA_TYPE), ("Idempotency-Key", words.quoted(key))]
+        try:
+            with trio.fail_after(2):
+                sat = await peer.ask("POST", prefix + visit.title, headers, body.encode(), fresh=True)
+        except (Ended, trio.TooSlowError):
+            return
+        finally:
+            await peer.close()
+        same = sat.status == 201 and sat.header("location") == f"/session/{playback}"
+        gone = sat.status != 201  # it ended, or its front was stopped, in between
+        self.record.note("both ways", key=key, same=same, status=sat.status)
+        self.tally.answers["both ways: " + ("same" if same else "gone" if gone else "ANOTHER")] += 1
+
+    def _asked(self, visit: Visit) -> tuple[str, str]:
+        """Path before the title, and the offer."""
+        site = self.day.site
+        prefix = next(r.match.prefix for r in site.table.routes.values()
+                      if r.plan == visit.plan.name and r.match.side is Side.WATCH)  # fmt: skip
+        rate = site.terms.rates[visit.top] * visit.plan.plan.rate_factor
+        return prefix, offer(int(rate * 8 * 1.02) + 1, visit.number)
+
     async def _watch_events(self, client: SessionClient, playback: Playback, seconds: float) -> bool:
         """Watches to the end and says so; False when the playback was lost before."""
         self.tally.playing += 1
--- a/oakcroft/rulecheck/rules.py
+++ b/oakcroft/rulecheck/rules.py
@@ -158,6 +158,8 @@
             paid = bool(some) and site.plans[some[0].plan].plan.effect is Effect.PAID
             if paid and not all(one.proven for one in some):
                 found.breach(f"{f['key']}: paid and rejected though a try may have run")
+        elif f["kind"] == "both ways" and f["status"] == 201 and not f["same"]:
+            found.breach(f"{f['key']}: asked over both ways, it became two playbacks")
     for key, some in by_key.items():
         if key.startswith("ran ") and len(some) > 1:
             found.breach(f"{key[4:]}: paid and set up {len(some)} times")
--- a/tests/test_rulecheck.py
+++ b/tests/test_rulecheck.py
@@ -101,6 +101,7 @@
     assert broken(*a_try(1000, "x", "n", "free", None, 500), *a_try(1100, "x", "m", "free", 201)) == {2: 1}
     late_refusal = [asked(990, "x", "paid"), got(1200, "x", 503, "urn:oakcroft:problem:rejected")]
     assert broken(first, late_refusal) == {2: 1}
+    assert broken(at(1200, "both ways", key="x", same=False, status=201)) == {2: 1}
     twice = [*a_try(1000, "x", "n", "paid", 201), *a_try(1100, "x", "m", "paid", 201)]
     assert broken(twice) == {2: 2}
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -522,3 +522,32 @@
             nursery.cancel_scope.cancel()
 
     run(test)
+
+
+def test_a_call_that_a_break_swallowed_is_said_again_and_taken_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            async with SessionClient.open(
+                f"http://127.0.0.1:{rig.port}", retries=Retries(Random(1))
+            ) as client:
+                for i in range(4):
+                    stream = client.stream
+                    assert stream is not None
+                    if i % 2:
+                        await trio.aclose_forcefully(stream)  # before the call is written
+                        playback = await client.play(f"/whep/course/t{i}", OFFER)
+                    else:
+
+                        async def cut(stream: trio.SocketStream = stream, so_far: int = i) -> None:
+                            await until(lambda: len(rig.facts("setup")) > so_far)
+                            await trio.aclose_forcefully(stream)
+
+                        async with trio.open_nursery() as nursery:  # or while its set-up is out
+                            nursery.start_soon(cut)
+                            playback = await client.play(f"/whep/course/t{i}", OFFER)
+                    assert playback.answer
+                assert client.resumed >= 3
+                assert client.lost == 0
+            assert len(rig.facts("ran")) == 4
+
+    run(test)
