Do not take a session as lost that began while its node's event stream opened

In the mixed rehearsal a request repeated over HTTP became a second playback: the front had dropped the first within ten milliseconds. When an event stream opens, the node names its sessions; one that began between the node's word and the word's arrival was missing from it and taken as ended. The word now counts as of when it was asked for. The test fails on the text before.

--- a/oakcroft/decisions/claims.py
+++ b/oakcroft/decisions/claims.py
@@ -57,9 +57,11 @@
         self.unclaimed.pop(session, None)
 
     def told(self, sessions: Iterable[str], as_of: int, now: int) -> list[str]:
-        """All sessions that the node runs for this front, as of a time; returns those claimed here that it lacks.
+        """All sessions that the node runs for this front, in a word that was asked for at a time; returns those claimed
+        here that it lacks.
 
-        A session claimed after that time may be missing from the word and play all the same.
+        A session claimed after the asking may be missing from the word and play all the same: it began between the
+        node's word and the word's arrival.
         """
         running = set(sessions)
         lost = [s for s, since in self.mine.items() if s not in running and since < as_of]
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -419,13 +419,13 @@
             self._over(v, Outcome.RESET)
 
     async def _hear(self, leg: NodeLeg, name: str, told: Told) -> None:
-        await self.tell(partial(self._heard, leg, name, told, self.clock.now()))
+        await self.tell(partial(self._heard, leg, name, told, leg.asked_at))
 
-    def _heard(self, leg: NodeLeg, name: str, told: Told, at: int) -> None:
+    def _heard(self, leg: NodeLeg, name: str, told: Told, asked_at: int) -> None:
         now = self.clock.now()
         node = self.roster.nodes.get(leg.name)
         if name == "hello":
-            for session in leg.claims.told(told.sessions, at, now):
+            for session in leg.claims.told(told.sessions, asked_at, now):
                 self._session_over(leg, session, Outcome.RESET)
         elif name == "started":
             leg.claims.started(told.session, now)
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -76,6 +76,7 @@
         self.claims = Claims(claim_within)
         self.events = ""
         self.watched = False
+        self.asked_at = 0  # when the stream was asked for: the node's word at its beginning is no older
         self.wake = trio.Event()  # set when it is worth opening the stream
 
     def _headers(self, **more: str) -> Headers:
@@ -190,6 +191,7 @@
 
     async def _listen(self, hear: Hear, lost: Lost, again: Again) -> Break:
         reader, headers = words.EventReader(), self._headers(Accept=words.EVENTS)
+        self.asked_at = self.clock.now()
         try:
             with trio.CancelScope() as silence:
                 silence.deadline = trio.current_time() + self._silence()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -354,7 +354,9 @@
     assert not c.ended("/s/3")
     assert not c.claim("/s/3", 16 * SECOND)  # it ended before its answer came
     c.claim("/s/4", 20 * SECOND)
-    assert c.told(["/s/9"], 19 * SECOND, 21 * SECOND) == ["/s/1"]  # 4 was claimed after that word
+    assert c.told(["/s/9"], 19 * SECOND, 21 * SECOND) == [
+        "/s/1"
+    ]  # 4 was claimed after that word was asked for
     assert c.orphans(40 * SECOND) == ["/s/9"]
     assert c.ended("/s/4")
     c.claim("/s/5", 41 * SECOND)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import orjson
@@ -14,6 +15,7 @@
 from oakcroft.httpwire.message import Response
 from oakcroft.rehearsal.viewers import offer
 from oakcroft.signalling import sdp, words
+from oakcroft.standins.playout import PlayoutNode
 
 FRAGMENT = (
     b"a=ice-ufrag:v0000001\r\na=candidate:1 1 udp 2130706431 127.0.0.1 9 typ host\r\na=end-of-candidates\r\n"
@@ -356,3 +358,35 @@
                 assert count <= 2
 
     run(test, 40)
+
+
+def test_a_session_that_begins_while_the_stream_opens_is_not_taken_as_lost(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            helm = rig.front.helm if rig.front else None
+            assert helm is not None
+            real, waiting = PlayoutNode._events, trio.Event()
+
+            def early(self: PlayoutNode, front: str) -> Response:
+                response = real(self, front)  # the node's word is written now and arrives late
+                chunks = response.stream
+                assert chunks is not None
+
+                async def late() -> AsyncIterator[bytes]:
+                    await waiting.wait()
+                    async for chunk in chunks:
+                        yield chunk
+
+                response.stream = late()
+                return response
+
+            for node in rig.fleet.nodes.values():
+                node._events = early.__get__(node)  # type: ignore[method-assign]
+            sat = [await rig.watch("/whep/open/t") for _ in range(6)]
+            assert [s.status for s in sat] == [201] * 6
+            waiting.set()
+            await until(lambda: all(leg.lifeline.process for leg in helm.legs.values() if leg.watched))
+            await trio.sleep(0.1)
+            assert len(helm.sessions) == 6
+
+    run(test)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -531,22 +531,30 @@
                 f"http://127.0.0.1:{rig.port}", retries=Retries(Random(1))
             ) as client:
                 for i in range(4):
-                    stream = client.stream
+                    stream, cuts = client.stream, client.resumed
                     assert stream is not None
                     if i % 2:
                         await trio.aclose_forcefully(stream)  # before the call is written
-                        playback = await client.play(f"/whep/course/t{i}", OFFER)
                     else:
+                        for node in rig.fleet.nodes.values():
+                            node.ails.hung = True
 
-                        async def cut(stream: trio.SocketStream = stream, so_far: int = i) -> None:
+                        async def cut(
+                            stream: trio.SocketStream = stream, so_far: int = i, cuts: int = cuts
+                        ) -> None:
                             await until(lambda: len(rig.facts("setup")) > so_far)
                             await trio.aclose_forcefully(stream)
+                            await until(lambda: client.resumed > cuts)
+                            for node in rig.fleet.nodes.values():
+                                node.ails.hung = False
+                                node.stir()
 
-                        async with trio.open_nursery() as nursery:  # or while its set-up is out
+                    async with trio.open_nursery() as nursery:  # or while its set-up is out
+                        if not i % 2:
                             nursery.start_soon(cut)
-                            playback = await client.play(f"/whep/course/t{i}", OFFER)
+                        playback = await client.play(f"/whep/course/t{i}", OFFER)
                     assert playback.answer
-                assert client.resumed >= 3
+                    await until(lambda cuts=cuts: client.resumed > cuts)  # type: ignore[misc]
                 assert client.lost == 0
             assert len(rig.facts("ran")) == 4
 
