--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -163,18 +163,23 @@
     async def beat(self) -> None:
         """Knows when the front stood still."""
         while True:
-            stood = self.stillness.beat(self.clock.now())
-            if stood:
-                self.log_.warning("stood still", ms=stood // 1_000_000, unanswered=self.unanswered)
-                for leg in self.legs.values():
-                    leg.claims.stood(stood)
+            self.awake(self.clock.now())
             await trio.sleep(BEAT / 1e9)
 
+    def awake(self, now: int) -> None:
+        """The front runs now. Whatever judges by time that has passed asks here first, or a pause would count."""
+        stood = self.stillness.beat(now)
+        if stood:
+            self.log_.warning("stood still", ms=stood // 1_000_000, unanswered=self.unanswered)
+            for leg in self.legs.values():
+                leg.claims.stood(stood)
+
     async def look_after(self) -> None:
         """Now and then: nodes that have fallen silent, and sessions that nobody claims."""
         while True:
             await trio.sleep(0.5)
             now = self.clock.now()
+            self.awake(now)
             for leg in list(self.legs.values()):
                 if leg.watched and (loss := leg.lifeline.look(now)) is not None:
                     await self.tell(partial(self._node_lost, leg, loss, "silent for too long"))
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -13,6 +13,7 @@
 from oakcroft.decisions.resource import SDPFRAG
 from oakcroft.httpwire.client import Peer
 from oakcroft.httpwire.message import Response
+from oakcroft.interface import MS
 from oakcroft.rehearsal.viewers import offer
 from oakcroft.signalling import sdp, words
 from oakcroft.standins.playout import PlayoutNode
@@ -390,3 +391,24 @@
             assert len(helm.sessions) == 6
 
     run(test)
+
+
+def test_a_pause_of_the_front_ends_no_session_whose_claim_lies_in_its_buffers(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            sat = await rig.watch()
+            helm = rig.front.helm if rig.front else None
+            assert helm is not None
+            leg = helm.legs[rig.playing()[0].name]
+            await until(lambda: leg.lifeline.process)
+            now = helm.clock.now()
+            leg.claims.started("/sessions/unheard", now)
+            for at in range(now, now + leg.claims.claim_within // 2, 20 * MS):
+                helm.awake(at)
+            woke = now + 2 * leg.claims.claim_within  # it stood still for the rest
+            helm.awake(woke)
+            assert leg.claims.orphans(woke) == []
+            assert leg.claims.orphans(woke + leg.claims.claim_within) == ["/sessions/unheard"]
+            assert sat.status == 201
+
+    run(test)
