Let a new process's own list tell which sessions went with the old one

What the new process lists is not lost any more; what it lacks is, as before. The test fails on the text before.

--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -430,7 +430,15 @@
         now = self.clock.now()
         node = self.roster.nodes.get(leg.name)
         if name == "hello":
-            for session in leg.claims.told(told.sessions, asked_at, now):
+            missing = leg.claims.told(told.sessions, asked_at, now)
+            if missing:
+                self.log_.warning(
+                    "node lost",
+                    node=leg.name,
+                    why=told.why or "sessions ended unheard",
+                    playbacks=len(missing),
+                )
+            for session in missing:
                 self._session_over(leg, session, Outcome.RESET)
         elif name == "started":
             leg.claims.started(told.session, now)
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -208,8 +208,9 @@
                                 again.worked(self.clock.now())
                                 told = msgspec.json.decode(data, type=Told)
                                 loss = self.lifeline.opened(told.process, self.clock.now())
-                                if loss is not None:
-                                    await lost(loss, "the process is another")
+                                told.why = (
+                                    loss.value if loss is not None else ""
+                                )  # its own list tells what is lost
                                 await hear(name, told)
                             elif name in NOTES:
                                 await hear(name, msgspec.json.decode(data, type=Told))
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -412,3 +412,20 @@
             assert sat.status == 201
 
     run(test)
+
+
+def test_what_began_on_a_new_process_is_not_lost_with_the_old_one(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            helm = rig.front.helm if rig.front else None
+            assert helm is not None
+            for leg in helm.legs.values():
+                leg.lifeline.process = "the one before"  # it went in silence, and a new one takes set-ups
+            sat = await rig.watch()
+            assert sat.status == 201
+            await until(lambda: any(leg.lifeline.process.startswith("n") for leg in helm.legs.values()))
+            await trio.sleep(0.1)
+            assert len(helm.sessions) == 1
+            assert (await rig.ask("DELETE", sat.header("location") or "")).status == 200
+
+    run(test)
