Say once what a visit asks with; take out code that nothing calls

The path and offer of a visit were made in two audiences alike; the mixed one now uses its parent's. Gone are a walk over forms, an unused constant and two fields that nothing read, and a reader of text that was that of names.

--- a/oakcroft/config/schema.py
+++ b/oakcroft/config/schema.py
@@ -104,10 +104,6 @@
     return atom.text
 
 
-def _text(atom: Atom) -> str:
-    return _word(atom)
-
-
 TIMES = measured("time", TIME, ("800ms", "5s"), whole=True)
 SIZES = measured("size", SIZE, ("64KiB", "1MB"), whole=True)
 RATES = measured("rate", RATE, ("400kB/s", "3.2Mbit/s"))
@@ -115,7 +111,7 @@
 NUMBER = Kind("figure", "a plain figure, or a share in %", _number)
 WHOLE = Kind("whole number", "a whole number, 0 or more", _whole)
 NAME = Kind("name", "a symbol or a string", _word)
-TEXT = Kind("text", "a string or a symbol", _text)
+TEXT = Kind("text", "a string or a symbol", _word)
 
 
 def choice(name: str, words: Sequence[str]) -> Kind:
--- a/oakcroft/config/syntax.py
+++ b/oakcroft/config/syntax.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import cache
 from pathlib import Path
@@ -215,16 +215,6 @@
     return stack[-1] if stack else None
 
 
-def walk(parts: list[Part] | tuple[Part, ...]) -> Iterator[Part]:
-    """All parts, outermost first."""
-    stack = list(reversed(parts))
-    while stack:
-        part = stack.pop()
-        yield part
-        if isinstance(part, Form):
-            stack += reversed(part.parts)
-
-
 def without_comments(parts: list[Part]) -> list[Form | Atom]:
     """The parts that mean something."""
     return [p for p in parts if not isinstance(p, Comment)]
--- a/oakcroft/decisions/resource.py
+++ b/oakcroft/decisions/resource.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 
@@ -57,7 +57,6 @@
     most_candidates: int = 128
     phase: Phase = Phase.LIVE
     candidates: int = 0
-    old_tags: list[str] = field(default_factory=list)
 
     def _change(self, phase: Phase) -> None:
         """The one place where the phase changes. ValueError for a step that cannot be."""
@@ -108,7 +107,6 @@
         """The node has a new ICE session."""
         if self.phase is Phase.RESTARTING:
             self._change(Phase.LIVE)
-            self.old_tags = [*self.old_tags[-7:], self.tag]
             self.tag, self.ufrag, self.candidates = tag, ufrag, 0
 
     def restart_failed(self) -> None:
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -96,7 +96,7 @@
         site = told.site
         self.rng = Random(seed + 1)  # of errands; the module has its own
         self.events, self.inbox = trio.open_memory_channel[Event](MOST_EVENTS)
-        self.roster, self.lines = Roster(), dict[str, Line]()
+        self.roster = Roster()
         self.legs: dict[str, NodeLeg] = {}
         self.titles = Shelf(MOST_TITLES, site.terms.cells, site.copies, stated(site))
         self.ledger = Ledger(site.terms.front, site.terms.fronts)
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -27,7 +27,7 @@
 from oakcroft.front.viewing import Upstream, Viewing
 from oakcroft.httpwire.client import REFUSED, Ended, Peer
 from oakcroft.httpwire.message import Headers, Response
-from oakcroft.interface import MS, SECOND, Outcome
+from oakcroft.interface import SECOND, Outcome
 from oakcroft.signalling import sdp, words
 
 NOTES = ("share", "link", "rung", "ended", "started")
@@ -233,4 +233,3 @@
 
 
 LONGEST_TRY_GRACE = 2 * SECOND
-EVENT_BEAT = 500 * MS
--- a/oakcroft/rehearsal/mixed.py
+++ b/oakcroft/rehearsal/mixed.py
@@ -8,10 +8,9 @@
 
 from oakcroft.client.retry import Retries
 from oakcroft.client.session import Playback, SessionClient
-from oakcroft.decisions.routing import Side
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.interface import SECOND
-from oakcroft.rehearsal.viewers import Audience, Visit, offer
+from oakcroft.rehearsal.viewers import Audience, Visit
 from oakcroft.signalling import sdp, session_api as api, words
 
 
@@ -111,14 +110,6 @@
         self.record.note("both ways", key=key, same=same, status=sat.status)
         self.tally.answers["both ways: " + ("same" if same else "gone" if gone else "ANOTHER")] += 1
 
-    def _asked(self, visit: Visit) -> tuple[str, str]:
-        """Path before the title, and the offer."""
-        site = self.day.site
-        prefix = next(r.match.prefix for r in site.table.routes.values()
-                      if r.plan == visit.plan.name and r.match.side is Side.WATCH)  # fmt: skip
-        rate = site.terms.rates[visit.top] * visit.plan.plan.rate_factor
-        return prefix, offer(int(rate * 8 * 1.02) + 1, visit.number)
-
     async def _watch_events(self, client: SessionClient, playback: Playback, seconds: float) -> bool:
         """Watches to the end and says so; False when the playback was lost before."""
         self.tally.playing += 1
--- a/oakcroft/rehearsal/viewers.py
+++ b/oakcroft/rehearsal/viewers.py
@@ -173,20 +173,21 @@
             self.tally.lost += 1
             await trio.sleep(rng.uniform(*self.day.crowd.back_after) / 1e9)
 
-    async def _ask(self, visit: Visit, rng: Random, front: int, key: str) -> Response | None:
-        """One request; None where no front took it or it was cut."""
+    def _asked(self, visit: Visit) -> tuple[str, str]:
+        """Path before the title, and the offer, that a visit asks with."""
         site = self.day.site
+        prefix = next(r.match.prefix for r in site.table.routes.values()
+                      if r.plan == visit.plan.name and r.match.side is Side.WATCH)  # fmt: skip
         rate = site.terms.rates[visit.top] * visit.plan.plan.rate_factor
-        wait = visit.plan.abandon
-        prefix = next(
-            r.match.prefix
-            for r in site.table.routes.values()
-            if r.plan == visit.plan.name and r.match.side is Side.WATCH
-        )
+        return prefix, offer(int(rate * 8 * 1.02) + 1, visit.number)
+
+    async def _ask(self, visit: Visit, rng: Random, front: int, key: str) -> Response | None:
+        """One request; None where no front took it or it was cut."""
+        wait, (prefix, text) = visit.plan.abandon, self._asked(visit)
         headers = [("Content-Type", sdp.MEDIA_TYPE), ("Idempotency-Key", words.quoted(key)),
                    ("Prefer", f"wait={-(-wait // SECOND)}")]  # fmt: skip
         peer = Peer("127.0.0.1", self.ports.get(front, 1), 1.0)
-        body = offer(int(rate * 8 * 1.02) + 1, visit.number).encode()
+        body = text.encode()
         asked = {"key": key, "front": front, "plan": visit.plan.name, "title": visit.title, "wait": wait}
         self.tally.requests += 1
         self.tally.waiting += 1
