--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -1,9 +1,10 @@
 """The session API at size: idle and busy connections on one front, beside WHEP in the same run.
 
-    python -m benchmarks.sessions [--idle 10000] [--busy 1000] [--rate 120]
+    python -m benchmarks.sessions [--idle 10000] [--busy 1000] [--rate 120] [--slow 200]
 
-Idle connections say hello and take nothing more from their sockets. Busy ones ask for a playback and end it, open-loop at
-the given rate over all of them, each measured from when it was due; half of the set-ups go by WHEP meanwhile.
+Idle connections say hello and take nothing more from their sockets. Slow readers, in a second measurement beside them,
+call twenty times a second and read nothing, over a receive buffer of a few kB. Busy ones ask for a playback and end it,
+open-loop at the given rate over all, each measured from when it was due; half of the set-ups go by WHEP meanwhile.
 """
 
 from __future__ import annotations
@@ -43,6 +44,30 @@
     return stream
 
 
+async def slow_reader(port: int, seconds: float, gone: list[float]) -> None:
+    """Calls and reads nothing, until the front has had enough; notes when that was."""
+    raw = trio.socket.socket()
+    raw.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 4096)
+    await raw.connect(("127.0.0.1", port))
+    stream, ws = trio.SocketStream(raw), wsproto.WSConnection(wsproto.ConnectionType.CLIENT)
+    await stream.send_all(ws.send(events.Request(host="a", target="/api/v1", subprotocols=[api.JSON])))
+    greeted = False
+    while not greeted:
+        ws.receive_data(await stream.receive_some(4096))
+        greeted = any(isinstance(e, events.AcceptConnection) for e in ws.events())
+    codec, began = api.Codec(api.JSON), trio.current_time()
+    await stream.send_all(ws.send(events.TextMessage(data=codec.write(api.Hello()).decode())))
+    with trio.move_on_after(seconds):
+        try:
+            for number in range(1, 1 << 30):
+                call = codec.write(api.Layer("x" * 400, 0, number)).decode()
+                await stream.send_all(ws.send(events.TextMessage(data=call)))
+                await trio.sleep(0.05)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            gone.append(trio.current_time() - began)
+    await trio.aclose_forcefully(stream)
+
+
 async def busy(
     port: int, connections: int, rate: float, seconds: float, load: Load
 ) -> tuple[HdrHistogram, HdrHistogram]:
@@ -79,7 +104,7 @@
     return sockets, whep
 
 
-async def measure(idle: int, busy_ones: int, rate: float, seconds: float) -> None:
+async def measure(idle: int, busy_ones: int, rate: float, seconds: float, slow: int) -> None:
     """One front."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
@@ -106,6 +131,18 @@
                 f"{busy_ones} busy ones beside them, {rate:.0f} set-ups a second, half each way; failed {load.failed}"
             )
             print(f"  WebSocket {line(sockets)}\n  WHEP      {line(whep)}", flush=True)
+            gone = list[float]()
+            async with trio.open_nursery() as nursery:
+                for _ in range(slow):
+                    nursery.start_soon(slow_reader, port, seconds + 8, gone)
+                await trio.sleep(1)
+                sockets, whep = await busy(port, busy_ones, rate, seconds, load)
+                nursery.cancel_scope.cancel()
+            first = f", the first after {min(gone):.1f} s" if gone else ""
+            print(
+                f"the same beside {slow} slow readers; {len(gone)} of them were cut off{first}; failed {load.failed}"
+            )
+            print(f"  WebSocket {line(sockets)}\n  WHEP      {line(whep)}", flush=True)
             for stream in streams:
                 await trio.aclose_forcefully(stream)
         finally:
@@ -121,10 +158,11 @@
     parser.add_argument("--idle", type=int, default=10_000)
     parser.add_argument("--busy", type=int, default=1_000)
     parser.add_argument("--rate", type=float, default=120)
+    parser.add_argument("--slow", type=int, default=200)
     parser.add_argument("--seconds", type=float, default=12)
     given = parser.parse_args()
     print(f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}; times in ms")
-    trio.run(measure, given.idle, given.busy, given.rate, given.seconds)
+    trio.run(measure, given.idle, given.busy, given.rate, given.seconds, given.slow)
 
 
 if __name__ == "__main__":
--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -53,6 +53,7 @@
 UNHEARD = 6 * SECOND  # after its start, a front can't know which nodes are warm
 TOO_OLD = 2 * SECOND  # past its due time, a report is stale
 LIKE = 4  # how alike the loads of links are: the number of fronts whose view counts as much as the mean
+SPENT = 1 << 30  # set-ups in a slot of which nothing is left
 USUAL = 0.7  # load taken for a link while none has told
 
 
@@ -515,6 +516,12 @@
         self.held_then[0] = (now, self.held + self._rate(pb, pb.rung))
         self._change(pb, State.PLAYING, now, node)
 
+    def recalled(self, further: Iterable[int], spent: Iterable[Node], now: int) -> None:
+        """What an earlier life of this front did: further tries to count, and nodes whose running slot is used up."""
+        self.further.extend(further)
+        for node in spent:
+            node.slot, node.slot_used = self._slot(node, now)[0], SPENT
+
     def playing(self, pb: Playback, took: int, now: int) -> None:
         """The set-up is done."""
         pb.fresh = True
--- a/oakcroft/config/compile.py
+++ b/oakcroft/config/compile.py
@@ -542,7 +542,8 @@
         nodes["connect-within"], signalling["keep-keys"],
     )  # fmt: skip
     (host, port), (list_host, list_port) = front["listen"], front["list-service"]
-    stand = Stand(host, port, list_host, list_port, front["kept"], front["zone"], front["seed"], front["log"])
+    stand = Stand(host, port, list_host, list_port, front["kept"], front["state"],
+                  front["state-sync"] == "yes", front["zone"], front["seed"], front["log"])  # fmt: skip
     return Deployment(site, stand, m)
 
 
--- a/oakcroft/config/forms.py
+++ b/oakcroft/config/forms.py
@@ -81,6 +81,8 @@
         Field("listen", "where viewers reach it", ADDRESS, required=True),
         Field("list-service", "where the list of nodes is asked for", ADDRESS, required=True),
         Field("kept", "file in which the last list is kept; none: a restart begins without", TEXT, ""),
+        Field("state", "file that keeps promises, seats and the list over a crash; none: a restart begins without", TEXT, ""),
+        Field("state-sync", "whether a commit to it waits for the disk", choice("answer", ("yes", "no")), "yes"),
         Field("seed", "of the front's random numbers", WHOLE, 1),
         Field("log", "how log lines are written", choice("form of log", ("json", "console")), "json"),
     ),
--- a/oakcroft/config/told.py
+++ b/oakcroft/config/told.py
@@ -70,6 +70,8 @@
     list_host: str
     list_port: int
     kept: str
+    state: str
+    state_sync: bool
     zone: str
     seed: int
     log: str
--- a/oakcroft/decisions/answers.py
+++ b/oakcroft/decisions/answers.py
@@ -29,6 +29,7 @@
     BUSY = "too many requests wait"
     TOO_LATE = "it cannot be answered in time"
     DRAINING = "this front is being stopped"
+    UNRECORDED = "this front cannot keep a record of it now"
     OUTSTANDING = "the first request with this key has no answer yet"
     KEY_REUSED = "this key was used for another request"
 
@@ -74,6 +75,9 @@
     Refusal.BUSY: Reply(503, "urn:oakcroft:problem:busy", "Too many requests wait here", 1),
     Refusal.TOO_LATE: Reply(503, "urn:oakcroft:problem:too-late", "No time left to answer in", None),
     Refusal.DRAINING: Reply(503, "urn:oakcroft:problem:stopping", "This front is being stopped", 1),
+    Refusal.UNRECORDED: Reply(
+        503, "urn:oakcroft:problem:no-record", "This front cannot keep a record of it now", 2
+    ),
     Refusal.OUTSTANDING: Reply(
         409, "urn:oakcroft:problem:outstanding", "The first request has no answer yet", 1
     ),
--- a/oakcroft/decisions/repeats.py
+++ b/oakcroft/decisions/repeats.py
@@ -32,6 +32,7 @@
     final: Final | None = None
     playing: bool = False
     answer: object = None
+    given: bool = False  # again, to a request that came later
 
 
 class Repeats:
@@ -60,6 +61,7 @@
         if known.final is Final.PLAYS and known.playing:
             return Turn.AGAIN, None, known.answer
         if known.final is Final.ABORTED and known.paid:
+            known.given = True
             return Turn.AGAIN, None, known.answer  # what may have run must not run again
         return Turn.NEW, None, None
 
@@ -92,6 +94,20 @@
         if (known := self.known.get(key)) and not known.paid:
             del self.known[key]
 
+    def recall(self, key: str, about: str, paid: bool, final: Final, answer: object, now: int) -> None:
+        """An answer of an earlier life of this front."""
+        if key not in self.known and (len(self.known) < self.most or self._make_room()):
+            self.known[key] = Known(about, now, paid, final, final is Final.PLAYS, answer)
+
+    def forget(self, key: str) -> bool:
+        """What was promised under a key provably never ran: a request with it is a new one. False, and nothing changes,
+        where its answer has been given again already."""
+        known = self.known.get(key)
+        if known is not None and known.given:
+            return False
+        self.known.pop(key, None)
+        return True
+
     def _forget(self, now: int) -> None:
         while self.known:
             key, first = next(iter(self.known.items()))
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -240,7 +240,9 @@
         v = self.helm.viewing(ask.path, title, plan, publishes, key, ask.offer, sdp.ufrag(offer), top, wait)
         if v is None or not self.queue.has_room():
             return REFUSALS[Refusal.BUSY], True
-        v.token = who
+        v.token, v.about = who, about
+        if self.helm.memory is not None and (reply := self.helm.memory.refusal(v)) is not None:
+            return reply, True
         if route.pool:
             pool, racks = site.pools[route.pool], site.terms.racks
             v.pb.admits = lambda node: pool.admits(node, racks)
@@ -279,6 +281,8 @@
                 self.log.error("no answer in time", playback=v.id, plan=v.plan.name)
                 v.settle(Final.ABORTED, answers.aborted(v.plan.plan.effect))
                 self.helm.repeats.settled(v.key, Final.ABORTED, v, self.clock.now())
+                if self.helm.memory is not None:
+                    self.helm.memory.answered(v, Final.ABORTED)
                 self.helm.insist(partial(self.helm.left, v))
             return v, True
         finally:
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable
 from functools import partial
 from random import Random
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import structlog
 import trio
@@ -34,6 +34,11 @@
 from oakcroft.front.viewing import Viewing
 from oakcroft.interface import Entry, Host, ListKind, Node, Note, Outcome, Playback, State, Terms
 from oakcroft.config.told import Deployment, PlanTerms, Site
+from oakcroft.signalling import words
+
+
+if TYPE_CHECKING:
+    from oakcroft.front.memory import Memory
 
 
 class Bell:
@@ -53,8 +58,9 @@
             await self.event.wait()
 
 
+NO_LOAD = words.Load()
 MOST_EVENTS = 4_096
-AT_ONCE = 64  # events between two turns of the other tasks
+AT_ONCE = 0.005  # seconds of events between two turns of the other tasks
 MOST_TITLES = 50_000
 MOST_KEYS = 100_000
 Event = Callable[[], None]
@@ -65,6 +71,8 @@
 
     def listed(self, kind: ListKind, entries: Iterable[Entry], now: int) -> None: ...
     def arrived(self, pb: Playback, now: int) -> None: ...
+    def resumed(self, pb: Playback, node: Node, now: int) -> None: ...
+    def recalled(self, further: Iterable[int], spent: Iterable[Node], now: int) -> None: ...
     def playing(self, pb: Playback, took: int, now: int) -> None: ...
     def noted(self, pb: Playback, kind: Note, value: float, now: int) -> None: ...
     def left(self, pb: Playback, now: int) -> None: ...
@@ -112,6 +120,7 @@
         self.longest_abandon = max(p.abandon for p in site.plans.values())
         self.moves = Moves(self, Random(seed + 3), site.usual_notice, log)
         self.controller = decide(site.terms, seed, self, clock.now())
+        self.memory: Memory | None = None
 
     @property
     def site(self) -> Site:
@@ -143,9 +152,9 @@
         """Handles events until it is cancelled."""
         async for event in self.inbox:
             event()
-            for _ in range(
-                AT_ONCE
-            ):  # a receive gives way to all other tasks each time: one event a round is too slow
+            until = trio.current_time() + AT_ONCE
+            while trio.current_time() < until:
+                # A receive gives way to all other tasks each time: one event a round is too slow.
                 try:
                     event = self.inbox.receive_nowait()
                 except trio.WouldBlock:
@@ -189,6 +198,8 @@
             await trio.sleep(0.5)
             now = self.clock.now()
             self.awake(now)
+            if self.memory is not None:
+                await self.tell(self.memory.look)
             for leg in list(self.legs.values()):
                 if leg.watched and (loss := leg.lifeline.look(now)) is not None:
                     await self.tell(partial(self._node_lost, leg, loss, "silent for too long"))
@@ -228,6 +239,9 @@
             if leg is None or leg.address != (line.address, line.port):
                 self._new_leg(line)
         self.controller.listed(kind, entries, now)
+        if self.memory is not None and not kept:
+            self.memory.listed(self.roster.lines.values(), version, service)
+            self.memory.list_came(self.roster.lines.values())
         self.moves.listed(entries, {x.name: x.drains_until for x in self.roster.lines.values()}, now)
         changes = ", ".join(f"{e.node.name} {e.listing.value}" for e in entries[:6])
         self.log_.info("list", kind=kind.value, version=version, nodes=len(self.roster.lines), changes=changes,
@@ -271,9 +285,18 @@
         """The viewer has gone, or its time is up, before its answer."""
         if v.pb not in self.viewings:
             return
+        if v.pb.state is State.PLAYING and v.beside is None:  # it plays, and its answer was not on record yet
+            self.end(v)
+            return
         self.controller.left(v.pb, self.clock.now())
         self._forget(v)
 
+    def release(self, v: Viewing) -> None:
+        """A playback of an earlier life that may have run holds nothing any more."""
+        if v.pb in self.viewings and not self.controller.over(v.pb):
+            self.controller.tried(v.pb, Outcome.WITHDRAWN, True, None, None, None, self.clock.now())
+            self._forget(v)
+
     def end(self, v: Viewing) -> None:
         """A playing session is ended by its viewer or by this front."""
         self.moves.viewer_left(v)
@@ -330,6 +353,8 @@
     def send(self, pb: Playback, node: Node, abandon_at: int) -> None:
         if self.viewings[pb].beside is not None:
             self.moves.chosen(self.viewings[pb], node.name)
+        if self.memory is not None:
+            self.memory.sent(node)
         self.nursery.start_soon(self._try, self.viewings[pb], node.name, pb.rung, abandon_at)
 
     def reject(self, pb: Playback, stay_away: int) -> None:
@@ -363,7 +388,10 @@
         await self.tell(lambda: self.controller.alarm(self.clock.now()))
 
     async def _try(self, v: Viewing, node: str, rung: int, until: int) -> None:
-        end = await self.legs[node].set_up(v, rung, until)
+        if self.memory is None or await self.memory.before_try(v, node, rung, until):
+            end = await self.legs[node].set_up(v, rung, until)
+        else:
+            end = TryEnd(Outcome.NOT_SENT, NO_LOAD, None, 0, "not on record in time")
         await self.tell(partial(self._tried, v, self.legs[node], end))
 
     async def _change_rung(self, v: Viewing) -> None:
@@ -387,9 +415,10 @@
             self._set_up(v, leg, end)
             return
         closed = pb.state is not State.SETTING_UP
+        if self.memory is not None:
+            self.memory.tried(v, end.outcome)
         if closed and v.final is None and v.plan.plan.effect.value == "paid":
-            v.settle(Final.ABORTED, answers.aborted(v.plan.plan.effect))
-            self.repeats.settled(v.key, Final.ABORTED, v, now)
+            self._abort_unheard(v)
         self.log_.debug("try", playback=v.id, node=leg.name, outcome=end.outcome.value, cause=end.cause)
         self.controller.tried(pb, end.outcome, closed, end.load.asked, end.load.used, end.load.uplink, now)
         self._forget(v)
@@ -398,20 +427,11 @@
         now, pb = self.clock.now(), v.pb
         assert end.upstream is not None
         alive = leg.claims.claim(end.upstream.resource, now)
-        if end.upstream.events and leg.events != end.upstream.events:
-            leg.events = end.upstream.events
-        if leg.events:
-            if not leg.wake.is_set():
-                leg.lifeline.wanted(now)
-            leg.wake.set()
-            if not leg.watched:
-                leg.watched = True
-                self.nursery.start_soon(leg.watch, partial(self._hear, leg), partial(self._lost, leg))
+        self.follow_events(leg, end.upstream.events)
         v.upstream = end.upstream
         if pb.state is not State.SETTING_UP:  # the viewer left while it was out
             if v.final is None:
-                v.settle(Final.ABORTED, answers.aborted(v.plan.plan.effect))
-                self.repeats.settled(v.key, Final.ABORTED, v, now)
+                self._abort_unheard(v)
             v.ending = True
             self._say_farewell(v)
             return
@@ -432,6 +452,25 @@
         if not alive:
             self._over(v, Outcome.RESET)
 
+    def _abort_unheard(self, v: Viewing) -> None:
+        """The viewer of a set-up that may have run, or has, did not wait for its answer."""
+        v.settle(Final.ABORTED, answers.aborted(v.plan.plan.effect))
+        self.repeats.settled(v.key, Final.ABORTED, v, self.clock.now())
+        if self.memory is not None:
+            self.memory.answered(v, Final.ABORTED)
+
+    def follow_events(self, leg: NodeLeg, events: str) -> None:
+        """Keeps the event stream of a node open from now on."""
+        if events and leg.events != events:
+            leg.events = events
+        if leg.events:
+            if not leg.wake.is_set():
+                leg.lifeline.wanted(self.clock.now())
+            leg.wake.set()
+            if not leg.watched:
+                leg.watched = True
+                self.nursery.start_soon(leg.watch, partial(self._hear, leg), partial(self._lost, leg))
+
     async def _hear(self, leg: NodeLeg, name: str, told: Told) -> None:
         await self.tell(partial(self._heard, leg, name, told, leg.asked_at))
 
@@ -439,6 +478,8 @@
         now = self.clock.now()
         node = self.roster.nodes.get(leg.name)
         if name == "hello":
+            if self.memory is not None:
+                self.memory.word(leg, told, asked_at)
             missing = leg.claims.told(told.sessions, asked_at, now)
             if missing:
                 self.log_.warning(
@@ -449,15 +490,15 @@
                 )
             for session in missing:
                 self._session_over(leg, session, Outcome.RESET)
+            for session, rung in zip(told.sessions, told.rungs, strict=False):
+                self._rung_told(leg, session, rung, now)
         elif name == "started":
             leg.claims.started(told.session, now)
         elif name == "ended":
             if leg.claims.ended(told.session):
                 self._session_over(leg, told.session, Outcome.DONE)
         elif name == "rung":
-            v = self.upstreams.get((leg.name, told.session))
-            if v is not None and 0 <= told.rung < len(self.site.terms.rates) and told.rung != v.pb.rung:
-                self.controller.noted(v.pb, Note.RUNG, told.rung, now)
+            self._rung_told(leg, told.session, told.rung, now)
         elif node is not None and node.playbacks:
             pb = next(iter(node.playbacks))
             if name == "share" and sound(told.share):
@@ -471,6 +512,11 @@
                 if told.uplink is not None and sound(told.uplink):
                     self.controller.noted(pb, Note.UPLINK_ASKED, told.uplink, now)
 
+    def _rung_told(self, leg: NodeLeg, session: str, rung: int, now: int) -> None:
+        v = self.upstreams.get((leg.name, session))
+        if v is not None and 0 <= rung < len(self.site.terms.rates) and rung != v.pb.rung:
+            self.controller.noted(v.pb, Note.RUNG, rung, now)
+
     async def _lost(self, leg: NodeLeg, loss: Loss, why: str) -> None:
         await self.tell(partial(self._node_lost, leg, loss, why))
 
@@ -478,6 +524,8 @@
         """Ends what played on a node. Where its loss is only presumed, the module hears that nothing is delivered
         there, the viewers are told, and seats stay taken until the node confirms the end or has had its time."""
         proven = loss is Loss.PROVEN
+        if self.memory is not None:
+            self.memory.node_lost(leg.name, proven)
         lost = leg.claims.all_lost() if proven else leg.claims.presumed()
         if lost:
             self.log_.warning("node lost", node=leg.name, why=why, how=loss.value, playbacks=len(lost))
@@ -528,6 +576,8 @@
 
     def hide(self, v: Viewing, how: Outcome = Outcome.RESET) -> None:
         """The viewer's session ends, whatever the node still holds."""
+        if self.memory is not None:
+            self.memory.over(v)
         self.publish(v, "inactive", {"why": how.value})
         if v.resource is not None:
             v.resource.ended()
@@ -547,10 +597,31 @@
             if (move := self.moves.of(v)) is not None:
                 self.moves.happens(move, Happening.NO_PLACE)
             return
+        if final is Final.PLAYS and self.memory is not None and self.memory.waits(v):
+            self.nursery.start_soon(self._settle_on_record, v)
+            return
+        self._give(v, final, reply)
+
+    async def _settle_on_record(self, v: Viewing) -> None:
+        """The answer that a viewing plays, once that is on record, or could not be put there in time."""
+        assert self.memory is not None
+        if not await self.memory.record(v):
+            self.log_.warning("answer not on record", playback=v.id, plan=v.plan.name)
+        await self.tell(partial(self._recorded, v))
+
+    def _recorded(self, v: Viewing) -> None:
+        if v.pb.state is State.PLAYING and not v.ending:
+            self._give(v, Final.PLAYS, None)
+        elif v.final is None:  # it was lost, or its viewer left, in between
+            self._abort_unheard(v)
+
+    def _give(self, v: Viewing, final: Final, reply: answers.Reply | None) -> None:
         if not v.settle(final, reply):
             return
         if final is Final.PLAYS:
             self.playing += 1
+        if self.memory is not None:
+            self.memory.answered(v, final)
         self.repeats.settled(v.key, final, v, self.clock.now())
         took = (self.clock.now() - v.due.written) // 1_000_000
         node = v.upstream.node if v.upstream else None
--- /dev/null
+++ b/oakcroft/front/memory.py
@@ -0,0 +1,414 @@
+"""What one front remembers over its own death: keeps promises on record as they are made, and at the start takes on what
+its earlier life has left. What is decided stands in `decisions/`: remembered, durable, recovery."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+from functools import partial
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+import trio
+
+from oakcroft.choice import DISTRUST_HALF, digest
+from oakcroft.decisions import answers
+from oakcroft.decisions.answers import Final
+from oakcroft.decisions.patience import Due
+from oakcroft.decisions.recovery import (
+    Fate,
+    Grudge,
+    Phase,
+    Recovery,
+    Spent,
+    Verdict,
+    Word,
+    asks_again_at,
+    fate,
+)
+from oakcroft.decisions.recovery import further_tries, judge, resolved
+from oakcroft.decisions.remembered import Mark, Promise, after_answer, after_try, step, waits_for_record
+from oakcroft.decisions.resource import Resource
+from oakcroft.decisions.roster import Line
+from oakcroft.front.viewing import Upstream, Viewing
+from oakcroft.interface import MS, SECOND, Node, Outcome, Playback
+from oakcroft.store.file import Fact, Held, Move, Put, Told, Whole
+from oakcroft.store.writer import WHOLE, Store
+
+if TYPE_CHECKING:
+    from oakcroft.front.helm import Helm
+    from oakcroft.front.nodeleg import NodeLeg, Told as Hello
+
+GRUDGE = 0.1  # distrust under this is not worth keeping
+LATELY = 60 * SECOND  # nor a failure longer ago
+
+
+class Memory:
+    """The record of one front."""
+
+    def __init__(self, store: Store, helm: Helm, log: structlog.typing.FilteringBoundLogger) -> None:
+        self.store, self.helm, self.log = store, helm, log
+        self.promises: dict[str, Promise] = {}  # by the session's id
+        self.held: dict[str, Viewing] = {}  # recalled intents of unknown outcome, by the session's id
+        self.asked: dict[str, int] = {}  # when a held intent's node is asked again
+        self.kept: dict[str, Grudge] = {}
+        self.recovery = Recovery(store.keep, helm.clock.now())
+        self.alive_at = 0
+        self.list: Told | None = None
+        store.whole = lambda: Whole(tuple(self.promises.values()), self.list)
+        store.found = partial(self._take_on, late=True)
+
+    # While the front serves.
+
+    def refusal(self, v: Viewing) -> answers.Reply | None:
+        """What a request gets that must be on record while nothing can be, or whose key an earlier life is known to have
+        promised; None where it may be begun."""
+        if not waits_for_record(v.pb.plan):
+            return None
+        if v.key in self.recovery.learnt:
+            return answers.aborted(v.pb.plan.effect)
+        sound = self.store.health.takes_promises(self.helm.clock.now())
+        return (
+            None
+            if sound and self.recovery.takes_promises(v.key)
+            else answers.REFUSALS[answers.Refusal.UNRECORDED]
+        )
+
+    async def before_try(self, v: Viewing, node: str, rung: int, until: int) -> bool:
+        """Puts the intent of a set-up on record before it leaves; False where that did not succeed in time."""
+        if not waits_for_record(v.pb.plan):
+            return True
+        now = self.helm.clock.now()
+        leg = self.helm.legs[node]
+        before = self.promises.get(v.id)
+        promise = Promise(
+            v.id, v.key, v.about, v.path, v.pb.title.name, v.plan.name, v.pb.plan.effect.value, v.pb.plan.seats > 0,
+            v.publishes, v.ufrag, v.pb.top, v.token, v.due.written, v.due.abandon, Mark.INTENT, node,
+            leg.lifeline.process, now, rung=rung, changed=now,
+        )  # fmt: skip
+        self.promises[v.id] = step(before, promise)
+        with trio.move_on_at(self.helm.clock.deadline(until)):
+            if await self.store.durable(Put(promise)):
+                return True
+        self.put(replace(promise, mark=Mark.GONE))
+        return False
+
+    def put(self, promise: Promise) -> None:
+        """A promise has changed; written soon."""
+        before = self.promises.get(promise.id)
+        if before is None and promise.mark is Mark.GONE:
+            return
+        if before is not None and before.mark is Mark.GONE:
+            return
+        step(before, promise)
+        if promise.mark is Mark.GONE:
+            self.promises.pop(promise.id, None)
+        else:
+            self.promises[promise.id] = promise
+        self.store.note(Put(promise))
+
+    def tried(self, v: Viewing, outcome: Outcome) -> None:
+        """A setup try of a viewing has ended without a session."""
+        if (promise := self.promises.get(v.id)) is not None:
+            after = after_try(promise, outcome, self.helm.clock.now())
+            if after is not promise:
+                self.put(after)
+
+    def playing(self, v: Viewing) -> Promise | None:
+        """What is to be on record of a viewing that plays, whether for the first time or on another node."""
+        if v.upstream is None or v.pb.node is None:
+            return None
+        u, now = v.upstream, self.helm.clock.now()
+        leg = self.helm.legs.get(u.node)
+        return Promise(
+            v.id, v.key, v.about, v.path, v.pb.title.name, v.plan.name, v.pb.plan.effect.value, v.pb.plan.seats > 0,
+            v.publishes, v.ufrag, v.pb.top, v.token, v.due.written, v.due.abandon, Mark.PLAYS, u.node,
+            leg.lifeline.process if leg else "", v.pb.tries[-1][1] if v.pb.tries else now, u.resource, u.events, u.layer,
+            v.resource.tag if v.resource else u.tag, u.answer, v.pb.rung, now,
+        )  # fmt: skip
+
+    def waits(self, v: Viewing) -> bool:
+        """Whether the answer that a viewing plays must be on record before it is given: or its key would be answered
+        otherwise after a restart."""
+        return waits_for_record(v.pb.plan) and v.beside is None
+
+    async def record(self, v: Viewing) -> bool:
+        """Puts on record that a viewing plays; False where that did not succeed in time."""
+        promise = self.playing(v)
+        if promise is None:
+            return False
+        self.promises[v.id] = step(self.promises.get(v.id), promise)
+        return await self.store.durable(Put(promise))
+
+    def answered(self, v: Viewing, final: Final) -> None:
+        """The one answer of a viewing is given."""
+        if v.beside is not None:
+            return
+        if final is Final.PLAYS:
+            promise = self.playing(v)
+            if promise is not None and (
+                v.id not in self.promises or self.promises[v.id].mark is not Mark.PLAYS
+            ):
+                self.put(promise)
+        elif (before := self.promises.get(v.id)) is not None:
+            self.put(after_answer(before, final, self.helm.clock.now()))
+
+    def moved(self, v: Viewing) -> None:
+        """A viewing plays on another node than before."""
+        promise = self.playing(v)
+        if promise is not None and v.id in self.promises:
+            self.put(promise)
+
+    def over(self, v: Viewing) -> None:
+        """A viewing's session has ended."""
+        if v.final is Final.PLAYS and (promise := self.promises.get(v.id)) is not None:
+            self.put(replace(promise, mark=Mark.GONE, changed=self.helm.clock.now()))
+
+    def move_begins(self, v: Viewing, copy: Viewing) -> None:
+        """A copy of a viewing may be set up from now on."""
+        self.store.note(Move(v.id, copy.key, self.helm.clock.now()))
+
+    def move_over(self, v: Viewing) -> None:
+        """The move of a viewing is over."""
+        self.store.note(Move(v.id, "", 0))
+
+    def listed(self, lines: Iterable[Line], version: int, service: str) -> None:
+        """The list of nodes has changed."""
+        self.list = Told(tuple(lines), version, service, self.helm.clock.now())
+        self.store.note(self.list)
+
+    def sent(self, node: Node) -> None:
+        """A set-up goes to a node: while it may be cold, what it takes of the running slot is kept."""
+        now = self.helm.clock.now()
+        if now - max(node.started_at, node.failed_at) < self.helm.site.terms.cold_for:
+            self.store.note(Spent(node.name, node.started_at, node.slot, node.slot_used, now))
+
+    def look(self) -> None:
+        """Now and then: keeps what is held against nodes, asks for words that can prove something by now, and forgets."""
+        now = self.helm.clock.now()
+        if now - self.alive_at >= SECOND:
+            self.alive_at = now
+            self.store.note(Fact("alive", str(now).encode()))
+            for node in self.helm.roster.nodes.values():
+                score = node.distrust.read(now, DISTRUST_HALF)
+                grudge = Grudge(node.name, round(score, 2), now, node.failed_at)
+                old = self.kept.get(node.name)
+                worth = score > GRUDGE or now - node.failed_at < LATELY
+                if (worth or old is not None) and (
+                    old is None or (old.score, old.failed_at) != (grudge.score, node.failed_at)
+                ):
+                    self.kept[node.name] = grudge
+                    self.store.note(grudge)
+                    if not worth:
+                        del self.kept[node.name]
+            for id_ in [
+                i
+                for i, p in self.promises.items()
+                if p.mark is Mark.ABORTED and now - p.changed > self.store.keep
+            ]:
+                del self.promises[id_]  # the file drops it by itself
+        for id_, at in list(self.asked.items()):
+            if now >= at and id_ in self.held:
+                del self.asked[id_]
+                if leg := self.helm.legs.get(self.promises[id_].node):
+                    leg.renew()
+        if self.recovery.phase is Phase.FORGETFUL and self.recovery.look(now) is Phase.SERVING:
+            self._whole_again()
+
+    # At the start.
+
+    def begin(self, held: Held | None) -> None:
+        """Takes on what the file holds; without it, asks the nodes what this front has promised."""
+        now = self.helm.clock.now()
+        if held is not None:
+            self._take_on(held)
+        had = held is not None and self.store.had
+        if held is not None and "learnt" in held.facts:
+            at, keys = msgspec.msgpack.decode(held.facts["learnt"], type=tuple[int, list[str]])
+            if now - at <= self.store.keep:
+                self.recovery.learnt |= set(keys)
+        phase = self.recovery.read(had, self.helm.roster.lines, now)
+        if phase is Phase.FORGETFUL:
+            self.log.warning("state lost", nodes=len(self.recovery.unheard), keep_s=self.store.keep // SECOND)
+            self._ask_all()
+
+    def _ask_all(self) -> None:
+        for name in sorted(self.recovery.unheard):
+            if leg := self.helm.legs.get(name):
+                self.helm.follow_events(leg, f"/events/{self.helm.me}")
+
+    def list_came(self, lines: Iterable[Line]) -> None:
+        """The first list after the start may name nodes that have not been asked."""
+        if self.recovery.phase is Phase.FORGETFUL or not self.recovery.listed:
+            self.recovery.list_came([x.name for x in lines])
+            if self.recovery.phase is Phase.FORGETFUL:
+                self._ask_all()
+
+    def _take_on(self, held: Held, late: bool = False) -> None:
+        """Adopts, holds, remembers or ends each promise of an earlier life."""
+        helm, now = self.helm, self.helm.clock.now()
+        counts: dict[str, int] = {}
+        copies = {m.copy for m in held.moves}
+        known = {p.key for p in self.promises.values()}
+        for promise in held.promises:
+            if late and promise.key in known:
+                continue
+            plan = helm.site.plans.get(promise.plan)
+            what = fate(promise, promise.node in helm.roster.nodes, plan is not None, self.store.keep, now)
+            if what in (Fate.ADOPT, Fate.HOLD) and not self._recall(promise, what, now):
+                what = Fate.END if promise.mark is Mark.PLAYS else Fate.REMEMBER
+            counts[what.name.lower()] = counts.get(what.name.lower(), 0) + 1
+            if what is Fate.END:
+                self._end(promise)
+            if what is Fate.FORGET or (what is Fate.END and not promise.binds):
+                self.store.note(Put(replace(promise, mark=Mark.GONE)))
+            elif what in (Fate.REMEMBER, Fate.END):
+                aborted = replace(
+                    promise, mark=Mark.ABORTED, changed=max(promise.changed, now - self.store.keep)
+                )
+                self.promises[promise.id] = aborted
+                self.store.note(Put(aborted))
+                self._remember(aborted, now)
+        for grudge in held.grudges:
+            if (node := helm.roster.nodes.get(grudge.node)) is not None:
+                node.distrust.add(grudge.score, grudge.at, DISTRUST_HALF)
+                node.failed_at = max(node.failed_at, grudge.failed_at)
+        lately = now - 2 * helm.site.terms.fall_window
+        spent = [
+            helm.roster.nodes[s.node] for s in held.spent if s.node in helm.roster.nodes and s.at >= lately
+        ]
+        alive = int(held.facts.get("alive", b"0"))
+        terms = helm.site.terms
+        helm.controller.recalled(further_tries(alive, terms.tries_free, terms.tries_window, now), spent, now)
+        for move in held.moves:
+            self.store.note(Move(move.playback, "", 0))
+        self.log.info("state taken on", promises=len(held.promises), moves=len(copies), away_ms=(now - alive) // MS,
+                      late=late, spent=len(spent), **counts)  # fmt: skip
+
+    def _viewing(self, promise: Promise) -> Viewing | None:
+        """A promise as a viewing; None where its plan or title has no place here any more."""
+        helm = self.helm
+        plan = helm.site.plans.get(promise.plan)
+        title = helm.titles.get(promise.title, digest(promise.title) % helm.site.terms.cells)
+        if plan is None or title is None:
+            return None
+        pb = Playback(title, plan.plan, promise.top, promise.abandon, False)
+        pb.rung = max(plan.plan.floor, min(promise.rung, plan.plan.top))
+        v = Viewing(promise.id, promise.path, plan, promise.publishes, promise.key, "", promise.ufrag,
+                    Due(promise.written, promise.abandon), pb)  # fmt: skip
+        v.token, v.about = promise.token, promise.about
+        return v
+
+    def _recall(self, promise: Promise, what: Fate, now: int) -> bool:
+        """Takes a promise on as a playback of the module, which then counts its seat and its load."""
+        helm = self.helm
+        node, leg, v = (
+            helm.roster.nodes.get(promise.node),
+            helm.legs.get(promise.node),
+            self._viewing(promise),
+        )
+        if node is None or leg is None or v is None:
+            return False
+        self.promises[promise.id] = promise
+        helm.viewings[v.pb] = v
+        helm.controller.resumed(v.pb, node, now)
+        if what is Fate.HOLD:
+            v.final, v.ending = Final.ABORTED, True
+            helm.controller.left(v.pb, now)
+            self.held[v.id] = v
+            self.asked[v.id] = asks_again_at(promise)
+            if promise.binds:
+                self._remember(promise, now)
+        else:
+            v.final = Final.PLAYS
+            v.upstream = Upstream(
+                promise.node, promise.resource, promise.events, promise.layer, promise.tag, promise.answer
+            )
+            v.resource = Resource(promise.tag, promise.ufrag)
+            helm.sessions[v.id] = v
+            helm.upstreams[promise.node, promise.resource] = v
+            helm.playing += 1
+            leg.claims.claim(promise.resource, now)
+            helm.repeats.recall(v.key, v.about, promise.binds, Final.PLAYS, v, now)
+        helm.follow_events(leg, promise.events or f"/events/{helm.me}")
+        return True
+
+    def _remember(self, promise: Promise, now: int) -> None:
+        """The key of a promise that may have run is answered with an abort."""
+        v = self._viewing(promise)
+        plan = self.helm.site.plans.get(promise.plan)
+        if v is None or plan is None:
+            return
+        v.settle(Final.ABORTED, answers.aborted(plan.plan.effect))
+        self.helm.repeats.recall(v.key, v.about, True, Final.ABORTED, v, now)
+
+    def _end(self, promise: Promise) -> None:
+        leg = self.helm.legs.get(promise.node)
+        if leg is not None and promise.resource:
+            self.helm.nursery.start_soon(leg.farewell, promise.resource)
+
+    # Nodes' words.
+
+    def word(self, leg: NodeLeg, hello: Hello, asked_at: int) -> None:
+        """A node has told which sessions of this front it runs, and which keys it ran."""
+        now = self.helm.clock.now()
+        running = dict(zip(hello.sessions, hello.keys, strict=False))
+        word = Word(
+            hello.process,
+            running,
+            frozenset(hello.ran),
+            hello.up_ms * MS,
+            hello.remembers_ms * MS,
+            asked_at,
+            now,
+        )
+        for id_, v in list(self.held.items()):
+            promise = self.promises[id_]
+            if promise.node != leg.name:
+                continue
+            verdict = judge(promise, word)
+            if verdict is Verdict.UNPROVEN:
+                continue
+            session = next((s for s, key in running.items() if key == promise.key), None)
+            self.log.info("promise resolved", playback=id_, node=leg.name, verdict=verdict.name.lower())
+            told = verdict is Verdict.NEVER_RAN and not self.helm.repeats.forget(v.key)
+            after = resolved(promise, verdict, now, told)
+            self.held.pop(id_)
+            self.asked.pop(id_, None)
+            if verdict is Verdict.RUNNING and session is not None:
+                self.helm.nursery.start_soon(self._end_and_release, leg, session, v)
+            else:
+                self.helm.release(v)
+            if after is not promise:
+                self.put(after)
+        if (
+            self.recovery.phase is Phase.FORGETFUL
+            and self.recovery.heard(leg.name, word, now) is Phase.SERVING
+        ):
+            self._whole_again()
+
+    def _whole_again(self) -> None:
+        """The file knows everything from now on, together with the keys that nodes have told."""
+        learnt = msgspec.msgpack.encode((self.helm.clock.now(), sorted(self.recovery.learnt)))
+        self.store.note(Fact("learnt", learnt))
+        self.store.note(Fact(WHOLE, b"1"))
+        self.log.warning("state whole again", learnt=len(self.recovery.learnt))
+
+    async def _end_and_release(self, leg: NodeLeg, session: str, v: Viewing) -> None:
+        await leg.farewell(session)
+        await self.helm.tell(partial(self.helm.release, v))
+
+    def node_lost(self, name: str, proven: bool) -> None:
+        """A node's process is gone, or it has long been silent: what ran there is over, what may have run stays so."""
+        if not proven:
+            return
+        for id_, v in list(self.held.items()):
+            promise = self.promises[id_]
+            if promise.node == name:
+                self.held.pop(id_)
+                self.asked.pop(id_, None)
+                self.helm.release(v)
+                self.put(resolved(promise, Verdict.RAN, self.helm.clock.now()))
+        if self.recovery.phase is Phase.FORGETFUL:
+            self.recovery.heard(name, None, self.helm.clock.now())
--- a/oakcroft/front/moves.py
+++ b/oakcroft/front/moves.py
@@ -170,6 +170,8 @@
         if not move.hand.takes_offer() or move.v.pb.node is None:
             return False
         move.other, other.beside = other, move.v
+        if self.helm.memory is not None:
+            self.helm.memory.move_begins(move.v, other)
         self.roles[other] = move
         other.pb.beside, other.pb.moved = move.v.pb, True
         source, plan, key, inner = move.v.pb.node, move.v.pb.plan, move.v.id, move.v.pb.admits
@@ -246,6 +248,8 @@
         v.ufrag, v.rung_wanted = other.ufrag, None
         self.helm.rebind(v)
         self.helm.rebind(other)
+        if self.helm.memory is not None:
+            self.helm.memory.moved(v)
         self.helm.publish(v, "layers", {"encodingId": str(v.pb.rung)})
 
     def _close(self, move: Move) -> None:
@@ -253,6 +257,8 @@
             return
         move.closed = True
         state, now = move.hand.state, self.helm.clock.now()
+        if self.helm.memory is not None and move.other is not None:
+            self.helm.memory.move_over(move.v)
         self.done += state is Course.DONE
         self.stayed += state is Course.STAYED
         self.lost += state is Course.LOST
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -50,6 +50,11 @@
 
     process: str = ""
     sessions: list[str] = []
+    keys: list[str] = []  # of the sessions, one each
+    rungs: list[int] = []  # likewise
+    ran: list[str] = []  # keys of this front's set-ups that ran, as far back as the node remembers
+    up_ms: int = 0
+    remembers_ms: int = 0
     session: str = ""
     share: float = 1.0
     asked: float | None = None
@@ -78,6 +83,8 @@
         self.watched = False
         self.asked_at = 0  # when the stream was asked for: the node's word at its beginning is no older
         self.wake = trio.Event()  # set when it is worth opening the stream
+        self.stream: trio.CancelScope | None = None
+        self.renewing = False
 
     def _headers(self, **more: str) -> Headers:
         return [("Via", f"1.1 {self.me}"), *((k.replace("_", "-"), v) for k, v in more.items())]
@@ -175,6 +182,12 @@
         except (Ended, trio.TooSlowError):
             return None
 
+    def renew(self) -> None:
+        """Opens the stream anew, so that the node tells what it runs now."""
+        if self.stream is not None:
+            self.renewing = True
+            self.stream.cancel()
+
     async def watch(self, hear: Hear, lost: Lost) -> None:
         """Keeps the event stream open for as long as the front runs; tells what comes and when the node is lost."""
         again = Again(EVENTS, self.rng, self.clock.now())
@@ -194,6 +207,7 @@
         self.asked_at = self.clock.now()
         try:
             with trio.CancelScope() as silence:
+                self.stream, self.renewing = silence, False
                 silence.deadline = trio.current_time() + self._silence()
                 async with self.peer.stream("GET", self.events, headers) as (head, chunks):
                     if head.status in (404, 410):
@@ -215,7 +229,7 @@
                             elif name in NOTES:
                                 await hear(name, msgspec.json.decode(data, type=Told))
             if silence.cancelled_caught:
-                return Break.UNANSWERED
+                return Break.CLOSED if self.renewing else Break.UNANSWERED
         except Ended as ended:
             return Break.REFUSED if ended.cause == REFUSED else Break.RESET
         except (ValueError, msgspec.DecodeError):
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -4,6 +4,7 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -17,6 +18,7 @@
 from oakcroft.front.clock import Clock
 from oakcroft.front.core import Core
 from oakcroft.front.helm import Bell, Decide, Helm
+from oakcroft.front.memory import Memory
 from oakcroft.front.listing import BadList, Follower, kept, parse
 from oakcroft.front.sockets import PATH, SessionApi
 from oakcroft.front.viewers import Viewers
@@ -24,6 +26,8 @@
 from oakcroft.httpwire.message import Request
 from oakcroft.httpwire.server import Server
 from oakcroft.config.told import Deployment
+from oakcroft.store.file import Held, StateFile
+from oakcroft.store.writer import Store
 
 
 Source = Callable[[dict[str, int]], "Deployment | list[str]"]
@@ -44,6 +48,8 @@
         self.queue: Queue | None = None
         self.sessions: SessionApi | None = None
         self.reads = 0
+        self.held: Held | None = None
+        self.opens: Callable[[str], StateFile] | None = None  # in the place of the file system's
 
     async def run(
         self,
@@ -56,7 +62,8 @@
         clock = Clock()
         longest = max(p.abandon for p in site.plans.values())
         stopping = Stopping(site.drain_within, site.leave_within, longest)
-        me = f"front-{site.terms.front}-{clock.now() // 1_000_000:x}"
+        # Nodes know a front that remembers by the same name in each of its lives.
+        me = f"front-{site.terms.front}-" + ("0" if stand.state else f"{clock.now() // 1_000_000:x}")
         async with trio.open_nursery() as nursery:
             helm = Helm(self.told, stand.seed, me, clock, nursery, self.log, self.decide)
             door = Door(site.bounds)
@@ -68,12 +75,15 @@
             self.sessions = sessions
             server = Server(viewers.handle, door, clock.now, self._failed, viewers.shed)
             self.queue = core.queue
+            store = await self._store(helm, clock)
             nursery.start_soon(core.beat)
             nursery.start_soon(helm.run)
             nursery.start_soon(helm.beat)
             nursery.start_soon(helm.look_after)
             nursery.start_soon(helm.moves.run)
             await self._take_kept(helm)
+            if helm.memory is not None and store is not None:
+                await self._recall(helm, core, store, nursery)
             peer = Peer(stand.list_host, stand.list_port)
             rng = Random(stand.seed + 2)
             follower = Follower(peer, clock, rng, stand.kept, me, helm.listed, self.log)
@@ -94,6 +104,34 @@
             self.log.info("gone", unanswered=helm.unanswered, playing=helm.playing)
             nursery.cancel_scope.cancel()
 
+    async def _store(self, helm: Helm, clock: Clock) -> Store | None:
+        """The state file, open and read where that can be had."""
+        stand = self.told.stand
+        if not stand.state:
+            return None
+        opens = None if self.opens is None else partial(self.opens, stand.state)
+        store = Store(stand.state, stand.state_sync, clock.now, self.log, helm.site.keep_keys, opens)
+        self.held = await store.start()
+        helm.memory = Memory(store, helm, self.log)
+        return store
+
+    async def _recall(self, helm: Helm, core: Core, store: Store, nursery: trio.Nursery) -> None:
+        """What the earlier life left is taken on before the first request is taken."""
+        assert helm.memory is not None
+        if self.held is not None and self.held.lines and not helm.roster.lines:
+            await helm.listed(self.held.lines, self.held.list_version, self.held.service, kept=True)
+        done = trio.Event()
+
+        def begin() -> None:
+            assert helm.memory is not None
+            helm.memory.begin(self.held)
+            done.set()
+
+        await helm.tell(begin)
+        await done.wait()
+        core.publishing.update({v.pb.title.name: v for v in helm.sessions.values() if v.publishes})
+        nursery.start_soon(store.run)
+
     async def _take_kept(self, helm: Helm) -> None:
         if not self.told.stand.kept:
             return
--- a/oakcroft/front/viewing.py
+++ b/oakcroft/front/viewing.py
@@ -60,6 +60,7 @@
     token: str = ""  # the name of the token that it was asked with
     beside: Viewing | None = None  # the one that its player knows, of which this is the copy in a move
     ticket: Ticket | None = None  # what it holds of the limits
+    about: str = ""  # a digest of what was asked, by which a repeated request is known
 
     def settle(self, final: Final, reply: Reply | None = None) -> bool:
         """Gives the one final answer; False if there was one before."""
--- a/oakcroft/rehearsal/baseline.py
+++ b/oakcroft/rehearsal/baseline.py
@@ -41,6 +41,13 @@
         node.playbacks[pb] = None
         self.host.send(pb, node, pb.abandon - 10_000_000)
 
+    def resumed(self, pb: Playback, node: Node, now: int) -> None:
+        pb.state, pb.node = State.PLAYING, node
+        node.playbacks[pb] = None
+
+    def recalled(self, further: Iterable[int], spent: Iterable[Node], now: int) -> None:
+        pass
+
     def playing(self, pb: Playback, took: int, now: int) -> None:
         if pb.state is State.SETTING_UP:
             pb.state = State.PLAYING
--- a/oakcroft/standins/playout.py
+++ b/oakcroft/standins/playout.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+from collections import deque
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -24,6 +25,7 @@
 from oakcroft.standins.links import Machine, Stream
 from oakcroft.standins.record import Record
 
+REMEMBERS = 120.0  # seconds for which a node knows the keys that it ran
 LEASE = 3.0  # a front whose event stream is gone for so long has lost its sessions
 FINGERPRINT = "sha-256 " + ":".join(["AB"] * 32)
 
@@ -74,6 +76,8 @@
         self.port, self.boots, self.numbers = 0, 0, 0
         self.ails = Ails()
         self.sessions: dict[str, Session] = {}
+        self.ran: dict[str, deque[tuple[float, str]]] = {}  # by front: when, and the key
+        self.up_since = 0.0
         self.ears: dict[str, Ear] = {}
         self.scope: trio.CancelScope | None = None
         self.streams: set[trio.SocketStream] = set()
@@ -97,6 +101,8 @@
     async def live(self, listeners: list[trio.SocketListener]) -> None:
         """One life of the process, until it is killed."""
         self.boots += 1
+        self.ran.clear()
+        self.up_since = trio.current_time()
         self.ails.dead = self.ails.silent = self.ails.hung = False
         self.record.note("start", node=self.name, process=self.process, cold=self.machine.cold)
         server = Server(self.handle, Door(Bounds(idle=3600 * 10**9)), self.clock, self._failed)
@@ -274,11 +280,18 @@
         asked, uplink = self.machine.asked(), self.machine.uplink_asked()
         return words.Load(asked, min(1.0, asked), uplink if uplink else None)
 
+    def _ran(self, front: str) -> deque[tuple[float, str]]:
+        some = self.ran.setdefault(front, deque())
+        while some and some[0][0] < trio.current_time() - REMEMBERS:
+            some.popleft()
+        return some
+
     def _start(self, session: Session, rung: int) -> None:
         plan = self.site.plans[session.plan].plan
         worth = tuple(w * plan.revenue for w in self.site.terms.rung_worth)
         stream = Stream(self._rate(session.plan, session.title, rung), rung, worth, self.clock())
         self.sessions[session.id] = session
+        self._ran(session.front).append((trio.current_time(), session.key))
         self.machine.begin(session.id, stream)
         self.record.note(
             "ran", node=self.name, key=session.key, plan=session.plan, front=session.front, session=session.id
@@ -313,8 +326,12 @@
         if ear.send is not None:
             ear.send.close()
         ear.send = send
-        sessions = [f"/sessions/{s.id}" for s in self.sessions.values() if s.front == front]
-        send.send_nowait(words.event("hello", {"process": self.process, "sessions": sessions}))
+        mine = [s for s in self.sessions.values() if s.front == front]
+        send.send_nowait(words.event("hello", {
+            "process": self.process, "sessions": [f"/sessions/{s.id}" for s in mine], "keys": [s.key for s in mine],
+            "rungs": [self.machine.streams[s.id].rung for s in mine], "ran": [key for _, key in self._ran(front)],
+            "up_ms": int((trio.current_time() - self.up_since) * 1000), "remembers_ms": int(REMEMBERS * 1000),
+        }))  # fmt: skip
         headers = [("Content-Type", words.EVENTS), ("Cache-Control", "no-store")]
         return Response(200, headers, stream=self._chunks(front, ear, send, receive))
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -4,8 +4,8 @@
 
 import io
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -16,7 +16,7 @@
 from oakcroft.config.compile import check, told
 from oakcroft.front.clock import Clock
 from oakcroft.front.serve import Front
-from oakcroft.httpwire.client import Peer
+from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.httpwire.message import Response
 from oakcroft.rehearsal.viewers import offer
 from oakcroft.signalling import sdp
@@ -25,6 +25,7 @@
 from oakcroft.standins.playout import PlayoutNode
 from oakcroft.standins.record import Record
 from oakcroft.standins.record import read as read_record
+from oakcroft.store.file import StateFile
 
 SITE = """(fleet (fronts 1) (wings west) (cells 2) (seen-after 50ms) (reports-every 500ms) (cold-for 200ms)
     (fall-multiple 50) (fall-window 1s) (stay-away-most 2s) (drain-grace 250ms))
@@ -71,6 +72,7 @@
     front_scope: trio.CancelScope
     site: str
     front: Front | None = None
+    ended: trio.Event = field(default_factory=trio.Event)
 
     def node(self, name: str) -> PlayoutNode:
         return self.fleet.nodes[name]
@@ -96,10 +98,15 @@
         headers.setdefault("Content_Type", sdp.MEDIA_TYPE)
         return await self.ask("POST", path, offer(kbit, 1, path.startswith("/whip")).encode(), **headers)
 
+    async def watch_quietly(self, path: str, headers: dict[str, Any]) -> None:
+        """A request whose front may die under it."""
+        with suppress(Ended, OSError):
+            await self.watch(path, **headers)
+
 
 @asynccontextmanager
-async def standing(folder: Path, extra: str = "", fleet: str = "") -> AsyncIterator[Rig]:
-    """A front that serves and two warm nodes that it knows."""
+async def standing(folder: Path, extra: str = "", fleet: str = "", state: bool = False) -> AsyncIterator[Rig]:
+    """A front that serves and two warm nodes that it knows. `state`: it remembers over its own death."""
     site = SITE.replace("EXTRA", extra).replace("(drain-grace 250ms)", f"(drain-grace 250ms) {fleet}")
     plot = parse(DAY.replace("SITE", site), "day")
     record, out = Record(folder / "fleet.jsonl"), io.BytesIO()
@@ -108,17 +115,22 @@
         nursery.start_soon(nodes.run, 0, up)
         await up.wait()
         rig = Rig(0, nodes, record, folder, out, trio.Event(), trio.CancelScope(), site)
-        await start_front(nursery, rig)
+        await start_front(nursery, rig, state=state)
         await until(lambda: any(e["event"] == "list" for e in rig.logged()))
         yield rig
         nursery.cancel_scope.cancel()
     record.close()
 
 
-async def start_front(nursery: trio.Nursery, rig: Rig, list_port: int | None = None, port: int = 0) -> None:
+async def start_front(
+    nursery: trio.Nursery, rig: Rig, list_port: int | None = None, port: int = 0, state: bool = False,
+    opens: Callable[[str], StateFile] | None = None,
+) -> None:  # fmt: skip
     """Starts a front (again)."""
     service = rig.fleet.list_port if list_port is None else list_port
     places = f'(listen "127.0.0.1:{port}") (list-service "127.0.0.1:{service}") (kept "{rig.folder}/kept")'
+    if state:
+        places += f' (state "{rig.folder}/state")'
     text = f"(front (zone west) {places})"
     found, problems = check("front", lambda _: f"{text}\n{rig.site}")
     assert found is not None, [problems.show(p) for p in problems.errors]
@@ -133,11 +145,13 @@
         up.set()
 
     rig.front = front = Front(told(found), log)
+    front.opens = opens
 
     async def live() -> None:
         with scope:
             await front.run(ready, signals=False, stop=stop)
+        rig.ended.set()
 
     nursery.start_soon(live)
-    rig.stop, rig.front_scope = stop, scope
+    rig.stop, rig.front_scope, rig.ended = stop, scope, trio.Event()
     await up.wait()
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import pytest
 import trio
@@ -55,7 +56,8 @@
 
 async def endless(stream: trio.SocketStream) -> None:
     await after_request(stream)
-    await stream.send_all(b"HTTP/1.1 201 Created\r\nContent-Length: 9999999\r\n\r\n" + b"x" * 400_000)
+    with suppress(trio.BrokenResourceError):  # the client has had enough
+        await stream.send_all(b"HTTP/1.1 201 Created\r\nContent-Length: 9999999\r\n\r\n" + b"x" * 400_000)
 
 
 async def early_refusal(stream: trio.SocketStream) -> None:
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,771 @@
+"""State that survives crashes: the file and its faults, what recovery decides, and whole fronts that are killed."""
+
+from __future__ import annotations
+
+import hashlib
+import io
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from itertools import count
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import apsw
+import pytest
+import structlog
+import trio
+from hypothesis import given, settings, strategies as st
+from rig import Rig, run, standing, start_front, until
+
+from oakcroft.config.compile import check, told
+from oakcroft.decisions.answers import Final
+from oakcroft.decisions.durable import CALM, Disk as Standing, Health, Trouble, Upkeep
+from oakcroft.decisions.recovery import (
+    IN_FLIGHT,
+    Fate,
+    Phase,
+    Recovery,
+    Verdict,
+    Word,
+    fate,
+    further_tries,
+    judge,
+)
+from oakcroft.decisions.recovery import Grudge, Spent, resolved
+from oakcroft.decisions.remembered import (
+    Mark,
+    Promise,
+    after_answer,
+    after_try,
+    expired,
+    step,
+    waits_for_record,
+)
+from oakcroft.decisions.roster import Line
+from oakcroft.httpwire.client import Ended
+from oakcroft.httpwire.message import Response
+from oakcroft.interface import MS, SECOND, Effect, Group, Listing, Outcome, Plan
+from oakcroft.rehearsal.viewers import offer
+from oakcroft.rulecheck.rules import no_set_up_twice, terms_kept
+from oakcroft.rulecheck.rules import _tries as tries_of
+from oakcroft.signalling import words
+from oakcroft.standins.disk import Disk
+from oakcroft.store.file import Expire, Fact, Move, Put, StateFile, Told, Unusable, Version, Whole, set_aside
+from oakcroft.store.schema import STEPS, VERSION
+from oakcroft.store.writer import Store
+
+NAMES = count()
+KEEP = 300 * SECOND
+
+
+def promise(id_: str = "p", mark: Mark = Mark.INTENT, effect: Effect = Effect.PAID, **more: Any) -> Promise:
+    base = Promise(id_, f"key-{id_}", "about", "/whep/course/t", "t", "course", effect.value, False, False, "u", 2, "",
+                   0, 5 * SECOND, mark, "n1", "n1-1", SECOND, changed=SECOND)  # fmt: skip
+    return replace(base, **more)
+
+
+def plan(effect: Effect, seats: int = 0) -> Plan:
+    return Plan(effect, Group.ALL, SECOND, SECOND, 1.0, 0, 2, seats, 1.0, False)
+
+
+def word(**more: Any) -> Word:
+    at = 8 * SECOND
+    return replace(Word("n1-1", {}, frozenset(), 60 * SECOND, 60 * SECOND, at, at + MS), **more)
+
+
+# What is decided.
+
+
+def test_a_promise_goes_only_where_it_can() -> None:
+    p = promise()
+    assert step(None, p) is p
+    for mark, allowed in ((Mark.ABORTED, {Mark.GONE}), (Mark.GONE, set[Mark]())):
+        for to in Mark:
+            if to in allowed:
+                step(promise(mark=mark), promise(mark=to))
+            else:
+                with pytest.raises(ValueError, match="cannot go"):
+                    step(promise(mark=mark), promise(mark=to))
+    for outcome in Outcome:
+        proven = outcome in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
+        assert (after_try(p, outcome, 9).mark is Mark.GONE) == proven
+    assert after_answer(p, Final.ABORTED, 9).mark is Mark.ABORTED
+    assert after_answer(promise(effect=Effect.FREE), Final.ABORTED, 9).mark is Mark.GONE
+    assert after_answer(p, Final.REJECTED, 9).mark is Mark.GONE
+    assert [waits_for_record(plan(e)) for e in (Effect.FREE, Effect.KEYED, Effect.PAID)] == [
+        False,
+        True,
+        True,
+    ]
+    assert waits_for_record(plan(Effect.FREE, seats=1))
+    assert not expired(promise(mark=Mark.PLAYS), KEEP, 1 << 60)  # what plays is never forgotten
+
+
+def test_only_a_nodes_word_that_can_prove_it_frees_a_key() -> None:
+    p = promise()
+    assert judge(p, word()) is Verdict.NEVER_RAN
+    assert judge(p, word(up=6 * SECOND)) is Verdict.UNPROVEN  # a process that may be younger than the set-up
+    assert judge(p, word(remembers=6 * SECOND)) is Verdict.UNPROVEN
+    assert judge(p, word(asked=5 * SECOND + IN_FLIGHT - 1)) is Verdict.UNPROVEN  # it may still arrive
+    assert judge(p, word(keys=frozenset({p.key}))) is Verdict.RAN
+    assert judge(p, word(running={"/s/1": p.key}, keys=frozenset({p.key}))) is Verdict.RUNNING
+    plays = promise(mark=Mark.PLAYS, resource="/s/1")
+    assert judge(plays, word(running={"/s/1": p.key})) is Verdict.CONFIRMED
+    assert judge(plays, word()) is Verdict.OVER
+    assert judge(replace(plays, changed=9 * SECOND), word()) is Verdict.UNPROVEN
+    assert resolved(p, Verdict.RAN, 9).mark is Mark.ABORTED
+    assert resolved(p, Verdict.NEVER_RAN, 9).mark is Mark.GONE
+    assert resolved(promise(effect=Effect.FREE), Verdict.RAN, 9).mark is Mark.GONE
+    assert resolved(p, Verdict.UNPROVEN, 9) is p
+
+
+def test_fates_at_the_start() -> None:
+    now = 10 * SECOND
+    plays = promise(mark=Mark.PLAYS, resource="/s/1")
+    assert fate(plays, True, True, KEEP, now) is Fate.ADOPT
+    assert fate(plays, True, False, KEEP, now) is Fate.END
+    assert fate(plays, False, True, KEEP, now) is Fate.REMEMBER
+    assert fate(replace(plays, effect="free"), False, True, KEEP, now) is Fate.FORGET
+    assert fate(promise(), True, True, KEEP, now) is Fate.HOLD
+    assert fate(promise(), False, True, KEEP, now) is Fate.REMEMBER
+    assert fate(promise(effect=Effect.FREE), False, True, KEEP, now) is Fate.FORGET
+    assert fate(promise(mark=Mark.ABORTED), True, True, KEEP, now) is Fate.REMEMBER
+    assert fate(promise(mark=Mark.ABORTED), True, True, KEEP, now + KEEP) is Fate.FORGET
+    assert fate(promise(), True, True, KEEP, -now) is Fate.HOLD  # a clock that went back
+
+
+def test_a_front_without_its_state_asks_its_nodes_first() -> None:
+    r = Recovery(KEEP, 0)
+    assert r.read(True, ["a"], 0) is Phase.SERVING
+    r = Recovery(KEEP, 0)
+    assert r.read(False, [], 0) is Phase.FORGETFUL  # no list yet: nobody has been asked
+    r.list_came(["a", "b"])
+    assert r.heard("a", word(keys=frozenset({"k"})), 1) is Phase.FORGETFUL
+    assert not r.takes_promises("other")
+    r.list_came(["a", "b", "c"])
+    assert r.heard("b", None, 2) is Phase.FORGETFUL
+    assert r.heard("c", word(), 3) is Phase.SERVING
+    assert not r.takes_promises("k")
+    assert r.takes_promises("other")
+    r = Recovery(KEEP, 0)
+    r.read(False, ["a"], 0)
+    assert r.look(KEEP + 1) is Phase.SERVING
+    assert further_tries(90, 3.0, 10, 95) == [90, 90, 90]
+    assert further_tries(90, 3.0, 10, 101) == []
+    assert further_tries(90, None, 10, 95) == []
+
+
+def test_health_comes_back_only_by_what_worked() -> None:
+    h = Health(slow_after=100)
+    h.begins(0)
+    assert h.takes_promises(100)
+    assert not h.takes_promises(101)
+    assert h.state is Standing.SLOW
+    back = []
+    for n in range(CALM):
+        h.begins(200 + n)
+        back.append(h.done(200 + n))
+    assert back == [False, False, True]
+    assert h.takes_promises(210)
+    h.failed(Trouble.FULL, 300)
+    assert not h.due(300)
+    assert h.due(300 + h.retry_at)
+    waits = []
+    for _ in range(9):
+        before = h.retry
+        h.failed(Trouble.FULL, 0)
+        waits.append(before)
+    assert waits == sorted(waits)
+    assert waits[-1] == 5 * SECOND
+    assert not h.done(400)  # not everything was written anew
+    assert h.done(401, whole=True)
+    assert h.takes_promises(401)
+    u = Upkeep(rows=200, every=10)
+    assert [u.allowance(h, 0, 10), u.allowance(h, 0, 15), u.allowance(h, 9, 25)] == [200, 0, 20]
+    h.failed(Trouble.IO, 30)
+    assert u.allowance(h, 0, 99) == 0
+
+
+class World:
+    """Paid and seated requests, one node, and lives of a front that use only the pure parts; the rules by plain sets."""
+
+    SEATS = 2
+
+    def __init__(self, rng: Random) -> None:
+        self.rng, self.now = rng, 100 * SECOND
+        self.durable: dict[str, Promise] = {}
+        self.memory: dict[str, Promise] = {}
+        self.flying: list[Promise] = []  # set-ups that the node has not read, which outlive the front
+        self.running: dict[str, str] = {}
+        self.ran, self.times = Counter[str](), dict[str, int]()
+        self.answers: dict[str, list[str]] = {}
+        self.process, self.up = 1, 0
+        self.outstanding: set[str] = set()
+
+    def seats(self) -> int:
+        return sum(p.mark in (Mark.INTENT, Mark.PLAYS) for p in self.memory.values())
+
+    def ask(self, key: str) -> None:
+        p = self.memory.get(key)
+        if p is not None and p.mark is Mark.PLAYS:
+            self.answers.setdefault(key, []).append("plays")
+        elif p is not None and key not in self.outstanding:
+            self.answers.setdefault(key, []).append("aborted")
+        elif p is None and self.seats() < self.SEATS:
+            self.outstanding.add(key)  # asked again in this life, it is told so and gets no answer
+            p = promise(
+                key,
+                sent_at=self.now,
+                abandon=self.now + 3 * SECOND,
+                changed=self.now,
+                process=str(self.process),
+            )
+            self.memory[key] = step(None, p)
+            if self.rng.random() < 0.2:
+                return self.kill()  # before the intent was durable: it never left
+            self.durable[key] = p
+            self.flying.append(p)
+        return None
+
+    def arrive(self) -> None:
+        if self.flying and self.now <= self.flying[0].abandon + IN_FLIGHT:
+            p = self.flying.pop(0)
+            self.ran[p.key] += 1
+            self.times[p.key] = self.now
+            self.running[p.id] = p.key
+            if (
+                (mine := self.memory.get(p.id)) is p
+                and p.key[4:] in self.outstanding
+                and self.rng.random() < 0.7
+            ):
+                plays = after_answer(p, Final.PLAYS, self.now)
+                self.memory[p.id] = step(mine, replace(plays, resource=p.id))
+                self.outstanding.discard(p.id)
+                if self.rng.random() < 0.3:
+                    return self.kill()  # before its answer was on record: it was not given
+                self.durable[p.id] = self.memory[p.id]
+                self.answers.setdefault(p.id, []).append("plays")
+        elif self.flying:
+            p = self.flying.pop(0)  # its connection is long gone
+        return None
+
+    def kill(self) -> None:
+        self.memory = {}
+        self.outstanding.clear()  # its connections are gone with it
+        for id_, p in self.durable.items():
+            if fate(p, True, True, KEEP, self.now) is not Fate.FORGET:
+                self.memory[id_] = p
+
+    def hear(self) -> None:
+        keys = frozenset(k for k, t in self.times.items() if self.now - t < 60 * SECOND)
+        asked = self.now - self.rng.randrange(SECOND)
+        w = Word(
+            str(self.process), dict(self.running), keys, self.now - self.up, 60 * SECOND, asked, self.now
+        )
+        for id_, p in list(self.memory.items()):
+            if p.mark is Mark.ABORTED or (
+                p.mark is Mark.INTENT and p in self.flying and self.now < p.abandon
+            ):
+                continue
+            verdict = judge(p, w)
+            if verdict is Verdict.RUNNING:
+                self.running.pop(id_, None)
+            after = resolved(p, verdict, self.now, "aborted" in self.answers.get(id_, []))
+            if after.mark is Mark.GONE:
+                self.over(id_)
+            else:
+                self.memory[id_] = self.durable[id_] = after
+
+    def over(self, id_: str) -> None:
+        """Nothing binds a key any more: a request with it is a new one."""
+        if self.memory.pop(id_).mark is Mark.PLAYS:
+            self.ran[f"key-{id_}"] = 0
+            self.answers.pop(id_, None)
+        self.durable.pop(id_, None)
+
+    def node_dies(self) -> None:
+        self.process, self.up = self.process + 1, self.now
+        self.running.clear()
+        self.times.clear()
+        self.flying.clear()
+
+    def check(self) -> None:
+        assert max(self.ran.values(), default=0) <= 1, "a paid playback was set up twice"
+        assert len(self.running) <= self.SEATS, "more than the seats"
+        for key, heard in self.answers.items():
+            assert len(set(heard)) <= 1, f"{key}: {heard}"
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.integers(0, 1 << 32), st.lists(st.sampled_from(["ask", "ask", "again", "arrive", "arrive", "kill", "hear",
+                                                          "time", "long", "end", "die"]), max_size=60))  # fmt: skip
+def test_over_any_history_of_lives_no_paid_key_runs_twice_and_no_seat_is_over(
+    seed: int, steps: list[str]
+) -> None:
+    world, numbers = World(Random(seed)), count()
+    for what in steps:
+        match what:
+            case "ask":
+                world.ask(f"k{next(numbers)}")
+            case "again":
+                world.ask(f"k{world.rng.randrange(8)}")
+            case "arrive":
+                world.arrive()
+            case "kill":
+                world.kill()
+            case "hear":
+                world.hear()
+            case "time":
+                world.now += world.rng.randrange(SECOND)
+            case "long":
+                world.now += world.rng.randrange(8 * SECOND)
+            case "end" if world.running:
+                id_ = sorted(world.running)[0]
+                if world.memory.get(id_) is not None and world.memory[id_].mark is Mark.PLAYS:
+                    del world.running[id_]
+                    world.over(id_)
+            case "die":
+                world.node_dies()
+        world.check()
+
+
+# The file.
+
+
+def disk() -> Disk:
+    return Disk(f"disk-{next(NAMES)}")
+
+
+def line(name: str) -> Line:
+    return Line(name, "127.0.0.1", 80, "west", 1, Listing.READY, 5, 1000.0, 10.0, "", ("a",), None)
+
+
+def filled(file: StateFile) -> None:
+    file.commit([
+        Put(promise("a")), Put(promise("b", Mark.PLAYS, resource="/s/b")), Told((line("n1"), line("n2")), 7, "svc", 9),
+        Move("b", "copy", 3), Grudge("n1", 0.5, 4, 3), Spent("n2", 1, 2, 3, 4), Fact("alive", b"12"),
+        Version("catalogue", 1, "d", 5, "first", b"()"),
+    ])  # fmt: skip
+
+
+def test_the_file_gives_back_what_was_put_into_it(tmp_path: Path) -> None:
+    file = StateFile(str(tmp_path / "state"))
+    filled(file)
+    file.snapshot(tmp_path / "copy")
+    file.commit([Put(promise("a", Mark.GONE)), Move("b", "", 0)])
+    file.close()
+    for name, ids, moves in (("state", ["b"], 0), ("copy", ["a", "b"], 1)):
+        file = StateFile(str(tmp_path / name))
+        held = file.read()
+        assert [p.id for p in held.promises] == ids
+        assert held.promises[-1] == promise("b", Mark.PLAYS, resource="/s/b")
+        assert (held.lines, held.list_version, held.service) == ([line("n1"), line("n2")], 7, "svc")
+        assert (len(held.moves), held.grudges, held.spent) == (
+            moves,
+            [Grudge("n1", 0.5, 4, 3)],
+            [Spent("n2", 1, 2, 3, 4)],
+        )
+        assert held.versions == [Version("catalogue", 1, "d", 5, "first", b"()")]
+        assert held.facts["alive"] == b"12"
+        file.close()
+
+
+@pytest.mark.parametrize("version", range(VERSION + 1))
+def test_a_file_of_any_earlier_version_is_brought_forward(tmp_path: Path, version: int) -> None:
+    path = tmp_path / "state"
+    db = apsw.Connection(str(path))
+    for number in range(version):
+        db.execute(STEPS[number])
+    db.pragma("user_version", version)
+    if version:
+        import msgspec
+
+        old = promise("old")
+        db.execute("INSERT INTO promises VALUES (?, ?, ?, ?, ?, ?)",
+                   (old.id, old.key, old.mark.name, old.node, old.changed, msgspec.msgpack.encode(old)))  # fmt: skip
+    db.close()
+    file = StateFile(str(path))
+    filled(file)
+    assert {p.id for p in file.read().promises} == ({"old", "a", "b"} if version else {"a", "b"})
+    file.close()
+
+
+def test_a_newer_file_another_programs_and_one_in_use_are_left_alone(tmp_path: Path) -> None:
+    path = str(tmp_path / "state")
+    first = StateFile(path)
+    filled(first)
+    with pytest.raises(Unusable) as busy:
+        StateFile(path)
+    assert busy.value.trouble is Trouble.BUSY
+    first.close()
+    for pragma, value in (("user_version", VERSION + 1), ("application_id", 77)):
+        db = apsw.Connection(path)
+        before = db.pragma(pragma)
+        db.pragma(pragma, value)
+        db.close()
+        with pytest.raises(Unusable) as foreign:
+            StateFile(path)
+        assert foreign.value.trouble is Trouble.FOREIGN
+        db = apsw.Connection(path)
+        db.pragma(pragma, before)
+        db.close()
+    StateFile(path).close()
+
+
+def test_what_was_committed_survives_a_power_cut_at_every_call_and_nothing_comes_by_halves() -> None:
+    for cut in range(60):
+        d, rng, done = disk(), Random(cut), 0
+
+        def at(number: int, _what: str, cut: int = cut) -> None:
+            if number >= cut:
+                raise apsw.exception_for(apsw.SQLITE_IOERR)
+
+        file = StateFile("state", vfs=d.name)
+        d.calls, d.at_call = 0, at
+        try:
+            for n in range(12):
+                file.commit([Put(promise(f"{n}-{part}")) for part in "abc"])
+                done = n + 1
+        except Unusable:
+            pass
+        d.at_call = None
+        after = StateFile("state", vfs=d.cut_power(rng).name)
+        ids = Counter(p.id.split("-")[0] for p in after.read().promises)
+        assert set(ids.values()) <= {3}
+        assert {str(n) for n in range(done)} <= set(ids)
+        assert len(ids) <= done + 1
+        after.close()
+
+
+def test_expired_promises_go_a_few_at_a_time_and_the_file_shrinks(tmp_path: Path) -> None:
+    file = StateFile(str(tmp_path / "state"))
+    file.commit([Put(promise(str(n), Mark.ABORTED, answer="x" * 2000)) for n in range(400)])
+    file.commit([Put(promise("plays", Mark.PLAYS, changed=0)), Put(promise("young", changed=1 << 50))])
+    full = file.size()
+    file.commit([Expire(2 * SECOND, 100)])
+    assert len(file.read().promises) == 302
+    for _ in range(10):
+        file.commit([Expire(2 * SECOND, 100)])
+    assert [p.id for p in file.read().promises] == ["plays", "young"]
+    assert file.size() < full / 4
+    file.close()
+
+
+def test_a_damaged_file_is_put_aside(tmp_path: Path) -> None:
+    path = tmp_path / "state"
+    file = StateFile(str(path))
+    filled(file)
+    file.commit([Put(promise(str(n), answer="y" * 3000)) for n in range(50)])
+    file.close()
+    body = bytearray(path.read_bytes())
+    body[4096 * 3 : 4096 * 3 + 512] = bytes(512)
+    path.write_bytes(body)
+    with pytest.raises(Unusable) as damaged:
+        StateFile(str(path)).read()
+    assert damaged.value.trouble is Trouble.CORRUPT
+    assert set_aside(str(path)).endswith("damaged-1")
+    assert StateFile(str(path)).read().promises == []
+
+
+# The writer.
+
+
+def store(d: Disk, whole: Callable[[], Whole] | None = None) -> Store:
+    log = structlog.wrap_logger(structlog.PrintLogger(io.StringIO()))
+    made = Store(
+        "state",
+        True,
+        lambda: round(trio.current_time() * 1e9),
+        log,
+        KEEP,
+        lambda: StateFile("state", vfs=d.name),
+    )
+    made.whole = whole or (lambda: Whole(()))
+    return made
+
+
+@pytest.mark.parametrize("kind", ["full", "io-write", "io-sync", "read-only"])
+def test_a_fault_at_any_call_refuses_what_must_be_durable_and_passes_by_itself(kind: str) -> None:
+    async def test() -> None:
+        for at in range(14):
+            d, kept = disk(), dict[str, Promise]()
+            s = store(d, lambda kept=kept: Whole(tuple(kept.values())))  # type: ignore[misc]
+            await s.start()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(s.run)
+                d.fail(kind, at, only="sync" if kind == "io-sync" else "")
+                for n in range(12):
+                    p = promise(str(n), changed=s.now())
+                    kept[p.id] = p
+                    if not await s.durable(Put(p)):
+                        del kept[p.id]  # it was not sent
+                    await trio.sleep(0.002)
+                await until(lambda s=s: s.health.state is Standing.SOUND)  # type: ignore[misc]
+                kept["late"] = late = promise("late", changed=s.now())
+                while not await s.durable(Put(late)):  # the fault may fall on this one
+                    await until(lambda s=s: s.health.state is Standing.SOUND)  # type: ignore[misc]
+                nursery.cancel_scope.cancel()
+            d.mend()
+            file = StateFile("state", vfs=d.cut_power(Random(at)).name)
+            on_record = {p.id for p in file.read().promises}
+            assert set(kept) <= on_record, (at, set(kept) - on_record)  # what was told to be durable is
+            file.close()
+
+    run(test, 60)
+
+
+def test_a_slow_disk_refuses_at_once_and_a_full_queue_drops_no_durable_change() -> None:
+    async def test() -> None:
+        d = disk()
+        s = store(d)
+        s.health.slow_after = 50 * MS
+        await s.start()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(s.run)
+            assert await s.durable(Put(promise("a")))
+            d.slow = 0.4
+            assert not await s.durable(Put(promise("b")))
+            assert s.health.state is Standing.SLOW
+            assert not await s.durable(Put(promise("c")))
+            d.slow = 0.0
+
+            def noted() -> bool:
+                s.note(Fact("alive", b"1"))
+                return s.health.state is Standing.SOUND
+
+            await until(noted)
+            assert await s.durable(Put(promise("d")))
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
+# Whole fronts.
+
+
+def key(name: str) -> dict[str, Any]:
+    return {"Idempotency_Key": words.quoted(name)}
+
+
+def kind_of(sat: Response) -> str:
+    return words.problem_type(sat.body).rpartition(":")[2]
+
+
+async def remembers(rig: Rig) -> None:
+    """Until the front takes what must be on record."""
+    await until(lambda: rig.front and rig.front.helm and rig.front.helm.memory
+                and rig.front.helm.memory.recovery.phase is Phase.SERVING)  # fmt: skip
+
+
+async def again(rig: Rig, nursery: trio.Nursery, opens: Callable[[str], StateFile] | None = None) -> None:
+    """The front is killed and another takes its place."""
+    rig.front_scope.cancel()
+    await rig.ended.wait()
+    await start_front(nursery, rig, state=True, opens=opens)
+
+
+def test_a_killed_front_goes_on_with_what_played(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with trio.open_nursery() as nursery, standing(tmp_path, state=True) as rig:
+            await remembers(rig)
+            paid = await rig.watch("/whep/course/a", **key("k1"))
+            free = await rig.watch("/whep/open/b", **key("k2"))
+            seat = await rig.watch("/whep/seats/c", **key("k3"))
+            assert [paid.status, free.status, seat.status] == [201, 201, 201]
+            await until(lambda: rig.front and rig.front.helm and rig.front.helm.memory
+                        and not rig.front.helm.memory.store.queue)  # fmt: skip
+            await again(rig, nursery)
+            same = await rig.watch("/whep/course/a", **key("k1"))
+            assert (same.status, same.header("location"), same.body) == (
+                201,
+                paid.header("location"),
+                paid.body,
+            )
+            assert (await rig.watch("/whep/open/b", **key("k2"))).header("location") == free.header(
+                "location"
+            )
+            assert (await rig.watch("/whep/seats/c", **key("k4"))).status == 201
+            assert (await rig.watch("/whep/seats/c", **key("k5"))).status == 503  # two seats, both taken
+            assert len(rig.facts("setup")) == 4
+            assert (await rig.ask("DELETE", free.header("location") or "")).status == 200
+            await until(lambda: len(rig.facts("over")) == 1)
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
+def test_a_paid_set_up_that_was_out_when_its_front_died_is_never_sent_again(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with trio.open_nursery() as nursery, standing(tmp_path, state=True) as rig:
+            await remembers(rig)
+            for node in rig.fleet.nodes.values():
+                node.ails.lost_share = 1.0  # it runs, and its answer is lost
+            nursery.start_soon(rig.watch_quietly, "/whep/course/a", key("k1"))
+            await until(lambda: rig.facts("ran"))
+            await again(rig, nursery)
+            for node in rig.fleet.nodes.values():
+                node.ails.lost_share = 0.0
+            sat = await rig.watch("/whep/course/a", **key("k1"))
+            assert (sat.status, kind_of(sat)) == (504, "aborted")
+            await until(lambda: len(rig.facts("over")) == 1)  # nobody can use it, so it is ended
+            await again(rig, nursery)
+            assert (await rig.watch("/whep/course/a", **key("k1"))).status == 504
+            assert len(rig.facts("ran")) == 1
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
+def test_an_intent_that_provably_never_ran_frees_its_key_and_its_seat(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with trio.open_nursery() as nursery, standing(tmp_path, state=True) as rig:
+            await remembers(rig)
+            rig.front_scope.cancel()
+            await rig.ended.wait()
+            file = StateFile(str(tmp_path / "state"))
+            now = rig.fleet.clock.now()
+            about = hashlib.blake2b(
+                f"/whep/course/t\0{offer(20_000, 1)}".encode(), digest_size=16
+            ).hexdigest()
+            sent = now - 3 * SECOND
+            lost = promise("x", node="n1", sent_at=sent, abandon=now - 1900 * MS, changed=sent, about=about)
+            told_of = replace(lost, id="z", key="key-z")
+            seat = replace(lost, id="y", key="key-y", plan="seats", effect="free", seats=True, title="s")
+            file.commit([Put(lost), Put(told_of), Put(seat)])
+            file.close()
+            rig.node("n1").up_since -= 60
+            await start_front(nursery, rig, state=True)
+            assert (await rig.watch("/whep/course/t", **key("key-z"))).status == 504
+            sat = [(await rig.watch("/whep/seats/s")).status for _ in range(2)]
+            assert sat == [201, 503]  # the intent holds the other seat
+            await until(lambda: any(e.get("verdict") == "never_ran" for e in rig.logged()))
+            await until(
+                lambda: (
+                    rig.front and rig.front.helm and rig.front.helm.memory and not rig.front.helm.memory.held
+                )
+            )
+            assert (await rig.watch("/whep/course/t", **key("key-x"))).status == 201
+            assert (await rig.watch("/whep/course/t", **key("key-z"))).status == 504  # it was told so before
+            assert (await rig.watch("/whep/seats/s")).status == 201
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
+def test_a_front_that_lost_its_state_learns_from_its_nodes_what_it_may_not_set_up(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with trio.open_nursery() as nursery, standing(tmp_path, state=True) as rig:
+            await remembers(rig)
+            assert (await rig.watch("/whep/course/a", **key("k1"))).status == 201
+            rig.front_scope.cancel()
+            await rig.ended.wait()
+            for part in tmp_path.glob("state*"):
+                part.unlink()
+            await start_front(nursery, rig, state=True)
+            await remembers(rig)
+            assert (await rig.watch("/whep/course/a", **key("k1"))).status == 504
+            assert (await rig.watch("/whep/course/a", **key("k2"))).status == 201
+            assert Counter(f["key"] for f in rig.facts("ran"))["k1"] == 1
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("kind", "only"), [("full", ""), ("io-sync", "sync"), ("read-only", ""), ("io-write", "write")]
+)
+def test_while_the_disk_fails_free_plans_go_on_and_paid_ones_are_turned_away_unsent(
+    tmp_path: Path, kind: str, only: str
+) -> None:
+    async def test() -> None:
+        d = disk()
+        opens = lambda _: StateFile("state", vfs=d.name)  # noqa: E731
+        async with trio.open_nursery() as nursery, standing(tmp_path) as rig:
+            await again(rig, nursery, opens)
+            await remembers(rig)
+            assert (await rig.watch("/whep/course/a", **key("k1"))).status == 201
+            d.fail(kind, 0, lasting=True, only=only)
+            before = len(rig.facts("setup"))
+            sat = [await rig.watch("/whep/course/a", **key(f"f{n}")) for n in range(3)]
+            assert {s.status for s in sat} == {503}
+            assert all(s.header("retry-after") for s in sat[1:])
+            assert len(rig.facts("setup")) == before  # nothing of them left
+            assert (await rig.watch("/whep/open/a", **key("k3"))).status == 201
+            assert (await rig.watch("/whep/course/a", **key("k1"))).status == 201  # what was promised stands
+            d.mend()
+            await until(lambda: rig.front and rig.front.helm and rig.front.helm.memory
+                        and rig.front.helm.memory.store.health.state is Standing.SOUND)  # fmt: skip
+            assert (await rig.watch("/whep/course/a", **key("k4"))).status == 201
+            d = d.cut_power(Random(1))
+            await again(rig, nursery, opens)
+            assert (await rig.watch("/whep/course/a", **key("k1"))).status == 201
+            assert (await rig.watch("/whep/course/a", **key("k4"))).status == 201
+            assert len({f["key"] for f in rig.facts("ran") if f["plan"] == "course"}) == 2
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
+def test_killed_at_every_commit_point_no_key_is_answered_two_ways_and_none_runs_twice(tmp_path: Path) -> None:
+    async def test() -> None:
+        d, rng = disk(), Random(5)
+        opens = lambda _: StateFile("state", vfs=d.name)  # noqa: E731
+        async with trio.open_nursery() as nursery, standing(tmp_path) as rig:
+            await again(rig, nursery, opens)
+            await remembers(rig)
+            heard: dict[str, list[str]] = {}
+
+            async def ask(path: str, name: str) -> None:
+                try:
+                    sat = await rig.watch(path, **key(name))
+                except (Ended, OSError):
+                    heard.setdefault(name, []).append("cut")
+                    return
+                heard.setdefault(name, []).append(sat.header("location") or str(sat.status))
+
+            for point in range(0, 64, 2):
+                token = trio.lowlevel.current_trio_token()
+
+                def at(
+                    number: int, _what: str, point: int = point, token: trio.lowlevel.TrioToken = token
+                ) -> None:
+                    if number >= point:
+                        if number == point:
+                            token.run_sync_soon(rig.front_scope.cancel)
+                        raise apsw.exception_for(apsw.SQLITE_IOERR)
+
+                d.calls, d.at_call = 0, at
+                paths = [(f"/whep/course/c{point}", f"c{point}.{n}") for n in range(2)]
+                paths += [(f"/whep/seats/s{point}", f"s{point}.{n}") for n in range(3)]
+                async with trio.open_nursery() as asking:
+                    for path, name in paths:
+                        asking.start_soon(ask, path, name)
+                if not rig.ended.is_set():
+                    rig.front_scope.cancel()
+                await rig.ended.wait()
+                d.at_call = None
+                d = d.cut_power(rng)
+                await start_front(nursery, rig, state=True, opens=opens)
+                await remembers(rig)
+                for path, name in paths:
+                    await ask(path, name)
+            sat = Counter(answers[0][:1] for answers in heard.values())
+            assert sat["c"]  # some were cut
+            assert sat["/"]  # and some were answered before the kill
+            for name, (first, second) in heard.items():
+                if first.startswith("/") or first == "504":
+                    assert second == first, f"{name}: {first} and then {second}"
+            facts = rig.facts("setup") + [
+                f for kind in ("ran", "answer", "broken", "over") for f in rig.facts(kind)
+            ]
+            facts.sort(key=lambda f: f["t"])
+            found, _ = check("site", lambda _: rig.site, False)
+            assert found is not None
+            site, tries = told(found).site, tries_of(facts)
+            assert no_set_up_twice(facts, tries, site).breaches == []
+            assert terms_kept(facts, tries, site).breaches == []
+            nursery.cancel_scope.cancel()
+
+    run(test, 60)
