Serve by a catalogue that is changed while serving, whole or not at all

Titles, where they are held and which renditions they have could only be stated in a configuration that is read again whole.

oakcroft/catalogue reads (catalogue (title …) …) with its own scanner; decisions/catalogue.py says what becomes of a change (taken, same, stale, refused with reasons, later on this front), of what plays (stays, steps down a few at a time, finishes), and of a request (bound by the version in force). front/operators.py serves GET, PUT and PATCH of /operators/catalogue with ETag and If-Match, its versions, roll-back and status, for the operators' bearer token only. Versions are kept in the state file. The module takes a title's own holders and rates (five lines); only titles that changed are looked at.

Fifty swaps under load, broken, unholdable and conflicting ones among them: each set-up carries its version, and the nodes' records show holder and rung of that version in all.

--- /dev/null
+++ b/oakcroft/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""The catalogue's file format: what it may say, read quickly and checked whole."""
--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -123,6 +123,8 @@
             cells = self.terms.cells
             copies = title.copies if 0 < title.copies < cells else cells
             held = [n for n in self.nodes if (n.cell - title.home) % cells < copies]
+            if (named := title.named) is not None:
+                held = [n for n in self.nodes if n.name.partition("+")[0] in named]
             held.sort(key=lambda n: digest(f"{title.name}\0{n.name}"))
             title.holders, title.known = held, self.version
         return title.holders
@@ -130,7 +132,8 @@
     # Load.
 
     def _rate(self, pb: Playback, rung: int) -> float:
-        return self.terms.rates[rung] * pb.plan.rate_factor
+        rates = pb.title.rates or self.terms.rates
+        return rates[min(rung, len(rates) - 1)] * pb.plan.rate_factor
 
     def _adds(self, pb: Playback, node: Node, rung: int) -> float:
         """What a set-up would add here: less where it joins a stream that runs."""
--- a/oakcroft/config/compile.py
+++ b/oakcroft/config/compile.py
@@ -453,7 +453,7 @@
         value = record.get(f.name)
         if isinstance(value, Record):
             value = _plain(value)
-        elif f.name == "secret":
+        elif f.name == "secret" and value:
             value = hashlib.blake2b(value.encode(), digest_size=32).hexdigest()
         elif isinstance(value, list | tuple) and f.kind is not forms.ADDRESS:
             items = [tuple(v) if isinstance(v, list) else v for v in value]
@@ -539,7 +539,7 @@
         {n: Holding(t["home"], t["copies"]) for n, t in m["title"].items()}, fleet["copies"],
         tuple(signalling["ice-servers"]), replace(Bounds(), **door), signalling["way-back"], fleet["drain-grace"], fleet["usual-notice"],
         m["stopping"]["drain-within"], m["stopping"]["leave-within"], nodes["silent-after"], nodes["lost-after"],
-        nodes["connect-within"], signalling["keep-keys"],
+        nodes["connect-within"], signalling["keep-keys"], bytes.fromhex(m["operators"]["secret"]),
     )  # fmt: skip
     (host, port), (list_host, list_port) = front["listen"], front["list-service"]
     stand = Stand(host, port, list_host, list_port, front["kept"], front["state"],
--- a/oakcroft/config/forms.py
+++ b/oakcroft/config/forms.py
@@ -237,7 +237,13 @@
         Field("leave-within", "nodes are told of the rest for so long", TIMES, 5 * SECOND),
     ),
 )  # fmt: skip
-SINGLE = (FRONT, FLEET, LADDER, SIGNALLING, NODES, DOOR, STOPPING)
+OPERATORS = Schema(
+    "operators", "The operators' interface, under /operators/ on the front's own port. Without this form there is none.",
+    (
+        Field("secret", "the bearer token that it asks for", SECRET, ""),
+    ),
+)  # fmt: skip
+SINGLE = (FRONT, FLEET, LADDER, SIGNALLING, NODES, DOOR, STOPPING, OPERATORS)
 NAMED = (PLAN, POOL, ROUTE, LIMIT, TOKEN, TITLE_FORM)
 ALL = {s.name: s for s in (*SINGLE, *NAMED)}
 WORDS = ("include", "define", "use")
--- a/oakcroft/config/told.py
+++ b/oakcroft/config/told.py
@@ -59,6 +59,7 @@
     lost_after: int
     connect_within: int
     keep_keys: int
+    operators: bytes  # digest of their bearer token; empty: no interface
 
 
 @dataclass(frozen=True)
--- a/oakcroft/decisions/answers.py
+++ b/oakcroft/decisions/answers.py
@@ -30,6 +30,7 @@
     TOO_LATE = "it cannot be answered in time"
     DRAINING = "this front is being stopped"
     UNRECORDED = "this front cannot keep a record of it now"
+    NO_TITLE = "there is no such title, or no rendition of it for this plan"
     OUTSTANDING = "the first request with this key has no answer yet"
     KEY_REUSED = "this key was used for another request"
 
@@ -78,6 +79,13 @@
     Refusal.UNRECORDED: Reply(
         503, "urn:oakcroft:problem:no-record", "This front cannot keep a record of it now", 2
     ),
+    Refusal.NO_TITLE: Reply(
+        404,
+        "urn:oakcroft:problem:no-title",
+        "No such title, or no rendition of it for this plan",
+        None,
+        False,
+    ),
     Refusal.OUTSTANDING: Reply(
         409, "urn:oakcroft:problem:outstanding", "The first request has no answer yet", 1
     ),
--- a/oakcroft/decisions/titles.py
+++ b/oakcroft/decisions/titles.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
+from oakcroft.decisions.catalogue import Item
 from oakcroft.interface import Title
 
 
@@ -20,6 +21,7 @@
         self.most, self.cells, self.copies, self.stated = most, cells, copies, stated
         self.titles: OrderedDict[str, Title] = OrderedDict()
         self.homes: dict[str, int] = {}
+        self.items: Mapping[str, Item] = {}  # of the catalogue in force
 
     def get(self, name: str, home: int) -> Title | None:
         """The title; `home` is the first cell that holds it unless its place is stated."""
@@ -27,19 +29,40 @@
         if title is None:
             if len(self.titles) >= self.most and not self._make_room():
                 return None
-            cell, copies = self.stated.get(name, (home % self.cells, self.copies))
-            title = self.titles[name] = Title(name, cell, copies)
+            title = self.titles[name] = Title(name, 0, 0)
             self.homes[name] = home
+            self._place(title)
         self.titles.move_to_end(name)
         return title
 
     def take_version(self, copies: int, stated: Mapping[str, tuple[int, int]]) -> None:
         """Where titles are held has changed; those on the shelf stay the same objects, with their seats."""
         self.copies, self.stated = copies, stated
-        for name, title in self.titles.items():
-            home, held = stated.get(name, (self.homes[name] % self.cells, copies))
-            if (title.home, title.copies) != (home, held):
-                title.home, title.copies, title.known = home, held, -1
+        for title in self.titles.values():
+            self._place(title)
+
+    def take_catalogue(self, items: Mapping[str, Item], changed: Iterable[str]) -> None:
+        """Another catalogue is in force; only these titles are looked at, and of them those on the shelf."""
+        self.items = items
+        for name in changed:
+            if (title := self.titles.get(name)) is not None:
+                self._place(title)
+
+    def _place(self, title: Title) -> None:
+        """Where a title is held and at which rates: by the catalogue, else as stated, else by the rule for all. The
+        object stays the same, with its seats."""
+        item = self.items.get(title.name)
+        home, copies = self.stated.get(title.name, (self.homes[title.name] % self.cells, self.copies))
+        if item is not None and item.home >= 0:
+            home, copies = item.home, item.copies
+        named = (
+            frozenset(h.partition("+")[0] for h in item.holders)
+            if item is not None and item.holders
+            else None
+        )
+        if (title.home, title.copies, title.named) != (home, copies, named):
+            title.home, title.copies, title.named, title.known = home, copies, named, -1
+        title.rates = item.rates if item is not None else ()
 
     def _make_room(self) -> bool:
         for name, title in self.titles.items():
--- /dev/null
+++ b/oakcroft/front/catalogues.py
@@ -0,0 +1,185 @@
+"""Owns the catalogue of one front: reads what is offered beside the event loop, takes it between two events, keeps its
+versions in the state file, and carries out the steps down that a change asks for. What is decided stands in
+`oakcroft/decisions/catalogue.py`."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+
+import structlog
+import trio
+
+from oakcroft.catalogue.text import Said, apply, digest as digest_of, read, write
+from oakcroft.decisions.catalogue import (
+    Catalogue,
+    Course,
+    Fleet,
+    History,
+    Kept,
+    Steps,
+    Verdict,
+    changed,
+    consider,
+    course,
+)
+from oakcroft.decisions.catalogue import takes_part
+from oakcroft.front.helm import Helm
+from oakcroft.front.viewing import Viewing
+from oakcroft.interface import Listing, State
+from oakcroft.store.file import Held, Version
+
+KIND = "catalogue"
+T_OFFER = tuple[Verdict, list[str]]
+
+
+class Catalogues:
+    """The catalogue in force on one front and its history."""
+
+    def __init__(self, helm: Helm, log: structlog.typing.FilteringBoundLogger) -> None:
+        self.helm, self.log = helm, log
+        self.history, self.steps = History(), Steps()
+        self.texts: dict[int, str] = {}
+        self.pending: tuple[str, float] | None = None  # a version that another share of the fronts has first
+        self.turn = trio.Lock()  # one text is read at a time; a second waits
+        self.wake = trio.Event()
+
+    @property
+    def text(self) -> str:
+        """What is in force, as text."""
+        return self.texts.get(self.helm.catalogue.number, write((), True))
+
+    # At the start.
+
+    def begin(self, held: Held | None) -> None:
+        """The last version that was taken in an earlier life is in force again, before any request is taken."""
+        versions = [v for v in held.versions if v.kind == KIND] if held is not None else []
+        for v in versions[-self.history.most :]:
+            self.history.take(Kept(v.number, v.digest, v.taken, v.why))
+            self.texts[v.number] = v.body.decode()
+        if versions:
+            last = versions[-1]
+            said = read(last.body.decode())
+            new = Catalogue(last.number, last.digest, said.titles, said.others)
+            self.helm.titles.take_catalogue(new.titles, changed(self.helm.catalogue, new))
+            self.helm.catalogue = new
+            self.log.info("catalogue as before", version=last.number, titles=len(said.titles))
+
+    # Changes.
+
+    async def replace(
+        self, text: str, made_from: str | None, force: bool, why: str, share: float = 1.0
+    ) -> T_OFFER:
+        """A whole catalogue is offered. Unsound where its text has faults."""
+        return await self._offer(partial(read, text), made_from, force, why, share)
+
+    async def change(
+        self, text: str, made_from: str | None, force: bool, why: str, share: float = 1.0
+    ) -> T_OFFER:
+        """A change of the catalogue in force is offered. Unsound where its text has faults."""
+        base = self.helm.catalogue
+        said = Said(dict(base.titles), base.others)
+        return await self._offer(partial(apply, text, said), made_from or base.digest, force, why, share)
+
+    async def roll_back(self, number: int, made_from: str | None, force: bool) -> T_OFFER | None:
+        """An earlier version is offered as a new one; None where it is not known any more."""
+        if self.history.find(number) is None or number not in self.texts:
+            return None
+        return await self._offer(
+            partial(read, self.texts[number]), made_from, force, f"back to version {number}", 1.0
+        )
+
+    async def _offer(
+        self, said: Callable[[], Said], made_from: str | None, force: bool, why: str, share: float
+    ) -> T_OFFER:
+        async with self.turn:
+            base = self.helm.catalogue
+
+            def prepare() -> tuple[Catalogue, list[str], str]:
+                found = said()
+                text = write(found.titles.items(), found.others)
+                new = Catalogue(self.history.next_number, digest_of(text), found.titles, found.others)
+                return new, changed(base, new), text
+
+            new, names, text = await trio.to_thread.run_sync(prepare)
+            done, out = trio.Event(), list[T_OFFER]()
+
+            def take() -> None:
+                out.append(self._take(base, new, names, text, made_from, force, why, share))
+                done.set()
+
+            await self.helm.tell(take)
+            await done.wait()
+        return out[0]
+
+    def _take(
+        self, base: Catalogue, new: Catalogue, names: list[str], text: str, made_from: str | None, force: bool, why: str,
+        share: float,
+    ) -> T_OFFER:  # fmt: skip
+        """Taken here and now, between two events, or refused whole."""
+        helm, terms = self.helm, self.helm.site.terms
+        lines = helm.roster.lines.values()
+        ready = frozenset(x.name for x in lines if x.listing is Listing.READY)
+        floors = {n: p.plan.floor for n, p in helm.site.plans.items()}
+        fleet = Fleet(ready, frozenset(x.name for x in lines), len(terms.rates), terms.cells, floors)
+        verdict, why_not = consider(helm.catalogue, new, made_from, fleet, force)
+        if verdict is Verdict.TAKEN and not takes_part(terms.front, terms.fronts, int(new.digest, 16), share):
+            self.pending = (new.digest, share)
+            verdict, why_not = Verdict.LATER, [f"rolled out to {share:.0%} of the fronts"]
+        if verdict is not Verdict.TAKEN:
+            self.log.warning(
+                "catalogue not taken",
+                verdict=verdict.name.lower(),
+                reasons=why_not[:5],
+                titles=len(new.titles),
+            )
+            return verdict, why_not
+        now = helm.clock.now()
+        helm.titles.take_catalogue(new.titles, names)
+        helm.catalogue, self.pending = new, None
+        self.texts[new.number] = text
+        for number in self.history.take(Kept(new.number, new.digest, now, why)):
+            self.texts.pop(number, None)
+        if helm.memory is not None:
+            helm.memory.store.note(Version(KIND, new.number, new.digest, now, why, text.encode()))
+        some = set(names)
+        counts = dict.fromkeys(Course, 0)
+        for v in list(helm.viewings.values()):
+            if v.pb.title.name in some:
+                counts[self._goes_on(v, new)] += 1
+        if self.steps.waiting:
+            self.wake.set()
+        self.log.info("catalogue taken", version=new.number, titles=len(new.titles), changed=len(names), why=why,
+                      **{c.name.lower(): n for c, n in counts.items()})  # fmt: skip
+        return verdict, []
+
+    def _goes_on(self, v: Viewing, new: Catalogue) -> Course:
+        """Bounds what may become of a playback under the new version."""
+        rungs, node = len(self.helm.site.terms.rates), v.pb.node.name if v.pb.node else ""
+        item = new.titles.get(v.pb.title.name)
+        if v.pb.state is not State.PLAYING:  # its next try, if there is one, is of the new version
+            if item is not None:
+                v.pb.top = max(v.pb.plan.floor, min(v.asked_top, item.top(rungs)))
+            return Course.STAYS
+        what, top = course(v.pb.plan.floor, v.pb.rung, item, new.others, rungs, node)
+        v.pb.top = max(v.pb.plan.floor, min(v.asked_top, top))
+        if what is Course.STEPS_DOWN:
+            self.steps.add([(v.id, top)])
+        return what
+
+    async def run(self) -> None:
+        """Steps playbacks down as their turn comes."""
+        while True:
+            await self.wake.wait()
+            self.wake = trio.Event()
+            while self.steps.waiting:
+                some = self.steps.due(self.helm.clock.now())
+                if some:
+                    await self.helm.tell(partial(self._step_down, some))
+                await trio.sleep(self.steps.every / 1e9)
+
+    def _step_down(self, some: list[tuple[str, int]]) -> None:
+        for id_, rung in some:
+            v = self.helm.sessions.get(id_)
+            if v is not None and v.pb.rung > rung:
+                self.helm.wished(v, max(rung, v.pb.plan.floor))
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -236,11 +236,15 @@
             return REFUSALS[Refusal.TOO_LATE], True
         takes = ladder.bytes_a_second(*sdp.bandwidth(offer))
         tops = [ladder.best_rung(site.terms.rates, plan.plan.rate_factor, takes), route.top, ask.top]
-        top = min(t for t in tops if t is not None)
+        asked_top = min(t for t in tops if t is not None)
+        version = self.helm.catalogue.number
+        top = self.helm.title_top(title, max(asked_top, plan.plan.floor), plan.plan.floor)
+        if top is None:
+            return REFUSALS[Refusal.NO_TITLE], True
         v = self.helm.viewing(ask.path, title, plan, publishes, key, ask.offer, sdp.ufrag(offer), top, wait)
         if v is None or not self.queue.has_room():
             return REFUSALS[Refusal.BUSY], True
-        v.token, v.about = who, about
+        v.token, v.about, v.asked_top, v.catalogue = who, about, max(asked_top, plan.plan.floor), version
         if self.helm.memory is not None and (reply := self.helm.memory.refusal(v)) is not None:
             return reply, True
         if route.pool:
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -19,6 +19,7 @@
 from oakcroft.choice import Controller, digest
 from oakcroft.decisions import answers
 from oakcroft.decisions.answers import Final
+from oakcroft.decisions.catalogue import Catalogue, bound
 from oakcroft.decisions.handover import Happening
 from oakcroft.decisions.lifeline import Loss, Patience
 from oakcroft.decisions.limits import Ledger
@@ -121,6 +122,7 @@
         self.moves = Moves(self, Random(seed + 3), site.usual_notice, log)
         self.controller = decide(site.terms, seed, self, clock.now())
         self.memory: Memory | None = None
+        self.catalogue = Catalogue()
 
     @property
     def site(self) -> Site:
@@ -278,9 +280,21 @@
             self._free(v)
             return  # its viewer left while the event waited
         self.viewings[v.pb] = v
+        if v.catalogue != self.catalogue.number:  # another version has come into force since it was read
+            top = self.title_top(v.pb.title.name, v.asked_top, v.pb.plan.floor)
+            if top is None:
+                self._settle(v, Final.REJECTED, answers.REFUSALS[answers.Refusal.NO_TITLE])
+                del self.viewings[v.pb]
+                self._free(v)
+                return
+            v.pb.top, v.catalogue = top, self.catalogue.number
         self.controller.arrived(v.pb, self.clock.now())
         self._forget(v)
 
+    def title_top(self, title: str, asked_top: int, floor: int) -> int | None:
+        """The highest rung for a request under the catalogue in force; None where it cannot be served."""
+        return bound(self.catalogue, title, asked_top, floor, len(self.site.terms.rates))
+
     def left(self, v: Viewing) -> None:
         """The viewer has gone, or its time is up, before its answer."""
         if v.pb not in self.viewings:
@@ -355,6 +369,7 @@
             self.moves.chosen(self.viewings[pb], node.name)
         if self.memory is not None:
             self.memory.sent(node)
+        self.viewings[pb].catalogue = self.catalogue.number
         self.nursery.start_soon(self._try, self.viewings[pb], node.name, pb.rung, abandon_at)
 
     def reject(self, pb: Playback, stay_away: int) -> None:
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -96,6 +96,8 @@
         with trio.CancelScope(deadline=self.clock.deadline(until)):
             try:
                 headers = self._headers(Content_Type=sdp.MEDIA_TYPE, Idempotency_Key=words.quoted(v.key))
+                if v.catalogue:
+                    headers.append((words.CATALOGUE, str(v.catalogue)))
                 response = await self.peer.ask(
                     "POST", f"{v.path}?encodingId={rung}", headers, v.offer.encode(), trail
                 )
--- /dev/null
+++ b/oakcroft/front/operators.py
@@ -0,0 +1,168 @@
+"""The operators' interface over HTTP: the catalogue, its versions, and how the front stands. Every request needs the
+operators' bearer token (RFC 6750); a change names the version that it was made from by If-Match (RFC 9110 13.1.1)."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+import orjson
+
+from oakcroft.catalogue.text import Unsound
+from oakcroft.decisions.catalogue import Verdict
+from oakcroft.front.catalogues import T_OFFER, Catalogues
+from oakcroft.front.core import Faulty
+from oakcroft.front.helm import Helm
+from oakcroft.httpwire.message import Headers, Request, Response
+from oakcroft.signalling import words
+
+PATH = "/operators/"
+TYPE = "application/vnd.oakcroft.catalogue"
+STATUS = {Verdict.TAKEN: 200, Verdict.SAME: 200, Verdict.LATER: 202, Verdict.STALE: 412, Verdict.REFUSED: 409}
+ALLOWED = {
+    "catalogue": "GET, PUT, PATCH",
+    "catalogue/versions": "GET",
+    "catalogue/roll-back": "POST",
+    "status": "GET",
+}
+
+
+class Operators:
+    """Handles the operators' requests of one front."""
+
+    def __init__(self, helm: Helm, catalogues: Catalogues) -> None:
+        self.helm, self.catalogues = helm, catalogues
+
+    def known(self, authorization: str | None) -> bool:
+        """Whether this is the operators' token."""
+        scheme, _, given = (authorization or "").partition(" ")
+        digest = hashlib.blake2b(given.strip().encode(), digest_size=32).digest()
+        return scheme.lower() == "bearer" and hmac.compare_digest(digest, self.helm.site.operators)
+
+    def roomy(self, target: str, headers: Headers) -> bool:
+        """Whether a request may have a large body: only the operators' own, or anybody could fill the front's memory."""
+        if not target.startswith(PATH) or not self.helm.site.operators:
+            return False
+        return self.known(next((v for n, v in headers if n == "authorization"), None))
+
+    async def handle(self, request: Request) -> Response:
+        """One request. Faulty where it is wrong."""
+        if not self.helm.site.operators:
+            raise Faulty(404, "no-route", "Nothing is served at this path")
+        if not self.known(request.header("authorization")):
+            raise Faulty(401, "token", "The operators' bearer token is needed")
+        part = request.path.removeprefix(PATH)
+        if part not in ALLOWED:
+            raise Faulty(404, "no-route", "Nothing is served at this path")
+        if request.method not in ALLOWED[part].split(", "):
+            return Response(405, [("Allow", ALLOWED[part])])
+        match part, request.method:
+            case "catalogue", "GET":
+                return self._get(request)
+            case "catalogue", _:
+                return await self._change(request)
+            case "catalogue/versions", _:
+                return self._versions()
+            case "status", _:
+                return self._status()
+        return await self._roll_back(request)
+
+    def _tag(self) -> str:
+        return f'"{self.helm.catalogue.digest or "none"}"'
+
+    def _get(self, request: Request) -> Response:
+        wanted = request.query("version")
+        text = self.catalogues.text
+        if wanted:
+            if not wanted.isdigit() or int(wanted) not in self.catalogues.texts:
+                raise Faulty(404, "no-version", "This version is not kept here")
+            text = self.catalogues.texts[int(wanted)]
+        elif request.header("if-none-match") == self._tag():
+            return Response(304, [("ETag", self._tag())])
+        headers = [("Content-Type", TYPE), ("Cache-Control", "no-cache")]
+        return Response(200, headers + ([] if wanted else [("ETag", self._tag())]), text.encode())
+
+    def _made_from(self, request: Request) -> str | None:
+        tag = request.header("if-match")
+        if tag is None:
+            raise Faulty(428, "if-match", "A change names the version that it was made from: If-Match")
+        return None if tag.strip() == "*" else tag.strip().strip('"').replace("none", "")
+
+    @staticmethod
+    def _how(request: Request) -> tuple[bool, str, float]:
+        share = request.query("share") or "1"
+        try:
+            part = float(share)
+        except ValueError:
+            part = -1.0
+        if not 0 <= part <= 1:
+            raise Faulty(400, "share", "share is a part of the fronts from 0 to 1")
+        return request.query("force") == "yes", (request.query("why") or "")[:200], part
+
+    async def _change(self, request: Request) -> Response:
+        made_from, (force, why, share) = self._made_from(request), self._how(request)
+        try:
+            text = request.body.decode("utf-8")
+            make = self.catalogues.replace if request.method == "PUT" else self.catalogues.change
+            return self._told(await make(text, made_from, force, why, share))
+        except UnicodeDecodeError as fault:
+            raise Faulty(400, "catalogue", "The text is not UTF-8", str(fault)) from None
+        except Unsound as fault:
+            raise Faulty(
+                422,
+                "catalogue",
+                f"{len(fault.faults)} faults; nothing is taken",
+                "\n".join(f.show() for f in fault.faults),
+            ) from None
+
+    async def _roll_back(self, request: Request) -> Response:
+        number = request.query("to") or ""
+        made_from = self._made_from(request)
+        offer = await self.catalogues.roll_back(
+            int(number) if number.isdigit() else -1, made_from, self._how(request)[0]
+        )
+        if offer is None:
+            raise Faulty(404, "no-version", "This version is not kept here")
+        return self._told(offer)
+
+    def _told(self, offer: T_OFFER) -> Response:
+        verdict, why = offer
+        told = {"verdict": verdict.name.lower(), "version": self.helm.catalogue.number, "reasons": why}
+        if STATUS[verdict] >= 400:
+            body = words.problem(
+                STATUS[verdict], "urn:oakcroft:problem:catalogue", verdict.value, "; ".join(why), **told
+            )
+            return Response(STATUS[verdict], [("Content-Type", words.PROBLEM), ("ETag", self._tag())], body)
+        headers = [("Content-Type", "application/json"), ("ETag", self._tag())]
+        return Response(STATUS[verdict], headers, orjson.dumps(told))
+
+    def _versions(self) -> Response:
+        now = self.helm.catalogue.number
+        some = [
+            {
+                "version": k.number,
+                "digest": k.digest,
+                "taken_ms": k.taken // 1_000_000,
+                "why": k.why,
+                "in_force": k.number == now,
+            }
+            for k in self.catalogues.history.versions
+        ]
+        return Response(200, [("Content-Type", "application/json")], orjson.dumps(some))
+
+    def _status(self) -> Response:
+        helm, memory = self.helm, self.helm.memory
+        told: dict[str, object] = {
+            "front": helm.me, "playing": helm.playing, "unanswered": helm.unanswered, "catalogue": helm.catalogue.number,
+            "configuration": helm.versions.offer.number, "nodes": len(helm.roster.lines),
+            "steps_waiting": len(self.catalogues.steps.waiting),
+        }  # fmt: skip
+        if memory is not None:
+            health, counts = memory.store.health, memory.store.counts
+            told["state"] = {
+                "disk": health.state.value, "trouble": health.trouble.value if health.trouble else None,
+                "phase": memory.recovery.phase.value, "promises": len(memory.promises), "held": len(memory.held),
+                "commits": counts.commits, "refused": counts.refused, "dropped": counts.dropped,
+                "longest_ms": counts.longest_ns // 1_000_000,
+            }  # fmt: skip
+        return Response(200, [("Content-Type", "application/json")], orjson.dumps(told))
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -15,11 +15,13 @@
 from oakcroft.decisions.doors import Door, Queue
 from oakcroft.decisions.stopping import Course, Stopping
 from oakcroft.decisions.versions import Offer, Verdict
+from oakcroft.front.catalogues import Catalogues
 from oakcroft.front.clock import Clock
 from oakcroft.front.core import Core
 from oakcroft.front.helm import Bell, Decide, Helm
 from oakcroft.front.memory import Memory
 from oakcroft.front.listing import BadList, Follower, kept, parse
+from oakcroft.front.operators import PATH as OPERATORS, Operators
 from oakcroft.front.sockets import PATH, SessionApi
 from oakcroft.front.viewers import Viewers
 from oakcroft.httpwire.client import Peer
@@ -49,6 +51,7 @@
         self.sessions: SessionApi | None = None
         self.reads = 0
         self.held: Held | None = None
+        self.catalogues: Catalogues | None = None
         self.opens: Callable[[str], StateFile] | None = None  # in the place of the file system's
 
     async def run(
@@ -70,12 +73,16 @@
             self.helm, self.door = helm, door
             self.core = core = Core(stand.zone, helm, door, stopping, clock, self.log)
             sessions = SessionApi(core, nursery, self.log)
-            viewers = Viewers(core, (PATH, sessions.response))
+            self.catalogues = catalogues = Catalogues(helm, self.log)
+            operators = Operators(helm, catalogues)
+            viewers = Viewers(core, (PATH, sessions.response), (OPERATORS, operators.handle))
             nursery.start_soon(sessions.look_after)
             self.sessions = sessions
-            server = Server(viewers.handle, door, clock.now, self._failed, viewers.shed)
+            server = Server(viewers.handle, door, clock.now, self._failed, viewers.shed, operators.roomy)
             self.queue = core.queue
             store = await self._store(helm, clock)
+            catalogues.begin(self.held)
+            nursery.start_soon(catalogues.run)
             nursery.start_soon(core.beat)
             nursery.start_soon(helm.run)
             nursery.start_soon(helm.beat)
--- a/oakcroft/front/viewers.py
+++ b/oakcroft/front/viewers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from functools import partial
 from pathlib import Path
 
@@ -57,8 +57,12 @@
 class Viewers:
     """Handles HTTP requests of viewers and publishers."""
 
-    def __init__(self, core: Core, other: tuple[str, Callable[[Request], Response]] | None = None) -> None:
-        """`other`: a path of its own that something else serves."""
+    def __init__(
+        self, core: Core, other: tuple[str, Callable[[Request], Response]] | None = None,
+        operators: tuple[str, Callable[[Request], Awaitable[Response]]] | None = None,
+    ) -> None:  # fmt: skip
+        """`other`: a path of its own that something else serves; `operators`: the beginning of paths likewise."""
+        self.operators = operators
         self.core, self.helm, self.other = core, core.helm, other
         self.busy = busy()
 
@@ -87,6 +91,8 @@
     async def _handle(self, request: Request) -> Response:
         if self.other is not None and request.path == self.other[0]:
             return self.other[1](request)
+        if self.operators is not None and request.path.startswith(self.operators[0]):
+            return await self.operators[1](request)
         if request.path == "/try" and request.method == "GET":
             headers = [("Content-Type", "text/html; charset=utf-8"), ("Cache-Control", "no-store")]
             return Response(200, headers, TRY.read_bytes())
--- a/oakcroft/httpwire/server.py
+++ b/oakcroft/httpwire/server.py
@@ -9,18 +9,21 @@
 import itertools
 import re
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import h11
 import trio
 
 from oakcroft.decisions.doors import Door, Phase, Verdict, body_verdict, head_verdict, status_when_slow
 from oakcroft.decisions.doors import time_allowed
-from oakcroft.httpwire.message import Request, Response
+from oakcroft.httpwire.message import Headers, Request, Response
 from oakcroft.signalling.words import PROBLEM, problem
 
 Handler = Callable[[Request], Awaitable[Response]]
 Clock = Callable[[], int]
 Shed = Callable[[bytes], bytes | None]
+Roomy = Callable[[str, Headers], bool]
+ROOMY_BYTES = 64 << 20
 LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d{1,9})[ \t]*(?=\r\n)", re.IGNORECASE)
 UNUSUAL = re.compile(rb"\r\n(transfer-encoding|expect|connection)[ \t]*:", re.IGNORECASE)
 REASONS = {
@@ -65,10 +68,11 @@
 
     def __init__(
         self, handler: Handler, door: Door, clock: Clock, failed: Callable[[Request, BaseException], None],
-        shed: Shed | None = None,
+        shed: Shed | None = None, roomy: Roomy | None = None,
     ) -> None:  # fmt: skip
-        """`shed`: looks at a whole request unread, and answers it at once or says None."""
-        self.shed = shed
+        """`shed`: looks at a whole request unread, and answers it at once or says None. `roomy`: whether a request, by
+        its target and headers, may have a body of `ROOMY_BYTES`."""
+        self.shed, self.roomy = shed, roomy
         self.handler, self.door, self.clock, self.failed = handler, door, clock, failed
         self.numbers = itertools.count(1)
         self.scopes: dict[int, trio.CancelScope] = {}
@@ -201,7 +205,10 @@
             raise Fault(status)
         headers = [(n.decode("latin-1").lower(), v.decode("latin-1")) for n, v in head.headers]
         length = next((int(v) for n, v in headers if n == "content-length"), None)
-        if status := body_verdict(0, length, self.bounds):
+        bounds = self.bounds
+        if self.server.roomy is not None and self.server.roomy(head.target.decode("latin-1"), headers):
+            bounds = replace(bounds, body_bytes=ROOMY_BYTES)
+        if status := body_verdict(0, length, bounds):
             raise Fault(status)
         if any(n == "expect" for n, _ in headers) and self.http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
@@ -212,7 +219,7 @@
                 event = await self._event(Phase.BODY)
                 if isinstance(event, h11.Data):
                     body += event.data
-                    if status := body_verdict(len(body), None, self.bounds):
+                    if status := body_verdict(len(body), None, bounds):
                         raise Fault(status)
                 elif isinstance(event, h11.EndOfMessage):
                     return Request(
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -193,6 +193,8 @@
         self.seats: dict[Plan, int] = {}
         self.holders: list[Node] = []
         self.known = -1  # the version of the list that `holders` was made from
+        self.named: frozenset[str] | None = None  # its holders by name; none: those in its cells
+        self.rates: tuple[float, ...] = ()  # of its own rungs in kB a second; none: the ladder's
 
 
 class Playback:
--- a/oakcroft/signalling/words.py
+++ b/oakcroft/signalling/words.py
@@ -22,6 +22,10 @@
 KEY = re.compile(r'^"([\x20-\x21\x23-\x5b\x5d-\x7e]{1,255})"$|^([!#$%&\'*+\-.^_`|~0-9A-Za-z:/]{1,255})$')
 
 
+CATALOGUE = "Oakcroft-Catalogue"
+"""The version of the catalogue under which a set-up left its front."""
+
+
 def problem(status: int, kind: str, title: str, detail: str = "", **more: object) -> bytes:
     """A problem body (RFC 9457)."""
     body: dict[str, object] = {"type": kind, "title": title, "status": status}
--- a/oakcroft/standins/playout.py
+++ b/oakcroft/standins/playout.py
@@ -220,7 +220,15 @@
         self.numbers += 1
         number = f"{self.process}.{self.numbers}"
         self.record.note(
-            "setup", node=self.name, id=number, front=front, key=key, plan=plan, title=title, rung=rung
+            "setup",
+            node=self.name,
+            id=number,
+            front=front,
+            key=key,
+            plan=plan,
+            title=title,
+            rung=rung,
+            catalogue=int(request.header(words.CATALOGUE.lower()) or 0),
         )
         answered = False
         try:
--- /dev/null
+++ b/tests/test_catalogue.py
@@ -0,0 +1,385 @@
+"""The catalogue: its text, what a change may do, and fronts whose catalogue is swapped while they serve."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import orjson
+import pytest
+import trio
+from hypothesis import given, strategies as st
+from rig import Rig, run, standing, start_front, until
+
+from oakcroft.catalogue.text import Said, Unsound, apply, digest, read, write
+from oakcroft.decisions.catalogue import (
+    Catalogue,
+    Course,
+    Fleet,
+    History,
+    Item,
+    Kept,
+    Steps,
+    Verdict,
+    changed,
+    consider,
+)
+from oakcroft.decisions.catalogue import bound, course, takes_part
+from oakcroft.decisions.titles import Shelf
+from oakcroft.httpwire.message import Response
+
+FLEET = Fleet(frozenset({"n1", "n2+1"}), frozenset({"n1", "n2+1", "n3"}), 3, 4, {"course": 0})
+OPS = '(operators (secret "operators-secret"))'
+HIGH = """(plan high (effect free) (startup-target 400ms) (abandon 1500ms) (revenue 1) (floor 2))
+  (route high (path "/whep/high/") (plan high))"""
+AUTH: dict[str, Any] = {"Authorization": "Bearer operators-secret"}
+
+
+def cat(number: int = 1, others: bool = False, **titles: Item) -> Catalogue:
+    return Catalogue(number, digest(write(titles.items(), others)), titles, others)
+
+
+@pytest.mark.parametrize(("text", "line", "says"), [
+    ("(catalogue\n (title a (home 0)", 2, "never closed"),
+    ("(catalogue))", 1, "never opened"),
+    ('(catalogue\n(title "a', 2, "cannot be read"),
+    ("(titles a)", 1, "one form"),
+    ("(catalogue)\n(catalogue)", 2, "one form"),
+    ("stray", 1, "outside every form"),
+    ("(catalogue (title))", 1, "begins with its name"),
+    ("(catalogue (title a/b))", 1, "cannot be a title"),
+    ("(catalogue\n\n(title a (hold n1)))", 3, "write holders"),
+    ("(catalogue (title a (holders n1 n1)))", 1, "twice"),
+    ("(catalogue (title a (holders n1) (home 1) (copies 2)))", 1, "holders and cells"),
+    ("(catalogue (title a (home 1)))", 1, "alone"),
+    ("(catalogue (title a (renditions 200)))", 1, "write 200kB/s"),
+    ("(catalogue (title a (renditions 2parsec/s)))", 1, "units"),
+    ("(catalogue (title a (renditions 400kB/s 200kB/s)))", 1, "do not rise"),
+    ("(catalogue (title a)\n(title b)\n(title a))", 3, "first at line 1"),
+    ("(catalogue (others perhaps))", 1, "yes or no"),
+    ("(catalogue (film a))", 1, "no form film"),
+    ("(catalogue (title a (holders)))", 1, "one at least"),
+    ("((((((((", 1, "six deep"),
+])  # fmt: skip
+def test_each_fault_of_a_text_is_named_with_its_line(text: str, line: int, says: str) -> None:
+    with pytest.raises(Unsound) as found:
+        read(text)
+    shown = [f for f in found.value.faults if says in f.show()]
+    assert shown, [f.show() for f in found.value.faults]
+    assert shown[0].line == line
+
+
+letters = st.characters(
+    exclude_categories=["Cs", "Cc", "Cf", "Zl", "Zp", "Zs", "Co", "Cn"], exclude_characters="/"
+)
+names = st.text(letters, min_size=1, max_size=9)
+items = st.one_of(
+    st.builds(Item, holders=st.lists(names, min_size=1, max_size=4, unique=True).map(tuple)),
+    st.builds(lambda h, c, r: Item((), h, c, tuple(sorted(r))), st.integers(0, 99), st.integers(0, 9),
+              st.sets(st.integers(1, 5000).map(float), max_size=5)),
+)  # fmt: skip
+
+
+@given(st.dictionaries(names, items, max_size=6), st.booleans())
+def test_what_is_written_reads_as_the_same(titles: dict[str, Item], others: bool) -> None:
+    text = write(titles.items(), others)
+    assert read(text) == Said(titles, others)
+    assert write(read(text).titles.items(), others) == text
+
+
+@given(st.text(max_size=80))
+def test_any_text_reads_or_is_refused_with_a_line(text: str) -> None:
+    for reader in (read, lambda t: apply(t, Said({}))):
+        faults = []
+        try:
+            reader(text)
+        except Unsound as fault:
+            faults = fault.faults
+            assert len(faults) > 0
+        assert all(f.line >= 1 and f.what for f in faults)
+
+
+def test_a_change_is_applied_whole_or_not_at_all() -> None:
+    said = read("(catalogue (title a (home 0) (copies 2)) (title b (home 1) (copies 2)))")
+    after = apply("(put (title c (holders n1))) (drop a)", said)
+    assert sorted(after.titles) == ["b", "c"]
+    assert sorted(said.titles) == ["a", "b"]
+    with pytest.raises(Unsound, match="no title z"):
+        apply("(drop b) (drop z)", said)
+    assert sorted(said.titles) == ["a", "b"]
+
+
+def test_a_request_is_bound_by_the_version_in_force() -> None:
+    some = cat(2, a=Item(rates=(1.0, 2.0)), b=Item())
+    tops = [bound(some, t, top, floor, 4) for t, top, floor in
+            (("a", 9, 0), ("a", 0, 0), ("a", 9, 2), ("b", 9, 0), ("c", 9, 0))]  # fmt: skip
+    assert tops == [1, 0, None, 3, None]
+    assert bound(Catalogue(), "c", 1 << 30, 0, 4) == 3
+
+
+def test_what_becomes_of_a_change() -> None:
+    old = cat(1, a=Item(("n1",)), gone=Item(("n9",)))
+    assert consider(old, cat(2, a=Item(("n1",)), gone=Item(("n9",))), old.digest, FLEET) == (Verdict.SAME, [])
+    good = cat(2, a=Item(("n1", "n2")), gone=Item(("n9",)), b=Item((), 3, 2))
+    assert consider(old, good, old.digest, FLEET) == (
+        Verdict.TAKEN,
+        [],
+    )  # what was without a holder holds nothing up
+    assert consider(old, good, "other", FLEET)[0] is Verdict.STALE
+    assert consider(old, good, None, FLEET)[0] is Verdict.TAKEN
+    for bad, says in (
+        (Item(("n3",)), "no ready holder"), (Item(("n7",)), "not listed: n7"), (Item((), 4, 1), "there are 4"),
+        (Item(rates=(1.0, 2.0, 3.0, 4.0)), "ladder has 3"),
+    ):  # fmt: skip
+        verdict, why = consider(old, cat(2, a=bad), old.digest, FLEET)
+        assert verdict is Verdict.REFUSED
+        assert says in why[0]
+    assert consider(old, cat(2, a=Item(("n3",))), None, FLEET, force=True)[0] is Verdict.TAKEN
+    floored = Fleet(FLEET.ready, FLEET.listed, 3, 4, {"course": 2})
+    assert (
+        "under the floor of plan course"
+        in consider(old, cat(2, a=Item(("n1",), rates=(1.0, 2.0))), None, floored)[1][0]
+    )
+
+
+def test_what_plays_finishes_or_steps_down_and_never_under_its_floor() -> None:
+    two = Item(rates=(200.0, 400.0))
+    assert course(0, 2, two, False, 3, "n1") == (Course.STEPS_DOWN, 1)
+    assert course(0, 1, two, False, 3, "n1") == (Course.STAYS, 1)
+    assert course(2, 2, two, False, 3, "n1") == (Course.FINISHES, 2)
+    assert course(0, 2, None, False, 3, "n1") == (Course.FINISHES, 2)
+    assert course(0, 1, None, True, 3, "n1") == (Course.STAYS, 2)
+    assert course(0, 2, Item(("n2",)), False, 3, "n1") == (Course.FINISHES, 2)
+    assert course(0, 2, Item(("n2",)), False, 3, "n2+4") == (Course.STAYS, 2)
+    steps = Steps(at_once=2, every=10)
+    steps.add([("a", 1), ("b", 1), ("c", 1)])
+    assert [steps.due(0), steps.due(5), steps.due(10), steps.due(30)] == [
+        [("a", 1), ("b", 1)],
+        [],
+        [("c", 1)],
+        [],
+    ]
+
+
+@given(st.integers(1, 200), st.integers(0, 1 << 60), st.floats(0, 1), st.floats(0, 1))
+def test_a_share_of_the_fronts_takes_a_version_and_grows(
+    fronts: int, number: int, a: float, b: float
+) -> None:
+    low, high = sorted((a, b))
+    first = {f for f in range(fronts) if takes_part(f, fronts, number, low)}
+    assert first <= {f for f in range(fronts) if takes_part(f, fronts, number, high)}
+    assert abs(len(first) - low * fronts) <= 1
+    assert all(takes_part(f, fronts, number, 1.0) for f in range(fronts))
+
+
+def test_history_forgets_the_oldest_and_the_shelf_looks_only_at_what_changed() -> None:
+    history = History(most=3)
+    gone = [history.take(Kept(n, str(n), n, "")) for n in range(1, 6)]
+    assert gone == [[], [], [], [1], [2]]
+    assert (history.next_number, history.find(2), history.find(4)) == (6, None, Kept(4, "4", 4, ""))
+    shelf = Shelf(10, 4, 2, {"stated": (3, 1)})
+    plain, stated = shelf.get("plain", 9), shelf.get("stated", 0)
+    assert plain
+    assert stated
+    old, new = Catalogue(), cat(1, plain=Item(("n1+2",), rates=(1.0,)), other=Item((), 1, 1))
+    shelf.take_catalogue(new.titles, changed(old, new))
+    assert (plain.named, plain.rates, plain.known) == (frozenset({"n1"}), (1.0,), -1)
+    assert (stated.home, stated.copies, stated.named) == (3, 1, None)
+    stated.known = 5
+    shelf.take_catalogue({}, changed(new, Catalogue()))
+    assert (plain.named, plain.rates, plain.home, plain.copies) == (None, (), 1, 2)
+    assert stated.known == 5
+
+
+async def put(rig: Rig, text: str, match: str | None = "*", query: str = "", method: str = "PUT") -> Response:
+    headers = AUTH | ({"If_Match": match} if match else {})
+    return await rig.ask(method, f"/operators/catalogue{query}", text.encode(), **headers)
+
+
+def told(sat: Response) -> dict[str, Any]:
+    return dict(orjson.loads(sat.body))
+
+
+def test_the_operators_interface(tmp_path: Path) -> None:
+    one = "(catalogue (title a (holders n1)) (title b (home 0) (copies 2)))"
+
+    async def test() -> None:
+        async with trio.open_nursery() as nursery, standing(tmp_path, OPS, state=True) as rig:
+            assert (await rig.ask("GET", "/operators/catalogue")).status == 401
+            assert (
+                await rig.ask("PUT", "/operators/catalogue", b"x" * 100_000)
+            ).status == 413  # not for anybody
+            assert (await rig.ask("GET", "/operators/nothing", **AUTH)).status == 404
+            assert (await rig.ask("DELETE", "/operators/catalogue", **AUTH)).status == 405
+            first = await rig.ask("GET", "/operators/catalogue", **AUTH)
+            assert (first.status, first.header("etag")) == (200, '"none"')
+            assert (await put(rig, one, None)).status == 428
+            sat = await put(rig, one, '"none"', "?why=first")
+            assert (sat.status, told(sat)["version"]) == (200, 1)
+            assert (await put(rig, one, '"none"')).status == 412
+            assert told(await put(rig, one))["verdict"] == "same"
+            tag = sat.header("etag") or ""
+            same = await rig.ask("GET", "/operators/catalogue", If_None_Match=tag, **AUTH)
+            assert same.status == 304
+            broken = await put(rig, "(catalogue (title a) (title a))", tag)
+            assert broken.status == 422
+            assert "stands twice" in broken.body.decode()
+            refused = await put(rig, "(put (title c (holders n9)))", tag, "", "PATCH")
+            assert refused.status == 409
+            assert "no ready holder" in refused.body.decode()
+            assert (
+                await put(rig, "(put (title c (holders n2))) (drop b)", tag, "?why=lesson", "PATCH")
+            ).status == 200
+            assert (await rig.watch("/whep/open/b")).status == 404
+            assert (await rig.watch("/whep/open/c")).status == 201
+            assert rig.facts("setup")[-1]["node"] == "n2"
+            assert rig.facts("setup")[-1]["catalogue"] == 2
+            assert (await put(rig, "(put (title d (home 0) (copies 1)))", None, "", "PATCH")).status == 428
+            versions = orjson.loads((await rig.ask("GET", "/operators/catalogue/versions", **AUTH)).body)
+            assert [(v["version"], v["why"], v["in_force"]) for v in versions] == [
+                (1, "first", False),
+                (2, "lesson", True),
+            ]
+            await until(lambda: rig.front and rig.front.helm and rig.front.helm.memory
+                        and not rig.front.helm.memory.store.queue)  # fmt: skip
+            rig.front_scope.cancel()
+            await rig.ended.wait()
+            await start_front(nursery, rig, state=True)
+            assert (await rig.watch("/whep/open/b")).status == 404  # in force as before
+            back = await rig.ask("POST", "/operators/catalogue/roll-back?to=1", If_Match="*", **AUTH)
+            assert (back.status, told(back)["version"]) == (200, 3)
+            assert (await rig.watch("/whep/open/b")).status == 201
+            assert (
+                await rig.ask("POST", "/operators/catalogue/roll-back?to=9", If_Match="*", **AUTH)
+            ).status == 404
+            status = told(await rig.ask("GET", "/operators/status", **AUTH))
+            assert (status["catalogue"], status["state"]["disk"]) == (3, "sound")
+            later = await put(rig, "(drop a)", "*", "?share=0", "PATCH")
+            assert (later.status, told(later)["verdict"]) == (202, "later")
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
+def test_a_removed_rendition_a_removed_title_and_a_holder_taken_away_under_what_plays(tmp_path: Path) -> None:
+    full = "(title a (home 0) (copies 2) (renditions 200kB/s 400kB/s 800kB/s))"
+
+    async def test() -> None:
+        async with standing(tmp_path, OPS + HIGH) as rig:
+            assert (await put(rig, f"(catalogue {full} (title b (holders n1)))")).status == 200
+            high, low = await rig.watch("/whep/high/a"), await rig.watch("/whep/open/a")
+            held = await rig.watch("/whep/open/b")
+            assert [high.status, low.status, held.status] == [201, 201, 201]
+            refused = await put(
+                rig, "(put (title a (home 0) (copies 2) (renditions 200kB/s)))", "*", "", "PATCH"
+            )
+            assert refused.status == 409  # plan high could not be served
+            less = "(put (title a (home 0) (copies 2) (renditions 200kB/s))) (put (title b (holders n2)))"
+            assert (await put(rig, less, "*", "?force=yes", "PATCH")).status == 200
+            assert (await rig.watch("/whep/high/a")).status == 404
+            session = (low.header("location") or "").rpartition("/")[2]
+            assert rig.front is not None
+            assert rig.front.helm is not None
+            low_one = rig.front.helm.sessions[session]
+            await until(lambda: low_one.pb.rung == 0)
+            high_one = rig.front.helm.sessions[(high.header("location") or "").rpartition("/")[2]]
+            assert high_one.pb.rung == 2  # under its floor there is nothing: it finishes as it is
+            assert (await put(rig, "(drop a)", "*", "", "PATCH")).status == 200
+            assert len([n for p in rig.playing() for n in p.sessions]) == 3  # nothing was ended
+            assert (await rig.watch("/whep/open/b")).status == 201
+            assert rig.facts("setup")[-1]["node"] == "n2"
+            assert (await rig.ask("DELETE", high.header("location") or "")).status == 200
+
+    run(test)
+
+
+def test_fifty_swaps_under_load_and_every_set_up_is_of_one_version(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, OPS) as rig:
+            rng, versions, answers = Random(4), dict[int, dict[str, Item]](), Counter[int]()
+            stop, longest = trio.Event(), [0.0]
+
+            async def viewers(seed: int) -> None:
+                mine = Random(seed)
+                while not stop.is_set():
+                    began = trio.current_time()
+                    sat = await rig.watch(f"/whep/open/t{mine.randrange(4)}")
+                    longest[0] = max(longest[0], trio.current_time() - began)
+                    answers[sat.status] += 1
+                    if sat.status == 201:
+                        await rig.ask("DELETE", sat.header("location") or "")
+
+            def some() -> str:
+                titles = {}
+                for n in range(4):
+                    if rng.random() < 0.8:
+                        rates = tuple(float(200 * (1 << r)) for r in range(rng.randrange(1, 4)))
+                        titles[f"t{n}"] = Item((rng.choice(["n1", "n2"]),), rates=rates)
+                return write(titles.items(), False)
+
+            async with trio.open_nursery() as nursery:
+                for seed in range(4):
+                    nursery.start_soon(viewers, seed)
+                verdicts = Counter[int]()
+                for n in range(50):
+                    text = some()
+                    if n % 10 == 3:
+                        text = text.replace("(title", "(tilte", 1) + "("
+                    if n % 10 == 7:
+                        text = text.replace("n1", "n8").replace("n2", "n9")
+                    tag = (await rig.ask("GET", "/operators/catalogue", **AUTH)).header("etag") or ""
+                    sat = [await put(rig, text, tag)]
+                    if n % 10 == 5 and sat[0].status == 200:  # a second one, made from the same version
+                        sat.append(await put(rig, some(), tag))
+                    for one in sat:
+                        verdicts[one.status] += 1
+                        if one.status == 200 and told(one)["verdict"] == "taken":
+                            versions[told(one)["version"]] = dict(read(text).titles)
+                    await trio.sleep(0.02)
+                stop.set()
+            assert verdicts[422] == 5
+            assert verdicts[409] >= 4
+            assert verdicts[412] >= 3
+            assert len(versions) > 25
+            assert set(answers) <= {201, 404, 503}
+            assert answers[201] > 50
+            seen = Counter[int]()
+            for f in rig.facts("setup"):
+                if f["catalogue"]:
+                    item = versions[f["catalogue"]][f["title"]]  # a KeyError: it had no such title then
+                    assert f["node"] in item.holders, f
+                    assert f["rung"] < len(item.rates), f
+                    seen[f["catalogue"]] += 1
+            assert len(seen) > 15
+            nursery.cancel_scope.cancel()
+
+    run(test, 60)
+
+
+def test_a_further_try_after_a_swap_goes_by_the_new_version(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, OPS) as rig:
+            both = "(catalogue (title a (holders n1 n2)))"
+            assert (await put(rig, both)).status == 200
+            for node in rig.fleet.nodes.values():
+                node.ails.silent = True
+            first = list[Response]()
+
+            async def watch() -> None:
+                first.append(await rig.watch("/whep/open/a"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch)
+                await until(lambda: rig.facts("setup"))
+                taken_away = rig.facts("setup")[0]["node"]
+                other = "n2" if taken_away == "n1" else "n1"
+                assert (await put(rig, f"(put (title a (holders {other})))", "*", "", "PATCH")).status == 200
+                rig.node(other).ails.silent = False
+                rig.node(other).stir()
+            assert first[0].status == 201
+            tries = [(f["node"], f["catalogue"]) for f in rig.facts("setup")]
+            assert tries == [(taken_away, 1), (other, 2)]
+
+    run(test)
