--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -186,8 +186,8 @@
         if kind == "held":
             file, now, answer = StateFile(str(Path(name) / "state")), Clock().now(), offer(20_000, 1)
             file.commit(Put(Promise(
-                f"id{i}", f"key{i}", "about", "/whep/open/t", f"t{i % 50}", "open", "free", False, False, "u", 2, "", now, now,
-                Mark.PLAYS, f"n{i % 10}", "", now, f"/sessions/s{i}", "", "", "t", answer, 1, now,
+                f"id{i}", f"k{i}", "about", "/whep/open/t", f"t{i % 50}", "open", "free", False, False, "u", 2, "",
+                now, now, Mark.PLAYS, f"n{i % 10}", "", now, f"/sessions/s{i}", "", "", "t", answer, 1, now,
             )) for i in range(held))  # fmt: skip
             file.close()
         began = trio.current_time()
--- a/benchmarks/state_cost.py
+++ b/benchmarks/state_cost.py
@@ -100,7 +100,7 @@
         verdict, _ = consider(old, new, names, old.digest, fleet)
         shelf.take_catalogue(new.titles, names)
         taken = time.perf_counter() - began
-        print(f"{size:7} titles, {len(text) / 1e6:6.2f} MB: read in {took * 1e3:7.1f} ms ({slowly * 1e3:.1f} not laid out), "
+        print(f"{size:7} titles, {len(text) / 1e6:6.2f} MB: read in {took * 1e3:7.1f} ms ({slowly * 1e3:.1f} else), "
               f"compared in {differ * 1e3:5.1f} ms, both beside the loop; judged and taken in {taken * 1e3:6.3f} ms; "
               f"{memory / 1e6:6.1f} MB; {verdict.name.lower()}", flush=True)  # fmt: skip
 
--- a/oakcroft/cli.py
+++ b/oakcroft/cli.py
@@ -230,6 +230,8 @@
     "--keep", type=click.Path(file_okay=False, path_type=Path), help="Keep records and logs in this folder."
 )
 @click.option("--mixed", is_flag=True, help="Every second viewer comes over the WebSocket session API.")
+@click.option("--state", "with_state", is_flag=True, help="Fronts keep a state file over their deaths.")
+@click.option("--patient", is_flag=True, help="Players look for their sessions again when a front dies.")
 def rehearse(
     file: Path | None,
     seed: int | None,
@@ -237,6 +239,8 @@
     bench_day: Path | None,
     keep: Path | None,
     mixed: bool,
+    with_state: bool,
+    patient: bool,
 ) -> None:
     """Play a day FILE through real fronts on loopback and judge the rules from the sockets.
 
@@ -264,7 +268,7 @@
     if seed is not None:
         plot = plot.seeded(seed)
     audience = Mixed if mixed else Audience
-    outcome = runner.play(plot, body, "oakcroft", click.echo, keep, audience)
+    outcome = runner.play(plot, body, "oakcroft", click.echo, keep, audience, with_state, patient)
     other = None
     if baseline:
         click.echo("the naive baseline on the same day:")
--- a/oakcroft/client/session.py
+++ b/oakcroft/client/session.py
@@ -24,8 +24,8 @@
 class Playback:
     """One playback: its answer, and its events as they come."""
 
-    def __init__(self, id_: str, answer: str, tag: str) -> None:
-        self.id, self.answer, self.tag = id_, answer, tag
+    def __init__(self, id_: str, answer: str, tag: str, asked: api.Ask | None = None) -> None:
+        self.id, self.answer, self.tag, self.asked = id_, answer, tag, asked
         self.send, self.events = trio.open_memory_channel[api.Event](256)
 
 
@@ -109,27 +109,40 @@
             for message in list(self.unsent.values()):
                 self.nursery.start_soon(self._send, message)
         else:
-            self._start_anew()
+            self._start_anew(welcome.remembers)
         self.pass_ = welcome.resume
         self.up.set()
 
-    def _start_anew(self) -> None:
-        """The front does not know the seat any more, as after a restart: what played is lost. What waited may have run
-        there and be paid for, and a front without memory would set it up again under the same key, so it is not said
-        again: its caller hears that nothing is known of it."""
+    def _start_anew(self, remembers: bool) -> None:
+        """The front does not know the seat any more, as after a restart. One that remembers its keys is asked again under
+        them, for what waited and for what played. Of one without memory what played is lost, and what waited may have run
+        there and be paid for and would be set up again under the same key, so it is not said again: its caller hears that
+        nothing is known of it."""
         self.seen = 0
-        if self.pass_:
-            self.lost += len(self.playbacks)
-        for playback in self.playbacks.values():
+        for name, playback in list(self.playbacks.items()):
+            if remembers and playback.asked is not None and playback.asked.key:
+                self.nursery.start_soon(self._take_again, playback, playback.asked)
+                continue
+            self.lost += 1
             playback.send.close()
-        self.playbacks.clear()
+            del self.playbacks[name]
         for id_, message in list(self.unsent.items()):
-            if not self.pass_:
+            if not self.pass_ or (remembers and isinstance(message, api.Ask) and message.key):
                 self.nursery.start_soon(self._send, message)
             elif id_ in self.waiting:
                 lost = LOST_ASK if isinstance(message, api.Ask) else LOST_CALL
                 self.waiting.pop(id_).send_nowait(lost)
 
+    async def _take_again(self, playback: Playback, asked: api.Ask) -> None:
+        """Asks a restarted front for a playback under its key: the same goes on, or it is lost."""
+        again = api.Ask(next(self.numbers), asked.path, asked.offer, asked.key, asked.wait_s, asked.top)
+        answer = await self.call(again)
+        if isinstance(answer, api.Answer) and answer.status == 201 and answer.playback == playback.id:
+            return
+        if self.playbacks.pop(playback.id, None) is not None:
+            self.lost += 1
+            playback.send.close()
+
     async def _next(self) -> events.Event:
         assert self.ws is not None
         assert self.stream is not None
@@ -206,12 +219,13 @@
         self.retries.began()
         key, tries = str(uuid.uuid4()), 0
         while True:
-            answer = await self.call(api.Ask(next(self.numbers), path, offer, key, wait, top))
+            ask = api.Ask(next(self.numbers), path, offer, key, wait, top)
+            answer = await self.call(ask)
             assert isinstance(answer, api.Answer)
             tries += 1
             if answer.status == 201:
                 playback = self.playbacks[answer.playback] = Playback(
-                    answer.playback, answer.answer, answer.tag
+                    answer.playback, answer.answer, answer.tag, ask
                 )
                 return playback
             how, seconds = self.retries.after(
--- a/oakcroft/decisions/remembered.py
+++ b/oakcroft/decisions/remembered.py
@@ -62,6 +62,7 @@
     answer: str = ""
     rung: int = 0
     changed: int = 0
+    seated: bool = False  # it belongs to a seat of the session API, and ends with that
 
     @property
     def binds(self) -> bool:
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -63,6 +63,7 @@
     client: str = ""
     prefer: list[str] = field(default_factory=list)
     top: int | None = None
+    seated: bool = False
 
 
 @dataclass
@@ -225,6 +226,8 @@
         if turn is Turn.REFUSE and refusal is not None:
             return REFUSALS[refusal], True
         if turn is Turn.AGAIN and isinstance(earlier, Viewing):
+            if self.helm.memory is not None:
+                self.helm.memory.claimed(earlier)
             return earlier, False
         if not self.stopping.takes_new():
             return REFUSALS[Refusal.DRAINING], True
@@ -244,6 +247,7 @@
         v = self.helm.viewing(ask.path, title, plan, publishes, key, ask.offer, sdp.ufrag(offer), top, wait)
         if v is None or not self.queue.has_room():
             return REFUSALS[Refusal.BUSY], True
+        v.seated = ask.seated
         v.token, v.about, v.asked_top, v.catalogue = who, about, max(asked_top, plan.plan.floor), version
         if self.helm.memory is not None and (reply := self.helm.memory.refusal(v)) is not None:
             return reply, True
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -504,7 +504,9 @@
                     playbacks=len(missing),
                 )
             for session in missing:
-                self._session_over(leg, session, Outcome.RESET)
+                v = self.upstreams.get((leg.name, session))
+                away = v is not None and self.memory is not None and self.memory.ended_away(v)
+                self._session_over(leg, session, Outcome.DONE if away else Outcome.RESET)
             for session, rung in zip(told.sessions, told.rungs, strict=False):
                 self._rung_told(leg, session, rung, now)
         elif name == "started":
--- a/oakcroft/front/memory.py
+++ b/oakcroft/front/memory.py
@@ -41,6 +41,7 @@
     from oakcroft.front.nodeleg import NodeLeg, Told as Hello
 
 GRUDGE = 0.1  # distrust under this is not worth keeping
+SEAT_KEEP = 15 * SECOND  # as a seat is kept while its client is away
 LATELY = 60 * SECOND  # nor a failure longer ago
 
 
@@ -50,7 +51,12 @@
     def __init__(self, store: Store, helm: Helm, log: structlog.typing.FilteringBoundLogger) -> None:
         self.store, self.helm, self.log = store, helm, log
         self.promises: dict[str, Promise] = {}  # by the session's id
+        self.adopted: set[str] = set()  # recalled playbacks that no node's word has confirmed yet
         self.held: dict[str, Viewing] = {}  # recalled intents of unknown outcome, by the session's id
+        self.seat_keep = SEAT_KEEP
+        self.unclaimed: dict[
+            str, int
+        ] = {}  # recalled playbacks of seats, and until when a client may ask for them
         self.asked: dict[str, int] = {}  # when a held intent's node is asked again
         self.kept: dict[str, Grudge] = {}
         self.recovery = Recovery(store.keep, helm.clock.now())
@@ -85,7 +91,7 @@
         promise = Promise(
             v.id, v.key, v.about, v.path, v.pb.title.name, v.plan.name, v.pb.plan.effect.value, v.pb.plan.seats > 0,
             v.publishes, v.ufrag, v.pb.top, v.token, v.due.written, v.due.abandon, Mark.INTENT, node,
-            leg.lifeline.process, now, rung=rung, changed=now,
+            leg.lifeline.process, now, rung=rung, changed=now, seated=v.seated,
         )  # fmt: skip
         self.promises[v.id] = step(before, promise)
         with trio.move_on_at(self.helm.clock.deadline(until)):
@@ -125,7 +131,7 @@
             v.id, v.key, v.about, v.path, v.pb.title.name, v.plan.name, v.pb.plan.effect.value, v.pb.plan.seats > 0,
             v.publishes, v.ufrag, v.pb.top, v.token, v.due.written, v.due.abandon, Mark.PLAYS, u.node,
             leg.lifeline.process if leg else "", v.pb.tries[-1][1] if v.pb.tries else now, u.resource, u.events, u.layer,
-            v.resource.tag if v.resource else u.tag, u.answer, v.pb.rung, now,
+            v.resource.tag if v.resource else u.tag, u.answer, v.pb.rung, now, v.seated,
         )  # fmt: skip
 
     def waits(self, v: Viewing) -> bool:
@@ -213,6 +219,12 @@
                 del self.asked[id_]
                 if leg := self.helm.legs.get(self.promises[id_].node):
                     leg.renew()
+        for id_ in [i for i, until in self.unclaimed.items() if now > until]:
+            del self.unclaimed[id_]
+            if (gone := self.helm.sessions.get(id_)) is not None:
+                self.log.info("seat not taken again", playback=id_)
+                self.helm.hide(gone)
+                self.helm.end(gone)
         if self.recovery.phase is Phase.FORGETFUL and self.recovery.look(now) is Phase.SERVING:
             self._whole_again()
 
@@ -297,7 +309,7 @@
         pb.rung = max(plan.plan.floor, min(promise.rung, plan.plan.top))
         v = Viewing(promise.id, promise.path, plan, promise.publishes, promise.key, "", promise.ufrag,
                     Due(promise.written, promise.abandon), pb)  # fmt: skip
-        v.token, v.about = promise.token, promise.about
+        v.token, v.about, v.seated = promise.token, promise.about, promise.seated
         return v
 
     def _recall(self, promise: Promise, what: Fate, now: int) -> bool:
@@ -329,6 +341,9 @@
             helm.sessions[v.id] = v
             helm.upstreams[promise.node, promise.resource] = v
             helm.playing += 1
+            self.adopted.add(v.id)
+            if promise.seated:
+                self.unclaimed[v.id] = now + self.seat_keep
             leg.claims.claim(promise.resource, now)
             helm.repeats.recall(v.key, v.about, promise.binds, Final.PLAYS, v, now)
         helm.follow_events(leg, promise.events or f"/events/{helm.me}")
@@ -354,6 +369,9 @@
         """A node has told which sessions of this front it runs, and which keys it ran."""
         now = self.helm.clock.now()
         running = dict(zip(hello.sessions, hello.keys, strict=False))
+        for playing in hello.sessions:
+            if v := self.helm.upstreams.get((leg.name, playing)):
+                self.adopted.discard(v.id)
         word = Word(
             hello.process,
             running,
@@ -388,6 +406,18 @@
         ):
             self._whole_again()
 
+    def claimed(self, v: Viewing) -> None:
+        """A client has asked for a recalled playback again."""
+        self.unclaimed.pop(v.id, None)
+
+    def ended_away(self, v: Viewing) -> bool:
+        """Whether a playback ended while no front was there to hear it, which says nothing against its node: a thousand
+        of them, counted as resets, would keep a good node out for most of a minute."""
+        if v.id not in self.adopted:
+            return False
+        self.adopted.discard(v.id)
+        return True
+
     def _whole_again(self) -> None:
         """The file knows everything from now on, together with the keys that nodes have told."""
         learnt = msgspec.msgpack.encode((self.helm.clock.now(), sorted(self.recovery.learnt)))
--- a/oakcroft/front/sockets.py
+++ b/oakcroft/front/sockets.py
@@ -246,7 +246,9 @@
         holder = Holder(secrets.token_urlsafe(12), seat, Client(self.allowance), token, source, link=link)
         self.holders[holder.id] = holder
         link.holder = holder
-        link.send(api.Welcome(self.passes.give(holder.id, who, now), KEEP // 1_000_000, False, why))
+        remembers = self.core.helm.memory is not None
+        pass_ = self.passes.give(holder.id, who, now)
+        link.send(api.Welcome(pass_, KEEP // 1_000_000, False, why, remembers=remembers))
         return True
 
     def _take_over(self, link: Link, holder: Holder, missed: list[tuple[int, object]]) -> None:
@@ -292,7 +294,7 @@
             written = self.core.helm.stillness.written_at(read_at, 0)
             prefer = [f"wait={m.wait_s}"] if m.wait_s > 0 else []
             client = holder.token.name if holder.token else holder.source
-            ask = Ask(m.path, m.offer, m.key or None, written, holder.token, client, prefer, m.top)
+            ask = Ask(m.path, m.offer, m.key or None, written, holder.token, client, prefer, m.top, True)
             answer, first = await self.core.ask(ask)
             if isinstance(answer, Reply):
                 self.put(holder, partial(_replied, m.id, answer))
--- a/oakcroft/front/viewing.py
+++ b/oakcroft/front/viewing.py
@@ -60,6 +60,7 @@
     token: str = ""  # the name of the token that it was asked with
     beside: Viewing | None = None  # the one that its player knows, of which this is the copy in a move
     ticket: Ticket | None = None  # what it holds of the limits
+    seated: bool = False  # it belongs to a seat of the session API
     asked_top: int = 1 << 30  # its highest rung but for what its title has
     catalogue: int = 0  # the version of the catalogue under which its last set-up left
     about: str = ""  # a digest of what was asked, by which a repeated request is known
--- a/oakcroft/rehearsal/runner.py
+++ b/oakcroft/rehearsal/runner.py
@@ -62,8 +62,9 @@
     """One run of one day."""
 
     def __init__(
-        self, day: Day, folder: Path, policy: str, say: Say, audience: type[Audience] = Audience
-    ) -> None:
+        self, day: Day, folder: Path, policy: str, say: Say, audience: type[Audience] = Audience, state: bool = False,
+    ) -> None:  # fmt: skip
+        self.state = state
         self.day, self.folder, self.policy, self.say = day, folder, policy, say
         self.record = Record(folder / "viewers.jsonl")
         self.audience = audience(day, self.record)
@@ -137,9 +138,10 @@
 
     def _write(self, front: FrontProcess) -> None:
         kept = self.folder / f"front-{front.number}.list"
+        state = f'(state "{self.folder / f"front-{front.number}.state"}")' if self.state else ""
         front.file.write_text(
             f"(front (number {front.number}) (seed {self.day.seed * 1000 + front.number})\n"
-            f'  (listen "127.0.0.1:{front.port}") (list-service "127.0.0.1:{self.list_port}") (kept "{kept}")\n'
+            f'  (listen "127.0.0.1:{front.port}") (list-service "127.0.0.1:{self.list_port}") (kept "{kept}") {state}\n'
             f'  (zone "{self.day.fronts[front.number]}"))\n{self.day.site_text}\n'
         )
 
@@ -255,16 +257,18 @@
 
 
 def play(
-    day: Day, body: str, policy: str, say: Say, keep: Path | None = None, audience: type[Audience] = Audience
-) -> Outcome:
+    day: Day, body: str, policy: str, say: Say, keep: Path | None = None, audience: type[Audience] = Audience,
+    state: bool = False, patient: bool = False,
+) -> Outcome:  # fmt: skip
     """Plays a day whose text is `body`. `keep`: the folder for records and logs, else a temporary one. `audience`: who
-    comes."""
+    comes. `state`: fronts remember over their death; `patient`: players look for their sessions after it."""
     with tempfile.TemporaryDirectory(prefix="oakcroft-") as temporary:
         folder = keep or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
         (folder / "day.oak").write_text(body)
         os.environ.setdefault("PYTHONUNBUFFERED", "1")
-        rehearsal = Rehearsal(day, folder, policy, say, audience)
+        rehearsal = Rehearsal(day, folder, policy, say, audience, state)
+        rehearsal.audience.patient = patient
         outcome = trio.run(rehearsal.run)
         outcome.audience = rehearsal.audience
         return outcome
--- a/oakcroft/rehearsal/viewers.py
+++ b/oakcroft/rehearsal/viewers.py
@@ -113,8 +113,14 @@
     waits: list[int] = field(default_factory=list)  # of every 201, ns
 
 
+PATIENCE = 8.0  # seconds for which a patient player looks for its front again, while its node plays on
+
+
 class Audience:
-    """Sends the viewers of a day to the fronts."""
+    """Sends the viewers of a day to the fronts. `patient`: a player whose event stream breaks looks for its session
+    again, as its media come from the node; else it takes its playback as lost."""
+
+    patient = False
 
     def __init__(self, day: Day, record: Record) -> None:
         self.day, self.record, self.tally = day, record, Tally()
@@ -214,6 +220,28 @@
         await peer.close()
         return response
 
+    async def _listens(self, front: int, here: str) -> bool:
+        """Listens to a session until it ends; True where the front went instead, and the media may play on."""
+        reader, until = words.EventReader(), trio.current_time() + PATIENCE
+        while True:
+            try:
+                peer = Peer("127.0.0.1", self.ports.get(front, 1), 1.0)
+                events = f"{here}/events?kinds=inactive"
+                async with peer.stream("GET", events, [("Accept", words.EVENTS)]) as (head, chunks):
+                    if head.status != 200:
+                        return False
+                    until = 0.0
+                    async for chunk in chunks:
+                        if any(name == "inactive" for name, _ in reader.feed(chunk)):
+                            return False
+                return True
+            except Ended:
+                if not self.patient or trio.current_time() > until > 0:
+                    return False
+                if not until:
+                    return True
+                await trio.sleep(0.2)
+
     async def _watch(self, front: int, sat: Response, seconds: float) -> bool:
         """Watches to the end and says so; False when the playback was lost before."""
         peer, here = Peer("127.0.0.1", self.ports.get(front, 1), 1.0), sat.header("location") or ""
@@ -221,15 +249,7 @@
         lost = False
         try:
             with trio.move_on_after(max(0.01, seconds)) as life:
-                reader = words.EventReader()
-                try:
-                    async with peer.stream(
-                        "GET", f"{here}/events?kinds=inactive", [("Accept", words.EVENTS)]
-                    ) as (_, chunks):
-                        async for chunk in chunks:
-                            if any(name == "inactive" for name, _ in reader.feed(chunk)):
-                                break
-                except Ended:
+                while await self._listens(front, here) and self.patient:
                     pass
                 lost = True
             if life.cancelled_caught and not self.stopped:
--- a/oakcroft/signalling/session_api.py
+++ b/oakcroft/signalling/session_api.py
@@ -101,13 +101,15 @@
 
 
 class Welcome(msgspec.Struct, tag="welcome"):
-    """Answer to `hello`: the pass to come back with, for how long, and whether the client came back to its seat."""
+    """Answer to `hello`: the pass to come back with, for how long, and whether the client came back to its seat.
+    `remembers`: the front knows its keys over a restart, so that a request may be said again under its key."""
 
     resume: str
     keep_ms: int
     back: bool
     why: str = ""
     playbacks: list[str] = []
+    remembers: bool = False
 
 
 class Answer(msgspec.Struct, tag="answer"):
--- a/oakcroft/standins/playout.py
+++ b/oakcroft/standins/playout.py
@@ -93,8 +93,15 @@
     # The process.
 
     async def listen(self) -> list[trio.SocketListener]:
-        """Opens the node's port, the same one each time."""
-        listeners = list(await trio.open_tcp_listeners(self.port, host="127.0.0.1", backlog=512))
+        """Opens the node's port, the same one each time; while the node was dead, another program may have had it."""
+        for patience in range(100, -1, -1):
+            try:
+                listeners = list(await trio.open_tcp_listeners(self.port, host="127.0.0.1", backlog=512))
+                break
+            except OSError:
+                if not patience or not self.port:
+                    raise
+                await trio.sleep(0.05)
         self.port = listeners[0].socket.getsockname()[1]
         return listeners
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -19,6 +20,7 @@
 from oakcroft.client.blocking import BlockingWhepClient
 from oakcroft.client.retry import Next
 from oakcroft.decisions.clients import Allowance, Client, Word
+from oakcroft.decisions.recovery import Phase
 from oakcroft.decisions.passes import Invalid, Passes
 from oakcroft.decisions.resumption import Outbox, Pulse, Seat, Standing
 from oakcroft.decisions.shedding import Line, Waiting, Window
@@ -587,3 +589,77 @@
             assert len(rig.facts("ran")) == 4
 
     run(test)
+
+
+def test_a_client_of_a_front_that_remembers_goes_on_over_its_restart(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with trio.open_nursery() as nursery, standing(tmp_path, state=True) as rig:
+            await until(lambda: rig.front and rig.front.helm and rig.front.helm.memory
+                        and rig.front.helm.memory.recovery.phase is Phase.SERVING)  # fmt: skip
+            async with SessionClient.open(
+                f"http://127.0.0.1:{rig.port}", retries=Retries(Random(1))
+            ) as client:
+                paid = await client.play("/whep/course/a", offer(900, 1))
+                free = await client.play("/whep/open/b", offer(900, 1))
+                for node in rig.fleet.nodes.values():
+                    node.ails.silent = True  # a third request is out when the front dies
+                answers = list[object]()
+
+                async def third() -> None:
+                    ask = api.Ask(next(client.numbers), "/whep/course/c", offer(900, 1), "third")
+                    answers.append(await client.call(ask))
+
+                nursery.start_soon(third)
+                await until(lambda: len(rig.facts("setup")) == 3)
+                await until(lambda: rig.front and rig.front.helm and rig.front.helm.memory
+                            and not rig.front.helm.memory.store.queue)  # fmt: skip
+                port = rig.port
+                rig.front_scope.cancel()
+                await rig.ended.wait()
+                for node in rig.fleet.nodes.values():
+                    node.ails.silent = False
+                    node.stir()
+                await start_front(nursery, rig, state=True, port=port)
+                assert rig.front is not None
+                await until(lambda: answers)
+                third_answer = answers[0]
+                assert isinstance(third_answer, api.Answer)
+                assert (third_answer.status, third_answer.kind) == (504, "urn:oakcroft:problem:aborted")
+                assert (client.lost, sorted(client.playbacks)) == (0, sorted([paid.id, free.id]))
+                assert await client.layer(paid, 1) == 200
+                assert rig.front.helm.memory.unclaimed == {}  # type: ignore[union-attr]
+                await client.end(free)
+                await until(
+                    lambda: len(
+                        {f["key"] for f in rig.facts("over")} & {free.asked.key if free.asked else ""}
+                    )
+                )
+            assert Counter(f["plan"] for f in rig.facts("ran"))["course"] <= 2
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
+def test_playbacks_of_a_seat_that_no_client_takes_again_end(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with trio.open_nursery() as nursery, standing(tmp_path, state=True) as rig:
+            await until(lambda: rig.front and rig.front.helm and rig.front.helm.memory
+                        and rig.front.helm.memory.recovery.phase is Phase.SERVING)  # fmt: skip
+            async with SessionClient.open(
+                f"http://127.0.0.1:{rig.port}", retries=Retries(Random(1))
+            ) as client:
+                await client.play("/whep/course/a", offer(900, 1))
+                rig.front_scope.cancel()
+                await rig.ended.wait()
+                client.closing = True  # it does not come back
+            await start_front(nursery, rig, state=True)
+            assert rig.front is not None
+            assert rig.front.helm is not None
+            memory = rig.front.helm.memory
+            assert memory is not None
+            assert len(memory.unclaimed) == 1
+            memory.unclaimed = dict.fromkeys(memory.unclaimed, 0)
+            await until(lambda: len(rig.facts("over")) == 1)
+            nursery.cancel_scope.cancel()
+
+    run(test)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -598,6 +598,30 @@
     run(test)
 
 
+def test_playbacks_that_ended_while_no_front_was_there_say_nothing_against_their_nodes(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        async with trio.open_nursery() as nursery, standing(tmp_path, state=True) as rig:
+            await remembers(rig)
+            for n in range(8):
+                assert (await rig.watch("/whep/course/a", **key(f"k{n}"))).status == 201
+            rig.front_scope.cancel()
+            await rig.ended.wait()
+            for node in rig.fleet.nodes.values():
+                for session in list(node.sessions):
+                    node._drop(session, "lease")
+            await start_front(nursery, rig, state=True)
+            await until(lambda: rig.front and rig.front.helm and not rig.front.helm.sessions)
+            assert rig.front is not None
+            assert rig.front.helm is not None
+            assert all(n.distrust.sum < 0.1 for n in rig.front.helm.roster.nodes.values())
+            assert (await rig.watch("/whep/course/a", **key("new"))).status == 201
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
 def test_a_paid_set_up_that_was_out_when_its_front_died_is_never_sent_again(tmp_path: Path) -> None:
     async def test() -> None:
         async with trio.open_nursery() as nursery, standing(tmp_path, state=True) as rig:
