Prefer a front's own wing, bound what spills to others, let a returning wing back by and by

Wings took no side, and losing one sent everything to the other at once.

decisions/wings.py tells a wing that is cut off from this front from one that is lost, as far as its own evidence goes, bounds what goes to other wings in any window, and gives a returning wing a share that rises with the square of time, twice as slowly for each falter. front/siding.py gathers the evidence, knocks at lost nodes (without, a wing that got nothing was never heard of again: found by the first end-to-end test), and holds each request to its wings by the nodes it is admitted to; the module is as it was. (preference …) with checks; without it all is as before.

--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -75,8 +75,9 @@
     parser.add_argument("--minutes", type=float, default=10)
     parser.add_argument("--seeds", type=int, default=10)
     given = parser.parse_args()
-    print(f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}; {given.fronts} fronts, "
-          f"{given.minutes:.0f} minutes, at most {Bounds().most_changes} changes in {Bounds().window // SECOND} s")  # fmt: skip
+    bound = f"at most {Bounds().most_changes} changes in {Bounds().window // SECOND} s"
+    where = f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}"
+    print(f"{where}; {given.fronts} fronts, {given.minutes:.0f} minutes, {bound}")
     for load in (swinging, weakening):
         for seed in range(1, given.seeds + 1):
             counts, worst, together, plain, reduced = drive(load, given.fronts, given.minutes, seed)
--- a/benchmarks/state_cost.py
+++ b/benchmarks/state_cost.py
@@ -1,4 +1,4 @@
-"""What keeping state costs a front, and what catalogues of different sizes cost, each in one run.
+"""What keeping state costs a front, and what catalogues cost, swapped under load and by their size, each in one run.
 
     python -m benchmarks.state_cost [--rate 80] [--seconds 10] [--titles 100 1000 10000 100000]
 
@@ -25,6 +25,7 @@
 from oakcroft.catalogue.text import digest, read, write
 from oakcroft.decisions.catalogue import Catalogue, Fleet, Item, changed, consider
 from oakcroft.decisions.titles import Shelf
+from oakcroft.httpwire.client import Peer
 
 PAID = SITE.replace("(effect free)", "(effect paid)")
 
@@ -69,6 +70,50 @@
             await fleet.stop()
 
 
+async def swaps(titles: int, rate: float, seconds: float) -> None:
+    """Set-ups while the whole catalogue is swapped each second, and without."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        (folder / "day.oak").write_text(day(10))
+        fleet = Process("stand-in", str(folder / "day.oak"), "--seed", "1", "--start", str(1 << 62),
+                        "--record", str(folder / "record"))  # fmt: skip
+        greeting = orjson.loads(await fleet.start(folder / "fleet.log"))
+        own = f'(front (listen "127.0.0.1:0") (list-service "127.0.0.1:{greeting["list"]}"))'
+        ops = '(operators (secret "operators-secret"))'
+        (folder / "front.oak").write_text(f"{own}\n{SITE.format(nodes=10)}\n{ops}")
+        front = Process("serve", str(folder / "front.oak"))
+        port = int((await front.start(folder / "front.log")).split(b":")[-1])
+        load, taken = Load(port, greeting["nodes"]), 0
+
+        async def swap() -> None:
+            nonlocal taken
+            peer = Peer("127.0.0.1", port)
+            for n in range(1 << 30):
+                some = {f"t{i}": Item(("n0", f"n{1 + (i + n) % 9}")) for i in range(50)}
+                some |= {f"lesson-{i}": Item((f"n{(i + n) % 10}",)) for i in range(titles)}
+                text = write(some.items(), False).encode()
+                headers = [("Authorization", "Bearer operators-secret"), ("If-Match", "*")]
+                sat = await peer.ask("PUT", "/operators/catalogue", headers, text)
+                taken += sat.status == 200
+                await trio.sleep(1)
+
+        try:
+            await trio.sleep(WARM)
+            for what in ("alone", "swapped"):
+                found = HdrHistogram(1, 60_000_000, 3)
+                async with trio.open_nursery() as nursery:
+                    if what == "swapped":
+                        nursery.start_soon(swap)
+                    await load.timed(rate, seconds, False, found)
+                    nursery.cancel_scope.cancel()
+                late = found.get_max_value() > 1_000_000
+                print(f"{what:8} {line(found)}; longest {found.get_max_value() / 1e3:.0f}; failed {load.failed}; "
+                      f"{taken} swaps of {titles} titles{'; some late' if late else ''}", flush=True)  # fmt: skip
+        finally:
+            await front.stop()
+            await fleet.stop()
+
+
 def catalogues(sizes: list[int]) -> None:
     """Catalogues of different sizes: reading, one change, and what it takes."""
     fleet = Fleet(frozenset(f"n{i}" for i in range(200)), frozenset(f"n{i}" for i in range(200)), 5, 200, {})
@@ -113,13 +158,15 @@
     parser.add_argument("--rate", type=float, default=80)
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--titles", type=int, nargs="*", default=[100, 1000, 10_000, 100_000])
-    parser.add_argument("--only", choices=("state", "catalogue"))
+    parser.add_argument("--only", choices=("state", "catalogue", "swaps"))
     given = parser.parse_args()
     print(f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}; times in ms")
-    if given.only != "catalogue":
+    if given.only in ("state", None):
         for kind in ("off", "unsynced", "synced"):
             trio.run(state, kind, given.rate, given.seconds)
-    if given.only != "state":
+    if given.only == "swaps" or not given.only:
+        trio.run(swaps, 5_000, 60, 20)
+    if given.only in ("catalogue", None):
         catalogues(given.titles)
 
 
--- a/oakcroft/config/compile.py
+++ b/oakcroft/config/compile.py
@@ -22,6 +22,7 @@
 from oakcroft.decisions.pools import Pool
 from oakcroft.decisions.routing import Match, Route, RouteTable, Side, clashes, rank
 from oakcroft.decisions.versions import families
+from oakcroft.decisions.wings import Bounds as WingBounds
 from oakcroft.interface import Effect, Group, Plan, Terms
 
 Meaning = dict[str, dict[str, Any]]
@@ -102,6 +103,7 @@
     _front(checked, problems)
     _nodes(checked, problems)
     _levels(checked, problems)
+    _preference(checked, problems)
 
 
 def _rungs(checked: Checked) -> int:
@@ -396,6 +398,19 @@
         )
 
 
+def _preference(checked: Checked, problems: Problems) -> None:
+    record = checked.one(forms.PREFERENCE)
+    if record is None:
+        return
+    wings = _fleet(checked, "wings")
+    for wing in record.get("then"):
+        _known(record, "then", dict.fromkeys(wings, record), "wing", problems, wing)
+    if len(set(record.get("then"))) != len(record.get("then")):
+        problems.error(record.at("then"), "a wing stands twice in the order", "take one out")
+    if len(wings) < 2:
+        problems.error(record.place, "a preference needs two wings or more", "name them in (fleet (wings …))")
+
+
 def _levels(checked: Checked, problems: Problems) -> None:
     ranks: dict[int, str] = {}
     for name, record in checked.all(forms.LEVEL).items():
@@ -469,7 +484,7 @@
         record = checked.one(schema)
         if record is not None:
             out[schema.name] = _plain(record)
-        elif schema not in (forms.FRONT, forms.FLEET, forms.LADDER):
+        elif schema not in (forms.FRONT, forms.FLEET, forms.LADDER, forms.PREFERENCE):
             out[schema.name] = {f.name: f.default for f in schema.fields}
     for schema in forms.NAMED:
         out[schema.name] = {name: _plain(r) for name, r in sorted(checked.all(schema).items())}
@@ -580,6 +595,8 @@
         nodes["connect-within"], signalling["keep-keys"], bytes.fromhex(m["operators"]["secret"]),
         tuple(level_of(n, x) for n, x in sorted(m["level"].items(), key=lambda level: level[1]["rank"])),
         LevelBounds(**{f.name: m["levels"][f.name.replace("_", "-")] for f in fields(LevelBounds)}),
+        WingBounds(**{f.name: m["preference"][f.name] for f in fields(WingBounds)}) if "preference" in m else None,
+        tuple(m["preference"]["then"] or fleet["wings"]) if "preference" in m else (),
     )  # fmt: skip
     (host, port), (list_host, list_port) = front["listen"], front["list-service"]
     stand = Stand(host, port, list_host, list_port, front["kept"], front["state"],
--- a/oakcroft/config/forms.py
+++ b/oakcroft/config/forms.py
@@ -253,6 +253,19 @@
         Field("strong", "a sign past its entry by this factor counts at once", NUMBER, 1.5, at_least=1),
     ),
 )  # fmt: skip
+PREFERENCE = Schema(
+    "preference", "A front's own wing first. Without this form wings take no side.",
+    (
+        Field("then", "other wings, in order of preference; none: those of the fleet", NAME, (), most=MANY),
+        Field("most", "share of a wing's nodes that must be out for it to count as out", SHARE, 0.6),
+        Field("hold", "for so long", TIMES, 2 * SECOND),
+        Field("spill", "part of this front's requests in any window that may go to other wings", SHARE, 0.5),
+        Field("window", "the window", TIMES, 10 * SECOND, at_least=1),
+        Field("room", "mean load under which another wing takes them, and over which the own one is full", NUMBER, 0.9),
+        Field("ramp", "how long a wing that was lost takes to get its share back; doubled each time it falters", TIMES, 30 * SECOND, at_least=1),
+        Field("longest", "the longest that becomes", TIMES, 300 * SECOND, at_least=1),
+    ),
+)  # fmt: skip
 PAIR = "entry and exit"
 LEVEL = Schema(
     "level", "A level of reduced service: entered when one of its signs is over its entry, left when all are under their exits.",
@@ -271,7 +284,7 @@
     NAME, "the level's name", "(level careful (rank 1) (x 1.05 0.9) (top 2))",
 )  # fmt: skip
 SIGNS = ("x", "blind", "refused", "late", "lag")
-SINGLE = (FRONT, FLEET, LADDER, SIGNALLING, NODES, DOOR, STOPPING, OPERATORS, LEVELS)
+SINGLE = (FRONT, FLEET, LADDER, SIGNALLING, NODES, DOOR, STOPPING, OPERATORS, LEVELS, PREFERENCE)
 NAMED = (PLAN, POOL, ROUTE, LIMIT, TOKEN, TITLE_FORM, LEVEL)
 ALL = {s.name: s for s in (*SINGLE, *NAMED)}
 WORDS = ("include", "define", "use")
--- a/oakcroft/config/told.py
+++ b/oakcroft/config/told.py
@@ -9,6 +9,7 @@
 from oakcroft.decisions.limits import Limit
 from oakcroft.decisions.pools import Pool
 from oakcroft.decisions.routing import RouteTable
+from oakcroft.decisions.wings import Bounds as WingBounds
 from oakcroft.interface import Plan, Terms
 
 
@@ -63,6 +64,8 @@
     operators: bytes  # digest of their bearer token; empty: no interface
     levels: tuple[Level, ...]  # of reduced service, in order
     level_bounds: LevelBounds
+    preference: WingBounds | None  # between wings; None: they take no side
+    then: tuple[str, ...]  # other wings in order of preference
 
 
 @dataclass(frozen=True)
--- a/oakcroft/decisions/lifeline.py
+++ b/oakcroft/decisions/lifeline.py
@@ -59,6 +59,7 @@
     def __init__(self, patience: Patience, now: int) -> None:
         self.patience, self.state = patience, Life.UNTRIED
         self.process, self.last_heard, self.broken_at, self.refusals = "", now, 0, 0
+        self.how: Loss | None = None  # how surely it was lost, until it is heard again
 
     def _change(self, state: Life) -> bool:
         """The one place where the state changes; True when it did."""
@@ -75,6 +76,7 @@
         """The stream stands and names the node's process. A loss when that is another than before."""
         another = bool(self.process) and process != self.process
         self.process, self.last_heard, self.broken_at, self.refusals = process, now, 0, 0
+        self.how = None
         self._change(Life.HEARD)
         return Loss.PROVEN if another else None
 
@@ -106,5 +108,5 @@
     def _lose(self, how: Loss) -> Loss | None:
         if how is Loss.PROVEN:
             self.process = ""
-        self.refusals = 0
+        self.refusals, self.how = 0, how
         return how if self._change(Life.LOST) else None
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -30,6 +30,7 @@
 from oakcroft.front.helm import Helm
 from oakcroft.front.moves import STAY, Move
 from oakcroft.front.reducing import Reducing
+from oakcroft.front.siding import Siding
 from oakcroft.front.viewing import Reader, Viewing
 from oakcroft.signalling import sdp
 
@@ -96,6 +97,7 @@
         self.shed, self.shed_told = 0, 0  # turned away before they were read; and of those, told in the log
         self.shedding = False
         self.reducing: Reducing | None = None
+        self.siding: Siding | None = None
         self.turns: dict[int, trio.Event] = {}
         self.granted: set[int] = set()
 
@@ -262,6 +264,9 @@
         if route.pool:
             pool, racks = site.pools[route.pool], site.terms.racks
             v.pb.admits = lambda node: pool.admits(node, racks)
+        if self.siding is not None and (sides := self.siding.admits()) is not None:
+            inner = v.pb.admits
+            v.pb.admits = lambda node: sides(node) and (inner is None or inner(node))
         ticket = self.helm.ledger.ask(Party(who, route.name, route.plan, self.zone), now)
         if isinstance(ticket, Over):
             return answers.over(ticket), True
--- a/oakcroft/front/operators.py
+++ b/oakcroft/front/operators.py
@@ -14,6 +14,7 @@
 from oakcroft.front.core import Faulty
 from oakcroft.front.helm import Helm
 from oakcroft.front.reducing import Reducing
+from oakcroft.front.siding import Siding
 from oakcroft.interface import SECOND
 from oakcroft.httpwire.message import Headers, Request, Response
 from oakcroft.signalling import words
@@ -34,8 +35,8 @@
 class Operators:
     """Handles the operators' requests of one front."""
 
-    def __init__(self, helm: Helm, catalogues: Catalogues, reducing: Reducing) -> None:
-        self.helm, self.catalogues, self.reducing = helm, catalogues, reducing
+    def __init__(self, helm: Helm, catalogues: Catalogues, reducing: Reducing, siding: Siding) -> None:
+        self.helm, self.catalogues, self.reducing, self.siding = helm, catalogues, reducing, siding
 
     def known(self, authorization: str | None) -> bool:
         """Whether this is the operators' token."""
@@ -177,7 +178,8 @@
         told: dict[str, object] = {
             "front": helm.me, "playing": helm.playing, "unanswered": helm.unanswered, "catalogue": helm.catalogue.number,
             "configuration": helm.versions.offer.number, "nodes": len(helm.roster.lines),
-            "level": self.reducing.status(), "steps_waiting": len(self.catalogues.steps.waiting),
+            "level": self.reducing.status(), "wings": self.siding.status(),
+            "steps_waiting": len(self.catalogues.steps.waiting),
         }  # fmt: skip
         if memory is not None:
             health, counts = memory.store.health, memory.store.counts
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -23,6 +23,7 @@
 from oakcroft.front.listing import BadList, Follower, kept, parse
 from oakcroft.front.operators import PATH as OPERATORS, Operators
 from oakcroft.front.reducing import Reducing
+from oakcroft.front.siding import Siding
 from oakcroft.front.sockets import PATH, SessionApi
 from oakcroft.front.viewers import Viewers
 from oakcroft.httpwire.client import Peer
@@ -77,7 +78,9 @@
             self.catalogues = catalogues = Catalogues(helm, self.log)
             core.reducing = reducing = Reducing(helm, Random(stand.seed + 4), self.log)
             nursery.start_soon(reducing.run)
-            operators = Operators(helm, catalogues, reducing)
+            core.siding = siding = Siding(helm, stand.zone, Random(stand.seed + 5), self.log)
+            nursery.start_soon(siding.run)
+            operators = Operators(helm, catalogues, reducing, siding)
             viewers = Viewers(core, (PATH, sessions.response), (OPERATORS, operators.handle))
             nursery.start_soon(sessions.look_after)
             self.sessions = sessions
--- /dev/null
+++ b/oakcroft/front/siding.py
@@ -0,0 +1,118 @@
+"""Preference between wings on one front: gathers the evidence, and holds each request to the wings that it may go to.
+What is decided stands in `oakcroft/decisions/wings.py`."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import structlog
+import trio
+
+from oakcroft.choice import DISTRUST_HALF, DISTRUSTED
+from oakcroft.decisions.lifeline import Life as NodeLife, Loss
+from oakcroft.decisions.wings import Seen, State, Wings
+from oakcroft.front.helm import Helm
+from oakcroft.interface import SECOND, Listing, Node
+
+EVERY = 0.25  # seconds between looks
+KNOCK = SECOND  # between two tries to hear of one lost node
+
+
+class Siding:
+    """Where requests of one front may go. Without a (preference …) form, or a wing of its own, everywhere."""
+
+    def __init__(
+        self, helm: Helm, zone: str, rng: Random, log: structlog.typing.FilteringBoundLogger
+    ) -> None:
+        self.helm, self.zone, self.rng, self.log = helm, zone, rng, log
+        self.knocked: dict[str, int] = {}
+        self.wings = self._made()
+
+    def _made(self) -> Wings | None:
+        site = self.helm.site
+        if site.preference is None or not self.zone:
+            return None
+        others = [w for w in site.then if w != self.zone]
+        return Wings((self.zone, *others), site.preference)
+
+    def evidence(self, now: int) -> dict[str, dict[Seen, int]]:
+        """How many nodes of each wing look how."""
+        out: dict[str, dict[Seen, int]] = {}
+        listed = {name.partition("+")[0] for name in self.helm.roster.lines}
+        for name, node in self.helm.roster.nodes.items():
+            if name in self.helm.roster.gone_at and name.partition("+")[0] in listed:
+                continue  # its replacement counts in its place
+            seen = Seen.GONE if name in self.helm.roster.gone_at else self._seen(node, now)
+            of_wing = out.setdefault(node.zone, {})
+            of_wing[seen] = of_wing.get(seen, 0) + 1
+        return out
+
+    def _seen(self, node: Node, now: int) -> Seen:
+        leg = self.helm.legs.get(node.name)
+        if leg is not None and leg.lifeline.how is not None:
+            return Seen.REFUSES if leg.lifeline.how is Loss.PROVEN else Seen.SILENT
+        if leg is not None and leg.lifeline.state is NodeLife.SILENT:
+            return Seen.SILENT
+        return Seen.SILENT if node.distrust.read(now, DISTRUST_HALF) >= DISTRUSTED else Seen.ANSWERS
+
+    def loads(self) -> dict[str, float]:
+        """The mean load of each wing's ready links, as the module knows it."""
+        some: dict[str, list[float]] = {}
+        for node in self.helm.roster.nodes.values():
+            if node.listing is Listing.READY:
+                some.setdefault(node.zone, []).append(node.level)
+        return {wing: sum(levels) / len(levels) for wing, levels in some.items()}
+
+    async def run(self) -> None:
+        """Looks, for as long as the front runs."""
+        made_from = (self.helm.site.preference, self.helm.site.then)
+        while True:
+            await trio.sleep(EVERY)
+            if (self.helm.site.preference, self.helm.site.then) != made_from:
+                made_from, self.wings = (self.helm.site.preference, self.helm.site.then), self._made()
+            if self.wings is not None:
+                self.look(self.wings)
+
+    def look(self, wings: Wings) -> None:
+        """Takes fresh evidence; one line for each change."""
+        now = self.helm.clock.now()
+        self._knock(wings, now)
+        nodes = self.evidence(now)
+        for wing, before, after in wings.look(nodes, now):
+            life = wings.lives[wing]
+            self.log.warning("wing", wing=wing, before=before.value, after=after.value, falters=life.falters,
+                             ramp_s=life.ramp // 1_000_000_000, turned_away=wings.turned,
+                             nodes={s.name.lower(): n for s, n in nodes.get(wing, {}).items()})  # fmt: skip
+
+    def _knock(self, wings: Wings, now: int) -> None:
+        """Opens the event streams of lost nodes now and then: nothing else goes to a wing that is out, so nothing else
+        would tell that it answers again."""
+        for name, leg in self.helm.legs.items():
+            node = self.helm.roster.nodes.get(name)
+            if node is None or leg.lifeline.state is not NodeLife.LOST or node.listing is not Listing.READY:
+                continue
+            life = wings.lives.get(node.zone)
+            if life is not None and life.state is not State.SOUND and now - self.knocked.get(name, 0) > KNOCK:
+                self.knocked[name] = now
+                self.helm.follow_events(leg, leg.events)
+
+    def admits(self) -> Callable[[Node], bool] | None:
+        """The nodes that a new request may go to, as far as wings go; None for all."""
+        if self.wings is None:
+            return None
+        chosen = self.wings.choose(self.loads(), self.rng.random(), self.helm.clock.now())
+        return lambda node: node.zone in chosen
+
+    def status(self) -> dict[str, object]:
+        """For operators."""
+        if self.wings is None:
+            return {}
+        now = self.helm.clock.now()
+        out: dict[str, object] = {
+            wing: {"state": life.state.value, "since_s": round((now - life.since) / 1e9, 1),
+                   "share": round(life.share(now), 3), "falters": life.falters, "ramp_s": life.ramp // 1_000_000_000}
+            for wing, life in self.wings.lives.items()
+        }  # fmt: skip
+        spill = self.wings.spill
+        return out | {"spilled": f"{spill.spilled} of {len(spill.sent)}", "turned_away": self.wings.turned}
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,6 +14,7 @@
 import trio
 
 from oakcroft.config.compile import check, told
+from oakcroft.decisions.recovery import Phase
 from oakcroft.front.clock import Clock
 from oakcroft.front.serve import Front
 from oakcroft.httpwire.client import Ended, Peer
@@ -105,10 +106,15 @@
 
 
 @asynccontextmanager
-async def standing(folder: Path, extra: str = "", fleet: str = "", state: bool = False) -> AsyncIterator[Rig]:
-    """A front that serves and two warm nodes that it knows. `state`: it remembers over its own death."""
+async def standing(
+    folder: Path, extra: str = "", fleet: str = "", state: bool = False, wings: bool = False
+) -> AsyncIterator[Rig]:
+    """A front that serves and two warm nodes that it knows. `state`: it remembers over its own death. `wings`: the second
+    node stands in another wing than the front."""
     site = SITE.replace("EXTRA", extra).replace("(drain-grace 250ms)", f"(drain-grace 250ms) {fleet}")
-    plot = parse(DAY.replace("SITE", site), "day")
+    day = DAY.replace("n2 (wing west)", "n2 (wing east)") if wings else DAY
+    site = site.replace("(wings west)", "(wings west east)") if wings else site
+    plot = parse(day.replace("SITE", site), "day")
     record, out = Record(folder / "fleet.jsonl"), io.BytesIO()
     async with trio.open_nursery() as nursery:
         nodes, up = Fleet(plot, record, Clock()), trio.Event()
@@ -122,6 +128,12 @@
     record.close()
 
 
+async def remembers(rig: Rig) -> None:
+    """Until the front takes what must be on record."""
+    await until(lambda: rig.front and rig.front.helm and rig.front.helm.memory
+                and rig.front.helm.memory.recovery.phase is Phase.SERVING)  # fmt: skip
+
+
 async def start_front(
     nursery: trio.Nursery, rig: Rig, list_port: int | None = None, port: int = 0, state: bool = False,
     opens: Callable[[str], StateFile] | None = None,
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -13,14 +13,13 @@
 import wsproto
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from rig import Rig, run, standing, start_front, until
+from rig import Rig, remembers, run, standing, start_front, until
 from wsproto import events
 
 from oakcroft.client import Refused, Retries, SessionClient, Unsure, WhepClient
 from oakcroft.client.blocking import BlockingWhepClient
 from oakcroft.client.retry import Next
 from oakcroft.decisions.clients import Allowance, Client, Word
-from oakcroft.decisions.recovery import Phase
 from oakcroft.decisions.passes import Invalid, Passes
 from oakcroft.decisions.resumption import Outbox, Pulse, Seat, Standing
 from oakcroft.decisions.shedding import Line, Waiting, Window
@@ -594,8 +593,7 @@
 def test_a_client_of_a_front_that_remembers_goes_on_over_its_restart(tmp_path: Path) -> None:
     async def test() -> None:
         async with trio.open_nursery() as nursery, standing(tmp_path, state=True) as rig:
-            await until(lambda: rig.front and rig.front.helm and rig.front.helm.memory
-                        and rig.front.helm.memory.recovery.phase is Phase.SERVING)  # fmt: skip
+            await remembers(rig)
             async with SessionClient.open(
                 f"http://127.0.0.1:{rig.port}", retries=Retries(Random(1))
             ) as client:
@@ -643,8 +641,7 @@
 def test_playbacks_of_a_seat_that_no_client_takes_again_end(tmp_path: Path) -> None:
     async def test() -> None:
         async with trio.open_nursery() as nursery, standing(tmp_path, state=True) as rig:
-            await until(lambda: rig.front and rig.front.helm and rig.front.helm.memory
-                        and rig.front.helm.memory.recovery.phase is Phase.SERVING)  # fmt: skip
+            await remembers(rig)
             async with SessionClient.open(
                 f"http://127.0.0.1:{rig.port}", retries=Retries(Random(1))
             ) as client:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -18,7 +18,7 @@
 import trio
 from click.testing import CliRunner
 from hypothesis import given, settings, strategies as st
-from rig import Rig, run, standing, start_front, until
+from rig import Rig, remembers, run, standing, start_front, until
 
 from oakcroft.config.compile import check, told
 from oakcroft.cli import main
@@ -555,10 +555,15 @@
     return words.problem_type(sat.body).rpartition(":")[2]
 
 
-async def remembers(rig: Rig) -> None:
-    """Until the front takes what must be on record."""
-    await until(lambda: rig.front and rig.front.helm and rig.front.helm.memory
-                and rig.front.helm.memory.recovery.phase is Phase.SERVING)  # fmt: skip
+def nothing_twice_and_no_seat_over(rig: Rig) -> None:
+    """Judges rules 2 and 5 from the nodes' records."""
+    facts = [f for kind in ("setup", "ran", "answer", "broken", "over") for f in rig.facts(kind)]
+    facts.sort(key=lambda f: f["t"])
+    found, _ = check("site", lambda _: rig.site, False)
+    assert found is not None
+    site, tries = told(found).site, tries_of(facts)
+    assert no_set_up_twice(facts, tries, site).breaches == []
+    assert terms_kept(facts, tries, site).breaches == []
 
 
 async def again(rig: Rig, nursery: trio.Nursery, opens: Callable[[str], StateFile] | None = None) -> None:
@@ -783,15 +788,7 @@
             for name, (first, second) in heard.items():
                 if first.startswith("/") or first == "504":
                     assert second == first, f"{name}: {first} and then {second}"
-            facts = rig.facts("setup") + [
-                f for kind in ("ran", "answer", "broken", "over") for f in rig.facts(kind)
-            ]
-            facts.sort(key=lambda f: f["t"])
-            found, _ = check("site", lambda _: rig.site, False)
-            assert found is not None
-            site, tries = told(found).site, tries_of(facts)
-            assert no_set_up_twice(facts, tries, site).breaches == []
-            assert terms_kept(facts, tries, site).breaches == []
+            nothing_twice_and_no_seat_over(rig)
             nursery.cancel_scope.cancel()
 
     run(test, 60)
@@ -847,15 +844,7 @@
                 d.mend()
                 await until(lambda: rig.front and rig.front.helm and rig.front.helm.memory
                             and rig.front.helm.memory.store.health.state is Standing.SOUND)  # fmt: skip
-            facts = rig.facts("setup") + [
-                f for kind in ("ran", "answer", "broken", "over") for f in rig.facts(kind)
-            ]
-            facts.sort(key=lambda f: f["t"])
-            found, _ = check("site", lambda _: rig.site, False)
-            assert found is not None
-            site, tries = told(found).site, tries_of(facts)
-            assert no_set_up_twice(facts, tries, site).breaches == []
-            assert terms_kept(facts, tries, site).breaches == []
+            nothing_twice_and_no_seat_over(rig)
             nursery.cancel_scope.cancel()
 
     run(test, 60)
--- /dev/null
+++ b/tests/test_wings.py
@@ -0,0 +1,167 @@
+"""Wings: evidence, the way back, and the bound on what spills."""
+
+from __future__ import annotations
+
+from itertools import pairwise, product
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import orjson
+from hypothesis import given, strategies as st
+from rig import run, standing, until
+
+from oakcroft.decisions.wings import FOLLOWS, Bounds, Life, Seen, Spill, State, Wings
+from oakcroft.interface import SECOND
+
+ALL = {Seen.ANSWERS: 10}
+SILENT = {Seen.ANSWERS: 2, Seen.SILENT: 8}
+DEAD = {Seen.ANSWERS: 1, Seen.REFUSES: 5, Seen.GONE: 4}
+SOME = {Seen.ANSWERS: 6, Seen.REFUSES: 4}
+
+
+def through(life: Life, seconds: int, nodes: dict[Seen, int], now: int = 0) -> list[State]:
+    out = []
+    for n in range(seconds * 2):
+        if (state := life.look(nodes, now * SECOND + n * SECOND // 2)) is not None:
+            out.append(state)
+    return out
+
+
+def test_a_cut_is_told_from_a_loss_and_both_from_a_few_dead_nodes() -> None:
+    life = Life(Bounds())
+    assert through(life, 10, SOME) == []
+    assert through(life, 1, SILENT, 10) == []  # not for long enough
+    assert through(life, 10, ALL, 11) == []
+    assert through(life, 5, SILENT, 30) == [State.CUT]
+    assert through(life, 5, DEAD, 40) == [State.LOST]
+    assert through(life, 5, SILENT, 50) == []  # what is lost is not found again by silence
+    assert through(life, 60, ALL, 60) == [State.RETURNING, State.SOUND]
+    assert through(life, 5, {}, 130) == []
+
+
+def test_the_way_back_rises_and_takes_longer_with_each_falter() -> None:
+    life, ramps, now = Life(Bounds()), list[int](), 0
+    for _ in range(6):
+        through(life, 5, DEAD, now)
+        through(life, 3, ALL, now + 5)
+        assert life.state is State.RETURNING
+        ramps.append(life.ramp // SECOND)
+        shares = [life.share(life.since + t * SECOND) for t in range(400)]
+        assert all(b >= a for a, b in pairwise(shares))
+        assert shares[0] < 0.01
+        assert shares[-1] == 1.0
+        now += 8
+    assert ramps == [30, 60, 120, 240, 300, 300]
+    through(life, 2000, ALL, now)
+    assert (life.state, life.falters) == (State.SOUND, 0)
+    cut = Life(Bounds())
+    through(cut, 5, SILENT)
+    through(cut, 4, ALL, 5)
+    assert cut.ramp == 30 * SECOND // 4  # its nodes are warm
+
+
+def test_every_small_history_goes_only_where_it_can_and_comes_back() -> None:
+    for what in product((ALL, SILENT, DEAD, SOME), repeat=6):
+        life = Life(Bounds(hold=1, ramp=4, longest=16))
+        states = [life.state]
+        for n, nodes in enumerate(what):
+            life.look(nodes, n * 2)
+            life.look(nodes, n * 2 + 1)
+            states.append(life.state)
+        for n in range(12, 200):
+            life.look(ALL, n)
+            states.append(life.state)
+        assert states[-1] is State.SOUND
+        assert all(
+            a is b or b in FOLLOWS[a] or any(b in FOLLOWS[m] for m in FOLLOWS[a]) for a, b in pairwise(states)
+        )
+
+
+@given(st.integers(0, 1 << 30), st.floats(0, 1), st.lists(st.integers(0, 3_000), max_size=150))
+def test_never_more_spills_than_stated(seed: int, part: float, gaps: list[int]) -> None:
+    bounds, rng = Bounds(spill=part), Random(seed)
+    wings, now, let = Wings(("west", "east"), bounds), 0, list[tuple[int, bool]]()
+    for gap in gaps:
+        now += gap * 1_000_000
+        out = DEAD if rng.random() < 0.8 else ALL
+        wings.look({"west": out, "east": ALL}, now)
+        chosen = wings.choose({"west": rng.random(), "east": rng.random() * 1.2}, rng.random(), now)
+        let.append((now, chosen == {"east"}))
+        window = [spilt for t, spilt in let if t > now - bounds.window]
+        assert sum(window) <= part * len(window) + 1e-9 or not window[-1]
+
+
+def test_own_wing_first_others_within_the_bound_and_the_rest_turned_away() -> None:
+    wings = Wings(("west", "east"), Bounds(spill=0.5))
+    assert wings.choose({}, 0.99, 0) == {"west"}
+    for n in range(8):
+        wings.look({"west": DEAD, "east": ALL}, n * SECOND)
+    chosen = [wings.choose({"east": 0.5}, 0.5, 8 * SECOND + n) for n in range(100)]
+    assert sum(c == {"east"} for c in chosen) == 50
+    assert sum(not c for c in chosen) == wings.turned == 50
+    assert wings.choose({"east": 0.95}, 0.5, 60 * SECOND) == set()  # the surviving wing has no room
+    full = Wings(("west", "east"), Bounds(spill=1.0))
+    assert full.choose({"west": 0.95, "east": 0.5}, 0.5, 0) == {"east"}  # its own wing is full
+    assert full.choose({"west": 0.95, "east": 0.95}, 0.5, 0) == {
+        "west"
+    }  # so is the other: the module decides
+
+
+def test_a_returning_wing_gets_its_share_over_two_hundred_fronts_by_and_by() -> None:
+    fronts = [Wings(("west", "east"), Bounds(spill=1.0)) for _ in range(200)]
+    rng, got = Random(5), list[int]()
+    for second in range(60):
+        now, sent = second * SECOND, 0
+        for wings in fronts:
+            wings.look({"west": DEAD if second < 10 else ALL, "east": ALL}, now)
+            sent += sum(wings.choose({}, rng.random(), now) == {"west"} for _ in range(2))
+        got.append(sent)
+    assert sum(got[3:12]) <= 4
+    assert max(b - a for a, b in pairwise(got[12:42])) <= 60  # no step of all fronts at once, at 400 a second
+    assert got[-1] == 400
+
+
+def test_a_spill_window_passes() -> None:
+    spill = Spill(Bounds(spill=0.5, window=10))
+    assert not spill.may(0)
+    spill.asked(False, 0)
+    assert spill.may(0)
+    spill.asked(True, 0)
+    assert not spill.may(5)
+    assert not spill.may(11)  # nothing is left in the window: one alone would be all of it
+
+
+def test_a_front_keeps_to_its_wing_spills_within_its_bound_and_goes_back_by_and_by(tmp_path: Path) -> None:
+    form = """(operators (secret "operators-secret"))
+      (preference (spill 50%) (window 60s) (hold 300ms) (ramp 2s) (room 2))"""
+
+    async def test() -> None:
+        async with standing(tmp_path, form, wings=True) as rig:
+            for n in range(6):
+                assert (await rig.watch(f"/whep/open/t{n}")).status == 201
+            assert {f["node"] for f in rig.facts("setup")} == {"n1"}
+            rig.node("n1").kill()
+            await until(lambda: any(e["event"] == "wing" and e["after"] == "lost" for e in rig.logged()))
+            answers = [(await rig.watch(f"/whep/open/u{n}")).status for n in range(20)]
+            spilt = [f for f in rig.facts("setup") if f["node"] == "n2"]
+            asked = len(rig.facts("setup")) + answers.count(503)
+            assert (
+                5 <= len(spilt) <= asked / 2 + 1
+            )  # no more than the bound, and the rest is turned away at once
+            assert answers.count(503) >= 5
+            rig.node("n1").machine.restart(rig.fleet.clock.now())
+            await rig.fleet.boot(rig.node("n1"))
+            await until(lambda: not rig.node("n1").ails.dead)
+            rig.fleet.publish()
+            await until(lambda: any(e["event"] == "wing" and e["after"] == "sound" for e in rig.logged()), 12)
+            states = [e["after"] for e in rig.logged() if e["event"] == "wing"]
+            assert states == ["lost", "returning", "sound"]
+            before = len(rig.facts("setup"))
+            assert (await rig.watch("/whep/open/back")).status == 201
+            assert rig.facts("setup")[before]["node"] == "n1"
+            auth: dict[str, Any] = {"Authorization": "Bearer operators-secret"}
+            status = orjson.loads((await rig.ask("GET", "/operators/status", **auth)).body)
+            assert status["wings"]["west"]["state"] == "sound"
+
+    run(test)
