--- a/oakcroft/front/memory.py
+++ b/oakcroft/front/memory.py
@@ -85,14 +85,7 @@
         """Puts the intent of a set-up on record before it leaves; False where that did not succeed in time."""
         if not waits_for_record(v.pb.plan):
             return True
-        now = self.helm.clock.now()
-        leg = self.helm.legs[node]
-        before = self.promises.get(v.id)
-        promise = Promise(
-            v.id, v.key, v.about, v.path, v.pb.title.name, v.plan.name, v.pb.plan.effect.value, v.pb.plan.seats > 0,
-            v.publishes, v.ufrag, v.pb.top, v.token, v.due.written, v.due.abandon, Mark.INTENT, node,
-            leg.lifeline.process, now, rung=rung, changed=now, seated=v.seated,
-        )  # fmt: skip
+        before, promise = self.promises.get(v.id), self._promise(v, node, rung)
         self.promises[v.id] = step(before, promise)
         with trio.move_on_at(self.helm.clock.deadline(until)):
             if await self.store.durable(Put(promise)):
@@ -125,13 +118,19 @@
         """What is to be on record of a viewing that plays, whether for the first time or on another node."""
         if v.upstream is None or v.pb.node is None:
             return None
-        u, now = v.upstream, self.helm.clock.now()
-        leg = self.helm.legs.get(u.node)
+        u, promise = v.upstream, self._promise(v, v.upstream.node, v.pb.rung)
+        return replace(
+            promise, mark=Mark.PLAYS, sent_at=v.pb.tries[-1][1] if v.pb.tries else promise.changed, resource=u.resource,
+            events=u.events, layer=u.layer, tag=v.resource.tag if v.resource else u.tag, answer=u.answer,
+        )  # fmt: skip
+
+    def _promise(self, v: Viewing, node: str, rung: int) -> Promise:
+        """An intent to set a viewing up on a node, now."""
+        now, leg = self.helm.clock.now(), self.helm.legs.get(node)
         return Promise(
             v.id, v.key, v.about, v.path, v.pb.title.name, v.plan.name, v.pb.plan.effect.value, v.pb.plan.seats > 0,
-            v.publishes, v.ufrag, v.pb.top, v.token, v.due.written, v.due.abandon, Mark.PLAYS, u.node,
-            leg.lifeline.process if leg else "", v.pb.tries[-1][1] if v.pb.tries else now, u.resource, u.events, u.layer,
-            v.resource.tag if v.resource else u.tag, u.answer, v.pb.rung, now, v.seated,
+            v.publishes, v.ufrag, v.pb.top, v.token, v.due.written, v.due.abandon, Mark.INTENT, node,
+            leg.lifeline.process if leg else "", now, rung=rung, changed=now, seated=v.seated,
         )  # fmt: skip
 
     def waits(self, v: Viewing) -> bool:
--- a/oakcroft/store/writer.py
+++ b/oakcroft/store/writer.py
@@ -151,10 +151,11 @@
                 self.wake = trio.Event()
                 await self._round()
         finally:
+            # The file's one thread may be at work still: what waits goes out behind it, or is left after two seconds.
             with trio.CancelScope(shield=True), trio.move_on_after(2):
-                if self.threads.available_tokens and self.health.state in (Disk.SOUND, Disk.SLOW):
+                if self.health.state in (Disk.SOUND, Disk.SLOW):
                     await self._write(list(self.queue))
-                    await self._thread(self._close)
+                await self._thread(self._close)
 
     async def _round(self) -> None:
         now = self.now()
