Look up the plans of a path once a table, not over all routes for each request under a crowd

Deciding whether to turn a request away unread went over every route, on the path that must be cheapest. The table keeps the plans of each prefix. The catalogue's record of a version that other fronts take first was written and never read, and is gone. Behaviour as before: front, catalogue, version and import tests, lint and types pass.

--- a/oakcroft/decisions/routing.py
+++ b/oakcroft/decisions/routing.py
@@ -157,9 +157,11 @@
     def __init__(self, routes: Iterable[Route]) -> None:
         self.routes = {r.name: r for r in routes}
         self.buckets: dict[tuple[Side, str], _Bucket] = {}
+        self.plans: dict[str, set[str]] = {}  # by prefix: of all its routes, on either side
         for route in self.routes.values():
             key = (route.match.side, route.match.prefix)
             self.buckets.setdefault(key, _Bucket()).add(route)
+            self.plans.setdefault(route.match.prefix, set()).add(route.plan)
         for bucket in self.buckets.values():
             bucket.sort()
 
--- a/oakcroft/front/catalogues.py
+++ b/oakcroft/front/catalogues.py
@@ -40,7 +40,6 @@
         self.helm, self.log = helm, log
         self.history, self.steps = History(), Steps()
         self.texts: dict[int, str] = {}
-        self.pending: tuple[str, float] | None = None  # a version that another share of the fronts has first
         self.turn = trio.Lock()  # one text is read at a time; a second waits
         self.wake = trio.Event()
 
@@ -124,7 +123,6 @@
         fleet = Fleet(ready, frozenset(x.name for x in lines), len(terms.rates), terms.cells, floors)
         verdict, why_not = consider(helm.catalogue, new, names, made_from, fleet, force)
         if verdict is Verdict.TAKEN and not takes_part(terms.front, terms.fronts, int(new.digest, 16), share):
-            self.pending = (new.digest, share)
             verdict, why_not = Verdict.LATER, [f"rolled out to {share:.0%} of the fronts"]
         if verdict is not Verdict.TAKEN:
             self.log.warning(
@@ -136,7 +134,7 @@
             return verdict, why_not
         now = helm.clock.now()
         helm.titles.take_catalogue(new.titles, names)
-        helm.catalogue, self.pending = new, None
+        helm.catalogue = new
         self.texts[new.number] = text
         for number in self.history.take(Kept(new.number, new.digest, now, why)):
             self.texts.pop(number, None)
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -126,8 +126,7 @@
         """Whether a request for this path is to be turned away unread, as its plan's line is as long as can be served."""
         if not self.line.waiting:
             return False
-        prefix = path[: path.rfind("/") + 1]
-        plans = {r.plan for r in self.helm.site.table.routes.values() if r.match.prefix == prefix}
+        plans = self.helm.site.table.plans.get(path[: path.rfind("/") + 1])
         if not plans or not all(self.line.sheds(p) for p in plans):
             return False
         self.shed += 1
