Keep an errand's wait at its longest however often it has failed

Seen: Again.failed raises OverflowError at its 1,025th failure in a row. It runs in the front's own tasks, so a list service that is away for some 26 to 34 minutes, or a node whose event stream fails for 13 to 17, ended the whole front and every playback on it. The client library's reconnect had the same fault (0.05 * 2**tries).

Ruled out: the jitter, and the limit on the whole time (neither rhythm has one).

Change: the ceiling grows from wait to wait and stops at the longest.

--- a/oakcroft/client/session.py
+++ b/oakcroft/client/session.py
@@ -88,7 +88,7 @@
             if self.stream is not None:
                 await trio.aclose_forcefully(self.stream)
             tries += 1
-            await trio.sleep(min(2.0, 0.05 * 2**tries) * (0.5 + self.retries.rng.random()))
+            await trio.sleep(min(2.0, 0.05 * 2 ** min(tries, 6)) * (0.5 + self.retries.rng.random()))
 
     async def _connect(self) -> None:
         self.stream = await trio.open_tcp_stream(self.host, self.port)
--- a/oakcroft/decisions/again.py
+++ b/oakcroft/decisions/again.py
@@ -33,17 +33,19 @@
 
     def __init__(self, rhythm: Rhythm, rng: Random, now: int) -> None:
         self.rhythm, self.rng, self.since = rhythm, rng, now
-        self.failures = 0
+        self.failures, self.ceiling = 0, float(rhythm.first)
 
     def worked(self, now: int) -> None:
         """It went well; the next failure begins at the first wait again."""
-        self.failures, self.since = 0, now
+        self.failures, self.ceiling, self.since = 0, float(self.rhythm.first), now
 
     def failed(self, now: int) -> int | None:
         """It failed; how long to wait before the next attempt, None to give up."""
         if not self.failures:
             self.since = now
-        ceiling = min(self.rhythm.longest, self.rhythm.first * self.rhythm.growth**self.failures)
+        # Grown from wait to wait: a power of all failures is no number any more after the 1,024th.
+        ceiling = self.ceiling
+        self.ceiling = min(self.rhythm.longest, ceiling * self.rhythm.growth)
         self.failures += 1
         wait = int(ceiling * (0.5 + 0.5 * self.rng.random()))
         if self.rhythm.give_up_after and now + wait - self.since > self.rhythm.give_up_after:
