Judge a WebSocket handshake before it is accepted, so that a bad one ends no front

Seen: one GET of /api/v1 with Upgrade but without Sec-WebSocket-Key, with another version, or without Connection: Upgrade ended the whole front. wsproto raised RemoteProtocolError in the connection's task, and nothing between that and the front's nursery takes it. Anybody who can connect could end every playback.

Ruled out: the HTTP side (h11's errors are answered), and frames after the handshake (Link.receive takes them). At fault: sockets.py, Link.open, which read the handshake after the 101 had been decided.

--- a/oakcroft/front/sockets.py
+++ b/oakcroft/front/sockets.py
@@ -156,18 +156,26 @@
             raise Faulty(
                 400, "subprotocol", f"One of the subprotocols {', '.join(api.SUBPROTOCOLS)} is spoken here"
             )
-        return Response(101, upgrade=partial(self._serve, request, chosen))
+        if request.header("sec-websocket-version") != "13":
+            return Response(426, [("Upgrade", "websocket"), ("Sec-WebSocket-Version", "13")], close=True)
+        ws = wsproto.WSConnection(wsproto.ConnectionType.SERVER)
+        fields = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in request.headers]
+        try:  # judged here, where it still gets an answer of its own
+            ws.initiate_upgrade_connection(fields, request.target)
+        except wsproto.utilities.RemoteProtocolError as fault:
+            raise Faulty(400, "handshake", "This is no WebSocket handshake", str(fault)) from None
+        return Response(101, upgrade=partial(self._serve, ws, request.source, chosen))
 
     async def _serve(
-        self, request: Request, subprotocol: str, stream: trio.SocketStream, rest: bytes
+        self, ws: wsproto.WSConnection, source: str, subprotocol: str, stream: trio.SocketStream, rest: bytes
     ) -> None:
         self.numbers += 1
-        link = Link(stream, subprotocol, self.numbers, self.allowance, self.clock.now())
-        await link.open(request, rest)
+        link = Link(stream, ws, subprotocol, self.numbers, self.allowance, self.clock.now())
+        await link.open(rest)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(link.write, nursery.cancel_scope)
-                await self._speak(link, request)
+                await self._speak(link, source)
                 nursery.cancel_scope.deadline = trio.current_time() + 1  # for what is still to be written
                 link.finish()
         finally:
@@ -177,7 +185,7 @@
             if holder is not None and holder.seat.detached(link.number, self.clock.now()):
                 holder.link = None
 
-    async def _speak(self, link: Link, request: Request) -> None:
+    async def _speak(self, link: Link, source: str) -> None:
         """Reads messages until the connection ends."""
         with trio.move_on_after(HELLO_WITHIN) as hello:
             first = await link.receive()
@@ -185,7 +193,7 @@
                 link.close(1008, "hello comes first")
                 return
             try:
-                if not self._attach(link, first, request.source):
+                if not self._attach(link, first, source):
                     return
             except Faulty as fault:
                 link.close(4000 + fault.status, fault.title)
@@ -396,11 +404,11 @@
     """One WebSocket connection: frames in, messages out through a bounded queue."""
 
     def __init__(
-        self, stream: trio.SocketStream, subprotocol: str, number: int, allowance: Allowance, now: int
-    ) -> None:
+        self, stream: trio.SocketStream, ws: wsproto.WSConnection, subprotocol: str, number: int, allowance: Allowance,
+        now: int,
+    ) -> None:  # fmt: skip
         self.stream, self.subprotocol, self.number, self.allowance = stream, subprotocol, number, allowance
-        self.codec = api.Codec(subprotocol)
-        self.ws = wsproto.WSConnection(wsproto.ConnectionType.SERVER)
+        self.codec, self.ws = api.Codec(subprotocol), ws
         self.out, self.queue = trio.open_memory_channel[bytes](allowance.behind + 16)
         self.holder: Holder | None = None
         self.caller: Client | None = None
@@ -409,16 +417,15 @@
         self.partial = bytearray()
         self.closing = False
 
-    async def open(self, request: Request, rest: bytes) -> None:
-        """Accepts the upgrade."""
-        self.ws.initiate_upgrade_connection(
-            [(n.encode("latin-1"), v.encode("latin-1")) for n, v in request.headers], request.target
-        )
+    async def open(self, rest: bytes) -> None:
+        """Accepts the upgrade. A client that does not take the answer in time loses the connection."""
         for event in self.ws.events():
             if isinstance(event, events.Request):
-                await self.stream.send_all(
-                    self.ws.send(events.AcceptConnection(subprotocol=self.subprotocol))
-                )
+                with trio.move_on_after(WRITE_WITHIN) as slow:
+                    accept = self.ws.send(events.AcceptConnection(subprotocol=self.subprotocol))
+                    await self.stream.send_all(accept)
+                if slow.cancelled_caught:
+                    raise trio.BrokenResourceError
         if rest:
             self.ws.receive_data(rest)
 
