Hold the session API's paths, keys and numbers to what HTTP can say

Seen: a session API client that asked for /whep/open/é, or with the key é, ended the whole front: the set-up to the node raised UnicodeEncodeError in a task of the front. A key with a line break was sent on and ended as withdrawn; a path with a query or a space went to the node as another request than the front had decided on (encodingId is the rung); a number that JSON can say and MessagePack cannot would have ended the front when its seat came back over MessagePack.

Ruled out: HTTP, where h11 and the key's grammar refuse all of these. At fault: core.ask and core.move, which took what an adapter handed them; session_api.py, whose whole numbers had no bounds.

Change: the core owns both checks: a path is visible ASCII without ? and # (404), a key what can stand in Idempotency-Key (400); whole numbers are those of RFC 8259 6.

--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -32,7 +32,7 @@
 from oakcroft.front.reducing import Reducing
 from oakcroft.front.siding import Siding
 from oakcroft.front.viewing import Reader, Viewing
-from oakcroft.signalling import sdp
+from oakcroft.signalling import sdp, words
 
 READER_KINDS = ("active", "inactive", "layers", "move")
 MOST_READERS = 4
@@ -178,7 +178,7 @@
     def served(self, path: str) -> set[Side]:
         """For whom anything is served at a path. Faulty 404 where nothing is."""
         title = unquote(path.rpartition("/")[2], errors="replace")
-        sides = self.helm.site.table.sides(path)
+        sides = self.helm.site.table.sides(path) if words.is_path(path) else set()
         if not sides or not title or "/" in title or len(title) > MOST_TITLE or not title.isprintable():
             raise Faulty(404, "no-route", "Nothing is served at this path")
         return sides
@@ -198,6 +198,11 @@
         except sdp.SdpFault as fault:
             raise Faulty(422, "offer", "The offer cannot be answered", str(fault)) from None
 
+    @staticmethod
+    def _check_key(key: str | None) -> None:
+        if key is not None and not words.is_key(key):
+            raise Faulty(400, "key", 'A key is 1 to 255 visible characters or spaces but " and \\')
+
     def _route(self, site: Site, ask: Ask, offer: sdp.Description, title: str) -> Route:
         sides = self.served(ask.path)
         publishes = any(offer.direction(m) == "sendonly" for m in offer.media)
@@ -219,6 +224,7 @@
         title = unquote(ask.path.rpartition("/")[2], errors="replace")
         if self.sheds(ask.path):  # before anything is parsed: under a crowd, reading requests is what costs
             return REFUSALS[Refusal.BUSY], True
+        self._check_key(ask.key)
         offer = self.parse(ask.offer)
         route = self._route(site, ask, offer, title)
         publishes = route.match.side is Side.PUBLISH
@@ -415,6 +421,7 @@
 
     async def move(self, v: Viewing, text: str, key: str, prefer: list[str]) -> tuple[str, str] | Reply:
         """A player that was told to move makes a new offer: the target's answer and tag, or that it stays."""
+        self._check_key(key)
         offer = self.parse(text)
         self._check(offer, v.publishes)
         move = self.helm.moves.moves.get(v.id)
--- a/oakcroft/signalling/session_api.py
+++ b/oakcroft/signalling/session_api.py
@@ -6,60 +6,62 @@
 
 from __future__ import annotations
 
-from typing import get_args
+from typing import Annotated, get_args
 
 import msgspec
 
 JSON, MSGPACK = "oakcroft.v1.json", "oakcroft.v1.msgpack"
 SUBPROTOCOLS = (JSON, MSGPACK)
+Whole = Annotated[int, msgspec.Meta(ge=-(2**53 - 1), le=2**53 - 1)]
+"""A whole number as every client can hold it (RFC 8259 6), and as both subprotocols can say it again."""
 
 
 class Hello(msgspec.Struct, tag="hello", forbid_unknown_fields=True):
     """First message of a connection: a new client, or one that comes back with its pass and the last number it has."""
 
     resume: str = ""
-    seen: int = 0
+    seen: Whole = 0
     token: str = ""
 
 
 class Ask(msgspec.Struct, tag="ask", forbid_unknown_fields=True):
     """Asks for a playback: answered by one `answer` with the same `id`."""
 
-    id: int
+    id: Whole
     path: str
     offer: str
     key: str = ""
-    wait_s: int = 0
-    top: int | None = None
+    wait_s: Whole = 0
+    top: Whole | None = None
 
 
 class Layer(msgspec.Struct, tag="layer", forbid_unknown_fields=True):
     """The highest rung that the player takes from now on."""
 
     playback: str
-    rung: int
-    id: int = 0
+    rung: Whole
+    id: Whole = 0
 
 
 class Pause(msgspec.Struct, tag="pause", forbid_unknown_fields=True):
     """The player shows nothing for now: the playback goes down to its plan's floor."""
 
     playback: str
-    id: int = 0
+    id: Whole = 0
 
 
 class Resume(msgspec.Struct, tag="resume", forbid_unknown_fields=True):
     """And up again, to what it took before."""
 
     playback: str
-    id: int = 0
+    id: Whole = 0
 
 
 class End(msgspec.Struct, tag="end", forbid_unknown_fields=True):
     """Ends a playback."""
 
     playback: str
-    id: int = 0
+    id: Whole = 0
 
 
 class Trickle(msgspec.Struct, tag="trickle", forbid_unknown_fields=True):
@@ -68,7 +70,7 @@
     playback: str
     tag: str
     fragment: str
-    id: int = 0
+    id: Whole = 0
 
 
 class MoveOffer(msgspec.Struct, tag="move-offer", forbid_unknown_fields=True):
@@ -77,20 +79,20 @@
     playback: str
     offer: str
     key: str = ""
-    id: int = 0
+    id: Whole = 0
 
 
 class MoveDone(msgspec.Struct, tag="move-done", forbid_unknown_fields=True):
     """The player plays from the target."""
 
     playback: str
-    id: int = 0
+    id: Whole = 0
 
 
 class Ack(msgspec.Struct, tag="ack", forbid_unknown_fields=True):
     """The client has everything up to `n`."""
 
-    n: int
+    n: Whole
 
 
 class Bye(msgspec.Struct, tag="bye", forbid_unknown_fields=True):
@@ -209,6 +211,11 @@
                 out += ["| field | type | default |", "| --- | --- | --- |"]
                 for f in fields:
                     shown = getattr(f.type, "__name__", None) if isinstance(f.type, type) else str(f.type)
+                    shown = (
+                        str(shown)
+                        .replace(f"typing.Optional[{Whole}]", "int | None")
+                        .replace(str(Whole), "int")
+                    )
                     default = (
                         "must stand"
                         if f.required
--- a/oakcroft/signalling/words.py
+++ b/oakcroft/signalling/words.py
@@ -20,8 +20,7 @@
 )
 PARAMETER = re.compile(r";\s*([^=;\s]+)\s*(?:=\s*(?:\"([^\"]*)\"|([^\s,;]*)))?")
 KEY = re.compile(r'^"([\x20-\x21\x23-\x5b\x5d-\x7e]{1,255})"$|^([!#$%&\'*+\-.^_`|~0-9A-Za-z:/]{1,255})$')
-
-
+PATH = re.compile(r"/[!\"$->@-~]*")  # visible ASCII but # and ?
 CATALOGUE = "Oakcroft-Catalogue"
 """The version of the catalogue under which a set-up left its front."""
 
@@ -68,6 +67,16 @@
     return found
 
 
+def is_key(text: str) -> bool:
+    """Whether a key that came by itself could stand in an Idempotency-Key field as it is."""
+    return KEY.match(f'"{text}"') is not None
+
+
+def is_path(text: str) -> bool:
+    """Whether this can stand as the path of a request target (RFC 9112 3.2), with no query behind it."""
+    return PATH.fullmatch(text) is not None
+
+
 def idempotency_key(value: str) -> str | None:
     """The key of an Idempotency-Key field: a quoted string (RFC 8941 3.3.3) or, as many clients send it, a bare
     token. None for anything else."""
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -12,9 +12,11 @@
 from oakcroft.client.session import SessionClient
 from oakcroft.decisions.again import EVENTS, LIST, Again
 from oakcroft.interface import SECOND
+from oakcroft.rehearsal.viewers import offer
 from oakcroft.signalling import session_api as api
 
 from rig import Rig, run, standing
+from test_sessions import raw
 
 
 # What goes on for months.
@@ -85,3 +87,37 @@
             assert (await rig.watch()).status == 201
 
     run(test)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/whep/open/\u00e9", "k", 404),
+        ("/whep/open/t?encodingId=2&x=", "k", 404),
+        ("/whep/open/a b", "k", 404),
+        ("/whep/open/t", "\u00e9", 400),
+        ("/whep/open/t", "a\r\nVia: b", 400),
+        ("/whep/open/t", "k" * 256, 400),
+        ("/whep/open/%C3%A9", "a key", 201),
+    ],
+)
+def test_what_no_http_request_can_say_is_refused_over_the_session_api_too(
+    tmp_path: Path, path: str, key: str, status: int
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            async with raw(rig, api.Hello()) as one:
+                await one.hear()
+                await one.say(api.Ask(1, path, offer(20_000, 1), key))
+                answer = await one.hear()
+                assert isinstance(answer, api.Answer)
+                assert answer.status == status
+            assert (await rig.watch()).status == 201
+
+    run(test)
+
+
+def test_a_number_that_only_one_subprotocol_can_say_is_no_message() -> None:
+    for number in (2**53, -(2**53), 10**400):
+        with pytest.raises(ValueError, match="int"):
+            api.Codec(api.JSON).read(b'{"type":"end","playback":"p","id":%d}' % number)
