Read a node's answer to a set-up so that no header of it can end the front

Seen: one 201 of a node with a port past 65535, with //[ or with é in Location, with such a Link, or with é in its ETag (which RFC 9110 8.8.3 allows) ended the whole front: urlsplit raised ValueError in the set-up's task, or h11 UnicodeEncodeError in the viewer's connection.

Ruled out: load reports and problem bodies, which are read with care (nan, 1e999, no JSON: no effect). At fault: nodeleg.py, _upstream and _here; httpwire/server.py _write and client.py _write, which read fields as latin-1 and wrote them as ASCII.

Change: a reference that is no URL on the node, or could not be asked for again, is unusable: as Location it makes the set-up garbled (a paid one is aborted, the module's matter), as Link it names nothing. Fields are written in the octets they were read in. Before: 5 of 5 end the front or the connection; after: 504 or 201, and the next set-up plays.

--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -121,11 +121,11 @@
             return None
         base = f"http://{self.address[0]}:{self.address[1]}{path}"
         found = words.links(response.all("link"))
-        resource = self._here(urljoin(base, location))
+        resource = self._here(base, location)
         if resource is None:
             return None
         events, layer = (
-            self._here(urljoin(base, found.get(rel, ""))) or "" for rel in (words.REL_EVENTS, words.REL_LAYER)
+            self._here(base, found.get(rel, "")) or "" for rel in (words.REL_EVENTS, words.REL_LAYER)
         )
         tag = (response.header("etag") or "").strip('"')
         return Upstream(
@@ -133,12 +133,16 @@
             tag, response.body.decode("utf-8", "replace"),
         )  # fmt: skip
 
-    def _here(self, url: str) -> str | None:
-        """The path of a URL on this node, None for one elsewhere: a node does not send a front to others."""
-        parts = urlsplit(url)
-        if (parts.hostname, parts.port) != self.address or parts.scheme != "http":
+    def _here(self, base: str, reference: str) -> str | None:
+        """The path of a URL on this node; None for one elsewhere, since a node does not send a front to others, and for
+        what is no URL (RFC 3986), which this front could never ask for again."""
+        try:
+            parts = urlsplit(urljoin(base, reference))
+            here = (parts.hostname, parts.port) == self.address and parts.scheme == "http"
+        except ValueError:
             return None
-        return parts.path + (f"?{parts.query}" if parts.query else "")
+        target = parts.path + (f"?{parts.query}" if parts.query else "")
+        return target if here and words.is_path(target.replace("?", "")) else None
 
     async def _errand(
         self, again: Again, method: str, target: str, headers: Headers, body: bytes, insists: bool = False
--- a/oakcroft/httpwire/client.py
+++ b/oakcroft/httpwire/client.py
@@ -163,11 +163,15 @@
         if body or method in ("POST", "PATCH", "PUT"):
             fields.append(("Content-Length", str(len(body))))
         try:
-            data = line.http.send(h11.Request(method=method, target=target, headers=fields)) or b""
+            octets = [(n.encode(), v.encode("latin-1")) for n, v in fields]  # as they are read (RFC 9110 5.5)
+            data = line.http.send(h11.Request(method=method, target=target, headers=octets)) or b""
             if body:
                 data += line.http.send(h11.Data(data=body)) or b""
             data += line.http.send(h11.EndOfMessage()) or b""
-        except h11.LocalProtocolError as error:
+        except (
+            h11.LocalProtocolError,
+            UnicodeEncodeError,
+        ) as error:  # HTTP cannot carry it, and none of it left
             raise Ended(End.WITHDRAWN, str(error)) from error
         if trail.stage is Stage.OPEN:
             trail.reach(Stage.WRITING)  # from here on the kernel may have any part of it
--- a/oakcroft/httpwire/server.py
+++ b/oakcroft/httpwire/server.py
@@ -265,7 +265,8 @@
             headers.append(("Content-Length", str(len(response.body))))
         if response.close or response.stream is not None:
             headers.append(("Connection", "close"))
-        head = h11.Response(status_code=response.status, headers=headers)
+        octets = [(n.encode(), v.encode("latin-1")) for n, v in headers]  # as they are read (RFC 9110 5.5)
+        head = h11.Response(status_code=response.status, headers=octets)
         try:
             data = self.http.send(head) or b""
         except h11.LocalProtocolError:
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -11,9 +11,11 @@
 from oakcroft.client.retry import Retries
 from oakcroft.client.session import SessionClient
 from oakcroft.decisions.again import EVENTS, LIST, Again
+from oakcroft.httpwire.message import Request, Response
 from oakcroft.interface import SECOND
 from oakcroft.rehearsal.viewers import offer
 from oakcroft.signalling import session_api as api
+from oakcroft.standins.playout import PlayoutNode
 
 from rig import Rig, run, standing
 from test_sessions import raw
@@ -121,3 +123,38 @@
     for number in (2**53, -(2**53), 10**400):
         with pytest.raises(ValueError, match="int"):
             api.Codec(api.JSON).read(b'{"type":"end","playback":"p","id":%d}' % number)
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "status"),
+    [
+        ("Location", "http://127.0.0.1:99999/s", 504),
+        ("Location", "//[", 504),
+        ("Location", "/sessions/\u00e9", 504),
+        ("Link", '<//[>; rel="urn:ietf:params:whep:ext:core:layer"', 201),
+        ("ETag", '"\u00e9"', 201),
+    ],
+)
+def test_a_nodes_odd_answer_costs_only_its_own_set_up(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, field: str, value: str, status: int
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            answered, odd = PlayoutNode._set_up, [True]
+
+            async def oddly(node: PlayoutNode, request: Request, front: str) -> Response:
+                response = await answered(node, request, front)
+                if odd and response.status == 201:
+                    odd.clear()
+                    response.headers = [(n, value if n == field else v) for n, v in response.headers]
+                return response
+
+            monkeypatch.setattr(PlayoutNode, "_set_up", oddly)
+            first = await rig.watch("/whep/course/t")
+            assert first.status == status
+            if status == 201:
+                gone = await rig.ask("DELETE", first.header("location") or "")
+                assert gone.status == 200
+            assert (await rig.watch("/whep/course/t")).status == 201
+
+    run(test)
