Refuse a list with an impossible time or address whole

Seen: a list whose started_at_ms or drains_until_ms overflows whole nanoseconds ended the front (OverflowError in the follower's task); one with an address that no resolver can be asked for (a..b) was taken, and the first set-up or event stream to that node ended the front (UnicodeError out of the idna codec).

Ruled out: versions, ports, links, places and cells, which line_fault looks at. At fault: listing.py parse (round of a float that may be infinite) and roster.py line_fault, which looked at no address.

Change: such times are a bad list, such addresses a fault of their line; the list before stays in force.

--- a/oakcroft/decisions/roster.py
+++ b/oakcroft/decisions/roster.py
@@ -7,11 +7,17 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from oakcroft.interface import SECOND, Entry, Listing, ListKind, Node
 
+HOST = re.compile(
+    r"(?=.{1,253}$)(?:[A-Za-z0-9_-]{1,63}\.)*[A-Za-z0-9_-]{1,63}\.?|[0-9A-Fa-f.]*:[0-9A-Fa-f:.]{1,44}"
+)
+"""A host name (RFC 1123 2.1, underscores suffered) or an IP address; no resolver can be asked for anything else."""
+
 
 @dataclass(frozen=True, order=True)
 class Line:
@@ -129,6 +135,8 @@
     """What is impossible about one line, if anything."""
     if not line.name:
         return "it has no name"
+    if not HOST.fullmatch(line.address):
+        return f"address {line.address[:40]!r} is no host name and no IP address"
     if not 0 < line.port < 65_536:
         return f"port {line.port} does not exist"
     if not (0 < line.link < 1e12):
--- a/oakcroft/front/listing.py
+++ b/oakcroft/front/listing.py
@@ -119,12 +119,18 @@
             more, address = e.metadata.filter_metadata.oakcroft, e.endpoint.address.socket_address
             lines.append(Line(
                 more.name, address.address, address.port_value, locality.locality.zone, more.cell,
-                HEALTH[e.health_status], round(more.started_at_ms * MS), more.link_kb, more.places, more.kind,
-                tuple(more.tags), None if more.drains_until_ms is None else round(more.drains_until_ms * MS),
+                HEALTH[e.health_status], _ns(more.started_at_ms), more.link_kb, more.places, more.kind,
+                tuple(more.tags), None if more.drains_until_ms is None else _ns(more.drains_until_ms),
             ))  # fmt: skip
     return lines, int(version), response.control_plane.identifier
 
 
+def _ns(ms: float) -> int:
+    if not abs(ms) < 1e15:  # some 30,000 years
+        raise BadList(f"a time of {ms:g} ms cannot be")
+    return round(ms * MS)
+
+
 def request_body(version: int, front: str) -> bytes:
     """A discovery request with the version in force; -1 for none."""
     return orjson.dumps({
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -5,12 +5,15 @@
 from pathlib import Path
 from random import Random
 
+import orjson
 import pytest
 import trio
 import trio.testing
 from oakcroft.client.retry import Retries
 from oakcroft.client.session import SessionClient
 from oakcroft.decisions.again import EVENTS, LIST, Again
+from oakcroft.decisions.roster import Refused, Roster
+from oakcroft.front import listing
 from oakcroft.httpwire.message import Request, Response
 from oakcroft.interface import SECOND
 from oakcroft.rehearsal.viewers import offer
@@ -158,3 +161,23 @@
             assert (await rig.watch("/whep/course/t")).status == 201
 
     run(test)
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [{"started_at_ms": 1e305}, {"drains_until_ms": -1e305}, {"address": "a..b"}, {"address": "\u00e9" * 80}],
+)
+def test_a_list_with_an_impossible_time_or_address_is_refused_whole(wrong: dict[str, object]) -> None:
+    particulars = {"name": "n", "cell": 0, "link_kb": 1.0, "places": 1.0} | wrong
+    place = {"address": particulars.pop("address", "127.0.0.1"), "port_value": 1}
+    line = {
+        "endpoint": {"address": {"socket_address": place}},
+        "metadata": {"filter_metadata": {"oakcroft": particulars}},
+    }
+    resources = [{"cluster_name": "c", "endpoints": [{"lb_endpoints": [line]}]}]
+    body = orjson.dumps({"version_info": "1", "resources": resources})
+    try:
+        lines, version, service = listing.parse(body)
+    except listing.BadList:
+        return
+    assert isinstance(Roster().take(lines, version, service, 0), Refused)
