Drop events that come twice, late or on an ended playback at the module's own calls

A request read after its abandon time was set up for nobody.

Ruled out: left, over, recalled, and seats and loads, which follow from the state. At fault: choice.py arrived, resumed, playing, tried, noted, alarm, listed, _send and _may_try_again.

Change: each call asks the state first; the interval knows when it is due; started_at is never taken back and never ahead; times leave with their window.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -75,6 +75,7 @@
         self.started, self.racks = now, [Rack() for _ in range(terms.racks)]
         self.nodes: dict[Node, None] = {}
         self.version, self.asked_at, self.following = 0, now, False
+        self.wakes = now + INTERVAL  # when the running interval ends
         self.t2, self.t3, self.x, self.err, self.predicted = T2, T3, 0.0, 1.0, 0.0
         self.usual = USUAL  # load of a link that tells nothing: the mean of those that do
         self.due = terms.reports_every + terms.seen_after + TOO_OLD  # age of a report that is still fresh
@@ -85,7 +86,7 @@
         self.taken, self.further = deque[int](), deque[int]()
         if terms.must_follow:
             host.follow()
-        host.alarm(now + INTERVAL)
+        host.alarm(self.wakes)
 
     # The list of playout nodes.
 
@@ -98,12 +99,14 @@
         for e in entries:
             node = e.node
             missing.pop(node, None)
-            if e.started_at > node.started_at:  # a new process: nothing known of the old one holds
+            # A list that comes late, or whose clock is ahead, may neither warm a node up nor keep it cold for ever.
+            started_at = min(e.started_at, now)
+            if started_at > node.started_at:  # a new process: nothing known of the old one holds
                 node.distrust.clear()
                 # Empty; but if each of many fronts knew of no emptier one, all would go there.
                 node.heard, node.reported, node.reported_at = self.rng.random() >= self.blind, 0.0, now
                 node.handed_over = False
-            node.listing, node.started_at = e.listing, e.started_at
+            node.listing, node.started_at = e.listing, max(node.started_at, started_at)
             node.link, node.places = max(1.0, e.link), e.places
             node.level = self._level(node)
             node.rack = self.racks[node.cell % self.terms.racks]
@@ -199,14 +202,14 @@
             rack.tight = min(TIGHTEST, max(LOOSEST, value * self.terms.uplink / rack.carried))
 
     def noted(self, pb: Playback, kind: Note, value: float, now: int) -> None:
-        """News on one playback, which mostly speaks of its node."""
+        """News on one playback, which mostly speaks of its node. On one that holds no place there it comes too
+        late, or too early, to be believed."""
         node = pb.node
+        if node is None or pb.state not in HOLDS:
+            return
         if kind is Note.RUNG:
-            if node and pb.state in HOLDS:
-                self._shift(node, self._rate(pb, int(value)) - self._rate(pb, pb.rung), now)
+            self._shift(node, self._rate(pb, int(value)) - self._rate(pb, pb.rung), now)
             pb.rung = int(value)
-        elif not node:
-            return
         elif kind is Note.LINK_ASKED:
             self._report(node, value, 0 if pb.fresh else self.terms.seen_after, now)
             pb.fresh = False
@@ -240,13 +243,16 @@
     # The design's interval.
 
     def alarm(self, now: int) -> None:
-        """The interval is over."""
+        """The interval is over. One that comes twice would run two chains of intervals from then on."""
+        if now < self.wakes - MS:
+            return
+        self.wakes = now + INTERVAL
         self._interval(now)
         due = now - self.asked_at >= self.terms.ask_within // 2
         if self.terms.must_follow and due and not self.following:
             self.asked_at = now
             self.host.follow()
-        self.host.alarm(now + INTERVAL)
+        self.host.alarm(self.wakes)
 
     def _interval(self, now: int) -> None:
         listed = [n for n in self.nodes if n.listing is Listing.READY]
@@ -355,12 +361,16 @@
     # Requests.
 
     def arrived(self, pb: Playback, now: int) -> None:
-        """A request is refused in the band, or placed."""
+        """A request is refused in the band, or placed. One that is known is not taken again."""
+        if pb.state is not State.ARRIVED:
+            return
+        if now >= pb.abandon:  # nobody waits any more: nothing is set up
+            self._give_up(pb, now)
+            return
         if pb.beside is not None and not self._may_try_again(pb, now):
             self._give_up(pb, now)
             return
-        if self.terms.tries_free is not None:  # a copy is a further try of its playback
-            (self.taken if pb.beside is None else self.further).append(now)
+        self._count(self.taken if pb.beside is None else self.further, now)  # a copy is a further try
         self.asked.add(1.0, now, self.terms.fall_window)
         if not pb.moved and self.rng.random() < refusal_probability(self.x, self.t2):
             self._give_up(pb, now)
@@ -410,7 +420,7 @@
             pb.rung = rung
             self.host.set_rung(pb, rung)
         if pb.tries:
-            self.further.append(now)
+            self._count(self.further, now)
         slot = self._slot(node, now)[0]
         if slot != node.slot:
             node.slot, node.slot_used = slot, 0
@@ -499,6 +509,14 @@
             self.further.popleft()
         return len(self.further) + 1 <= terms.tries_free + terms.tries_share * len(self.taken)
 
+    def _count(self, times: deque[int], now: int) -> None:
+        """One more in the budget's window, where there is a budget; what has left the window is dropped, or a front
+        whose tries seldom fail would keep them all."""
+        if self.terms.tries_free is not None:
+            times.append(now)
+            while times[0] < now - self.terms.tries_window:
+                times.popleft()
+
     def _give_up(self, pb: Playback, now: int) -> None:
         """The final answer, at once: rejected where no rule forbids it, else aborted."""
         plan = pb.plan
@@ -514,6 +532,8 @@
 
     def resumed(self, pb: Playback, node: Node, now: int) -> None:
         """A playback handed over at the start; it plays already."""
+        if pb.state is not State.ARRIVED:
+            return
         pb.tries.append((node, now))
         node.handed_over = True
         self.held_then[0] = (now, self.held + self._rate(pb, pb.rung))
@@ -526,20 +546,21 @@
             node.slot, node.slot_used = self._slot(node, now)[0], SPENT
 
     def playing(self, pb: Playback, took: int, now: int) -> None:
-        """The set-up is done."""
+        """The set-up is done. Heard twice, or after the end, it says nothing for its node."""
+        if pb.node is None or pb.state is not State.SETTING_UP:
+            return
         pb.fresh = True
-        if pb.node:
-            pb.node.distrust.add(-0.5, now, DISTRUST_HALF)
-        if pb.state is State.SETTING_UP:
-            self._change(pb, State.PLAYING, now)
+        pb.node.distrust.add(-0.5, now, DISTRUST_HALF)
+        self._change(pb, State.PLAYING, now)
 
     def tried(
         self, pb: Playback, outcome: Outcome, closed: bool,
         asked: float | None, used: float | None, uplink: float | None, now: int,
     ) -> None:  # fmt: skip
-        """A setup try, or the playback that it started, is over."""
+        """A setup try, or the playback that it started, is over. Where none is out and nothing plays, it comes
+        twice or too late."""
         node, state = pb.node, pb.state
-        if node is None:
+        if node is None or state not in HOLDS:
             return
         if asked is not None:
             self._report(node, asked, AGE, now)
