--- /dev/null
+++ b/tests/test_odd_input.py
@@ -0,0 +1,183 @@
+"""Odd but legal input, and what only shows after months: each answered as stated, ending nothing for anybody else."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+
+import orjson
+import pytest
+import trio
+import trio.testing
+from oakcroft.client.retry import Retries
+from oakcroft.client.session import SessionClient
+from oakcroft.decisions.again import EVENTS, LIST, Again
+from oakcroft.decisions.roster import Refused, Roster
+from oakcroft.front import listing
+from oakcroft.httpwire.message import Request, Response
+from oakcroft.interface import SECOND
+from oakcroft.rehearsal.viewers import offer
+from oakcroft.signalling import session_api as api
+from oakcroft.standins.playout import PlayoutNode
+
+from rig import Rig, run, standing
+from test_sessions import raw
+
+
+# What goes on for months.
+
+
+def test_an_errand_that_fails_for_months_keeps_its_longest_wait() -> None:
+    for rhythm in (LIST, EVENTS):
+        again, now, wait = Again(rhythm, Random(1), 0), 0, None
+        for _ in range(3_000):
+            wait = again.failed(now)
+            assert wait is not None
+            assert wait <= rhythm.longest
+            now += SECOND
+        assert wait
+        assert wait >= rhythm.longest // 2
+
+
+def test_a_client_goes_on_trying_a_front_that_is_away_for_long() -> None:
+    tried = [0]
+
+    async def test() -> None:
+        async with trio.open_nursery() as nursery:
+            client = SessionClient("http://127.0.0.1:1", "", api.JSON, nursery, Retries(Random(1)))
+
+            async def refused() -> None:
+                tried[0] += 1
+                if tried[0] > 1_100:
+                    nursery.cancel_scope.cancel()
+                raise OSError("connection refused")
+
+            client._connect = refused  # type: ignore[method-assign]
+            nursery.start_soon(client._run)
+
+    trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert tried[0] > 1_100
+
+
+# What one client or one node says, on sockets: the front goes on for all others.
+
+UPGRADE = (
+    "GET /api/v1 HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nSec-WebSocket-Protocol: oakcroft.v1.json\r\n"
+)
+
+
+async def said(rig: Rig, data: bytes) -> bytes:
+    """The first bytes of the answer to bytes on a connection of their own."""
+    stream = await trio.open_tcp_stream("127.0.0.1", rig.port)
+    async with stream:
+        await stream.send_all(data)
+        return bytes(await stream.receive_some(65_536))
+
+
+@pytest.mark.parametrize(
+    ("fields", "status"),
+    [
+        ("Connection: Upgrade\r\n", 426),
+        ("Connection: Upgrade\r\nSec-WebSocket-Key: x\r\nSec-WebSocket-Version: 12\r\n", 426),
+        ("Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n", 400),
+        ("Sec-WebSocket-Key: x\r\nSec-WebSocket-Version: 13\r\n", 400),
+    ],
+)
+def test_a_handshake_that_is_none_gets_its_answer_and_ends_nothing(
+    tmp_path: Path, fields: str, status: int
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            assert (await said(rig, f"{UPGRADE}{fields}\r\n".encode())).startswith(b"HTTP/1.1 %d" % status)
+            assert (await rig.watch()).status == 201
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/whep/open/\u00e9", "k", 404),
+        ("/whep/open/t?encodingId=2&x=", "k", 404),
+        ("/whep/open/a b", "k", 404),
+        ("/whep/open/t", "\u00e9", 400),
+        ("/whep/open/t", "a\r\nVia: b", 400),
+        ("/whep/open/t", "k" * 256, 400),
+        ("/whep/open/%C3%A9", "a key", 201),
+    ],
+)
+def test_what_no_http_request_can_say_is_refused_over_the_session_api_too(
+    tmp_path: Path, path: str, key: str, status: int
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            async with raw(rig, api.Hello()) as one:
+                await one.hear()
+                await one.say(api.Ask(1, path, offer(20_000, 1), key))
+                answer = await one.hear()
+                assert isinstance(answer, api.Answer)
+                assert answer.status == status
+            assert (await rig.watch()).status == 201
+
+    run(test)
+
+
+def test_a_number_that_only_one_subprotocol_can_say_is_no_message() -> None:
+    for number in (2**53, -(2**53), 10**400):
+        with pytest.raises(ValueError, match="int"):
+            api.Codec(api.JSON).read(b'{"type":"end","playback":"p","id":%d}' % number)
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "status"),
+    [
+        ("Location", "http://127.0.0.1:99999/s", 504),
+        ("Location", "//[", 504),
+        ("Location", "/sessions/\u00e9", 504),
+        ("Link", '<//[>; rel="urn:ietf:params:whep:ext:core:layer"', 201),
+        ("ETag", '"\u00e9"', 201),
+    ],
+)
+def test_a_nodes_odd_answer_costs_only_its_own_set_up(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, field: str, value: str, status: int
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            answered, odd = PlayoutNode._set_up, [True]
+
+            async def oddly(node: PlayoutNode, request: Request, front: str) -> Response:
+                response = await answered(node, request, front)
+                if odd and response.status == 201:
+                    odd.clear()
+                    response.headers = [(n, value if n == field else v) for n, v in response.headers]
+                return response
+
+            monkeypatch.setattr(PlayoutNode, "_set_up", oddly)
+            first = await rig.watch("/whep/course/t")
+            assert first.status == status
+            if status == 201:
+                gone = await rig.ask("DELETE", first.header("location") or "")
+                assert gone.status == 200
+            assert (await rig.watch("/whep/course/t")).status == 201
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [{"started_at_ms": 1e305}, {"drains_until_ms": -1e305}, {"address": "a..b"}, {"address": "\u00e9" * 80}],
+)
+def test_a_list_with_an_impossible_time_or_address_is_refused_whole(wrong: dict[str, object]) -> None:
+    particulars = {"name": "n", "cell": 0, "link_kb": 1.0, "places": 1.0} | wrong
+    place = {"address": particulars.pop("address", "127.0.0.1"), "port_value": 1}
+    line = {
+        "endpoint": {"address": {"socket_address": place}},
+        "metadata": {"filter_metadata": {"oakcroft": particulars}},
+    }
+    resources = [{"cluster_name": "c", "endpoints": [{"lb_endpoints": [line]}]}]
+    body = orjson.dumps({"version_info": "1", "resources": resources})
+    try:
+        lines, version, service = listing.parse(body)
+    except listing.BadList:
+        return
+    assert isinstance(Roster().take(lines, version, service, 0), Refused)
