Answer a key that comes again by its own playback, after the end of a paid one too

Seen, three faults of the memory of keys. A paid key that came again after its playback had ended, as a request that was long on its way does, was set up and paid a second time (rule 2), and so again after a restart of the front. The end of an earlier playback under a key, coming late, counted as the end of the later one, so the next repeat set up another beside it. And a free key that came again while the set-up that its viewer had left was still out put a second try of it out beside the first: the rule checker says '2: tries on n1 and n2 out at once'.

Ruled out: aborted and outstanding keys, which were answered again already. At fault: repeats.py turn, ended, left; helm.py _tried (only paid keys were settled when their viewer had gone); memory.py over (the promise was dropped).

Change: a paid answer is given again for keep-keys after its end (its session is then 404), after a restart as an abort; ended names whose end it is; a key stays at work until the end of its set-up is known, whatever the plan. A free viewer that left and comes back with its key hears 409 until its set-up ends.

--- a/oakcroft/decisions/repeats.py
+++ b/oakcroft/decisions/repeats.py
@@ -1,8 +1,9 @@
 """Requests that come again under the same Idempotency-Key (draft-ietf-httpapi-idempotency-key-header-07).
 
 A viewer whose connection broke does not know whether its playback runs. With its key it may ask again: while
-the first request is at work it is told so (409), an answer that bound the fleet is given again, and a request
-that ran nothing starts anew. A paid playback is so set up once however often its viewer asks.
+the first request is at work, its viewer gone or not, it is told so (409); an answer that bound the fleet is given
+again; and a request that ran nothing starts anew. A paid playback is so set up once however often its viewer asks, and
+its answer is given again after its end too: the session that it names is then 404.
 """
 
 from __future__ import annotations
@@ -58,7 +59,7 @@
             return Turn.REFUSE, Refusal.KEY_REUSED, None
         if known.final is None:
             return Turn.REFUSE, Refusal.OUTSTANDING, None
-        if known.final is Final.PLAYS and known.playing:
+        if known.final is Final.PLAYS and (known.playing or known.paid):
             return Turn.AGAIN, None, known.answer
         if known.final is Final.ABORTED and known.paid:
             known.given = True
@@ -82,18 +83,14 @@
             known.playing = final is Final.PLAYS
             self.known.move_to_end(key)
 
-    def ended(self, key: str, now: int) -> None:
-        """Its playback is over; a later request with the key is a new one."""
-        if known := self.known.get(key):
+    def ended(self, key: str, answer: object, now: int) -> None:
+        """The playback of this answer is over; a later request with the key of a free one is a new one. An earlier
+        playback under the same key, whose end comes late, ends nothing of the later one."""
+        known = self.known.get(key)
+        if known is not None and known.playing and known.answer is answer:
             known.playing, known.since = False, now
             self.known.move_to_end(key)
 
-    def left(self, key: str) -> None:
-        """Its viewer went before any answer. A free plan may start anew at once; for a paid one the key stays
-        at work until the set-up's end is known (`settled`), or a second one could be out beside the first."""
-        if (known := self.known.get(key)) and not known.paid:
-            del self.known[key]
-
     def recall(self, key: str, about: str, paid: bool, final: Final, answer: object, now: int) -> None:
         """An answer of an earlier life of this front."""
         if key not in self.known and (len(self.known) < self.most or self._make_room()):
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -320,8 +320,9 @@
             self.queue.leave(number)
             if not asked and v.ticket is not None:
                 self.helm.ledger.back(v.ticket)
-            if v.final is None:  # the viewer has gone
-                self.helm.repeats.left(v.key)
+            if (
+                v.final is None
+            ):  # the viewer has gone; its key stays at work until the end of its set-up is known
                 if asked:
                     self.helm.insist(partial(self.helm.left, v))
                 else:
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -433,7 +433,7 @@
         closed = pb.state is not State.SETTING_UP
         if self.memory is not None:
             self.memory.tried(v, end.outcome)
-        if closed and v.final is None and v.plan.plan.effect.value == "paid":
+        if closed and v.final is None:
             self._abort_unheard(v)
         self.log_.debug("try", playback=v.id, node=leg.name, outcome=end.outcome.value, cause=end.cause)
         self.controller.tried(pb, end.outcome, closed, end.load.asked, end.load.used, end.load.uplink, now)
@@ -588,7 +588,7 @@
                 self._forget(rest)
                 return
             v = rest if v.beside is not None else v
-        self.repeats.ended(v.key, self.clock.now())
+        self.repeats.ended(v.key, v, self.clock.now())
         self.hide(v, how)
         self._forget(v)
 
--- a/oakcroft/front/memory.py
+++ b/oakcroft/front/memory.py
@@ -166,9 +166,12 @@
             self.put(promise)
 
     def over(self, v: Viewing) -> None:
-        """A viewing's session has ended."""
-        if v.final is Final.PLAYS and (promise := self.promises.get(v.id)) is not None:
-            self.put(replace(promise, mark=Mark.GONE, changed=self.helm.clock.now()))
+        """A viewing's session has ended. The key of a plan that binds stays on record for as long as a viewer may come
+        with it again: after a restart it aborts, where it would be set up a second time."""
+        promise = self.promises.get(v.id)
+        if v.final is Final.PLAYS and promise is not None and promise.mark is Mark.PLAYS:
+            mark = Mark.ABORTED if promise.binds else Mark.GONE
+            self.put(replace(promise, mark=mark, answer="", changed=self.helm.clock.now()))
 
     def move_begins(self, v: Viewing, copy: Viewing) -> None:
         """A copy of a viewing may be set up from now on."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -16,11 +16,13 @@
 from oakcroft.config.compile import check, told
 from oakcroft.decisions.recovery import Phase
 from oakcroft.front.clock import Clock
+from oakcroft.front.helm import Helm
 from oakcroft.front.serve import Front
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.httpwire.message import Response
 from oakcroft.rehearsal.viewers import offer
-from oakcroft.signalling import sdp
+from oakcroft.rulecheck.rules import judge
+from oakcroft.signalling import sdp, words
 from oakcroft.standins.day import parse
 from oakcroft.standins.fleet import Fleet
 from oakcroft.standins.playout import PlayoutNode
@@ -99,6 +101,40 @@
         headers.setdefault("Content_Type", sdp.MEDIA_TYPE)
         return await self.ask("POST", path, offer(kbit, 1, path.startswith("/whip")).encode(), **headers)
 
+    async def viewer(
+        self,
+        key: str,
+        path: str = "/whep/open/t",
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> Response | None:
+        """A viewer with a key of its own, whose request and answer, or leaving, go on record."""
+        plan = path.split("/")[2]
+        wait = self.fleet.day.site.plans[plan].abandon
+        self.record.note("ask", key=key, plan=plan, front=0, wait=wait)
+        task_status.started()
+        response = None
+        try:
+            response = await self.watch(path, Idempotency_Key=f'"{key}"')
+            kind = words.problem_type(response.body) if response.status != 201 else ""
+            self.record.note("got", key=key, status=response.status, type=kind, extra=False)
+        except Ended:
+            self.record.note("cut", key=key)
+        except trio.Cancelled:
+            self.record.note("left", key=key)
+            raise
+        return response
+
+    def judged(self) -> None:
+        """All six rules held, by what passed on the sockets."""
+        self.record.out.flush()
+        facts = read_record(self.folder / "fleet.jsonl")
+        assert [f.breaches for f in judge(facts, self.fleet.day.site)] == [[]] * 6
+
+    def helm(self) -> Helm:
+        assert self.front is not None
+        assert self.front.helm is not None
+        return self.front.helm
+
     async def watch_quietly(self, path: str, headers: dict[str, Any]) -> None:
         """A request whose front may die under it."""
         with suppress(Ended, OSError):
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -12,6 +12,8 @@
 from oakcroft.client.retry import Retries
 from oakcroft.client.session import SessionClient
 from oakcroft.decisions.again import EVENTS, LIST, Again
+from oakcroft.decisions.answers import Final
+from oakcroft.decisions.repeats import Repeats, Turn
 from oakcroft.decisions.roster import Refused, Roster
 from oakcroft.front import listing
 from oakcroft.httpwire.message import Request, Response
@@ -20,7 +22,7 @@
 from oakcroft.signalling import session_api as api
 from oakcroft.standins.playout import PlayoutNode
 
-from rig import Rig, run, standing
+from rig import Rig, remembers, run, standing, start_front, until
 from test_sessions import raw
 
 
@@ -181,3 +183,63 @@
     except listing.BadList:
         return
     assert isinstance(Roster().take(lines, version, service, 0), Refused)
+
+
+# A key that comes again, in each state.
+
+
+def test_the_end_of_an_earlier_playback_ends_nothing_of_a_later_one_under_its_key() -> None:
+    repeats, first, later = Repeats(10, 60 * SECOND), object(), object()
+    repeats.begin("k", "a", False, 0)
+    repeats.settled("k", Final.ABORTED, first, 1)  # its answer was due; its set-up comes back late
+    repeats.begin("k", "a", False, 2)
+    repeats.settled("k", Final.PLAYS, later, 3)
+    repeats.ended("k", first, 4)
+    assert repeats.turn("k", "a", 5) == (Turn.AGAIN, None, later)
+
+
+def test_a_paid_key_is_answered_the_same_after_its_playback_has_ended(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, state=True) as rig:
+            await remembers(rig)
+            first = await rig.viewer("k", "/whep/course/t")
+            assert first is not None
+            here = first.header("location") or ""
+            assert (await rig.ask("DELETE", here)).status == 200
+            await until(lambda: not rig.helm().viewings)
+            again = await rig.watch("/whep/course/t", Idempotency_Key='"k"')
+            assert (again.status, again.header("location"), again.body) == (201, here, first.body)
+            assert (await rig.ask("DELETE", here)).status == 404
+            rig.stop.set()
+            await rig.ended.wait()
+            async with trio.open_nursery() as nursery:
+                await start_front(nursery, rig, state=True)
+                await remembers(rig)
+                later = await rig.watch("/whep/course/t", Idempotency_Key='"k"')
+                assert (later.status, orjson.loads(later.body)["retry"]) == (504, False)
+                nursery.cancel_scope.cancel()
+            assert len(rig.facts("ran")) == 1
+            rig.judged()
+
+    run(test)
+
+
+def test_a_free_key_waits_for_the_end_of_the_set_up_that_its_viewer_left(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            for node in rig.fleet.nodes.values():
+                node.ails.hung = True
+            async with trio.open_nursery() as nursery:
+                await nursery.start(rig.viewer, "k")
+                await until(lambda: rig.facts("setup"))
+                nursery.cancel_scope.cancel()
+            again = await rig.watch(Idempotency_Key='"k"')
+            assert again.status == 409
+            for node in rig.fleet.nodes.values():
+                node.ails.hung = False
+                node.stir()
+            await until(lambda: not rig.helm().viewings)
+            assert (await rig.watch(Idempotency_Key='"k"')).status == 201
+            rig.judged()
+
+    run(test)
