Begin no paid request whose key finds no place in a full memory of keys

Ruled out: free requests, which a repeat may set up again. At fault: core.py _answered, which did not look at what begin says, and repeats.py _make_room.

Change: such a paid request is rejected as busy before anything is sent; only keys that bind nothing make room. Before: the repeat is set up a second time; after: 503 busy, or the first answer.

--- a/oakcroft/decisions/repeats.py
+++ b/oakcroft/decisions/repeats.py
@@ -39,9 +39,9 @@
 class Repeats:
     """The keys of one front, a bounded number of them, oldest forgotten first.
 
-    When all places are taken, the oldest key with an answer and no running playback goes; a key at work or
-    playing is never forgotten, and where only such are left the new one is not remembered (`begin` says so):
-    it is served all the same, for a full memory must not turn viewers away.
+    When all places are taken, the oldest key goes that binds nothing: it has an answer, no running playback, and is not
+    of a paid one that may have run. Where only others are left the new one is not remembered (`begin` says so): a free
+    request is served all the same, for a full memory must not turn viewers away; a paid one must not be begun.
     """
 
     def __init__(self, most: int, keep: int) -> None:
@@ -120,7 +120,8 @@
 
     def _make_room(self) -> bool:
         for key, known in self.known.items():
-            if known.final is not None and not known.playing:
+            binds = known.paid and known.final is not Final.REJECTED
+            if known.final is not None and not known.playing and not binds:
                 del self.known[key]
                 return True
         return False
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -286,7 +286,11 @@
         """Lets a request through the line to the module and waits for its answer."""
         paid = v.plan.plan.effect.value == "paid"
         self.queue.enter(number, self.clock.now())
-        self.helm.repeats.begin(v.key, about, paid, self.clock.now())
+        if not self.helm.repeats.begin(v.key, about, paid, self.clock.now()) and paid:
+            self.queue.leave(number)  # unremembered, a repeat of it would be set up again
+            if v.ticket is not None:
+                self.helm.ledger.back(v.ticket)
+            return REFUSALS[Refusal.BUSY], True
         if v.publishes:
             self.publishing[v.pb.title.name] = v
         self.helm.unanswered += 1
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -198,6 +198,23 @@
     assert repeats.turn("k", "a", 5) == (Turn.AGAIN, None, later)
 
 
+def test_a_full_memory_of_keys_begins_no_paid_request_that_it_could_not_know_again(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            rig.helm().repeats.most = 1
+            assert (await rig.watch("/whep/course/t")).status == 201
+            assert (await rig.watch("/whep/open/t")).status == 201
+            assert (await rig.watch("/whep/course/u")).status == 503
+            assert len(rig.facts("setup")) == 2
+
+    run(test)
+    repeats = Repeats(1, 60 * SECOND)
+    repeats.begin("paid", "", True, 0)
+    repeats.settled("paid", Final.ABORTED, None, 1)
+    assert not repeats.begin("other", "", False, 2)
+    assert repeats.turn("paid", "", 3)[0] is Turn.AGAIN
+
+
 def test_a_paid_key_is_answered_the_same_after_its_playback_has_ended(tmp_path: Path) -> None:
     async def test() -> None:
         async with standing(tmp_path, state=True) as rig:
