Set nothing up for a viewer that left before the module was asked

Seen: a viewer that went while its request waited in the channel to the module was placed all the same, a paid one too, and left directly after: its plan was charged for a playback that nobody had asked to see any more.

Ruled out: the line before the channel, which drops it. At fault: helm.py arrived, which looked for a final answer only, and there is none where the viewer has gone. Change: it looks whether anybody waits. Before: one set-up sent; after: none, and the key starts anew.

--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -277,9 +277,13 @@
 
     def arrived(self, v: Viewing) -> None:
         """The module is asked."""
-        if v.final is not None:
+        if (
+            v.final is not None or v.answered.is_set()
+        ):  # its viewer left while the event waited: nothing is set up
+            if v.settle(Final.REJECTED):
+                self.repeats.settled(v.key, Final.REJECTED, v, self.clock.now())
             self._free(v)
-            return  # its viewer left while the event waited
+            return
         self.viewings[v.pb] = v
         if v.catalogue != self.catalogue.number:  # another version has come into force since it was read
             top = self.title_top(v.pb.title.name, v.asked_top, v.pb.plan.floor)
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 
@@ -260,3 +261,24 @@
             rig.judged()
 
     run(test)
+
+
+def test_nothing_is_set_up_for_a_viewer_that_left_before_the_module_was_asked(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            helm = rig.helm()
+            offered, waits = helm.offer, list[Callable[[], None]]()
+            helm.offer = lambda event: not waits.append(event)  # type: ignore[method-assign,func-returns-value]
+            async with trio.open_nursery() as nursery:
+                await nursery.start(rig.viewer, "k", "/whep/course/t")
+                await until(lambda: waits)
+                nursery.cancel_scope.cancel()
+            await until(lambda: len(waits) > 1)
+            helm.offer = offered  # type: ignore[method-assign]
+            for event in waits:
+                await helm.tell(event)
+            assert (await rig.watch("/whep/course/t", Idempotency_Key='"k"')).status == 201
+            assert len(rig.facts("setup")) == 1
+            rig.judged()
+
+    run(test)
