Keep a playback whose answer was cut on its way for the key that asks again

Seen: where the viewer's connection broke under its 201, its playback was ended at once.

Ruled out: requests without a key, which nobody can name again (ended as before), and connections that break before the answer, where the set-up is left. At fault: helm.py unsent.

Change: a keyed one is kept for ten seconds, then ended; a repeat in that time gets the same answer, and where that is cut as well the ten seconds run again. Before: the repeat gets another session or an abort; after: the same Location, one set-up, and after ten seconds without a word nothing is left.

--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -263,7 +263,7 @@
         v = self.helm.viewing(ask.path, title, plan, publishes, key, ask.offer, sdp.ufrag(offer), top, wait)
         if v is None or not self.queue.has_room():
             return REFUSALS[Refusal.BUSY], True
-        v.seated = ask.seated
+        v.seated, v.keyed = ask.seated, ask.key is not None
         v.token, v.about, v.asked_top, v.catalogue = who, about, max(asked_top, plan.plan.floor), version
         if self.helm.memory is not None and (reply := self.helm.memory.refusal(v)) is not None:
             return reply, True
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -64,6 +64,7 @@
 AT_ONCE = 0.005  # seconds of events between two turns of the other tasks
 MOST_TITLES = 50_000
 MOST_KEYS = 100_000
+UNHEARD = 10.0  # seconds for which a playback is kept whose viewer did not get its answer and may ask again
 Event = Callable[[], None]
 
 
@@ -609,8 +610,19 @@
         v.readers.clear()
 
     def unsent(self, v: Viewing) -> None:
-        """The viewer's connection broke under its answer, so nobody holds the session's name."""
-        self.insist(partial(self.end, v))
+        """The viewer's connection broke under its answer, so nobody holds the session's name. One that chose its key
+        may ask again and gets the same: it has `UNHEARD` seconds for that, as a paid one would not be set up again. Harm:
+        the playback of a viewer that does not come holds its place for that long."""
+        if not v.keyed:
+            self.insist(partial(self.end, v))
+        elif not v.unheard:
+            v.unheard = True
+            self.nursery.start_soon(self._unheard, v)
+
+    async def _unheard(self, v: Viewing) -> None:
+        await trio.sleep(UNHEARD)
+        if v.unheard:
+            await self.tell(partial(self.end, v))
 
     # Answers, readers, and forgetting.
 
--- a/oakcroft/front/sockets.py
+++ b/oakcroft/front/sockets.py
@@ -320,6 +320,7 @@
         """A playback belongs to the seat now; whether it did not before."""
         if v.id in holder.playbacks:
             return False
+        v.unheard = False
         holder.playbacks[v.id] = v
         holder.tops[v.id] = v.pb.top
         reader = holder.readers[v.id] = self.core.reader(v, KINDS)
--- a/oakcroft/front/viewers.py
+++ b/oakcroft/front/viewers.py
@@ -165,7 +165,8 @@
             events = words.link(f"{here}/events", words.REL_EVENTS, events=",".join(READER_KINDS))
             headers += [("Link", events), ("Link", words.link(f"{here}/layer", words.REL_LAYER))]
         headers.append(("Accept-Patch", SDPFRAG))
-        lost = partial(self.helm.unsent, v) if first else None
+        lost = partial(self.helm.unsent, v) if first or v.unheard else None
+        v.unheard = False
         return Response(201, headers, v.upstream.answer.encode(), unsent=lost)
 
     async def _session(self, request: Request) -> Response:
--- a/oakcroft/front/viewing.py
+++ b/oakcroft/front/viewing.py
@@ -63,6 +63,8 @@
     seated: bool = False  # it belongs to a seat of the session API
     asked_top: int = 1 << 30  # its highest rung but for what its title has
     catalogue: int = 0  # the version of the catalogue under which its last set-up left
+    keyed: bool = False  # its viewer chose its key, and so can ask for it again
+    unheard: bool = False  # its answer could not be written whole, and has not been asked for again
     about: str = ""  # a digest of what was asked, by which a repeated request is known
 
     def settle(self, final: Final, reply: Reply | None = None) -> bool:
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -263,6 +263,29 @@
     run(test)
 
 
+@pytest.mark.parametrize("plan", ["course", "open"])
+def test_an_answer_cut_on_its_way_is_given_to_the_key_that_comes_again_or_ends(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, plan: str
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            helm, path = rig.helm(), f"/whep/{plan}/t"
+            first = await rig.watch(path, Idempotency_Key='"k"')
+            v = helm.sessions[(first.header("location") or "").rpartition("/")[2]]
+            helm.unsent(v)  # as where its connection broke while the answer was written
+            assert (await rig.watch(path, Idempotency_Key='"k"')).header("location") == first.header(
+                "location"
+            )
+            assert not v.unheard
+            monkeypatch.setattr("oakcroft.front.helm.UNHEARD", 0.05)
+            helm.unsent(v)
+            await until(lambda: not helm.viewings)
+            assert len(rig.facts("ran")) == 1
+            rig.judged()
+
+    run(test)
+
+
 def test_nothing_is_set_up_for_a_viewer_that_left_before_the_module_was_asked(tmp_path: Path) -> None:
     async def test() -> None:
         async with standing(tmp_path) as rig:
