Let a playback belong to the one seat that asked for it last, and give all of it back

Seen: a client that lost its pass and asked again under its key had its playback in two seats; fifteen seconds later the first one ran out and ended the playback that was being watched. Its sixth repeat in that time was refused with 409, as four readers stood, though its request was answered; the refusal left the playback in the seat uncounted, so its later end made the count negative. Where the node told of the end before its answer came, the seat's reader was put on a session that had ended: it waited for ever and kept its place. And each playback that a client ended left an entry in the seat's tops: a wall that plays for months keeps them all.

Ruled out: resumption by pass, which moves the seat whole. At fault: sockets.py _plays, _gone, _forward; core.py reader.

Change: the later seat takes the playback over and the earlier hears so; a seat's reader is not one of the four; a reader of what has ended hears the end and is closed; one function gives back playback, reader, top and count.

--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -32,6 +32,7 @@
 from oakcroft.front.reducing import Reducing
 from oakcroft.front.siding import Siding
 from oakcroft.front.viewing import Reader, Viewing
+from oakcroft.interface import Outcome
 from oakcroft.signalling import sdp, words
 
 READER_KINDS = ("active", "inactive", "layers", "move")
@@ -403,9 +404,10 @@
             raise Faulty(422, "layer", "No such layer in this plan", f"rungs {plan.floor} to {plan.top}")
         await self.helm.tell(partial(self.helm.wished, v, rung))
 
-    def reader(self, v: Viewing, kinds: frozenset[str]) -> Reader:
-        """A reader of a session's events, which begins with the present state. Faulty 409 for one too many."""
-        if len(v.readers) >= MOST_READERS:
+    def reader(self, v: Viewing, kinds: frozenset[str], seat: bool = False) -> Reader:
+        """A reader of a session's events, which begins with the present state; of one that has ended it hears just that.
+        Faulty 409 for one too many; that of a `seat` is not counted, or a repeated request would find no answer."""
+        if len(v.readers) >= MOST_READERS and not seat:
             raise Faulty(409, "events", f"{MOST_READERS} streams of this session are open")
         send, receive = trio.open_memory_channel[tuple[str, dict[str, str]]](self.door.bounds.event_backlog)
         reader = Reader(kinds, send, receive)
@@ -426,6 +428,10 @@
 
     async def move(self, v: Viewing, text: str, key: str, prefer: list[str]) -> tuple[str, str] | Reply:
         """A player that was told to move makes a new offer: the target's answer and tag, or that it stays."""
+        if v.id not in self.helm.sessions:
+            send.send_nowait(("inactive", {"why": Outcome.RESET.value}))
+            send.close()
+            return reader
         self._check_key(key)
         offer = self.parse(text)
         self._check(offer, v.publishes)
--- a/oakcroft/front/sockets.py
+++ b/oakcroft/front/sockets.py
@@ -121,15 +121,20 @@
             await self._gone(holder, v)
 
     async def _gone(self, holder: Holder, v: Viewing) -> None:
-        if holder.playbacks.pop(v.id, None) is None:
+        if not self._let_go(holder, v):
             return
-        holder.client.playbacks -= 1
-        reader = holder.readers.pop(v.id, None)
-        if reader is not None:
-            self.core.unread(v, reader)
         with suppress(Faulty):  # it has ended by itself
             await self.core.end(v)
 
+    def _let_go(self, holder: Holder, v: Viewing) -> bool:
+        """A playback is this seat's no more; False where it was not."""
+        if holder.playbacks.pop(v.id, None) is None:
+            return False
+        holder.client.playbacks -= 1
+        holder.tops.pop(v.id, None)
+        self.core.unread(v, holder.readers.pop(v.id))
+        return True
+
     def put(self, holder: Holder, make: Make) -> None:
         """Something that the client must hear. `make`: the message by its number."""
         number = holder.seat.outbox.next_number
@@ -321,9 +326,13 @@
         if v.id in holder.playbacks:
             return False
         v.unheard = False
+        for other in self.holders.values():  # it belongs to one seat: that which asked for it last
+            if other.playbacks.get(v.id) is v:
+                self._let_go(other, v)
+                self.put(other, partial(_event, v.id, "inactive", {"why": "another seat has asked for it"}))
         holder.playbacks[v.id] = v
         holder.tops[v.id] = v.pb.top
-        reader = holder.readers[v.id] = self.core.reader(v, KINDS)
+        reader = holder.readers[v.id] = self.core.reader(v, KINDS, seat=True)
         self.nursery.start_soon(self._forward, holder, v, reader)
         return True
 
@@ -332,10 +341,8 @@
         with holder.task(), suppress(trio.ClosedResourceError):  # closed where the client itself has ended it
             async for kind, data in reader.receive:
                 self.put(holder, partial(_event, v.id, kind, data))
-        if holder.playbacks.pop(v.id, None) is not None:
-            holder.client.playbacks -= 1
-            holder.readers.pop(v.id, None)
-            holder.tops.pop(v.id, None)
+        if holder.readers.get(v.id) is reader:
+            self._let_go(holder, v)
 
     async def _do(self, holder: Holder, m: api.FromClient, number: int) -> None:
         v = self._own(holder, getattr(m, "playback", ""))
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 from pathlib import Path
 from random import Random
 
@@ -14,9 +15,11 @@
 from oakcroft.client.session import SessionClient
 from oakcroft.decisions.again import EVENTS, LIST, Again
 from oakcroft.decisions.answers import Final
+from oakcroft.decisions.claims import Claims
 from oakcroft.decisions.repeats import Repeats, Turn
 from oakcroft.decisions.roster import Refused, Roster
 from oakcroft.front import listing
+from oakcroft.front.core import MOST_READERS
 from oakcroft.httpwire.message import Request, Response
 from oakcroft.interface import SECOND
 from oakcroft.rehearsal.viewers import offer
@@ -24,7 +27,7 @@
 from oakcroft.standins.playout import PlayoutNode
 
 from rig import Rig, remembers, run, standing, start_front, until
-from test_sessions import raw
+from test_sessions import Raw, parts, raw
 
 
 # What goes on for months.
@@ -305,3 +308,71 @@
             rig.judged()
 
     run(test)
+
+
+async def plays(one: Raw, key: str, id_: int = 1, path: str = "/whep/open/t") -> api.Answer:
+    """The answer to a request over the session API."""
+    await one.say(api.Ask(id_, path, offer(20_000, 1), key))
+    while not isinstance(answer := await one.hear(), api.Answer):
+        pass
+    return answer
+
+
+def test_a_playback_belongs_to_the_seat_that_asked_for_it_last(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig, AsyncExitStack() as stack:
+            _, seats = parts(rig)
+            first = None
+            for _ in range(MOST_READERS + 2):  # each a new seat, as of a client that lost its pass
+                one = await stack.enter_async_context(raw(rig, api.Hello()))
+                await one.hear()
+                answer = await plays(one, "k")
+                assert answer.status == 201
+                first = first or answer.playback
+                assert answer.playback == first
+            *earlier, last = seats.holders.values()
+            assert [len(h.playbacks) + len(h.readers) + len(h.tops) for h in earlier] == [0] * (
+                MOST_READERS + 1
+            )
+            assert [h.client.playbacks for h in seats.holders.values()] == [0] * (MOST_READERS + 1) + [1]
+            for holder in earlier:
+                await seats.end(holder)
+            again = await plays(one, "k", 2)
+            assert (again.playback, again.answer, again.again) == (first, answer.answer, True)
+            await one.say(api.End(first or "", 3))
+            await until(lambda: not rig.helm().viewings)
+            assert [len(last.playbacks), len(last.readers), len(last.tops), last.client.playbacks] == [0] * 4
+            rig.judged()
+
+    run(test)
+
+
+def test_a_playback_that_ended_under_its_answer_leaves_its_seat(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig, raw(rig, api.Hello()) as one:
+            _, seats = parts(rig)
+            await one.hear()
+            monkeypatch.setattr(Claims, "claim", lambda *_: False)  # the node's word of the end came first
+            answer = await plays(one, "k")
+            assert answer.status == 201
+            event = await one.hear()
+            assert isinstance(event, api.Event)
+            assert (event.playback, event.kind) == (answer.playback, "inactive")
+            (holder,) = seats.holders.values()
+            await until(
+                lambda: not (holder.playbacks or holder.readers or holder.tops or holder.client.playbacks)
+            )
+
+    run(test)
+
+
+LATE_CALLS = [
+    ("PATCH", ""),
+    ("DELETE", ""),
+    ("POST", "/layer"),
+    ("GET", "/events"),
+    ("POST", "/move"),
+    ("POST", "/move/done"),
+]
