Let every repeat of an answered request in, and answer late calls on a session with 404

Seen: under a crowd a repeat of a request already answered was turned away unread, or before its key was looked at (shedding); one over the session API by the seat's own limits (429); and one whose route a new configuration had dropped got 404, though its playback played. After a DELETE and until the node confirmed it, POST to layer got 200 and did nothing, GET events opened a stream, POST move and move/done spoke of a move that could not be; over the session API the same.

Ruled out: limits (429), levels, doors' queue, the record and the stop, which come after the keys. At fault: core.py ask (order of the checks), viewers.py shed, clients.py asks_for; core.py session, layer, move, moved.

Change: the keys are asked first, and each door lets through what Repeats.answered knows; one check of the resource stands before every call.

--- a/oakcroft/decisions/clients.py
+++ b/oakcroft/decisions/clients.py
@@ -65,11 +65,11 @@
         self.pace.level -= 1.0
         return Word.PASS
 
-    def asks_for(self) -> Word:
-        """It asks for a playback."""
-        if self.asks >= self.allowance.asks:
+    def asks_for(self, repeat: bool = False) -> Word:
+        """It asks for a playback. A `repeat` of what is answered already is never turned away."""
+        if not repeat and self.asks >= self.allowance.asks:
             return Word.TOO_MANY_ASKS
-        if self.asks + self.playbacks >= self.allowance.playbacks:
+        if not repeat and self.asks + self.playbacks >= self.allowance.playbacks:
             return Word.TOO_MANY_PLAYBACKS
         self.asks += 1
         return Word.PASS
--- a/oakcroft/decisions/repeats.py
+++ b/oakcroft/decisions/repeats.py
@@ -59,13 +59,23 @@
             return Turn.REFUSE, Refusal.KEY_REUSED, None
         if known.final is None:
             return Turn.REFUSE, Refusal.OUTSTANDING, None
-        if known.final is Final.PLAYS and (known.playing or known.paid):
+        if self._again(known):
+            known.given = known.given or known.final is Final.ABORTED
             return Turn.AGAIN, None, known.answer
-        if known.final is Final.ABORTED and known.paid:
-            known.given = True
-            return Turn.AGAIN, None, known.answer  # what may have run must not run again
         return Turn.NEW, None, None
 
+    def answered(self, key: str) -> bool:
+        """Whether an answer is remembered that a request with this key gets again."""
+        known = self.known.get(key)
+        return known is not None and self._again(known)
+
+    @staticmethod
+    def _again(known: Known) -> bool:
+        """What plays, and what may have run of a paid plan, must not run again."""
+        return (known.final is Final.PLAYS and (known.playing or known.paid)) or (
+            known.final is Final.ABORTED and known.paid
+        )
+
     def begin(self, key: str, about: str, paid: bool, now: int) -> bool:
         """A request with this key has become a playback; False where there is no place to remember it."""
         self._forget(now)
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -217,22 +217,28 @@
             raise Faulty(403, "claim", "This token does not give access to this title")
         raise Faulty(404, "no-route", "Nothing is served at this path")
 
+    def repeated(self, key: str | None, token: Token | None) -> bool:
+        """Whether a request with this key of this client has its answer: it is let in at every door, for it binds nobody
+        any more and gets that answer again."""
+        return key is not None and self.helm.repeats.answered(self._own(key, token))
+
+    @staticmethod
+    def _own(key: str, token: Token | None) -> str:
+        return f"{token.name}/{key}" if token else key  # one client's key is no other's
+
     async def ask(self, ask: Ask) -> tuple[Viewing | Reply, bool]:
         """The one answer to a request: the viewing with its `final`, or a refusal before it became a playback; and
         whether it is given for the first time. Faulty where the request itself is wrong. A caller that is cancelled
         has left."""
         site = self.helm.site  # the version under which this request is decided, from here to its answer
         title = unquote(ask.path.rpartition("/")[2], errors="replace")
-        if self.sheds(ask.path):  # before anything is parsed: under a crowd, reading requests is what costs
+        if not self.repeated(ask.key, ask.token) and self.sheds(
+            ask.path
+        ):  # before anything is parsed: under a crowd, reading requests is what costs
             return REFUSALS[Refusal.BUSY], True
         self._check_key(ask.key)
-        offer = self.parse(ask.offer)
-        route = self._route(site, ask, offer, title)
-        publishes = route.match.side is Side.PUBLISH
-        self._check(offer, publishes)
-        now, plan, who = self.clock.now(), site.plans[route.plan], ask.token.name if ask.token else ""
-        key = ask.key if ask.key is not None else secrets.token_urlsafe(15)
-        key = f"{who}/{key}" if who else key  # one client's key is no other's
+        now, who = self.clock.now(), ask.token.name if ask.token else ""
+        key = self._own(ask.key if ask.key is not None else secrets.token_urlsafe(15), ask.token)
         about = hashlib.blake2b(f"{ask.path}\0{ask.offer}".encode(), digest_size=16).hexdigest()
         turn, refusal, earlier = self.helm.repeats.turn(key, about, now)
         if turn is Turn.REFUSE and refusal is not None:
@@ -241,6 +247,10 @@
             if self.helm.memory is not None:
                 self.helm.memory.claimed(earlier)
             return earlier, False
+        offer = self.parse(ask.offer)
+        route = self._route(site, ask, offer, title)
+        publishes, plan = route.match.side is Side.PUBLISH, site.plans[route.plan]
+        self._check(offer, publishes)
         if not self.stopping.takes_new():
             return REFUSALS[Refusal.DRAINING], True
         other = self.publishing.get(title) if publishes else None
@@ -347,8 +357,14 @@
             raise Faulty(404, "no-session", "No such session")
         if token is not None and v.token and token.name != v.token:
             raise Faulty(403, "claim", "This session is another client's")
+        self._stands(v)
         return v
 
+    def _stands(self, v: Viewing) -> None:
+        """Faulty 404 for a session that has ended, or is being ended."""
+        if v.resource is None or v.resource.gone() or v.id not in self.helm.sessions:
+            raise Faulty(404, "no-session", "No such session")
+
     @staticmethod
     def _said(said: Said) -> Faulty:
         return Faulty(said.status, said.kind.rpartition(":")[2], said.title)
@@ -398,6 +414,7 @@
 
     async def layer(self, v: Viewing, wish: str) -> None:
         """The viewer names the rung that it takes at most; under it the module goes on choosing."""
+        self._stands(v)
         plan = v.pb.plan
         rung = ladder.rung_wished(wish, plan.floor, plan.top)
         if rung is None:
@@ -411,6 +428,10 @@
             raise Faulty(409, "events", f"{MOST_READERS} streams of this session are open")
         send, receive = trio.open_memory_channel[tuple[str, dict[str, str]]](self.door.bounds.event_backlog)
         reader = Reader(kinds, send, receive)
+        if v.id not in self.helm.sessions:
+            send.send_nowait(("inactive", {"why": Outcome.RESET.value}))
+            send.close()
+            return reader
         v.readers.append(reader)
         if "active" in kinds:
             send.send_nowait(("active", {}))
@@ -428,10 +449,7 @@
 
     async def move(self, v: Viewing, text: str, key: str, prefer: list[str]) -> tuple[str, str] | Reply:
         """A player that was told to move makes a new offer: the target's answer and tag, or that it stays."""
-        if v.id not in self.helm.sessions:
-            send.send_nowait(("inactive", {"why": Outcome.RESET.value}))
-            send.close()
-            return reader
+        self._stands(v)
         self._check_key(key)
         offer = self.parse(text)
         self._check(offer, v.publishes)
@@ -459,6 +477,7 @@
 
     async def moved(self, v: Viewing) -> None:
         """The player plays from the target."""
+        self._stands(v)
         move = self.helm.moves.moves.get(v.id)
         if move is not None:
             await self.helm.tell(partial(self.helm.moves.happens, move, Happening.CONFIRMED))
--- a/oakcroft/front/sockets.py
+++ b/oakcroft/front/sockets.py
@@ -298,7 +298,7 @@
                 )
 
     async def _ask(self, holder: Holder, m: api.Ask, read_at: int) -> None:
-        word = holder.client.asks_for()
+        word = holder.client.asks_for(self.core.repeated(m.key or None, holder.token))
         if word is not Word.PASS:
             self.put(holder, partial(_refused, m.id, 429, "urn:oakcroft:problem:client", word.value))
             return
--- a/oakcroft/front/viewers.py
+++ b/oakcroft/front/viewers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import secrets
 from collections.abc import AsyncIterator, Awaitable, Callable
 from functools import partial
@@ -24,6 +25,8 @@
     "": "OPTIONS, PATCH, DELETE", "layer": "OPTIONS, POST", "events": "OPTIONS, GET, POST", "move": "OPTIONS, POST",
     "move/done": "OPTIONS, POST",
 }  # fmt: skip
+KEY_LINE = re.compile(rb"\r\nidempotency-key:([^\r\n]*)\r\n", re.IGNORECASE)
+BEARER_LINE = re.compile(rb"\r\nauthorization:[ \t]*bearer ([^\r\n]*)\r\n", re.IGNORECASE)
 ENDPOINT = "OPTIONS, POST"
 ALLOWED = "Authorization, Content-Type, If-Match, Idempotency-Key, Prefer"
 
@@ -69,7 +72,19 @@
     def shed(self, data: bytes) -> bytes | None:
         """What a whole request gets that the line has no place for; None where it is to be read."""
         target = data[5 : data.find(b" ", 5)].decode("latin-1").partition("?")[0]
-        return self.busy if self.core.sheds(target) else None
+        return self.busy if not self._repeated(data) and self.core.sheds(target) else None
+
+    def _repeated(self, data: bytes) -> bool:
+        """Whether a whole request, unread, has a key whose answer stands; any doubt is False."""
+        head = data[: data.find(b"\r\n\r\n") + 2]
+        key, bearer_ = KEY_LINE.search(head), BEARER_LINE.search(head)
+        if key is None:
+            return False
+        try:
+            token = self.core.token(bearer_[1].decode("latin-1") if bearer_ else None)
+        except Faulty:
+            return False
+        return self.core.repeated(words.idempotency_key(key[1].decode("latin-1")), token)
 
     async def handle(self, request: Request) -> Response:
         """The answer to one request, whatever it is."""
@@ -98,6 +113,8 @@
             return Response(200, headers, TRY.read_bytes())
         if request.path.startswith("/session/"):
             return await self._session(request)
+        if request.method == "POST" and self._answered(request):
+            return await self._post(request)  # whatever is served here by now
         self.core.served(request.path)
         if request.method == "OPTIONS":
             return self._options(ENDPOINT, [("Accept-Post", sdp.MEDIA_TYPE)])
@@ -137,6 +154,12 @@
             raise Faulty(400, "key", "Idempotency-Key holds a quoted string")
         return key
 
+    def _answered(self, request: Request) -> bool:
+        key = request.header("idempotency-key")
+        return key is not None and self.core.repeated(
+            words.idempotency_key(key), self.core.token(bearer(request))
+        )
+
     async def _post(self, request: Request) -> Response:
         token = self.core.token(bearer(request))
         written = self.helm.stillness.written_at(request.read_at, request.idle_before)
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -16,6 +16,7 @@
 from oakcroft.decisions.again import EVENTS, LIST, Again
 from oakcroft.decisions.answers import Final
 from oakcroft.decisions.claims import Claims
+from oakcroft.decisions.resource import SDPFRAG
 from oakcroft.decisions.repeats import Repeats, Turn
 from oakcroft.decisions.roster import Refused, Roster
 from oakcroft.front import listing
@@ -23,6 +24,7 @@
 from oakcroft.httpwire.message import Request, Response
 from oakcroft.interface import SECOND
 from oakcroft.rehearsal.viewers import offer
+from oakcroft.signalling import sdp
 from oakcroft.signalling import session_api as api
 from oakcroft.standins.playout import PlayoutNode
 
@@ -368,6 +370,27 @@
     run(test)
 
 
+def test_a_repeat_of_an_answered_request_is_let_in_at_every_door(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig, raw(rig, api.Hello()) as one:
+            core = rig.front.core if rig.front else None
+            assert core is not None
+            await one.hear()
+            over_seat = await plays(one, "seat")
+            paid = await rig.watch("/whep/course/t", Idempotency_Key='"paid"')
+            core.sheds = lambda path: True  # type: ignore[method-assign]
+            for holder in parts(rig)[1].holders.values():
+                holder.client.asks = holder.client.allowance.asks
+            core.helm.site.table.plans.clear()
+            assert (await rig.watch()).status == 503
+            assert (await plays(one, "other", 2)).status == 429
+            assert (await plays(one, "seat", 3)).playback == over_seat.playback
+            again = await rig.watch("/whep/course/t", Idempotency_Key='"paid"')
+            assert (again.status, again.header("location")) == (201, paid.header("location"))
+
+    run(test)
+
+
 LATE_CALLS = [
     ("PATCH", ""),
     ("DELETE", ""),
@@ -376,3 +399,35 @@
     ("POST", "/move"),
     ("POST", "/move/done"),
 ]
+
+
+@pytest.mark.parametrize("ended", ["ending", "ended"])
+def test_every_call_on_a_session_that_has_ended_gets_404(tmp_path: Path, ended: str) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig, raw(rig, api.Hello()) as one:
+            await one.hear()
+            seat = await plays(one, "k")
+            here = (await rig.watch()).header("location") or ""
+            for node in rig.playing():
+                node.ails.silent = ended == "ending"  # the farewell finds no answer yet
+            for name in (here, f"/session/{seat.playback}"):
+                assert (await rig.ask("DELETE", name)).status == 200
+            if ended == "ended":
+                await until(lambda: not rig.helm().viewings)
+            for method, part in LATE_CALLS:
+                body = offer(20_000, 1).encode() if part == "/move" else b'{"encodingId": "0"}'
+                kind = {"": SDPFRAG, "/move": sdp.MEDIA_TYPE}.get(part, "application/json")
+                late = await rig.ask(method, here + part, body, Content_Type=kind, If_Match="*")
+                assert late.status == 404, (method, part)
+            for n, call in enumerate([api.Layer(seat.playback, 0, 7), api.Pause(seat.playback, 8),
+                                      api.MoveDone(seat.playback, 9), api.End(seat.playback, 10)]):  # fmt: skip
+                await one.say(call)
+                while not isinstance(done := await one.hear(), api.Done):
+                    pass
+                assert (done.id, done.status) == (7 + n, 200 if done.id == 10 and ended == "ending" else 404)
+            for node in rig.fleet.nodes.values():
+                node.ails.silent = False
+                node.stir()
+            await until(lambda: not rig.helm().viewings)
+
+    run(test)
