Close the leg to a node that is gone or has moved, with its watch and its late answers

Seen: the watch of a node's event stream never ended, so a leg that was ever watched was never dropped: each machine that is replaced under a new name, and each that comes back on a new address, left one leg, one task and its connections for the rest of the front's life; the old watch went on telling of the new node by its name. A set-up that came back from the old address was claimed on the new one, whose first word ended it again, while the old process kept a session and a place for nobody; a paid one was so answered 201 and lost. And entries by node name stayed in the record's grudges, the knocks of the wings and the trends of fading nodes.

Ruled out: the roster, which forgets a node a minute after its last list. At fault: helm.py look_after (not leg.watched), _new_leg and _try (the leg looked up again after the try); nodeleg.py watch; memory.py kept, siding.py knocked, moves.py shared.

Change: a leg has a scope of its own and is closed when it is dropped; a try keeps its leg, and what a replaced process answers is ended there and counts as may have run.

--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -9,6 +9,7 @@
 
 import secrets
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Protocol
@@ -210,9 +211,9 @@
                 for session in leg.claims.orphans(now):
                     self.log_.info("orphan ended", node=leg.name)
                     self.nursery.start_soon(leg.farewell, session)
-                if leg.name not in self.roster.nodes and not leg.claims.mine and not leg.watched:
-                    await leg.peer.close()
+                if leg.name not in self.roster.nodes and not leg.claims.mine:
                     del self.legs[leg.name]
+                    await leg.close()
 
     # The list.
 
@@ -256,6 +257,7 @@
         old = self.legs.get(line.name)
         if old is not None:
             self._node_lost(old, Loss.PROVEN, "it has another address")
+            self.nursery.start_soon(old.close)
         patience = Patience(self.site.silent_after, self.site.lost_after)
         claim_within = self.longest_abandon + LONGEST_TRY_GRACE
         self.legs[line.name] = NodeLeg(
@@ -376,7 +378,7 @@
         if self.memory is not None:
             self.memory.sent(node)
         self.viewings[pb].catalogue = self.catalogue.number
-        self.nursery.start_soon(self._try, self.viewings[pb], node.name, pb.rung, abandon_at)
+        self.nursery.start_soon(self._try, self.viewings[pb], self.legs[node.name], pb.rung, abandon_at)
 
     def reject(self, pb: Playback, stay_away: int) -> None:
         self._settle(self.viewings[pb], Final.REJECTED, answers.rejected(stay_away))
@@ -408,12 +410,12 @@
         await trio.sleep_until(self.clock.deadline(at))
         await self.tell(lambda: self.controller.alarm(self.clock.now()))
 
-    async def _try(self, v: Viewing, node: str, rung: int, until: int) -> None:
-        if self.memory is None or await self.memory.before_try(v, node, rung, until):
-            end = await self.legs[node].set_up(v, rung, until)
+    async def _try(self, v: Viewing, leg: NodeLeg, rung: int, until: int) -> None:
+        if self.memory is None or await self.memory.before_try(v, leg.name, rung, until):
+            end = await leg.set_up(v, rung, until)
         else:
             end = TryEnd(Outcome.NOT_SENT, NO_LOAD, None, 0, "not on record in time")
-        await self.tell(partial(self._tried, v, self.legs[node], end))
+        await self.tell(partial(self._tried, v, leg, end))
 
     async def _change_rung(self, v: Viewing) -> None:
         """Sends the rung wanted last; while one change is under way, later ones replace each other."""
@@ -433,8 +435,12 @@
     def _tried(self, v: Viewing, leg: NodeLeg, end: TryEnd) -> None:
         now, pb = self.clock.now(), v.pb
         if end.outcome is Outcome.DONE and end.upstream is not None:
-            self._set_up(v, leg, end)
-            return
+            if self.legs.get(leg.name) is leg:
+                self._set_up(v, leg, end)
+                return
+            # The list has put another process in this one's place meanwhile: what runs there is lost to all.
+            self.nursery.start_soon(leg.farewell, end.upstream.resource)
+            end = replace(end, outcome=Outcome.RESET, cause="its node has another address")
         closed = pb.state is not State.SETTING_UP
         if self.memory is not None:
             self.memory.tried(v, end.outcome)
--- a/oakcroft/front/memory.py
+++ b/oakcroft/front/memory.py
@@ -198,6 +198,7 @@
         if now - self.alive_at >= SECOND:
             self.alive_at = now
             self.store.note(Fact("alive", str(now).encode()))
+            self.kept = {name: grudge for name, grudge in self.kept.items() if name in self.helm.roster.nodes}
             for node in self.helm.roster.nodes.values():
                 score = node.distrust.read(now, DISTRUST_HALF)
                 grudge = Grudge(node.name, round(score, 2), now, node.failed_at)
--- a/oakcroft/front/moves.py
+++ b/oakcroft/front/moves.py
@@ -79,6 +79,8 @@
 
     def shared(self, name: str, share: float, usual: float, now: int) -> None:
         """A note of the share delivered at a node; `usual` is what the others deliver."""
+        if name in self.helm.roster.gone_at:
+            return  # forgotten with its listing, and for good
         was = name in self.fadings.leaving
         if self.fadings.note(name, share, usual, now):
             self.log.info("mode", change=f"node {name} fades: {share:.2f} delivered, {usual:.2f} elsewhere")
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -85,6 +85,7 @@
         self.wake = trio.Event()  # set when it is worth opening the stream
         self.stream: trio.CancelScope | None = None
         self.renewing = False
+        self.life = trio.CancelScope()  # of the watch
 
     def _headers(self, **more: str) -> Headers:
         return [("Via", f"1.1 {self.me}"), *((k.replace("_", "-"), v) for k, v in more.items())]
@@ -194,8 +195,17 @@
             self.renewing = True
             self.stream.cancel()
 
+    async def close(self) -> None:
+        """The front has nothing to do with this node any more."""
+        self.life.cancel()
+        await self.peer.close()
+
     async def watch(self, hear: Hear, lost: Lost) -> None:
-        """Keeps the event stream open for as long as the front runs; tells what comes and when the node is lost."""
+        """Keeps the event stream open until the leg is closed; tells what comes and when the node is lost."""
+        with self.life:
+            await self._watch(hear, lost)
+
+    async def _watch(self, hear: Hear, lost: Lost) -> None:
         again = Again(EVENTS, self.rng, self.clock.now())
         while True:
             await self.wake.wait()
--- a/oakcroft/front/siding.py
+++ b/oakcroft/front/siding.py
@@ -78,6 +78,7 @@
         """Takes fresh evidence; one line for each change."""
         now = self.helm.clock.now()
         self._knock(wings, now)
+        self.knocked = {n: at for n, at in self.knocked.items() if n in self.helm.legs}
         nodes = self.evidence(now)
         for wing, before, after in wings.look(nodes, now):
             life = wings.lives[wing]
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 
@@ -18,7 +19,7 @@
 from oakcroft.decisions.claims import Claims
 from oakcroft.decisions.resource import SDPFRAG
 from oakcroft.decisions.repeats import Repeats, Turn
-from oakcroft.decisions.roster import Refused, Roster
+from oakcroft.decisions.roster import Line, Refused, Roster
 from oakcroft.front import listing
 from oakcroft.front.core import MOST_READERS
 from oakcroft.httpwire.message import Request, Response
@@ -431,3 +432,67 @@
             await until(lambda: not rig.helm().viewings)
 
     run(test)
+
+
+# Nodes that come and go.
+
+
+async def relisted(rig: Rig, *lines: Line) -> None:
+    """Another list is in force: these lines, and those before that it does not replace."""
+    helm = rig.helm()
+    kept = {x.name: x for x in helm.roster.lines.values()} | {x.name: x for x in lines}
+    assert await helm.listed(list(kept.values()), helm.roster.version + 100, helm.roster.service)
+
+
+def test_nodes_that_come_and_go_leave_no_leg_no_task_and_no_entry(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            helm = rig.helm()
+            monkeypatch.setattr(Roster, "WITHHELD", -1)
+            n1 = helm.roster.lines["n1"]
+            before = len(helm.nursery.child_tasks)
+            for n in range(20):  # a machine that is replaced has a new name, one that moves a new address
+                line = replace(n1, name=f"n{n + 10}", port=1 + n, address="127.0.0.1")
+                await relisted(rig, line)
+                leg = helm.legs[line.name]
+                helm.follow_events(leg, "/events/x")
+                await relisted(rig, replace(line, port=101 + n))
+                helm.follow_events(helm.legs[line.name], "/events/x")
+                del helm.roster.lines[line.name]
+                del helm.roster.nodes[line.name]
+            await until(lambda: len(helm.legs) == 2 and len(helm.nursery.child_tasks) == before)
+            assert (await rig.watch()).status == 201
+
+    run(test)
+
+
+@pytest.mark.parametrize(("path", "status"), [("/whep/course/t", 504), ("/whep/open/t", 201)])
+def test_a_set_up_answered_by_a_process_that_the_list_has_replaced_is_ended_there(
+    tmp_path: Path, path: str, status: int
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            for node in rig.fleet.nodes.values():
+                node.ails.hung = True
+            async with trio.open_nursery() as nursery:
+                answers = list[Response | None]()
+
+                async def ask() -> None:
+                    answers.append(await rig.viewer("k", path))
+
+                nursery.start_soon(ask)
+                await until(lambda: rig.facts("ran"))
+                name = rig.facts("setup")[0]["node"]
+                await relisted(rig, replace(rig.helm().roster.lines[name], port=1))
+                for node in rig.fleet.nodes.values():
+                    node.ails.hung = False
+                    node.stir()
+                await until(lambda: answers)
+            assert answers[0] is not None
+            assert answers[0].status == status
+            await until(lambda: not rig.node(name).sessions)
+            rig.judged()
+
+    run(test)
