Give a playback's highest rung one owner over wishes, catalogues, levels and moves

Seen: a viewer's wish lifted the module's bound over the catalogue's, so that the module could set a rung that the title has not, and over that of a level of reduced service. A change of the catalogue undid a wish: a paused player was stepped up again by an unrelated edit. A step down that waited its turn was carried out by the version that asked for it, though a later one had taken it back, and held the playback down from then on. A wish made during a move was lost with the source, and a playback taken on after a restart was no longer bounded by what its viewer had asked.

Ruled out: the module, which keeps to top; new requests, which are bounded before any try. At fault: helm.py wished, catalogues.py _goes_on and _step_down, memory.py _viewing, moves.py _switch, core.py layer.

Change: a wish is kept as asked_top; the bound comes of it and of the catalogue in force, by one function, whenever either changes; a step goes to the bound of its moment; a level bounds what is new and never takes from what plays.

--- a/oakcroft/decisions/catalogue.py
+++ b/oakcroft/decisions/catalogue.py
@@ -176,14 +176,14 @@
 
     at_once: int = 50
     every: int = 100 * MS
-    waiting: deque[tuple[str, int]] = field(default_factory=deque)
+    waiting: deque[str] = field(default_factory=deque)
     last: int = -(1 << 62)
 
-    def add(self, some: Iterable[tuple[str, int]]) -> None:
-        """More to step down: session and rung."""
+    def add(self, some: Iterable[str]) -> None:
+        """More sessions to step down, each to what it is bounded by when its turn comes."""
         self.waiting.extend(some)
 
-    def due(self, now: int) -> list[tuple[str, int]]:
+    def due(self, now: int) -> list[str]:
         """Those whose turn it is."""
         if not self.waiting or now - self.last < self.every:
             return []
--- a/oakcroft/front/catalogues.py
+++ b/oakcroft/front/catalogues.py
@@ -21,7 +21,6 @@
     Verdict,
     changed,
     consider,
-    course,
 )
 from oakcroft.decisions.catalogue import takes_part
 from oakcroft.front.helm import Helm
@@ -153,16 +152,15 @@
 
     def _goes_on(self, v: Viewing, new: Catalogue) -> Course:
         """Bounds what may become of a playback under the new version."""
-        rungs, node = len(self.helm.site.terms.rates), v.pb.node.name if v.pb.node else ""
-        item = new.titles.get(v.pb.title.name)
+        rungs, item = len(self.helm.site.terms.rates), new.titles.get(v.pb.title.name)
         if v.pb.state is not State.PLAYING:  # its next try, if there is one, is of the new version
             if item is not None:
                 v.pb.top = max(v.pb.plan.floor, min(v.asked_top, item.top(rungs)))
             return Course.STAYS
-        what, top = course(v.pb.plan.floor, v.pb.rung, item, new.others, rungs, node)
+        what, top = self.helm.course(v)
         v.pb.top = max(v.pb.plan.floor, min(v.asked_top, top))
         if what is Course.STEPS_DOWN:
-            self.steps.add([(v.id, top)])
+            self.steps.add([v.id])
         return what
 
     async def run(self) -> None:
@@ -176,8 +174,10 @@
                     await self.helm.tell(partial(self._step_down, some))
                 await trio.sleep(self.steps.every / 1e9)
 
-    def _step_down(self, some: list[tuple[str, int]]) -> None:
-        for id_, rung in some:
+    def _step_down(self, some: list[str]) -> None:
+        for id_ in some:
             v = self.helm.sessions.get(id_)
-            if v is not None and v.pb.rung > rung:
-                self.helm.wished(v, max(rung, v.pb.plan.floor))
+            if (
+                v is not None and v.pb.rung > v.pb.top
+            ):  # as it is bounded now: a later version may have more again
+                self.helm.bounded(v, v.pb.top)
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -419,6 +419,10 @@
         rung = ladder.rung_wished(wish, plan.floor, plan.top)
         if rung is None:
             raise Faulty(422, "layer", "No such layer in this plan", f"rungs {plan.floor} to {plan.top}")
+        if (
+            self.reducing is not None and rung > v.pb.top
+        ):  # a level bounds what is new, and takes nothing away
+            rung = max(v.pb.top, self.reducing.top(rung, plan.floor))
         await self.helm.tell(partial(self.helm.wished, v, rung))
 
     def reader(self, v: Viewing, kinds: frozenset[str], seat: bool = False) -> Reader:
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -20,7 +20,7 @@
 from oakcroft.choice import Controller, digest
 from oakcroft.decisions import answers
 from oakcroft.decisions.answers import Final
-from oakcroft.decisions.catalogue import Catalogue, bound
+from oakcroft.decisions.catalogue import Catalogue, Course, bound, course
 from oakcroft.decisions.handover import Happening
 from oakcroft.decisions.lifeline import Loss, Patience
 from oakcroft.decisions.limits import Ledger
@@ -355,10 +355,21 @@
         """The viewer takes no rung over this one: it bounds what the module may set from now on."""
         if v.pb not in self.viewings or v.pb.state is not State.PLAYING:
             return
-        v.pb.top = rung
-        if v.pb.rung > rung:
-            self.controller.noted(v.pb, Note.RUNG, rung, self.clock.now())
-            self.set_rung(v.pb, rung)
+        v.asked_top = rung
+        self.bounded(v, max(v.pb.plan.floor, min(rung, self.course(v)[1])))
+
+    def course(self, v: Viewing) -> tuple[Course, int]:
+        """What the catalogue in force makes of a playback, and the highest rung that it leaves."""
+        node, item = v.pb.node.name if v.pb.node else "", self.catalogue.titles.get(v.pb.title.name)
+        rungs = len(self.site.terms.rates)
+        return course(v.pb.plan.floor, v.pb.rung, item, self.catalogue.others, rungs, node)
+
+    def bounded(self, v: Viewing, top: int) -> None:
+        """A playing playback goes no higher than this; where it does, it steps down at once, and the module hears so."""
+        v.pb.top = top
+        if v.pb.rung > top:
+            self.controller.noted(v.pb, Note.RUNG, top, self.clock.now())
+            self.set_rung(v.pb, top)
 
     async def _farewell(self, v: Viewing) -> None:
         try:
--- a/oakcroft/front/memory.py
+++ b/oakcroft/front/memory.py
@@ -313,6 +313,7 @@
         v = Viewing(promise.id, promise.path, plan, promise.publishes, promise.key, "", promise.ufrag,
                     Due(promise.written, promise.abandon), pb)  # fmt: skip
         v.token, v.about, v.seated = promise.token, promise.about, promise.seated
+        v.asked_top = pb.top
         return v
 
     def _recall(self, promise: Promise, what: Fate, now: int) -> bool:
--- a/oakcroft/front/moves.py
+++ b/oakcroft/front/moves.py
@@ -254,6 +254,9 @@
         v.ufrag, v.rung_wanted = other.ufrag, None
         self.helm.rebind(v)
         self.helm.rebind(other)
+        self.helm.bounded(
+            v, max(v.pb.plan.floor, min(v.pb.top, other.pb.top))
+        )  # its viewer may have wished meanwhile
         if self.helm.memory is not None:
             self.helm.memory.moved(v)
         self.helm.publish(v, "layers", {"encodingId": str(v.pb.rung)})
--- /dev/null
+++ b/tests/test_owners.py
@@ -0,0 +1,104 @@
+"""What the module decides and a later part decides too: one owner each, and no cause acted on twice."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import trio
+import trio.testing
+from rig import Rig, run, standing, until
+from test_catalogue import AUTH, OPS
+
+from oakcroft.decisions.catalogue import Verdict
+from oakcroft.decisions.levels import Acts, Level
+from oakcroft.front.catalogues import Catalogues
+from oakcroft.front.viewing import Viewing
+from oakcroft.httpwire.message import Response
+
+TWO, ONE, THREE = (
+    f"(catalogue (title t {rates}) (others yes))"
+    for rates in (
+        "(renditions 200kB/s 400kB/s)",
+        "(renditions 200kB/s)",
+        "(renditions 200kB/s 400kB/s 800kB/s)",
+    )
+)
+
+
+def catalogues(rig: Rig) -> Catalogues:
+    assert rig.front is not None
+    assert rig.front.catalogues is not None
+    return rig.front.catalogues
+
+
+async def taken(rig: Rig, text: str) -> None:
+    verdict, why = await catalogues(rig).replace(text, None, False, "")
+    assert verdict is Verdict.TAKEN, why
+
+
+async def watched(rig: Rig) -> tuple[Response, Viewing]:
+    sat = await rig.watch()
+    assert sat.status == 201
+    return sat, rig.helm().sessions[(sat.header("location") or "").rpartition("/")[2]]
+
+
+async def layer(rig: Rig, sat: Response, rung: int) -> int:
+    here = f"{sat.header('location')}/layer"
+    return (
+        await rig.ask("POST", here, b'{"encodingId": "%d"}' % rung, Content_Type="application/json")
+    ).status
+
+
+def test_a_viewers_wish_stays_within_the_catalogue_and_outlives_its_changes(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, OPS) as rig:
+            await taken(rig, TWO)
+            sat, v = await watched(rig)
+            assert await layer(rig, sat, 2) == 200  # a rung of the ladder that this title has not
+            await until(lambda: v.asked_top == 2)
+            assert v.pb.top == 1
+            assert await layer(rig, sat, 0) == 200
+            await until(lambda: v.pb.top == 0)
+            await taken(rig, THREE)
+            assert v.pb.top == 0
+            assert await layer(rig, sat, 2) == 200
+            await until(lambda: v.pb.top == 2)
+            rig.judged()
+
+    run(test)
+
+
+def test_a_step_down_that_a_later_catalogue_takes_back_is_not_carried_out(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, OPS) as rig:
+            _, v = await watched(rig)
+            v.pb.rung = 2
+            catalogues(rig).steps.last = rig.helm().clock.now() + 10**12  # no turn yet
+            await taken(rig, ONE)
+            assert len(catalogues(rig).steps.waiting) == 1
+            await taken(rig, THREE)
+            catalogues(rig).steps.last = 0
+            await until(lambda: not catalogues(rig).steps.waiting)
+            assert (await rig.ask("GET", "/operators/status", **AUTH)).status == 200
+            assert v.pb.top == 2
+            assert not any(f["rung"] == 0 for f in rig.facts("rung"))
+
+    run(test)
+
+
+def test_a_level_bounds_no_playback_that_plays_and_no_wish_beyond_what_it_is(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            core = rig.front.core if rig.front else None
+            assert core is not None
+            assert core.reducing is not None
+            earlier, before = await watched(rig)
+            core.reducing.levels.levels[0] = Level("careful", (), Acts(top=1))
+            later, after = await watched(rig)
+            assert (before.pb.top, after.pb.top) == (2, 1)
+            for sat in (earlier, later):
+                assert await layer(rig, sat, 2) == 200
+            await trio.testing.wait_all_tasks_blocked()
+            assert (before.pb.top, after.pb.top) == (2, 1)
+
+    run(test)
