Count the silence of a node once against it, not once for each playback there

Seen: where a node was presumed lost, the module heard once for each playback there that nothing is delivered: with fifty, a distrust of 50, which takes 25 seconds to fade after the node answers again; one cause, acted on fifty times.

Ruled out: a proven loss, where each playback's own end is an outcome that the module must hear. At fault: helm.py _node_lost. Change: the first one tells. Before: 6 with six playbacks; after: 1. A silent node is out as before.

--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -569,6 +569,7 @@
         lost = leg.claims.all_lost() if proven else leg.claims.presumed()
         if lost:
             self.log_.warning("node lost", node=leg.name, why=why, how=loss.value, playbacks=len(lost))
+        told = False  # one silence speaks once against its node, however many playbacks it had
         for session in lost:
             v = self.upstreams.get((leg.name, session))
             if v is None:
@@ -576,7 +577,9 @@
             if proven:
                 self._over(v, Outcome.RESET)
                 continue
-            self.controller.noted(v.pb, Note.DELIVERED, 0.0, self.clock.now())
+            if not told:
+                told = True
+                self.controller.noted(v.pb, Note.DELIVERED, 0.0, self.clock.now())
             if self.moves.of(v) is not None:
                 self._over(self._part(v), Outcome.RESET, presumed=True)
                 if not self.moves.over(v, True):
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -102,3 +102,24 @@
             assert (before.pb.top, after.pb.top) == (2, 1)
 
     run(test)
+
+
+def test_the_loss_of_a_node_speaks_once_against_it_however_many_play_there(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            node, *_ = rig.fleet.nodes.values()
+            rig.node("n2").ails.draining = True
+            rig.fleet.publish()
+            await until(lambda: rig.helm().roster.lines["n2"].listing.value == "draining")
+            for n in range(6):
+                assert (await rig.watch(f"/whep/open/t{n}")).status == 201
+            node.ails.silent = True
+            known = rig.helm().roster.nodes["n1"]
+            await until(lambda: any(e["event"] == "node lost" for e in rig.logged()))
+            assert 0 < known.distrust.sum <= 1.5
+            node.ails.silent = False
+            node.stir()
+            await until(lambda: not rig.helm().viewings)
+            rig.judged()
+
+    run(test)
