Ask a node for what is in force where a change of rung found no answer

Seen: a change of rung that its node did not take in 1.5 s was given up, and the module went on with the rung that it had asked for: it counted a load that was not there, and never stepped further. The comment spoke of a note of the node, but a node tells a rung only when it changes, or at the beginning of its stream.

Ruled out: connections closed under the change, which is asked again in that time. At fault: helm.py _change_rung. Change: the stream is opened anew, whose first word names all rungs. Before: the module keeps the rung it wished for; after: that of the node.

--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -435,8 +435,11 @@
             while v.rung_wanted is not None and v.upstream is not None and v.pb.state is State.PLAYING:
                 rung, v.rung_wanted = v.rung_wanted, None
                 leg = self.legs.get(v.upstream.node)
-                if leg is None or not await leg.set_rung(v.upstream, rung):
-                    return  # the node's own note tells which is in force
+                if leg is None:
+                    return
+                if not await leg.set_rung(v.upstream, rung):
+                    leg.renew()  # the node's own word at the beginning of its stream tells which is in force
+                    return
                 self.publish(v, "layers", {"encodingId": str(rung)})
         finally:
             v.rung_at_work = False
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -4,6 +4,7 @@
 
 from pathlib import Path
 
+import pytest
 import trio
 import trio.testing
 from rig import Rig, run, standing, until
@@ -13,7 +14,9 @@
 from oakcroft.decisions.levels import Acts, Level
 from oakcroft.front.catalogues import Catalogues
 from oakcroft.front.viewing import Viewing
-from oakcroft.httpwire.message import Response
+from oakcroft.decisions.lifeline import Life
+from oakcroft.httpwire.message import Request, Response
+from oakcroft.standins.playout import PlayoutNode
 
 TWO, ONE, THREE = (
     f"(catalogue (title t {rates}) (others yes))"
@@ -123,3 +126,30 @@
             rig.judged()
 
     run(test)
+
+
+def test_the_module_learns_what_is_in_force_where_a_step_down_found_no_answer(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    handle, cut = PlayoutNode.handle, [0]
+
+    async def cutting(node: PlayoutNode, request: Request) -> Response:
+        if request.path.endswith("/layer"):
+            cut[0] += 1
+            return Response(503)
+        return await handle(node, request)
+
+    monkeypatch.setattr(PlayoutNode, "handle", cutting)
+
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            sat, v = await watched(rig)
+            before = v.pb.rung
+            assert before > 0
+            await until(lambda: rig.helm().legs[rig.playing()[0].name].lifeline.state is Life.HEARD)
+            assert await layer(rig, sat, 0) == 200
+            await until(lambda: cut[0] > 1)
+            await until(lambda: v.pb.rung == before)
+            assert not rig.facts("rung")
+
+    run(test)
