Take new revenues and targets into the line, and let ended publishers go

Seen: a configuration taken while serving changed a plan's revenue and startup target for the module, but the line before it weighed and shed by those of the start, and a new plan by the least share: two parts that weigh a plan by two texts. And a publisher whose session ended by itself stayed in core.publishing with its offer until another came for that very title: with names that differ each time, for the life of the front.

Ruled out: the ledger, the shelf and the keys, which take a version. At fault: core.py __init__ and ask, shedding.py take_weights (called at the start only), serve.py offer.

Change: Line.take_version with every version taken; publishing keeps what plays or is being set up.

--- a/oakcroft/decisions/shedding.py
+++ b/oakcroft/decisions/shedding.py
@@ -13,6 +13,7 @@
 
 import heapq
 from collections import OrderedDict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from oakcroft.interface import MS, SECOND
@@ -61,11 +62,11 @@
 class Line:
     """The line. `needs`: the time that an answer needs at least."""
 
-    weights: dict[str, float]
+    weights: Mapping[str, float]
     window: Window
     needs: int
     most: int = 4096
-    targets: dict[str, int] = field(default_factory=dict)  # of each plan: its startup target
+    targets: Mapping[str, int] = field(default_factory=dict)  # of each plan: its startup target
     pace: float = 0.0  # turns a second of late, while any wait
     turns: int = 0  # since the last beat
     at_work: int = 0
@@ -74,11 +75,14 @@
     clock: float = 0.0
 
     def __post_init__(self) -> None:
-        self.take_weights(self.weights)
-
-    def take_weights(self, weights: dict[str, float]) -> None:
-        """Revenue by plan; each gets its share of turns, none under the least."""
-        self.weights = weights
+        self.take_version(self.weights, self.targets)
+
+    def take_version(self, weights: Mapping[str, float], targets: Mapping[str, int]) -> None:
+        """Revenue and startup target by plan; each gets its share of turns, none under the least. A plan that is gone
+        stays until its last request has left."""
+        self.weights, self.targets = weights, targets
+        for name in [n for n, p in self.plans.items() if n not in weights and not p.waiting]:
+            del self.plans[name]
         whole = sum(weights.values()) or 1.0
         for name, revenue in weights.items():
             share = max(LEAST_SHARE, revenue / whole)
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -92,9 +92,8 @@
         )
         self.queue, self.number = Queue(door.bounds), 0
         self.publishing: dict[str, Viewing] = {}
-        weights = {name: p.plan.revenue for name, p in helm.site.plans.items()}
-        targets = {name: p.plan.startup_target for name, p in helm.site.plans.items()}
-        self.line = Line(weights, Window(), SHORTEST_SETUP, targets=targets)
+        self.line = Line({}, Window(), SHORTEST_SETUP)
+        self.take_version()
         self.shed, self.shed_told = 0, 0  # turned away before they were read; and of those, told in the log
         self.shedding = False
         self.reducing: Reducing | None = None
@@ -102,6 +101,12 @@
         self.turns: dict[int, trio.Event] = {}
         self.granted: set[int] = set()
 
+    def take_version(self) -> None:
+        """Plans may have other revenues and targets than before."""
+        plans = {name: p.plan for name, p in self.helm.site.plans.items()}
+        targets = {name: plan.startup_target for name, plan in plans.items()}
+        self.line.take_version({name: plan.revenue for name, plan in plans.items()}, targets)
+
     # The line before the module.
 
     async def beat(self) -> None:
@@ -253,8 +258,10 @@
         self._check(offer, publishes)
         if not self.stopping.takes_new():
             return REFUSALS[Refusal.DRAINING], True
-        other = self.publishing.get(title) if publishes else None
-        if other is not None and (other.final is None or other.id in self.helm.sessions):
+        if publishes:  # what has ended by itself holds its title no longer
+            some = self.publishing.items()
+            self.publishing = {t: o for t, o in some if o.final is None or o.id in self.helm.sessions}
+        if publishes and title in self.publishing:
             raise Faulty(409, "published", "This title is being published already")
         lag = self.reducing.lag if self.reducing is not None else 0
         wait = due(ask.written, plan.abandon, ask.prefer, margin(site.way_back, lag))
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -204,6 +204,8 @@
             door.bounds = helm.site.bounds
             if self.queue is not None:
                 self.queue.bounds = door.bounds
+            if self.core is not None:
+                self.core.take_version()
         return verdict
 
     async def _signals(self, stopping: Stopping, clock: Clock, bell: Bell) -> None:
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -496,3 +496,19 @@
             rig.judged()
 
     run(test)
+
+
+def test_publishers_that_ended_by_themselves_leave_no_entry(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            core = rig.front.core if rig.front else None
+            assert core is not None
+            for n in range(4):
+                assert (await rig.watch(f"/whip/open/live{n}")).status == 201
+                for node in rig.playing():
+                    for session in list(node.sessions):
+                        node._drop(session, "the publisher has gone")
+                await until(lambda: not rig.helm().viewings)
+            assert len(core.publishing) == 1
+
+    run(test)
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -15,6 +16,7 @@
 from oakcroft.front.catalogues import Catalogues
 from oakcroft.front.viewing import Viewing
 from oakcroft.decisions.lifeline import Life
+from oakcroft.decisions.versions import Verdict as Taken
 from oakcroft.httpwire.message import Request, Response
 from oakcroft.standins.playout import PlayoutNode
 
@@ -128,6 +130,27 @@
     run(test)
 
 
+def test_a_new_configuration_weighs_plans_in_the_line_too(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            core = rig.front.core if rig.front else None
+            assert core is not None
+            assert core.line.plans["course"].weight == 0.5
+            site = rig.helm().site
+            plan = site.plans["course"]
+            dear = replace(plan, plan=replace(plan.plan, revenue=8.0, startup_target=5))
+            found = replace(
+                rig.helm().versions.offer.compiled, site=replace(site, plans=site.plans | {"course": dear})
+            )
+            meaning = dict(found.meaning) | {"plan": {"course": {"revenue": 8.0}}}
+            assert rig.front is not None
+            assert await rig.front.offer(1, replace(found, meaning=meaning)) is Taken.TAKEN
+            assert core.line.plans["course"].weight == 0.8
+            assert core.line.targets["course"] == 5
+
+    run(test)
+
+
 def test_the_module_learns_what_is_in_force_where_a_step_down_found_no_answer(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
