Drop versions out of their history and nodes long gone from the state file

Seen: every version of the catalogue stays in the state file, though a front knows fifty and reads them all at its start: the file and the start grow with each change for ever; and what is held against nodes, and spent of their slots, stays for every node name that there ever was.

Ruled out: promises (expired a few at a time), moves, facts and the list, which replace themselves. At fault: file.py _apply (nothing deletes from versions, grudges, spent), catalogues.py _take.

Change: a version leaves the file with the history; the upkeep drops what is held against nodes after an hour, or keep-keys where that is longer. Before: 8 versions kept of a history of 3, 2 nodes of 1; after: 3 and 1.

--- a/oakcroft/front/catalogues.py
+++ b/oakcroft/front/catalogues.py
@@ -26,7 +26,7 @@
 from oakcroft.front.helm import Helm
 from oakcroft.front.viewing import Viewing
 from oakcroft.interface import Listing, State
-from oakcroft.store.file import Held, Version
+from oakcroft.store.file import Dropped, Held, Version
 
 KIND = "catalogue"
 T_OFFER = tuple[Verdict, list[str]]
@@ -55,6 +55,9 @@
         for v in versions[-self.history.most :]:
             self.history.take(Kept(v.number, v.digest, v.taken, v.why))
             self.texts[v.number] = v.body.decode()
+        if self.helm.memory is not None:
+            for v in versions[: -self.history.most]:
+                self.helm.memory.store.note(Dropped(KIND, v.number))
         if versions:
             last = versions[-1]
             said = read(last.body.decode())
@@ -135,10 +138,13 @@
         helm.titles.take_catalogue(new.titles, names)
         helm.catalogue = new
         self.texts[new.number] = text
-        for number in self.history.take(Kept(new.number, new.digest, now, why)):
+        forgotten = self.history.take(Kept(new.number, new.digest, now, why))
+        for number in forgotten:
             self.texts.pop(number, None)
         if helm.memory is not None:
             helm.memory.store.note(Version(KIND, new.number, new.digest, now, why, text.encode()))
+            for number in forgotten:
+                helm.memory.store.note(Dropped(KIND, number))
         some = set(names)
         counts = dict.fromkeys(Course, 0)
         for v in list(helm.viewings.values()):
--- a/oakcroft/store/file.py
+++ b/oakcroft/store/file.py
@@ -69,6 +69,14 @@
     body: bytes
 
 
+@dataclass(frozen=True)
+class Dropped:
+    """A version that is out of its history."""
+
+    kind: str
+    number: int
+
+
 @dataclass(frozen=True)
 class Fact:
     """One named value."""
@@ -79,10 +87,12 @@
 
 @dataclass(frozen=True)
 class Expire:
-    """Drops up to `most` promises in these marks that were changed before a time, and gives pages back."""
+    """Drops up to `most` promises in these marks that were changed before a time, what is held against nodes and spent
+    of their slots `nodes_before` another, and gives pages back."""
 
     before: int
     most: int
+    nodes_before: int = 0
 
 
 @dataclass(frozen=True)
@@ -93,7 +103,7 @@
     told: Told | None = None
 
 
-Change = Put | Told | Move | Version | Fact | Expire | Whole | Grudge | Spent
+Change = Put | Told | Move | Version | Dropped | Fact | Expire | Whole | Grudge | Spent
 
 
 @dataclass
@@ -215,14 +225,18 @@
                 run("INSERT OR REPLACE INTO versions VALUES (?, ?, ?, ?, ?, ?)", (
                     change.kind, change.number, change.digest, change.taken, change.why, change.body,
                 ))  # fmt: skip
+            case Dropped(kind, number):
+                run("DELETE FROM versions WHERE kind = ? AND number = ?", (kind, number))
             case Fact(name, value):
                 self._fact(name, value)
-            case Expire(before, most):
+            case Expire(before, most, nodes_before):
                 old = "SELECT id FROM promises WHERE mark IN (?, ?) AND changed < ? LIMIT ?"
                 run(
                     f"DELETE FROM promises WHERE id IN ({old})",
                     (Mark.ABORTED.name, Mark.INTENT.name, before, most),
                 )
+                for table in ("grudges", "spent"):  # of nodes that are long gone, too
+                    run(f"DELETE FROM {table} WHERE at < ?", (nodes_before,))
                 run(f"PRAGMA incremental_vacuum({int(most)})").fetchall()  # a row for each page
             case Whole(promises, told):
                 if told is not None:
--- a/oakcroft/store/writer.py
+++ b/oakcroft/store/writer.py
@@ -17,12 +17,14 @@
 import trio
 
 from oakcroft.decisions.durable import Disk, Health, Trouble, Upkeep
+from oakcroft.interface import SECOND
 from oakcroft.store.file import Change, Expire, Held, StateFile, Unusable, Whole, set_aside
 
 WHOLE = "whole"  # the fact that a file knows all promises
 T = TypeVar("T")
 MOST_WAITING = 16_384
 MOST_TOGETHER = 1_024
+NODES_KEPT = 3600 * SECOND  # for longer than any cold time or distrust lasts
 BEAT = 0.25  # seconds between looks at health and upkeep while nothing is to be written
 
 
@@ -171,7 +173,7 @@
             self.stale = False
             batch.insert(0, Waiting(self.whole()))
         if rows := self.upkeep.allowance(self.health, len(self.queue), now):
-            batch.append(Waiting(Expire(now - self.keep, rows)))
+            batch.append(Waiting(Expire(now - self.keep, rows, now - max(self.keep, NODES_KEPT))))
         if batch:
             await self._write(batch)
 
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -18,6 +18,9 @@
 from oakcroft.decisions.answers import Final
 from oakcroft.decisions.claims import Claims
 from oakcroft.decisions.resource import SDPFRAG
+from oakcroft.decisions.catalogue import Verdict as Taken
+from oakcroft.decisions.recovery import Grudge, Spent
+from oakcroft.store.file import Expire, StateFile
 from oakcroft.decisions.repeats import Repeats, Turn
 from oakcroft.decisions.roster import Line, Refused, Roster
 from oakcroft.front import listing
@@ -512,3 +515,32 @@
             assert len(core.publishing) == 1
 
     run(test)
+
+
+def test_the_state_file_forgets_versions_out_of_their_history_and_nodes_long_gone(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, state=True) as rig:
+            catalogues = rig.front.catalogues if rig.front else None
+            assert catalogues is not None
+            catalogues.history.most = 3
+            for n in range(8):
+                text = f"(catalogue (title t{n} (home 0) (copies 1)) (others yes))"
+                assert (await catalogues.replace(text, None, False, ""))[0] is Taken.TAKEN
+            rig.stop.set()
+            await rig.ended.wait()
+
+    run(test)
+    file = StateFile(str(tmp_path / "state"))
+    assert [v.number for v in file.read().versions] == [6, 7, 8]
+    file.commit(
+        [
+            Grudge("old", 1.0, 5, 5),
+            Grudge("new", 1.0, 9, 9),
+            Spent("old", 0, 1, 1, 5),
+            Spent("new", 0, 1, 1, 9),
+        ]
+    )
+    file.commit([Expire(0, 10, 8)])
+    held = file.read()
+    assert ([g.node for g in held.grudges], [s.node for s in held.spent]) == (["new"], ["new"])
+    file.close()
