Drop a setup try's outcome that comes again on the wire while the next try is out

Ruled out: the front, where each try reports once from its own task. At fault: wirehost/instance.py hear, which matched a reply to its playback but not to its try.

Before: a deliver on the repeated reply; after: none.

--- a/oakcroft/wirehost/instance.py
+++ b/oakcroft/wirehost/instance.py
@@ -59,6 +59,8 @@
     def hear(self, event: Message, now: int, lists: dict[int, list[Message]]) -> None:
         """One event, in order of arrival."""
         pb = self.playbacks.get(event.get("rid", ""))
+        if pb and event.get("sendNo") not in (None, len(pb.tries) - 1):
+            return  # of an earlier setup try, which has had its outcome
         match event["op"]:
             case "accept":
                 pb = self._playback(event, now)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -55,6 +55,30 @@
     assert code == 0
 
 
+def test_the_outcome_of_a_try_that_comes_twice_is_not_that_of_the_next() -> None:
+    def reply(number: int) -> dict[str, Any]:
+        return {"op": "reply", "who": "e", "rid": "r", "doneFlag": False, "delaySeenMs": 9.0, "outcome": "NOCONN",
+                "node": "n", "sendNo": number}  # fmt: skip
+
+    nodes = [NODE, NODE | {"node": "m"}, NODE | {"node": "o"}]
+    start = batch(
+        1.0,
+        {"op": "powerOn", "who": "e", "seed": 3, "env": ENV},
+        {"op": "page", "rosterId": 0, "nodesList": nodes},
+        {"op": "registry", "who": "e", "how": 2, "index": 1, "rosterId": 0},
+    )
+    replies, code, _ = exchange(
+        start, batch(9001.0, ASK), batch(9002.0, reply(0)), batch(9003.0, reply(0)), batch(9004.0)
+    )
+    assert [[a["op"] for a in some if a["op"] == "deliver"] for some in replies[1:]] == [
+        ["deliver"],
+        ["deliver"],
+        [],
+        [],
+    ]
+    assert code == 0
+
+
 def test_a_fault_inside_goes_out_with_its_cause() -> None:
     replies, code, _ = exchange(batch(1.0, {"op": "powerOn", "who": "e", "seed": 3, "env": {}}))
     assert replies[0][-1]["op"] == "giveIn"
