--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -44,7 +44,6 @@
 TRY_SHARE = 0.4  # of the startup target, for a try that may be followed by another
 FREELY, UNEVEN = 4, 3  # set-ups in a cold slot that leave room for chance; how uneven nodes are wanted
 COLD_PART = 0.45  # of the budget of a slot of time: two slots may fall into one window
-KEPT = 0.6  # of the running estimate when a report comes, against noise
 AGE = 300 * MS  # of a report that comes with an answer
 NOTED = 2 * SECOND  # a note of short delivery holds so long
 RELAX, TIGHTEST, LOOSEST, TIGHT = 0.94, 2.0, 0.5, 1.1  # of a rack's estimate; the last is logged
@@ -190,10 +189,7 @@
         if now - age < node.reported_at:
             return
         old = node.level
-        node.reported, node.reported_at = value, now - age
-        seen = self._level(node) if node.heard else value
-        node.reported += KEPT * (old - seen) if node.heard else 0.0
-        node.heard = True
+        node.heard, node.reported, node.reported_at = True, value, now - age
         node.level = self._level(node)
         node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
 
@@ -440,17 +436,11 @@
             return False
         if not all(self._repeats_safely(pb, ran, at, node, now) for ran, at in pb.may_have_run):
             return False
-        return self._trusted(pb, node, now) and self._warm_enough(pb, node, now)
-
-    def _trusted(self, pb: Playback, node: Node, now: int) -> bool:
-        """Guards against nodes that are dead, silent, hung or cut off, before any list says so; covers all
-        that leaves set-ups unanswered. Harm: slow answers idle a good node until a free try revives it."""
-        if self._sound(node, now):
-            return True
-        faint = node.distrust.read(now, DISTRUST_HALF) < 2 * DISTRUSTED
-        return faint and not node.waiting and pb.plan.effect is Effect.FREE
+        return self._sound(node, now) and self._warm_enough(pb, node, now)
 
     def _sound(self, node: Node, now: int) -> bool:
+        """Guards against nodes that are dead, silent, hung or cut off, before any list says so; covers all
+        that leaves set-ups unanswered. Harm: slow answers idle a good node until its score has faded."""
         answers = all(now - at <= SILENT for at in node.waiting.values())
         return answers and node.distrust.read(now, DISTRUST_HALF) < DISTRUSTED
 
@@ -545,13 +535,11 @@
         for node in spent:
             node.slot, node.slot_used = self._slot(node, now)[0], SPENT
 
-    def playing(self, pb: Playback, took: int, now: int) -> None:
-        """The set-up is done. Heard twice, or after the end, it says nothing for its node."""
-        if pb.node is None or pb.state is not State.SETTING_UP:
-            return
-        pb.fresh = True
-        pb.node.distrust.add(-0.5, now, DISTRUST_HALF)
-        self._change(pb, State.PLAYING, now)
+    def playing(self, pb: Playback, now: int) -> None:
+        """The set-up is done. Heard twice, or after the end, it changes nothing."""
+        if pb.state is State.SETTING_UP:
+            pb.fresh = True
+            self._change(pb, State.PLAYING, now)
 
     def tried(
         self, pb: Playback, outcome: Outcome, closed: bool,
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -76,7 +76,7 @@
     def arrived(self, pb: Playback, now: int) -> None: ...
     def resumed(self, pb: Playback, node: Node, now: int) -> None: ...
     def recalled(self, further: Iterable[int], spent: Iterable[Node], now: int) -> None: ...
-    def playing(self, pb: Playback, took: int, now: int) -> None: ...
+    def playing(self, pb: Playback, now: int) -> None: ...
     def noted(self, pb: Playback, kind: Note, value: float, now: int) -> None: ...
     def left(self, pb: Playback, now: int) -> None: ...
     def alarm(self, now: int) -> None: ...
@@ -425,7 +425,7 @@
         if self.memory is None or await self.memory.before_try(v, leg.name, rung, until):
             end = await leg.set_up(v, rung, until)
         else:
-            end = TryEnd(Outcome.NOT_SENT, NO_LOAD, None, 0, "not on record in time")
+            end = TryEnd(Outcome.NOT_SENT, NO_LOAD, None, "not on record in time")
         await self.tell(partial(self._tried, v, leg, end))
 
     async def _change_rung(self, v: Viewing) -> None:
@@ -477,7 +477,7 @@
             self._say_farewell(v)
             return
         self.upstreams[leg.name, end.upstream.resource] = v
-        self.controller.playing(pb, end.took, now)
+        self.controller.playing(pb, now)
         if end.load.asked is not None:
             self.controller.noted(pb, Note.LINK_ASKED, end.load.asked, now)
         if end.load.uplink is not None:
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -41,7 +41,6 @@
     outcome: Outcome
     load: words.Load
     upstream: Upstream | None
-    took: int
     cause: str
 
 
@@ -92,7 +91,7 @@
 
     async def set_up(self, v: Viewing, rung: int, until: int) -> TryEnd:
         """One setup try, ended by `until` at the latest."""
-        trail, sent_at = Trail(), self.clock.now()
+        trail = Trail()
         end, cause, response = End.TIME_UP, "", None
         with trio.CancelScope(deadline=self.clock.deadline(until)):
             try:
@@ -113,8 +112,7 @@
                 upstream = self._upstream(v.path, response)
                 if upstream is None:
                     end, cause = End.GARBLED, "a 201 without a usable Location or answer"
-        took = self.clock.now() - sent_at
-        return TryEnd(outcome(trail, end), load, upstream, took, cause or trail.problem)
+        return TryEnd(outcome(trail, end), load, upstream, cause or trail.problem)
 
     def _upstream(self, path: str, response: Response) -> Upstream | None:
         location = response.header("location")
--- a/oakcroft/wirehost/instance.py
+++ b/oakcroft/wirehost/instance.py
@@ -70,7 +70,7 @@
                 self.controller.resumed(pb, self._node(event["node"]), now)
             case "flowing":
                 if pb:
-                    self.controller.playing(pb, codec.nanos(event["delaySeenMs"]), now)
+                    self.controller.playing(pb, now)
             case "reply":
                 if pb:
                     self.controller.tried(
