Take out what nothing calls or reads

Names defined in the package and used nowhere in it, found by counting references: evidence.leaves_session, Roster.may_contact, Queue.oldest and the times it kept, Pulse.due and heard_at (the connection asks by its own silence), Verdict.CLOSE, MOST_ITEMS, Link.inbox; counters that nothing reads: Repeats.unremembered, Door.turned_away and shed, Moves.done, stayed and lost, InForce.taken and refused, Roster.refused, the stand-in's packets.

--- a/oakcroft/config/syntax.py
+++ b/oakcroft/config/syntax.py
@@ -12,7 +12,7 @@
 
 from oakcroft.config.problems import Place, Problems
 
-MOST_BYTES, MOST_DEPTH, MOST_ITEMS = 8_000_000, 64, 2_000_000
+MOST_BYTES, MOST_DEPTH = 8_000_000, 64
 ESCAPES = {"n": "\n", "\\": "\\", '"': '"'}
 
 
--- a/oakcroft/decisions/doors.py
+++ b/oakcroft/decisions/doors.py
@@ -35,7 +35,6 @@
     PASS = "pass"
     SHED = "close an idle connection for it"
     TURN_AWAY = "answer 503 and close"
-    CLOSE = "close without a word"
 
 
 @dataclass
@@ -63,21 +62,17 @@
         self.guests: dict[int, Guest] = {}
         self.idle: dict[int, None] = {}  # oldest first
         self.sources: dict[str, int] = {}
-        self.turned_away = self.shed = 0
 
     def knock(self, number: int, source: str, now: int) -> tuple[Verdict, int | None]:
         """A connection comes. With SHED, the number of the connection to close goes with it."""
         if self.sources.get(source, 0) >= self.bounds.connections_from_one:
-            self.turned_away += 1
             return Verdict.TURN_AWAY, None
         loser: int | None = None
         if len(self.guests) >= self.bounds.connections:
             loser = next(iter(self.idle), None)
             if loser is None or now - self.guests[loser].idle_since < self.IDLE_ENOUGH:
-                self.turned_away += 1
                 return Verdict.TURN_AWAY, None
             self.leave(loser)
-            self.shed += 1
         self.guests[number] = Guest(source, now, idle_since=now)
         self.idle[number] = None
         self.sources[source] = self.sources.get(source, 0) + 1
@@ -146,7 +141,7 @@
 
 
 class Queue:
-    """Requests for playbacks that have no answer yet: how many, and how old the oldest is.
+    """Requests for playbacks that have no answer yet.
 
     A full queue answers the newcomer at once. Guards against a queue in which everyone waits until it is too
     late; covers a fleet that answers nothing, since each try there holds a place for its whole time. Harm: a
@@ -154,27 +149,23 @@
     """
 
     def __init__(self, bounds: Bounds) -> None:
-        self.bounds, self.waiting = bounds, dict[int, int]()
+        self.bounds, self.waiting = bounds, dict[int, None]()
 
     def has_room(self) -> bool:
         """Whether one more may wait."""
         return len(self.waiting) < self.bounds.waiting
 
-    def enter(self, number: int, now: int) -> bool:
+    def enter(self, number: int) -> bool:
         """Whether the request may wait."""
         if not self.has_room():
             return False
-        self.waiting[number] = now
+        self.waiting[number] = None
         return True
 
     def leave(self, number: int) -> None:
         """It has its answer, or its viewer has gone."""
         self.waiting.pop(number, None)
 
-    def oldest(self, now: int) -> int:
-        """Age of the oldest, ns; 0 when none waits."""
-        return now - next(iter(self.waiting.values())) if self.waiting else 0
-
 
 def slow_reader(behind: int, bounds: Bounds) -> bool:
     """Whether a reader of an event stream is so many events behind that its stream is closed; it may open a
--- a/oakcroft/decisions/evidence.py
+++ b/oakcroft/decisions/evidence.py
@@ -105,8 +105,3 @@
 def never_ran(result: Outcome) -> bool:
     """Whether an outcome proves that nothing ran."""
     return result in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
-
-
-def leaves_session(trail: Trail, end: End) -> bool:
-    """Whether a node may hold a session that this front can never name: its 201 was lost on the way."""
-    return end is not End.ANSWERED and trail.stage not in UNTOUCHED and trail.status in (0, 201)
--- a/oakcroft/decisions/repeats.py
+++ b/oakcroft/decisions/repeats.py
@@ -47,7 +47,6 @@
     def __init__(self, most: int, keep: int) -> None:
         self.most, self.keep = most, keep
         self.known: OrderedDict[str, Known] = OrderedDict()
-        self.unremembered = 0
 
     def turn(self, key: str, about: str, now: int) -> tuple[Turn, Refusal | None, object]:
         """What a request with this key gets, and the refusal or the answer to give."""
@@ -81,7 +80,6 @@
         self._forget(now)
         self.known.pop(key, None)
         if len(self.known) >= self.most and not self._make_room():
-            self.unremembered += 1
             return False
         self.known[key] = Known(about, now, paid)
         return True
--- a/oakcroft/decisions/resumption.py
+++ b/oakcroft/decisions/resumption.py
@@ -151,19 +151,15 @@
     when two questions in a row stay without an answer."""
 
     every: int = 30 * SECOND
-    heard_at: int = 0
     asked: int = 0
 
-    def heard(self, now: int) -> None:
+    def heard(self) -> None:
         """Anything came."""
-        self.heard_at, self.asked = now, 0
+        self.asked = 0
 
-    def due(self, now: int) -> bool:
-        """Whether to ask now."""
-        if now - self.heard_at < self.every * (self.asked + 1):
-            return False
+    def quiet(self) -> None:
+        """Nothing came for `every`: it is asked."""
         self.asked += 1
-        return True
 
     @property
     def dead(self) -> bool:
--- a/oakcroft/decisions/roster.py
+++ b/oakcroft/decisions/roster.py
@@ -61,7 +61,7 @@
         self.lines: dict[str, Line] = {}
         self.nodes: dict[str, Node] = {}
         self.gone_at: dict[str, int] = {}
-        self.version, self.service, self.refused = -1, "", 0
+        self.version, self.service = -1, ""
 
     def take(
         self, lines: Sequence[Line], version: int, service: str, now: int, kept: bool = False
@@ -71,7 +71,6 @@
         if not kept and same_service and version == self.version:
             return None
         if wrong := self._wrong(lines, version, same_service):
-            self.refused += 1
             return Refused(wrong)
         first = not self.lines
         if not kept:
@@ -126,10 +125,6 @@
         node.kind, node.tags = line.kind, frozenset(line.tags)
         return Entry(node, listing, line.started_at, line.link, line.places)
 
-    def may_contact(self, name: str) -> bool:
-        """Whether a list in force names the node: a front speaks to no others."""
-        return name in self.lines
-
 
 def line_fault(line: Line) -> str | None:
     """What is impossible about one line, if anything."""
--- a/oakcroft/decisions/versions.py
+++ b/oakcroft/decisions/versions.py
@@ -43,7 +43,7 @@
     """The version in force and the history of what was offered."""
 
     def __init__(self, first: Offer[T]) -> None:
-        self.offer, self.taken, self.refused = first, 1, 0
+        self.offer = first
 
     def consider(self, offer: Offer[T] | None) -> tuple[Verdict, list[str]]:
         """Takes a version or says why not; None stands for one that did not pass its check.
@@ -52,20 +52,16 @@
         whichever check was done first.
         """
         if offer is None:
-            self.refused += 1
             return Verdict.BROKEN, []
         if offer.number <= self.offer.number:
-            self.refused += 1
             return Verdict.OLDER, []
         fixed = [p for p in RESTART_ONLY if offer.meaning.get(p) != self.offer.meaning.get(p)]
         if fixed:
-            self.refused += 1
             return Verdict.RESTART, fixed
         if offer.meaning == self.offer.meaning:
             self.offer = Offer(offer.number, self.offer.meaning, self.offer.compiled)
             return Verdict.SAME, []
         self.offer = offer
-        self.taken += 1
         return Verdict.TAKEN, []
 
 
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -303,7 +303,7 @@
     ) -> tuple[Viewing | Reply, bool]:
         """Lets a request through the line to the module and waits for its answer."""
         paid = v.plan.plan.effect.value == "paid"
-        self.queue.enter(number, self.clock.now())
+        self.queue.enter(number)
         if not self.helm.repeats.begin(v.key, about, paid, self.clock.now()) and paid:
             self.queue.leave(number)  # unremembered, a repeat of it would be set up again
             if v.ticket is not None:
--- a/oakcroft/front/moves.py
+++ b/oakcroft/front/moves.py
@@ -55,7 +55,6 @@
         self.moves: dict[str, Move] = {}  # by the session's id
         self.roles: dict[Viewing, Move] = {}
         self.wake = trio.Event()
-        self.done = self.stayed = self.lost = 0
         self.paused = False
 
     # What calls for moves.
@@ -268,9 +267,6 @@
         state, now = move.hand.state, self.helm.clock.now()
         if self.helm.memory is not None and move.other is not None:
             self.helm.memory.move_over(move.v)
-        self.done += state is Course.DONE
-        self.stayed += state is Course.STAYED
-        self.lost += state is Course.LOST
         self.moves.pop(move.v.id, None)
         for part in (move.v, move.other):
             if part is not None:
--- a/oakcroft/front/sockets.py
+++ b/oakcroft/front/sockets.py
@@ -175,7 +175,7 @@
         self, ws: wsproto.WSConnection, source: str, subprotocol: str, stream: trio.SocketStream, rest: bytes
     ) -> None:
         self.numbers += 1
-        link = Link(stream, ws, subprotocol, self.numbers, self.allowance, self.clock.now())
+        link = Link(stream, ws, subprotocol, self.numbers, self.allowance)
         await link.open(rest)
         try:
             async with trio.open_nursery() as nursery:
@@ -412,16 +412,14 @@
     """One WebSocket connection: frames in, messages out through a bounded queue."""
 
     def __init__(
-        self, stream: trio.SocketStream, ws: wsproto.WSConnection, subprotocol: str, number: int, allowance: Allowance,
-        now: int,
+        self, stream: trio.SocketStream, ws: wsproto.WSConnection, subprotocol: str, number: int, allowance: Allowance
     ) -> None:  # fmt: skip
         self.stream, self.subprotocol, self.number, self.allowance = stream, subprotocol, number, allowance
         self.codec, self.ws = api.Codec(subprotocol), ws
         self.out, self.queue = trio.open_memory_channel[bytes](allowance.behind + 16)
         self.holder: Holder | None = None
         self.caller: Client | None = None
-        self.pulse = Pulse(heard_at=now)
-        self.inbox: list[bytes] = []
+        self.pulse = Pulse()
         self.partial = bytearray()
         self.closing = False
 
@@ -492,14 +490,13 @@
                 data = b""
                 with trio.move_on_after(self.pulse.every / 1e9) as quiet:
                     data = await self.stream.receive_some(65_536)
-                now = round(trio.current_time() * 1e9)
                 if quiet.cancelled_caught:
-                    self.pulse.asked += 1
+                    self.pulse.quiet()
                     if self.pulse.dead:
                         return None
                     self._queue(self.ws.send(events.Ping()))
                     continue
-                self.pulse.heard(now)
+                self.pulse.heard()
                 if not data:
                     return None
                 self.ws.receive_data(data)
--- a/oakcroft/standins/playout.py
+++ b/oakcroft/standins/playout.py
@@ -83,7 +83,6 @@
         self.streams: set[trio.SocketStream] = set()
         self.changed = trio.Event()
         self.earned: dict[str, float] = {}
-        self.packets = 0
 
     @property
     def process(self) -> str:
@@ -143,7 +142,6 @@
                             session.sequence, tick, rtp.ssrc(session.id), self.clock(), stream.rung
                         )
                         session.sequence += 1
-                        self.packets += 1
                         try:
                             await out.sendto(packet, session.media)
                         except OSError:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -23,7 +23,7 @@
     slow_reader,
 )
 from oakcroft.decisions.doors import status_when_slow, time_allowed
-from oakcroft.decisions.evidence import FULL_TYPE, End, Stage, Trail, leaves_session, never_ran, outcome
+from oakcroft.decisions.evidence import FULL_TYPE, End, Stage, Trail, never_ran, outcome
 from oakcroft.decisions.lifeline import Break, Life, Lifeline, Loss, Patience
 from oakcroft.decisions.patience import BEAT, Stillness
 from oakcroft.decisions.repeats import Repeats, Turn
@@ -89,8 +89,6 @@
 def test_a_try_goes_no_way_that_a_socket_cannot() -> None:
     with pytest.raises(ValueError, match="cannot go"):
         trail(Stage.CONNECTING).reach(Stage.WRITTEN)
-    assert leaves_session(trail(Stage.WRITTEN), End.BROKEN)
-    assert not leaves_session(trail(Stage.OPEN), End.BROKEN)
 
 
 def test_the_wait_is_the_clients_within_the_plans() -> None:
@@ -221,11 +219,10 @@
 
 def test_a_full_queue_answers_the_newcomer() -> None:
     queue = Queue(Bounds(waiting=1))
-    assert queue.enter(1, 5)
-    assert not queue.enter(2, 6)
-    assert queue.oldest(9) == 4
+    assert queue.enter(1)
+    assert not queue.enter(2)
     queue.leave(1)
-    assert queue.enter(2, 9)
+    assert queue.enter(2)
 
 
 def line(name: str, port: int = 1, listing: Listing = Listing.READY, started: int = 0) -> Line:
@@ -263,7 +260,6 @@
     assert [(e.node.name, e.listing) for e in entries] == [("a", Listing.DRAINING), ("b", Listing.GONE)]
     roster.take([line("a", 1), line("b", 2, started=9)], 2, "s", 2)
     assert roster.nodes["a"] is a
-    assert roster.may_contact("b")
     roster.take([line("a", 1)], 3, "s", 3)
     roster.take([line("a", 1, Listing.DRAINING)], 4, "s", 3 + 61 * SECOND)
     assert "b" not in roster.nodes
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -87,8 +87,12 @@
     assert not liar.outbox.acknowledged(1)
     assert liar.attach(2, 5, 0) is None  # it claims what was never sent
     pulse = Pulse(SECOND)
-    assert [pulse.due(t * SECOND) for t in (1, 1, 2, 3)] == [True, False, True, True]
+    for asked in range(3):
+        assert not pulse.dead, asked
+        pulse.quiet()
     assert pulse.dead
+    pulse.heard()
+    assert not pulse.dead
 
 
 def test_passes_are_sealed_bound_expiring_and_rotate() -> None:
