--- a/oakcroft/decisions/repeats.py
+++ b/oakcroft/decisions/repeats.py
@@ -1,8 +1,9 @@
 """Requests that come again under the same Idempotency-Key (draft-ietf-httpapi-idempotency-key-header-07).
 
 A viewer whose connection broke does not know whether its playback runs. With its key it may ask again: while
-the first request is at work it is told so (409), an answer that bound the fleet is given again, and a request
-that ran nothing starts anew. A paid playback is so set up once however often its viewer asks.
+the first request is at work, its viewer gone or not, it is told so (409); an answer that bound the fleet is given
+again; and a request that ran nothing starts anew. A paid playback is so set up once however often its viewer asks, and
+its answer is given again after its end too: the session that it names is then 404.
 """
 
 from __future__ import annotations
@@ -38,15 +39,14 @@
 class Repeats:
     """The keys of one front, a bounded number of them, oldest forgotten first.
 
-    When all places are taken, the oldest key with an answer and no running playback goes; a key at work or
-    playing is never forgotten, and where only such are left the new one is not remembered (`begin` says so):
-    it is served all the same, for a full memory must not turn viewers away.
+    When all places are taken, the oldest key goes that binds nothing: it has an answer, no running playback, and is not
+    of a paid one that may have run. Where only others are left the new one is not remembered (`begin` says so): a free
+    request is served all the same, for a full memory must not turn viewers away; a paid one must not be begun.
     """
 
     def __init__(self, most: int, keep: int) -> None:
         self.most, self.keep = most, keep
         self.known: OrderedDict[str, Known] = OrderedDict()
-        self.unremembered = 0
 
     def turn(self, key: str, about: str, now: int) -> tuple[Turn, Refusal | None, object]:
         """What a request with this key gets, and the refusal or the answer to give."""
@@ -58,19 +58,28 @@
             return Turn.REFUSE, Refusal.KEY_REUSED, None
         if known.final is None:
             return Turn.REFUSE, Refusal.OUTSTANDING, None
-        if known.final is Final.PLAYS and known.playing:
+        if self._again(known):
+            known.given = known.given or known.final is Final.ABORTED
             return Turn.AGAIN, None, known.answer
-        if known.final is Final.ABORTED and known.paid:
-            known.given = True
-            return Turn.AGAIN, None, known.answer  # what may have run must not run again
         return Turn.NEW, None, None
 
+    def answered(self, key: str) -> bool:
+        """Whether an answer is remembered that a request with this key gets again."""
+        known = self.known.get(key)
+        return known is not None and self._again(known)
+
+    @staticmethod
+    def _again(known: Known) -> bool:
+        """What plays, and what may have run of a paid plan, must not run again."""
+        return (known.final is Final.PLAYS and (known.playing or known.paid)) or (
+            known.final is Final.ABORTED and known.paid
+        )
+
     def begin(self, key: str, about: str, paid: bool, now: int) -> bool:
         """A request with this key has become a playback; False where there is no place to remember it."""
         self._forget(now)
         self.known.pop(key, None)
         if len(self.known) >= self.most and not self._make_room():
-            self.unremembered += 1
             return False
         self.known[key] = Known(about, now, paid)
         return True
@@ -82,18 +91,14 @@
             known.playing = final is Final.PLAYS
             self.known.move_to_end(key)
 
-    def ended(self, key: str, now: int) -> None:
-        """Its playback is over; a later request with the key is a new one."""
-        if known := self.known.get(key):
+    def ended(self, key: str, answer: object, now: int) -> None:
+        """The playback of this answer is over; a later request with the key of a free one is a new one. An earlier
+        playback under the same key, whose end comes late, ends nothing of the later one."""
+        known = self.known.get(key)
+        if known is not None and known.playing and known.answer is answer:
             known.playing, known.since = False, now
             self.known.move_to_end(key)
 
-    def left(self, key: str) -> None:
-        """Its viewer went before any answer. A free plan may start anew at once; for a paid one the key stays
-        at work until the set-up's end is known (`settled`), or a second one could be out beside the first."""
-        if (known := self.known.get(key)) and not known.paid:
-            del self.known[key]
-
     def recall(self, key: str, about: str, paid: bool, final: Final, answer: object, now: int) -> None:
         """An answer of an earlier life of this front."""
         if key not in self.known and (len(self.known) < self.most or self._make_room()):
@@ -123,7 +128,8 @@
 
     def _make_room(self) -> bool:
         for key, known in self.known.items():
-            if known.final is not None and not known.playing:
+            binds = known.paid and known.final is not Final.REJECTED
+            if known.final is not None and not known.playing and not binds:
                 del self.known[key]
                 return True
         return False
--- a/oakcroft/front/catalogues.py
+++ b/oakcroft/front/catalogues.py
@@ -21,13 +21,12 @@
     Verdict,
     changed,
     consider,
-    course,
 )
 from oakcroft.decisions.catalogue import takes_part
 from oakcroft.front.helm import Helm
 from oakcroft.front.viewing import Viewing
 from oakcroft.interface import Listing, State
-from oakcroft.store.file import Held, Version
+from oakcroft.store.file import Dropped, Held, Version
 
 KIND = "catalogue"
 T_OFFER = tuple[Verdict, list[str]]
@@ -56,6 +55,9 @@
         for v in versions[-self.history.most :]:
             self.history.take(Kept(v.number, v.digest, v.taken, v.why))
             self.texts[v.number] = v.body.decode()
+        if self.helm.memory is not None:
+            for v in versions[: -self.history.most]:
+                self.helm.memory.store.note(Dropped(KIND, v.number))
         if versions:
             last = versions[-1]
             said = read(last.body.decode())
@@ -136,10 +138,13 @@
         helm.titles.take_catalogue(new.titles, names)
         helm.catalogue = new
         self.texts[new.number] = text
-        for number in self.history.take(Kept(new.number, new.digest, now, why)):
+        forgotten = self.history.take(Kept(new.number, new.digest, now, why))
+        for number in forgotten:
             self.texts.pop(number, None)
         if helm.memory is not None:
             helm.memory.store.note(Version(KIND, new.number, new.digest, now, why, text.encode()))
+            for number in forgotten:
+                helm.memory.store.note(Dropped(KIND, number))
         some = set(names)
         counts = dict.fromkeys(Course, 0)
         for v in list(helm.viewings.values()):
@@ -153,16 +158,15 @@
 
     def _goes_on(self, v: Viewing, new: Catalogue) -> Course:
         """Bounds what may become of a playback under the new version."""
-        rungs, node = len(self.helm.site.terms.rates), v.pb.node.name if v.pb.node else ""
-        item = new.titles.get(v.pb.title.name)
+        rungs, item = len(self.helm.site.terms.rates), new.titles.get(v.pb.title.name)
         if v.pb.state is not State.PLAYING:  # its next try, if there is one, is of the new version
             if item is not None:
                 v.pb.top = max(v.pb.plan.floor, min(v.asked_top, item.top(rungs)))
             return Course.STAYS
-        what, top = course(v.pb.plan.floor, v.pb.rung, item, new.others, rungs, node)
+        what, top = self.helm.course(v)
         v.pb.top = max(v.pb.plan.floor, min(v.asked_top, top))
         if what is Course.STEPS_DOWN:
-            self.steps.add([(v.id, top)])
+            self.steps.add([v.id])
         return what
 
     async def run(self) -> None:
@@ -176,8 +180,10 @@
                     await self.helm.tell(partial(self._step_down, some))
                 await trio.sleep(self.steps.every / 1e9)
 
-    def _step_down(self, some: list[tuple[str, int]]) -> None:
-        for id_, rung in some:
+    def _step_down(self, some: list[str]) -> None:
+        for id_ in some:
             v = self.helm.sessions.get(id_)
-            if v is not None and v.pb.rung > rung:
-                self.helm.wished(v, max(rung, v.pb.plan.floor))
+            if (
+                v is not None and v.pb.rung > v.pb.top
+            ):  # as it is bounded now: a later version may have more again
+                self.helm.bounded(v, v.pb.top)
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -32,6 +32,7 @@
 from oakcroft.front.reducing import Reducing
 from oakcroft.front.siding import Siding
 from oakcroft.front.viewing import Reader, Viewing
+from oakcroft.interface import Outcome
 from oakcroft.signalling import sdp, words
 
 READER_KINDS = ("active", "inactive", "layers", "move")
@@ -91,9 +92,8 @@
         )
         self.queue, self.number = Queue(door.bounds), 0
         self.publishing: dict[str, Viewing] = {}
-        weights = {name: p.plan.revenue for name, p in helm.site.plans.items()}
-        targets = {name: p.plan.startup_target for name, p in helm.site.plans.items()}
-        self.line = Line(weights, Window(), SHORTEST_SETUP, targets=targets)
+        self.line = Line({}, Window(), SHORTEST_SETUP)
+        self.take_version()
         self.shed, self.shed_told = 0, 0  # turned away before they were read; and of those, told in the log
         self.shedding = False
         self.reducing: Reducing | None = None
@@ -101,6 +101,12 @@
         self.turns: dict[int, trio.Event] = {}
         self.granted: set[int] = set()
 
+    def take_version(self) -> None:
+        """Plans may have other revenues and targets than before."""
+        plans = {name: p.plan for name, p in self.helm.site.plans.items()}
+        targets = {name: plan.startup_target for name, plan in plans.items()}
+        self.line.take_version({name: plan.revenue for name, plan in plans.items()}, targets)
+
     # The line before the module.
 
     async def beat(self) -> None:
@@ -216,22 +222,28 @@
             raise Faulty(403, "claim", "This token does not give access to this title")
         raise Faulty(404, "no-route", "Nothing is served at this path")
 
+    def repeated(self, key: str | None, token: Token | None) -> bool:
+        """Whether a request with this key of this client has its answer: it is let in at every door, for it binds nobody
+        any more and gets that answer again."""
+        return key is not None and self.helm.repeats.answered(self._own(key, token))
+
+    @staticmethod
+    def _own(key: str, token: Token | None) -> str:
+        return f"{token.name}/{key}" if token else key  # one client's key is no other's
+
     async def ask(self, ask: Ask) -> tuple[Viewing | Reply, bool]:
         """The one answer to a request: the viewing with its `final`, or a refusal before it became a playback; and
         whether it is given for the first time. Faulty where the request itself is wrong. A caller that is cancelled
         has left."""
         site = self.helm.site  # the version under which this request is decided, from here to its answer
         title = unquote(ask.path.rpartition("/")[2], errors="replace")
-        if self.sheds(ask.path):  # before anything is parsed: under a crowd, reading requests is what costs
+        if not self.repeated(ask.key, ask.token) and self.sheds(
+            ask.path
+        ):  # before anything is parsed: under a crowd, reading requests is what costs
             return REFUSALS[Refusal.BUSY], True
         self._check_key(ask.key)
-        offer = self.parse(ask.offer)
-        route = self._route(site, ask, offer, title)
-        publishes = route.match.side is Side.PUBLISH
-        self._check(offer, publishes)
-        now, plan, who = self.clock.now(), site.plans[route.plan], ask.token.name if ask.token else ""
-        key = ask.key if ask.key is not None else secrets.token_urlsafe(15)
-        key = f"{who}/{key}" if who else key  # one client's key is no other's
+        now, who = self.clock.now(), ask.token.name if ask.token else ""
+        key = self._own(ask.key if ask.key is not None else secrets.token_urlsafe(15), ask.token)
         about = hashlib.blake2b(f"{ask.path}\0{ask.offer}".encode(), digest_size=16).hexdigest()
         turn, refusal, earlier = self.helm.repeats.turn(key, about, now)
         if turn is Turn.REFUSE and refusal is not None:
@@ -240,10 +252,16 @@
             if self.helm.memory is not None:
                 self.helm.memory.claimed(earlier)
             return earlier, False
+        offer = self.parse(ask.offer)
+        route = self._route(site, ask, offer, title)
+        publishes, plan = route.match.side is Side.PUBLISH, site.plans[route.plan]
+        self._check(offer, publishes)
         if not self.stopping.takes_new():
             return REFUSALS[Refusal.DRAINING], True
-        other = self.publishing.get(title) if publishes else None
-        if other is not None and (other.final is None or other.id in self.helm.sessions):
+        if publishes:  # what has ended by itself holds its title no longer
+            some = self.publishing.items()
+            self.publishing = {t: o for t, o in some if o.final is None or o.id in self.helm.sessions}
+        if publishes and title in self.publishing:
             raise Faulty(409, "published", "This title is being published already")
         lag = self.reducing.lag if self.reducing is not None else 0
         wait = due(ask.written, plan.abandon, ask.prefer, margin(site.way_back, lag))
@@ -263,7 +281,7 @@
         v = self.helm.viewing(ask.path, title, plan, publishes, key, ask.offer, sdp.ufrag(offer), top, wait)
         if v is None or not self.queue.has_room():
             return REFUSALS[Refusal.BUSY], True
-        v.seated = ask.seated
+        v.seated, v.keyed = ask.seated, ask.key is not None
         v.token, v.about, v.asked_top, v.catalogue = who, about, max(asked_top, plan.plan.floor), version
         if self.helm.memory is not None and (reply := self.helm.memory.refusal(v)) is not None:
             return reply, True
@@ -285,8 +303,12 @@
     ) -> tuple[Viewing | Reply, bool]:
         """Lets a request through the line to the module and waits for its answer."""
         paid = v.plan.plan.effect.value == "paid"
-        self.queue.enter(number, self.clock.now())
-        self.helm.repeats.begin(v.key, about, paid, self.clock.now())
+        self.queue.enter(number)
+        if not self.helm.repeats.begin(v.key, about, paid, self.clock.now()) and paid:
+            self.queue.leave(number)  # unremembered, a repeat of it would be set up again
+            if v.ticket is not None:
+                self.helm.ledger.back(v.ticket)
+            return REFUSALS[Refusal.BUSY], True
         if v.publishes:
             self.publishing[v.pb.title.name] = v
         self.helm.unanswered += 1
@@ -320,8 +342,9 @@
             self.queue.leave(number)
             if not asked and v.ticket is not None:
                 self.helm.ledger.back(v.ticket)
-            if v.final is None:  # the viewer has gone
-                self.helm.repeats.left(v.key)
+            if (
+                v.final is None
+            ):  # the viewer has gone; its key stays at work until the end of its set-up is known
                 if asked:
                     self.helm.insist(partial(self.helm.left, v))
                 else:
@@ -341,8 +364,14 @@
             raise Faulty(404, "no-session", "No such session")
         if token is not None and v.token and token.name != v.token:
             raise Faulty(403, "claim", "This session is another client's")
+        self._stands(v)
         return v
 
+    def _stands(self, v: Viewing) -> None:
+        """Faulty 404 for a session that has ended, or is being ended."""
+        if v.resource is None or v.resource.gone() or v.id not in self.helm.sessions:
+            raise Faulty(404, "no-session", "No such session")
+
     @staticmethod
     def _said(said: Said) -> Faulty:
         return Faulty(said.status, said.kind.rpartition(":")[2], said.title)
@@ -392,18 +421,28 @@
 
     async def layer(self, v: Viewing, wish: str) -> None:
         """The viewer names the rung that it takes at most; under it the module goes on choosing."""
+        self._stands(v)
         plan = v.pb.plan
         rung = ladder.rung_wished(wish, plan.floor, plan.top)
         if rung is None:
             raise Faulty(422, "layer", "No such layer in this plan", f"rungs {plan.floor} to {plan.top}")
+        if (
+            self.reducing is not None and rung > v.pb.top
+        ):  # a level bounds what is new, and takes nothing away
+            rung = max(v.pb.top, self.reducing.top(rung, plan.floor))
         await self.helm.tell(partial(self.helm.wished, v, rung))
 
-    def reader(self, v: Viewing, kinds: frozenset[str]) -> Reader:
-        """A reader of a session's events, which begins with the present state. Faulty 409 for one too many."""
-        if len(v.readers) >= MOST_READERS:
+    def reader(self, v: Viewing, kinds: frozenset[str], seat: bool = False) -> Reader:
+        """A reader of a session's events, which begins with the present state; of one that has ended it hears just that.
+        Faulty 409 for one too many; that of a `seat` is not counted, or a repeated request would find no answer."""
+        if len(v.readers) >= MOST_READERS and not seat:
             raise Faulty(409, "events", f"{MOST_READERS} streams of this session are open")
         send, receive = trio.open_memory_channel[tuple[str, dict[str, str]]](self.door.bounds.event_backlog)
         reader = Reader(kinds, send, receive)
+        if v.id not in self.helm.sessions:
+            send.send_nowait(("inactive", {"why": Outcome.RESET.value}))
+            send.close()
+            return reader
         v.readers.append(reader)
         if "active" in kinds:
             send.send_nowait(("active", {}))
@@ -421,6 +460,7 @@
 
     async def move(self, v: Viewing, text: str, key: str, prefer: list[str]) -> tuple[str, str] | Reply:
         """A player that was told to move makes a new offer: the target's answer and tag, or that it stays."""
+        self._stands(v)
         self._check_key(key)
         offer = self.parse(text)
         self._check(offer, v.publishes)
@@ -448,6 +488,7 @@
 
     async def moved(self, v: Viewing) -> None:
         """The player plays from the target."""
+        self._stands(v)
         move = self.helm.moves.moves.get(v.id)
         if move is not None:
             await self.helm.tell(partial(self.helm.moves.happens, move, Happening.CONFIRMED))
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -9,6 +9,7 @@
 
 import secrets
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Protocol
@@ -19,7 +20,7 @@
 from oakcroft.choice import Controller, digest
 from oakcroft.decisions import answers
 from oakcroft.decisions.answers import Final
-from oakcroft.decisions.catalogue import Catalogue, bound
+from oakcroft.decisions.catalogue import Catalogue, Course, bound, course
 from oakcroft.decisions.handover import Happening
 from oakcroft.decisions.lifeline import Loss, Patience
 from oakcroft.decisions.limits import Ledger
@@ -64,6 +65,7 @@
 AT_ONCE = 0.005  # seconds of events between two turns of the other tasks
 MOST_TITLES = 50_000
 MOST_KEYS = 100_000
+UNHEARD = 10.0  # seconds for which a playback is kept whose viewer did not get its answer and may ask again
 Event = Callable[[], None]
 
 
@@ -74,7 +76,7 @@
     def arrived(self, pb: Playback, now: int) -> None: ...
     def resumed(self, pb: Playback, node: Node, now: int) -> None: ...
     def recalled(self, further: Iterable[int], spent: Iterable[Node], now: int) -> None: ...
-    def playing(self, pb: Playback, took: int, now: int) -> None: ...
+    def playing(self, pb: Playback, now: int) -> None: ...
     def noted(self, pb: Playback, kind: Note, value: float, now: int) -> None: ...
     def left(self, pb: Playback, now: int) -> None: ...
     def alarm(self, now: int) -> None: ...
@@ -209,9 +211,9 @@
                 for session in leg.claims.orphans(now):
                     self.log_.info("orphan ended", node=leg.name)
                     self.nursery.start_soon(leg.farewell, session)
-                if leg.name not in self.roster.nodes and not leg.claims.mine and not leg.watched:
-                    await leg.peer.close()
+                if leg.name not in self.roster.nodes and not leg.claims.mine:
                     del self.legs[leg.name]
+                    await leg.close()
 
     # The list.
 
@@ -255,6 +257,7 @@
         old = self.legs.get(line.name)
         if old is not None:
             self._node_lost(old, Loss.PROVEN, "it has another address")
+            self.nursery.start_soon(old.close)
         patience = Patience(self.site.silent_after, self.site.lost_after)
         claim_within = self.longest_abandon + LONGEST_TRY_GRACE
         self.legs[line.name] = NodeLeg(
@@ -277,9 +280,13 @@
 
     def arrived(self, v: Viewing) -> None:
         """The module is asked."""
-        if v.final is not None:
+        if (
+            v.final is not None or v.answered.is_set()
+        ):  # its viewer left while the event waited: nothing is set up
+            if v.settle(Final.REJECTED):
+                self.repeats.settled(v.key, Final.REJECTED, v, self.clock.now())
             self._free(v)
-            return  # its viewer left while the event waited
+            return
         self.viewings[v.pb] = v
         if v.catalogue != self.catalogue.number:  # another version has come into force since it was read
             top = self.title_top(v.pb.title.name, v.asked_top, v.pb.plan.floor)
@@ -348,10 +355,21 @@
         """The viewer takes no rung over this one: it bounds what the module may set from now on."""
         if v.pb not in self.viewings or v.pb.state is not State.PLAYING:
             return
-        v.pb.top = rung
-        if v.pb.rung > rung:
-            self.controller.noted(v.pb, Note.RUNG, rung, self.clock.now())
-            self.set_rung(v.pb, rung)
+        v.asked_top = rung
+        self.bounded(v, max(v.pb.plan.floor, min(rung, self.course(v)[1])))
+
+    def course(self, v: Viewing) -> tuple[Course, int]:
+        """What the catalogue in force makes of a playback, and the highest rung that it leaves."""
+        node, item = v.pb.node.name if v.pb.node else "", self.catalogue.titles.get(v.pb.title.name)
+        rungs = len(self.site.terms.rates)
+        return course(v.pb.plan.floor, v.pb.rung, item, self.catalogue.others, rungs, node)
+
+    def bounded(self, v: Viewing, top: int) -> None:
+        """A playing playback goes no higher than this; where it does, it steps down at once, and the module hears so."""
+        v.pb.top = top
+        if v.pb.rung > top:
+            self.controller.noted(v.pb, Note.RUNG, top, self.clock.now())
+            self.set_rung(v.pb, top)
 
     async def _farewell(self, v: Viewing) -> None:
         try:
@@ -371,7 +389,7 @@
         if self.memory is not None:
             self.memory.sent(node)
         self.viewings[pb].catalogue = self.catalogue.number
-        self.nursery.start_soon(self._try, self.viewings[pb], node.name, pb.rung, abandon_at)
+        self.nursery.start_soon(self._try, self.viewings[pb], self.legs[node.name], pb.rung, abandon_at)
 
     def reject(self, pb: Playback, stay_away: int) -> None:
         self._settle(self.viewings[pb], Final.REJECTED, answers.rejected(stay_away))
@@ -403,12 +421,12 @@
         await trio.sleep_until(self.clock.deadline(at))
         await self.tell(lambda: self.controller.alarm(self.clock.now()))
 
-    async def _try(self, v: Viewing, node: str, rung: int, until: int) -> None:
-        if self.memory is None or await self.memory.before_try(v, node, rung, until):
-            end = await self.legs[node].set_up(v, rung, until)
+    async def _try(self, v: Viewing, leg: NodeLeg, rung: int, until: int) -> None:
+        if self.memory is None or await self.memory.before_try(v, leg.name, rung, until):
+            end = await leg.set_up(v, rung, until)
         else:
-            end = TryEnd(Outcome.NOT_SENT, NO_LOAD, None, 0, "not on record in time")
-        await self.tell(partial(self._tried, v, self.legs[node], end))
+            end = TryEnd(Outcome.NOT_SENT, NO_LOAD, None, "not on record in time")
+        await self.tell(partial(self._tried, v, leg, end))
 
     async def _change_rung(self, v: Viewing) -> None:
         """Sends the rung wanted last; while one change is under way, later ones replace each other."""
@@ -417,8 +435,11 @@
             while v.rung_wanted is not None and v.upstream is not None and v.pb.state is State.PLAYING:
                 rung, v.rung_wanted = v.rung_wanted, None
                 leg = self.legs.get(v.upstream.node)
-                if leg is None or not await leg.set_rung(v.upstream, rung):
-                    return  # the node's own note tells which is in force
+                if leg is None:
+                    return
+                if not await leg.set_rung(v.upstream, rung):
+                    leg.renew()  # the node's own word at the beginning of its stream tells which is in force
+                    return
                 self.publish(v, "layers", {"encodingId": str(rung)})
         finally:
             v.rung_at_work = False
@@ -428,12 +449,16 @@
     def _tried(self, v: Viewing, leg: NodeLeg, end: TryEnd) -> None:
         now, pb = self.clock.now(), v.pb
         if end.outcome is Outcome.DONE and end.upstream is not None:
-            self._set_up(v, leg, end)
-            return
+            if self.legs.get(leg.name) is leg:
+                self._set_up(v, leg, end)
+                return
+            # The list has put another process in this one's place meanwhile: what runs there is lost to all.
+            self.nursery.start_soon(leg.farewell, end.upstream.resource)
+            end = replace(end, outcome=Outcome.RESET, cause="its node has another address")
         closed = pb.state is not State.SETTING_UP
         if self.memory is not None:
             self.memory.tried(v, end.outcome)
-        if closed and v.final is None and v.plan.plan.effect.value == "paid":
+        if closed and v.final is None:
             self._abort_unheard(v)
         self.log_.debug("try", playback=v.id, node=leg.name, outcome=end.outcome.value, cause=end.cause)
         self.controller.tried(pb, end.outcome, closed, end.load.asked, end.load.used, end.load.uplink, now)
@@ -452,7 +477,7 @@
             self._say_farewell(v)
             return
         self.upstreams[leg.name, end.upstream.resource] = v
-        self.controller.playing(pb, end.took, now)
+        self.controller.playing(pb, now)
         if end.load.asked is not None:
             self.controller.noted(pb, Note.LINK_ASKED, end.load.asked, now)
         if end.load.uplink is not None:
@@ -547,6 +572,7 @@
         lost = leg.claims.all_lost() if proven else leg.claims.presumed()
         if lost:
             self.log_.warning("node lost", node=leg.name, why=why, how=loss.value, playbacks=len(lost))
+        told = False  # one silence speaks once against its node, however many playbacks it had
         for session in lost:
             v = self.upstreams.get((leg.name, session))
             if v is None:
@@ -554,7 +580,9 @@
             if proven:
                 self._over(v, Outcome.RESET)
                 continue
-            self.controller.noted(v.pb, Note.DELIVERED, 0.0, self.clock.now())
+            if not told:
+                told = True
+                self.controller.noted(v.pb, Note.DELIVERED, 0.0, self.clock.now())
             if self.moves.of(v) is not None:
                 self._over(self._part(v), Outcome.RESET, presumed=True)
                 if not self.moves.over(v, True):
@@ -588,7 +616,7 @@
                 self._forget(rest)
                 return
             v = rest if v.beside is not None else v
-        self.repeats.ended(v.key, self.clock.now())
+        self.repeats.ended(v.key, v, self.clock.now())
         self.hide(v, how)
         self._forget(v)
 
@@ -605,8 +633,19 @@
         v.readers.clear()
 
     def unsent(self, v: Viewing) -> None:
-        """The viewer's connection broke under its answer, so nobody holds the session's name."""
-        self.insist(partial(self.end, v))
+        """The viewer's connection broke under its answer, so nobody holds the session's name. One that chose its key
+        may ask again and gets the same: it has `UNHEARD` seconds for that, as a paid one would not be set up again. Harm:
+        the playback of a viewer that does not come holds its place for that long."""
+        if not v.keyed:
+            self.insist(partial(self.end, v))
+        elif not v.unheard:
+            v.unheard = True
+            self.nursery.start_soon(self._unheard, v)
+
+    async def _unheard(self, v: Viewing) -> None:
+        await trio.sleep(UNHEARD)
+        if v.unheard:
+            await self.tell(partial(self.end, v))
 
     # Answers, readers, and forgetting.
 
--- a/oakcroft/front/memory.py
+++ b/oakcroft/front/memory.py
@@ -166,9 +166,12 @@
             self.put(promise)
 
     def over(self, v: Viewing) -> None:
-        """A viewing's session has ended."""
-        if v.final is Final.PLAYS and (promise := self.promises.get(v.id)) is not None:
-            self.put(replace(promise, mark=Mark.GONE, changed=self.helm.clock.now()))
+        """A viewing's session has ended. The key of a plan that binds stays on record for as long as a viewer may come
+        with it again: after a restart it aborts, where it would be set up a second time."""
+        promise = self.promises.get(v.id)
+        if v.final is Final.PLAYS and promise is not None and promise.mark is Mark.PLAYS:
+            mark = Mark.ABORTED if promise.binds else Mark.GONE
+            self.put(replace(promise, mark=mark, answer="", changed=self.helm.clock.now()))
 
     def move_begins(self, v: Viewing, copy: Viewing) -> None:
         """A copy of a viewing may be set up from now on."""
@@ -195,6 +198,7 @@
         if now - self.alive_at >= SECOND:
             self.alive_at = now
             self.store.note(Fact("alive", str(now).encode()))
+            self.kept = {name: grudge for name, grudge in self.kept.items() if name in self.helm.roster.nodes}
             for node in self.helm.roster.nodes.values():
                 score = node.distrust.read(now, DISTRUST_HALF)
                 grudge = Grudge(node.name, round(score, 2), now, node.failed_at)
@@ -309,6 +313,7 @@
         v = Viewing(promise.id, promise.path, plan, promise.publishes, promise.key, "", promise.ufrag,
                     Due(promise.written, promise.abandon), pb)  # fmt: skip
         v.token, v.about, v.seated = promise.token, promise.about, promise.seated
+        v.asked_top = pb.top
         return v
 
     def _recall(self, promise: Promise, what: Fate, now: int) -> bool:
--- a/oakcroft/front/moves.py
+++ b/oakcroft/front/moves.py
@@ -55,7 +55,6 @@
         self.moves: dict[str, Move] = {}  # by the session's id
         self.roles: dict[Viewing, Move] = {}
         self.wake = trio.Event()
-        self.done = self.stayed = self.lost = 0
         self.paused = False
 
     # What calls for moves.
@@ -79,6 +78,8 @@
 
     def shared(self, name: str, share: float, usual: float, now: int) -> None:
         """A note of the share delivered at a node; `usual` is what the others deliver."""
+        if name in self.helm.roster.gone_at:
+            return  # forgotten with its listing, and for good
         was = name in self.fadings.leaving
         if self.fadings.note(name, share, usual, now):
             self.log.info("mode", change=f"node {name} fades: {share:.2f} delivered, {usual:.2f} elsewhere")
@@ -252,6 +253,9 @@
         v.ufrag, v.rung_wanted = other.ufrag, None
         self.helm.rebind(v)
         self.helm.rebind(other)
+        self.helm.bounded(
+            v, max(v.pb.plan.floor, min(v.pb.top, other.pb.top))
+        )  # its viewer may have wished meanwhile
         if self.helm.memory is not None:
             self.helm.memory.moved(v)
         self.helm.publish(v, "layers", {"encodingId": str(v.pb.rung)})
@@ -263,9 +267,6 @@
         state, now = move.hand.state, self.helm.clock.now()
         if self.helm.memory is not None and move.other is not None:
             self.helm.memory.move_over(move.v)
-        self.done += state is Course.DONE
-        self.stayed += state is Course.STAYED
-        self.lost += state is Course.LOST
         self.moves.pop(move.v.id, None)
         for part in (move.v, move.other):
             if part is not None:
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -41,7 +41,6 @@
     outcome: Outcome
     load: words.Load
     upstream: Upstream | None
-    took: int
     cause: str
 
 
@@ -85,13 +84,14 @@
         self.wake = trio.Event()  # set when it is worth opening the stream
         self.stream: trio.CancelScope | None = None
         self.renewing = False
+        self.life = trio.CancelScope()  # of the watch
 
     def _headers(self, **more: str) -> Headers:
         return [("Via", f"1.1 {self.me}"), *((k.replace("_", "-"), v) for k, v in more.items())]
 
     async def set_up(self, v: Viewing, rung: int, until: int) -> TryEnd:
         """One setup try, ended by `until` at the latest."""
-        trail, sent_at = Trail(), self.clock.now()
+        trail = Trail()
         end, cause, response = End.TIME_UP, "", None
         with trio.CancelScope(deadline=self.clock.deadline(until)):
             try:
@@ -112,8 +112,7 @@
                 upstream = self._upstream(v.path, response)
                 if upstream is None:
                     end, cause = End.GARBLED, "a 201 without a usable Location or answer"
-        took = self.clock.now() - sent_at
-        return TryEnd(outcome(trail, end), load, upstream, took, cause or trail.problem)
+        return TryEnd(outcome(trail, end), load, upstream, cause or trail.problem)
 
     def _upstream(self, path: str, response: Response) -> Upstream | None:
         location = response.header("location")
@@ -194,8 +193,17 @@
             self.renewing = True
             self.stream.cancel()
 
+    async def close(self) -> None:
+        """The front has nothing to do with this node any more."""
+        self.life.cancel()
+        await self.peer.close()
+
     async def watch(self, hear: Hear, lost: Lost) -> None:
-        """Keeps the event stream open for as long as the front runs; tells what comes and when the node is lost."""
+        """Keeps the event stream open until the leg is closed; tells what comes and when the node is lost."""
+        with self.life:
+            await self._watch(hear, lost)
+
+    async def _watch(self, hear: Hear, lost: Lost) -> None:
         again = Again(EVENTS, self.rng, self.clock.now())
         while True:
             await self.wake.wait()
--- a/oakcroft/front/sockets.py
+++ b/oakcroft/front/sockets.py
@@ -121,15 +121,20 @@
             await self._gone(holder, v)
 
     async def _gone(self, holder: Holder, v: Viewing) -> None:
-        if holder.playbacks.pop(v.id, None) is None:
+        if not self._let_go(holder, v):
             return
-        holder.client.playbacks -= 1
-        reader = holder.readers.pop(v.id, None)
-        if reader is not None:
-            self.core.unread(v, reader)
         with suppress(Faulty):  # it has ended by itself
             await self.core.end(v)
 
+    def _let_go(self, holder: Holder, v: Viewing) -> bool:
+        """A playback is this seat's no more; False where it was not."""
+        if holder.playbacks.pop(v.id, None) is None:
+            return False
+        holder.client.playbacks -= 1
+        holder.tops.pop(v.id, None)
+        self.core.unread(v, holder.readers.pop(v.id))
+        return True
+
     def put(self, holder: Holder, make: Make) -> None:
         """Something that the client must hear. `make`: the message by its number."""
         number = holder.seat.outbox.next_number
@@ -170,7 +175,7 @@
         self, ws: wsproto.WSConnection, source: str, subprotocol: str, stream: trio.SocketStream, rest: bytes
     ) -> None:
         self.numbers += 1
-        link = Link(stream, ws, subprotocol, self.numbers, self.allowance, self.clock.now())
+        link = Link(stream, ws, subprotocol, self.numbers, self.allowance)
         await link.open(rest)
         try:
             async with trio.open_nursery() as nursery:
@@ -293,7 +298,7 @@
                 )
 
     async def _ask(self, holder: Holder, m: api.Ask, read_at: int) -> None:
-        word = holder.client.asks_for()
+        word = holder.client.asks_for(self.core.repeated(m.key or None, holder.token))
         if word is not Word.PASS:
             self.put(holder, partial(_refused, m.id, 429, "urn:oakcroft:problem:client", word.value))
             return
@@ -320,9 +325,14 @@
         """A playback belongs to the seat now; whether it did not before."""
         if v.id in holder.playbacks:
             return False
+        v.unheard = False
+        for other in self.holders.values():  # it belongs to one seat: that which asked for it last
+            if other.playbacks.get(v.id) is v:
+                self._let_go(other, v)
+                self.put(other, partial(_event, v.id, "inactive", {"why": "another seat has asked for it"}))
         holder.playbacks[v.id] = v
         holder.tops[v.id] = v.pb.top
-        reader = holder.readers[v.id] = self.core.reader(v, KINDS)
+        reader = holder.readers[v.id] = self.core.reader(v, KINDS, seat=True)
         self.nursery.start_soon(self._forward, holder, v, reader)
         return True
 
@@ -331,10 +341,8 @@
         with holder.task(), suppress(trio.ClosedResourceError):  # closed where the client itself has ended it
             async for kind, data in reader.receive:
                 self.put(holder, partial(_event, v.id, kind, data))
-        if holder.playbacks.pop(v.id, None) is not None:
-            holder.client.playbacks -= 1
-            holder.readers.pop(v.id, None)
-            holder.tops.pop(v.id, None)
+        if holder.readers.get(v.id) is reader:
+            self._let_go(holder, v)
 
     async def _do(self, holder: Holder, m: api.FromClient, number: int) -> None:
         v = self._own(holder, getattr(m, "playback", ""))
@@ -404,16 +412,14 @@
     """One WebSocket connection: frames in, messages out through a bounded queue."""
 
     def __init__(
-        self, stream: trio.SocketStream, ws: wsproto.WSConnection, subprotocol: str, number: int, allowance: Allowance,
-        now: int,
+        self, stream: trio.SocketStream, ws: wsproto.WSConnection, subprotocol: str, number: int, allowance: Allowance
     ) -> None:  # fmt: skip
         self.stream, self.subprotocol, self.number, self.allowance = stream, subprotocol, number, allowance
         self.codec, self.ws = api.Codec(subprotocol), ws
         self.out, self.queue = trio.open_memory_channel[bytes](allowance.behind + 16)
         self.holder: Holder | None = None
         self.caller: Client | None = None
-        self.pulse = Pulse(heard_at=now)
-        self.inbox: list[bytes] = []
+        self.pulse = Pulse()
         self.partial = bytearray()
         self.closing = False
 
@@ -484,14 +490,13 @@
                 data = b""
                 with trio.move_on_after(self.pulse.every / 1e9) as quiet:
                     data = await self.stream.receive_some(65_536)
-                now = round(trio.current_time() * 1e9)
                 if quiet.cancelled_caught:
-                    self.pulse.asked += 1
+                    self.pulse.quiet()
                     if self.pulse.dead:
                         return None
                     self._queue(self.ws.send(events.Ping()))
                     continue
-                self.pulse.heard(now)
+                self.pulse.heard()
                 if not data:
                     return None
                 self.ws.receive_data(data)
--- /dev/null
+++ b/tests/test_owners.py
@@ -0,0 +1,178 @@
+"""What the module decides and a later part decides too: one owner each, and no cause acted on twice."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+import trio
+import trio.testing
+from rig import Rig, run, standing, until
+from test_catalogue import AUTH, OPS
+
+from oakcroft.decisions.catalogue import Verdict
+from oakcroft.decisions.levels import Acts, Level
+from oakcroft.front.catalogues import Catalogues
+from oakcroft.front.viewing import Viewing
+from oakcroft.decisions.lifeline import Life
+from oakcroft.decisions.versions import Verdict as Taken
+from oakcroft.httpwire.message import Request, Response
+from oakcroft.standins.playout import PlayoutNode
+
+TWO, ONE, THREE = (
+    f"(catalogue (title t {rates}) (others yes))"
+    for rates in (
+        "(renditions 200kB/s 400kB/s)",
+        "(renditions 200kB/s)",
+        "(renditions 200kB/s 400kB/s 800kB/s)",
+    )
+)
+
+
+def catalogues(rig: Rig) -> Catalogues:
+    assert rig.front is not None
+    assert rig.front.catalogues is not None
+    return rig.front.catalogues
+
+
+async def taken(rig: Rig, text: str) -> None:
+    verdict, why = await catalogues(rig).replace(text, None, False, "")
+    assert verdict is Verdict.TAKEN, why
+
+
+async def watched(rig: Rig) -> tuple[Response, Viewing]:
+    sat = await rig.watch()
+    assert sat.status == 201
+    return sat, rig.helm().sessions[(sat.header("location") or "").rpartition("/")[2]]
+
+
+async def layer(rig: Rig, sat: Response, rung: int) -> int:
+    here = f"{sat.header('location')}/layer"
+    return (
+        await rig.ask("POST", here, b'{"encodingId": "%d"}' % rung, Content_Type="application/json")
+    ).status
+
+
+def test_a_viewers_wish_stays_within_the_catalogue_and_outlives_its_changes(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, OPS) as rig:
+            await taken(rig, TWO)
+            sat, v = await watched(rig)
+            assert await layer(rig, sat, 2) == 200  # a rung of the ladder that this title has not
+            await until(lambda: v.asked_top == 2)
+            assert v.pb.top == 1
+            assert await layer(rig, sat, 0) == 200
+            await until(lambda: v.pb.top == 0)
+            await taken(rig, THREE)
+            assert v.pb.top == 0
+            assert await layer(rig, sat, 2) == 200
+            await until(lambda: v.pb.top == 2)
+            rig.judged()
+
+    run(test)
+
+
+def test_a_step_down_that_a_later_catalogue_takes_back_is_not_carried_out(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, OPS) as rig:
+            _, v = await watched(rig)
+            v.pb.rung = 2
+            catalogues(rig).steps.last = rig.helm().clock.now() + 10**12  # no turn yet
+            await taken(rig, ONE)
+            assert len(catalogues(rig).steps.waiting) == 1
+            await taken(rig, THREE)
+            catalogues(rig).steps.last = 0
+            await until(lambda: not catalogues(rig).steps.waiting)
+            assert (await rig.ask("GET", "/operators/status", **AUTH)).status == 200
+            assert v.pb.top == 2
+            assert not any(f["rung"] == 0 for f in rig.facts("rung"))
+
+    run(test)
+
+
+def test_a_level_bounds_no_playback_that_plays_and_no_wish_beyond_what_it_is(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            core = rig.front.core if rig.front else None
+            assert core is not None
+            assert core.reducing is not None
+            earlier, before = await watched(rig)
+            core.reducing.levels.levels[0] = Level("careful", (), Acts(top=1))
+            later, after = await watched(rig)
+            assert (before.pb.top, after.pb.top) == (2, 1)
+            for sat in (earlier, later):
+                assert await layer(rig, sat, 2) == 200
+            await trio.testing.wait_all_tasks_blocked()
+            assert (before.pb.top, after.pb.top) == (2, 1)
+
+    run(test)
+
+
+def test_the_loss_of_a_node_speaks_once_against_it_however_many_play_there(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            node, *_ = rig.fleet.nodes.values()
+            rig.node("n2").ails.draining = True
+            rig.fleet.publish()
+            await until(lambda: rig.helm().roster.lines["n2"].listing.value == "draining")
+            for n in range(6):
+                assert (await rig.watch(f"/whep/open/t{n}")).status == 201
+            node.ails.silent = True
+            known = rig.helm().roster.nodes["n1"]
+            await until(lambda: any(e["event"] == "node lost" for e in rig.logged()))
+            assert 0 < known.distrust.sum <= 1.5
+            node.ails.silent = False
+            node.stir()
+            await until(lambda: not rig.helm().viewings)
+            rig.judged()
+
+    run(test)
+
+
+def test_a_new_configuration_weighs_plans_in_the_line_too(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            core = rig.front.core if rig.front else None
+            assert core is not None
+            assert core.line.plans["course"].weight == 0.5
+            site = rig.helm().site
+            plan = site.plans["course"]
+            dear = replace(plan, plan=replace(plan.plan, revenue=8.0, startup_target=5))
+            found = replace(
+                rig.helm().versions.offer.compiled, site=replace(site, plans=site.plans | {"course": dear})
+            )
+            meaning = dict(found.meaning) | {"plan": {"course": {"revenue": 8.0}}}
+            assert rig.front is not None
+            assert await rig.front.offer(1, replace(found, meaning=meaning)) is Taken.TAKEN
+            assert core.line.plans["course"].weight == 0.8
+            assert core.line.targets["course"] == 5
+
+    run(test)
+
+
+def test_the_module_learns_what_is_in_force_where_a_step_down_found_no_answer(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    handle, cut = PlayoutNode.handle, [0]
+
+    async def cutting(node: PlayoutNode, request: Request) -> Response:
+        if request.path.endswith("/layer"):
+            cut[0] += 1
+            return Response(503)
+        return await handle(node, request)
+
+    monkeypatch.setattr(PlayoutNode, "handle", cutting)
+
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            sat, v = await watched(rig)
+            before = v.pb.rung
+            assert before > 0
+            await until(lambda: rig.helm().legs[rig.playing()[0].name].lifeline.state is Life.HEARD)
+            assert await layer(rig, sat, 0) == 200
+            await until(lambda: cut[0] > 1)
+            await until(lambda: v.pb.rung == before)
+            assert not rig.facts("rung")
+
+    run(test)
