Write down two findings that are not mended as strict expected failures

A wing whose nodes drain looks sound, so its requests are rejected while another wing has room; a wish that a node refused is not asked of it again.

--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -20,6 +20,7 @@
 from oakcroft.httpwire.message import Request, Response
 from oakcroft.standins.playout import PlayoutNode
 
+PREFERENCE = "(preference (spill 50%) (window 60s) (hold 300ms) (ramp 2s) (room 2))"
 TWO, ONE, THREE = (
     f"(catalogue (title t {rates}) (others yes))"
     for rates in (
@@ -176,3 +177,50 @@
             assert not rig.facts("rung")
 
     run(test)
+
+
+@pytest.mark.xfail(
+    strict=True, reason="a wing that drains looks sound: docs/review-of-parts.md, findings not mended"
+)
+def test_a_request_goes_to_another_wing_while_its_own_drains(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, PREFERENCE, wings=True) as rig:
+            rig.node("n1").ails.draining = True
+            rig.fleet.publish()
+            await until(lambda: rig.helm().roster.lines["n1"].listing.value == "draining")
+            answers = [(await rig.watch(f"/whep/open/u{n}")).status for n in range(8)]
+            assert 201 in answers
+
+    run(test)
+
+
+@pytest.mark.xfail(
+    strict=True, reason="a wish is asked of its node once: docs/review-of-parts.md, findings not mended"
+)
+def test_a_wish_that_its_node_refused_is_carried_out_once_the_node_takes_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    handle, refuses = PlayoutNode.handle, [True]
+
+    async def refusing(node: PlayoutNode, request: Request) -> Response:
+        if request.path.endswith("/layer") and refuses:
+            return Response(409)
+        return await handle(node, request)
+
+    monkeypatch.setattr(PlayoutNode, "handle", refusing)
+
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            sat, v = await watched(rig)
+            before = v.pb.rung
+            await until(lambda: rig.helm().legs[rig.playing()[0].name].lifeline.state is Life.HEARD)
+            assert await layer(rig, sat, 0) == 200
+            await until(
+                lambda: v.pb.top == 0 and v.pb.rung == before
+            )  # the node's word has told what is in force
+            refuses.clear()
+            for leg in rig.helm().legs.values():
+                leg.renew()
+            await until(lambda: rig.facts("rung"), 2)
+
+    run(test)
