Put the free try at a distrusted node back: few nodes with one failure each shut the door

Seen: with the free try out, a front of two nodes whose one session each had been reset rejected every request for two seconds, though both nodes answered; with it free requests go through, one at a time. A test of the module shows the fault now.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -436,11 +436,18 @@
             return False
         if not all(self._repeats_safely(pb, ran, at, node, now) for ran, at in pb.may_have_run):
             return False
-        return self._sound(node, now) and self._warm_enough(pb, node, now)
+        return self._trusted(pb, node, now) and self._warm_enough(pb, node, now)
 
-    def _sound(self, node: Node, now: int) -> bool:
+    def _trusted(self, pb: Playback, node: Node, now: int) -> bool:
         """Guards against nodes that are dead, silent, hung or cut off, before any list says so; covers all
-        that leaves set-ups unanswered. Harm: slow answers idle a good node until its score has faded."""
+        that leaves set-ups unanswered. A single free try goes where the score has faded half way, or few nodes with
+        one failure each would shut the door. Harm: slow answers idle a good node until that."""
+        if self._sound(node, now):
+            return True
+        faint = node.distrust.read(now, DISTRUST_HALF) < 2 * DISTRUSTED
+        return faint and not node.waiting and pb.plan.effect is Effect.FREE
+
+    def _sound(self, node: Node, now: int) -> bool:
         answers = all(now - at <= SILENT for at in node.waiting.values())
         return answers and node.distrust.read(now, DISTRUST_HALF) < DISTRUSTED
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -86,6 +86,18 @@
     assert all(fleet.ask(PAID, title).node is not first.node for _ in range(5))
 
 
+def test_few_nodes_with_a_failure_each_do_not_shut_the_door_to_free_requests() -> None:
+    fleet = Fleet(nodes=2)
+    for number in range(2):
+        fleet.control.tried(plays(fleet, number), Outcome.RESET, True, None, None, None, fleet.now)
+    fleet.now += 20 * SECOND  # they are paced as after a failure until then
+    for node in fleet.nodes:
+        node.distrust.add(1.0, fleet.now, SECOND)
+    first, paid, second, third = fleet.ask(), fleet.ask(PAID), fleet.ask(), fleet.ask()
+    assert {first.node, second.node} == set(fleet.nodes)
+    assert [fleet.answers(pb) for pb in (first, paid, second, third)] == [[], ["reject"], [], ["reject"]]
+
+
 def test_a_node_that_answered_full_is_left_alone_and_the_next_one_tried() -> None:
     fleet = Fleet()
     pb = fleet.ask(PAID)
