--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -21,6 +21,7 @@
 from oakcroft.decisions.catalogue import Verdict as Taken
 from oakcroft.decisions.recovery import Grudge, Spent
 from oakcroft.store.file import Expire, StateFile
+from oakcroft.decisions.lifeline import Life
 from oakcroft.decisions.repeats import Repeats, Turn
 from oakcroft.decisions.roster import Line, Refused, Roster
 from oakcroft.front import listing
@@ -508,9 +509,11 @@
             assert core is not None
             for n in range(4):
                 assert (await rig.watch(f"/whip/open/live{n}")).status == 201
-                for node in rig.playing():
-                    for session in list(node.sessions):
-                        node._drop(session, "the publisher has gone")
+                (node,) = rig.playing()
+                leg = rig.helm().legs[node.name]
+                await until(lambda leg=leg: leg.lifeline.state is Life.HEARD)  # type: ignore[misc]
+                for session in list(node.sessions):
+                    node._drop(session, "the publisher has gone")
                 await until(lambda: not rig.helm().viewings)
             assert len(core.publishing) == 1
 
