Put no try or answer on record for a request that was aborted in that moment

Seen: a try or an answer put on record in the moment in which its request's time was up and it was aborted raised ValueError in a task of the front ('a promise cannot go from answered that it may have run to plays'), which ends it.

Ruled out: tries' outcomes and moves, which ask for the promise's mark. At fault: memory.py before_try and record. Change: both look at the final answer first; a try that is not on record is not sent. Before: ValueError; after: the abort stands.

--- a/oakcroft/front/memory.py
+++ b/oakcroft/front/memory.py
@@ -85,6 +85,8 @@
         """Puts the intent of a set-up on record before it leaves; False where that did not succeed in time."""
         if not waits_for_record(v.pb.plan):
             return True
+        if v.final is not None:  # its time was up in this very moment: nothing leaves any more
+            return False
         before, promise = self.promises.get(v.id), self._promise(v, node, rung)
         self.promises[v.id] = step(before, promise)
         with trio.move_on_at(self.helm.clock.deadline(until)):
@@ -141,7 +143,7 @@
     async def record(self, v: Viewing) -> bool:
         """Puts on record that a viewing plays; False where that did not succeed in time."""
         promise = self.playing(v)
-        if promise is None:
+        if promise is None or v.final is not None:  # it was answered that it may have run, and that stands
             return False
         self.promises[v.id] = step(self.promises.get(v.id), promise)
         return await self.store.durable(Put(promise))
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -20,6 +20,7 @@
 from oakcroft.decisions.resource import SDPFRAG
 from oakcroft.decisions.catalogue import Verdict as Taken
 from oakcroft.decisions.recovery import Grudge, Spent
+from oakcroft.decisions.remembered import Mark
 from oakcroft.store.file import Expire, StateFile
 from oakcroft.decisions.lifeline import Life
 from oakcroft.decisions.repeats import Repeats, Turn
@@ -547,3 +548,25 @@
     held = file.read()
     assert ([g.node for g in held.grudges], [s.node for s in held.spent]) == (["new"], ["new"])
     file.close()
+
+
+def test_a_record_that_comes_after_the_abort_of_its_request_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, state=True) as rig:
+            await remembers(rig)
+            sat = await rig.watch("/whep/course/t")
+            helm, memory = rig.helm(), rig.helm().memory
+            assert memory is not None
+            v = helm.sessions[(sat.header("location") or "").rpartition("/")[2]]
+            memory.put(
+                replace(memory.promises[v.id], mark=Mark.ABORTED)
+            )  # as where its time was up meanwhile
+            v.final = Final.ABORTED
+            assert not await memory.record(v)
+            assert not await memory.before_try(v, "n1", 0, helm.clock.now() + SECOND)
+            assert memory.promises[v.id].mark is Mark.ABORTED
+            v.final = Final.PLAYS
+            helm.insist(lambda: helm.end(v))
+            await until(lambda: not helm.viewings)
+
+    run(test)
