--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -98,7 +98,8 @@
         for e in entries:
             node = e.node
             missing.pop(node, None)
-            # A list that comes late, or whose clock is ahead, may neither warm a node up nor keep it cold for ever.
+            # A list that comes late, or whose clock is ahead, may neither warm a node up nor keep it cold
+            # for ever.
             started_at = min(e.started_at, now)
             if started_at > node.started_at:  # a new process: nothing known of the old one holds
                 node.distrust.clear()
@@ -198,8 +199,8 @@
             rack.tight = min(TIGHTEST, max(LOOSEST, value * self.terms.uplink / rack.carried))
 
     def noted(self, pb: Playback, kind: Note, value: float, now: int) -> None:
-        """News on one playback, which mostly speaks of its node. On one that holds no place there it comes too
-        late, or too early, to be believed."""
+        """News on one playback, which mostly speaks of its node. On one that holds no place there it comes
+        too late, or too early, to be believed."""
         node = pb.node
         if node is None or pb.state not in HOLDS:
             return
@@ -440,8 +441,8 @@
 
     def _trusted(self, pb: Playback, node: Node, now: int) -> bool:
         """Guards against nodes that are dead, silent, hung or cut off, before any list says so; covers all
-        that leaves set-ups unanswered. A single free try goes where the score has faded half way, or few nodes with
-        one failure each would shut the door. Harm: slow answers idle a good node until that."""
+        that leaves set-ups unanswered. A single free try goes where the score has faded half way, or few nodes
+        with one failure each would shut the door. Harm: slow answers idle a good node until that."""
         if self._sound(node, now):
             return True
         faint = node.distrust.read(now, DISTRUST_HALF) < 2 * DISTRUSTED
@@ -507,8 +508,8 @@
         return len(self.further) + 1 <= terms.tries_free + terms.tries_share * len(self.taken)
 
     def _count(self, times: deque[int], now: int) -> None:
-        """One more in the budget's window, where there is a budget; what has left the window is dropped, or a front
-        whose tries seldom fail would keep them all."""
+        """One more in the budget's window, where there is a budget; what has left the window is dropped, or a
+        front whose tries seldom fail would keep them all."""
         if self.terms.tries_free is not None:
             times.append(now)
             while times[0] < now - self.terms.tries_window:
@@ -537,7 +538,8 @@
         self._change(pb, State.PLAYING, now, node)
 
     def recalled(self, further: Iterable[int], spent: Iterable[Node], now: int) -> None:
-        """What an earlier life of this front did: further tries to count, and nodes whose running slot is used up."""
+        """What an earlier life of this front did: further tries to count, and nodes whose running slot is
+        used up."""
         self.further.extend(further)
         for node in spent:
             node.slot, node.slot_used = self._slot(node, now)[0], SPENT
@@ -552,8 +554,8 @@
         self, pb: Playback, outcome: Outcome, closed: bool,
         asked: float | None, used: float | None, uplink: float | None, now: int,
     ) -> None:  # fmt: skip
-        """A setup try, or the playback that it started, is over. Where none is out and nothing plays, it comes
-        twice or too late."""
+        """A setup try, or the playback that it started, is over. Where none is out and nothing plays, it
+        comes twice or too late."""
         node, state = pb.node, pb.state
         if node is None or state not in HOLDS:
             return
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 import pytest
@@ -152,18 +152,32 @@
     run(test)
 
 
-def test_the_module_learns_what_is_in_force_where_a_step_down_found_no_answer(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    handle, cut = PlayoutNode.handle, [0]
+@dataclass
+class Refused:
+    """What nodes were asked for, and whether they refuse it now."""
+
+    asked: list[str] = field(default_factory=list)
+    now: bool = True
 
-    async def cutting(node: PlayoutNode, request: Request) -> Response:
-        if request.path.endswith("/layer"):
-            cut[0] += 1
-            return Response(503)
+
+def refusing(monkeypatch: pytest.MonkeyPatch, status: int) -> Refused:
+    """Nodes that answer each change of rung with a status of their own."""
+    refused, handle = Refused(), PlayoutNode.handle
+
+    async def answer(node: PlayoutNode, request: Request) -> Response:
+        if refused.now and request.path.endswith("/layer"):
+            refused.asked.append(request.path)
+            return Response(status)
         return await handle(node, request)
 
-    monkeypatch.setattr(PlayoutNode, "handle", cutting)
+    monkeypatch.setattr(PlayoutNode, "handle", answer)
+    return refused
+
+
+def test_the_module_learns_what_is_in_force_where_a_step_down_found_no_answer(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    refused = refusing(monkeypatch, 503)
 
     async def test() -> None:
         async with standing(tmp_path) as rig:
@@ -172,7 +186,7 @@
             assert before > 0
             await until(lambda: rig.helm().legs[rig.playing()[0].name].lifeline.state is Life.HEARD)
             assert await layer(rig, sat, 0) == 200
-            await until(lambda: cut[0] > 1)
+            await until(lambda: len(refused.asked) > 1)
             await until(lambda: v.pb.rung == before)
             assert not rig.facts("rung")
 
@@ -200,14 +214,7 @@
 def test_a_wish_that_its_node_refused_is_carried_out_once_the_node_takes_it(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    handle, refuses = PlayoutNode.handle, [True]
-
-    async def refusing(node: PlayoutNode, request: Request) -> Response:
-        if request.path.endswith("/layer") and refuses:
-            return Response(409)
-        return await handle(node, request)
-
-    monkeypatch.setattr(PlayoutNode, "handle", refusing)
+    refused = refusing(monkeypatch, 409)
 
     async def test() -> None:
         async with standing(tmp_path) as rig:
@@ -218,7 +225,7 @@
             await until(
                 lambda: v.pb.top == 0 and v.pb.rung == before
             )  # the node's word has told what is in force
-            refuses.clear()
+            refused.now = False
             for leg in rig.helm().legs.values():
                 leg.renew()
             await until(lambda: rig.facts("rung"), 2)
