--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -441,8 +441,8 @@
 
     def _trusted(self, pb: Playback, node: Node, now: int) -> bool:
         """Guards against nodes that are dead, silent, hung or cut off, before any list says so; covers all
-        that leaves set-ups unanswered. A single free try goes where the score has faded half way, or few nodes
-        with one failure each would shut the door. Harm: slow answers idle a good node until that."""
+        that leaves set-ups unanswered. A single free try goes where the score has faded half way, or few
+        nodes with one failure each would shut the door. Harm: slow answers idle a good node until that."""
         if self._sound(node, now):
             return True
         faint = node.distrust.read(now, DISTRUST_HALF) < 2 * DISTRUSTED
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -22,17 +23,19 @@
 from oakcroft.decisions.recovery import Grudge, Spent
 from oakcroft.decisions.remembered import Mark
 from oakcroft.store.file import Expire, StateFile
+from oakcroft.decisions.evidence import Trail, outcome
 from oakcroft.decisions.lifeline import Life
 from oakcroft.decisions.repeats import Repeats, Turn
 from oakcroft.decisions.roster import Line, Refused, Roster
 from oakcroft.front import listing
 from oakcroft.front.core import MOST_READERS
+from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.httpwire.message import Request, Response
-from oakcroft.interface import SECOND
+from oakcroft.interface import MS, SECOND, Outcome
 from oakcroft.rehearsal.viewers import offer
 from oakcroft.signalling import sdp
 from oakcroft.signalling import session_api as api
-from oakcroft.standins.playout import PlayoutNode
+from oakcroft.standins.playout import PlayoutNode, reset
 
 from rig import Rig, remembers, run, standing, start_front, until
 from test_sessions import Raw, parts, raw
@@ -570,3 +573,65 @@
             await until(lambda: not helm.viewings)
 
     run(test)
+
+
+# Connections at their worst.
+
+
+def test_a_kept_alive_connection_closed_as_a_set_up_is_written_proves_nothing() -> None:
+    async def node(stream: trio.SocketStream) -> None:
+        while b"\r\n\r\n" not in await stream.receive_some(4_096):
+            pass
+        await stream.send_all(b"HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n")
+        await stream.receive_some(1)  # the next one has begun to arrive
+        reset(stream)
+
+    async def test() -> None:
+        async with trio.open_nursery() as nursery:
+            (listener,) = await nursery.start(partial(trio.serve_tcp, node, 0, host="127.0.0.1"))
+            peer = Peer("127.0.0.1", listener.socket.getsockname()[1])
+            assert (await peer.ask("POST", "/a", [], b"x" * 10)).status == 201
+            assert len(peer.idle) == 1
+            trail = Trail()
+            with pytest.raises(Ended) as ended:
+                await peer.ask("POST", "/a", [], b"x" * 10, trail)
+            assert outcome(trail, ended.value.end) is Outcome.RESET
+            assert not peer.idle
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
+def test_idle_connections_and_readers_that_stop_lose_their_connection_and_nothing_else(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("oakcroft.front.sockets.WRITE_WITHIN", 0.2)
+
+    async def test() -> None:
+        async with standing(tmp_path) as rig, AsyncExitStack() as stack:
+            helm, seats = parts(rig)
+            door = rig.front.door if rig.front else None
+            assert door is not None
+            door.bounds = replace(door.bounds, idle=200 * MS, write_within=200 * MS)
+            sat = await rig.watch()
+            here = sat.header("location") or ""
+            v = helm.sessions[here.rpartition("/")[2]]
+            idle, reader = [await trio.open_tcp_stream("127.0.0.1", rig.port) for _ in range(2)]
+            await reader.send_all(f"GET {here}/events HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+            one = await stack.enter_async_context(raw(rig, api.Hello()))
+            await one.hear()
+            assert (await plays(one, "k")).status == 201
+            (holder,) = seats.holders.values()
+            await until(lambda: v.readers)
+            for _ in range(100):  # far more than the sockets' buffers take
+                helm.publish(v, "layers", {"encodingId": "x" * 200_000})
+                for w in list(holder.playbacks.values()):
+                    helm.publish(w, "layers", {"encodingId": "x" * 200_000})
+                await trio.sleep(0)
+            await until(lambda: not v.readers and holder.link is None)
+            assert await idle.receive_some(1) == b""
+            await until(lambda: not door.guests)
+            assert len(helm.sessions) == 2  # what plays, plays on: the seat may come back
+            assert (await rig.watch()).status == 201
+
+    run(test)
