--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -237,9 +237,8 @@
         has left."""
         site = self.helm.site  # the version under which this request is decided, from here to its answer
         title = unquote(ask.path.rpartition("/")[2], errors="replace")
-        if not self.repeated(ask.key, ask.token) and self.sheds(
-            ask.path
-        ):  # before anything is parsed: under a crowd, reading requests is what costs
+        # Before anything is parsed: under a crowd, reading requests is what costs.
+        if not self.repeated(ask.key, ask.token) and self.sheds(ask.path):
             return REFUSALS[Refusal.BUSY], True
         self._check_key(ask.key)
         now, who = self.clock.now(), ask.token.name if ask.token else ""
@@ -342,9 +341,7 @@
             self.queue.leave(number)
             if not asked and v.ticket is not None:
                 self.helm.ledger.back(v.ticket)
-            if (
-                v.final is None
-            ):  # the viewer has gone; its key stays at work until the end of its set-up is known
+            if v.final is None:  # the viewer has gone; its key stays at work until its set-up's end is known
                 if asked:
                     self.helm.insist(partial(self.helm.left, v))
                 else:
@@ -426,9 +423,8 @@
         rung = ladder.rung_wished(wish, plan.floor, plan.top)
         if rung is None:
             raise Faulty(422, "layer", "No such layer in this plan", f"rungs {plan.floor} to {plan.top}")
-        if (
-            self.reducing is not None and rung > v.pb.top
-        ):  # a level bounds what is new, and takes nothing away
+        # A level bounds what is new, and takes nothing away.
+        if self.reducing is not None and rung > v.pb.top:
             rung = max(v.pb.top, self.reducing.top(rung, plan.floor))
         await self.helm.tell(partial(self.helm.wished, v, rung))
 
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -280,9 +280,7 @@
 
     def arrived(self, v: Viewing) -> None:
         """The module is asked."""
-        if (
-            v.final is not None or v.answered.is_set()
-        ):  # its viewer left while the event waited: nothing is set up
+        if v.final is not None or v.answered.is_set():  # its viewer left while the event waited
             if v.settle(Final.REJECTED):
                 self.repeats.settled(v.key, Final.REJECTED, v, self.clock.now())
             self._free(v)
--- a/oakcroft/front/viewers.py
+++ b/oakcroft/front/viewers.py
@@ -72,7 +72,9 @@
     def shed(self, data: bytes) -> bytes | None:
         """What a whole request gets that the line has no place for; None where it is to be read."""
         target = data[5 : data.find(b" ", 5)].decode("latin-1").partition("?")[0]
-        return self.busy if not self._repeated(data) and self.core.sheds(target) else None
+        if not self.core.line.waiting or self._repeated(data):
+            return None
+        return self.busy if self.core.sheds(target) else None
 
     def _repeated(self, data: bytes) -> bool:
         """Whether a whole request, unread, has a key whose answer stands; any doubt is False."""
