Give the tag of an ICE restart to the session that was restarted, not to its move's target

Seen: where a move switched while the node answered an ICE restart, the new tag was set on the target's session, which has another: the front's next trickle to it named a tag that is not in force and was refused. At fault: core.py patch, which read v.upstream again after the wait. Change: it keeps the one that it asked. Before: the target's tag is overwritten; after: it stays.

--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -386,19 +386,20 @@
         act = v.resource.patched(kind, tags, fragment.ufrag, len(fragment.candidates))
         if isinstance(act, Said):
             raise self._said(act)
-        leg, resource = self.helm.legs.get(v.upstream.node), v.resource
+        upstream, resource = v.upstream, v.resource  # a move may put others in their place meanwhile
+        leg = self.helm.legs.get(upstream.node)
         if act is Act.TRICKLE:
-            reply = await leg.patch(v.upstream, f'"{v.upstream.tag}"', body) if leg else None
+            reply = await leg.patch(upstream, f'"{upstream.tag}"', body) if leg else None
             if reply is None or reply.status not in (200, 204):
                 raise Faulty(502, "node", "The playout node did not take the candidates")
             return Patched()
         done = False
         try:
-            reply = await leg.patch(v.upstream, "*", body) if leg else None
+            reply = await leg.patch(upstream, "*", body) if leg else None
             tag = (reply.header("etag") or "").strip('"') if reply is not None else ""
             if reply is None or reply.status != 200 or not tag:
                 raise Faulty(502, "node", "The playout node did not restart ICE")
-            v.upstream.tag = tag
+            upstream.tag = tag
             resource.restarted(tag, fragment.ufrag)
             done = True
             return Patched(tag, reply.body)
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -29,6 +29,8 @@
 from oakcroft.decisions.roster import Line, Refused, Roster
 from oakcroft.front import listing
 from oakcroft.front.core import MOST_READERS
+from oakcroft.front.nodeleg import NodeLeg
+from oakcroft.front.viewing import Upstream
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.httpwire.message import Request, Response
 from oakcroft.interface import MS, SECOND, Outcome
@@ -635,3 +637,28 @@
             assert (await rig.watch()).status == 201
 
     run(test)
+
+
+def test_an_ice_restart_that_a_move_overtakes_changes_nothing_of_the_target(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            sat = await rig.watch()
+            here, patch = sat.header("location") or "", NodeLeg.patch
+            v = rig.helm().sessions[here.rpartition("/")[2]]
+            target = Upstream("n9", "/sessions/9", "", "", "target", "")
+
+            async def overtaken(
+                leg: NodeLeg, upstream: Upstream, if_match: str, body: bytes
+            ) -> Response | None:
+                reply = await patch(leg, upstream, if_match, body)
+                v.upstream = target  # the move has switched while the node answered
+                return reply
+
+            monkeypatch.setattr(NodeLeg, "patch", overtaken)
+            fragment = b"a=ice-ufrag:fresh001\r\na=ice-pwd:" + b"q" * 24 + b"\r\n"
+            assert (await rig.ask("PATCH", here, fragment, Content_Type=SDPFRAG, If_Match="*")).status == 200
+            assert target.tag == "target"
+
+    run(test)
