Bound what a node may name as started; a third finding as a strict expected failure

Seen: each session that a node's stream names as started and that no try claims is kept until the longest abandon time and two seconds are over, however many there are. At fault: claims.py orphans. Before: 1,000 of a bound of 100 kept; after: 100, and a late claim of one of them stands.

Not mended: a move goes only to the wing chosen when its playback was asked for (finding 31).

--- a/oakcroft/decisions/claims.py
+++ b/oakcroft/decisions/claims.py
@@ -15,8 +15,9 @@
 
     Guards against orphans: a session that the node started for this front and that no try has claimed in
     `claim_within` (longer than any try may be out) is to be ended, as its viewer was told that it failed. Covers
-    answers lost on the way, time-outs, and viewers that left in between. Also guards against playbacks kept here that
-    the node has ended unheard. Harm: none while claims come in time; a front that stands still for longer than
+    answers lost on the way, time-outs, viewers that left in between, and a node that names sessions without end: past
+    `most`, far more than tries can be out to one node, the oldest are ended at once. Also guards against playbacks kept
+    here that the node has ended unheard. Harm: none while claims come in time; a front that stands still for longer than
     `claim_within` would end sessions whose answers lie in its buffers, so time stood still is not counted
     (`stood`).
     """
@@ -76,7 +77,7 @@
         out = []
         while self.unclaimed:
             session, since = next(iter(self.unclaimed.items()))
-            if now - since <= self.claim_within:
+            if now - since <= self.claim_within and len(self.unclaimed) <= self.most:
                 break
             del self.unclaimed[session]
             out.append(session)
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -662,3 +662,12 @@
             assert target.tag == "target"
 
     run(test)
+
+
+def test_a_node_that_names_sessions_without_end_fills_no_memory() -> None:
+    claims = Claims(10 * SECOND, most=100)
+    for number in range(1_000):
+        claims.started(f"/s/{number}", 0)
+    assert len(claims.orphans(0)) == 900
+    assert len(claims.unclaimed) == 100
+    assert claims.claim("/s/950", 0)
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -10,6 +10,7 @@
 import trio.testing
 from rig import Rig, run, standing, until
 from test_catalogue import AUTH, OPS
+from test_moves import drain, playing
 
 from oakcroft.decisions.catalogue import Verdict
 from oakcroft.decisions.levels import Acts, Level
@@ -231,3 +232,19 @@
             await until(lambda: rig.facts("rung"), 2)
 
     run(test)
+
+
+@pytest.mark.xfail(
+    strict=True, reason="a move keeps to the wing chosen first: docs/review-of-parts.md, findings not mended"
+)
+def test_a_playback_moves_to_another_wing_when_its_own_drains(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, PREFERENCE, wings=True) as rig, trio.open_nursery() as nursery:
+            player = await playing(rig, nursery)
+            drain(rig)
+            await player.told.wait()
+            answer = await player.offer()
+            nursery.cancel_scope.cancel()
+        assert answer.status == 201
+
+    run(test)
