--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -25,7 +25,7 @@
 
 from benchmarks.front_cost import SITE, WARM, Process, day
 from oakcroft.decisions.doors import Bounds, Door
-from oakcroft.front.clock import Clock
+from oakcroft.running.clock import Clock
 from oakcroft.front.listing import PATH
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.httpwire.message import Request, Response
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -27,7 +27,7 @@
 from benchmarks.front_cost import Process
 from oakcroft.config.compile import check, told
 from oakcroft.decisions.remembered import Mark, Promise
-from oakcroft.front.clock import Clock
+from oakcroft.running.clock import Clock
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.rehearsal.viewers import offer
 from oakcroft.rulecheck.rules import judge
--- a/oakcroft/__main__.py
+++ b/oakcroft/__main__.py
@@ -1,5 +1,12 @@
 """`python -m oakcroft`."""
 
+import sys
+
+if sys.argv[1:] == ["platform"]:  # a small machine: nothing else is loaded
+    from oakcroft.platform.serve import main as platform
+
+    sys.exit(platform())
+
 from oakcroft.cli import main
 
 main(prog_name="oakcroft")
--- a/oakcroft/cli.py
+++ b/oakcroft/cli.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import pickle
 import subprocess
 import sys
@@ -23,7 +22,8 @@
 from oakcroft.config.told import Deployment
 from oakcroft.decisions.routing import Asked, Side
 from oakcroft.front.helm import Decide
-from oakcroft.front.logs import set_up
+from oakcroft.running.collections import spare_collections
+from oakcroft.running.logs import set_up
 from oakcroft.front.serve import Front
 
 FAULTY, BROKEN = 2, 1
@@ -59,18 +59,6 @@
     return [said or f"the check ended with {done.returncode}"]
 
 
-def spare_collections() -> None:
-    """Makes whole collections of the process's memory seldom.
-
-    Guards against stalls: each looks at every object there is, half a second of them with 10,000 connections open, and
-    they come with each quarter that is added. What dies young, as most here does, is collected as before. Harm: cycles
-    that grow old are given back late.
-    """
-    gc.collect()
-    gc.freeze()  # what is loaded now stays for good
-    gc.set_threshold(10_000, 20, 200)
-
-
 def serve_file(file: Path, decide: Decide = Controller) -> int:
     """Serves by a front's file until a stop signal; the exit code."""
     found = read_anew(file, {})
--- a/oakcroft/decisions/titles.py
+++ b/oakcroft/decisions/titles.py
@@ -20,17 +20,18 @@
     def __init__(self, most: int, cells: int, copies: int, stated: Mapping[str, tuple[int, int]]) -> None:
         self.most, self.cells, self.copies, self.stated = most, cells, copies, stated
         self.titles: OrderedDict[str, Title] = OrderedDict()
-        self.homes: dict[str, int] = {}
+        self.homes: dict[str, tuple[int, int | None]] = {}
         self.items: Mapping[str, Item] = {}  # of the catalogue in force
 
-    def get(self, name: str, home: int) -> Title | None:
-        """The title; `home` is the first cell that holds it unless its place is stated."""
+    def get(self, name: str, home: int, copies: int | None = None) -> Title | None:
+        """The title; `home` is the first cell that holds it, in `copies` cells or the usual number, unless its place is
+        stated."""
         title = self.titles.get(name)
         if title is None:
             if len(self.titles) >= self.most and not self._make_room():
                 return None
             title = self.titles[name] = Title(name, 0, 0)
-            self.homes[name] = home
+            self.homes[name] = home, copies
             self._place(title)
         self.titles.move_to_end(name)
         return title
@@ -52,7 +53,9 @@
         """Where a title is held and at which rates: by the catalogue, else as stated, else by the rule for all. The
         object stays the same, with its seats."""
         item = self.items.get(title.name)
-        home, copies = self.stated.get(title.name, (self.homes[title.name] % self.cells, self.copies))
+        first, asked = self.homes[title.name]
+        usual = first % self.cells, self.copies if asked is None else asked
+        home, copies = self.stated.get(title.name, usual)
         if item is not None and item.home >= 0:
             home, copies = item.home, item.copies
         named = (
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -26,7 +26,7 @@
 from oakcroft.decisions.routing import Asked, Route, Side, Why, refuses
 from oakcroft.decisions.shedding import Line, Waiting, Window
 from oakcroft.decisions.stopping import Stopping
-from oakcroft.front.clock import Clock
+from oakcroft.running.clock import Clock
 from oakcroft.front.helm import Helm
 from oakcroft.front.moves import STAY, Move
 from oakcroft.front.reducing import Reducing
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -30,7 +30,7 @@
 from oakcroft.decisions.roster import Line, Refused, Roster
 from oakcroft.decisions.titles import Shelf
 from oakcroft.decisions.versions import InForce, Offer, Verdict
-from oakcroft.front.clock import Clock
+from oakcroft.running.clock import Clock
 from oakcroft.front.moves import Moves
 from oakcroft.front.nodeleg import LONGEST_TRY_GRACE, NodeLeg, Told, TryEnd, sound
 from oakcroft.front.viewing import Viewing
--- a/oakcroft/front/listing.py
+++ b/oakcroft/front/listing.py
@@ -20,7 +20,7 @@
 
 from oakcroft.decisions.again import LIST, Again
 from oakcroft.decisions.roster import Line
-from oakcroft.front.clock import Clock
+from oakcroft.running.clock import Clock
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.interface import MS, Listing
 
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -23,7 +23,7 @@
 from oakcroft.decisions.evidence import End, Trail, outcome
 from oakcroft.decisions.lifeline import Break, Life, Lifeline, Loss, Patience
 from oakcroft.decisions.resource import SDPFRAG
-from oakcroft.front.clock import Clock
+from oakcroft.running.clock import Clock
 from oakcroft.front.viewing import Upstream, Viewing
 from oakcroft.httpwire.client import REFUSED, Ended, Peer
 from oakcroft.httpwire.message import Headers, Response
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -16,7 +16,7 @@
 from oakcroft.decisions.stopping import Course, Stopping
 from oakcroft.decisions.versions import Offer, Verdict
 from oakcroft.front.catalogues import Catalogues
-from oakcroft.front.clock import Clock
+from oakcroft.running.clock import Clock
 from oakcroft.front.core import Core
 from oakcroft.front.helm import Bell, Decide, Helm
 from oakcroft.front.memory import Memory
--- /dev/null
+++ b/oakcroft/platform/owner.py
@@ -0,0 +1,433 @@
+"""The one task that owns the module: it tells it what happens and carries out what it decides.
+
+All else hands its events in through one bounded channel, in order of arrival. What the module asks for while it is
+called is queued, and carried out when the call has returned, so that the module is never called from within itself.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+
+import structlog
+import trio
+
+from oakcroft import terms
+from oakcroft.choice import Controller
+from oakcroft.decisions.patience import BEAT, Stillness, due, margin
+from oakcroft.decisions.titles import Shelf
+from oakcroft.interface import MS, SECOND, Entry, Listing, ListKind, Node, Note, Outcome, Playback, State
+from oakcroft.platform.alarms import Alarms
+from oakcroft.platform.pool import GIVEN_UP, Listener, NodeLink, Pool
+from oakcroft.platform.ticket import Ticket
+from oakcroft.platform.viewers import FAILED, OVER, REFUSED, ViewerLink, release
+from oakcroft.platformwire import channel, framing, lines
+from oakcroft.platformwire.configuration import Configuration
+from oakcroft.platformwire.numbers import finite
+from oakcroft.running.clock import Clock
+
+Event = Callable[[], None]
+MOST_EVENTS = 2_048
+AT_ONCE = 0.005  # seconds of events between two turns of the other tasks
+MOST_TITLES = 1_024
+MOST_OPEN = 1_024  # set-ups
+MOST_PLAYING = 8_192
+MOST_OWED = 4_096  # releases for which no viewer's connection is open
+NODE_LINKS = 16  # connections to one node at most
+WAY_BACK = 15 * MS  # kept of a viewer's wait for the answer's way
+HANDED_OVER = 15 * SECOND  # after the first test: playbacks of before the start are handed over by then
+CUT_WITHIN = 2 * SECOND  # a node says by then that a playback which its viewer ended is over
+
+
+class Owner(Listener):
+    """The module's host on the platform."""
+
+    def __init__(
+        self, told: Configuration, clock: Clock, nursery: trio.Nursery, log: structlog.typing.FilteringBoundLogger,
+    ) -> None:  # fmt: skip
+        self.told, self.clock, self.nursery, self.logger = told, clock, nursery, log
+        self.events, self.inbox = trio.open_memory_channel[Event](MOST_EVENTS)
+        self.alarms = Alarms(clock, self.tell)
+        self.stillness = Stillness(clock.now())
+        self.lag = 0
+        self.titles = Shelf(MOST_TITLES, told.terms.cells, 0, {})
+        self.tickets: dict[str, Ticket] = {}
+        self.of: dict[Playback, Ticket] = {}
+        self.pools: dict[str, Pool] = {}
+        self.viewers: dict[ViewerLink, None] = {}
+        self.owed: deque[bytes] = deque(maxlen=MOST_OWED)  # releases, for the next connection that opens
+        self.setting_up = 0
+        self.counts: dict[str, int] = {}
+        self.node_links = max(1, told.sockets // 3)
+        self.began = 0
+        self.work: deque[Event] = deque()
+        self.controller = Controller(told.terms, told.seed, self, clock.now())
+
+    # Events in.
+
+    async def run(self) -> None:
+        """Handles events until it is cancelled."""
+        self._carry_out()
+        async for event in self.inbox:
+            self._handle(event)
+            until = trio.current_time() + AT_ONCE
+            while trio.current_time() < until:
+                # A receive gives way to all other tasks each time: one event a round is too slow.
+                try:
+                    event = self.inbox.receive_nowait()
+                except trio.WouldBlock:
+                    break
+                self._handle(event)
+
+    def _handle(self, event: Event) -> None:
+        try:
+            event()
+        except Exception as fault:  # no single event may end the front with all that it holds
+            self.logger.error("event failed", error=repr(fault), exc_info=fault)
+        self._carry_out()
+
+    def _carry_out(self) -> None:
+        while self.work:
+            work = self.work.popleft()
+            try:
+                work()
+            except Exception as fault:
+                self.logger.error("decision not carried out", error=repr(fault), exc_info=fault)
+
+    async def tell(self, event: Event) -> None:
+        """Hands an event in, waiting for a place."""
+        await self.events.send(event)
+
+    async def beat(self) -> None:
+        """Knows when the front stood still, and how late its tasks run."""
+        while True:
+            before = self.clock.now()
+            await trio.sleep(BEAT / SECOND)
+            now = self.clock.now()
+            late = max(0, now - before - BEAT)
+            self.lag = max(late, self.lag * 7 // 8)
+            if stood := self.stillness.beat(now):
+                self.logger.warning("stood still", ms=stood // MS, open=self.setting_up)
+
+    async def look_after(self) -> None:
+        """Now and then: connections that are due, nodes that are silent, what is counted."""
+        silent = 2 * self.told.terms.reports_every + self.told.terms.seen_after
+        looks = 0
+        while True:
+            await trio.sleep(0.1)
+            await self.tell(partial(self._look, silent))
+            looks += 1
+            if looks % 50 == 0:
+                self.logger.info("figures", open=self.setting_up, playing=len(self.tickets) - self.setting_up,
+                                 viewers=len(self.viewers), node_links=sum(len(p.links) for p in self.pools.values()),
+                                 titles=len(self.titles.titles), nodes=len(self.pools), x=round(self.controller.x, 3),
+                                 lag_ms=self.lag // MS, **self.counts)  # fmt: skip
+
+    def _look(self, silent: int) -> None:
+        now = self.clock.now()
+        for name, pool in list(self.pools.items()):
+            pool.look(now, silent)
+            if not pool.listed and pool.unused:
+                pool.close()
+                if self.pools.get(name) is pool:
+                    del self.pools[name]
+
+    def count(self, what: str, why: str = "") -> None:
+        """Counts something that clients or nodes did wrong."""
+        name = f"{what}: {why}".replace(" ", "_")[:60]
+        if name in self.counts or len(self.counts) < 64:
+            self.counts[name] = self.counts.get(name, 0) + 1
+
+    # The list.
+
+    def listed(self, complete: bool, members: list[channel.Member]) -> None:
+        """A list or its changes have come."""
+        entries = list[Entry]()
+        for name, address, wing, kind, cell, listing, size, started_at in members:
+            pool = self.pools.get(name)
+            if listing is Listing.GONE and pool is None:
+                continue
+            if pool is None or (address != pool.address and listing is not Listing.GONE):
+                node = pool.node if pool is not None else Node(name)
+                if pool is not None:
+                    pool.gone = True
+                    self.lost(pool, "another address")
+                pool = self.pools[name] = Pool(
+                    node, address, NODE_LINKS, self.told.streams, self.told.idle, self.told.connect_within, self.clock,
+                    self.nursery, self.tell, self,
+                )  # fmt: skip
+            node = pool.node
+            if listing is not Listing.GONE:
+                node.cell, node.zone, node.kind = cell, wing, kind
+            if node.started_at < started_at:
+                self._restarted(pool, started_at)
+            entries.append(
+                Entry(
+                    node,
+                    listing,
+                    started_at,
+                    self.told.link_per_weight * size,
+                    self.told.places.get(kind, 0.0),
+                )
+            )
+        self.controller.listed(ListKind.WHOLE if complete else ListKind.CHANGES, entries, self.clock.now())
+        for pool in self.pools.values():
+            if pool.node.listing is Listing.GONE and not pool.gone:
+                pool.gone = True
+                self.lost(pool, "removed")
+        each = max(1, min(NODE_LINKS, self.node_links // max(1, len(self.pools))))
+        for pool in self.pools.values():
+            pool.most = each
+        told = ", ".join(f"{e.node.name} {e.listing.value}" for e in entries[:6])
+        self.logger.info("list", whole=complete, changed=len(entries), nodes=len(self.pools), changes=told)
+
+    def _restarted(self, pool: Pool, started_at: int) -> None:
+        """Another process has the node's name: what stood in the one before is over."""
+        for t in [t for t in pool.standing if t.began_at < started_at]:
+            self._over(t, Outcome.RESET, FAILED, None)
+
+    def lost(self, pool: Pool, why: str) -> None:
+        """A node's process is gone, and all that stood there."""
+        if pool.standing:
+            self.logger.warning("node lost", node=pool.node.name, why=why, playing=len(pool.standing))
+        for t in list(pool.standing):
+            pool.say("close", t.id, {}, GIVEN_UP)
+            self._over(t, Outcome.RESET, FAILED, None)
+
+    # Viewers.
+
+    def opened(self, link: ViewerLink) -> None:
+        """A connection has come: releases that found none open go out on it."""
+        self.viewers[link] = None
+        while self.owed and link.open:
+            link.write(self.owed.popleft())
+
+    def asked(
+        self, link: ViewerLink, session: str, written: int, plan_name: str, wait: int, name: str, home: int, copies: int,
+        top: int, description: str, at: str,
+    ) -> None:  # fmt: skip
+        """A set-up has come."""
+        link.asked -= 1
+        now = self.clock.now()
+        known = self.tickets.get(session)
+        if known is not None:
+            self._twice(link, session, known, at)
+            return
+        title = self.titles.get(name, home, copies)
+        plan = self.told.plans[plan_name]
+        if title is None or len(self.tickets) >= min(MOST_PLAYING, self.told.most_open) or (
+            not at and self.setting_up >= MOST_OPEN
+        ):  # fmt: skip
+            self.count("turned away", "no place")
+            link.write(release(session, FAILED if at else REFUSED, self.told.terms.stay_away_most))
+            return
+        abandon = due(written, wait, [], margin(WAY_BACK, self.lag)).abandon
+        t = Ticket(session, Playback(title, plan, top, abandon, False), plan_name, description, link)
+        if at:
+            self._handed_over(t, link, at, now)
+            return
+        if not link.open:
+            return
+        self.tickets[session] = self.of[t.pb] = t
+        link.open_here[session] = t
+        self.setting_up += 1
+        self.controller.arrived(t.pb, now)
+
+    def _twice(self, link: ViewerLink, session: str, known: Ticket, at: str) -> None:
+        """The id of a playback that is known already: this set-up alone is turned away."""
+        if at:
+            return
+        self.count("id used twice")
+        if known.viewer is link:
+            link.shut()  # a release here would read as the answer to the first
+        else:
+            link.write(release(session, FAILED))
+
+    def _handed_over(self, t: Ticket, link: ViewerLink, at: str, now: int) -> None:
+        """A playback that plays already. No answer is owed; one that can't be is ended towards its viewer."""
+        pool = self.pools.get(at)
+        if pool is None or pool.gone or (self.began and now - self.began > HANDED_OVER):
+            self.count("handed over in vain")
+            link.write(release(t.id, FAILED))
+            return
+        t.description = ""
+        t.pool, t.began_at = pool, now
+        self.tickets[t.id] = self.of[t.pb] = t
+        pool.standing[t] = None
+        self.controller.resumed(t.pb, pool.node, now)
+        pool.look(now)
+
+    def released(self, link: ViewerLink, session: str) -> None:
+        """A viewer gives a set-up up, or ends a playback."""
+        t = self.tickets.get(session)
+        if t is None:
+            return
+        if t.pb.state is State.PLAYING:
+            self.controller.left(t.pb, self.clock.now())
+            if t.pool is not None:
+                t.pool.say("close", t.id, {}, GIVEN_UP)
+            self.alarms.at(self.clock.now() + CUT_WITHIN, partial(self._cut, t))
+        elif t.viewer is link:
+            self._given_up(t)
+
+    def _cut(self, t: Ticket) -> None:
+        """The node has not said that a playback is over which its viewer has ended."""
+        if t.pb.state is State.CLOSED:
+            self._over(t, Outcome.WITHDRAWN, 0, None)
+
+    def _given_up(self, t: Ticket) -> None:
+        """The viewer of an open set-up has gone; no answer is owed."""
+        now = self.clock.now()
+        if t.viewer is not None:
+            t.viewer.open_here.pop(t.id, None)
+        self.controller.left(t.pb, now)
+        if t.pool is not None and t.pb.state is State.CLOSED:
+            t.pool.give_up(t)
+            self.controller.tried(t.pb, Outcome.WITHDRAWN, True, None, None, None, now)
+        self._forget(t)
+
+    def viewer_gone(self, link: ViewerLink) -> None:
+        """A connection is over: its open set-ups are given up, what stands plays on."""
+        self.viewers.pop(link, None)
+        for t in list(link.open_here.values()):
+            self._given_up(t)
+
+    def _forget(self, t: Ticket) -> None:
+        """Lets go of a playback for which nothing more can come."""
+        if self.controller.over(t.pb) and self.of.pop(t.pb, None) is not None:
+            del self.tickets[t.id]
+            if t.viewer is not None:
+                t.viewer.open_here.pop(t.id, None)
+            if t.pool is not None:
+                t.pool.standing.pop(t, None)
+            if t.began_at == 0:
+                self.setting_up -= 1
+
+    # Nodes.
+
+    def said(
+        self, pool: Pool, link: NodeLink, kind: str, session: str, attrs: lines.Attributes, code: int | None,
+        text: str | None,
+    ) -> None:  # fmt: skip
+        """A message of a node. What is of no playback there, comes twice or too late is dropped."""
+        pool.heard_at = now = self.clock.now()
+        t = self.tickets.get(session)
+        if t is None or t.pool is not pool:
+            return
+        if t.link is link and t.pb.state is State.SETTING_UP:
+            if kind == "ready":
+                self._answered(t, text, now)
+            elif kind == "close":
+                pool.settled(t)
+                self.tried(
+                    t, terms.CAUSES.get(code if code is not None else -1, Outcome.RESET), lines.report(attrs)
+                )
+        elif t.began_at and kind == "close":
+            outcome = terms.ENDS.get(code if code is not None else -1, Outcome.RESET)
+            cause = {Outcome.DONE: OVER, Outcome.WITHDRAWN: 0}.get(outcome, FAILED)
+            self._over(t, outcome, cause, lines.report(attrs))
+        elif t.began_at and kind == "event":
+            self._noted(t, attrs, now)
+
+    def _answered(self, t: Ticket, text: str | None, now: int) -> None:
+        pool = t.pool
+        assert pool is not None
+        try:
+            answer = framing.encode(framing.ANSWER, t.id, (framing.TEXT, (text or "").encode()))
+        except ValueError:
+            text = None
+        if not text:  # no answer that a viewer could use: the node is told, and it has run
+            pool.give_up(t)
+            self.tried(t, Outcome.ERROR, None)
+            return
+        pool.settled(t)
+        t.began_at, t.description = now, ""
+        self.setting_up -= 1
+        pool.standing[t] = None
+        if t.viewer is not None:
+            t.viewer.open_here.pop(t.id, None)
+            t.viewer.write(answer)
+        self.controller.playing(t.pb, now)
+
+    def _noted(self, t: Ticket, attrs: lines.Attributes, now: int) -> None:
+        note, value = terms.NOTE_NAMES.get(str(attrs.get("note"))), finite(attrs.get("value"))
+        if note is None or value is None or value < 0:
+            return
+        if note is Note.RUNG and not (value == math.floor(value) and value < len(self.told.terms.rates)):
+            return
+        self.controller.noted(t.pb, note, value, now)
+
+    def tried(self, t: Ticket, outcome: Outcome, load: dict[str, float] | None) -> None:
+        """A setup try is over without an answer."""
+        if t.pb.state is not State.SETTING_UP:
+            return
+        self.count("try", outcome.value)
+        t.link = None
+        self.controller.tried(t.pb, outcome, False, *terms.report_values(load), self.clock.now())
+
+    def _late(self, t: Ticket, tries: int) -> None:
+        """The time of a try is up."""
+        if t.pb.state is not State.SETTING_UP or len(t.pb.tries) != tries or t.pool is None:
+            return
+        outcome = Outcome.LATE if t.link is not None else Outcome.NO_CONNECTION
+        t.pool.give_up(t)
+        self.tried(t, outcome, None)
+
+    def _over(self, t: Ticket, outcome: Outcome, cause: int, load: dict[str, float] | None) -> None:
+        """A playback that stood is over; its viewer is told, unless it ended it."""
+        if t.pb.state is State.PLAYING and cause:
+            self._release(t, cause)
+        self.controller.tried(t.pb, outcome, True, *terms.report_values(load), self.clock.now())
+        self._forget(t)
+
+    def _release(self, t: Ticket, cause: int) -> None:
+        """The end of a playback, on its own connection, else on any, else on the next."""
+        message = release(t.id, cause)
+        if t.viewer is not None and t.viewer.write(message):
+            return
+        for link in self.viewers:
+            if link.write(message):
+                return
+        self.owed.append(message)
+
+    # What the module asks for.
+
+    def send(self, pb: Playback, node: Node, abandon_at: int) -> None:
+        self.work.append(partial(self._send, self.of[pb], node, abandon_at))
+
+    def _send(self, t: Ticket, node: Node, abandon_at: int) -> None:
+        t.pool, t.until = self.pools[node.name], abandon_at
+        self.alarms.at(abandon_at, partial(self._late, t, len(t.pb.tries)))
+        t.pool.set_up(t)
+
+    def reject(self, pb: Playback, stay_away: int) -> None:
+        self.work.append(partial(self._final, self.of[pb], REFUSED, stay_away))
+
+    def abort(self, pb: Playback) -> None:
+        self.work.append(partial(self._final, self.of[pb], FAILED, 0))
+
+    def _final(self, t: Ticket, cause: int, stay_away: int) -> None:
+        if t.viewer is not None:
+            t.viewer.write(release(t.id, cause, stay_away))
+        self._forget(t)
+
+    def set_rung(self, pb: Playback, rung: int) -> None:
+        if pb.state is State.PLAYING:  # before that the set-up itself carries it
+            self.work.append(partial(self._set_rung, self.of[pb], rung))
+
+    def _set_rung(self, t: Ticket, rung: int) -> None:
+        if t.pool is not None and t.pb.state is State.PLAYING:
+            t.pool.say("level", t.id, {"rung": str(rung)})
+
+    def alarm(self, at: int) -> None:
+        self.alarms.at(at, lambda: self.controller.alarm(self.clock.now()))
+
+    def follow(self) -> None:
+        """The command channel is followed all the time."""
+
+    def log(self, line: str) -> None:
+        self.logger.info(
+            "mode", change=line, open=self.setting_up, playing=len(self.tickets) - self.setting_up
+        )
--- /dev/null
+++ b/oakcroft/platform/pool.py
@@ -0,0 +1,244 @@
+"""The connections to one playout node.
+
+A node is known by its id, never by its address: a new node may take the address of one that has gone.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+import trio
+
+from oakcroft.interface import MS, SECOND, Listing, Node, Outcome
+from oakcroft.platform.link import Link, connect
+from oakcroft.platform.ticket import Ticket
+from oakcroft.platformwire import lines
+from oakcroft.platformwire.framing import Unreadable
+from oakcroft.running.clock import Clock
+
+Event = Callable[[], None]
+KEPT = 0.6  # of the idle time: a connection is retired before the node closes it
+GIVEN_UP = 16
+REFUSALS, TIME_OUTS = 2, 5  # attempts to connect, one after the other, that show a node's process to be gone
+AGAIN = 300 * MS  # between them
+
+
+class NodeLink(Link):
+    """One connection to a node, with the set-ups that are out on it."""
+
+    def __init__(self, sock: socket.socket, nursery: trio.Nursery, now: int) -> None:
+        super().__init__(sock, nursery)
+        self.out_here: dict[Ticket, int] = {}  # and how many octets had been queued before each
+        self.used_at = now
+
+
+class Pool:
+    """What the owner calls happens at once; what comes from the node is handed to the owner as events."""
+
+    def __init__(
+        self, node: Node, address: tuple[str, int], most: int, streams: int, idle: int, connect_within: int,
+        clock: Clock, nursery: trio.Nursery, tell: Callable[[Event], Awaitable[None]], listener: Listener,
+    ) -> None:  # fmt: skip
+        self.node, self.address, self.most, self.streams = node, address, most, streams
+        self.idle, self.connect_within = idle, connect_within
+        self.clock, self.nursery, self.tell, self.listener = clock, nursery, tell, listener
+        self.links: list[NodeLink] = []
+        self.opening = 0
+        self.waiting: dict[Ticket, None] = {}  # set-ups for which a connection is being opened
+        self.standing: dict[Ticket, None] = {}
+        self.refused = self.timed_out = 0
+        self.tried_at = self.heard_at = 0
+        self.gone = False  # off the list, or another process has its name
+
+    # Set-ups.
+
+    def set_up(self, t: Ticket) -> None:
+        """Sends a set-up: on a connection that carries none, else on a new one, else on the least used."""
+        link = self._free()
+        while link is not None and (not link.out_here or len(self.links) + self.opening >= self.most):
+            if self._write(link, t):
+                return
+            link = self._free()
+        self.waiting[t] = None
+        if self.opening < len(self.waiting) and len(self.links) + self.opening < max(1, self.most):
+            self._open()
+
+    def _free(self) -> NodeLink | None:
+        """The least used connection of use. Guards against writing into one that the node has closed already: what may
+        have been read there can't be sent again."""
+        for link in list(self.links):
+            if not link.out_here and link.ended():
+                self._drop(link)
+        usable = [x for x in self.links if x.open and len(x.out_here) < self.streams and not self._retires(x)]
+        return min(usable, key=lambda x: len(x.out_here), default=None)
+
+    def _retires(self, link: NodeLink) -> bool:
+        return self.clock.now() - link.used_at > KEPT * self.idle
+
+    def _write(self, link: NodeLink, t: Ticket) -> bool:
+        now = self.clock.now()
+        left = max(1, (t.until - now) // MS)
+        attrs: lines.Attributes = {
+            "class": t.plan_name,
+            "left": str(left),
+            "key": t.pb.title.name,
+            "rung": str(t.pb.rung),
+        }
+        before = link.queued
+        if not link.write(lines.encode("open", t.id, attrs, None, t.description)) and link.taken <= before:
+            self._drop(link)  # no octet of it left: it may go elsewhere
+            return False
+        t.link = link
+        link.out_here[t], link.used_at = before, now
+        return True
+
+    def give_up(self, t: Ticket) -> None:
+        """Nobody waits for a set-up any more."""
+        self.waiting.pop(t, None)
+        if t.link is not None:
+            t.link.out_here.pop(t, None)
+            t.link.write(lines.encode("close", t.id, {}, GIVEN_UP))
+            t.link = None
+
+    def settled(self, t: Ticket) -> None:
+        """A set-up has its answer."""
+        self.waiting.pop(t, None)
+        if t.link is not None:
+            t.link.out_here.pop(t, None)
+            t.link = None
+
+    def say(self, kind: str, session: str, attrs: lines.Attributes, code: int | None = None) -> bool:
+        """Something on a playback that stands, on any open connection."""
+        for link in self.links:
+            if link.open and not link.ended() and link.write(lines.encode(kind, session, attrs, code)):
+                return True
+        self.look(self.clock.now())
+        return False
+
+    # Connections.
+
+    def _open(self) -> None:
+        self.opening += 1
+        self.tried_at = self.clock.now()
+        self.nursery.start_soon(self._connect)
+
+    async def _connect(self) -> None:
+        try:
+            sock = await connect(self.address, self.connect_within / SECOND)
+        except (OSError, trio.TooSlowError) as error:
+            await self.tell(partial(self._unreached, isinstance(error, ConnectionRefusedError)))
+            return
+        link = NodeLink(sock, self.nursery, self.clock.now())
+        await self.tell(partial(self._connected, link))
+        await self._read(link)
+
+    def _connected(self, link: NodeLink) -> None:
+        self.opening -= 1
+        self.refused = self.timed_out = 0
+        self.heard_at = self.clock.now()
+        if self.gone and not self.standing and not self.waiting:
+            link.shut()
+            return
+        self.links.append(link)
+        for t in list(self.waiting):
+            if link.out_here and self.opening:
+                break  # the others have connections of their own to come
+            del self.waiting[t]
+            if not self._write(link, t):
+                self.set_up(t)
+                return
+
+    def _unreached(self, refused: bool) -> None:
+        self.opening -= 1
+        self.refused = self.refused + 1 if refused else 0
+        self.timed_out += 1
+        if not self.opening:
+            stuck, self.waiting = list(self.waiting), {}
+            for t in stuck:
+                link = self._free()  # one that carries others will do when there is no other
+                if link is None or not self._write(link, t):
+                    self.listener.tried(t, Outcome.NO_CONNECTION, None)
+        if not any(x.open for x in self.links) and (self.refused >= REFUSALS or self.timed_out >= TIME_OUTS):
+            self.listener.lost(self, "no connection")
+
+    async def _read(self, link: NodeLink) -> None:
+        heard, why = lines.Lines(), ""
+        try:
+            while data := await link.read():
+                heard.receive_data(data)
+                while (event := heard.next_event()) is not None:
+                    await self.tell(partial(self.listener.said, self, link, *event))
+        except Unreadable as fault:
+            why = str(fault)
+            link.shut()
+        await self.tell(partial(self._ended, link, why))
+
+    def _ended(self, link: NodeLink, why: str) -> None:
+        """A connection is over; its set-ups end by what left."""
+        if why:
+            self.listener.unreadable(self, why)
+        self._drop(link)
+        if self.standing:
+            self.look(self.clock.now())
+
+    def _drop(self, link: NodeLink) -> None:
+        if link in self.links:
+            self.links.remove(link)
+        out, link.out_here = link.out_here, {}
+        for t, before in out.items():
+            t.link = None
+            self.listener.tried(t, Outcome.RESET if link.taken > before else Outcome.NOT_SENT, None)
+        link.shut()
+
+    def look(self, now: int, silent: int = 0) -> None:
+        """Keeps a fresh connection where playbacks stand, and none that is about to be closed by the node; a node that
+        has been silent for too long is shown to be there or not by opening another."""
+        for link in list(self.links):
+            if not link.out_here and (self._retires(link) or not link.open):
+                self._drop(link)
+        if self.gone or self.opening or not self.standing or now - self.tried_at < AGAIN:
+            return
+        if not self.links or (self.timed_out or (silent and now - self.heard_at > silent)):
+            if len(self.links) >= max(2, self.most):
+                self._drop(min(self.links, key=lambda x: len(x.out_here)))
+            self._open()
+
+    def close(self) -> None:
+        """The node has gone for good."""
+        for link in list(self.links):
+            self._drop(link)
+
+    @property
+    def unused(self) -> bool:
+        """Whether nothing holds it any more."""
+        return not (self.standing or self.waiting or self.opening or any(x.out_here for x in self.links))
+
+    @property
+    def listed(self) -> bool:
+        """Whether the list still has the node."""
+        return self.node.listing is not Listing.GONE and not self.gone
+
+
+class Listener:
+    """What a pool tells: the owner."""
+
+    def said(
+        self, pool: Pool, link: NodeLink, kind: str, session: str, attrs: lines.Attributes, code: int | None,
+        text: str | None,
+    ) -> None:  # fmt: skip
+        """A message has come."""
+        raise NotImplementedError
+
+    def tried(self, t: Ticket, outcome: Outcome, load: dict[str, float] | None) -> None:
+        """A setup try has ended without an answer."""
+        raise NotImplementedError
+
+    def lost(self, pool: Pool, why: str) -> None:
+        """The node's process is gone, and all that stood there."""
+        raise NotImplementedError
+
+    def unreadable(self, pool: Pool, why: str) -> None:
+        """A node has sent what can't be read."""
+        raise NotImplementedError
--- /dev/null
+++ b/oakcroft/platformwire/asking.py
@@ -0,0 +1,93 @@
+"""What a viewer's set-up asks: its parameters, checked."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+from oakcroft.interface import MS
+from oakcroft.platformwire import framing, lines
+
+MOST_NAME = 128
+NO_ID = "0" * 16
+
+
+class Unusable(Exception):
+    """A set-up that is well framed and can't be served."""
+
+
+def text(params: Mapping[int, bytes], code: int, most: int = MOST_NAME) -> str:
+    """A parameter as text; Unusable where it is absent, empty, too long or no UTF-8."""
+    value = params.get(code, b"")
+    if not value or len(value) > most:
+        raise Unusable(f"parameter {code} of {len(value)} octets")
+    try:
+        return value.decode()
+    except UnicodeDecodeError as fault:
+        raise Unusable(f"parameter {code} is no text") from fault
+
+
+def number(said: str, most: float, what: str) -> float:
+    """A figure from 0 to `most`; Unusable for all else, what Python alone would read as a number included."""
+    plain = said.isascii() and "_" not in said and said.strip() == said
+    try:
+        value = float(said) if plain else math.nan
+    except ValueError:
+        value = math.nan
+    if not 0 <= value <= most:  # NaN fails too
+        raise Unusable(f"{what} out of range")
+    return value
+
+
+def whole(said: str, most: int, what: str) -> int:
+    """The same, whole."""
+    value = number(said, most, what)
+    if value != int(value):
+        raise Unusable(f"{what} is not whole")
+    return int(value)
+
+
+def extras(said: str) -> dict[str, str]:
+    """`a:1;b:2` by name; Unusable where it is not of that form."""
+    found = dict[str, str]()
+    for part in said.split(";"):
+        name, colon, value = part.partition(":")
+        if not colon or not name or name in found:
+            raise Unusable("extras are not of their form")
+        found[name] = value
+    return found
+
+
+def figure(found: Mapping[str, str], name: str, most: int) -> int:
+    """A whole figure of the extras."""
+    if name not in found:
+        raise Unusable(f"no {name}")
+    return whole(found[name], most, name)
+
+
+def playback(
+    session: str, params: Mapping[int, bytes], plans: Mapping[str, int], cells: int, rungs: int
+) -> tuple[str, int, str, int, int, int, str, str]:
+    """The plan's name, the wait in ns, the title, its first cell and copies, the highest rung, the description, and the
+    node at which it plays already ("": none). `plans` has each plan's longest wait."""
+    if session == NO_ID:
+        raise Unusable("no id")
+    plan = text(params, framing.PLAN)
+    if plan not in plans:
+        raise Unusable("a plan that does not exist")
+    longest = (
+        2 * plans[plan] / MS
+    )  # a viewer's own clock and rounding apart, nobody waits longer than the plan says
+    wait = number(text(params, framing.WAIT, 32), longest, "wait")
+    if framing.HINT in params:
+        number(text(params, framing.HINT, 32), 1e9, "hint")
+    title = text(params, framing.TITLE)
+    if not title.isprintable():
+        raise Unusable("a title that can't be printed")
+    description = text(params, framing.TEXT, framing.MOST)
+    if not lines.carries(plan, title, description):
+        raise Unusable("the description is too long for a node")
+    return (
+        plan, round(wait * MS), title, figure(found, "home", cells - 1), figure(found, "copies", cells),
+        figure(found, "top", rungs - 1), description, at,
+    )  # fmt: skip
--- /dev/null
+++ b/oakcroft/platformwire/channel.py
@@ -0,0 +1,96 @@
+"""Documents of the command channel: numbered events on the list of playout nodes."""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+
+import orjson
+
+from oakcroft.interface import MS, Listing
+from oakcroft.platformwire.numbers import finite
+
+PHASES = {"up": Listing.READY, "draining": Listing.DRAINING, "removed": Listing.GONE}
+MOST_NODES = 4_096
+MOST_NAME = 128
+
+Member = tuple[str, tuple[str, int], str, str, int, Listing, float, int]
+"""Id, address, wing, kind, cell, listing, size, start in ns."""
+Change = tuple[int, bool, list[Member]]
+"""Number, whether it is the whole list, and the nodes that it tells of."""
+
+
+class Unreadable(Exception):
+    """A document that can't be read; it changes nothing."""
+
+
+def address(said: object) -> tuple[str, int]:
+    """`HOST:PORT` with a numeric host, since there are no names to look up. Unreadable for all else."""
+    host, _, port = said.rpartition(":") if isinstance(said, str) else ("", "", "")
+    try:
+        host = str(ip_address(host.strip("[]")))
+        number = int(port) if port.isdecimal() and len(port) < 6 else 0
+    except ValueError as fault:
+        raise Unreadable(f"{said!r} is no address") from fault
+    if not 0 < number < 65_536:
+        raise Unreadable(f"{said!r} has no port")
+    return host, number
+
+
+def whole(said: object, what: str) -> int:
+    """A whole figure that is not negative."""
+    if isinstance(said, bool) or not isinstance(said, int) or said < 0:
+        raise Unreadable(f"{what} is no number")
+    return said
+
+
+def member(said: object) -> Member:
+    """One line of a list."""
+    if not isinstance(said, dict):
+        raise Unreadable("a node is no object")
+    name, phase = said.get("id"), said.get("phase")
+    if not isinstance(name, str) or not 0 < len(name) <= MOST_NAME:
+        raise Unreadable("a node without an id")
+    if not isinstance(phase, str) or phase not in PHASES:
+        raise Unreadable(f"phase of {name}")
+    size = finite(said.get("size", 1.0))
+    if size is None or size < 0:
+        raise Unreadable(f"size of {name}")
+    wing, kind = said.get("locality") or "", said.get("flavor") or ""
+    if not isinstance(wing, str) or not isinstance(kind, str):
+        raise Unreadable(f"place of {name}")
+    gone = PHASES[phase] is Listing.GONE and "host_port" not in said
+    return (
+        name, ("", 0) if gone else address(said.get("host_port")), wing, kind, whole(said.get("cell", 0), "cell"),
+        PHASES[phase], size, whole(said.get("up_since_ms") or 0, "up_since_ms") * MS,
+    )  # fmt: skip
+
+
+def events(said: object) -> tuple[int, list[Change]]:
+    """The number of the last event, and the events. Unreadable unless all of it can be read."""
+    if not isinstance(said, dict) or not isinstance(said.get("cmds"), list):
+        raise Unreadable("no events")
+    changes = list[Change]()
+    for one in said["cmds"]:
+        if not isinstance(one, dict):
+            raise Unreadable("an event is no object")
+        nodes = one.get("nodes")
+        if nodes is None:  # an event of another kind
+            continue
+        if not isinstance(nodes, dict) or not isinstance(nodes.get("members"), list):
+            raise Unreadable("an event without nodes")
+        if len(nodes["members"]) > MOST_NODES:
+            raise Unreadable("too many nodes")
+        complete = nodes.get("complete", False)
+        if not isinstance(complete, bool):
+            raise Unreadable("complete is neither true nor false")
+        changes.append((whole(one.get("cursor"), "cursor"), complete, [member(m) for m in nodes["members"]]))
+    return whole(said.get("cursor"), "cursor"), changes
+
+
+def document(body: bytes) -> tuple[int, list[Change]]:
+    """The same, of an answer's body."""
+    try:
+        said = orjson.loads(body)
+    except orjson.JSONDecodeError as fault:
+        raise Unreadable("no JSON") from fault
+    return events(said)
--- /dev/null
+++ b/oakcroft/platformwire/configuration.py
@@ -0,0 +1,83 @@
+"""The configuration that the platform hands a front end, as JSON."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from oakcroft import terms
+from oakcroft.interface import Plan, Terms
+from oakcroft.platformwire import channel
+
+
+class Faulty(Exception):
+    """A configuration that can't be used; says which field."""
+
+
+class Configuration:
+    """What one front end is told at its start."""
+
+    def __init__(self, said: dict[str, Any]) -> None:
+        field: Any = ""
+        try:
+            for field in ("name", "listen", "seed", "limits", "channel", "known", "settings"):
+                said[field]
+            field = "listen"
+            self.listen = channel.address(said["listen"])
+            field = "channel"
+            self.channel = channel.address(said["channel"])
+            field = "known"
+            self.known = channel.events(said["known"])
+            field = "seed"
+            self.seed = int(said["seed"], 16)
+            field = "name"
+            self.name = str(said["name"])
+            field = "limits.sockets"
+            self.sockets = channel.whole(said["limits"]["sockets"], field)
+            field = "settings"
+            env = self.settings = said["settings"]
+            info, may = env["familyInfo"], env["permissions"]
+            self.terms: Terms = terms.terms(env)
+            self.plans: dict[str, Plan] = terms.plans(env)
+            self.waits = {c["name"]: terms.nanos(c["deadlineMs"]) for c in env["classes"]}
+            self.link_per_weight = float(info["weightKb"])
+            self.places: dict[str, float] = dict(zip(env["models"], info["kindSlots"], strict=False))
+            self.idle = terms.nanos(may["connIdleMs"])
+            self.connect_within = terms.nanos(may["dialTimeoutMs"])
+            self.streams = int(may["streamsPerConn"])
+            self.most_open = int(may["maxOpen"])
+        except KeyError as fault:
+            missing = str(fault.args[0])
+            raise Faulty(
+                f"{field}: {missing} is missing" if missing != field else f"{field} is missing"
+            ) from fault
+        except (
+            channel.Unreadable,
+            TypeError,
+            ValueError,
+            IndexError,
+            AttributeError,
+            ArithmeticError,
+        ) as fault:
+            raise Faulty(f"{field}: {fault}") from fault
+        for name, value, least in (
+            ("limits.sockets", self.sockets, 64), ("settings.permissions.connIdleMs", self.idle, 1),
+            ("settings.permissions.dialTimeoutMs", self.connect_within, 1),
+            ("settings.permissions.streamsPerConn", self.streams, 1),
+            ("settings.permissions.maxOpen", self.most_open, 1), ("settings.classes", len(self.plans), 1),
+            ("settings.familyInfo.ratesKb", len(self.terms.rates), 1),
+        ):  # fmt: skip
+            if value < least:
+                raise Faulty(f"{name}: {value} is under {least}")
+
+
+def decode(body: bytes) -> Configuration:
+    """The configuration of a file's bytes; Faulty where it can't be used."""
+    try:
+        said = orjson.loads(body)
+    except orjson.JSONDecodeError as fault:
+        raise Faulty(f"no JSON: {fault}") from fault
+    if not isinstance(said, dict):
+        raise Faulty("no JSON object")
+    return Configuration(said)
--- /dev/null
+++ b/oakcroft/platformwire/framing.py
@@ -0,0 +1,85 @@
+"""The binary framing of viewers.
+
+A message is `length:2 type:1 session:8 parameters`, a parameter `code:1 length:2 value`, all big-endian; the length
+counts all that follows it. Events are a type, an id and the parameters by code.
+"""
+
+from __future__ import annotations
+
+MOST = 16_384
+HEAD, LEAST = 2, 9  # octets of the length itself, and of the shortest message after it
+
+SET_UP, PROGRESS, ANSWER, RELEASE, HEARD = 1, 6, 9, 12, 16
+NOTE, MOVE, TEST, TESTED, RUNG = 44, 51, 52, 53, 60
+TYPES = frozenset((SET_UP, PROGRESS, ANSWER, RELEASE, HEARD, NOTE, MOVE, TEST, TESTED, RUNG))
+
+PLAN, WAIT, TITLE, EXTRAS, AWAY, HINT, CAUSE, TEXT = 100, 101, 104, 105, 106, 110, 114, 115
+
+Event = tuple[int, str, dict[int, bytes]]
+
+
+class Unreadable(Exception):
+    """The peer's bytes are no messages: nothing after them can be trusted to be one."""
+
+
+class Frames:
+    """Takes the bytes of one connection at any split, and gives its messages.
+
+    Holds less than one message and one receive: the caller takes all events before it hands in more.
+    """
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+
+    def receive_data(self, data: bytes) -> None:
+        """More bytes."""
+        self.buffer += data
+
+    @property
+    def partial(self) -> bool:
+        """Whether a message has begun that is not whole."""
+        return bool(self.buffer)
+
+    def next_event(self) -> Event | None:
+        """The next message; None while it is not whole. Unreadable as soon as it can't become one."""
+        if len(self.buffer) < HEAD:
+            return None
+        length = int.from_bytes(self.buffer[:HEAD], "big")
+        if not LEAST <= length <= MOST - HEAD:
+            raise Unreadable(f"a message of {length} octets")
+        if len(self.buffer) > HEAD and self.buffer[HEAD] not in TYPES:
+            raise Unreadable(f"type {self.buffer[HEAD]}")
+        if len(self.buffer) < HEAD + length:
+            return None
+        message = bytes(self.buffer[HEAD : HEAD + length])
+        del self.buffer[: HEAD + length]
+        return message[0], message[1:LEAST].hex(), parameters(message[LEAST:])
+
+
+def parameters(data: bytes) -> dict[int, bytes]:
+    """The parameters of a message by code. Unreadable where one overruns it or stands twice."""
+    found = dict[int, bytes]()
+    at = 0
+    while at < len(data):
+        if at + 3 > len(data):
+            raise Unreadable("a parameter without its length")
+        code, length = data[at], int.from_bytes(data[at + 1 : at + 3], "big")
+        at += 3
+        if at + length > len(data):
+            raise Unreadable("a parameter that overruns its message")
+        if code in found:
+            raise Unreadable("a parameter that stands twice")
+        found[code] = data[at : at + length]
+        at += length
+    return found
+
+
+def encode(kind: int, session: str, *values: tuple[int, bytes]) -> bytes:
+    """One message. ValueError where it would pass the bound."""
+    body = b"".join(
+        bytes((code,)) + len(value).to_bytes(2, "big") + value for code, value in values if len(value) < MOST
+    )
+    length = LEAST + len(body)
+    if length > MOST - HEAD or any(len(value) >= MOST for _, value in values):
+        raise ValueError("the message is too long")
+    return length.to_bytes(HEAD, "big") + bytes((kind,)) + bytes.fromhex(session) + body
--- /dev/null
+++ b/oakcroft/platformwire/numbers.py
@@ -0,0 +1,16 @@
+"""Figures as peers write them."""
+
+from __future__ import annotations
+
+import math
+
+
+def finite(said: object) -> float | None:
+    """A finite figure written as a number or as text; None for all else."""
+    if isinstance(said, bool) or not isinstance(said, str | int | float):
+        return None
+    try:
+        value = float(said)
+    except (ValueError, OverflowError):
+        return None
+    return value if math.isfinite(value) else None
--- a/oakcroft/rehearsal/runner.py
+++ b/oakcroft/rehearsal/runner.py
@@ -15,7 +15,7 @@
 import orjson
 import trio
 
-from oakcroft.front.clock import Clock
+from oakcroft.running.clock import Clock
 from oakcroft.rehearsal.viewers import Audience, Tally
 from oakcroft.rulecheck.rules import Fact, Finding, judge
 from oakcroft.standins.day import FRONT_FAULTS, Day, Fault
--- /dev/null
+++ b/oakcroft/running/__init__.py
@@ -0,0 +1,1 @@
+"""What every kind of front runs on: the clock, the logs, the collections of memory."""
--- a/oakcroft/front/logs.py
+++ b/oakcroft/running/logs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from typing import Any
+from typing import Any, TextIO
 
 import orjson
 import structlog
@@ -19,8 +19,8 @@
     return event
 
 
-def set_up(form: str, front: int) -> structlog.typing.FilteringBoundLogger:
-    """The program's logger, on standard error."""
+def set_up(form: str, front: int, out: TextIO = sys.stderr) -> structlog.typing.FilteringBoundLogger:
+    """The program's logger, on standard error where nothing else is said."""
     shared: list[Any] = [
         structlog.contextvars.merge_contextvars,
         structlog.processors.add_log_level,
@@ -29,16 +29,16 @@
     ]
     if form == "console":
         structlog.configure(
-            processors=[*shared, structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())],
+            processors=[*shared, structlog.dev.ConsoleRenderer(colors=out.isatty())],
             wrapper_class=structlog.make_filtering_bound_logger(20),
-            logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+            logger_factory=structlog.PrintLoggerFactory(out),
             cache_logger_on_first_use=True,
         )
     else:
         structlog.configure(
             processors=[*shared, structlog.processors.JSONRenderer(serializer=orjson.dumps)],
             wrapper_class=structlog.make_filtering_bound_logger(20),
-            logger_factory=structlog.BytesLoggerFactory(sys.stderr.buffer),
+            logger_factory=structlog.BytesLoggerFactory(out.buffer),
             cache_logger_on_first_use=True,
         )
     logger: structlog.typing.FilteringBoundLogger = structlog.get_logger().bind(front=front)
--- a/oakcroft/standins/fleet.py
+++ b/oakcroft/standins/fleet.py
@@ -15,7 +15,7 @@
 import trio
 
 from oakcroft.decisions.doors import Bounds, Door
-from oakcroft.front.clock import Clock
+from oakcroft.running.clock import Clock
 from oakcroft.front.listing import PATH
 from oakcroft.httpwire.message import Request, Response
 from oakcroft.httpwire.server import Server
--- /dev/null
+++ b/oakcroft/terms.py
@@ -0,0 +1,95 @@
+"""What a deployment's settings mean, and what outcomes and notes tell: words and units to ours, in this one place."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from oakcroft.interface import MS, Effect, Group, Note, Outcome, Plan, Terms
+
+OUTCOMES = {
+    "GOOD": Outcome.DONE,
+    "BAD": Outcome.ERROR,
+    "FULL": Outcome.FULL,
+    "LATE": Outcome.LATE,
+    "NOCONN": Outcome.NO_CONNECTION,
+    "RST": Outcome.RESET,
+    "CXL": Outcome.WITHDRAWN,
+    "NOP": Outcome.NOT_SENT,
+}
+NOTES = {1: Note.DELIVERED, 2: Note.RUNG, 3: Note.LINK_ASKED, 4: Note.UPLINK_ASKED}
+EFFECTS = {"free": Effect.FREE, "guarded": Effect.KEYED, "single_shot": Effect.PAID}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+
+
+CAUSES = {34: Outcome.FULL, 47: Outcome.ERROR, 102: Outcome.NOT_SENT}
+"""A node's refusal by its cause; any other cause may have run."""
+ENDS = {16: Outcome.DONE, 31: Outcome.WITHDRAWN}
+"""The end of a playback by its cause; any other cause cut it."""
+NOTE_NAMES = {"fill": NOTES[1], "grade": NOTES[2], "local": NOTES[3], "upstream": NOTES[4]}
+
+
+def nanos(ms: float | None) -> int:
+    """Wire time to ours; an absent one is 0."""
+    return round(ms * 1000) * 1000 if ms else 0
+
+
+def millis(ns: int) -> float:
+    """Our time to the wire's."""
+    return ns / MS
+
+
+def report_values(report: dict[str, float] | None) -> tuple[float | None, float | None, float | None]:
+    """What a load report says of the link, of the link up to full, and of the rack's uplink."""
+    if not report:
+        return None, None, None
+    return report.get("x0"), report.get("utilization"), report.get("x1")
+
+
+def plans(env: dict[str, Any]) -> dict[str, Plan]:
+    """The plans by name."""
+    info = env["familyInfo"]
+    rungs = len(info["ratesKb"])
+    out = {}
+    for i, c in enumerate(env["classes"]):
+        floor = min(info["floorByClass"][i], rungs - 1)
+        out[c["name"]] = Plan(
+            effect=EFFECTS[c["effect"]],
+            group=GROUPS.get(c.get("group") or "all", Group.CELL),
+            key_lasts=nanos(c.get("keyTtlMs")),
+            startup_target=nanos(c["objectiveMs"]),
+            revenue=c["worth"],
+            floor=floor,
+            top=max(floor, min(info["classTop"][i], rungs - 1)),
+            seats=info["classSeats"][i],
+            rate_factor=info["rateFactor"][i],
+            shares_stream=info["live"][i],
+        )
+    return out
+
+
+def terms(env: dict[str, Any]) -> Terms:
+    """The settings that the module reads."""
+    info, rules, may = env["familyInfo"], env["rules"], env["permissions"]
+    return Terms(
+        fronts=max(1, env["balancers"]),
+        front=env["me"],
+        must_follow=env["membershipMode"] == "subscribe",
+        ask_within=nanos(rules.get("askWithinMs")),
+        cells=max(1, info["cells"]),
+        racks=max(1, info["groups"]),
+        rates=tuple(info["ratesKb"]),
+        rung_worth=tuple(info["rungWorth"]),
+        uplink=info["uplinkKb"],
+        join_adds=info["joinAdds"],
+        seen_after=nanos(info["seenAfterMs"]),
+        reports_every=nanos(info["reportsEveryMs"]),
+        most_tries=may["maxAttempts"],
+        stay_away_most=nanos(may["maxRetryAfterMs"]) if may["retryAfter"] else 0,
+        cold_share=rules["coldShare"],
+        cold_for=nanos(rules["coldMs"]),
+        fall_multiple=rules["fallMultiple"],
+        fall_window=nanos(rules["overloadForMs"]),
+        tries_free=rules.get("extraFree"),
+        tries_share=rules.get("extraShare") or 0.0,
+        tries_window=nanos(rules.get("budgetSpanMs")),
+    )
--- a/oakcroft/wirehost/instance.py
+++ b/oakcroft/wirehost/instance.py
@@ -6,6 +6,7 @@
 
 from oakcroft.choice import Controller
 from oakcroft.interface import Entry, ListKind, Node, Playback, Title
+from oakcroft import terms
 from oakcroft.wirehost import codec
 
 Message = dict[str, Any]
@@ -18,8 +19,8 @@
         env = event["env"]
         self.who = who
         self.out = out
-        self.terms = codec.terms(env)
-        self.plans = codec.plans(env)
+        self.terms = terms.terms(env)
+        self.plans = terms.plans(env)
         self.link_per_weight: float = env["familyInfo"]["weightKb"]
         self.places = dict(zip(env["models"], env["familyInfo"]["kindSlots"], strict=False))
         self.nodes: dict[str, Node] = {}
@@ -34,10 +35,10 @@
         self.out.append({"op": op, "who": self.who, **fields})
 
     def send(self, pb: Playback, node: Node, abandon_at: int) -> None:
-        self._act("deliver", rid=self.ids[pb], node=node.name, abandonAtMs=codec.millis(abandon_at))
+        self._act("deliver", rid=self.ids[pb], node=node.name, abandonAtMs=terms.millis(abandon_at))
 
     def reject(self, pb: Playback, stay_away: int) -> None:
-        self._act("pushBack", rid=self.ids[pb], stayAwayMs=codec.millis(stay_away))
+        self._act("pushBack", rid=self.ids[pb], stayAwayMs=terms.millis(stay_away))
 
     def abort(self, pb: Playback) -> None:
         self._act("abort", rid=self.ids[pb])
@@ -46,7 +47,7 @@
         self._act("setRung", rid=self.ids[pb], grade=rung)
 
     def alarm(self, at: int) -> None:
-        self._act("setAlarm", alarmTimeMs=codec.millis(at), label=0)
+        self._act("setAlarm", alarmTimeMs=terms.millis(at), label=0)
 
     def follow(self) -> None:
         self._act("follow", active=True)
@@ -74,11 +75,11 @@
             case "reply":
                 if pb:
                     self.controller.tried(
-                        pb, codec.OUTCOMES[event["outcome"]], event["doneFlag"],
-                        *codec.report_values(event.get("report")), now,
+                        pb, terms.OUTCOMES[event["outcome"]], event["doneFlag"],
+                        *terms.report_values(event.get("report")), now,
                     )  # fmt: skip
             case "updateOf":
-                note = codec.NOTES.get(event["kind"])
+                note = terms.NOTES.get(event["kind"])
                 if pb and note:
                     self.controller.noted(pb, note, event["x"], now)
             case "gone":
@@ -105,7 +106,7 @@
         return Entry(
             node,
             codec.LISTINGS[e["availability"]],
-            codec.nanos(e["startedAtMs"]),
+            terms.nanos(e["startedAtMs"]),
             self.link_per_weight * (1.0 if weight is None else weight),
             self.places.get(e["classOfHost"], 0.0),
         )
@@ -116,7 +117,7 @@
             self.titles[name] = Title(name, e["home"], e["copies"])
         pb = Playback(
             self.titles[name], self.plans[e["profile"]], e["topRung"],
-            now + codec.nanos(e["budgetMs"]), e["backFromMove"],
+            now + terms.nanos(e["budgetMs"]), e["backFromMove"],
         )  # fmt: skip
         self.playbacks[e["rid"]], self.ids[pb] = pb, e["rid"]
         return pb
--- a/oakcroft/wirehost/loop.py
+++ b/oakcroft/wirehost/loop.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from oakcroft.wirehost import codec
+from oakcroft import terms
 from oakcroft.wirehost.instance import Instance, Message
 
 
@@ -19,7 +19,7 @@
 
     def answer(self, batch: dict[str, Any]) -> list[Message]:
         """All actions that one batch calls for."""
-        now = codec.nanos(batch["momentMs"])
+        now = terms.nanos(batch["momentMs"])
         out: list[Message] = []
         for event in batch["news"]:
             op = event["op"]
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -15,7 +15,7 @@
 
 from oakcroft.config.compile import check, told
 from oakcroft.decisions.recovery import Phase
-from oakcroft.front.clock import Clock
+from oakcroft.running.clock import Clock
 from oakcroft.front.helm import Helm
 from oakcroft.front.serve import Front
 from oakcroft.httpwire.client import Ended, Peer
