Take handed-over playbacks whatever wait they state; a fault in one connection ends only that

Change: asking.playback reads the extras first and no wait where 'at' stands; viewers._serve logs what one connection brings and goes on.

--- a/oakcroft/platform/viewers.py
+++ b/oakcroft/platform/viewers.py
@@ -136,6 +136,8 @@
                 link.empty_at = self.clock.now()
         except Unreadable as fault:
             self.owner.count("unreadable viewer", str(fault))
+        except Exception as fault:  # what one connection brings may not end the front with all that it holds
+            self.log.error("connection failed", error=repr(fault), exc_info=fault)
         finally:
             self.links.pop(link, None)
             link.shut()
--- a/oakcroft/platformwire/asking.py
+++ b/oakcroft/platformwire/asking.py
@@ -75,10 +75,14 @@
     plan = text(params, framing.PLAN)
     if plan not in plans:
         raise Unusable("a plan that does not exist")
+    found = extras(text(params, framing.EXTRAS, 1024))
+    at = found.get("at", "")
     longest = (
         2 * plans[plan] / MS
     )  # a viewer's own clock and rounding apart, nobody waits longer than the plan says
-    wait = number(text(params, framing.WAIT, 32), longest, "wait")
+    wait = (
+        0.0 if at else number(text(params, framing.WAIT, 32), longest, "wait")
+    )  # what plays waits for nothing
     if framing.HINT in params:
         number(text(params, framing.HINT, 32), 1e9, "hint")
     title = text(params, framing.TITLE)
