Keep what nodes tell before a handover; read closing connections out; trust past unknown titles

A trace of all that a node sent beside what the front believed (level, reported, standing) showed 431 of 554 notes on the rung of handed-over playbacks arriving before the playback was handed over: owner.said dropped them as of unknown ids, the playbacks counted at the lowest rung and nodes as nearly empty. Ruled out by the same trace: load reports (1,074 of 1,074 ends carried one, all read), order of answer and first note. Change: such notes and ends are kept, bounded, until the handover is over.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -570,7 +570,9 @@
             if outcome is not Outcome.LATE or node.distrust.read(now, DISTRUST_HALF) > 1:
                 node.failed_at = now
             node.distrust.add(1.0, now, DISTRUST_HALF)
-        elif outcome is Outcome.ERROR:
+        elif outcome is Outcome.ERROR and pb.title.played:
+            # Guards against requests for what does not exist, which cost good nodes their standing. Harm: a
+            # node that answers all with errors keeps it until it is asked for a title that has played.
             node.distrust.add(0.4, now, DISTRUST_HALF)
         elif outcome is Outcome.FULL:
             self._report(node, max(node.level, T1), 0, now)  # all places taken, though the link may have room
@@ -606,6 +608,7 @@
         at = pb.node
         if at is None:
             return
+        pb.title.played |= state is State.PLAYING
         if state is State.SETTING_UP:
             at.waiting[pb] = now
         else:
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -191,6 +191,7 @@
     def __init__(self, name: str, home: int, copies: int) -> None:
         self.name, self.home, self.copies = name, home, copies
         self.seats: dict[Plan, int] = {}
+        self.played = False  # it has played, wherever: there is such a title
         self.holders: list[Node] = []
         self.known = -1  # the version of the list that `holders` was made from
         self.named: frozenset[str] | None = None  # its holders by name; none: those in its cells
--- a/oakcroft/platform/link.py
+++ b/oakcroft/platform/link.py
@@ -84,6 +84,14 @@
         except OSError:
             return True
 
+    def finish(self) -> None:
+        """Says that nothing more will be written; what the peer has still to say is read."""
+        if self.open:
+            try:
+                self.sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.shut()
+
     def shut(self) -> None:
         """Closes it at once; whoever reads it sees its end."""
         if self.open:
--- a/oakcroft/platform/owner.py
+++ b/oakcroft/platform/owner.py
@@ -36,6 +36,7 @@
 MOST_PLAYING = 8_192
 MOST_OWED = 4_096  # releases for which no viewer's connection is open
 NODE_LINKS = 16  # connections to one node at most
+MOST_EARLY = 4_096  # playbacks of which nodes tell before they are handed over
 WAY_BACK = 15 * MS  # kept of a viewer's wait for the answer's way
 HANDED_OVER = 15 * SECOND  # after the first test: playbacks of before the start are handed over by then
 CUT_WITHIN = 2 * SECOND  # a node says by then that a playback which its viewer ended is over
@@ -58,9 +59,12 @@
         self.pools: dict[str, Pool] = {}
         self.viewers: dict[ViewerLink, None] = {}
         self.owed: deque[bytes] = deque(maxlen=MOST_OWED)  # releases, for the next connection that opens
+        self.early: dict[str, deque[Event]] = {}  # what nodes told of playbacks that are not handed over yet
         self.setting_up = 0
         self.counts: dict[str, int] = {}
         self.node_links = max(1, told.sockets // 3)
+        # A node tells of each playback's link so often: one that is silent for longer may be gone.
+        self.silent = 3 * told.terms.reports_every // 2 + told.terms.seen_after + SECOND // 4
         self.began = 0
         self.work: deque[Event] = deque()
         self.controller = Controller(told.terms, told.seed, self, clock.now())
@@ -113,11 +117,10 @@
 
     async def look_after(self) -> None:
         """Now and then: connections that are due, nodes that are silent, what is counted."""
-        silent = 2 * self.told.terms.reports_every + self.told.terms.seen_after
         looks = 0
         while True:
             await trio.sleep(0.1)
-            await self.tell(partial(self._look, silent))
+            await self.tell(self._look)
             looks += 1
             if looks % 50 == 0:
                 self.logger.info("figures", open=self.setting_up, playing=len(self.tickets) - self.setting_up,
@@ -125,10 +128,12 @@
                                  titles=len(self.titles.titles), nodes=len(self.pools), x=round(self.controller.x, 3),
                                  lag_ms=self.lag // MS, **self.counts)  # fmt: skip
 
-    def _look(self, silent: int) -> None:
+    def _look(self) -> None:
         now = self.clock.now()
+        if self.early and self._handed_over_all(now):
+            self.early.clear()
         for name, pool in list(self.pools.items()):
-            pool.look(now, silent)
+            pool.look(now)
             if not pool.listed and pool.unused:
                 pool.close()
                 if self.pools.get(name) is pool:
@@ -155,8 +160,8 @@
                     pool.gone = True
                     self.lost(pool, "another address")
                 pool = self.pools[name] = Pool(
-                    node, address, NODE_LINKS, self.told.streams, self.told.idle, self.told.connect_within, self.clock,
-                    self.nursery, self.tell, self,
+                    node, address, NODE_LINKS, self.told.streams, self.told.idle, self.told.connect_within, self.silent,
+                    self.clock, self.nursery, self.tell, self,
                 )  # fmt: skip
             node = pool.node
             if listing is not Listing.GONE:
@@ -196,6 +201,10 @@
             pool.say("close", t.id, {}, GIVEN_UP)
             self._over(t, Outcome.RESET, FAILED, None)
 
+    def unreadable(self, pool: Pool, why: str) -> None:
+        """A node has sent what can't be read, or can't be reached for want of means here."""
+        self.count("node", why)
+
     # Viewers.
 
     def opened(self, link: ViewerLink) -> None:
@@ -248,7 +257,7 @@
     def _handed_over(self, t: Ticket, link: ViewerLink, at: str, now: int) -> None:
         """A playback that plays already. No answer is owed; one that can't be is ended towards its viewer."""
         pool = self.pools.get(at)
-        if pool is None or pool.gone or (self.began and now - self.began > HANDED_OVER):
+        if pool is None or pool.gone or self._handed_over_all(now):
             self.count("handed over in vain")
             link.write(release(t.id, FAILED))
             return
@@ -257,8 +266,14 @@
         self.tickets[t.id] = self.of[t.pb] = t
         pool.standing[t] = None
         self.controller.resumed(t.pb, pool.node, now)
+        for message in self.early.pop(t.id, ()):
+            message()
         pool.look(now)
 
+    def _handed_over_all(self, now: int) -> bool:
+        """Whether the time is over in which playbacks of before the start are handed over."""
+        return bool(self.began) and now - self.began > HANDED_OVER
+
     def released(self, link: ViewerLink, session: str) -> None:
         """A viewer gives a set-up up, or ends a playback."""
         t = self.tickets.get(session)
@@ -314,6 +329,16 @@
         """A message of a node. What is of no playback there, comes twice or too late is dropped."""
         pool.heard_at = now = self.clock.now()
         t = self.tickets.get(session)
+        if (
+            t is None
+            and kind in ("event", "close")
+            and not self._handed_over_all(now)
+            and len(self.early) < MOST_EARLY
+        ):
+            # The node tells of what it plays as soon as it can be reached, which may be before the playback is
+            # handed over: unheard, its rung would be taken for the lowest, and its node for nearly empty.
+            again = partial(self.said, pool, link, kind, session, attrs, code, text)
+            self.early.setdefault(session, deque(maxlen=4)).append(again)
         if t is None or t.pool is not pool:
             return
         if t.link is link and t.pb.state is State.SETTING_UP:
@@ -377,6 +402,7 @@
 
     def _over(self, t: Ticket, outcome: Outcome, cause: int, load: dict[str, float] | None) -> None:
         """A playback that stood is over; its viewer is told, unless it ended it."""
+        self.count("end", outcome.value)
         if t.pb.state is State.PLAYING and cause:
             self._release(t, cause)
         self.controller.tried(t.pb, outcome, True, *terms.report_values(load), self.clock.now())
@@ -385,10 +411,8 @@
     def _release(self, t: Ticket, cause: int) -> None:
         """The end of a playback, on its own connection, else on any, else on the next."""
         message = release(t.id, cause)
-        if t.viewer is not None and t.viewer.write(message):
-            return
-        for link in self.viewers:
-            if link.write(message):
+        for link in ([t.viewer] if t.viewer is not None else []) + list(self.viewers):
+            if not link.ended() and link.write(message):
                 return
         self.owed.append(message)
 
--- a/oakcroft/platform/pool.py
+++ b/oakcroft/platform/pool.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -22,6 +23,8 @@
 KEPT = 0.6  # of the idle time: a connection is retired before the node closes it
 GIVEN_UP = 16
 REFUSALS, TIME_OUTS = 2, 5  # attempts to connect, one after the other, that show a node's process to be gone
+OWN_SHORTAGE = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # says nothing of the node
+READ_OUT = 2 * SECOND  # a node closes by then a connection on which nothing more is written to it
 AGAIN = 300 * MS  # between them
 
 
@@ -38,11 +41,11 @@
     """What the owner calls happens at once; what comes from the node is handed to the owner as events."""
 
     def __init__(
-        self, node: Node, address: tuple[str, int], most: int, streams: int, idle: int, connect_within: int,
+        self, node: Node, address: tuple[str, int], most: int, streams: int, idle: int, connect_within: int, silent: int,
         clock: Clock, nursery: trio.Nursery, tell: Callable[[Event], Awaitable[None]], listener: Listener,
     ) -> None:  # fmt: skip
         self.node, self.address, self.most, self.streams = node, address, most, streams
-        self.idle, self.connect_within = idle, connect_within
+        self.idle, self.connect_within, self.silent = idle, connect_within, silent
         self.clock, self.nursery, self.tell, self.listener = clock, nursery, tell, listener
         self.links: list[NodeLink] = []
         self.opening = 0
@@ -50,6 +53,8 @@
         self.standing: dict[Ticket, None] = {}
         self.refused = self.timed_out = 0
         self.tried_at = self.heard_at = 0
+        self.retired: dict[NodeLink, int] = {}  # read to their end, since when
+        self.cut = False  # what was on its way is told again on the next connection that opens
         self.gone = False  # off the list, or another process has its name
 
     # Set-ups.
@@ -128,7 +133,7 @@
         try:
             sock = await connect(self.address, self.connect_within / SECOND)
         except (OSError, trio.TooSlowError) as error:
-            await self.tell(partial(self._unreached, isinstance(error, ConnectionRefusedError)))
+            await self.tell(partial(self._unreached, error))
             return
         link = NodeLink(sock, self.nursery, self.clock.now())
         await self.tell(partial(self._connected, link))
@@ -150,17 +155,21 @@
                 self.set_up(t)
                 return
 
-    def _unreached(self, refused: bool) -> None:
+    def _unreached(self, error: Exception) -> None:
         self.opening -= 1
-        self.refused = self.refused + 1 if refused else 0
-        self.timed_out += 1
+        if isinstance(error, OSError) and error.errno in OWN_SHORTAGE:
+            self.listener.unreadable(self, "no descriptor left")
+        else:
+            self.refused = self.refused + 1 if isinstance(error, ConnectionRefusedError) else 0
+            self.timed_out += 1
         if not self.opening:
             stuck, self.waiting = list(self.waiting), {}
             for t in stuck:
                 link = self._free()  # one that carries others will do when there is no other
                 if link is None or not self._write(link, t):
                     self.listener.tried(t, Outcome.NO_CONNECTION, None)
-        if not any(x.open for x in self.links) and (self.refused >= REFUSALS or self.timed_out >= TIME_OUTS):
+        alive = any(x.open for x in self.links) and self.clock.now() - self.heard_at <= self.silent
+        if not alive and (self.refused >= REFUSALS or self.timed_out >= TIME_OUTS):
             self.listener.lost(self, "no connection")
 
     async def _read(self, link: NodeLink) -> None:
@@ -179,6 +188,8 @@
         """A connection is over; its set-ups end by what left."""
         if why:
             self.listener.unreadable(self, why)
+        if self.retired.pop(link, None) is None:
+            self.cut = True
         self._drop(link)
         if self.standing:
             self.look(self.clock.now())
@@ -192,28 +203,45 @@
             self.listener.tried(t, Outcome.RESET if link.taken > before else Outcome.NOT_SENT, None)
         link.shut()
 
-    def look(self, now: int, silent: int = 0) -> None:
+    def look(self, now: int) -> None:
         """Keeps a fresh connection where playbacks stand, and none that is about to be closed by the node; a node that
         has been silent for too long is shown to be there or not by opening another."""
         for link in list(self.links):
-            if not link.out_here and (self._retires(link) or not link.open):
-                self._drop(link)
+            if not link.out_here and self._retires(link):
+                self._retire(link, now)
+        for link, since in list(self.retired.items()):
+            if now - since > READ_OUT:
+                link.shut()
         if self.gone or self.opening or not self.standing or now - self.tried_at < AGAIN:
             return
-        if not self.links or (self.timed_out or (silent and now - self.heard_at > silent)):
-            if len(self.links) >= max(2, self.most):
-                self._drop(min(self.links, key=lambda x: len(x.out_here)))
+        if not self.links or self.cut or (self.timed_out or now - self.heard_at > self.silent):
+            spare = [x for x in self.links if not x.out_here]
+            if spare and len(self.links) >= max(2, self.most):
+                self._retire(spare[0], now)
+            self.cut = False
             self._open()
 
+    def _retire(self, link: NodeLink, now: int) -> None:
+        """Uses a connection no more. Guards against closing on the end of a playback that is on its way here."""
+        self.links.remove(link)
+        self.retired[link] = now
+        link.finish()
+
     def close(self) -> None:
         """The node has gone for good."""
-        for link in list(self.links):
+        for link in [*self.links, *self.retired]:
             self._drop(link)
 
     @property
     def unused(self) -> bool:
         """Whether nothing holds it any more."""
-        return not (self.standing or self.waiting or self.opening or any(x.out_here for x in self.links))
+        return not (
+            self.standing
+            or self.waiting
+            or self.opening
+            or self.retired
+            or any(x.out_here for x in self.links)
+        )
 
     @property
     def listed(self) -> bool:
