--- a/oakcroft/cli.py
+++ b/oakcroft/cli.py
@@ -223,6 +223,17 @@
         click.echo(name)
 
 
+@main.command()
+def platform() -> None:
+    """Serve on the platform's protocol by the file that PROXY_CONFIG names, until a stop signal.
+
+    `python -m oakcroft platform` does the same and loads nothing else.
+    """
+    from oakcroft.platform.serve import main as serve
+
+    sys.exit(serve())
+
+
 @main.command()
 @click.argument("file", required=False, type=FILE)
 @click.option("--seed", type=int, help="Play the day from another seed.")
