--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 
 import orjson
 import pytest
+import structlog
 import trio
 from helpers import PlatformRig, on_platform
 from rig import until
@@ -17,8 +18,10 @@
 from oakcroft.config import compile as compiling
 from oakcroft.interface import State
 from oakcroft.platform import owner as limits
+from oakcroft.platform.pool import Pool
 from oakcroft.platformwire import framing
 from oakcroft.rulecheck.rules import judge
+from oakcroft.running.logs import Rate
 
 A, B, C = "000000000000000a", "000000000000000b", "000000000000000c"
 FAILED, REFUSED, OVER = 41, 42, 16
@@ -439,3 +442,49 @@
         "oakcroft.front",
     ):
         assert part not in loaded
+
+
+def test_a_connection_that_is_retired_is_read_to_its_end() -> None:
+    async def test(rig: PlatformRig) -> None:
+        viewer, node = await rig.viewer(), rig.nodes[0]
+        await viewer.ask(A, at="n0", wait="0")
+        await until(lambda: node.links and rig.owner.pools["n0"].links)
+        pool, stream = rig.owner.pools["n0"], node.links[0]
+        pool.links[0].used_at = 0
+        pool.look(rig.owner.clock.now())
+        assert not pool.links
+        await node.say(stream, msg="close", sid=A, attrs={}, code=16)  # it was on its way already
+        assert await viewer.hear() == (framing.RELEASE, A, OVER, b"")
+        await until(lambda: not pool.retired)
+
+    on_platform(test)
+
+
+def test_what_waits_for_a_connection_is_not_sent_to_a_node_that_drains(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Pool, "_open", lambda self: None)
+
+    async def test(rig: PlatformRig) -> None:
+        viewer = await rig.viewer()
+        await viewer.ask(A, "paid")
+        await until(lambda: any(pool.waiting for pool in rig.owner.pools.values()))
+        rig.change(2, *(rig.member(node, "draining") for node in rig.nodes))
+        assert (await viewer.hear() or ())[:3] == (framing.RELEASE, A, REFUSED)
+        assert not any(node.heard for node in rig.nodes)
+        assert broken(rig) == []
+
+    on_platform(test)
+
+
+def test_a_log_that_would_flood_says_how_much_it_dropped(monkeypatch: pytest.MonkeyPatch) -> None:
+    now = [100.0]
+    monkeypatch.setattr("oakcroft.running.logs.time.monotonic", lambda: now[0])
+    rate = Rate(2)
+    for _ in range(2):
+        assert rate(None, "info", {}) == {}
+    for _ in range(3):
+        with pytest.raises(structlog.DropEvent):
+            rate(None, "info", {})
+    now[0] += 1
+    assert rate(None, "info", {}) == {"dropped": 3}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -128,3 +128,18 @@
     empty = Fleet(nodes=0)
     empty.control.alarm(empty.now)
     assert empty.answers(empty.ask()) == ["reject"]
+
+
+def test_an_error_on_a_title_that_never_played_costs_a_node_no_trust() -> None:
+    fleet, title = Fleet(), Title("unknown", 0, 0)
+
+    def fails() -> float:
+        pb = fleet.ask(title=title)
+        node = fleet.sends()[-1]
+        fleet.control.tried(pb, Outcome.ERROR, False, None, None, None, fleet.now)
+        return node.distrust.read(fleet.now, SECOND)
+
+    assert fails() == 0.0
+    pb = fleet.ask(title=title)
+    fleet.control.playing(pb, fleet.now)
+    assert fails() > 0.0
