--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,7 +16,7 @@
 from rig import until
 
 from oakcroft.config import compile as compiling
-from oakcroft.interface import State
+from oakcroft.interface import Listing, State
 from oakcroft.platform import owner as limits
 from oakcroft.platform.pool import Pool
 from oakcroft.platformwire import framing
@@ -470,6 +470,8 @@
         await viewer.ask(A, "paid")
         await until(lambda: any(pool.waiting for pool in rig.owner.pools.values()))
         rig.change(2, *(rig.member(node, "draining") for node in rig.nodes))
+        await until(lambda: all(p.node.listing is Listing.DRAINING for p in rig.owner.pools.values()))
+        assert not any(pool.waiting for pool in rig.owner.pools.values())
         assert (await viewer.hear() or ())[:3] == (framing.RELEASE, A, REFUSED)
         assert not any(node.heard for node in rig.nodes)
         assert broken(rig) == []
