Let one loop hand events to the owner, on the platform and in the helm alike

The loop is oakcroft/running/inbox.py for both; what stands is a property. Behaviour as before: lint, types, tests of platform, imports and front (107) pass; the rest of the suite was not run again.

--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -31,6 +31,7 @@
 from oakcroft.decisions.titles import Shelf
 from oakcroft.decisions.versions import InForce, Offer, Verdict
 from oakcroft.running.clock import Clock
+from oakcroft.running.inbox import Event, handle_all
 from oakcroft.front.moves import Moves
 from oakcroft.front.nodeleg import LONGEST_TRY_GRACE, NodeLeg, Told, TryEnd, sound
 from oakcroft.front.viewing import Viewing
@@ -62,11 +63,9 @@
 
 NO_LOAD = words.Load()
 MOST_EVENTS = 4_096
-AT_ONCE = 0.005  # seconds of events between two turns of the other tasks
 MOST_TITLES = 50_000
 MOST_KEYS = 100_000
 UNHEARD = 10.0  # seconds for which a playback is kept whose viewer did not get its answer and may ask again
-Event = Callable[[], None]
 
 
 class Decider(Protocol):
@@ -155,16 +154,7 @@
 
     async def run(self) -> None:
         """Handles events until it is cancelled."""
-        async for event in self.inbox:
-            event()
-            until = trio.current_time() + AT_ONCE
-            while trio.current_time() < until:
-                # A receive gives way to all other tasks each time: one event a round is too slow.
-                try:
-                    event = self.inbox.receive_nowait()
-                except trio.WouldBlock:
-                    break
-                event()
+        await handle_all(self.inbox, lambda event: event())
 
     def offer(self, event: Event) -> bool:
         """Hands an event in at once; False when the channel is full."""
--- a/oakcroft/platform/alarms.py
+++ b/oakcroft/platform/alarms.py
@@ -8,8 +8,7 @@
 import trio
 
 from oakcroft.running.clock import Clock
-
-Event = Callable[[], None]
+from oakcroft.running.inbox import Event
 
 
 class Alarms:
--- a/oakcroft/platform/owner.py
+++ b/oakcroft/platform/owner.py
@@ -8,7 +8,6 @@
 
 import math
 from collections import deque
-from collections.abc import Callable
 from functools import partial
 
 import structlog
@@ -27,10 +26,9 @@
 from oakcroft.platformwire.configuration import Configuration
 from oakcroft.platformwire.numbers import finite
 from oakcroft.running.clock import Clock
+from oakcroft.running.inbox import Event, handle_all
 
-Event = Callable[[], None]
 MOST_EVENTS = 2_048
-AT_ONCE = 0.005  # seconds of events between two turns of the other tasks
 MOST_TITLES = 1_024
 MOST_OPEN = 1_024  # set-ups
 MOST_PLAYING = 8_192
@@ -70,21 +68,17 @@
         self.work: deque[Event] = deque()
         self.controller = Controller(told.terms, told.seed, self, clock.now())
 
+    @property
+    def playing(self) -> int:
+        """Playbacks that stand."""
+        return len(self.tickets) - self.setting_up
+
     # Events in.
 
     async def run(self) -> None:
         """Handles events until it is cancelled."""
         self._carry_out()
-        async for event in self.inbox:
-            self._handle(event)
-            until = trio.current_time() + AT_ONCE
-            while trio.current_time() < until:
-                # A receive gives way to all other tasks each time: one event a round is too slow.
-                try:
-                    event = self.inbox.receive_nowait()
-                except trio.WouldBlock:
-                    break
-                self._handle(event)
+        await handle_all(self.inbox, self._handle)
 
     def _handle(self, event: Event) -> None:
         try:
@@ -124,7 +118,7 @@
             await self.tell(self._look)
             looks += 1
             if looks % 50 == 0:
-                self.logger.info("figures", open=self.setting_up, playing=len(self.tickets) - self.setting_up,
+                self.logger.info("figures", open=self.setting_up, playing=self.playing,
                                  viewers=len(self.viewers), node_links=sum(len(p.links) for p in self.pools.values()),
                                  titles=len(self.titles.titles), nodes=len(self.pools), x=round(self.controller.x, 3),
                                  lag_ms=self.lag // MS, **self.counts)  # fmt: skip
@@ -460,6 +454,4 @@
         """The command channel is followed all the time."""
 
     def log(self, line: str) -> None:
-        self.logger.info(
-            "mode", change=line, open=self.setting_up, playing=len(self.tickets) - self.setting_up
-        )
+        self.logger.info("mode", change=line, open=self.setting_up, playing=self.playing)
--- a/oakcroft/platform/pool.py
+++ b/oakcroft/platform/pool.py
@@ -19,8 +19,8 @@
 from oakcroft.platformwire import lines
 from oakcroft.platformwire.framing import Unreadable
 from oakcroft.running.clock import Clock
+from oakcroft.running.inbox import Event
 
-Event = Callable[[], None]
 KEPT = 0.6  # of the idle time: a connection is retired before the node closes it
 GIVEN_UP = 16
 REFUSALS, TIME_OUTS = 2, 5  # attempts to connect, one after the other, that show a node's process to be gone
--- a/oakcroft/platform/serve.py
+++ b/oakcroft/platform/serve.py
@@ -103,8 +103,7 @@
                 continue
             if stopping.course is not Course.SERVING and stopping.course is not Course.STARTING:
                 self.viewers.stop()
-            playing = len(self.owner.tickets) - self.owner.setting_up
-            if stopping.look(self.owner.setting_up, playing, 0, now) is Course.GONE:
+            if stopping.look(self.owner.setting_up, self.owner.playing, 0, now) is Course.GONE:
                 return
 
     async def _signals(self, stopping: Stopping, clock: Clock) -> None:
