Wait for a restarted front's own port in the fault tests

Seen: the end of each cell asked as soon as the restarted front had a helm and playbacks from its state file, but the rig still named the port of the front that had been killed, since the port is told only when the listener is open. Checked: with 0.3 s before the port is told, the cell fails at each run; a front at fault was ruled out by that, it had not been asked. At fault: tests/test_faults.py settled(). The rig now has an event for its port being that of the running front; with the same 0.3 s all eleven cells pass.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -76,6 +76,7 @@
     site: str
     front: Front | None = None
     ended: trio.Event = field(default_factory=trio.Event)
+    up: trio.Event = field(default_factory=trio.Event)  # `port` is that of the front that runs now
 
     def node(self, name: str) -> PlayoutNode:
         return self.fleet.nodes[name]
@@ -191,11 +192,11 @@
         structlog.BytesLogger(rig.log), wrapper_class=structlog.make_filtering_bound_logger(10),
         processors=[structlog.processors.add_log_level, structlog.processors.JSONRenderer(serializer=orjson.dumps)],
     )  # fmt: skip
-    up, stop, scope = trio.Event(), trio.Event(), trio.CancelScope()
+    rig.up, stop, scope = trio.Event(), trio.Event(), trio.CancelScope()
 
     async def ready(number: int) -> None:
         rig.port = number
-        up.set()
+        rig.up.set()
 
     rig.front = front = Front(told(found), log)
     front.opens = opens
@@ -207,4 +208,4 @@
 
     nursery.start_soon(live)
     rig.stop, rig.front_scope, rig.ended = stop, scope, trio.Event()
-    await up.wait()
+    await rig.up.wait()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -360,7 +360,7 @@
         node.stir()
     rig.fleet.publish()
     await at.over.wait()
-    await until(lambda: rig.front is not None and rig.front.helm is not None and not rig.ended.is_set())
+    await until(lambda: rig.up.is_set() and not rig.ended.is_set())
     assert rig.front is not None
     front = rig.front
 
