Bound open set-ups' descriptions by memory; drop timers of tries that are over

Cause: three things the front holds had bounds by count and none by size. Read in the code: 2,048 events and 1,024 open set-ups may each carry a description of 16 KiB (48 MB, under a limit of 32 MB); Owner.early kept whole messages of nodes, 16,384 of up to 16 KiB; Alarms kept each set-up's timer, and with it the playback and its description, until the try's time, taken back or not. Ruled out: growth by choice.py's own alarms (one at a time), by tickets (none left after each).

--- a/oakcroft/platform/owner.py
+++ b/oakcroft/platform/owner.py
@@ -35,6 +35,7 @@
 MOST_OWED = 4_096  # releases for which no viewer's connection is open
 NODE_LINKS = 16  # connections to one node at most
 MOST_EARLY = 4_096  # playbacks of which nodes tell before they are handed over
+HELD_PART = 8  # of the memory: for descriptions that wait for an answer
 WAY_BACK = 15 * MS  # kept of a viewer's wait for the answer's way
 HANDED_OVER = 15 * SECOND  # after the first test: playbacks of before the start are handed over by then
 CUT_WITHIN = 2 * SECOND  # a node says by then that a playback which its viewer ended is over
@@ -60,6 +61,8 @@
         self.owed: deque[bytes] = deque(maxlen=MOST_OWED)  # releases, for the next connection that opens
         self.early: dict[str, deque[Event]] = {}  # what nodes told of playbacks that are not handed over yet
         self.setting_up = 0
+        self.held = 0  # octets of the descriptions of set-ups that are open, or come to be
+        self.most_held = told.memory // HELD_PART
         self.counts: dict[str, int] = {}
         self.node_links = max(1, told.sockets // 3)
         # A node tells of each playback's link so often: one that is silent for longer may be gone.
@@ -218,6 +221,7 @@
     ) -> None:  # fmt: skip
         """A set-up has come."""
         link.asked -= 1
+        self.held -= len(description)
         now = self.clock.now()
         known = self.tickets.get(session)
         if known is not None:
@@ -241,6 +245,7 @@
         self.tickets[session] = self.of[t.pb] = t
         link.open_here[session] = t
         self.setting_up += 1
+        self.held += len(description)
         self.controller.arrived(t.pb, now)
 
     def _twice(self, link: ViewerLink, session: str, known: Ticket, at: str) -> None:
@@ -317,7 +322,14 @@
             if t.pool is not None:
                 t.pool.standing.pop(t, None)
             if t.began_at == 0:
-                self.setting_up -= 1
+                self._settled(t)
+
+    def _settled(self, t: Ticket) -> None:
+        """A set-up is none any more."""
+        self.setting_up -= 1
+        self.held -= len(t.description)
+        t.description = ""
+        self.alarms.drop(t.timer)
 
     # Nodes.
 
@@ -336,7 +348,7 @@
         ):
             # The node tells of what it plays as soon as it can be reached, which may be before the playback is
             # handed over: unheard, its rung would be taken for the lowest, and its node for nearly empty.
-            again = partial(self.said, pool, link, kind, session, attrs, code, text)
+            again = partial(self.said, pool, link, kind, session, lines.bounded(attrs), code, None)
             self.early.setdefault(session, deque(maxlen=4)).append(again)
         if t is None or t.pool is not pool:
             return
@@ -370,8 +382,8 @@
             self.tried(t, Outcome.ERROR, None)
             return
         pool.settled(t)
-        t.began_at, t.description = now, ""
-        self.setting_up -= 1
+        t.began_at = now
+        self._settled(t)
         pool.standing[t] = None
         if t.viewer is not None:
             t.viewer.open_here.pop(t.id, None)
@@ -425,7 +437,8 @@
 
     def _send(self, t: Ticket, node: Node, abandon_at: int) -> None:
         t.pool, t.until = self.pools[node.name], abandon_at
-        self.alarms.at(abandon_at, partial(self._late, t, len(t.pb.tries)))
+        self.alarms.drop(t.timer)
+        t.timer = self.alarms.at(abandon_at, partial(self._late, t, len(t.pb.tries)))
         t.pool.set_up(t)
 
     def reject(self, pb: Playback, stay_away: int) -> None:
--- a/oakcroft/platform/ticket.py
+++ b/oakcroft/platform/ticket.py
@@ -26,4 +26,4 @@
         )
         self.pool: Pool | None = None  # of its try, or of the node where it plays
         self.link: NodeLink | None = None  # on which its set-up is out
-        self.until = self.began_at = 0  # of its try
+        self.until = self.timer = self.began_at = 0  # of its try
--- a/oakcroft/platform/viewers.py
+++ b/oakcroft/platform/viewers.py
@@ -164,9 +164,16 @@
             if not asked[-1] and len(link.open_here) + link.asked >= MOST_HERE:
                 self.turn_away(link, session, REFUSED, owner.told.terms.stay_away_most)
                 return
+            at = asked[-1]
+            description = "" if at else asked[-2]  # nothing is set up, and no answer brings one
+            if owner.held + len(description) > owner.most_held:
+                # Guards memory against set-ups as long as they may be, on many connections at once.
+                self.turn_away(link, session, REFUSED, owner.told.terms.stay_away_most)
+                return
+            owner.held += len(description)
             link.asked += 1
             written = owner.stillness.written_at(now, link.empty_at)
-            await owner.tell(partial(owner.asked, link, session, written, *asked))
+            await owner.tell(partial(owner.asked, link, session, written, *asked[:-2], description, at))
 
     @staticmethod
     def turn_away(link: ViewerLink, session: str, cause: int, away: int = 0) -> None:
--- a/oakcroft/platformwire/configuration.py
+++ b/oakcroft/platformwire/configuration.py
@@ -35,6 +35,8 @@
             self.name = str(said["name"])
             field = "limits.sockets"
             self.sockets = channel.whole(said["limits"]["sockets"], field)
+            field = "limits.memory_mb"
+            self.memory = channel.whole(said["limits"]["memory_mb"], field) << 20
             field = "settings"
             env = self.settings = said["settings"]
             info, may = env["familyInfo"], env["permissions"]
@@ -62,7 +64,8 @@
         ) as fault:
             raise Faulty(f"{field}: {fault}") from fault
         for name, value, least in (
-            ("limits.sockets", self.sockets, 64), ("settings.permissions.connIdleMs", self.idle, 1),
+            ("limits.sockets", self.sockets, 64), ("limits.memory_mb", self.memory, 1 << 20),
+            ("settings.permissions.connIdleMs", self.idle, 1),
             ("settings.permissions.dialTimeoutMs", self.connect_within, 1),
             ("settings.permissions.streamsPerConn", self.streams, 1),
             ("settings.permissions.maxOpen", self.most_open, 1), ("settings.classes", len(self.plans), 1),
--- a/oakcroft/platformwire/lines.py
+++ b/oakcroft/platformwire/lines.py
@@ -9,6 +9,7 @@
 from oakcroft.platformwire.framing import MOST, Unreadable
 from oakcroft.platformwire.numbers import finite
 
+LONGEST = 1_024  # octets of a field that is read
 ROOM = 256  # octets that a set-up needs beside its plan, title and description
 ID = re.compile(r"[0-9a-f]{16}")
 MESSAGES = frozenset(
@@ -105,11 +106,17 @@
         return False
 
 
+def bounded(attrs: Attributes) -> Attributes:
+    """The fields that a message on a standing playback is read for, when it is to be kept for a while."""
+    read = {name: attrs[name] for name in ("note", "value", "load") if name in attrs}
+    return {name: v for name, v in read.items() if not isinstance(v, str) or len(v) <= LONGEST}
+
+
 def report(attrs: Attributes) -> dict[str, float] | None:
     """The load report of a message: `x0:0.4;queue:3` by name. What can't be read is left out, so that a report never
     costs the message that it came with."""
     said = attrs.get("load")
-    if not isinstance(said, str) or len(said) > 1024:
+    if not isinstance(said, str) or len(said) > LONGEST:
         return None
     found = dict[str, float]()
     for part in said.split(";"):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -279,7 +279,7 @@
     def told(self) -> dict[str, Any]:
         members = [self.member(n) for n in self.nodes]
         known = {"cursor": 1, "cmds": [{"cursor": 1, "nodes": {"complete": True, "members": members}}]}
-        return {"name": "n0", "listen": "127.0.0.1:1", "seed": "07", "limits": {"sockets": 64},
+        return {"name": "n0", "listen": "127.0.0.1:1", "seed": "07", "limits": {"sockets": 64, "memory_mb": 64},
                 "channel": f"127.0.0.1:{self.channel.port}", "known": known, "settings": SETTINGS}  # fmt: skip
 
     async def start(self, dead: int = -1) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -490,3 +490,47 @@
             rate(None, "info", {})
     now[0] += 1
     assert rate(None, "info", {}) == {"dropped": 3}
+
+
+def test_what_is_taken_back_at_once_leaves_no_timer_and_no_description() -> None:
+    async def test(rig: PlatformRig) -> None:
+        owner, viewer = rig.owner, await rig.viewer()
+        for node in rig.nodes:
+            node.script = ["silence"] * 400
+        for i in range(400):
+            await viewer.ask(f"{i + 1:016x}", text=b"o" * 8_000)
+            await viewer.say(framing.RELEASE, f"{i + 1:016x}")
+        await viewer.say(framing.TEST, C, 0)
+        while (await viewer.hear() or (0,))[0] != framing.TESTED:
+            pass  # some were refused
+        await until(lambda: not owner.tickets)
+        assert owner.held == 0
+        assert len(owner.alarms.heap) < 100
+
+    on_platform(test)
+
+
+def test_descriptions_are_bounded_together_and_what_is_over_is_refused_at_once() -> None:
+    async def test(rig: PlatformRig) -> None:
+        owner, viewer = rig.owner, await rig.viewer()
+        owner.most_held = 50_000
+        for node in rig.nodes:
+            node.script = ["silence"] * 10
+        for i in range(3):
+            await viewer.ask(f"{i + 1:016x}", text=b"o" * 15_000)
+        await until(lambda: owner.setting_up == 3)
+        assert owner.held == 45_000
+        await viewer.ask(A, text=b"o" * 15_000)
+        assert await viewer.hear() == (framing.RELEASE, A, REFUSED, b"")
+        assert len(owner.tickets) == 3
+        await viewer.stream.aclose()
+        await until(lambda: not owner.tickets)
+        assert owner.held == 0
+        for node in rig.nodes:
+            node.script.clear()
+        other = await rig.viewer()
+        await other.ask(B, text=b"o" * 15_000)
+        assert (await other.hear() or (0,))[0] == framing.ANSWER
+        assert owner.held == 0
+
+    on_platform(test)
--- a/tests/test_platformwire.py
+++ b/tests/test_platformwire.py
@@ -167,7 +167,8 @@
             channel.document(body()[:cut])
 
 
-TOLD = {"name": "n0", "listen": "127.0.0.1:5070", "seed": "8c1f", "limits": {"sockets": 256}, "channel": "127.0.0.1:9092",
+TOLD = {"name": "n0", "listen": "127.0.0.1:5070", "seed": "8c1f", "limits": {"sockets": 256, "memory_mb": 32},
+        "channel": "127.0.0.1:9092",
         "known": {"cursor": 0, "cmds": []}, "settings": SETTINGS}  # fmt: skip
 
 
@@ -176,6 +177,7 @@
     faults: list[tuple[list[str], Any, str]] = [
         (["listen"], None, "listen"), (["channel"], "here:1", "channel"), (["seed"], "zz", "seed"),
         (["limits", "sockets"], "many", "limits.sockets"), (["limits", "sockets"], 3, "limits.sockets"),
+        (["limits", "memory_mb"], None, "memory_mb"), (["limits", "memory_mb"], 0, "memory_mb"),
         (["settings", "rules"], None, "rules"), (["settings", "permissions", "connIdleMs"], 0, "connIdleMs"),
         (["known"], {"cmds": 3}, "known"), (["settings", "familyInfo", "weightKb"], "x", "settings"),
     ]  # fmt: skip
@@ -193,3 +195,9 @@
     for broken in (b"", b"[]", b"{"):
         with pytest.raises(configuration.Faulty):
             configuration.decode(broken)
+
+
+def test_what_is_kept_of_a_message_is_what_is_read() -> None:
+    said: lines.Attributes = {"note": "fill", "value": 1.5, "load": "x" * 5_000, "other": "o" * 9_000}
+    assert lines.bounded(said) == {"note": "fill", "value": 1.5}
+    assert lines.bounded({"load": "x0:1"}) == {"load": "x0:1"}
