--- a/oakcroft/platform/owner.py
+++ b/oakcroft/platform/owner.py
@@ -19,7 +19,7 @@
 from oakcroft.decisions.titles import Shelf
 from oakcroft.interface import MS, SECOND, Entry, Listing, ListKind, Node, Note, Outcome, Playback, State
 from oakcroft.platform.alarms import Alarms
-from oakcroft.platform.pool import GIVEN_UP, Listener, NodeLink, Pool
+from oakcroft.platform.pool import GIVEN_UP, NodeLink, Pool
 from oakcroft.platform.ticket import Ticket
 from oakcroft.platform.viewers import FAILED, OVER, REFUSED, ViewerLink, release
 from oakcroft.platformwire import channel, framing, lines
@@ -41,7 +41,7 @@
 CUT_WITHIN = 2 * SECOND  # a node says by then that a playback which its viewer ended is over
 
 
-class Owner(Listener):
+class Owner:
     """The module's host on the platform."""
 
     def __init__(
@@ -61,7 +61,7 @@
         self.owed: deque[bytes] = deque(maxlen=MOST_OWED)  # releases, for the next connection that opens
         self.early: dict[str, deque[Event]] = {}  # what nodes told of playbacks that are not handed over yet
         self.setting_up = 0
-        self.held = 0  # octets of the descriptions of set-ups that are open, or come to be
+        self.held = 0  # characters of the descriptions of set-ups that are open, or come to be
         self.most_held = told.memory // HELD_PART
         self.counts: dict[str, int] = {}
         self.node_links = max(1, told.sockets // 3)
@@ -265,7 +265,6 @@
             self.count("handed over in vain")
             link.write(release(t.id, FAILED))
             return
-        t.description = ""
         t.pool, t.began_at = pool, now
         self.tickets[t.id] = self.of[t.pb] = t
         pool.standing[t] = None
--- a/oakcroft/platform/pool.py
+++ b/oakcroft/platform/pool.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from functools import partial
+from typing import Protocol
 
 import trio
 
@@ -262,7 +263,7 @@
         return self.node.listing is not Listing.GONE and not self.gone
 
 
-class Listener:
+class Listener(Protocol):
     """What a pool tells: the owner."""
 
     def said(
@@ -270,16 +271,12 @@
         text: str | None,
     ) -> None:  # fmt: skip
         """A message has come."""
-        raise NotImplementedError
 
     def tried(self, t: Ticket, outcome: Outcome, load: dict[str, float] | None) -> None:
         """A setup try has ended without an answer."""
-        raise NotImplementedError
 
     def lost(self, pool: Pool, why: str) -> None:
         """The node's process is gone, and all that stood there."""
-        raise NotImplementedError
 
     def unreadable(self, pool: Pool, why: str) -> None:
         """A node has sent what can't be read."""
-        raise NotImplementedError
--- a/oakcroft/platform/viewers.py
+++ b/oakcroft/platform/viewers.py
@@ -161,13 +161,11 @@
                 owner.count("unusable set-up", str(fault))
                 self.turn_away(link, session, FAILED)
                 return
-            if not asked[-1] and len(link.open_here) + link.asked >= MOST_HERE:
-                self.turn_away(link, session, REFUSED, owner.told.terms.stay_away_most)
-                return
             at = asked[-1]
             description = "" if at else asked[-2]  # nothing is set up, and no answer brings one
-            if owner.held + len(description) > owner.most_held:
-                # Guards memory against set-ups as long as they may be, on many connections at once.
+            # Guards memory against set-ups as many and as long as they may be, on one connection and on all.
+            crowded = len(link.open_here) + link.asked >= MOST_HERE
+            if not at and (crowded or owner.held + len(description) > owner.most_held):
                 self.turn_away(link, session, REFUSED, owner.told.terms.stay_away_most)
                 return
             owner.held += len(description)
