--- a/benchmarks/config_cost.py
+++ b/benchmarks/config_cost.py
@@ -19,7 +19,7 @@
 from hdrh.histogram import HdrHistogram
 
 from oakcroft.config.compile import check, told
-from oakcroft.decisions.routing import Asked, Side
+from oakcroft.decisions.routing.routing import Asked, Side
 from oakcroft.front.serve import Front
 
 BASE = """(front (number 0) (zone west) (listen "127.0.0.1:0") (list-service "127.0.0.1:1"))
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -24,7 +24,7 @@
 import trio
 
 from benchmarks.front_cost import SITE, WARM, Process, day
-from oakcroft.decisions.doors import Bounds, Door
+from oakcroft.decisions.admission.doors import Bounds, Door
 from oakcroft.running.clock import Clock
 from oakcroft.front.listing import PATH
 from oakcroft.httpwire.client import Ended, Peer
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -26,7 +26,7 @@
 
 from benchmarks.front_cost import Process
 from oakcroft.config.compile import check, told
-from oakcroft.decisions.remembered import Mark, Promise
+from oakcroft.decisions.state.remembered import Mark, Promise
 from oakcroft.running.clock import Clock
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.rehearsal.viewers import offer
--- a/oakcroft/catalogue/text.py
+++ b/oakcroft/catalogue/text.py
@@ -19,7 +19,7 @@
 from itertools import pairwise
 
 from oakcroft.config.schema import FIGURE, RATE
-from oakcroft.decisions.catalogue import Item
+from oakcroft.decisions.routing.catalogue import Item
 
 TOKEN = re.compile(
     r'\s+|;[^\n]*|(?P<open>\()|(?P<close>\))|"(?P<text>(?:[^"\\\n]|\\["\\])*)"|(?P<word>[^\s();"]+)'
--- a/oakcroft/client/whep.py
+++ b/oakcroft/client/whep.py
@@ -11,7 +11,7 @@
 import trio
 
 from oakcroft.client.retry import Next, Retries, fault
-from oakcroft.decisions.evidence import End
+from oakcroft.decisions.sessions.evidence import End
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.httpwire.message import Headers, Response
 from oakcroft.signalling import sdp, words
--- a/oakcroft/commands.py
+++ b/oakcroft/commands.py
@@ -13,8 +13,8 @@
 import trio
 
 from oakcroft.catalogue.text import Unsound, read, write
-from oakcroft.decisions.durable import Trouble
-from oakcroft.decisions.remembered import Mark
+from oakcroft.decisions.state.durable import Trouble
+from oakcroft.decisions.state.remembered import Mark
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.httpwire.message import Response
 from oakcroft.store.file import Held, StateFile, Unusable
--- a/oakcroft/config/compare.py
+++ b/oakcroft/config/compare.py
@@ -10,7 +10,7 @@
 from oakcroft.config import forms
 from oakcroft.config.compile import Meaning, route_of
 from oakcroft.config.schema import Field, Schema, say
-from oakcroft.decisions.routing import Asked, RouteTable, example
+from oakcroft.decisions.routing.routing import Asked, RouteTable, example
 
 ABSENT = object()
 
--- a/oakcroft/config/compile.py
+++ b/oakcroft/config/compile.py
@@ -15,14 +15,14 @@
 from oakcroft.config.schema import Bad, Record, Schema, read_form, say, TIMES
 from oakcroft.config.syntax import Atom, Form
 from oakcroft.config.told import Deployment, Holding, PlanTerms, Site, Stand, Token
-from oakcroft.decisions.doors import Bounds
-from oakcroft.decisions.levels import Acts, Level, Mark, Sign
-from oakcroft.decisions.levels import Bounds as LevelBounds
-from oakcroft.decisions.limits import Limit, Scope, never_binds
-from oakcroft.decisions.pools import Pool
-from oakcroft.decisions.routing import Match, Route, RouteTable, Side, clashes, rank
-from oakcroft.decisions.versions import families
-from oakcroft.decisions.wings import Bounds as WingBounds
+from oakcroft.decisions.admission.doors import Bounds
+from oakcroft.decisions.admission.levels import Acts, Level, Mark, Sign
+from oakcroft.decisions.admission.levels import Bounds as LevelBounds
+from oakcroft.decisions.admission.limits import Limit, Scope, never_binds
+from oakcroft.decisions.routing.pools import Pool
+from oakcroft.decisions.routing.routing import Match, Route, RouteTable, Side, clashes, rank
+from oakcroft.decisions.routing.versions import families
+from oakcroft.decisions.routing.wings import Bounds as WingBounds
 from oakcroft.interface import Effect, Group, Plan, Terms
 
 Meaning = dict[str, dict[str, Any]]
--- a/oakcroft/config/explain.py
+++ b/oakcroft/config/explain.py
@@ -4,9 +4,9 @@
 
 from oakcroft.config.schema import PACES, TIMES, say
 from oakcroft.config.told import Site
-from oakcroft.decisions.limits import Ledger, Limit, Party, Scope
-from oakcroft.decisions.pools import Pool
-from oakcroft.decisions.routing import Asked, refuses
+from oakcroft.decisions.admission.limits import Ledger, Limit, Party, Scope
+from oakcroft.decisions.routing.pools import Pool
+from oakcroft.decisions.routing.routing import Asked, refuses
 
 
 def explain(site: Site, asked: Asked, token: str, front: int) -> list[str]:
--- a/oakcroft/config/told.py
+++ b/oakcroft/config/told.py
@@ -4,12 +4,12 @@
 
 from dataclasses import dataclass
 
-from oakcroft.decisions.doors import Bounds
-from oakcroft.decisions.levels import Bounds as LevelBounds, Level
-from oakcroft.decisions.limits import Limit
-from oakcroft.decisions.pools import Pool
-from oakcroft.decisions.routing import RouteTable
-from oakcroft.decisions.wings import Bounds as WingBounds
+from oakcroft.decisions.admission.doors import Bounds
+from oakcroft.decisions.admission.levels import Bounds as LevelBounds, Level
+from oakcroft.decisions.admission.limits import Limit
+from oakcroft.decisions.routing.pools import Pool
+from oakcroft.decisions.routing.routing import RouteTable
+from oakcroft.decisions.routing.wings import Bounds as WingBounds
 from oakcroft.interface import Plan, Terms
 
 
--- /dev/null
+++ b/oakcroft/decisions/moving/__init__.py
@@ -0,0 +1,1 @@
+"""Playbacks that leave their node while they play."""
--- /dev/null
+++ b/oakcroft/decisions/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which plan, pool, wing, title and rung a request comes to."""
--- a/oakcroft/decisions/titles.py
+++ b/oakcroft/decisions/routing/titles.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
-from oakcroft.decisions.catalogue import Item
+from oakcroft.decisions.routing.catalogue import Item
 from oakcroft.interface import Title
 
 
--- a/oakcroft/decisions/answers.py
+++ b/oakcroft/decisions/sessions/answers.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from oakcroft.decisions.limits import Over
+from oakcroft.decisions.admission.limits import Over
 from oakcroft.interface import SECOND, Effect
 
 
--- a/oakcroft/decisions/repeats.py
+++ b/oakcroft/decisions/sessions/repeats.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from oakcroft.decisions.answers import Final, Refusal
+from oakcroft.decisions.sessions.answers import Final, Refusal
 
 
 class Turn(Enum):
--- /dev/null
+++ b/oakcroft/decisions/state/__init__.py
@@ -0,0 +1,1 @@
+"""What a front promises on disk and takes up again."""
--- a/oakcroft/decisions/recovery.py
+++ b/oakcroft/decisions/state/recovery.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from oakcroft.decisions.remembered import Mark, Promise, expired, step
+from oakcroft.decisions.state.remembered import Mark, Promise, expired, step
 from oakcroft.interface import SECOND
 
 IN_FLIGHT = 2 * SECOND  # after a try's abandon time, bytes of it may still be read by its node
--- a/oakcroft/decisions/remembered.py
+++ b/oakcroft/decisions/state/remembered.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-from oakcroft.decisions.answers import Final
-from oakcroft.decisions.evidence import never_ran
+from oakcroft.decisions.sessions.answers import Final
+from oakcroft.decisions.sessions.evidence import never_ran
 from oakcroft.interface import Effect, Outcome, Plan
 
 
--- a/oakcroft/front/catalogues.py
+++ b/oakcroft/front/catalogues.py
@@ -1,6 +1,6 @@
 """Owns the catalogue of one front: reads what is offered beside the event loop, takes it between two events, keeps its
 versions in the state file, and carries out the steps down that a change asks for. What is decided stands in
-`oakcroft/decisions/catalogue.py`."""
+`oakcroft/decisions/routing/catalogue.py`."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 import trio
 
 from oakcroft.catalogue.text import Said, apply, digest as digest_of, read, write
-from oakcroft.decisions.catalogue import (
+from oakcroft.decisions.routing.catalogue import (
     Catalogue,
     Course,
     Fleet,
@@ -22,7 +22,7 @@
     changed,
     consider,
 )
-from oakcroft.decisions.catalogue import takes_part
+from oakcroft.decisions.routing.catalogue import takes_part
 from oakcroft.front.helm import Helm
 from oakcroft.front.viewing import Viewing
 from oakcroft.interface import Listing, State
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -15,17 +15,18 @@
 import trio
 
 from oakcroft.config.told import Site, Token
-from oakcroft.decisions import answers, ladder
-from oakcroft.decisions.answers import REFUSALS, Final, Refusal, Reply
-from oakcroft.decisions.doors import SHORTEST_SETUP, Door, Queue, slow_reader
-from oakcroft.decisions.handover import Course, Happening
-from oakcroft.decisions.limits import Over, Party
-from oakcroft.decisions.patience import BEAT, due, hopeless, margin
-from oakcroft.decisions.repeats import Turn
-from oakcroft.decisions.resource import SDPFRAG, Act, Said
-from oakcroft.decisions.routing import Asked, Route, Side, Why, refuses
-from oakcroft.decisions.shedding import Line, Waiting, Window
-from oakcroft.decisions.stopping import Stopping
+from oakcroft.decisions.sessions import answers
+from oakcroft.decisions.routing import ladder
+from oakcroft.decisions.sessions.answers import REFUSALS, Final, Refusal, Reply
+from oakcroft.decisions.admission.doors import SHORTEST_SETUP, Door, Queue, slow_reader
+from oakcroft.decisions.moving.handover import Course, Happening
+from oakcroft.decisions.admission.limits import Over, Party
+from oakcroft.decisions.admission.patience import BEAT, due, hopeless, margin
+from oakcroft.decisions.sessions.repeats import Turn
+from oakcroft.decisions.sessions.resource import SDPFRAG, Act, Said
+from oakcroft.decisions.routing.routing import Asked, Route, Side, Why, refuses
+from oakcroft.decisions.admission.shedding import Line, Waiting, Window
+from oakcroft.decisions.fleet.stopping import Stopping
 from oakcroft.running.clock import Clock
 from oakcroft.front.helm import Helm
 from oakcroft.front.moves import STAY, Move
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -18,18 +18,18 @@
 import trio
 
 from oakcroft.choice import Controller, digest
-from oakcroft.decisions import answers
-from oakcroft.decisions.answers import Final
-from oakcroft.decisions.catalogue import Catalogue, Course, bound, course
-from oakcroft.decisions.handover import Happening
-from oakcroft.decisions.lifeline import Loss, Patience
-from oakcroft.decisions.limits import Ledger
-from oakcroft.decisions.patience import BEAT, Due, Stillness
-from oakcroft.decisions.repeats import Repeats
-from oakcroft.decisions.resource import Resource
-from oakcroft.decisions.roster import Line, Refused, Roster
-from oakcroft.decisions.titles import Shelf
-from oakcroft.decisions.versions import InForce, Offer, Verdict
+from oakcroft.decisions.sessions import answers
+from oakcroft.decisions.sessions.answers import Final
+from oakcroft.decisions.routing.catalogue import Catalogue, Course, bound, course
+from oakcroft.decisions.moving.handover import Happening
+from oakcroft.decisions.sessions.lifeline import Loss, Patience
+from oakcroft.decisions.admission.limits import Ledger
+from oakcroft.decisions.admission.patience import BEAT, Due, Stillness
+from oakcroft.decisions.sessions.repeats import Repeats
+from oakcroft.decisions.sessions.resource import Resource
+from oakcroft.decisions.fleet.roster import Line, Refused, Roster
+from oakcroft.decisions.routing.titles import Shelf
+from oakcroft.decisions.routing.versions import InForce, Offer, Verdict
 from oakcroft.running.clock import Clock
 from oakcroft.running.inbox import Event, handle_all
 from oakcroft.front.moves import Moves
--- a/oakcroft/front/memory.py
+++ b/oakcroft/front/memory.py
@@ -13,10 +13,10 @@
 import trio
 
 from oakcroft.choice import DISTRUST_HALF, digest
-from oakcroft.decisions import answers
-from oakcroft.decisions.answers import Final
-from oakcroft.decisions.patience import Due
-from oakcroft.decisions.recovery import (
+from oakcroft.decisions.sessions import answers
+from oakcroft.decisions.sessions.answers import Final
+from oakcroft.decisions.admission.patience import Due
+from oakcroft.decisions.state.recovery import (
     Fate,
     Grudge,
     Phase,
@@ -27,10 +27,10 @@
     asks_again_at,
     fate,
 )
-from oakcroft.decisions.recovery import further_tries, judge, resolved
-from oakcroft.decisions.remembered import Mark, Promise, after_answer, after_try, step, waits_for_record
-from oakcroft.decisions.resource import Resource
-from oakcroft.decisions.roster import Line
+from oakcroft.decisions.state.recovery import further_tries, judge, resolved
+from oakcroft.decisions.state.remembered import Mark, Promise, after_answer, after_try, step, waits_for_record
+from oakcroft.decisions.sessions.resource import Resource
+from oakcroft.decisions.fleet.roster import Line
 from oakcroft.front.viewing import Upstream, Viewing
 from oakcroft.interface import MS, SECOND, Node, Outcome, Playback
 from oakcroft.store.file import Fact, Held, Move, Put, Told, Whole
--- a/oakcroft/front/moves.py
+++ b/oakcroft/front/moves.py
@@ -13,13 +13,13 @@
 import structlog
 import trio
 
-from oakcroft.decisions.answers import Final, Reply
-from oakcroft.decisions.fading import Fadings
-from oakcroft.decisions.handover import Act, Course, Handover, Happening
-from oakcroft.decisions.may_move import Way, allowed, stays, way
-from oakcroft.decisions.mover import LONGEST_CONFIRM, LONGEST_OFFER, Mover, Pace, Why, waits
-from oakcroft.decisions.notice import Notices
-from oakcroft.decisions.resource import Resource
+from oakcroft.decisions.sessions.answers import Final, Reply
+from oakcroft.decisions.moving.fading import Fadings
+from oakcroft.decisions.moving.handover import Act, Course, Handover, Happening
+from oakcroft.decisions.moving.may_move import Way, allowed, stays, way
+from oakcroft.decisions.moving.mover import LONGEST_CONFIRM, LONGEST_OFFER, Mover, Pace, Why, waits
+from oakcroft.decisions.moving.notice import Notices
+from oakcroft.decisions.sessions.resource import Resource
 from oakcroft.front.viewing import Viewing
 from oakcroft.interface import SECOND, Entry, Listing, State
 
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -18,11 +18,11 @@
 import orjson
 import trio
 
-from oakcroft.decisions.again import EVENTS, FAREWELL, RUNG, Again
-from oakcroft.decisions.claims import Claims
-from oakcroft.decisions.evidence import End, Trail, outcome
-from oakcroft.decisions.lifeline import Break, Life, Lifeline, Loss, Patience
-from oakcroft.decisions.resource import SDPFRAG
+from oakcroft.decisions.fleet.again import EVENTS, FAREWELL, RUNG, Again
+from oakcroft.decisions.sessions.claims import Claims
+from oakcroft.decisions.sessions.evidence import End, Trail, outcome
+from oakcroft.decisions.sessions.lifeline import Break, Life, Lifeline, Loss, Patience
+from oakcroft.decisions.sessions.resource import SDPFRAG
 from oakcroft.running.clock import Clock
 from oakcroft.front.viewing import Upstream, Viewing
 from oakcroft.httpwire.client import REFUSED, Ended, Peer
--- a/oakcroft/front/operators.py
+++ b/oakcroft/front/operators.py
@@ -9,7 +9,7 @@
 import orjson
 
 from oakcroft.catalogue.text import Unsound
-from oakcroft.decisions.catalogue import Verdict
+from oakcroft.decisions.routing.catalogue import Verdict
 from oakcroft.front.catalogues import T_OFFER, Catalogues
 from oakcroft.front.core import Faulty
 from oakcroft.front.helm import Helm
--- a/oakcroft/front/reducing.py
+++ b/oakcroft/front/reducing.py
@@ -1,5 +1,5 @@
 """Levels of reduced service on one front: takes the signs, changes the level, and lets it act on what comes in. What is
-decided stands in `oakcroft/decisions/levels.py`."""
+decided stands in `oakcroft/decisions/admission/levels.py`."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 import trio
 
 from oakcroft.config.told import PlanTerms
-from oakcroft.decisions.levels import Change, Gate, Levels, Sign, Tally
+from oakcroft.decisions.admission.levels import Change, Gate, Levels, Sign, Tally
 from oakcroft.front.helm import Helm
 from oakcroft.interface import MS
 
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -12,9 +12,9 @@
 import trio
 
 from oakcroft.choice import Controller
-from oakcroft.decisions.doors import Door, Queue
-from oakcroft.decisions.stopping import Course, Stopping
-from oakcroft.decisions.versions import Offer, Verdict
+from oakcroft.decisions.admission.doors import Door, Queue
+from oakcroft.decisions.fleet.stopping import Course, Stopping
+from oakcroft.decisions.routing.versions import Offer, Verdict
 from oakcroft.front.catalogues import Catalogues
 from oakcroft.running.clock import Clock
 from oakcroft.front.core import Core
--- a/oakcroft/front/siding.py
+++ b/oakcroft/front/siding.py
@@ -1,5 +1,5 @@
 """Preference between wings on one front: gathers the evidence, and holds each request to the wings that it may go to.
-What is decided stands in `oakcroft/decisions/wings.py`."""
+What is decided stands in `oakcroft/decisions/routing/wings.py`."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 import trio
 
 from oakcroft.choice import DISTRUST_HALF, DISTRUSTED
-from oakcroft.decisions.lifeline import Life as NodeLife, Loss
-from oakcroft.decisions.wings import Seen, State, Wings
+from oakcroft.decisions.sessions.lifeline import Life as NodeLife, Loss
+from oakcroft.decisions.routing.wings import Seen, State, Wings
 from oakcroft.front.helm import Helm
 from oakcroft.interface import SECOND, Listing, Node
 
--- a/oakcroft/front/sockets.py
+++ b/oakcroft/front/sockets.py
@@ -1,8 +1,8 @@
 """The session API over WebSocket (RFC 6455, on wsproto): an adapter to the session core.
 
 A connection speaks for a seat, which outlives it: playbacks, open requests and what the client has yet to hear belong to
-the seat (`decisions/resumption.py`). Requests and forwarders of a seat are tasks of the API's nursery under the seat's
-scope; they end with the seat, not with the connection.
+the seat (`decisions/sessions/resumption.py`). Requests and forwarders of a seat are tasks of the API's nursery, under
+its scope; they end with the seat, not with the connection.
 """
 
 from __future__ import annotations
@@ -21,12 +21,12 @@
 from wsproto.frame_protocol import CloseReason
 
 from oakcroft.config.told import Token
-from oakcroft.decisions import answers
-from oakcroft.decisions.answers import Final, Reply
-from oakcroft.decisions.clients import CLOSE, Allowance, Client, Word
-from oakcroft.decisions.passes import Invalid, Passes
-from oakcroft.decisions.resource import SDPFRAG
-from oakcroft.decisions.resumption import Outbox, Pulse, Seat, Standing
+from oakcroft.decisions.sessions import answers
+from oakcroft.decisions.sessions.answers import Final, Reply
+from oakcroft.decisions.admission.clients import CLOSE, Allowance, Client, Word
+from oakcroft.decisions.admission.passes import Invalid, Passes
+from oakcroft.decisions.sessions.resource import SDPFRAG
+from oakcroft.decisions.sessions.resumption import Outbox, Pulse, Seat, Standing
 from oakcroft.front.core import Ask, Core, Faulty
 from oakcroft.front.viewing import Reader, Viewing
 from oakcroft.httpwire.message import Request, Response
--- a/oakcroft/front/viewers.py
+++ b/oakcroft/front/viewers.py
@@ -11,9 +11,9 @@
 import orjson
 import trio
 
-from oakcroft.decisions import answers
-from oakcroft.decisions.answers import Final, Reply
-from oakcroft.decisions.resource import SDPFRAG
+from oakcroft.decisions.sessions import answers
+from oakcroft.decisions.sessions.answers import Final, Reply
+from oakcroft.decisions.sessions.resource import SDPFRAG
 from oakcroft.front.core import READER_KINDS, Ask, Core, Faulty
 from oakcroft.front.viewing import Reader, Viewing
 from oakcroft.httpwire.message import Headers, Request, Response
--- a/oakcroft/front/viewing.py
+++ b/oakcroft/front/viewing.py
@@ -6,10 +6,10 @@
 
 import trio
 
-from oakcroft.decisions.answers import Final, Reply
-from oakcroft.decisions.limits import Ticket
-from oakcroft.decisions.patience import Due
-from oakcroft.decisions.resource import Resource
+from oakcroft.decisions.sessions.answers import Final, Reply
+from oakcroft.decisions.admission.limits import Ticket
+from oakcroft.decisions.admission.patience import Due
+from oakcroft.decisions.sessions.resource import Resource
 from oakcroft.interface import Playback
 from oakcroft.config.told import PlanTerms
 
--- a/oakcroft/httpwire/server.py
+++ b/oakcroft/httpwire/server.py
@@ -1,7 +1,8 @@
 """The serving side: connections within the door's bounds, one handler for each request.
 
-Every connection is a task under the server's nursery. Each phase of an exchange has its time (decisions/doors.py),
-each limit its answer. While a handler works, the connection is watched: a client that closes it cancels the handler.
+Every connection is a task under the server's nursery.
+Each phase of an exchange has its time (decisions/admission/doors.py), each limit its answer. While a handler works, the
+connection is watched: a client that closes it cancels the handler.
 """
 
 from __future__ import annotations
@@ -14,8 +15,15 @@
 import h11
 import trio
 
-from oakcroft.decisions.doors import Door, Phase, Verdict, body_verdict, head_verdict, status_when_slow
-from oakcroft.decisions.doors import time_allowed
+from oakcroft.decisions.admission.doors import (
+    Door,
+    Phase,
+    Verdict,
+    body_verdict,
+    head_verdict,
+    status_when_slow,
+)
+from oakcroft.decisions.admission.doors import time_allowed
 from oakcroft.httpwire.message import Headers, Request, Response
 from oakcroft.signalling.words import PROBLEM, problem
 
--- a/oakcroft/platform/follower.py
+++ b/oakcroft/platform/follower.py
@@ -10,7 +10,7 @@
 import structlog
 import trio
 
-from oakcroft.decisions.freshness import Freshness
+from oakcroft.decisions.fleet.freshness import Freshness
 from oakcroft.platform.link import Link, connect
 from oakcroft.platform.owner import Owner
 from oakcroft.platformwire import channel
--- a/oakcroft/platform/owner.py
+++ b/oakcroft/platform/owner.py
@@ -15,8 +15,8 @@
 
 from oakcroft import terms
 from oakcroft.choice import Controller
-from oakcroft.decisions.patience import BEAT, Stillness, due, margin
-from oakcroft.decisions.titles import Shelf
+from oakcroft.decisions.admission.patience import BEAT, Stillness, due, margin
+from oakcroft.decisions.routing.titles import Shelf
 from oakcroft.interface import MS, SECOND, Entry, Listing, ListKind, Node, Note, Outcome, Playback, State
 from oakcroft.platform.alarms import Alarms
 from oakcroft.platform.pool import GIVEN_UP, NodeLink, Pool
--- a/oakcroft/platform/serve.py
+++ b/oakcroft/platform/serve.py
@@ -13,7 +13,7 @@
 import structlog
 import trio
 
-from oakcroft.decisions.stopping import Course, Stopping
+from oakcroft.decisions.fleet.stopping import Course, Stopping
 from oakcroft.interface import MS, SECOND
 from oakcroft.platform.follower import Follower
 from oakcroft.platform.link import prepared
--- a/oakcroft/rehearsal/firstcome.py
+++ b/oakcroft/rehearsal/firstcome.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from oakcroft.cli import serve_file
-from oakcroft.decisions.shedding import Window
+from oakcroft.decisions.admission.shedding import Window
 from oakcroft.front import core
 
 ENDLESS = 1 << 40
--- a/oakcroft/rehearsal/viewers.py
+++ b/oakcroft/rehearsal/viewers.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from oakcroft.decisions.routing import Side
+from oakcroft.decisions.routing.routing import Side
 from oakcroft.httpwire.client import Ended, Peer, readable
 from oakcroft.httpwire.message import Response
 from oakcroft.interface import SECOND
--- a/oakcroft/rulecheck/rules.py
+++ b/oakcroft/rulecheck/rules.py
@@ -11,7 +11,7 @@
 from itertools import pairwise
 from typing import Any
 
-from oakcroft.decisions.evidence import DRAINING_TYPE, FULL_TYPE
+from oakcroft.decisions.sessions.evidence import DRAINING_TYPE, FULL_TYPE
 from oakcroft.interface import MS, SECOND, Effect
 from oakcroft.config.told import Site
 
--- a/oakcroft/standins/fleet.py
+++ b/oakcroft/standins/fleet.py
@@ -14,7 +14,7 @@
 import orjson
 import trio
 
-from oakcroft.decisions.doors import Bounds, Door
+from oakcroft.decisions.admission.doors import Bounds, Door
 from oakcroft.running.clock import Clock
 from oakcroft.front.listing import PATH
 from oakcroft.httpwire.message import Request, Response
--- a/oakcroft/standins/playout.py
+++ b/oakcroft/standins/playout.py
@@ -13,10 +13,10 @@
 import orjson
 import trio
 
-from oakcroft.decisions.doors import Bounds, Door
-from oakcroft.decisions.evidence import DRAINING_TYPE, FULL_TYPE
-from oakcroft.decisions.resource import SDPFRAG
-from oakcroft.decisions.routing import Asked, Side
+from oakcroft.decisions.admission.doors import Bounds, Door
+from oakcroft.decisions.sessions.evidence import DRAINING_TYPE, FULL_TYPE
+from oakcroft.decisions.sessions.resource import SDPFRAG
+from oakcroft.decisions.routing.routing import Asked, Side
 from oakcroft.httpwire.message import Request, Response
 from oakcroft.httpwire.server import Server
 from oakcroft.config.told import Site
--- a/oakcroft/store/file.py
+++ b/oakcroft/store/file.py
@@ -14,10 +14,10 @@
 import apsw
 import msgspec
 
-from oakcroft.decisions.durable import Trouble
-from oakcroft.decisions.recovery import Grudge, Spent
-from oakcroft.decisions.remembered import Mark, Promise
-from oakcroft.decisions.roster import Line
+from oakcroft.decisions.state.durable import Trouble
+from oakcroft.decisions.state.recovery import Grudge, Spent
+from oakcroft.decisions.state.remembered import Mark, Promise
+from oakcroft.decisions.fleet.roster import Line
 from oakcroft.store.schema import STEPS, VERSION
 
 MAGIC = 0x6F616B63  # "oakc": what the file says that it is
--- a/oakcroft/store/writer.py
+++ b/oakcroft/store/writer.py
@@ -16,7 +16,7 @@
 import structlog
 import trio
 
-from oakcroft.decisions.durable import Disk, Health, Trouble, Upkeep
+from oakcroft.decisions.state.durable import Disk, Health, Trouble, Upkeep
 from oakcroft.interface import SECOND
 from oakcroft.store.file import Change, Expire, Held, StateFile, Unusable, Whole, set_aside
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -13,7 +13,7 @@
 import trio
 
 from oakcroft.choice import Controller
-from oakcroft.decisions.evidence import FULL_TYPE
+from oakcroft.decisions.sessions.evidence import FULL_TYPE
 from oakcroft.interface import MS, SECOND, Effect, Entry, Group, Listing, ListKind, Node, Plan, Playback
 from oakcroft.interface import Terms, Title
 from oakcroft.platform.owner import Owner
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,7 +14,7 @@
 import trio
 
 from oakcroft.config.compile import check, told
-from oakcroft.decisions.recovery import Phase
+from oakcroft.decisions.state.recovery import Phase
 from oakcroft.running.clock import Clock
 from oakcroft.front.helm import Helm
 from oakcroft.front.serve import Front
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -16,7 +16,7 @@
 
 from oakcroft.catalogue.text import Said, Unsound, apply, digest, read, read_laid_out, write
 from oakcroft.cli import main
-from oakcroft.decisions.catalogue import (
+from oakcroft.decisions.routing.catalogue import (
     Catalogue,
     Course,
     Fleet,
@@ -28,8 +28,8 @@
     changed,
     consider,
 )
-from oakcroft.decisions.catalogue import bound, course, takes_part
-from oakcroft.decisions.titles import Shelf
+from oakcroft.decisions.routing.catalogue import bound, course, takes_part
+from oakcroft.decisions.routing.titles import Shelf
 from oakcroft.httpwire.message import Response
 
 FLEET = Fleet(frozenset({"n1", "n2+1"}), frozenset({"n1", "n2+1", "n3"}), 3, 4, {"course": 0})
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -18,9 +18,9 @@
 from oakcroft.config.format import fmt
 from oakcroft.config.problems import Problems, Unsound
 from oakcroft.config.syntax import read
-from oakcroft.decisions.limits import Ledger, Limit, Over, Party, Scope, Ticket, burst_of, share_of
-from oakcroft.decisions.pools import Pool
-from oakcroft.decisions.routing import (
+from oakcroft.decisions.admission.limits import Ledger, Limit, Over, Party, Scope, Ticket, burst_of, share_of
+from oakcroft.decisions.routing.pools import Pool
+from oakcroft.decisions.routing.routing import (
     Asked,
     Match,
     Route,
@@ -32,7 +32,7 @@
     rank,
     refuses,
 )
-from oakcroft.decisions.versions import InForce, Offer, Verdict, families
+from oakcroft.decisions.routing.versions import InForce, Offer, Verdict, families
 from oakcroft.interface import SECOND, Node
 
 HERE = Path(__file__).parent
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,11 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from oakcroft.decisions import answers, ladder, patience
-from oakcroft.decisions.again import EVENTS, RUNG, Again
-from oakcroft.decisions.answers import Final, Refusal
-from oakcroft.decisions.claims import Claims
-from oakcroft.decisions.doors import (
+from oakcroft.decisions.sessions import answers
+from oakcroft.decisions.routing import ladder
+from oakcroft.decisions.admission import patience
+from oakcroft.decisions.fleet.again import EVENTS, RUNG, Again
+from oakcroft.decisions.sessions.answers import Final, Refusal
+from oakcroft.decisions.sessions.claims import Claims
+from oakcroft.decisions.admission.doors import (
     Bounds,
     Door,
     Phase,
@@ -22,15 +24,15 @@
     head_verdict,
     slow_reader,
 )
-from oakcroft.decisions.doors import status_when_slow, time_allowed
-from oakcroft.decisions.evidence import FULL_TYPE, End, Stage, Trail, never_ran, outcome
-from oakcroft.decisions.lifeline import Break, Life, Lifeline, Loss, Patience
-from oakcroft.decisions.patience import BEAT, Stillness
-from oakcroft.decisions.repeats import Repeats, Turn
-from oakcroft.decisions.resource import SDPFRAG, Act, Phase as Standing, Resource, Said
-from oakcroft.decisions.roster import Line, Refused, Roster
-from oakcroft.decisions.stopping import Course, Stopping
-from oakcroft.decisions.titles import Shelf
+from oakcroft.decisions.admission.doors import status_when_slow, time_allowed
+from oakcroft.decisions.sessions.evidence import FULL_TYPE, End, Stage, Trail, never_ran, outcome
+from oakcroft.decisions.sessions.lifeline import Break, Life, Lifeline, Loss, Patience
+from oakcroft.decisions.admission.patience import BEAT, Stillness
+from oakcroft.decisions.sessions.repeats import Repeats, Turn
+from oakcroft.decisions.sessions.resource import SDPFRAG, Act, Phase as Standing, Resource, Said
+from oakcroft.decisions.fleet.roster import Line, Refused, Roster
+from oakcroft.decisions.fleet.stopping import Course, Stopping
+from oakcroft.decisions.routing.titles import Shelf
 from oakcroft.interface import MS, SECOND, Effect, Listing, ListKind, Outcome
 
 WAY = [Stage.CONNECTING, Stage.OPEN, Stage.WRITING, Stage.WRITTEN, Stage.HEADED, Stage.READ]
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -17,8 +17,8 @@
 from test_moves import Player, drain, playing
 from test_sessions import dial
 
-from oakcroft.decisions.lifeline import Life
-from oakcroft.decisions.resource import SDPFRAG
+from oakcroft.decisions.sessions.lifeline import Life
+from oakcroft.decisions.sessions.resource import SDPFRAG
 from oakcroft.front.nodeleg import NodeLeg
 from oakcroft.front.serve import Front
 from oakcroft.front.viewing import Viewing
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -10,7 +10,7 @@
 import trio
 from rig import Rig, run, standing, start_front, until
 
-from oakcroft.decisions.resource import SDPFRAG
+from oakcroft.decisions.sessions.resource import SDPFRAG
 from oakcroft.httpwire.client import Peer
 from oakcroft.httpwire.message import Response
 from oakcroft.interface import MS
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -14,7 +14,7 @@
 from rig import run, standing, until
 
 from oakcroft.config.compile import check
-from oakcroft.decisions.levels import Acts, Bounds, Gate, Level, Levels, Mark, Sign, Tally
+from oakcroft.decisions.admission.levels import Acts, Bounds, Gate, Level, Levels, Mark, Sign, Tally
 from oakcroft.interface import MS, SECOND
 
 LEVELS = (
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -14,11 +14,11 @@
 from helpers import FREE, KEYED, PAID, TERMS, Fleet
 from rig import Rig, run, standing, until
 
-from oakcroft.decisions.fading import Fadings
-from oakcroft.decisions.handover import OVER, TABLE, Act, Course, Handover, Happening
-from oakcroft.decisions.may_move import Reason, Way, allowed, stays, way
-from oakcroft.decisions.mover import Mover, Pace, Why
-from oakcroft.decisions.notice import Notices
+from oakcroft.decisions.moving.fading import Fadings
+from oakcroft.decisions.moving.handover import OVER, TABLE, Act, Course, Handover, Happening
+from oakcroft.decisions.moving.may_move import Reason, Way, allowed, stays, way
+from oakcroft.decisions.moving.mover import Mover, Pace, Why
+from oakcroft.decisions.moving.notice import Notices
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.httpwire.message import Response
 from oakcroft.interface import MS, SECOND, Group, Node, Outcome, Playback
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -15,18 +15,18 @@
 import trio.testing
 from oakcroft.client.retry import Retries
 from oakcroft.client.session import SessionClient
-from oakcroft.decisions.again import EVENTS, LIST, Again
-from oakcroft.decisions.answers import Final
-from oakcroft.decisions.claims import Claims
-from oakcroft.decisions.resource import SDPFRAG
-from oakcroft.decisions.catalogue import Verdict as Taken
-from oakcroft.decisions.recovery import Grudge, Spent
-from oakcroft.decisions.remembered import Mark
+from oakcroft.decisions.fleet.again import EVENTS, LIST, Again
+from oakcroft.decisions.sessions.answers import Final
+from oakcroft.decisions.sessions.claims import Claims
+from oakcroft.decisions.sessions.resource import SDPFRAG
+from oakcroft.decisions.routing.catalogue import Verdict as Taken
+from oakcroft.decisions.state.recovery import Grudge, Spent
+from oakcroft.decisions.state.remembered import Mark
 from oakcroft.store.file import Expire, StateFile
-from oakcroft.decisions.evidence import Trail, outcome
-from oakcroft.decisions.lifeline import Life
-from oakcroft.decisions.repeats import Repeats, Turn
-from oakcroft.decisions.roster import Line, Refused, Roster
+from oakcroft.decisions.sessions.evidence import Trail, outcome
+from oakcroft.decisions.sessions.lifeline import Life
+from oakcroft.decisions.sessions.repeats import Repeats, Turn
+from oakcroft.decisions.fleet.roster import Line, Refused, Roster
 from oakcroft.front import listing
 from oakcroft.front.core import MOST_READERS
 from oakcroft.front.nodeleg import NodeLeg
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -12,12 +12,12 @@
 from test_catalogue import AUTH, OPS
 from test_moves import drain, playing
 
-from oakcroft.decisions.catalogue import Verdict
-from oakcroft.decisions.levels import Acts, Level
+from oakcroft.decisions.routing.catalogue import Verdict
+from oakcroft.decisions.admission.levels import Acts, Level
 from oakcroft.front.catalogues import Catalogues
 from oakcroft.front.viewing import Viewing
-from oakcroft.decisions.lifeline import Life
-from oakcroft.decisions.versions import Verdict as Taken
+from oakcroft.decisions.sessions.lifeline import Life
+from oakcroft.decisions.routing.versions import Verdict as Taken
 from oakcroft.httpwire.message import Request, Response
 from oakcroft.standins.playout import PlayoutNode
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,7 +18,7 @@
 from rig import until
 
 from oakcroft.config import compile as compiling
-from oakcroft.decisions import freshness
+from oakcroft.decisions.fleet import freshness
 from oakcroft.interface import MS, SECOND, Listing, State
 from oakcroft.platform import owner as limits
 from oakcroft.platform.pool import Pool
--- a/tests/test_rulecheck.py
+++ b/tests/test_rulecheck.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from oakcroft.config import compile as compiling
-from oakcroft.decisions.evidence import FULL_TYPE
+from oakcroft.decisions.sessions.evidence import FULL_TYPE
 from oakcroft.interface import MS, SECOND
 from oakcroft.rulecheck.rules import judge
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -19,10 +19,10 @@
 from oakcroft.client import Refused, Retries, SessionClient, Unsure, WhepClient
 from oakcroft.client.blocking import BlockingWhepClient
 from oakcroft.client.retry import Next
-from oakcroft.decisions.clients import Allowance, Client, Word
-from oakcroft.decisions.passes import Invalid, Passes
-from oakcroft.decisions.resumption import Outbox, Pulse, Seat, Standing
-from oakcroft.decisions.shedding import Line, Waiting, Window
+from oakcroft.decisions.admission.clients import Allowance, Client, Word
+from oakcroft.decisions.admission.passes import Invalid, Passes
+from oakcroft.decisions.sessions.resumption import Outbox, Pulse, Seat, Standing
+from oakcroft.decisions.admission.shedding import Line, Waiting, Window
 from oakcroft.httpwire.server import whole_post
 from oakcroft.front.helm import Helm
 from oakcroft.front.sockets import SessionApi
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -22,9 +22,9 @@
 
 from oakcroft.config.compile import check, told
 from oakcroft.cli import main
-from oakcroft.decisions.answers import Final
-from oakcroft.decisions.durable import CALM, Disk as Standing, Health, Trouble, Upkeep
-from oakcroft.decisions.recovery import (
+from oakcroft.decisions.sessions.answers import Final
+from oakcroft.decisions.state.durable import CALM, Disk as Standing, Health, Trouble, Upkeep
+from oakcroft.decisions.state.recovery import (
     IN_FLIGHT,
     Fate,
     Phase,
@@ -35,8 +35,8 @@
     further_tries,
     judge,
 )
-from oakcroft.decisions.recovery import Grudge, Spent, resolved
-from oakcroft.decisions.remembered import (
+from oakcroft.decisions.state.recovery import Grudge, Spent, resolved
+from oakcroft.decisions.state.remembered import (
     Mark,
     Promise,
     after_answer,
@@ -45,7 +45,7 @@
     step,
     waits_for_record,
 )
-from oakcroft.decisions.roster import Line
+from oakcroft.decisions.fleet.roster import Line
 from oakcroft.httpwire.client import Ended
 from oakcroft.httpwire.message import Response
 from oakcroft.interface import MS, SECOND, Effect, Group, Listing, Outcome, Plan
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -13,7 +13,7 @@
 from oakcroft.cli import read_apart
 from oakcroft.config.compile import check, told
 from oakcroft.config.told import Deployment
-from oakcroft.decisions.versions import Verdict
+from oakcroft.decisions.routing.versions import Verdict
 from oakcroft.interface import Effect
 
 CHANGES = 50
--- a/tests/test_wings.py
+++ b/tests/test_wings.py
@@ -11,7 +11,7 @@
 from hypothesis import given, strategies as st
 from rig import run, standing, until
 
-from oakcroft.decisions.wings import FOLLOWS, Bounds, Life, Seen, Spill, State, Wings
+from oakcroft.decisions.routing.wings import FOLLOWS, Bounds, Life, Seen, Spill, State, Wings
 from oakcroft.interface import SECOND
 
 ALL = {Seen.ANSWERS: 10}
