--- a/oakcroft/decisions/fleet/freshness.py
+++ b/oakcroft/decisions/fleet/freshness.py
@@ -12,8 +12,8 @@
 from oakcroft.interface import SECOND
 
 UNTOLD = 8 * SECOND
-"""How long a front that starts waits for a list service that does not answer. Longer than the platform says that news may
-stand untold (7 s, PROTOCOL); past it, a fleet that stays shut does more harm than a list that may be old."""
+"""How long a front that starts waits for a list service that does not answer. Longer than the platform says that news
+may stand untold (7 s, PROTOCOL); past it, a fleet that stays shut does more harm than a list that may be old."""
 
 ASK_AT_ONCE = 0
 """Milliseconds that a first question, and the first after a break, waits for news: it is to tell what stands already."""
@@ -24,8 +24,8 @@
     """Whether the list has been confirmed since the start, and since the last break.
 
     Guards against set-ups on a list of before the start; covers a slow start, a starved machine, and any crowd that
-    comes to a front the moment it listens. Harm: a front takes its first viewer one exchange with the list service later,
-    and up to `UNTOLD` later while that service is out.
+    comes to a front the moment it listens. Harm: a front takes its first viewer one exchange with the list service
+    later, and up to `UNTOLD` later while that service is out.
     """
 
     began: int
--- /dev/null
+++ b/oakcroft/rehearsal/many_views.py
@@ -0,0 +1,226 @@
+"""Many views in one process, on a simulated network: seeded, the same every time.
+
+Time is simulated and jumps from event to event; a message takes its time, or is lost, doubled or cut off by the link it
+goes over.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+
+from oakcroft.decisions.fleet.member import News, Standing, commitment
+from oakcroft.decisions.fleet.view import Kind, Out, View
+from oakcroft.interface import MS, SECOND
+
+HEADER = 28 + 80  # octets of IP and UDP, and of a message without news, as sealed by peerwire
+WORD = 78  # of one word of news, as measured of the codec for names of 9 octets
+
+
+@dataclass
+class Process:
+    """One simulated front."""
+
+    name: str
+    view: View
+    alive: bool = True
+    stopped: bool = False  # stands still: nothing is done, what comes waits, bounded
+    waiting: list[Callable[[], None]] = field(default_factory=list)
+    lives: int = 1
+    messages: int = 0
+    octets: int = 0
+    scheduled: int = -1
+
+
+class Net:
+    """Processes and the network between them. `now` in ns from 0."""
+
+    def __init__(
+        self, seed: int, loss: float = 0.0, double: float = 0.0, latency: tuple[int, int] = (MS, 5 * MS)
+    ) -> None:
+        self.rng, self.loss, self.double, self.latency = Random(seed), loss, double, latency
+        self.now, self.number = 0, 0
+        self.heap: list[tuple[int, int, Callable[[], None]]] = []
+        self.processes: dict[str, Process] = {}
+        self.at: dict[tuple[str, int], Process] = {}
+        self.cut: Callable[[str, str], bool] = lambda _a, _b: False  # from, to
+        self.told: list[tuple[int, str, str, str, str]] = []  # when, at whom, about whom, was, now
+
+    # Processes.
+
+    def add(
+        self, name: str, seeds: tuple[tuple[str, int], ...] = (), start: int = 0, host: str = ""
+    ) -> Process:
+        """Starts a process under a name, again or for the first time."""
+        known = self.processes.get(name)
+        lives = known.lives + 1 if known is not None else 1
+        secret = self.rng.randbytes(16)
+        me = News(
+            name,
+            start or self.now // 1_000 + 1,
+            0,
+            Standing.ALIVE,
+            host or f"host-{name}",
+            1,
+            "w",
+            "1",
+            commitment(secret),
+        )
+        view = View(me, secret, Random(self.rng.getrandbits(64)), self.now, seeds)
+        process = Process(name, view, lives=lives)
+        if known is not None:
+            process.messages, process.octets = known.messages, known.octets
+            known.alive = False
+        self.processes[name] = self.at[me.address] = process
+        self._after(process)
+        return process
+
+    def start(self, name: str, seeds: tuple[tuple[str, int], ...]) -> None:
+        """The same, as an event."""
+        self.add(name, seeds)
+
+    def kill(self, name: str) -> None:
+        """The process ends with no word."""
+        self.processes[name].alive = False
+
+    def stop(self, name: str) -> None:
+        """It stands still."""
+        self.processes[name].stopped = True
+
+    def go_on(self, name: str) -> None:
+        """It runs again: its timers first, then what has waited."""
+        process = self.processes[name]
+        process.stopped = False
+        waiting, process.waiting = process.waiting, []
+        process.view.tick(self.now)
+        self._after(process)
+        for event in waiting:
+            event()
+
+    def living(self) -> list[Process]:
+        """Those that run."""
+        return [p for p in self.processes.values() if p.alive and not p.stopped]
+
+    # Time.
+
+    def later(self, at: int, event: Callable[[], None]) -> None:
+        """Does something at a time."""
+        self.number += 1
+        heapq.heappush(self.heap, (max(at, self.now), self.number, event))
+
+    def run(self, for_: int, until: Callable[[], bool] | None = None) -> bool:
+        """Plays on for so long, or until something holds, looked at every 20 ms; whether it does."""
+        end, look = self.now + for_, self.now
+        while self.heap and self.heap[0][0] <= end:
+            at, _, event = heapq.heappop(self.heap)
+            while until is not None and look <= at:
+                self.now = look
+                if until():
+                    heapq.heappush(self.heap, (at, 0, event))
+                    return True
+                look += 20 * MS
+            self.now = at
+            event()
+        self.now = end
+        return until is not None and until()
+
+    # The network.
+
+    def _after(self, process: Process) -> None:
+        """Carries out what a process has asked for, and sets its clock."""
+        view = process.view
+        out, view.out = view.out, []
+        for message in out:
+            self._carry(process, message)
+        changes, view.changes = view.changes, []
+        self.told += [(self.now, process.name, c.name, c.was, c.now) for c in changes]
+        due = max(view.due, self.now + MS)
+        if process.scheduled < self.now or due < process.scheduled:
+            process.scheduled = due
+            self.later(due, lambda: self._tick(process, due))
+
+    def _tick(self, process: Process, due: int) -> None:
+        if process.scheduled != due:
+            return  # there is an earlier one
+        process.scheduled = -1
+        if process.alive and not process.stopped:
+            process.view.tick(self.now)
+            self._after(process)
+
+    def _carry(self, sender: Process, message: Out) -> None:
+        if message.kind is Kind.EXCHANGE:
+            self._exchange(sender, message.address)
+            return
+        sender.messages += 1
+        sender.octets += HEADER + WORD * (1 + len(message.news))
+        me, times = sender.view.me, 2 if self.rng.random() < self.double else 1
+        for _ in range(times):
+            if self.rng.random() >= self.loss:
+                self.later(
+                    self.now + self.rng.randint(*self.latency), lambda: self._arrive(sender, me, message)
+                )
+
+    def _arrive(self, sender: Process, me: News, message: Out) -> None:
+        there = self.at.get(message.address)
+        if there is None or not there.alive or self.cut(sender.name, there.name):
+            return
+
+        def hear() -> None:
+            there.view.heard(me, message.kind, message.seq, message.to, message.about, message.news, self.now)
+            self._after(there)
+
+        if there.stopped:
+            if len(there.waiting) < 256:
+                there.waiting.append(hear)
+        else:
+            hear()
+
+    def _exchange(self, one: Process, address: tuple[str, int]) -> None:
+        other = self.at.get(address)
+        if (
+            other is None
+            or not other.alive
+            or other.stopped
+            or self.cut(one.name, other.name)
+            or self.cut(other.name, one.name)
+        ):
+            return
+        mine, theirs = one.view.whole(), other.view.whole()
+        for process, whole in ((one, mine), (other, theirs)):
+            process.octets += HEADER * (2 + len(whole) // 15) + WORD * len(whole)
+
+        def swap() -> None:
+            for process, sender, whole in ((other, mine[0], mine), (one, theirs[0], theirs)):
+                if process.alive and not process.stopped:
+                    process.view.exchanged(sender, whole, self.now)
+                    self._after(process)
+
+        self.later(self.now + 4 * self.latency[1], swap)
+
+    # What the views say.
+
+    def agree(self, names: set[str], standing: Standing) -> bool:
+        """Whether all that run see all these so."""
+        return all(p.view.standing(n) is standing for p in self.living() for n in names if n != p.name)
+
+    def settled(self) -> bool:
+        """Whether all that run see just those as alive that run."""
+        living = {p.name for p in self.living()}
+        alive = (Standing.ALIVE,)
+        return all(
+            {n for n, m in p.view.members.items() if m.news.standing in alive} == living
+            for p in self.living()
+        )
+
+
+def fleet(size: int, seed: int, loss: float = 0.0, double: float = 0.0) -> Net:
+    """So many fronts that know each other and have settled."""
+    net = Net(seed, loss, double)
+    seeds = (("host-f0", 1), ("host-f1", 1))
+    for i in range(size):
+        net.later(net.rng.randrange(500 * MS), partial(net.start, f"f{i}", seeds))
+    net.run(60 * SECOND, lambda: len(net.processes) == size and net.settled())
+    return net
