Let fronts speak to their peers where (peers …) allows it; operators see the view

Need: a view of the fleet kept by the fronts themselves, off where nothing allows it. Change: (peers …) in the configuration with its checks, peers/ (UDP and TCP tasks, key file read again, number of the start on disk), GET /operators/fleet and 'oakcroft fleet view', rates divided among those that have not left by their own proven word (decisions/fleet/shares.py), a stand-in network between fronts. 23 tests without sockets: orders of news, an exhaustive walk of three members (to a depth of 6, over 5,000 states), and fleets on a simulated network with crashes, standstills, one-way cuts, partitions longer than the dead are kept, twins, liars.

--- a/oakcroft/cli.py
+++ b/oakcroft/cli.py
@@ -13,7 +13,7 @@
 import trio
 
 from oakcroft.choice import Controller
-from oakcroft.commands import catalogue, state, status
+from oakcroft.commands import catalogue, fleet, state, status
 from oakcroft.config import compare, explain as explaining, reference
 from oakcroft.config.compile import Meaning, check as check_config, load_meaning, told
 from oakcroft.config.expand import Folder
@@ -88,7 +88,7 @@
     sys.exit(serve_file(file))
 
 
-for command in (state, catalogue, status):
+for command in (state, catalogue, status, fleet):
     main.add_command(command)
 
 
--- a/oakcroft/commands.py
+++ b/oakcroft/commands.py
@@ -8,8 +8,10 @@
 from collections import Counter
 from contextlib import closing
 from pathlib import Path
+from typing import Any
 
 import click
+import orjson
 import trio
 
 from oakcroft.catalogue.text import Unsound, read, write
@@ -246,3 +248,39 @@
 def status(address: str) -> None:
     """Tell how a running front stands."""
     told(call(address, "GET", "status"))
+
+
+@click.group()
+def fleet() -> None:
+    """Ask a running front how it sees the others."""
+
+
+@fleet.command("view")
+@FRONT
+@click.option("--json", "as_json", is_flag=True, help="For tools: what the front said, as it said it.")
+def fleet_view(address: str, as_json: bool) -> None:
+    """Tell who is there, by one front: a line each, with how it stands, since when, and by whose word."""
+    sat = call(address, "GET", "fleet")
+    if as_json or sat.status >= 400:
+        told(sat)
+    for line in seen(orjson.loads(sat.body)):
+        click.echo(line)
+
+
+def seen(view: dict[str, Any]) -> list[str]:
+    """A front's view in lines."""
+    standings = Counter(m["standing"] for m in view["members"])
+    own = "displaced by another of its name" if view["displaced"] else "alive"
+    out = [
+        f"{view['name']}, start {view['start']}, {own}: "
+        + ", ".join(f"{n} {s}" for s, n in sorted(standings.items()))
+    ]
+    width = max(len(m["name"]) for m in view["members"])
+    for m in view["members"]:
+        heard = "" if m["heard_ms"] is None else f", heard {m['heard_ms'] / 1e3:.1f} s ago"
+        by = f" by {m['by']}" if m["by"] else ""
+        out.append(
+            f"  {m['name']:{width}} {m['standing']:9} {m['since_ms'] / 1e3:8.1f} s  {m['address']} {m['wing']}{heard}{by}"
+        )
+    dropped = ", ".join(f"{what} {n}" for what, n in sorted(view["dropped"].items())) or "nothing"
+    return [*out, f"  sent {view['sent']}, taken {view['taken']}, dropped: {dropped}"]
--- a/oakcroft/config/compile.py
+++ b/oakcroft/config/compile.py
@@ -5,6 +5,7 @@
 import hashlib
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import fields, replace
+from ipaddress import ip_address
 from itertools import pairwise
 from pathlib import Path
 from typing import Any
@@ -14,7 +15,7 @@
 from oakcroft.config.problems import Place, Problems, Unsound, near, or_list
 from oakcroft.config.schema import Bad, Record, Schema, read_form, say, TIMES
 from oakcroft.config.syntax import Atom, Form
-from oakcroft.config.told import Deployment, Holding, PlanTerms, Site, Stand, Token
+from oakcroft.config.told import Deployment, Holding, PeersPlace, PlanTerms, Site, Stand, Token
 from oakcroft.decisions.admission.doors import Bounds
 from oakcroft.decisions.admission.levels import Acts, Level, Mark, Sign
 from oakcroft.decisions.admission.levels import Bounds as LevelBounds
@@ -104,6 +105,7 @@
     _nodes(checked, problems)
     _levels(checked, problems)
     _preference(checked, problems)
+    _peers(checked, problems)
 
 
 def _rungs(checked: Checked) -> int:
@@ -457,6 +459,47 @@
         )
 
 
+def _peers(checked: Checked, problems: Problems) -> None:
+    peers = checked.one(forms.PEERS)
+    if peers is None:
+        return
+    listen, told = peers.values.get("listen"), peers.values.get("advertise")
+    for name, address in (("listen", listen), ("advertise", told)):
+        if address is None:
+            continue
+        try:
+            host = ip_address(address[0])
+        except ValueError:
+            problems.error(
+                peers.at(name),
+                f"{address[0]} is not an IP address; names are not looked up",
+                "write its address",
+            )
+            continue
+        if address[1] == 0:
+            problems.error(peers.at(name), "port 0: the others could not know which it is", "write a port")
+        if name == "listen" and host.is_unspecified and told is None:
+            problems.error(peers.at(name), f"the others cannot reach {host}", "add (advertise ADDRESS:PORT)")
+        if name == "advertise" and host.is_unspecified:
+            problems.error(
+                peers.at(name), f"the others cannot reach {host}", "write an address of this machine"
+            )
+    seeds = peers.get("seeds")
+    if len(set(seeds)) < len(seeds):
+        problems.warn(peers.at("seeds"), "a seed stands twice", "keep one of them")
+    if not [s for s in seeds if s != (told or listen)]:
+        problems.warn(
+            peers.at("seeds"),
+            "there is no seed but this front: it waits for others to find it",
+            "add (seeds …)",
+        )
+    front = checked.one(forms.FRONT)
+    if front is not None and listen is not None and listen == front.values.get("listen"):
+        problems.error(
+            peers.at("listen"), "viewers are listened for at the same address", "write another port"
+        )
+
+
 def _nodes(checked: Checked, problems: Problems) -> None:
     nodes = checked.one(forms.NODES)
     if nodes is not None and nodes.get("lost-after") < nodes.get("silent-after"):
@@ -484,7 +527,7 @@
         record = checked.one(schema)
         if record is not None:
             out[schema.name] = _plain(record)
-        elif schema not in (forms.FRONT, forms.FLEET, forms.LADDER, forms.PREFERENCE):
+        elif schema not in (forms.FRONT, forms.FLEET, forms.LADDER, forms.PREFERENCE, forms.PEERS):
             out[schema.name] = {f.name: f.default for f in schema.fields}
     for schema in forms.NAMED:
         out[schema.name] = {name: _plain(r) for name, r in sorted(checked.all(schema).items())}
@@ -600,10 +643,17 @@
     )  # fmt: skip
     (host, port), (list_host, list_port) = front["listen"], front["list-service"]
     stand = Stand(host, port, list_host, list_port, front["kept"], front["state"],
-                  front["state-sync"] == "yes", front["zone"], front["seed"], front["log"])  # fmt: skip
+                  front["state-sync"] == "yes", front["zone"], front["seed"], front["log"],
+                  _place(m["peers"]) if "peers" in m else None)  # fmt: skip
     return Deployment(site, stand, m)
 
 
+def _place(m: Mapping[str, Any]) -> PeersPlace:
+    told = m["advertise"] or m["listen"]
+    seeds = tuple(dict.fromkeys(m["seeds"]))
+    return PeersPlace(m["name"], m["listen"], told, seeds, m["key-file"], m["fleet"], m["starts"])
+
+
 # Whole files.
 
 
--- a/oakcroft/config/forms.py
+++ b/oakcroft/config/forms.py
@@ -267,6 +267,18 @@
     ),
 )  # fmt: skip
 PAIR = "entry and exit"
+PEERS = Schema(
+    "peers", "The other fronts, which this one may speak to. Without this form it speaks to none and opens no socket for it.",
+    (
+        Field("name", "this front's name among them; the same after a restart, and no other front's", NAME, required=True),
+        Field("listen", "where they reach it, by UDP and TCP alike", ADDRESS, required=True),
+        Field("advertise", "the address that it tells them; none: the same", ADDRESS),
+        Field("seeds", "some of the others, asked at the start and when they are not seen", ADDRESS, (), most=MANY),
+        Field("key-file", "file of the fleet's keys, 64 hexadecimal digits a line: the first seals, all open", TEXT, required=True),
+        Field("fleet", "the fleet's name; what comes from another is dropped", NAME, "oakcroft"),
+        Field("starts", "file in which the number of the last start is kept; none: the clock and the others tell", TEXT, ""),
+    ),
+)  # fmt: skip
 LEVEL = Schema(
     "level", "A level of reduced service: entered when one of its signs is over its entry, left when all are under their exits.",
     (
@@ -284,7 +296,7 @@
     NAME, "the level's name", "(level careful (rank 1) (x 1.05 0.9) (top 2))",
 )  # fmt: skip
 SIGNS = ("x", "blind", "refused", "late", "lag")
-SINGLE = (FRONT, FLEET, LADDER, SIGNALLING, NODES, DOOR, STOPPING, OPERATORS, LEVELS, PREFERENCE)
+SINGLE = (FRONT, FLEET, LADDER, SIGNALLING, NODES, DOOR, STOPPING, OPERATORS, LEVELS, PREFERENCE, PEERS)
 NAMED = (PLAN, POOL, ROUTE, LIMIT, TOKEN, TITLE_FORM, LEVEL)
 ALL = {s.name: s for s in (*SINGLE, *NAMED)}
 WORDS = ("include", "define", "use")
--- a/oakcroft/config/told.py
+++ b/oakcroft/config/told.py
@@ -68,6 +68,19 @@
     then: tuple[str, ...]  # other wings in order of preference
 
 
+@dataclass(frozen=True)
+class PeersPlace:
+    """Where a front stands among its peers."""
+
+    name: str
+    listen: tuple[str, int]
+    advertise: tuple[str, int]
+    seeds: tuple[tuple[str, int], ...]
+    key_file: str
+    fleet: str
+    starts: str
+
+
 @dataclass(frozen=True)
 class Stand:
     """One front's own place."""
@@ -82,6 +95,7 @@
     zone: str
     seed: int
     log: str
+    peers: PeersPlace | None = None
 
 
 @dataclass(frozen=True)
--- a/oakcroft/decisions/admission/limits.py
+++ b/oakcroft/decisions/admission/limits.py
@@ -44,14 +44,16 @@
     whole: bool = True
 
 
-def share_of(limit: Limit, front: int, fronts: int) -> Limit:
-    """What one front may use. Whole places are dealt out so that all fronts' shares sum to the figure exactly; a
-    front whose share of places is none admits none, which keeps the sum kept without any talk between fronts."""
+def share_of(limit: Limit, front: int, fronts: int, parts: int = 0) -> Limit:
+    """What one front may use. Rates may be divided into fewer `parts` than there are fronts, where others have left
+    for good (decisions/fleet/shares.py); places never are, for what was let in on them stays for as long as it plays.
+    Whole places are dealt out so that all fronts' shares sum to the figure exactly; a front whose share of places is
+    none admits none, which keeps the sum kept without any talk between fronts."""
     if not limit.whole or fronts <= 1:
         return limit
     at_once = None if limit.at_once is None else limit.at_once // fronts + (front < limit.at_once % fronts)
-    rate = None if limit.rate is None else limit.rate / fronts
-    burst = None if limit.burst is None else limit.burst / fronts
+    rate = None if limit.rate is None else limit.rate / (parts or fronts)
+    burst = None if limit.burst is None else limit.burst / (parts or fronts)
     return Limit(limit.name, limit.scope, limit.on, rate, burst, at_once, False)
 
 
@@ -130,10 +132,21 @@
     by_scope: dict[Scope, dict[str, list[Limit]]] = field(default_factory=dict)
     buckets: dict[tuple[str, str], Bucket] = field(default_factory=dict)
     held: dict[tuple[str, str], int] = field(default_factory=dict)
+    parts: int = 0  # into which rates are divided; 0: as many as there are fronts
+    stated: list[Limit] = field(default_factory=list)
+
+    def take_parts(self, parts: int) -> bool:
+        """Rates are divided into so many parts from this instant on; whether that is news."""
+        if parts == (self.parts or self.fronts):
+            return False
+        self.parts = parts
+        self.take_version(self.stated)
+        return True
 
     def take_version(self, limits: Iterable[Limit]) -> None:
         """New figures from this instant on."""
-        self.limits = {x.name: share_of(x, self.front, self.fronts) for x in limits}
+        self.stated = list(limits)
+        self.limits = {x.name: share_of(x, self.front, self.fronts, self.parts) for x in self.stated}
         self.by_scope = {}
         for limit in self.limits.values():
             self.by_scope.setdefault(limit.scope, {}).setdefault(limit.on, []).append(limit)
--- a/oakcroft/decisions/fleet/view.py
+++ b/oakcroft/decisions/fleet/view.py
@@ -142,6 +142,7 @@
         self.former: dict[Address, None] = {}
         self.wanted: dict[Address, None] = {}  # exchanges
         self.twin: Twin | None = None
+        self.bridge = ""  # whoever last put a question through
         self.displaced = self.left = self.joined = False
         self.last = now
         self.next_probe = now + rng.randrange(EVERY)
@@ -282,7 +283,12 @@
             self._send(Kind.PING, name, seq)
 
     def _ask_others(self, about: News, seq: int) -> None:
-        for helper in self._some(HELPERS, about.name):
+        """Through some at random, and whoever last got through where this front did not: guards a member that only one
+        other can reach."""
+        chosen = self._some(HELPERS, about.name)
+        if self._is_there(self.bridge) and self.bridge not in (about.name, *chosen):
+            chosen[-1] = self.bridge
+        for helper in chosen:
             self._send(Kind.ASK, helper, seq, about=(about.name, about.start, about.address))
 
     def _suspect(self, member: Member, now: int) -> None:
@@ -355,7 +361,7 @@
         if kind is Kind.PING:
             self._asked(sender, seq, to, now)
         elif kind is Kind.ACK:
-            self._answered(seq, now)
+            self._answered(seq, sender.name)
         elif kind is Kind.ASK and about is not None and len(self.helping) < MOST_HELPING:
             own = self.rng.getrandbits(48) + 1
             self.helping[own] = Help(sender.address, (sender.name, sender.start), seq, now + SECOND)
@@ -406,9 +412,11 @@
         else:
             self.out.append(Out(Kind.ACK, sender.address, seq, to_sender, news=self._news(accused)))
 
-    def _answered(self, seq: int, now: int) -> None:
-        if self.probes.pop(seq, None) is not None:
+    def _answered(self, seq: int, by: str) -> None:
+        if (probe := self.probes.pop(seq, None)) is not None:
             self.health.right()
+            if probe.name != by:
+                self.bridge = by
         elif (help_ := self.helping.pop(seq, None)) is not None:
             self.out.append(Out(Kind.ACK, help_.address, help_.seq, help_.to, news=self._news()))
 
--- a/oakcroft/front/operators.py
+++ b/oakcroft/front/operators.py
@@ -5,6 +5,7 @@
 
 import hashlib
 import hmac
+from collections.abc import Callable
 
 import orjson
 
@@ -29,6 +30,7 @@
     "catalogue/roll-back": "POST",
     "status": "GET",
     "level": "POST",
+    "fleet": "GET",
 }
 
 
@@ -37,6 +39,9 @@
 
     def __init__(self, helm: Helm, catalogues: Catalogues, reducing: Reducing, siding: Siding) -> None:
         self.helm, self.catalogues, self.reducing, self.siding = helm, catalogues, reducing, siding
+        self.fleet: Callable[[], dict[str, object]] | None = (
+            None  # how the front sees its peers, where it has any
+        )
 
     def known(self, authorization: str | None) -> bool:
         """Whether this is the operators' token."""
@@ -72,6 +77,10 @@
                 return self._level(request)
             case "status", _:
                 return self._status()
+            case "fleet", _:
+                if self.fleet is None:
+                    raise Faulty(404, "no-peers", "This front has no (peers …) in its configuration")
+                return Response(200, [("Content-Type", "application/json")], orjson.dumps(self.fleet()))
         return await self._roll_back(request)
 
     def _tag(self) -> str:
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from random import Random
 
+from typing import TYPE_CHECKING
+
 import structlog
 import trio
 
@@ -33,6 +35,8 @@
 from oakcroft.store.file import Held, StateFile
 from oakcroft.store.writer import Store
 
+if TYPE_CHECKING:
+    from oakcroft.decisions.fleet.view import View
 
 Source = Callable[[dict[str, int]], "Deployment | list[str]"]
 """Reads the configuration anew: what it says (plans keep the family numbers that are handed in), or what is wrong."""
@@ -101,6 +105,7 @@
             rng = Random(stand.seed + 2)
             follower = Follower(peer, clock, rng, stand.kept, me, helm.listed, self.log)
             nursery.start_soon(follower.run)
+            leave = await self._meet(helm, operators, nursery, clock)
             listeners = await trio.open_tcp_listeners(stand.port, host=stand.host, backlog=4096)
             port = listeners[0].socket.getsockname()[1]
             stopping.serve(clock.now())
@@ -114,9 +119,37 @@
             if stop is not None:
                 nursery.start_soon(self._stopped, stop, stopping, clock, helm.bell)
             await self._watch(stopping, helm, clock)
+            if leave is not None:
+                await leave()
             self.log.info("gone", unanswered=helm.unanswered, playing=helm.playing)
             nursery.cancel_scope.cancel()
 
+    async def _meet(
+        self, helm: Helm, operators: Operators, nursery: trio.Nursery, clock: Clock
+    ) -> Callable[[], Awaitable[None]] | None:
+        """Takes part in the fleet's view where the configuration has peers; how to leave it in order."""
+        stand = self.told.stand
+        if stand.peers is None:
+            return None
+        from oakcroft.decisions.fleet.shares import parts
+        from oakcroft.peers.speaker import Peers
+        from oakcroft.peerwire.sealing import BadKeys
+
+        def changed(view: View) -> None:
+            into = parts(helm.site.terms.fronts, view.gone_for_good())
+            if helm.ledger.take_parts(into):
+                self.log.info(
+                    "shares of rates", parts=into, fronts=helm.site.terms.fronts, left=view.gone_for_good()
+                )
+
+        try:
+            peers = Peers(stand.peers, stand.zone, stand.seed + 6, clock, self.log, changed)
+        except BadKeys as fault:
+            raise OSError(f"key file {stand.peers.key_file}: {fault}") from fault
+        operators.fleet = peers.status
+        await nursery.start(peers.run)
+        return peers.leave
+
     async def _store(self, helm: Helm, clock: Clock) -> Store | None:
         """The state file, open and read where that can be had."""
         stand = self.told.stand
--- /dev/null
+++ b/oakcroft/peers/speaker.py
@@ -0,0 +1,292 @@
+"""A front among its peers: one UDP socket, one TCP listener, and the view that both feed.
+
+Nothing here waits on a peer, and nothing is in an answer's way: datagrams are written without waiting (one that the
+kernel does not take is lost, as any may be), reading gives way after each few, and what comes faster than a whole
+fleet's talk is dropped and counted. All that is decided is decided by decisions/fleet/view.py.
+"""
+
+from __future__ import annotations
+
+import os
+import secrets
+import socket
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from ipaddress import ip_address
+from pathlib import Path
+from random import Random
+
+import structlog
+import trio
+
+from oakcroft.config.told import PeersPlace
+from oakcroft.decisions.fleet.member import News, Standing, commitment
+from oakcroft.decisions.fleet.view import Address, Kind, Out, View
+from oakcroft.interface import MS, SECOND
+from oakcroft.peers.starts import begin, keep
+from oakcroft.peerwire.messages import MOST_DATAGRAM, Codec, Dropped, Stream
+from oakcroft.peerwire.sealing import BadKeys, Ring, keys_of
+from oakcroft.running.clock import Clock
+
+TURN = 32  # datagrams before the front's other tasks have their turn
+MOST_A_SECOND = (
+    2_000  # sealed datagrams that are followed: ten times a fleet of 200 in its worst second (docs/fleet.md)
+)
+MOST_STREAMS = 8  # exchanges at once, of others'
+STREAM_WITHIN = 2.0  # seconds for one
+KEYS_EVERY = 5.0
+VERSION = "0.2"
+LEAVES = 3  # times that the last word is said, so that a lost datagram does not lose it
+LEAVES_APART = 0.05
+
+
+def read_keys(file: str) -> tuple[bytes, ...]:
+    """The keys of a file. BadKeys where it can't be read or holds none."""
+    try:
+        return keys_of(Path(file).read_text(encoding="ascii"))
+    except (OSError, UnicodeDecodeError) as fault:
+        raise BadKeys(str(fault)) from fault
+
+
+class Peers:
+    """One front's part in the fleet's view."""
+
+    def __init__(
+        self, place: PeersPlace, wing: str, seed: int, clock: Clock, log: structlog.typing.FilteringBoundLogger,
+        changed: Callable[[View], None] = lambda _: None,
+    ) -> None:  # fmt: skip
+        self.place, self.clock, self.log, self.changed = place, clock, log, changed
+        self.ring = Ring(read_keys(place.key_file))
+        self.codec = Codec(place.fleet, self.ring)
+        start, trouble = begin(place.starts)
+        if trouble:
+            log.warning("start not kept", file=place.starts, why=trouble)
+        secret = secrets.token_bytes(16)
+        me = News(place.name, start, 0, Standing.ALIVE, *place.advertise, wing, VERSION, commitment(secret))
+        self.view = View(me, secret, Random(seed), self.now(), place.seeds)
+        self.kept = start
+        self.dropped: Counter[str] = Counter()
+        self.sent = self.taken = self.octets_out = 0
+        self.second = self.in_second = 0
+        self.sock: socket.socket | None = None
+        self.sooner = trio.Event()
+        self.streams = trio.CapacityLimiter(MOST_STREAMS)
+        self.key_age = _age(place.key_file)
+
+    def now(self) -> int:
+        """Now, by the front's clock, which no step of the wall clock moves."""
+        return self.clock.now()
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Speaks until it is cancelled. OSError where the address can't be had."""
+        host, port = self.place.listen
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        with socket.socket(family, socket.SOCK_DGRAM) as self.sock:
+            self.sock.setblocking(False)
+            self.sock.bind((host, port))
+            listeners = await trio.open_tcp_listeners(port, host=host, backlog=64)
+            me = self.view.me
+            self.log.info(
+                "peers",
+                name=me.name,
+                start=me.start,
+                address=f"{me.host}:{me.port}",
+                seeds=len(self.view.seeds),
+            )
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                nursery.start_soon(self._read)
+                nursery.start_soon(self._time)
+                nursery.start_soon(self._keys)
+                nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+                task_status.started()
+
+    async def leave(self) -> None:
+        """Says that this front leaves in order. Call it when no more is let in: its shares pass on with it."""
+        self.view.leave(self.now())
+        last, self.view.out = list(self.view.out), []
+        for _ in range(LEAVES):
+            for message in last:
+                self._write(message)
+            await trio.sleep(LEAVES_APART)
+
+    # Out.
+
+    def _carry_out(self) -> None:
+        """What the view has asked for, and what has changed in it. Called after each call of it."""
+        view = self.view
+        while view.out:
+            out, view.out = view.out, []
+            for message in out:
+                if message.kind is Kind.EXCHANGE:
+                    self.nursery.start_soon(self._exchange, message.address)
+                else:
+                    self._write(message)
+        if view.changes:
+            changes, view.changes = view.changes, []
+            for c in changes:
+                self.log.info(
+                    "member", name=c.name, was=c.was, now=c.now, why=c.why, present=len(view.present())
+                )
+            if view.me.start != self.kept:
+                self.kept = view.me.start
+                if trouble := keep(self.place.starts, self.kept):
+                    self.log.warning("start not kept", file=self.place.starts, why=trouble)
+            self.changed(view)
+        self.sooner.set()
+
+    def _write(self, message: Out) -> None:
+        assert self.sock is not None
+        octets = self.codec.datagram(
+            self.view.me, message.kind, message.seq, message.to, message.about, message.news
+        )
+        try:
+            self.sock.sendto(octets, message.address)
+            self.sent += 1
+            self.octets_out += len(octets)
+        except (
+            OSError,
+            OverflowError,
+        ) as fault:  # full, unreachable, or no address: lost, as any datagram may be
+            self.dropped[f"not sent: {type(fault).__name__}"] += 1
+
+    async def _exchange(self, address: Address) -> None:
+        """Whole views, with whoever is at an address."""
+        with trio.move_on_after(STREAM_WITHIN), suppress(OSError, trio.BrokenResourceError, Dropped):
+            own = self.place.listen[0]
+            bound = None if ip_address(own).is_unspecified else own
+            stream = await trio.open_tcp_stream(*address, local_address=bound)
+            async with stream:
+                await stream.send_all(self.codec.whole(self.view.whole()))
+                await self._hear_whole(stream)
+
+    # In.
+
+    async def _read(self) -> None:
+        assert self.sock is not None
+        turn = 0
+        while True:
+            try:
+                octets, _ = self.sock.recvfrom(MOST_DATAGRAM + 1)
+            except BlockingIOError:
+                await trio.lowlevel.wait_readable(self.sock)
+                continue
+            except OSError:  # what a peer's machine answered to one of ours
+                await trio.lowlevel.checkpoint()
+                continue
+            self._take(octets)
+            turn += 1
+            if turn % TURN == 0:
+                await trio.lowlevel.checkpoint()
+
+    def _take(self, octets: bytes) -> None:
+        now = self.now()
+        try:
+            sender, kind, seq, to, about, news = self.codec.taken(octets, now)
+            if not self._within_pace(now):
+                raise Dropped("too many")
+        except Dropped as reason:
+            self.dropped[str(reason)] += 1
+            return
+        self.taken += 1
+        self.view.heard(sender, kind, seq, to, about, news, now)
+        self._carry_out()
+
+    def _within_pace(self, now: int) -> bool:
+        """Guards the front's turns against a peer that floods: covers one that holds the key and is broken."""
+        if now // SECOND != self.second:
+            self.second, self.in_second = now // SECOND, 0
+        self.in_second += 1
+        return self.in_second <= MOST_A_SECOND
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        """An exchange that another has begun."""
+        try:
+            self.streams.acquire_nowait()
+        except trio.WouldBlock:
+            self.dropped["too many exchanges"] += 1
+            await trio.aclose_forcefully(stream)
+            return
+        try:
+            with trio.move_on_after(STREAM_WITHIN), suppress(OSError, trio.BrokenResourceError):
+                if await self._hear_whole(
+                    stream
+                ):  # nobody is told anything who has not shown that he holds the key
+                    await stream.send_all(self.codec.whole(self.view.whole()))
+        finally:
+            self.streams.release()
+            await trio.aclose_forcefully(stream)
+
+    async def _hear_whole(self, stream: trio.SocketStream) -> bool:
+        heard = Stream(self.codec)
+        try:
+            while not heard.done:
+                octets = await stream.receive_some(16_384)
+                if not octets:
+                    return False
+                heard.receive_data(octets, self.now())
+        except Dropped as reason:
+            self.dropped[str(reason)] += 1
+            return False
+        assert heard.sender is not None
+        self.view.exchanged(heard.sender, heard.news, self.now())
+        self._carry_out()
+        return True
+
+    # Time.
+
+    async def _time(self) -> None:
+        while True:
+            self.view.tick(self.now())
+            self._carry_out()
+            self.sooner = trio.Event()
+            until = max(self.view.due, self.now() + MS)
+            with trio.move_on_at(self.clock.deadline(until)):
+                await self.sooner.wait()
+                await trio.sleep(MS / SECOND)  # what comes together is looked at together
+
+    async def _keys(self) -> None:
+        """Reads the key file again when it has changed; one that can't be used changes nothing."""
+        while True:
+            await trio.sleep(KEYS_EVERY)
+            age = _age(self.place.key_file)
+            if age == self.key_age:
+                continue
+            self.key_age = age
+            try:
+                self.ring.change(read_keys(self.place.key_file), self.now())
+                self.log.info("peer keys taken", keys=len(self.ring.keys), lingering=len(self.ring.former))
+            except BadKeys as fault:
+                self.log.warning("peer keys not taken", why=str(fault))
+
+    # What operators see.
+
+    def status(self) -> dict[str, object]:
+        """The view and its counts, as plain values."""
+        view, now = self.view, self.now()
+        members = [
+            {
+                "name": n, "standing": m.news.standing.name.lower(), "start": m.news.start,
+                "incarnation": m.news.incarnation, "address": f"{m.news.host}:{m.news.port}", "wing": m.news.wing,
+                "version": m.news.version, "since_ms": (now - m.since) // MS,
+                "heard_ms": (now - m.heard_at) // MS if m.heard_at else None,
+                "by": m.news.by,
+            }
+            for n, m in sorted(view.members.items())
+        ]  # fmt: skip
+        return {
+            "name": view.me.name, "start": view.me.start, "incarnation": view.me.incarnation,
+            "displaced": view.displaced, "joined": view.joined, "slow": view.health.slow, "members": members,
+            "sent": self.sent, "taken": self.taken, "octets_out": self.octets_out,
+            "dropped": dict(self.dropped), "counts": vars(view.counts),
+        }  # fmt: skip
+
+
+def _age(file: str) -> tuple[int, int]:
+    """By what one sees that a file was written anew."""
+    try:
+        told = os.stat(file)
+        return told.st_mtime_ns, told.st_size
+    except OSError:
+        return 0, 0
--- a/oakcroft/rehearsal/many_views.py
+++ b/oakcroft/rehearsal/many_views.py
@@ -207,13 +207,15 @@
         return all(p.view.standing(n) is standing for p in self.living() for n in names if n != p.name)
 
     def settled(self) -> bool:
-        """Whether all that run see just those as alive that run."""
+        """Whether all that run see just those as alive that run, and suspect nobody."""
         living = {p.name for p in self.living()}
-        alive = (Standing.ALIVE,)
-        return all(
-            {n for n, m in p.view.members.items() if m.news.standing in alive} == living
-            for p in self.living()
-        )
+        return all(self._sees(p.view, living) for p in self.living())
+
+    @staticmethod
+    def _sees(view: View, living: set[str]) -> bool:
+        if view.suspects or len(view.present()) != len(living):
+            return False
+        return all(view.standing(n) is Standing.ALIVE for n in living)
 
 
 def fleet(size: int, seed: int, loss: float = 0.0, double: float = 0.0) -> Net:
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -29,8 +29,12 @@
         "httpwire",
         "interface",
         "config",
+        "peers",  # where the configuration has any
+        "peerwire",
         "signalling",
     },
+    "peerwire": {"decisions", "interface"},
+    "peers": {"config", "decisions", "interface", "peerwire", "running"},
     "rulecheck": {"config", "decisions", "interface"},
     "client": {"decisions", "httpwire", "signalling"},
     "wirehost": {"choice", "interface", "terms"},
--- /dev/null
+++ b/tests/test_view.py
@@ -0,0 +1,412 @@
+"""The fleet's view without sockets: the order of news, every order of messages of three members, and fleets on a
+simulated network, seeded, with what befalls them."""
+
+from __future__ import annotations
+
+import copy
+from dataclasses import replace
+from itertools import permutations
+from random import Random
+
+import pytest
+from hypothesis import given, strategies as st
+
+from oakcroft.decisions.admission.limits import Ledger, Limit, Scope
+from oakcroft.decisions.fleet import suspicion
+from oakcroft.decisions.fleet.member import MOST_INCARNATION, News, Standing, commitment, holds, next_start
+from oakcroft.decisions.fleet.shares import overshoot, parts
+from oakcroft.decisions.fleet.view import KEPT_GONE, MOST_FORMER, MOST_MEMBERS, MOST_NEWS, Kind, View
+from oakcroft.interface import MS, SECOND
+from oakcroft.rehearsal.many_views import Net, fleet
+
+ALIVE, SUSPECTED, GONE, LEFT = Standing
+SECRET = b"s" * 16
+word = st.builds(
+    lambda start, incarnation, standing, by: News(
+        "x", start, incarnation, standing, "h", 1, "w", "1", SECRET if standing is LEFT else commitment(SECRET), by
+    ),
+    st.integers(1, 3), st.integers(0, 3), st.sampled_from(Standing), st.sampled_from(["a", "b"]),
+)  # fmt: skip
+
+
+def news(
+    name: str = "x", standing: Standing = ALIVE, incarnation: int = 0, start: int = 1, by: str = ""
+) -> News:
+    proof = SECRET if standing is LEFT else commitment(SECRET)
+    return News(name, start, incarnation, standing, f"host-{name}", 1, "w", "1", proof, by)
+
+
+def told(net: Net, standing: Standing) -> set[str]:
+    """Whom anybody has seen so."""
+    return {about for _, _, about, _, now in net.told if now == standing.name.lower()}
+
+
+@given(st.lists(word, max_size=6))
+def test_what_holds_does_not_depend_on_the_order_of_news(some: list[News]) -> None:
+    ends = set[tuple[int, bool, int, int]]()
+    for order in list(permutations(some))[:60]:
+        known: News | None = None
+        for one in order:
+            if holds(one, known):
+                known = one
+        ends.add(known.key if known is not None else (0, False, 0, 0))
+    assert len(ends) == 1
+    assert not some or ends == {max(n.key for n in some)}
+
+
+@given(st.lists(word.filter(lambda n: n.standing in (ALIVE, SUSPECTED, LEFT)), max_size=6), st.randoms())
+def test_views_that_were_told_the_same_are_the_same(some: list[News], rng: Random) -> None:
+    views = [View(news("me"), SECRET, Random(1), 0) for _ in range(2)]
+    for view in views:
+        rng.shuffle(some)
+        for one in some:
+            view.heard(news("teller"), Kind.TELL, 0, ("", 0), None, [one], 0)
+    held = [{n: m.news.key for n, m in v.members.items()} for v in views]
+    assert held[0] == held[1]
+
+
+def test_only_a_member_itself_can_say_that_it_leaves() -> None:
+    view = View(news("me"), SECRET, Random(1), 0)
+    view.heard(news("x"), Kind.TELL, 0, ("", 0), None, [], 0)
+    forged = replace(news("x", LEFT), proof=b"f" * 16)
+    view.heard(news("liar"), Kind.TELL, 0, ("", 0), None, [forged], 0)
+    assert view.standing("x") is ALIVE
+    assert view.counts.refused_leaves == 1
+    view.heard(news("x", LEFT), Kind.TELL, 0, ("", 0), None, [], 0)
+    assert view.standing("x") is LEFT
+
+
+def test_words_that_nobody_could_outbid_are_none() -> None:
+    view = View(news("me"), SECRET, Random(1), 0)
+    for bad in (
+        news("x", incarnation=MOST_INCARNATION),
+        news("x", start=1 << 60),
+        replace(news("x"), proof=b""),
+    ):
+        view.heard(news("liar"), Kind.TELL, 0, ("", 0), None, [bad], 0)
+    assert view.standing("x") is None
+    assert view.counts.unsound == 3
+
+
+def test_the_number_of_a_start_grows_without_file_or_with_the_clock_back() -> None:
+    assert next_start(1_000, 0) == 1_000
+    assert next_start(500, 1_000) == 1_001  # the clock went back
+    assert next_start(500, 0, 2_000) == 2_001  # the file is lost as well: peers know
+
+
+def test_every_order_of_messages_of_three_members_to_a_depth() -> None:
+    """Three members, each message delivered, lost or left waiting, time passing between: news of an older start or
+    incarnation never wins, nobody is gone by hearsay, tables stay within bounds."""
+    names, seen, states = ("a", "b", "c"), set[str](), 0
+
+    def start() -> tuple[dict[str, View], list[tuple[str, News, object]]]:
+        views = {n: View(news(n), SECRET, Random(ord(n)), 0) for n in names}
+        for view in views.values():
+            for other in names:
+                if other != view.me.name:
+                    view.heard(news(other), Kind.TELL, 0, ("", 0), None, [], 0)
+        views["a"].heard(news("b"), Kind.TELL, 0, ("", 0), None, [news("c", SUSPECTED, by="b")], 0)
+        return views, []
+
+    def collect(views: dict[str, View], flying: list[tuple[str, News, object]]) -> None:
+        for view in views.values():
+            for out in view.out:
+                to = out.address[0].removeprefix("host-")
+                if out.kind is not Kind.EXCHANGE and len(flying) < 6:
+                    flying.append((to, view.me, out))
+            view.out, view.changes = [], []
+
+    def shape(views: dict[str, View], flying: list[tuple[str, News, object]], now: int) -> str:
+        held = [sorted((n, m.news.key) for n, m in v.members.items()) for v in views.values()]
+        return repr((held, sorted((t, s.key, repr(o)) for t, s, o in flying), now))
+
+    first = start()
+    collect(*first)
+    front = [(first, 0)]
+    for _depth in range(6):
+        ahead = []
+        for (views, flying), now in front:
+            steps: list[int | str] = [*range(len(flying)), "time", *(f"lose {i}" for i in range(len(flying)))]
+            for step in steps:
+                v, f = copy.deepcopy((views, flying))
+                then = now
+                before = {n: {m: x.news.key for m, x in view.members.items()} for n, view in v.items()}
+                if step == "time":
+                    then = now + 700 * MS
+                    for view in v.values():
+                        view.tick(then)
+                elif isinstance(step, str):
+                    f.pop(int(step.split()[1]))
+                else:
+                    to, sender, out = f.pop(step)
+                    v[to].heard(sender, out.kind, out.seq, out.to, out.about, out.news, then)  # type: ignore[attr-defined]
+                for n, view in v.items():
+                    for m, x in view.members.items():
+                        assert x.news.key >= before[n].get(m, (0, False, 0, 0)), "an older word won"
+                        assert x.news.standing is not GONE or then >= suspicion.SHORTEST, "gone by hearsay"
+                    assert len(view.members) == 3
+                    assert len(view.probes) <= 32
+                collect(v, f)
+                states += 1
+                if (key := shape(v, f, then)) not in seen:
+                    seen.add(key)
+                    ahead.append(((v, f), then))
+        front = ahead[:400]
+    assert states > 5_000
+
+
+def test_a_crash_is_known_to_all_and_nobody_else_is_gone() -> None:
+    net = fleet(24, 1, loss=0.05)
+    net.told.clear()
+    began = net.now
+    net.kill("f7")
+    assert net.run(10 * SECOND, lambda: net.agree({"f7"}, GONE))
+    assert net.now - began < 6 * SECOND
+    net.run(10 * SECOND)
+    assert told(net, GONE) == {"f7"}
+    net.add("f7", (("host-f0", 1),))
+    assert net.run(3 * SECOND, net.settled)
+
+
+def test_seven_in_ten_killed_in_one_moment_and_back() -> None:
+    net = fleet(30, 2, loss=0.05)
+    victims = {f"f{i}" for i in range(9, 30)}
+    net.told.clear()
+    for name in victims:
+        net.kill(name)
+    assert net.run(15 * SECOND, net.settled)
+    assert told(net, GONE) == victims
+    for name in victims:
+        net.add(name, (("host-f0", 1), ("host-f20", 1)))
+    assert net.run(5 * SECOND, net.settled)
+
+
+def test_one_that_stood_still_for_half_a_minute_declares_nobody_dead_and_is_taken_back() -> None:
+    net = fleet(12, 3)
+    net.stop("f4")
+    assert net.run(10 * SECOND, lambda: net.agree({"f4"}, GONE))
+    net.run(30 * SECOND)
+    net.told.clear()
+    net.go_on("f4")
+    began = net.now
+    assert net.run(5 * SECOND, net.settled)
+    assert net.now - began < 3 * SECOND
+    net.run(10 * SECOND)
+    assert told(net, GONE) == set()
+    assert net.processes["f4"].view.counts.stood_still == 1
+
+
+def test_a_link_that_is_broken_one_way_costs_nobody_its_standing() -> None:
+    net = fleet(8, 4)
+    net.told.clear()
+    net.cut = lambda one, other: (one, other) == ("f1", "f2")
+    net.run(60 * SECOND)
+    assert told(net, GONE) == set()
+    net.cut = lambda one, other: "f2" in (one, other) and "f5" not in (one, other)
+    net.run(60 * SECOND)  # f2 is reached through f5 only
+    assert told(net, GONE) == set()
+
+
+def test_a_third_lost_doubled_late_and_out_of_order() -> None:
+    net = fleet(10, 5)
+    net.told.clear()
+    net.loss, net.double, net.latency = 0.33, 0.2, (MS, 150 * MS)
+    net.run(120 * SECOND)
+    assert told(net, GONE) == set()
+
+
+@pytest.mark.parametrize("many", [2, 5])
+def test_a_partition_longer_than_the_dead_are_kept_heals_without_a_person(many: int) -> None:
+    net = fleet(10, 6)
+    part = {f"f{i}": i % many for i in range(10)}
+    net.cut = lambda one, other: part[one] != part[other]
+    net.run(KEPT_GONE + 60 * SECOND)
+    view = net.processes["f3"].view
+    assert all(view.standing(n) is None for n in part if part[n] != part["f3"])  # forgotten
+    net.cut = lambda _one, _other: False
+    began = net.now
+    assert net.run(30 * SECOND, net.settled)
+    assert net.now - began < 20 * SECOND
+
+
+def test_a_restart_while_news_of_the_death_travels() -> None:
+    net = fleet(12, 7)
+    net.kill("f5")
+    net.run(2 * SECOND)
+    net.add("f5", (("host-f1", 1),))
+    assert net.run(5 * SECOND, net.settled)
+    net.told.clear()
+    net.run(15 * SECOND)
+    assert told(net, GONE) == set()
+
+
+def test_a_start_with_a_lower_number_learns_the_higher_from_its_peers() -> None:
+    net = fleet(5, 8)
+    net.kill("f3")
+    net.run(1 * SECOND)
+    net.add("f3", (("host-f0", 1),), start=1)  # no file, and the clock went back
+    assert net.run(5 * SECOND, net.settled)
+    assert net.processes["f3"].view.me.start > 1
+    assert not net.processes["f3"].view.displaced
+
+
+def test_two_processes_under_one_name_are_told_and_leave_the_view_stable() -> None:
+    net = fleet(6, 9)
+    first = net.processes["f2"]
+    other = net.add("f2", (("host-f0", 1),), host="host-other")
+    first.alive = True  # it runs on, at its own address
+    net.processes["f2 before"] = first
+    net.run(10 * SECOND)
+    assert first.view.displaced
+    assert not other.view.displaced
+    told_to = {
+        at
+        for _, at, about, _, now in net.told
+        if about == "f2" and at == "f2" and now in ("displaced", "alive")
+    }
+    assert told_to == {"f2"}
+    net.told.clear()
+    net.run(30 * SECOND)
+    assert [t for t in net.told if t[2] == "f2" and t[4] in ("gone", "suspected")] == []
+    other.alive = False
+    net.run(40 * SECOND)  # the one that was displaced comes back when the other has gone
+    assert not first.view.displaced
+    assert net.processes["f0"].view.standing("f2") is ALIVE
+
+
+def test_all_seeds_down_at_the_start_and_a_seed_that_is_the_front_itself() -> None:
+    net = Net(10)
+    seeds = (("host-s", 1), ("host-a", 1))
+    net.add("a", seeds)
+    net.add("b", seeds)
+    net.run(5 * SECOND)
+    assert net.settled()  # b found a
+    lonely = Net(11)
+    lonely.add("a", (("host-s", 1), ("host-a", 1)))
+    lonely.add("b", (("host-s", 1),))
+    lonely.run(30 * SECOND)
+    assert not lonely.settled()
+    lonely.add("s")
+    assert lonely.run(5 * SECOND, lonely.settled)
+
+
+def test_an_address_that_has_passed_to_another_front() -> None:
+    net = fleet(6, 12)
+    net.kill("f4")
+    net.add("new", (("host-f0", 1),), host="host-f4")
+    assert net.run(10 * SECOND, lambda: net.agree({"f4"}, GONE) and net.agree({"new"}, ALIVE))
+
+
+def test_a_front_that_crashes_every_two_seconds_does_not_flood_the_rest() -> None:
+    net = fleet(8, 13)
+    net.run(30 * SECOND)
+    for process in net.processes.values():
+        process.octets = 0
+    net.told.clear()
+    for _ in range(30):
+        net.kill("f7")
+        net.run(SECOND // 2)
+        net.add("f7", (("host-f0", 1),))
+        net.run(3 * SECOND // 2)
+    quiet = [p for n, p in net.processes.items() if n != "f7"]
+    assert max(p.octets for p in quiet) / 60 < 4_000
+    lines = [t for t in net.told if t[1] == "f0" and t[2] == "f7"]
+    assert len(lines) < 30
+
+
+def test_a_rolling_restart_of_all() -> None:
+    net = fleet(10, 14)
+    net.told.clear()
+    for i in range(10):
+        net.processes[f"f{i}"].view.leave(net.now)
+        net._after(net.processes[f"f{i}"])
+        net.kill(f"f{i}")
+        net.run(SECOND)
+        net.add(f"f{i}", (("host-f0", 1), ("host-f5", 1)))
+        net.run(SECOND)
+    assert net.run(5 * SECOND, net.settled)
+    assert told(net, GONE) == set()  # they left, each by its own word
+    assert told(net, LEFT) == {f"f{i}" for i in range(10)}
+
+
+def test_the_worst_of_one_liar_is_refutations_and_no_standing() -> None:
+    net = fleet(16, 15, loss=0.05)
+    net.told.clear()
+    liar = net.processes["f3"]
+    for _ in range(100):
+        view = liar.view
+        for name in sorted(view.members):
+            if name != "f3":
+                known = view.members[name].news
+                lies = [
+                    known.of(GONE, "f3"),
+                    replace(known.of(SUSPECTED, "f3"), incarnation=known.incarnation + 1),
+                ]
+                for to in view._some(3):
+                    there = net.processes[to].view
+                    there.heard(view.me, Kind.TELL, 0, ("", 0), None, lies, net.now)
+                    net._after(net.processes[to])
+        net.run(100 * MS)
+    assert told(net, GONE) == set()
+    assert sum(p.view.counts.refuted for p in net.living()) > 0
+    assert net.run(10 * SECOND, net.settled)
+
+
+def test_tables_stay_within_their_bounds() -> None:
+    view, now = View(news("me"), SECRET, Random(1), 0), 0
+    for i in range(3 * MOST_MEMBERS):
+        view.heard(news(f"m{i}"), Kind.PING, i, ("", 0), None, [news(f"n{i}", GONE)] * 50, now)
+        assert all(len(out.news) <= MOST_NEWS for out in view.out)
+        view.out.clear()
+        if i % 100 == 0:
+            now += 100 * MS
+            view.tick(now)
+    assert len(view.members) == MOST_MEMBERS
+    assert view.counts.full > 0
+    for _ in range(100):
+        now += 900 * MS
+        view.tick(now)
+    assert len(view.probes) <= 32
+    assert len(view.helping) <= 64
+    now += KEPT_GONE
+    for _ in range(30):
+        now += 20 * SECOND
+        view.tick(now)
+    assert len(view.former) <= MOST_FORMER
+
+
+def test_a_share_passes_on_only_from_one_that_left_and_within_the_stated_bound() -> None:
+    """A partition, with one that left on one side and comes back there unheard by the other: both sides' rates summed."""
+    fronts, rate = 10, 100.0
+    net = fleet(fronts, 16)
+    limit = Limit("all", Scope.ALL, "", rate=rate)
+
+    def total() -> float:
+        whole = 0.0
+        for process in net.living():
+            ledger = Ledger(int(process.name[1:]), fronts)
+            ledger.take_version([limit])
+            ledger.take_parts(parts(fronts, process.view.gone_for_good()))
+            whole += ledger.limits["all"].rate or 0.0
+        return whole
+
+    net.kill("f8")
+    assert net.run(10 * SECOND, lambda: net.agree({"f8"}, GONE))
+    assert total() == pytest.approx(
+        rate * 9 / 10
+    )  # gone: its share stays its own, for it may serve elsewhere
+    net.processes["f9"].view.leave(net.now)
+    net._after(net.processes["f9"])
+    net.kill("f9")
+    assert net.run(5 * SECOND, lambda: net.agree({"f9"}, LEFT))
+    assert total() == pytest.approx(rate * 8 / 9)
+    side = {"f0", "f1", "f2", "f9"}
+    net.cut = lambda one, other: (one in side) != (other in side)
+    net.add("f9", (("host-f0", 1),))
+    net.add("f8", (("host-f0", 1),))
+    for _ in range(40):
+        net.run(SECOND)
+        assert total() <= rate * (1 + overshoot(fronts, 1)) + 1e-9
+    net.cut = lambda _one, _other: False
+    assert net.run(20 * SECOND, net.settled)
+    assert total() == pytest.approx(rate)
