Test the fleet's view over five processes with a network that cuts and loses

Need: what the view says is to hold for real processes, judged from outside. Change: tests/test_peers.py starts five 'oakcroft serve' behind a stand-in network (standins/between.py): SIGKILL, SIGSTOP for longer than it takes to count as gone, a partition, a third of the datagrams lost, doubled and late, one way cut, leaving in order, a full disk under the file of starts, 4 MB of random datagrams, keys changed while serving. A front shows marks of its keys.

--- a/oakcroft/peers/speaker.py
+++ b/oakcroft/peers/speaker.py
@@ -279,7 +279,7 @@
             "name": view.me.name, "start": view.me.start, "incarnation": view.me.incarnation,
             "displaced": view.displaced, "joined": view.joined, "slow": view.health.slow, "members": members,
             "sent": self.sent, "taken": self.taken, "octets_out": self.octets_out,
-            "dropped": dict(self.dropped), "counts": vars(view.counts),
+            "keys": self.ring.marks(), "dropped": dict(self.dropped), "counts": vars(view.counts),
         }  # fmt: skip
 
 
--- a/oakcroft/peerwire/sealing.py
+++ b/oakcroft/peerwire/sealing.py
@@ -57,6 +57,10 @@
             del self.former[min(self.former, key=lambda k: self.former[k])]
         self.keys = keys
 
+    def marks(self) -> list[str]:
+        """A mark of each key in force, the sealing one first, for operators to compare; no key follows from it."""
+        return [hashlib.blake2b(k, digest_size=4, person=b"oakcroft-mark").hexdigest() for k in self.keys]
+
     def seal(self, body: bytes) -> bytes:
         """A body under its seal."""
         return _mac(self.keys[0], body) + body
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,318 @@
+"""The fleet's view over several processes of the program, with a stand-in network between them that cuts and loses.
+
+What is judged is what the processes say over the operators' interface, and when they end; nothing is looked up inside.
+"""
+
+from __future__ import annotations
+
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import orjson
+import pytest
+import trio
+from rig import DAY, SITE, run
+
+from oakcroft.config.compile import check
+from oakcroft.decisions.fleet.view import Kind
+from oakcroft.httpwire.client import Ended, Peer
+from oakcroft.peerwire.messages import Codec, Dropped, Stream
+from oakcroft.peerwire.sealing import LINGERS, BadKeys, Ring, keys_of
+from oakcroft.running.clock import Clock
+from oakcroft.standins.between import Between
+from oakcroft.standins.day import parse
+from oakcroft.standins.fleet import Fleet
+from oakcroft.standins.record import Record
+from test_view import ALIVE, SECRET, news
+
+KEY, OTHER = "11" * 32, "22" * 32
+TOKEN = "operators-secret"
+
+
+class Fronts:
+    """So many processes of `oakcroft serve` with peers."""
+
+    def __init__(self, folder: Path, many: int, list_port: int, nursery: trio.Nursery) -> None:
+        self.folder, self.list_port, self.nursery = folder, list_port, nursery
+        self.names = [f"f{i}" for i in range(many)]
+        with socket.socket() as probe:
+            probe.bind(("127.0.71.1", 0))
+            port = probe.getsockname()[1]
+        listen = {n: (f"127.0.71.{i + 1}", port) for i, n in enumerate(self.names)}
+        relays = {n: (f"127.0.72.{i + 1}", port) for i, n in enumerate(self.names)}
+        self.between = Between(listen, relays, Random(1))
+        self.processes: dict[str, trio.Process] = {}
+        self.ports: dict[str, int] = {}
+        (folder / "key").write_text(KEY)
+
+    def file(self, name: str) -> Path:
+        number, path = self.names.index(name), self.folder / f"{name}.oak"
+        (host, port), (relay, _) = self.between.fronts[name], self.between.relays[name]
+        seeds = " ".join(f'"{h}:{p}"' for h, p in list(self.between.relays.values())[:2])
+        site = SITE.replace("(fronts 1)", f"(fronts {len(self.names)})")
+        site = site.replace("EXTRA", f'(operators (secret "{TOKEN}")) (limit all (on all) (rate 50/s))')
+        path.write_text(f"""(front (number {number}) (seed {number + 1}) (zone west) (listen "127.0.0.1:0")
+            (list-service "127.0.0.1:{self.list_port}"))
+            (peers (name {name}) (listen "{host}:{port}") (advertise "{relay}:{port}") (seeds {seeds})
+              (key-file "{self.folder}/key") (starts "{self.folder}/{name}.start"))
+            {site}""")
+        return path
+
+    async def start(self, name: str, full_disk: bool = False) -> None:
+        def fill() -> None:
+            resource.setrlimit(resource.RLIMIT_FSIZE, (0, 0))
+
+        command = [sys.executable, "-m", "oakcroft", "serve", str(self.file(name))]
+        process = await trio.lowlevel.open_process(
+            command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, preexec_fn=fill if full_disk else None
+        )
+        self.processes[name] = process
+        assert process.stdout is not None
+        line = b""
+        while not line.endswith(b"\n"):
+            octets = await process.stdout.receive_some(256)
+            assert octets, f"{name} ended"
+            line += octets
+        self.ports[name] = int(line.split(b":")[-1])
+
+    async def view(self, name: str) -> dict[str, Any]:
+        """What a front says of the fleet; nothing while it does not answer."""
+        peer = Peer("127.0.0.1", self.ports[name], connect_within=0.5)
+        try:
+            with trio.move_on_after(1):
+                said = await peer.ask("GET", "/operators/fleet", [("Authorization", f"Bearer {TOKEN}")], b"")
+                return dict(orjson.loads(said.body))
+        except Ended:
+            pass
+        finally:
+            await peer.close()
+        return {}
+
+    async def standings(self, name: str) -> dict[str, str]:
+        return {m["name"]: m["standing"] for m in (await self.view(name)).get("members", [])}
+
+    async def see(self, at: list[str], wanted: dict[str, str], within: float = 10) -> float:
+        """Waits until all of `at` see these so; the seconds it took."""
+        began, seen = trio.current_time(), dict[str, dict[str, str]]()
+        with trio.move_on_after(within):
+            while True:
+                seen = {n: await self.standings(n) for n in at}
+                if all({n: s.get(n) for n in wanted} == wanted for s in seen.values()):
+                    return trio.current_time() - began
+                await trio.sleep(0.05)
+        pytest.fail(f"within {within} s not {wanted}: {seen}")
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        self.processes[name].send_signal(number)
+
+
+@asynccontextmanager
+async def fronts(folder: Path, many: int = 5) -> AsyncIterator[Fronts]:
+    day = parse(DAY.replace("SITE", SITE.replace("EXTRA", "")), "day")
+    record = Record(folder / "fleet.jsonl")
+    async with trio.open_nursery() as nursery:
+        nodes, up = Fleet(day, record, Clock()), trio.Event()
+        nursery.start_soon(nodes.run, 0, up)
+        await up.wait()
+        rig = Fronts(folder, many, nodes.list_port, nursery)
+        await nursery.start(rig.between.run)
+        try:
+            async with trio.open_nursery() as starting:
+                for name in rig.names:
+                    starting.start_soon(rig.start, name)
+            await rig.see(rig.names, dict.fromkeys(rig.names, "alive"))
+            yield rig
+        finally:
+            with trio.CancelScope(shield=True):
+                for process in rig.processes.values():
+                    if process.returncode is None:
+                        process.kill()
+                    await process.wait()
+        nursery.cancel_scope.cancel()
+    record.close()
+
+
+def on_fronts(folder: Path, test: Callable[[Fronts], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        async with fronts(folder) as rig:
+            await test(rig)
+
+    run(whole, 90)
+
+
+def test_one_is_killed_and_one_stands_still(tmp_path: Path) -> None:
+    async def test(rig: Fronts) -> None:
+        rig.signal("f4", signal.SIGKILL)
+        rest = rig.names[:4]
+        assert await rig.see(rest, {"f4": "gone"}) < 8
+        await rig.start("f4")
+        await rig.see(rig.names, dict.fromkeys(rig.names, "alive"))
+        rig.signal("f3", signal.SIGSTOP)
+        others = [n for n in rig.names if n != "f3"]
+        await rig.see(others, {"f3": "gone"})
+        rig.signal("f3", signal.SIGCONT)
+        await rig.see(rig.names, dict.fromkeys(rig.names, "alive"), within=6)
+        view = await rig.view("f3")
+        assert view["counts"]["stood_still"] >= 1
+        assert all(m["incarnation"] == 0 for m in view["members"] if m["name"] != "f3")  # it accused nobody
+
+    on_fronts(tmp_path, test)
+
+
+def test_a_partition_heals_and_weak_links_cost_nobody_its_standing(tmp_path: Path) -> None:
+    async def test(rig: Fronts) -> None:
+        one, other = {"f0", "f1"}, {"f2", "f3", "f4"}
+        rig.between.cut(one, other)
+        rig.between.cut(other, one)
+        await rig.see(sorted(one), dict.fromkeys(other, "gone"))
+        await rig.see(sorted(other), dict.fromkeys(one, "gone"))
+        rig.between.heal()
+        assert await rig.see(rig.names, dict.fromkeys(rig.names, "alive")) < 10
+        before = {n: (await rig.view(n))["counts"]["refuted"] for n in rig.names}
+        for a in rig.names:
+            for b in rig.names:
+                ails = rig.between.on(a, b)
+                ails.lose, ails.double, ails.late = 0.33, 0.2, (0.0, 0.1)
+        rig.between.cut({"f0"}, {"f1"})  # one way only
+        passed = rig.between.passed
+        with trio.fail_after(30):
+            while rig.between.passed < passed + 400:  # so many messages, however long they take
+                for name in rig.names:
+                    assert "gone" not in (await rig.standings(name)).values()
+                await trio.sleep(0.1)
+        rig.between.heal()
+        await rig.see(rig.names, dict.fromkeys(rig.names, "alive"))
+        assert before  # and whoever was suspected has refuted it
+
+    on_fronts(tmp_path, test)
+
+
+def test_one_leaves_in_order_and_comes_back_with_a_full_disk(tmp_path: Path) -> None:
+    async def test(rig: Fronts) -> None:
+        rig.signal("f4", signal.SIGTERM)
+        with trio.fail_after(10):
+            assert await rig.processes["f4"].wait() == 0
+        rest = rig.names[:4]
+        await rig.see(rest, {"f4": "left"})
+        start = next(m["start"] for m in (await rig.view("f0"))["members"] if m["name"] == "f4")
+        (tmp_path / "f4.start").write_text("torn")
+        await rig.start("f4", full_disk=True)
+        await rig.see(rig.names, dict.fromkeys(rig.names, "alive"))
+        again = next(m["start"] for m in (await rig.view("f0"))["members"] if m["name"] == "f4")
+        assert again > start
+        assert (
+            tmp_path / "f4.start"
+        ).read_text() == "torn"  # nothing could be written, and that cost nothing
+
+    on_fronts(tmp_path, test)
+
+
+def test_what_is_not_sealed_is_dropped_and_a_key_changes_while_serving(tmp_path: Path) -> None:
+    async def test(rig: Fronts) -> None:
+        rng, at = Random(1), rig.between.fronts["f0"]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            for i in range(4_000):  # 4 MB
+                sock.sendto(rng.randbytes(1_024), at)
+                if i % 50 == 0:
+                    assert await rig.standings("f1")
+                    await trio.sleep(0)
+        view = await rig.view("f0")
+        assert view["dropped"]["not sealed"] > 1_000
+        assert await rig.see(rig.names, dict.fromkeys(rig.names, "alive")) < 8
+        for word in (f"{KEY}\n{OTHER}", f"{OTHER}\n{KEY}", OTHER):
+            (tmp_path / "key").write_text(word)
+            marks = Ring(keys_of(word)).marks()
+            with trio.fail_after(15):
+                for name in rig.names:
+                    while (await rig.view(name)).get("keys") != marks:
+                        await trio.sleep(0.05)
+            await rig.see(rig.names, dict.fromkeys(rig.names, "alive"))
+
+    on_fronts(tmp_path, test)
+
+
+def test_peers_that_could_not_be_reached_are_found_by_the_check() -> None:
+    def errors(peers: str) -> list[str]:
+        text = (
+            SITE.replace("EXTRA", "")
+            + f'(front (zone west) (listen "127.0.0.1:80") (list-service "127.0.0.1:1")) (peers {peers})'
+        )
+        _, problems = check("front", lambda _: text)
+        return [p.what for p in problems.errors]
+
+    good = '(name a) (listen "127.0.0.1:7946") (seeds "127.0.0.1:7947") (key-file "k")'
+    assert errors(good) == []
+    assert any(
+        "names are not looked up" in e for e in errors(good.replace('listen "127.0.0.1', 'listen "host'))
+    )
+    assert any("cannot reach" in e for e in errors(good.replace('listen "127.0.0.1', 'listen "0.0.0.0')))
+    assert any("port 0" in e for e in errors(good.replace("7946", "0")))
+    assert any("at the same address" in e for e in errors(good.replace("7946", "80")))
+    assert any("lacks key-file" in e for e in errors(good.replace('(key-file "k")', "")))
+
+
+def test_keys_and_seals() -> None:
+    assert keys_of(f"# ours\n{KEY} # old\n\n{OTHER}") == (bytes.fromhex(KEY), bytes.fromhex(OTHER))
+    for bad in ("", "zz", KEY[:-2], "\n".join([KEY] * 5)):
+        with pytest.raises(BadKeys):
+            keys_of(bad)
+    ring, other = Ring(keys_of(KEY)), Ring(keys_of(OTHER))
+    sealed = ring.seal(b"body")
+    assert other.open(sealed, 0) is None
+    other.change(keys_of(f"{OTHER}\n{KEY}"), 0)
+    assert other.open(sealed, 0) == b"body"
+    other.change(keys_of(OTHER), 1)
+    assert other.open(sealed, LINGERS) == b"body"
+    assert other.open(sealed, LINGERS + 2) is None
+    assert other.open(b"", 0) is None
+
+
+def test_what_is_malformed_of_another_fleet_or_form_is_told_apart() -> None:
+    codec, stranger = Codec("one", Ring(keys_of(KEY))), Codec("two", Ring(keys_of(KEY)))
+    sound = codec.datagram(news("a"), Kind.PING, 7, ("b", 1), None, [news(f"m{i}") for i in range(40)])
+    assert len(sound) <= 1_400
+    sender, kind, seq, to, about, some = codec.taken(sound, 0)
+    assert (sender, kind, seq, to, about) == (news("a"), Kind.PING, 7, ("b", 1), None)
+    assert some
+    body = codec.ring.open(sound, 0)
+    assert body is not None
+    reasons = {
+        "not sealed": sound[:-1] + bytes((sound[-1] ^ 1,)),
+        "malformed": codec.ring.seal(body[:20]),
+        "other form": codec.ring.seal(b"\x09" + body[1:]),
+        "other fleet": stranger.datagram(news("a"), Kind.PING, 7, ("b", 1), None, []),
+        "too long": sound + b"x" * 1_400,
+    }
+    for reason, octets in reasons.items():
+        with pytest.raises(Dropped, match=reason):
+            codec.taken(octets, 0)
+    later = codec.ring.seal(
+        b"\x02" + b"\x9a" + body[2:] + b"\x00"
+    )  # the next form, with one more field at the end
+    assert codec.taken(later, 0)[0] == news("a")
+
+
+def test_a_whole_view_over_a_stream_in_any_pieces() -> None:
+    codec = Codec("one", Ring(keys_of(KEY)))
+    some = [news(f"m{i}") for i in range(250)]
+    octets = codec.whole(some)
+    for step in (1, 7, 1_000, len(octets)):
+        heard = Stream(codec)
+        for i in range(0, len(octets), step):
+            heard.receive_data(octets[i : i + step], 0)
+        assert heard.done
+        assert [heard.sender, *heard.news] == some
+    with pytest.raises(Dropped, match="too long"):
+        Stream(codec).receive_data(b"\xff\xff", 0)
+    with pytest.raises(Dropped, match="not sealed"):
+        Stream(codec).receive_data(b"\x00\x40" + os.urandom(64), 0)
+    assert news("a", ALIVE).proof != SECRET
