--- a/oakcroft/config/compile.py
+++ b/oakcroft/config/compile.py
@@ -58,7 +58,7 @@
             guess = near(form.name, known)
             shown = form.name or "without a name"
             what = f"there is no form {shown}" + (
-                f"; did you mean {guess}?" if guess else f"; known are {or_list(known, 20)}"
+                f"; did you mean {guess}?" if guess else f"; known are {or_list(known, 30)}"
             )
             problems.error(form.place, what, f"write ({guess} …)" if guess else "", also)
             continue
