--- a/oakcroft/cli.py
+++ b/oakcroft/cli.py
@@ -13,14 +13,14 @@
 import trio
 
 from oakcroft.choice import Controller
-from oakcroft.commands import catalogue, state, status
+from oakcroft.commands import catalogue, fleet, state, status
 from oakcroft.config import compare, explain as explaining, reference
 from oakcroft.config.compile import Meaning, check as check_config, load_meaning, told
 from oakcroft.config.expand import Folder
 from oakcroft.config.format import fmt
 from oakcroft.config.problems import Grade, Problems, Unsound
 from oakcroft.config.told import Deployment
-from oakcroft.decisions.routing import Asked, Side
+from oakcroft.decisions.routing.routing import Asked, Side
 from oakcroft.front.helm import Decide
 from oakcroft.running.collections import spare_collections
 from oakcroft.running.logs import set_up
@@ -88,7 +88,7 @@
     sys.exit(serve_file(file))
 
 
-for command in (state, catalogue, status):
+for command in (state, catalogue, status, fleet):
     main.add_command(command)
 
 
