Rehearse a split fleet: eight fronts, a network that cuts, disks that fill; judge the view

Need: how the processes behave together when some fail has to be shown on the running program, and judged from outside. Planted faults (a front that never forgets, one that resurrects the dead, one that calls the living gone) are found by tests. Found on the way: a log on a full disk raised in whatever was logging; running/logs.py now loses the line and says how many with the next that can be written (test).

--- a/oakcroft/cli.py
+++ b/oakcroft/cli.py
@@ -235,7 +235,7 @@
 
 
 @main.command()
-@click.argument("file", required=False, type=FILE)
+@click.argument("file", required=False)
 @click.option("--seed", type=int, help="Play the day from another seed.")
 @click.option("--baseline/--no-baseline", default=True, help="Play the same day with the naive baseline too.")
 @click.option("--day", "bench_day", type=FILE, help="Play the troubles of a day file as the bench draws it.")
@@ -246,7 +246,7 @@
 @click.option("--state", "with_state", is_flag=True, help="Fronts keep a state file over their deaths.")
 @click.option("--patient", is_flag=True, help="Players look for their sessions again when a front dies.")
 def rehearse(
-    file: Path | None,
+    file: str | None,
     seed: int | None,
     baseline: bool,
     bench_day: Path | None,
@@ -257,7 +257,7 @@
 ) -> None:
     """Play a day FILE through real fronts on loopback and judge the rules from the sockets.
 
-    Without FILE, the shipped bad day is played.
+    FILE may be the name of a shipped day, bad-day or split-fleet; without it the bad day is played.
     """
     from oakcroft.rehearsal import report, runner
     from oakcroft.rehearsal.bench_day import translate
@@ -272,10 +272,11 @@
                 click.echo(note)
             name = bench_day.stem
         else:
-            source = file or Path(__file__).parent / "rehearsal" / "bad-day.oak"
+            shipped = Path(__file__).parent / "rehearsal" / f"{file or 'bad-day'}.oak"
+            source = shipped if shipped.exists() else Path(file or "")
             body, name = source.read_text(encoding="utf-8"), source.stem
         plot = parse(body, name)
-    except (Unsound, ValueError) as fault:
+    except (Unsound, ValueError, OSError) as fault:
         click.echo(str(fault), err=True)
         sys.exit(FAULTY)
     if seed is not None:
--- a/oakcroft/rehearsal/runner.py
+++ b/oakcroft/rehearsal/runner.py
@@ -4,24 +4,31 @@
 from __future__ import annotations
 
 import os
+import resource
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import Random
 
 import orjson
 import trio
 
+from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.running.clock import Clock
 from oakcroft.rehearsal.viewers import Audience, Tally
+from oakcroft.rulecheck.fleet import judge_view
 from oakcroft.rulecheck.rules import Fact, Finding, judge
-from oakcroft.standins.day import FRONT_FAULTS, Day, Fault
+from oakcroft.standins.between import Between
+from oakcroft.standins.day import FRONT_FAULTS, PEER_FAULTS, Day, Fault
 from oakcroft.standins.record import Record, read
 
 SETTLE = 6.5  # a front paces every node for its first six seconds, as it cannot know which are warm
+TOKEN = "rehearsal-operators"
 Say = Callable[[str], None]
 
 
@@ -56,6 +63,7 @@
     process: trio.Process | None = None
     port: int = 0
     running: bool = False
+    full: bool = False  # its disk
 
 
 class Rehearsal:
@@ -71,6 +79,7 @@
         self.fronts: list[FrontProcess] = []
         self.list_port = 0
         self.failures: list[str] = []
+        self.between = network(len(day.fronts), day.seed) if day.peers else None
 
     async def run(self) -> Outcome:
         """Plays the day and judges it."""
@@ -80,12 +89,23 @@
         begin = trio.current_time() + SETTLE + 2.5
         start = clock.now() + round((SETTLE + 2.5) * 1e9)
         fleet = await self._fleet(start)
+        async with trio.open_nursery() as net:
+            if self.between is not None:
+                await net.start(self.between.run)
+            await self._play(fleet, begin, net)
+            net.cancel_scope.cancel()
+        self.record.close()
+        return self._outcome()
+
+    async def _play(self, fleet: trio.Process, begin: float, net: trio.Nursery) -> None:
         try:
             for number in range(len(self.day.fronts)):
                 self.fronts.append(self._front_file(number))
             async with trio.open_nursery() as nursery:
                 for front in self.fronts:
                     nursery.start_soon(self._boot, front)
+            if self.between is not None:
+                net.start_soon(self._watch, self.between)
             late = trio.current_time() + SETTLE - begin
             if late > 0:
                 self.failures.append(f"the fronts were up {late:.1f} s too late for this machine")
@@ -100,7 +120,8 @@
         finally:
             with trio.CancelScope(shield=True):
                 await self._stop(fleet)
-        self.record.close()
+
+    def _outcome(self) -> Outcome:
         facts = read(self.folder / "viewers.jsonl") + read(self.folder / "fleet.jsonl")
         earned: dict[str, float] = next((f["plans"] for f in facts if f["kind"] == "earned"), {})
         self.failures += [f"{f['path']}: {f['error']}" for f in facts if f["kind"] == "stand-in failed"]
@@ -109,6 +130,8 @@
         )
         falls = sum(f["kind"] == "fell" for f in facts)
         findings = judge(facts, self.day.site)
+        if self.day.peers:
+            findings += judge_view(facts, {i: f"f{i}" for i in range(len(self.day.fronts))})
         outcome = Outcome(
             self.day, self.policy, findings, self.audience.tally, earned, faults, self.failures, falls
         )
@@ -139,8 +162,20 @@
     def _write(self, front: FrontProcess) -> None:
         kept = self.folder / f"front-{front.number}.list"
         state = f'(state "{self.folder / f"front-{front.number}.state"}")' if self.state else ""
+        peers = ""
+        if self.between is not None:
+            name = f"f{front.number}"
+            (host, number), (relay, _) = self.between.fronts[name], self.between.relays[name]
+            key = self.folder / "peers.key"
+            key.write_text("5a" * 32)
+            seeds = " ".join(f'"{h}:{p}"' for h, p in list(self.between.relays.values())[:2])
+            start = self.folder / f"front-{front.number}.start"
+            peers = (
+                f'(operators (secret "{TOKEN}")) (peers (name {name}) (listen "{host}:{number}") (seeds {seeds})\n'
+                f'  (advertise "{relay}:{number}") (key-file "{key}") (starts "{start}"))\n'
+            )
         front.file.write_text(
-            f"(front (number {front.number}) (seed {self.day.seed * 1000 + front.number})\n"
+            f"{peers}(front (number {front.number}) (seed {self.day.seed * 1000 + front.number})\n"
             f'  (listen "127.0.0.1:{front.port}") (list-service "127.0.0.1:{self.list_port}") (kept "{kept}") {state}\n'
             f'  (zone "{self.day.fronts[front.number]}"))\n{self.day.site_text}\n'
         )
@@ -160,6 +195,8 @@
             return
         front.port = int(line.split(b":")[-1])
         front.running = True
+        if front.full:
+            self._fill(front, True)
         self.audience.ports[front.number] = front.port
         self.record.note("front started", front=front.number)
 
@@ -186,6 +223,17 @@
         if fault.kind == "front-stall":
             await self._stalls(chosen, fault)
             return
+        if fault.kind in PEER_FAULTS:
+            await self._befall(chosen, fault)
+            return
+        if fault.size > 0.5:  # all in one moment
+            for front in chosen:
+                self._kill(front)
+            await trio.sleep(max(0.2, fault.extra))
+            async with trio.open_nursery() as nursery:
+                for front in chosen:
+                    nursery.start_soon(self._boot, front)
+            return
         gap = fault.length / 1e9 / max(1, len(chosen))
         for front in chosen:  # one after the other, each down for `extra` seconds
             self._kill(front)
@@ -213,6 +261,75 @@
             for i, front in enumerate(chosen):
                 nursery.start_soon(one, front, i * fault.extra / max(1, len(chosen)))
 
+    async def _befall(self, chosen: list[FrontProcess], fault: Fault) -> None:
+        """What befalls fronts beside their deaths: the network between them, their own standing still, their disks."""
+        names, others = (
+            {f"f{f.number}" for f in chosen},
+            {f"f{f.number}" for f in self.fronts if f not in chosen},
+        )
+        numbers = sorted(f.number for f in chosen)
+        self.record.note(fault.kind, fronts=numbers, phase="begins", one_way=fault.size > 0.5)
+        if fault.kind == "cut" and self.between is not None:
+            self.between.cut(names, others)
+            self.between.cut(others, names, fault.size <= 0.5)
+        elif fault.kind == "lose" and self.between is not None:
+            for one in names:
+                for other in names | others:
+                    ails = self.between.on(one, other)
+                    ails.lose, ails.late = fault.size, (0.0, fault.extra)
+        for front in chosen:
+            if fault.kind == "stand" and front.running and front.process is not None:
+                self.record.note("front stands still", front=front.number)
+                front.process.send_signal(signal.SIGSTOP)
+            elif fault.kind == "fill":
+                self._fill(front, True)
+            elif fault.kind == "wipe":
+                for kept in ("start", "state", "state-wal", "state-shm", "list"):
+                    (self.folder / f"front-{front.number}.{kept}").unlink(missing_ok=True)
+        await trio.sleep(fault.length / 1e9)
+        if fault.kind in ("cut", "lose") and self.between is not None:
+            self.between.heal()
+        for front in chosen:
+            if fault.kind == "stand" and front.running and front.process is not None:
+                front.process.send_signal(signal.SIGCONT)
+                self.record.note("front goes on", front=front.number)
+            elif fault.kind == "fill":
+                self._fill(front, False)
+        self.record.note(fault.kind, fronts=numbers, phase="ends", one_way=fault.size > 0.5)
+
+    def _fill(self, front: FrontProcess, full: bool) -> None:
+        """No file of a front may grow, its log's neither, in this life and those that follow."""
+        front.full = full
+        if front.running and front.process is not None:
+            most = resource.getrlimit(resource.RLIMIT_FSIZE)[1]
+            resource.prlimit(front.process.pid, resource.RLIMIT_FSIZE, (0 if full else most, most))
+
+    async def _watch(self, between: Between) -> None:
+        """Asks each front how it sees the others, twice a second, and puts what it says on record."""
+        async with trio.open_nursery() as nursery:
+            for front in self.fronts:
+                nursery.start_soon(self._ask_view, front)
+
+    async def _ask_view(self, front: FrontProcess) -> None:
+        while True:
+            await trio.sleep(0.5)
+            if not front.running:
+                continue
+            port, peer = front.port, Peer("127.0.0.1", front.port, connect_within=0.5)
+            try:
+                with trio.move_on_after(1):
+                    said = await peer.ask(
+                        "GET", "/operators/fleet", [("Authorization", f"Bearer {TOKEN}")], b""
+                    )
+                    view = orjson.loads(said.body)
+                    if port == front.port and said.status == 200:
+                        standings = {m["name"]: [m["standing"], m["start"]] for m in view["members"]}
+                        self.record.note("seen", front=front.number, start=view["start"], members=standings)
+            except (Ended, orjson.JSONDecodeError):
+                pass
+            finally:
+                await peer.close()
+
     def _kill(self, front: FrontProcess) -> None:
         if front.running and front.process is not None:
             front.running = False
@@ -243,6 +360,16 @@
             self.failures.append("the fleet did not end")
 
 
+def network(fronts: int, seed: int) -> Between:
+    """A network between so many fronts, on addresses of this machine that differ by front."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.71.1", 0))
+        port = probe.getsockname()[1]
+    listen = {f"f{i}": (f"127.0.71.{i + 1}", port) for i in range(fronts)}
+    relays = {f"f{i}": (f"127.0.72.{i + 1}", port) for i in range(fronts)}
+    return Between(listen, relays, Random(seed))
+
+
 async def _line(stream: trio.abc.ReceiveStream, seconds: float) -> bytes:
     """The first line of a process, b"" if none came in time."""
     got = b""
--- a/oakcroft/running/logs.py
+++ b/oakcroft/running/logs.py
@@ -4,7 +4,7 @@
 
 import sys
 import time
-from typing import Any, TextIO
+from typing import Any, BinaryIO, TextIO, cast
 
 import orjson
 import structlog
@@ -44,12 +44,54 @@
         return event
 
 
+class Spared:
+    """An output that is lost where it can't be written, and says with the next line that can how much was.
+
+    Guards against a full disk under the log, which would otherwise fail whatever was being done when a line was due;
+    covers a pipe that nobody reads any more. Harm: what was not written is not told.
+    """
+
+    def __init__(self, out: Any) -> None:
+        self.out, self.lost = out, 0
+
+    def write(self, text: Any) -> int:
+        """Writes, or counts."""
+        try:
+            written = int(self.out.write(text) or 0)
+        except (OSError, ValueError):
+            self.lost += 1
+            return 0
+        self.lost = 0
+        return written
+
+    def flush(self) -> None:
+        """What is buffered goes out, or is lost with what it holds."""
+        try:
+            self.out.flush()
+        except (OSError, ValueError):
+            self.lost += 1
+
+    def told(self, _: Any, __: str, event: structlog.typing.EventDict) -> structlog.typing.EventDict:
+        """Puts into the next line how many were lost."""
+        if self.lost:
+            event["unwritten"] = self.lost
+        return event
+
+
+def unbuffered(out: TextIO) -> Any:
+    """The raw file under a text stream: a buffer keeps what could not be written and fails again with each later
+    line."""
+    return getattr(out.buffer, "raw", out.buffer)
+
+
 def set_up(
     form: str, front: int, out: TextIO = sys.stderr, most: int = 1_000_000
 ) -> structlog.typing.FilteringBoundLogger:
     """The program's logger, on standard error and with any number of lines a second where nothing else is said."""
+    spared = Spared(out if form == "console" else unbuffered(out))
     shared: list[Any] = [
         Rate(most),
+        spared.told,
         structlog.contextvars.merge_contextvars,
         structlog.processors.add_log_level,
         structlog.processors.TimeStamper(fmt="iso", utc=True),
@@ -60,14 +102,14 @@
         structlog.configure(
             processors=[*shared, structlog.dev.ConsoleRenderer(colors=out.isatty())],
             wrapper_class=structlog.make_filtering_bound_logger(20),
-            logger_factory=structlog.PrintLoggerFactory(out),
+            logger_factory=structlog.PrintLoggerFactory(cast(TextIO, spared)),
             cache_logger_on_first_use=True,
         )
     else:
         structlog.configure(
             processors=[*shared, structlog.processors.JSONRenderer(serializer=orjson.dumps)],
             wrapper_class=structlog.make_filtering_bound_logger(20),
-            logger_factory=structlog.BytesLoggerFactory(out.buffer),
+            logger_factory=structlog.BytesLoggerFactory(cast(BinaryIO, spared)),
             cache_logger_on_first_use=True,
         )
     logger: structlog.typing.FilteringBoundLogger = structlog.get_logger().bind(front=front)
--- a/oakcroft/standins/day.py
+++ b/oakcroft/standins/day.py
@@ -31,7 +31,8 @@
     "deploy", "preempt", "zone-loss", "zone-cut",
 )  # fmt: skip
 LIST_FAULTS = ("list-empty", "list-broken", "list-down")
-FRONT_FAULTS = ("front-kill", "front-stall")
+PEER_FAULTS = ("cut", "lose", "stand", "fill", "wipe")
+FRONT_FAULTS = ("front-kill", "front-stall", *PEER_FAULTS)
 VIEWER_FAULTS = ("crowd",)
 FAULTS = NODE_FAULTS + LIST_FAULTS + FRONT_FAULTS + VIEWER_FAULTS
 
@@ -93,6 +94,7 @@
     setup: tuple[int, int]
     crowd: Crowd
     faults: tuple[Fault, ...]
+    peers: bool = False  # whether the fronts speak to each other
 
     def seeded(self, seed: int) -> Day:
         """The same day from another seed."""
@@ -151,6 +153,7 @@
         Field("setup", "how long a node takes for a set-up, between", TIMES, (5 * MS, 20 * MS), most=2),
         Field("uplinks", "of each rack", RATES, (), most=10_000),
         Field("guard", "a node answers full while so much of its link is asked; 0: never", NUMBER, 0.0),
+        Field("peers", "whether the fronts keep a view of each other", choice("answer", ("yes", "no")), "no"),
         Field("stall", "points of worth lost for each point of the rate that is missing", NUMBER, 7.0),
         Field("node", NODE.doc, form=NODE, repeats=True, required=True),
         Field("viewers", VIEWERS.doc, form=VIEWERS, required=True),
@@ -228,11 +231,11 @@
         "wing": set(fronts),
         "front": {str(i) for i in range(len(fronts))},
     }
-    faults = [_fault(f, known, problems) for f in record.get("fault") or []]
+    faults = [_fault(f, known, record.get("peers") == "yes", problems) for f in record.get("fault") or []]
     return Day(
         name, record.get("length"), record.get("seed"), site, text, fronts, nodes, uplinks, (late[0], late[-1]),
         record.get("guard"), record.get("stall"), (setup[0], setup[-1]), crowd,
-        tuple(sorted(faults, key=lambda x: (x.at, x.kind, x.on))),
+        tuple(sorted(faults, key=lambda x: (x.at, x.kind, x.on))), record.get("peers") == "yes",
     )  # fmt: skip
 
 
@@ -240,8 +243,14 @@
     return NodePlace(r.head, r.get("wing"), r.get("cell"), r.get("link"), r.get("places"))
 
 
-def _fault(r: Record, known: dict[str, set[str]], problems: Problems) -> Fault:
+def _fault(r: Record, known: dict[str, set[str]], peers: bool, problems: Problems) -> Fault:
     fault = Fault(r.head, r.get("at"), r.get("for"), tuple(r.get("on")), r.get("size"), r.get("extra"))
+    if fault.kind in ("cut", "lose") and not peers:
+        problems.error(
+            r.place,
+            f"{fault.kind} befalls what fronts say to each other, and they have no peers",
+            "add (peers yes)",
+        )
     kind = "wing" if fault.kind.startswith("zone") else "front" if fault.kind in FRONT_FAULTS else "node"
     for name in fault.on if fault.kind not in LIST_FAULTS + VIEWER_FAULTS else ():
         if name not in known[kind]:
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -4,11 +4,16 @@
 from __future__ import annotations
 
 import copy
+import io
+from collections.abc import Callable
 from dataclasses import replace
 from itertools import permutations
 from random import Random
+from typing import Any, BinaryIO, cast
 
+import orjson
 import pytest
+import structlog
 from hypothesis import given, strategies as st
 
 from oakcroft.decisions.admission.limits import Ledger, Limit, Scope
@@ -18,6 +23,8 @@
 from oakcroft.decisions.fleet.view import KEPT_GONE, MOST_FORMER, MOST_MEMBERS, MOST_NEWS, Kind, View
 from oakcroft.interface import MS, SECOND
 from oakcroft.rehearsal.many_views import Net, fleet
+from oakcroft.rulecheck.fleet import judge_view
+from oakcroft.running.logs import Spared
 
 ALIVE, SUSPECTED, GONE, LEFT = Standing
 SECRET = b"s" * 16
@@ -410,3 +417,106 @@
     net.cut = lambda _one, _other: False
     assert net.run(20 * SECOND, net.settled)
     assert total() == pytest.approx(rate)
+
+
+# The check from outside, and faults that it must find.
+
+
+def asked(net: Net, seconds: int) -> list[dict[str, Any]]:
+    """Plays on, and asks every process twice a second how it sees the others."""
+    facts = []
+    for _ in range(2 * seconds):
+        net.run(SECOND // 2)
+        for process in net.living():
+            members = {
+                n: [m.news.standing.name.lower(), m.news.start] for n, m in process.view.members.items()
+            }
+            facts.append({"t": net.now, "kind": "seen", "front": int(process.name[1:]), "members": members})
+    return facts
+
+
+def judged(plant: Callable[[Net], None]) -> dict[int, int]:
+    """A fleet of six, one of which dies and comes back, two cut off for a while: breaches by property."""
+    net = fleet(6, 20)
+    plant(net)
+    facts = asked(net, 5)
+    facts.append({"t": net.now, "kind": "front killed", "front": 5})
+    net.kill("f5")
+    facts += asked(net, 25)
+    facts.append({"t": net.now, "kind": "front started", "front": 5})
+    net.add("f5", (("host-f0", 1),))
+    facts += asked(net, 15)
+    facts.append({"t": net.now, "kind": "cut", "phase": "begins", "fronts": [0, 1], "one_way": False})
+    net.cut = lambda one, other: (one in ("f0", "f1")) != (other in ("f0", "f1"))
+    facts += asked(net, 15)
+    facts.append({"t": net.now, "kind": "cut", "phase": "ends", "fronts": [0, 1], "one_way": False})
+    net.cut = lambda _one, _other: False
+    facts += asked(net, 30)
+    found = judge_view(facts, {i: f"f{i}" for i in range(6)})
+    assert all(f.cases for f in found if f.rule != 13)
+    return {f.rule: len(f.breaches) for f in found if f.breaches}
+
+
+def test_a_sound_fleet_is_found_sound() -> None:
+    assert judged(lambda _: None) == {}
+
+
+def test_a_front_that_never_forgets_is_found() -> None:
+    def plant(net: Net) -> None:
+        net.processes["f3"].view._suspicions = lambda now: None  # type: ignore[method-assign]
+
+    assert judged(plant).keys() >= {12}
+
+
+def test_a_front_that_resurrects_the_dead_is_found() -> None:
+    def plant(net: Net) -> None:
+        view = net.processes["f2"].view
+        tick = view.tick
+
+        def ticks(now: int) -> None:
+            tick(now)
+            for member in view.members.values():
+                if member.news.standing is GONE and now - member.since > 3 * SECOND:
+                    member.news = replace(member.news, standing=ALIVE)
+
+        view.tick = ticks  # type: ignore[method-assign]
+
+    assert judged(plant).keys() >= {13}
+
+
+def test_a_front_that_calls_the_living_gone_is_found() -> None:
+    def plant(net: Net) -> None:
+        view = net.processes["f2"].view
+        tick = view.tick
+
+        def ticks(now: int) -> None:
+            tick(now)
+            view.members["f4"].news = replace(view.members["f4"].news, standing=GONE)
+
+        view.tick = ticks  # type: ignore[method-assign]
+
+    assert judged(plant).keys() >= {11}
+
+
+def test_nothing_asked_is_nothing_shown() -> None:
+    assert judge_view([], {0: "f0"})[0].breaches
+
+
+def test_a_log_on_a_full_disk_fails_nothing_and_says_what_was_lost() -> None:
+    class Full(io.BytesIO):
+        full = True
+
+        def write(self, text: Any) -> int:
+            if self.full:
+                raise OSError(28, "No space left on device")
+            return super().write(text)
+
+    out = Full()
+    spared = Spared(out)
+    processors = [spared.told, structlog.processors.JSONRenderer(serializer=orjson.dumps)]
+    log = structlog.wrap_logger(structlog.BytesLogger(cast(BinaryIO, spared)), processors=processors)
+    log.info("first")
+    log.info("second")
+    out.full = False
+    log.info("third")
+    assert orjson.loads(out.getvalue()) == {"event": "third", "unwritten": 2}
