Count a client that gives up on a front that stands still as excused, not as unanswered

Nobody was there to answer. Change: rule 1's check excuses and counts a cut by the client after the abandon time and within the pause; cuts before or after it stay breaches (tests).

--- a/oakcroft/rulecheck/rules.py
+++ b/oakcroft/rulecheck/rules.py
@@ -85,19 +85,23 @@
     """1: each request that a running front took has one final answer before its abandon time.
 
     A front that was made to stand still is not running: where the abandon time falls into such a pause, the answer
-    is due `AWAKE` after its end, and every such case is counted in `excused`.
+    is due `AWAKE` after its end, and every such case is counted in `excused`; so is one whose client cut its connection
+    after that time and within the pause, when nobody was there to answer or to cut.
     """
     found = Finding(1, "no playback lost")
     pauses = _pauses(facts)
     unreached = {f["key"] for f in facts if f["kind"] == "unreached"}
     answers: dict[str, list[Fact]] = defaultdict(list)
     left_at: dict[str, int] = {}
+    cut_at: dict[str, int] = {}
     deaths: dict[int, list[int]] = defaultdict(list)
     for f in facts:
         if f["kind"] == "got":
             answers[f["key"]].append(f)
         elif f["kind"] == "left":  # its viewer went of its own accord
             left_at[f["key"]] = f["t"]
+        elif f["kind"] == "cut" and "key" in f:
+            cut_at[f["key"]] = f["t"]
         elif f["kind"] == "front killed":
             deaths[f["front"]].append(f["t"])
     for f in facts:
@@ -116,6 +120,10 @@
         elif given and given[0]["t"] > until:
             found.breach(f"{key}: answered {(given[0]['t'] - until) / MS:.0f} ms after its abandon time")
         elif not given:
+            cut = cut_at.get(key, 0)
+            if cut > until and any(begin <= until and cut < end for begin, end in pauses[f["front"]]):
+                found.excused += 1
+                continue
             killed = any(f["t"] - SECOND <= d <= until for d in deaths[f["front"]])
             if not killed and left_at.get(key, until) >= until:
                 found.breach(f"{key}: no answer from front {f['front']}")
--- a/tests/test_rulecheck.py
+++ b/tests/test_rulecheck.py
@@ -93,6 +93,9 @@
     assert broken(pause, asked(20, "x"), got(5100, "x", 503)) == {}
     assert broken(pause, asked(20, "x"), got(5300, "x", 503)) == {1: 1}
     assert broken(pause, asked(2000, "x"), got(6100, "x", 503)) == {1: 1}
+    assert broken(pause, asked(20, "x"), at(4500, "cut", key="x", front=0, why="")) == {}
+    assert broken(pause, asked(20, "x"), at(5100, "cut", key="x", front=0, why="")) == {1: 1}
+    assert broken(pause, asked(20, "x"), at(3500, "cut", key="x", front=0, why="")) == {1: 1}
 
 
 def test_rule_2_twice_at_once_after_doubt_or_refused_after_doubt() -> None:
