--- a/oakcroft/platform/viewers.py
+++ b/oakcroft/platform/viewers.py
@@ -4,20 +4,20 @@
 
 import socket
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import structlog
 import trio
 
+from oakcroft.decisions.admission.patience import Stillness
 from oakcroft.interface import MS, SECOND
 from oakcroft.platform.link import Link, prepared
 from oakcroft.platform.ticket import Ticket
 from oakcroft.platformwire import asking, framing
+from oakcroft.platformwire.configuration import Configuration
 from oakcroft.platformwire.framing import Frames, Unreadable
 from oakcroft.running.clock import Clock
-
-if TYPE_CHECKING:
-    from oakcroft.platform.owner import Owner
+from oakcroft.running.inbox import Event
 
 FAILED = 41
 REFUSED = 42
@@ -30,6 +30,36 @@
 LOOK = 0.1
 
 
+class Owner(Protocol):
+    """What the viewers' side needs of the one that decides."""
+
+    told: Configuration
+    stillness: Stillness
+    held: int
+    most_held: int
+
+    def opened(self, link: ViewerLink) -> None:
+        """A connection has come."""
+
+    def count(self, what: str, why: str = "") -> None:
+        """Counts something that clients did wrong."""
+
+    async def tell(self, event: Event) -> None:
+        """Hands an event in, waiting for a place."""
+
+    def viewer_gone(self, link: ViewerLink) -> None:
+        """A connection is over."""
+
+    def released(self, link: ViewerLink, session: str) -> None:
+        """A viewer gives a set-up up, or ends a playback."""
+
+    def asked(
+        self, link: ViewerLink, session: str, written: int, plan_name: str, wait: int, name: str, home: int, copies: int,
+        top: int, description: str, at: str,
+    ) -> None:  # fmt: skip
+        """A set-up has come."""
+
+
 class ViewerLink(Link):
     """One connection from viewers, with the set-ups that are open on it."""
 
