--- a/oakcroft/peers/speaker.py
+++ b/oakcroft/peers/speaker.py
@@ -36,7 +36,7 @@
 MOST_STREAMS = 8  # exchanges at once, of others'
 STREAM_WITHIN = 2.0  # seconds for one
 KEYS_EVERY = 5.0
-VERSION = "0.2"
+VERSION = "0.2.0"
 LEAVES = 3  # times that the last word is said, so that a lost datagram does not lose it
 LEAVES_APART = 0.05
 
