--- a/oakcroft/decisions/fleet/suspicion.py
+++ b/oakcroft/decisions/fleet/suspicion.py
@@ -14,8 +14,8 @@
 from oakcroft.interface import MS, SECOND
 
 SHORTEST = 1_800 * MS
-"""Of a suspicion. A refutation passes the accused and comes back by gossip: at 200 fronts and 5% loss it took 0.2 s in the
-middle and 0.42 s at most of 193 (simulated, docs/fleet.md); four times that, for machines that are short of time."""
+"""Of a suspicion. A refutation passes the accused and comes back by gossip: at 200 fronts and 5% loss it took 0.2 s in
+the middle and 0.42 s at most of 193 (simulated, docs/fleet.md); four times that, for machines that are short of time."""
 
 LONGEST = 6 * SECOND
 """While nobody else finds the same. A fleet probes each member some three times a second in all, so that in a crash
