A front that plays nothing takes the ladder's middle for what plays, not its foot

Fronts that come back play nothing, so their mean rung is 0 and evenness lets the first playbacks start on rung 1 at most, each next one a rung higher. At fault: Controller.mean_rung, 0.0 at the start and whenever a front has no playback (choice.py, __init__ and _steps). Change: the middle of the ladder there; the link's marks still bound the rung, and a link that tells nothing counts as usual. Test: fails without it.

--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -78,7 +78,7 @@
         self.t2, self.t3, self.x, self.err, self.predicted = T2, T3, 0.0, 1.0, 0.0
         self.usual = USUAL  # load of a link that tells nothing: the mean of those that do
         self.due = terms.reports_every + terms.seen_after + TOO_OLD  # age of a report that is still fresh
-        self.blind, self.mean_rung = 0.0, 0.0  # how few nodes tell; of own playbacks
+        self.blind, self.mean_rung = 0.0, self._middle()  # how few nodes tell; of own playbacks
         self.held, self.links = 0.0, 1.0  # kB a second of own playbacks, and of all links
         self.held_then = deque([(now, 0.0)], maxlen=12)  # at the ends of intervals
         self.mode, self.asked = "open", Fading()  # and requests of late
@@ -314,7 +314,7 @@
     def _steps(self, ready: list[Node], now: int) -> None:
         """Playing rungs go down past T3 and up under T1, at a bounded pace."""
         rungs = [pb.rung for node in ready for pb in node.playbacks]
-        self.mean_rung = sum(rungs) / len(rungs) if rungs else 0.0
+        self.mean_rung = sum(rungs) / len(rungs) if rungs else self._middle()
         for node in [n for n in ready if n.playbacks]:
             playing = [pb for pb in node.playbacks if pb.state is State.PLAYING]
             load = self._load(node, now)
@@ -397,6 +397,11 @@
         else:
             self._give_up(pb, now)
 
+    def _middle(self) -> float:
+        """The rung taken for usual by a front that plays nothing. Guards against whole fleets that come back at the
+        ladder's foot, each for want of a playback to go by. Harm: with links full unheard, it starts too high."""
+        return float((len(self.terms.rates) - 1) // 2)
+
     def _start_rung(self, pb: Playback, node: Node, now: int) -> int:
         """The highest rung that keeps the link under its mark, which is lower for the ladder's upper half;
         and at most one over what plays there, or on this front where few play there, or the first to come
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -156,6 +156,15 @@
     assert fleet.ask().rung == 1
 
 
+def test_a_front_that_plays_nothing_starts_by_the_middle_of_the_ladder() -> None:
+    """Seen against the bench (herd+mass): fronts that came back began at the ladder's foot, one by one."""
+    fleet = Fleet(nodes=1)
+    fleet.nodes[0].heard, fleet.nodes[0].reported = True, 0.1
+    fleet.nodes[0].reported_at = fleet.now
+    fleet.nodes[0].level = 0.1
+    assert fleet.ask().rung == 2
+
+
 def test_squeezed_links_and_silent_nodes_leave_the_door_open() -> None:
     fleet = Fleet()
     for node, load in enumerate((0.5, 0.5, 5.0, 0.5)):
