Keep a fault among the peers from ending the front

Need: no part of the view may take a front down with all that it holds. An exception in a peer's task would have ended the process. Change: the part is begun anew after a second, with its view; the log has the trace ('peers failed'). A planted fault in what a datagram sets off is survived (test).

--- a/oakcroft/peers/speaker.py
+++ b/oakcroft/peers/speaker.py
@@ -37,6 +37,7 @@
 STREAM_WITHIN = 2.0  # seconds for one
 KEYS_EVERY = 5.0
 VERSION = "0.2.0"
+AGAIN = 1.0  # seconds, after a fault
 LEAVES = 3  # times that the last word is said, so that a lost datagram does not lose it
 LEAVES_APART = 0.05
 
@@ -70,6 +71,7 @@
         self.sent = self.taken = self.octets_out = 0
         self.second = self.in_second = 0
         self.sock: socket.socket | None = None
+        self.began = False
         self.sooner = trio.Event()
         self.streams = trio.CapacityLimiter(MOST_STREAMS)
         self.key_age = _age(place.key_file)
@@ -79,7 +81,21 @@
         return self.clock.now()
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Speaks until it is cancelled. OSError where the address can't be had."""
+        """Speaks until it is cancelled. OSError where the address can't be had at the start.
+
+        Guards the front against a fault in all of this: viewers are served on, and after `AGAIN` it speaks anew.
+        """
+        while True:
+            try:
+                await self._speak(task_status)
+            except Exception as fault:
+                if not self.began:
+                    raise
+                self.log.error("peers failed", error=repr(fault)[:300], exc_info=fault)
+            task_status = trio.TASK_STATUS_IGNORED
+            await trio.sleep(AGAIN)
+
+    async def _speak(self, task_status: trio.TaskStatus[None]) -> None:
         host, port = self.place.listen
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         with socket.socket(family, socket.SOCK_DGRAM) as self.sock:
@@ -100,6 +116,7 @@
                 nursery.start_soon(self._time)
                 nursery.start_soon(self._keys)
                 nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+                self.began = True
                 task_status.started()
 
     async def leave(self) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import io
 import os
 import resource
 import signal
@@ -19,12 +20,15 @@
 
 import orjson
 import pytest
+import structlog
 import trio
 from rig import DAY, SITE, run
 
 from oakcroft.config.compile import check
-from oakcroft.decisions.fleet.view import Kind
+from oakcroft.config.told import PeersPlace
+from oakcroft.decisions.fleet.view import Kind, View
 from oakcroft.httpwire.client import Ended, Peer
+from oakcroft.peers import speaker
 from oakcroft.peerwire.messages import Codec, Dropped, Stream
 from oakcroft.peerwire.sealing import LINGERS, BadKeys, Ring, keys_of
 from oakcroft.running.clock import Clock
@@ -316,3 +320,43 @@
     with pytest.raises(Dropped, match="not sealed"):
         Stream(codec).receive_data(b"\x00\x40" + os.urandom(64), 0)
     assert news("a", ALIVE).proof != SECRET
+
+
+def test_a_fault_among_the_peers_ends_neither_the_front_nor_its_part(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(speaker, "AGAIN", 0.01)
+    (tmp_path / "key").write_text(KEY)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.73.1", 0))
+        port = probe.getsockname()[1]
+    place = PeersPlace("a", ("127.0.73.1", port), ("127.0.73.1", port), (), str(tmp_path / "key"), "one", "")
+    log, codec = io.BytesIO(), Codec("one", Ring(keys_of(KEY)))
+
+    async def test() -> None:
+        logger = structlog.wrap_logger(
+            structlog.BytesLogger(log),
+            processors=[structlog.processors.JSONRenderer(serializer=orjson.dumps)],
+        )
+        peers = speaker.Peers(place, "w", 1, Clock(), logger)
+        view, failed = peers.view, list[int]()
+
+        def fails(_: View) -> None:  # once, within what a datagram sets off
+            if not failed:
+                failed.append(1)
+                raise RuntimeError("planted")
+
+        peers.changed = fails
+        async with trio.open_nursery() as nursery:
+            await nursery.start(peers.run)
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                for i in range(400):
+                    sock.sendto(codec.datagram(news("b"), Kind.PING, i, ("", 0), None, []), place.listen)
+                    if view.standing("b") is ALIVE:
+                        break
+                    await trio.sleep(0.01)
+            assert view.standing("b") is ALIVE
+            nursery.cancel_scope.cancel()
+
+    run(test, 20)
+    assert b"planted" in log.getvalue()
