Show that a view full of lies breaks no rule

A member that holds the key sends a front lies without end (all gone, left, newer starts, the front itself another) while 60 viewers ask it; the six rules are judged from the sockets and kept.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -22,10 +22,11 @@
 import pytest
 import structlog
 import trio
-from rig import DAY, SITE, run
+from rig import DAY, SITE, run, standing, until
 
 from oakcroft.config.compile import check
 from oakcroft.config.told import PeersPlace
+from oakcroft.decisions.fleet.member import Standing
 from oakcroft.decisions.fleet.view import Kind, View
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.peers import speaker
@@ -38,6 +39,7 @@
 from oakcroft.standins.record import Record
 from test_view import ALIVE, SECRET, news
 
+
 KEY, OTHER = "11" * 32, "22" * 32
 TOKEN = "operators-secret"
 
@@ -360,3 +362,50 @@
 
     run(test, 20)
     assert b"planted" in log.getvalue()
+
+
+def test_a_view_full_of_lies_breaks_no_rule(tmp_path: Path) -> None:
+    """A member that holds the key says by the hundred that all have gone, left, come anew, that this front is another."""
+    (tmp_path / "key").write_text(KEY)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.74.1", 0))
+        at = probe.getsockname()[:2]
+    extra = f'(peers (name a) (listen "{at[0]}:{at[1]}") (key-file "{tmp_path}/key")) (limit all (on all) (rate 500/s))'
+    codec, rng = Codec("oakcroft", Ring(keys_of(KEY))), Random(1)
+
+    async def test() -> None:
+        async with standing(tmp_path, extra=extra) as rig, trio.open_nursery() as nursery:
+            said = [0]
+
+            async def lie() -> None:
+                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                    while True:
+                        some = [
+                            news(rng.choice(["a", *(f"x{i}" for i in range(50))]), rng.choice(list(Standing)),
+                                 rng.randrange(1 << 39), rng.randrange(1, 1 << 55), "liar")
+                            for _ in range(12)
+                        ]  # fmt: skip
+                        kind = rng.choice([Kind.PING, Kind.ACK, Kind.ASK, Kind.TELL])
+                        about = ("x1", 1, ("127.0.74.2", 9)) if kind is Kind.ASK else None
+                        sock.sendto(
+                            codec.datagram(news("liar"), kind, rng.randrange(1 << 40), ("a", 0), about, some),
+                            at,
+                        )
+                        said[0] += 1
+                        await trio.sleep(0.001)
+
+            nursery.start_soon(lie)
+            for i in range(60):
+                answer = await nursery.start(
+                    rig.viewer, f"k{i}", ("/whep/course/t", "/whep/open/t", "/whep/seats/t")[i % 3]
+                )
+                assert answer is None
+                await trio.sleep(0.01)
+            asked = {f["key"] for f in rig.facts("ask")}
+            await until(lambda: {f["key"] for f in rig.facts("got")} == asked)
+            assert said[0] > 100
+            assert [f for f in rig.facts("got") if f["status"] == 201]
+            rig.judged()
+            nursery.cancel_scope.cancel()
+
+    run(test, 40)
