--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import io
 import os
 import resource
 import signal
@@ -19,12 +20,16 @@
 
 import orjson
 import pytest
+import structlog
 import trio
-from rig import DAY, SITE, run
+from rig import DAY, SITE, run, standing, until
 
 from oakcroft.config.compile import check
-from oakcroft.decisions.fleet.view import Kind
+from oakcroft.config.told import PeersPlace
+from oakcroft.decisions.fleet.member import Standing
+from oakcroft.decisions.fleet.view import Kind, View
 from oakcroft.httpwire.client import Ended, Peer
+from oakcroft.peers import speaker
 from oakcroft.peerwire.messages import Codec, Dropped, Stream
 from oakcroft.peerwire.sealing import LINGERS, BadKeys, Ring, keys_of
 from oakcroft.running.clock import Clock
@@ -34,6 +39,7 @@
 from oakcroft.standins.record import Record
 from test_view import ALIVE, SECRET, news
 
+
 KEY, OTHER = "11" * 32, "22" * 32
 TOKEN = "operators-secret"
 
@@ -316,3 +322,90 @@
     with pytest.raises(Dropped, match="not sealed"):
         Stream(codec).receive_data(b"\x00\x40" + os.urandom(64), 0)
     assert news("a", ALIVE).proof != SECRET
+
+
+def test_a_fault_among_the_peers_ends_neither_the_front_nor_its_part(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(speaker, "AGAIN", 0.01)
+    (tmp_path / "key").write_text(KEY)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.73.1", 0))
+        port = probe.getsockname()[1]
+    place = PeersPlace("a", ("127.0.73.1", port), ("127.0.73.1", port), (), str(tmp_path / "key"), "one", "")
+    log, codec = io.BytesIO(), Codec("one", Ring(keys_of(KEY)))
+
+    async def test() -> None:
+        logger = structlog.wrap_logger(
+            structlog.BytesLogger(log),
+            processors=[structlog.processors.JSONRenderer(serializer=orjson.dumps)],
+        )
+        peers = speaker.Peers(place, "w", 1, Clock(), logger)
+        view, failed = peers.view, list[int]()
+
+        def fails(_: View) -> None:  # once, within what a datagram sets off
+            if not failed:
+                failed.append(1)
+                raise RuntimeError("planted")
+
+        peers.changed = fails
+        async with trio.open_nursery() as nursery:
+            await nursery.start(peers.run)
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                for i in range(400):
+                    sock.sendto(codec.datagram(news("b"), Kind.PING, i, ("", 0), None, []), place.listen)
+                    if view.standing("b") is ALIVE:
+                        break
+                    await trio.sleep(0.01)
+            assert view.standing("b") is ALIVE
+            nursery.cancel_scope.cancel()
+
+    run(test, 20)
+    assert b"planted" in log.getvalue()
+
+
+def test_a_view_full_of_lies_breaks_no_rule(tmp_path: Path) -> None:
+    """A member that holds the key says by the hundred that all have gone, left, come anew, that this front is another."""
+    (tmp_path / "key").write_text(KEY)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.74.1", 0))
+        at = probe.getsockname()[:2]
+    extra = f'(peers (name a) (listen "{at[0]}:{at[1]}") (key-file "{tmp_path}/key")) (limit all (on all) (rate 500/s))'
+    codec, rng = Codec("oakcroft", Ring(keys_of(KEY))), Random(1)
+
+    async def test() -> None:
+        async with standing(tmp_path, extra=extra) as rig, trio.open_nursery() as nursery:
+            said = [0]
+
+            async def lie() -> None:
+                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                    while True:
+                        some = [
+                            news(rng.choice(["a", *(f"x{i}" for i in range(50))]), rng.choice(list(Standing)),
+                                 rng.randrange(1 << 39), rng.randrange(1, 1 << 55), "liar")
+                            for _ in range(12)
+                        ]  # fmt: skip
+                        kind = rng.choice([Kind.PING, Kind.ACK, Kind.ASK, Kind.TELL])
+                        about = ("x1", 1, ("127.0.74.2", 9)) if kind is Kind.ASK else None
+                        sock.sendto(
+                            codec.datagram(news("liar"), kind, rng.randrange(1 << 40), ("a", 0), about, some),
+                            at,
+                        )
+                        said[0] += 1
+                        await trio.sleep(0.001)
+
+            nursery.start_soon(lie)
+            for i in range(60):
+                answer = await nursery.start(
+                    rig.viewer, f"k{i}", ("/whep/course/t", "/whep/open/t", "/whep/seats/t")[i % 3]
+                )
+                assert answer is None
+                await trio.sleep(0.01)
+            asked = {f["key"] for f in rig.facts("ask")}
+            await until(lambda: {f["key"] for f in rig.facts("got")} == asked)
+            assert said[0] > 100
+            assert [f for f in rig.facts("got") if f["status"] == 201]
+            rig.judged()
+            nursery.cancel_scope.cancel()
+
+    run(test, 40)
