Count the files of a fault cycle at rest, not between two event streams

Checked: printed beside each stock how many connections each stand-in held. At rest a cycle leaves one event stream a node and one list poll; the stock was taken right after the node's sides of the streams had been reset, at times before the front had asked for new ones. Nothing of the front leaks: the last stock was the usual one, the second too small. At fault: the test, which waited for a state (HEARD) that the old stream still had. Change: a stock is taken once each node's one stream was asked for after the reset and nothing else is open, and the last stock is compared at once, where 8 s of waiting could hide a slow leak.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -484,6 +484,30 @@
     }  # fmt: skip
 
 
+async def at_rest(rig: Rig) -> None:
+    """Until nothing is open but what stands for good: one event stream to each node, asked for anew since its old one was
+    reset. Guards the count of files against a moment between two streams, or an errand's connection that lies idle."""
+    nodes, legs = rig.fleet.nodes.values(), rig.helm().legs
+    for node in nodes:
+        for stream in list(node.streams):
+            reset(stream)
+    since = rig.helm().clock.now()
+
+    def rests() -> bool:
+        heard = all(leg.asked_at > since and leg.lifeline.state is Life.HEARD for leg in legs.values())
+        alone = all(
+            len(node.streams) == 1 and sum(e.send is not None for e in node.ears.values()) == 1
+            for node in nodes
+        )
+        return heard and alone and not (rig.front and rig.front.door and rig.front.door.guests)
+
+    with trio.fail_after(10):
+        while not rests():
+            for leg in legs.values():
+                await leg.peer.close()
+            await trio.sleep(0.01)
+
+
 def test_many_cycles_of_faults_give_back_sockets_tasks_seats_and_memory(tmp_path: Path) -> None:
     async def test() -> None:
         async with standing(tmp_path, state=True) as rig:
@@ -491,23 +515,10 @@
             stocks = list[dict[str, int]]()
             for number in range(8):
                 await cycle(rig, number)
-                for node in rig.fleet.nodes.values():  # what the stand-ins keep open is theirs
-                    for stream in list(node.streams):
-                        reset(stream)
-                await until(lambda: all(leg.lifeline.state is Life.HEARD for leg in rig.helm().legs.values()))
-                for leg in rig.helm().legs.values():
-                    await leg.peer.close()
-                await until(lambda: not (rig.front and rig.front.door and rig.front.door.guests))
+                await at_rest(rig)
                 stocks.append(stock(rig))
-
-            def grown() -> dict[str, int]:
-                last = stock(rig)
-                return {k: last[k] - n for k, n in stocks[1].items() if last[k] - n > 2}
-
-            with trio.move_on_after(8):  # a connection may be closing still; what has leaked never goes
-                while grown():
-                    await trio.sleep(0.05)
-            assert grown() == {}, stocks
+            last = stocks[-1]
+            assert {k: last[k] - n for k, n in stocks[1].items() if last[k] - n > 2} == {}, stocks
             rig.judged()
 
     run(test, 60)
