--- a/oakcroft/cli.py
+++ b/oakcroft/cli.py
@@ -21,7 +21,7 @@
 from oakcroft.config.problems import Grade, Problems, Unsound
 from oakcroft.config.told import Deployment
 from oakcroft.decisions.routing.routing import Asked, Side
-from oakcroft.front.helm import Decide
+from oakcroft.front.steering import Decide
 from oakcroft.running.collections import spare_collections
 from oakcroft.running.logs import set_up
 from oakcroft.front.serve import Front
--- /dev/null
+++ b/oakcroft/front/hearing.py
@@ -0,0 +1,114 @@
+"""What nodes tell: their event streams, what each word means for playbacks there, and when a node counts as lost."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import structlog
+
+from oakcroft.decisions.sessions.lifeline import Loss
+from oakcroft.front.nodeleg import NodeLeg, Told, sound
+from oakcroft.front.steering import Moving, Steering
+from oakcroft.interface import Note, Outcome
+
+
+class Hearing:
+    """The nodes' words, as one front takes them."""
+
+    def __init__(self, helm: Steering, moves: Moving, log: structlog.typing.FilteringBoundLogger) -> None:
+        self.helm, self.moves, self.log = helm, moves, log
+
+    def follow(self, leg: NodeLeg, events: str) -> None:
+        """Keeps the event stream of a node open from now on."""
+        if events and leg.events != events:
+            leg.events = events
+        if leg.events:
+            if not leg.wake.is_set():
+                leg.lifeline.wanted(self.helm.clock.now())
+            leg.wake.set()
+            if not leg.watched:
+                leg.watched = True
+                self.helm.nursery.start_soon(leg.watch, partial(self._hear, leg), partial(self._lost, leg))
+
+    async def _hear(self, leg: NodeLeg, name: str, told: Told) -> None:
+        await self.helm.tell(partial(self._heard, leg, name, told, leg.asked_at))
+
+    def _heard(self, leg: NodeLeg, name: str, told: Told, asked_at: int) -> None:
+        now = self.helm.clock.now()
+        node = self.helm.roster.nodes.get(leg.name)
+        if name == "hello":
+            if self.helm.memory is not None:
+                self.helm.memory.word(leg, told, asked_at)
+            missing = leg.claims.told(told.sessions, asked_at, now)
+            if missing:
+                self.log.warning(
+                    "node lost",
+                    node=leg.name,
+                    why=told.why or "sessions ended unheard",
+                    playbacks=len(missing),
+                )
+            for session in missing:
+                v = self.helm.upstreams.get((leg.name, session))
+                away = v is not None and self.helm.memory is not None and self.helm.memory.ended_away(v)
+                self._session_over(leg, session, Outcome.DONE if away else Outcome.RESET)
+            for session, rung in zip(told.sessions, told.rungs, strict=False):
+                self._rung_told(leg, session, rung, now)
+        elif name == "started":
+            leg.claims.started(told.session, now)
+        elif name == "ended":
+            if leg.claims.ended(told.session):
+                self._session_over(leg, told.session, Outcome.DONE)
+        elif name == "rung":
+            self._rung_told(leg, told.session, told.rung, now)
+        elif node is not None and node.playbacks:
+            pb = next(iter(node.playbacks))
+            if name == "share" and sound(told.share):
+                others = [n.short for n in self.helm.roster.nodes.values() if n is not node and n.playbacks]
+                usual = sum(others) / len(others) if others else 0.0
+                self.moves.shared(leg.name, min(1.0, told.share), usual, now)
+                self.helm.controller.noted(pb, Note.DELIVERED, min(1.0, told.share), now)
+            elif name == "link":
+                if told.asked is not None and sound(told.asked):
+                    self.helm.controller.noted(pb, Note.LINK_ASKED, told.asked, now)
+                if told.uplink is not None and sound(told.uplink):
+                    self.helm.controller.noted(pb, Note.UPLINK_ASKED, told.uplink, now)
+
+    def _rung_told(self, leg: NodeLeg, session: str, rung: int, now: int) -> None:
+        v = self.helm.upstreams.get((leg.name, session))
+        if v is not None and 0 <= rung < len(self.helm.site.terms.rates) and rung != v.pb.rung:
+            self.helm.controller.noted(v.pb, Note.RUNG, rung, now)
+
+    async def _lost(self, leg: NodeLeg, loss: Loss, why: str) -> None:
+        await self.helm.tell(partial(self.node_lost, leg, loss, why))
+
+    def node_lost(self, leg: NodeLeg, loss: Loss, why: str) -> None:
+        """Ends what played on a node. Where its loss is only presumed, the module hears that nothing is delivered
+        there, the viewers are told, and seats stay taken until the node confirms the end or has had its time."""
+        proven = loss is Loss.PROVEN
+        if self.helm.memory is not None:
+            self.helm.memory.node_lost(leg.name, proven)
+        lost = leg.claims.all_lost() if proven else leg.claims.presumed()
+        if lost:
+            self.log.warning("node lost", node=leg.name, why=why, how=loss.value, playbacks=len(lost))
+        told = False  # one silence speaks once against its node, however many playbacks it had
+        for session in lost:
+            v = self.helm.upstreams.get((leg.name, session))
+            if v is None:
+                continue
+            if proven:
+                self.helm.over(v, Outcome.RESET)
+                continue
+            if not told:
+                told = True
+                self.helm.controller.noted(v.pb, Note.DELIVERED, 0.0, self.helm.clock.now())
+            if self.moves.of(v) is not None:
+                self.helm.over(self.helm.part(v), Outcome.RESET, presumed=True)
+                if not self.moves.over(v, True):
+                    self.helm.hide(v)
+                continue
+            self.helm.hide(v)
+            self.helm.end(v)
+
+    def _session_over(self, leg: NodeLeg, session: str, how: Outcome) -> None:
+        if v := self.helm.upstreams.get((leg.name, session)):
+            self.helm.over(v, how)
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
 from random import Random
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import structlog
 import trio
@@ -32,10 +32,12 @@
 from oakcroft.decisions.routing.versions import InForce, Offer, Verdict
 from oakcroft.running.clock import Clock
 from oakcroft.running.inbox import Event, handle_all
+from oakcroft.front.hearing import Hearing
 from oakcroft.front.moves import Moves
-from oakcroft.front.nodeleg import LONGEST_TRY_GRACE, NodeLeg, Told, TryEnd, sound
+from oakcroft.front.nodeleg import LONGEST_TRY_GRACE, NodeLeg, TryEnd
+from oakcroft.front.steering import Bell, Decide, Decider
 from oakcroft.front.viewing import Viewing
-from oakcroft.interface import Entry, Host, ListKind, Node, Note, Outcome, Playback, State, Terms
+from oakcroft.interface import Node, Note, Outcome, Playback, State
 from oakcroft.config.told import Deployment, PlanTerms, Site
 from oakcroft.signalling import words
 
@@ -44,23 +46,6 @@
     from oakcroft.front.memory import Memory
 
 
-class Bell:
-    """Wakes those that wait for a change of the front's counts."""
-
-    def __init__(self) -> None:
-        self.event = trio.Event()
-
-    def ring(self) -> None:
-        """Something has changed."""
-        self.event.set()
-        self.event = trio.Event()
-
-    async def wait(self, seconds: float) -> None:
-        """Until the next change, or so long."""
-        with trio.move_on_after(seconds):
-            await self.event.wait()
-
-
 NO_LOAD = words.Load()
 MOST_EVENTS = 4_096
 MOST_TITLES = 50_000
@@ -68,27 +53,6 @@
 UNHEARD = 10.0  # seconds for which a playback is kept whose viewer did not get its answer and may ask again
 
 
-class Decider(Protocol):
-    """What a front calls: the module, or a baseline in its place."""
-
-    def listed(self, kind: ListKind, entries: Iterable[Entry], now: int) -> None: ...
-    def arrived(self, pb: Playback, now: int) -> None: ...
-    def resumed(self, pb: Playback, node: Node, now: int) -> None: ...
-    def recalled(self, further: Iterable[int], spent: Iterable[Node], now: int) -> None: ...
-    def playing(self, pb: Playback, now: int) -> None: ...
-    def noted(self, pb: Playback, kind: Note, value: float, now: int) -> None: ...
-    def left(self, pb: Playback, now: int) -> None: ...
-    def alarm(self, now: int) -> None: ...
-    def over(self, pb: Playback) -> bool: ...
-    def tried(
-        self, pb: Playback, outcome: Outcome, closed: bool,
-        asked: float | None, used: float | None, uplink: float | None, now: int,
-    ) -> None: ...  # fmt: skip
-
-
-Decide = Callable[[Terms, int, Host, int], Decider]
-
-
 class Helm:
     """The module and its host, in one front."""
 
@@ -121,7 +85,8 @@
         self.bell = Bell()
         self.longest_abandon = max(p.abandon for p in site.plans.values())
         self.moves = Moves(self, Random(seed + 3), site.usual_notice, log)
-        self.controller = decide(site.terms, seed, self, clock.now())
+        self.controller: Decider = decide(site.terms, seed, self, clock.now())
+        self.hearing = Hearing(self, self.moves, log)
         self.memory: Memory | None = None
         self.catalogue = Catalogue()
         self.told_answer: Callable[[bool, PlanTerms, int], None] | None = None
@@ -197,7 +162,7 @@
                 await self.tell(self.memory.look)
             for leg in list(self.legs.values()):
                 if leg.watched and (loss := leg.lifeline.look(now)) is not None:
-                    await self.tell(partial(self._node_lost, leg, loss, "silent for too long"))
+                    await self.tell(partial(self.hearing.node_lost, leg, loss, "silent for too long"))
                 for session in leg.claims.orphans(now):
                     self.log_.info("orphan ended", node=leg.name)
                     self.nursery.start_soon(leg.farewell, session)
@@ -246,7 +211,7 @@
     def _new_leg(self, line: Line) -> None:
         old = self.legs.get(line.name)
         if old is not None:
-            self._node_lost(old, Loss.PROVEN, "it has another address")
+            self.hearing.node_lost(old, Loss.PROVEN, "it has another address")
             self.nursery.start_soon(old.close)
         patience = Patience(self.site.silent_after, self.site.lost_after)
         claim_within = self.longest_abandon + LONGEST_TRY_GRACE
@@ -364,7 +329,7 @@
             if v.upstream is not None and (leg := self.legs.get(v.upstream.node)):
                 await leg.farewell(v.upstream.resource)
                 leg.claims.drop(v.upstream.resource)
-            await self.tell(partial(self._over, v, Outcome.WITHDRAWN))
+            await self.tell(partial(self.over, v, Outcome.WITHDRAWN))
         finally:
             self.farewells -= 1
             self.bell.ring()
@@ -479,7 +444,7 @@
         else:
             self.end(v)
         if not alive:
-            self._over(v, Outcome.RESET)
+            self.over(v, Outcome.RESET)
 
     def _abort_unheard(self, v: Viewing) -> None:
         """The viewer of a set-up that may have run, or has, did not wait for its answer."""
@@ -490,107 +455,16 @@
 
     def follow_events(self, leg: NodeLeg, events: str) -> None:
         """Keeps the event stream of a node open from now on."""
-        if events and leg.events != events:
-            leg.events = events
-        if leg.events:
-            if not leg.wake.is_set():
-                leg.lifeline.wanted(self.clock.now())
-            leg.wake.set()
-            if not leg.watched:
-                leg.watched = True
-                self.nursery.start_soon(leg.watch, partial(self._hear, leg), partial(self._lost, leg))
-
-    async def _hear(self, leg: NodeLeg, name: str, told: Told) -> None:
-        await self.tell(partial(self._heard, leg, name, told, leg.asked_at))
-
-    def _heard(self, leg: NodeLeg, name: str, told: Told, asked_at: int) -> None:
-        now = self.clock.now()
-        node = self.roster.nodes.get(leg.name)
-        if name == "hello":
-            if self.memory is not None:
-                self.memory.word(leg, told, asked_at)
-            missing = leg.claims.told(told.sessions, asked_at, now)
-            if missing:
-                self.log_.warning(
-                    "node lost",
-                    node=leg.name,
-                    why=told.why or "sessions ended unheard",
-                    playbacks=len(missing),
-                )
-            for session in missing:
-                v = self.upstreams.get((leg.name, session))
-                away = v is not None and self.memory is not None and self.memory.ended_away(v)
-                self._session_over(leg, session, Outcome.DONE if away else Outcome.RESET)
-            for session, rung in zip(told.sessions, told.rungs, strict=False):
-                self._rung_told(leg, session, rung, now)
-        elif name == "started":
-            leg.claims.started(told.session, now)
-        elif name == "ended":
-            if leg.claims.ended(told.session):
-                self._session_over(leg, told.session, Outcome.DONE)
-        elif name == "rung":
-            self._rung_told(leg, told.session, told.rung, now)
-        elif node is not None and node.playbacks:
-            pb = next(iter(node.playbacks))
-            if name == "share" and sound(told.share):
-                others = [n.short for n in self.roster.nodes.values() if n is not node and n.playbacks]
-                usual = sum(others) / len(others) if others else 0.0
-                self.moves.shared(leg.name, min(1.0, told.share), usual, now)
-                self.controller.noted(pb, Note.DELIVERED, min(1.0, told.share), now)
-            elif name == "link":
-                if told.asked is not None and sound(told.asked):
-                    self.controller.noted(pb, Note.LINK_ASKED, told.asked, now)
-                if told.uplink is not None and sound(told.uplink):
-                    self.controller.noted(pb, Note.UPLINK_ASKED, told.uplink, now)
-
-    def _rung_told(self, leg: NodeLeg, session: str, rung: int, now: int) -> None:
-        v = self.upstreams.get((leg.name, session))
-        if v is not None and 0 <= rung < len(self.site.terms.rates) and rung != v.pb.rung:
-            self.controller.noted(v.pb, Note.RUNG, rung, now)
-
-    async def _lost(self, leg: NodeLeg, loss: Loss, why: str) -> None:
-        await self.tell(partial(self._node_lost, leg, loss, why))
-
-    def _node_lost(self, leg: NodeLeg, loss: Loss, why: str) -> None:
-        """Ends what played on a node. Where its loss is only presumed, the module hears that nothing is delivered
-        there, the viewers are told, and seats stay taken until the node confirms the end or has had its time."""
-        proven = loss is Loss.PROVEN
-        if self.memory is not None:
-            self.memory.node_lost(leg.name, proven)
-        lost = leg.claims.all_lost() if proven else leg.claims.presumed()
-        if lost:
-            self.log_.warning("node lost", node=leg.name, why=why, how=loss.value, playbacks=len(lost))
-        told = False  # one silence speaks once against its node, however many playbacks it had
-        for session in lost:
-            v = self.upstreams.get((leg.name, session))
-            if v is None:
-                continue
-            if proven:
-                self._over(v, Outcome.RESET)
-                continue
-            if not told:
-                told = True
-                self.controller.noted(v.pb, Note.DELIVERED, 0.0, self.clock.now())
-            if self.moves.of(v) is not None:
-                self._over(self._part(v), Outcome.RESET, presumed=True)
-                if not self.moves.over(v, True):
-                    self.hide(v)
-                continue
-            self.hide(v)
-            self.end(v)
+        self.hearing.follow(leg, events)
 
-    def _part(self, v: Viewing) -> Viewing:
+    def part(self, v: Viewing) -> Viewing:
         """Takes a viewing's playback from it: the rest of the move goes on without."""
         rest = Viewing(secrets.token_urlsafe(15), v.path, v.plan, v.publishes, v.key, "", "", v.due, v.pb)
         rest.final, rest.upstream, rest.beside = v.final, v.upstream, v
         self.rebind(rest)
         return rest
 
-    def _session_over(self, leg: NodeLeg, session: str, how: Outcome) -> None:
-        if v := self.upstreams.get((leg.name, session)):
-            self._over(v, how)
-
-    def _over(self, v: Viewing, how: Outcome, presumed: bool = False) -> None:
+    def over(self, v: Viewing, how: Outcome, presumed: bool = False) -> None:
         """A playback that played, or whose viewer left while it was set up, is over."""
         if v.pb not in self.viewings or self.controller.over(v.pb):
             return
@@ -599,7 +473,7 @@
             return
         self.controller.tried(v.pb, how, True, None, None, None, self.clock.now())
         if self.moves.of(v) is not None:
-            rest = self._part(v)
+            rest = self.part(v)
             if self.moves.over(v, how is Outcome.RESET):
                 self._forget(rest)
                 return
--- a/oakcroft/front/memory.py
+++ b/oakcroft/front/memory.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterable
 from dataclasses import replace
 from functools import partial
-from typing import TYPE_CHECKING
 
 import msgspec
 import structlog
@@ -31,14 +30,13 @@
 from oakcroft.decisions.state.remembered import Mark, Promise, after_answer, after_try, step, waits_for_record
 from oakcroft.decisions.sessions.resource import Resource
 from oakcroft.decisions.fleet.roster import Line
+from oakcroft.front.nodeleg import NodeLeg, Told as Hello
+from oakcroft.front.steering import Steering
 from oakcroft.front.viewing import Upstream, Viewing
 from oakcroft.interface import MS, SECOND, Node, Outcome, Playback
 from oakcroft.store.file import Fact, Held, Move, Put, Told, Whole
 from oakcroft.store.writer import WHOLE, Store
 
-if TYPE_CHECKING:
-    from oakcroft.front.helm import Helm
-    from oakcroft.front.nodeleg import NodeLeg, Told as Hello
 
 GRUDGE = 0.1  # distrust under this is not worth keeping
 SEAT_KEEP = 15 * SECOND  # as a seat is kept while its client is away
@@ -48,7 +46,7 @@
 class Memory:
     """The record of one front."""
 
-    def __init__(self, store: Store, helm: Helm, log: structlog.typing.FilteringBoundLogger) -> None:
+    def __init__(self, store: Store, helm: Steering, log: structlog.typing.FilteringBoundLogger) -> None:
         self.store, self.helm, self.log = store, helm, log
         self.promises: dict[str, Promise] = {}  # by the session's id
         self.adopted: set[str] = set()  # recalled playbacks that no node's word has confirmed yet
--- a/oakcroft/front/moves.py
+++ b/oakcroft/front/moves.py
@@ -8,7 +8,6 @@
 
 from dataclasses import dataclass
 from random import Random
-from typing import TYPE_CHECKING
 
 import structlog
 import trio
@@ -20,12 +19,10 @@
 from oakcroft.decisions.moving.mover import LONGEST_CONFIRM, LONGEST_OFFER, Mover, Pace, Why, waits
 from oakcroft.decisions.moving.notice import Notices
 from oakcroft.decisions.sessions.resource import Resource
+from oakcroft.front.steering import Steering
 from oakcroft.front.viewing import Viewing
 from oakcroft.interface import SECOND, Entry, Listing, State
 
-if TYPE_CHECKING:
-    from oakcroft.front.helm import Helm
-
 STAY = Reply(503, "urn:oakcroft:problem:stay", "No other place was found: stay where you are", None, False)
 TIMES = {Happening.NO_OFFER: LONGEST_OFFER, Happening.UNCONFIRMED: LONGEST_CONFIRM}
 
@@ -47,7 +44,7 @@
     """All moves of one front."""
 
     def __init__(
-        self, helm: Helm, rng: Random, usual_notice: int, log: structlog.typing.FilteringBoundLogger
+        self, helm: Steering, rng: Random, usual_notice: int, log: structlog.typing.FilteringBoundLogger
     ) -> None:
         self.helm, self.rng, self.log = helm, rng, log
         self.mover = Mover(Pace(), rng)
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -20,12 +20,13 @@
 from oakcroft.front.catalogues import Catalogues
 from oakcroft.running.clock import Clock
 from oakcroft.front.core import Core
-from oakcroft.front.helm import Bell, Decide, Helm
+from oakcroft.front.helm import Helm
 from oakcroft.front.memory import Memory
 from oakcroft.front.listing import BadList, Follower, kept, parse
 from oakcroft.front.operators import PATH as OPERATORS, Operators
 from oakcroft.front.reducing import Reducing
 from oakcroft.front.siding import Siding
+from oakcroft.front.steering import Bell, Decide
 from oakcroft.front.sockets import PATH, SessionApi
 from oakcroft.front.viewers import Viewers
 from oakcroft.httpwire.client import Peer
