Take a catalogue over the fleet share by share, under its owner's number, with fences at each front

Need: a version pushed to every front by hand reaches some and not others, and nobody takes it back where it does harm. The plan is on record at a majority of keepers before anything is done under it, so the next owner goes on where the last one died. Found by the tests and mended: a keeper without a record never told others anything (a new fleet had no owner for ever); an answer with the longest names did not fit a datagram and ended the peers' tasks (notes 500 octets, 7 keepers at most, and such an answer is not given).

--- a/oakcroft/commands.py
+++ b/oakcroft/commands.py
@@ -285,6 +285,34 @@
         click.echo(line)
 
 
+@fleet.command("roll-out")
+@click.argument("file", type=FILE, required=False)
+@FRONT
+@click.option(
+    "--watch", type=click.IntRange(0, 86_400), default=10, help="Seconds between one share and the next."
+)
+@click.option("--force", is_flag=True, help="Take it although a title would have no ready holder.")
+@click.option("--why", default="", help="Kept with the version.")
+@click.option("--take-back", is_flag=True, help="Have the one under way, or the last, taken back.")
+def fleet_roll_out(
+    file: Path | None, address: str, watch: int, force: bool, why: str, take_back: bool
+) -> None:
+    """Take the catalogue FILE to all fronts, a share after the other; without FILE tell how the last one stands.
+
+    Any front takes it and hands it to the one that owns the catalogue. A version that a front refuses, or under which
+    more answers fail than without it, is taken back everywhere.
+    """
+    words = "".join(c if c.isalnum() or c in "-_." else "%20" for c in why)
+    if take_back:
+        told(call(address, "DELETE", f"fleet/roll-out?why={words}"))
+    if file is None:
+        told(call(address, "GET", "fleet/roll-out"))
+    else:
+        tag = call(address, "GET", "catalogue").header("etag") or "*"
+        query = f"fleet/roll-out?watch={watch}&why={words}" + ("&force=yes" if force else "")
+        told(call(address, "PUT", query, text_of(file).encode(), If_Match=tag))
+
+
 def owners(said: dict[str, Any]) -> list[str]:
     """Duties in lines."""
     out = [f"{said['name']}: keepers {', '.join(said['keepers'])}; a term is {said['term_ms'] / 1e3:g} s"]
--- a/oakcroft/config/forms.py
+++ b/oakcroft/config/forms.py
@@ -282,7 +282,7 @@
 KEEPERS = Schema(
     "keepers", "The fronts that grant terms of duties done on behalf of the fleet, one owner at a time; the same on all fronts.",
     (
-        Field("names", "their names among the peers; of three one may be away, of five two", NAME, required=True, most=15),
+        Field("names", "their names among the peers; of three one may be away, of five two", NAME, required=True, most=7),
         Field("term", "how long a duty is its owner's; the longest that it may be without one is twice that", TIMES, 6 * SECOND, at_least=SECOND),
     ),
 )  # fmt: skip
--- a/oakcroft/decisions/fleet/owning.py
+++ b/oakcroft/decisions/fleet/owning.py
@@ -66,7 +66,8 @@
         self.note = Note()  # the last on record, or asked to be
         self.settled = (0, 0)  # key of the last note that a majority has
         self.answers: dict[str, Answer] = {}
-        self.owner: Term | None = None  # whoever else has it, as told
+        self.other: Term | None = None  # whoever else has it, as told last
+        self.other_until = 0
         self.taken = 0  # terms of its own so far
 
     # What the host asks.
@@ -75,6 +76,10 @@
         """The term, while this front may take itself for the owner. Not the proof: that is at the `Fence`."""
         return self.term if self.course is Course.OWNS and now < self.held_until else None
 
+    def owner(self, now: int) -> Term | None:
+        """Who has it, as far as this front was told."""
+        return self.owns(now) or (self.other if now < self.other_until else None)
+
     def want(self, wanted: bool, now: int) -> list[Word]:
         """Whether this front would have the duty."""
         if wanted and self.course is Course.IDLE:
@@ -145,7 +150,14 @@
 
     def heard(self, answer: Answer, now: int) -> list[Word]:
         """An answer; one to another round than the last is none."""
-        if answer.keeper not in self.keepers or self.course is Course.IDLE:
+        if answer.keeper not in self.keepers:
+            return []
+        if answer.running is not None and (answer.running.owner, answer.running.start) != (
+            self.me,
+            self.start,
+        ):
+            self.other, self.other_until = answer.running, now + answer.left
+        if self.course is Course.IDLE:
             return []
         self.highest = max(self.highest, min(answer.highest, MOST_NUMBER - 2))
         mine = self.term is not None and answer.number == self.term.number
@@ -183,14 +195,9 @@
             self.due = self.asked_at + self.length // 4
         self.held_until = max(self.held_until, self.asked_at + belief(self.length))
         self.settled = max(self.settled, self.note.key)
-        self.owner = None
+        self.other = None
 
     def _refused(self, answer: Answer, mine: bool, now: int) -> list[Word]:
-        if answer.running is not None and (answer.running.owner, answer.running.start) != (
-            self.me,
-            self.start,
-        ):
-            self.owner = answer.running
         if not mine or self.course not in (Course.ASKING, Course.PROPOSING):
             return []  # an owner that one keeper refuses has the others, or loses the term at its end
         self.answers.pop(answer.keeper, None)
--- a/oakcroft/decisions/fleet/terms.py
+++ b/oakcroft/decisions/fleet/terms.py
@@ -14,7 +14,7 @@
 from oakcroft.interface import MS
 
 MOST_NUMBER = 1 << 62
-MOST_NOTE = 800  # octets of a note: what fits one datagram beside the rest
+MOST_NOTE = 500  # octets of a note: what fits one datagram beside the rest
 DRIFT = 50  # clocks of two machines differ by less than one part in so many over a term
 
 
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -277,6 +277,7 @@
         version = self.helm.catalogue.number
         top = self.helm.title_top(title, max(asked_top, plan.plan.floor), plan.plan.floor)
         if top is None:
+            self.helm.finals[Final.REJECTED] += 1
             return REFUSALS[Refusal.NO_TITLE], True
         v = self.helm.viewing(ask.path, title, plan, publishes, key, ask.offer, sdp.ufrag(offer), top, wait)
         if v is None or not self.queue.has_room():
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import secrets
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
@@ -89,6 +90,7 @@
         self.hearing = Hearing(self, self.moves, log)
         self.memory: Memory | None = None
         self.catalogue = Catalogue()
+        self.finals = Counter[Final]()  # answers so far
         self.told_answer: Callable[[bool, PlanTerms, int], None] | None = None
 
     @property
@@ -537,6 +539,7 @@
     def _give(self, v: Viewing, final: Final, reply: answers.Reply | None) -> None:
         if not v.settle(final, reply):
             return
+        self.finals[final] += 1
         if final is Final.PLAYS:
             self.playing += 1
         if self.memory is not None:
--- a/oakcroft/front/operators.py
+++ b/oakcroft/front/operators.py
@@ -23,6 +23,7 @@
 
 PATH = "/operators/"
 LONGEST_PIN = 86_400  # seconds
+LONGEST_WATCH = 86_400
 TYPE = "application/vnd.oakcroft.catalogue"
 STATUS = {Verdict.TAKEN: 200, Verdict.SAME: 200, Verdict.LATER: 202, Verdict.STALE: 412, Verdict.REFUSED: 409}
 ALLOWED = {
@@ -33,6 +34,7 @@
     "level": "POST",
     "fleet": "GET",
     "fleet/owners": "GET, DELETE",
+    "fleet/roll-out": "GET, PUT, DELETE",
 }
 
 
@@ -44,6 +46,14 @@
     def give_back(self, duty: str) -> None: ...
 
 
+class Rolling(Protocol):
+    """Roll-outs over the fleet, likewise."""
+
+    def status(self) -> dict[str, object]: ...
+    async def submit(self, text: str, base: str, watch: int, force: bool, why: str) -> str: ...
+    async def take_back(self, why: str) -> str: ...
+
+
 class Operators:
     """Handles the operators' requests of one front."""
 
@@ -53,6 +63,7 @@
             None  # how the front sees its peers, where it has any
         )
         self.duties: Duties | None = None  # of the fleet, where its keepers are named
+        self.rolling: Rolling | None = None
 
     def known(self, authorization: str | None) -> bool:
         """Whether this is the operators' token."""
@@ -103,8 +114,40 @@
                 return Response(
                     200, [("Content-Type", "application/json")], orjson.dumps(self.duties.status())
                 )
+            case "fleet/roll-out", _:
+                return await self._roll_out(request)
         return await self._roll_back(request)
 
+    async def _roll_out(self, request: Request) -> Response:
+        """A version for the whole fleet is handed to the owner of the catalogue, looked at, or taken back."""
+        rolling = self.rolling
+        if rolling is None:
+            raise Faulty(404, "no-keepers", "This front has no (keepers …) in its configuration")
+        said = ""
+        if request.method == "PUT":
+            made_from, (force, why, _) = self._made_from(request), self._how(request)
+            watch = request.query("watch") or "10"
+            if not watch.isdigit() or int(watch) > LONGEST_WATCH:
+                raise Faulty(400, "watch", f"watch is whole seconds up to {LONGEST_WATCH}")
+            base = self.helm.catalogue.digest if made_from is None else made_from
+            try:
+                said = await rolling.submit(
+                    request.body.decode("utf-8"), base, int(watch) * SECOND, force, why
+                )
+            except UnicodeDecodeError as fault:
+                raise Faulty(400, "catalogue", "The text is not UTF-8", str(fault)) from None
+            except Unsound as fault:
+                faults = "\n".join(f.show() for f in fault.faults)
+                raise Faulty(
+                    422, "catalogue", f"{len(fault.faults)} faults; nothing is begun", faults
+                ) from None
+        elif request.method == "DELETE":
+            said = await rolling.take_back((request.query("why") or "")[:100])
+        if said:
+            raise Faulty(409, "roll-out", said)
+        status = 200 if request.method == "GET" else 202
+        return Response(status, [("Content-Type", "application/json")], orjson.dumps(rolling.status()))
+
     def _tag(self) -> str:
         return f'"{self.helm.catalogue.digest or "none"}"'
 
--- /dev/null
+++ b/oakcroft/front/rolling.py
@@ -0,0 +1,431 @@
+"""Roll-outs of the catalogue over the fleet, on one front: what it does as ordered, and orders while it owns the duty.
+
+What is decided stands in decisions/fleet: rollout (when to go on, when back) and terms (`Fence`: whose orders count). An
+order takes effect only after its number and step are on this front's record, and one order at a time, so that an older
+one that comes late finds the newer there, also after a restart. Texts are fetched from whoever holds them, by digest.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import msgspec
+import structlog
+import trio
+
+from oakcroft.catalogue.text import Unsound, digest as digest_of, read, write
+from oakcroft.decisions.fleet.rollout import ENDED, Plan, Report, Rollout, Stage, begins
+from oakcroft.decisions.fleet.terms import MOST_NOTE, Fence, Term
+from oakcroft.decisions.routing.catalogue import Verdict, takes_part
+from oakcroft.decisions.sessions.answers import Final
+from oakcroft.front.catalogues import Catalogues
+from oakcroft.front.helm import Helm
+from oakcroft.peers.speaker import Peers
+from oakcroft.peerwire.duties import OrderWord, ReportWord, Taken
+from oakcroft.store.file import Fact
+
+DUTY = "catalogue"
+FENCE = "fence"  # a fact of the state file: numbers and steps that have taken effect, by duty
+ORDER_EVERY = 0.5  # seconds between orders to one front, until it stands as wanted
+MOST_TEXTS = 3  # held at once: what is going round, and what was
+SUBMIT_WITHIN = 12.0
+
+
+class PlanWord(msgspec.Struct, array_like=True, frozen=True):
+    """A plan as it goes on record and with each order. Stages by their numbers, which later programs keep."""
+
+    number: int
+    digest: str
+    base: str
+    stage: Stage
+    step: int
+    share: int
+    watch: int
+    force: bool
+    why: str
+    reason: str
+
+    def plan(self) -> Plan:
+        return Plan(self.number, self.digest, self.base, self.stage, self.step, self.share, self.watch, self.force,
+                    self.why, self.reason)  # fmt: skip
+
+
+class SubmitWord(msgspec.Struct, array_like=True, frozen=True):
+    """What an operator wants, handed on to the owner: a version by its digest, or (none) the one under way taken back."""
+
+    digest: str
+    base: str
+    watch: int
+    force: bool
+    why: str
+
+
+class ReportBody(msgspec.Struct, array_like=True, frozen=True):
+    step: int
+    holds: bool
+    in_force: str
+    takes_part: bool
+    refused: str
+    answers: int
+    failures: int
+
+
+ENCODER = msgspec.msgpack.Encoder()
+PLAN = msgspec.msgpack.Decoder(PlanWord)
+SUBMIT, REPORT = msgspec.msgpack.Decoder(SubmitWord), msgspec.msgpack.Decoder(ReportBody)
+SEEN = msgspec.msgpack.Decoder(dict[str, tuple[int, int]])
+SUBMITTED, ACCEPTED = "submit", "submitted"
+"""Duties' names on the wire for an operator's wish on its way to the owner, and for the owner's word back."""
+
+
+def word_of(plan: Plan) -> bytes:
+    """A plan for the record; what people wrote into it is cut where it would not fit."""
+    why, reason = plan.why, plan.reason
+    while True:
+        word = ENCODER.encode(PlanWord(plan.number, plan.digest, plan.base, plan.stage, plan.step, plan.share,
+                                       plan.watch, plan.force, why, reason))  # fmt: skip
+        if len(word) <= MOST_NOTE or not (why or reason):
+            return word
+        why, reason = why[: len(why) // 2], reason[: max(0, len(reason) - 10)]
+
+
+class Rolling:
+    """One front's part in roll-outs."""
+
+    def __init__(
+        self, helm: Helm, catalogues: Catalogues, peers: Peers, log: structlog.typing.FilteringBoundLogger
+    ) -> None:
+        assert peers.duties is not None
+        self.helm, self.catalogues, self.peers, self.duties, self.log = (
+            helm,
+            catalogues,
+            peers,
+            peers.duties,
+            log,
+        )
+        held = helm.memory.store.facts.get(FENCE) if helm.memory is not None else None
+        try:
+            self.fence = Fence(SEEN.decode(held) if held else None)
+        except msgspec.MsgspecError:
+            self.fence = Fence()
+            log.error("fence unreadable", why="orders wait for what the keepers say")
+        # A record that may be missing its last words is no fence: the keepers tell from where numbers count.
+        self.sure = helm.memory is not None and helm.memory.store.had and held is not None
+        self.texts: dict[str, str] = {}
+        self.turn = trio.Lock()
+        self.plan: Plan | None = None  # as last ordered here
+        self.refused: tuple[str, str] = ("", "")  # digest, why
+        self.base = Counter[Final]()  # answers when the present step began here
+        self.running: Rollout | None = None  # while this front owns the duty
+        self.accepted: dict[str, str] = {}  # by digest, the owner's word on what was handed on
+        self.wake = trio.Event()
+        self.beginning = trio.Lock()
+        duties = self.duties
+        duties.want(DUTY)
+        duties.orders[DUTY] = self._ordered
+        duties.reports[DUTY] = self._reported
+        duties.orders[SUBMITTED] = self._submitted
+        duties.reports[ACCEPTED] = self._answered
+        duties.changed[DUTY] = self._changed
+        duties.texts = lambda digest: None if (text := self.texts.get(digest)) is None else text.encode()
+
+    # What is ordered.
+
+    async def _ordered(self, got: Taken, word: OrderWord) -> ReportWord | None:
+        """One order: on record first, then done; turned away where a newer one has been taken."""
+        try:
+            plan = PLAN.decode(word.body).plan()
+        except msgspec.MsgspecError:
+            return None
+        if plan.step != word.step:
+            return None
+        async with self.turn:
+            if not self.sure:
+                floor = self.duties.floor(DUTY)
+                if floor is None:
+                    self.duties.look_for_floor(DUTY)
+                    return None
+                self.fence.takes(DUTY, floor, 0)
+                self.sure = True
+            if not self.fence.admits(DUTY, word.number, word.step):
+                number, step = self.fence.seen[DUTY]
+                self.log.warning(
+                    "late order", sender=got.sender, order=[word.number, word.step], stands=[number, step]
+                )
+                return ReportWord(DUTY, number, step, False, b"")
+            if self.fence.seen.get(DUTY) != (word.number, word.step):
+                if not await self._on_record(word.number, word.step):
+                    return self._report(plan, word, "its state file does not take the order")
+                self.fence.takes(DUTY, word.number, word.step)
+                if self.plan is None or self.plan.step != plan.step:
+                    self.base = Counter(self.helm.finals)
+                self.plan = plan
+            return self._report(plan, word, await self._do(plan, got.sender))
+
+    async def _on_record(self, number: int, step: int) -> bool:
+        if self.helm.memory is None:
+            return False
+        seen = {**self.fence.seen, DUTY: (number, step)}
+        return await self.helm.memory.store.durable(Fact(FENCE, ENCODER.encode(seen)))
+
+    def _report(self, plan: Plan, word: OrderWord, refused: str) -> ReportWord:
+        some = self.helm.finals - self.base
+        failures = some[Final.REJECTED] + some[Final.ABORTED]
+        terms = self.helm.site.terms
+        body = ReportBody(
+            plan.step, plan.digest in self.texts or plan.digest == self.in_force, self.in_force,
+            takes_part(terms.front, terms.fronts, int(plan.digest, 16), plan.part), refused[:120],
+            some[Final.PLAYS] + failures, failures,
+        )  # fmt: skip
+        return ReportWord(DUTY, word.number, word.step, True, ENCODER.encode(body))
+
+    @property
+    def in_force(self) -> str:
+        """The digest of this front's catalogue; of none at all where it has none."""
+        return self.helm.catalogue.digest or NONE
+
+    async def _do(self, plan: Plan, sender: str) -> str:
+        """What a plan wants of this front; why it will not."""
+        if plan.stage is Stage.HANDED:
+            return await self._hold(plan, sender)
+        if plan.stage in (Stage.BACK, Stage.STOPPED):
+            return await self._go_back(plan, sender)
+        if self.in_force == plan.digest:
+            return ""
+        terms = self.helm.site.terms
+        if not takes_part(terms.front, terms.fronts, int(plan.digest, 16), plan.part):
+            return ""
+        if why := await self._hold(plan, sender):
+            return why
+        return await self._take(plan.digest, plan)
+
+    async def _hold(self, plan: Plan, sender: str) -> str:
+        """Has the text of a version, from whoever orders it or from another that does."""
+        if plan.digest in self.texts or plan.digest == self.in_force:
+            return ""
+        others = [n for n in self.peers.view.present() if n not in (sender, self.peers.view.me.name)]
+        for name in (sender, *others[:2]):
+            found = await self.peers.fetch(name, plan.digest)
+            if found is None:
+                continue
+            try:
+                text = found.decode()
+                said = await trio.to_thread.run_sync(read, text)
+            except (UnicodeDecodeError, Unsound):
+                continue
+            if digest_of(write(said.titles.items(), said.others)) == plan.digest:
+                self.hold(plan.digest, text)
+                return ""
+        return ""  # nobody had it just now: the report says that it is not held, and the order comes again
+
+    def hold(self, digest: str, text: str) -> None:
+        """Keeps a text for others to fetch; the oldest makes room."""
+        self.texts[digest] = text
+        while len(self.texts) > MOST_TEXTS:
+            del self.texts[next(iter(self.texts))]
+
+    async def _take(self, digest: str, plan: Plan) -> str:
+        if digest not in self.texts:
+            return ""
+        # Once all have it, whoever was away comes to it from whatever it has.
+        made_from = None if plan.base == NONE or plan.stage is Stage.DONE else plan.base
+        reason = plan.why or f"roll-out {plan.number}"
+        verdict, why = await self.catalogues.replace(self.texts[digest], made_from, plan.force, reason)
+        return "" if verdict in (Verdict.TAKEN, Verdict.SAME) else f"{verdict.value}: {'; '.join(why)}"
+
+    async def _go_back(self, plan: Plan, sender: str) -> str:
+        """To the version before, where this front had taken the one that is taken back."""
+        if self.in_force != plan.digest:
+            return ""
+        if plan.base == NONE:
+            said = f"roll-out {plan.number} taken back"
+            verdict, why = await self.catalogues.replace(write((), True), None, True, said)
+        else:
+            kept = [k.number for k in self.catalogues.history.versions if k.digest == plan.base]
+            if not kept:
+                return "it does not keep the version before"
+            offer = await self.catalogues.roll_back(kept[-1], None, True)
+            if offer is None:
+                return "it does not keep the version before"
+            verdict, why = offer
+        self.log.warning(
+            "catalogue taken back", roll_out=plan.number, verdict=verdict.name.lower(), reason=plan.reason
+        )
+        return "" if verdict in (Verdict.TAKEN, Verdict.SAME) else f"{verdict.value}: {'; '.join(why)}"
+
+    # While this front owns the duty.
+
+    def _changed(self, term: Term | None) -> None:
+        self.running = None
+        self.wake.set()
+
+    def _reported(self, sender: str, word: ReportWord) -> None:
+        term, running = self.duties.term(DUTY), self.running
+        if term is None or running is None:
+            return
+        if not word.taken:
+            if (word.number, word.step) > (term.number, running.plan.step):
+                # Numbers were promised that this owner never saw: a term over them is asked for.
+                self.duties.outbid(DUTY, word.number)
+            return
+        if word.number != term.number:
+            return
+        try:
+            body = REPORT.decode(word.body)
+        except msgspec.MsgspecError:
+            return
+        running.heard(sender, Report(
+            body.step, body.holds, body.in_force, body.takes_part, body.refused, body.answers, body.failures
+        ), self.helm.clock.now())  # fmt: skip
+
+    async def run(self) -> None:
+        """Owns the duty while it has a term: nothing is ordered without one, nor before the plan is on record."""
+        while True:
+            self.wake = trio.Event()
+            term = self.duties.term(DUTY)
+            if term is not None:
+                await self._own(term)
+            with trio.move_on_after(ORDER_EVERY):
+                await self.wake.wait()
+
+    async def _own(self, term: Term) -> None:
+        self._load(term)
+        if self.running is None:
+            return  # there never was a roll-out
+        running, present = self.running, self.peers.view.present()
+        now = self.helm.clock.now()
+        after = running.next(present, now)
+        if after is not None:
+            await self._go_on(running, after)
+        if self.duties.term(DUTY) != term or self.running is not running:
+            return
+        body = word_of(running.plan)
+        # While it is watched each tells how it does; after its end only those that have not heard, or were away.
+        some = running.unconfirmed(present) if running.plan.stage in ENDED else present
+        for name in some:
+            self.duties.order(name, OrderWord(DUTY, term.number, running.plan.step, body))
+
+    def _load(self, term: Term) -> None:
+        """Goes on where the owner before this one left the plan on record."""
+        note = self.duties.note(DUTY)
+        if self.running is not None or not note:
+            return
+        try:
+            plan = PLAN.decode(note).plan()
+        except msgspec.MsgspecError as fault:
+            self.log.error("plan unreadable", why=str(fault))
+            return
+        self.running = Rollout(plan, self.helm.clock.now())
+        self.log.info(
+            "roll-out gone on with", roll_out=plan.number, stage=plan.stage.name.lower(), term=term.number
+        )
+
+    async def _go_on(self, running: Rollout, after: Plan) -> bool:
+        if not await self.duties.put_on_record(DUTY, word_of(after)):
+            return False
+        running.recorded(after, self.helm.clock.now())
+        self.log.info("roll-out", roll_out=after.number, stage=after.stage.name.lower(), part=after.part, step=after.step,
+                      digest=after.digest, reason=after.reason)  # fmt: skip
+        return True
+
+    # What operators want.
+
+    async def submit(self, text: str, base: str, watch: int, force: bool, why: str) -> str:
+        """Hands a version to the owner; "" once a plan for it is on record. Unsound where the text has faults."""
+        said = await trio.to_thread.run_sync(read, text)
+        laid_out = write(said.titles.items(), said.others)
+        digest = digest_of(laid_out)
+        self.hold(digest, laid_out)
+        return await self._hand_on(SubmitWord(digest, base or NONE, watch, force, why))
+
+    async def take_back(self, why: str) -> str:
+        """Has what is under way, or was done last, taken back."""
+        return await self._hand_on(SubmitWord("", "", 0, False, why))
+
+    async def _hand_on(self, wish: SubmitWord) -> str:
+        key = wish.digest or "back"
+        self.accepted.pop(key, None)
+        with trio.move_on_after(SUBMIT_WITHIN):
+            while key not in self.accepted:
+                if self.duties.term(DUTY) is not None:
+                    self.accepted[key] = await self._begin(wish, self.peers.view.me.name)
+                    break
+                self.duties.look_for_floor(DUTY)  # the answers tell who has it
+                if owner := self.duties.owner(DUTY):
+                    self.duties.order(
+                        owner.owner, OrderWord(SUBMITTED, owner.number, 0, ENCODER.encode(wish))
+                    )
+                await trio.sleep(0.3)
+        return self.accepted.pop(key, "nobody owns the duty just now: look at `fleet owners`, and ask again")
+
+    async def _submitted(self, got: Taken, word: OrderWord) -> ReportWord | None:
+        """Another front hands on what an operator wants."""
+        if self.duties.term(DUTY) is None:
+            return None
+        try:
+            wish = SUBMIT.decode(word.body)
+        except msgspec.MsgspecError:
+            return None
+        said = await self._begin(wish, got.sender)
+        return ReportWord(
+            ACCEPTED, word.number, 0, not said, f"{wish.digest or 'back'} {said}".encode()[:300]
+        )
+
+    def _answered(self, sender: str, word: ReportWord) -> None:
+        key, _, said = word.body.decode("utf-8", "replace").partition(" ")
+        if len(self.accepted) < 64:
+            self.accepted[key] = said
+
+    async def _begin(self, wish: SubmitWord, by: str) -> str:
+        """Begins a roll-out, or takes one back; why not. The same wish again is answered as before."""
+        async with self.beginning:
+            term, now = self.duties.term(DUTY), self.helm.clock.now()
+            if term is None:
+                return "the term ended meanwhile: ask again"
+            self._load(term)
+            running = self.running
+            last = running.plan if running is not None else None
+            if not wish.digest:
+                after = running.take_back(wish.why or "by hand") if running is not None else None
+                if running is None or after is None:
+                    back = last is not None and last.stage in (Stage.BACK, Stage.STOPPED)
+                    return "" if back else "there is no roll-out"
+                return "" if await self._go_on(running, after) else "the term ended meanwhile: ask again"
+            if (
+                last is not None
+                and last.digest == wish.digest
+                and last.stage not in (Stage.BACK, Stage.STOPPED)
+            ):
+                return ""
+            plan = begins(last, wish.digest, wish.base, wish.watch, wish.force, wish.why)
+            if isinstance(plan, str):
+                return plan
+            held = Plan(0, wish.digest, wish.base, Stage.HANDED, 0)
+            await self._hold(held, by)
+            if wish.digest not in self.texts and wish.digest != self.in_force:
+                return f"its text could not be had from {by}"
+            fresh = Rollout(plan, now)
+            if not await self._go_on(fresh, plan):
+                return "the term ended meanwhile: ask again"
+            self.running = fresh
+            self.wake.set()
+            return ""
+
+    def status(self) -> dict[str, object]:
+        """How the last roll-out stands, as this front knows."""
+        running = self.running
+        plan = running.plan if running is not None else self.plan
+        owner = self.duties.owner(DUTY)
+        told: dict[str, object] = {"owner": owner.owner if owner else None, "number": owner.number if owner else 0,
+                                   "in_force": self.in_force, "turned_away": self.fence.turned_away,
+                                   "fence": list(self.fence.seen.get(DUTY, (0, 0)))}  # fmt: skip
+        if plan is not None:
+            told["roll_out"] = {"number": plan.number, "digest": plan.digest, "base": plan.base, "why": plan.why,
+                                "stage": plan.stage.name.lower(), "part": plan.part, "step": plan.step,
+                                "reason": plan.reason}  # fmt: skip
+        if running is not None:
+            told["waits_for"] = running.unconfirmed(self.peers.view.present())[:20]
+        return told
+
+
+NONE = digest_of(write((), True))
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -122,7 +122,7 @@
             rng = Random(stand.seed + 2)
             follower = Follower(peer, clock, rng, stand.kept, me, helm.listed, self.log)
             nursery.start_soon(follower.run)
-            leave = await self._meet(helm, operators, nursery, clock)
+            leave = await self._meet(helm, operators, catalogues, nursery, clock)
             listeners = await trio.open_tcp_listeners(stand.port, host=stand.host, backlog=4096)
             port = listeners[0].socket.getsockname()[1]
             stopping.serve(clock.now())
@@ -142,7 +142,7 @@
             nursery.cancel_scope.cancel()
 
     async def _meet(
-        self, helm: Helm, operators: Operators, nursery: trio.Nursery, clock: Clock
+        self, helm: Helm, operators: Operators, catalogues: Catalogues, nursery: trio.Nursery, clock: Clock
     ) -> Callable[[], Awaitable[None]] | None:
         """Takes part in the fleet's view where the configuration has peers; how to leave it in order."""
         stand = self.told.stand
@@ -165,7 +165,14 @@
         except BadKeys as fault:
             raise OSError(f"key file {stand.peers.key_file}: {fault}") from fault
         operators.fleet = peers.status
-        operators.duties = peers.duties
+        if peers.duties is not None:
+            from oakcroft.front.rolling import Rolling
+
+            operators.duties, operators.rolling = (
+                peers.duties,
+                (rolling := Rolling(helm, catalogues, peers, self.log)),
+            )
+            nursery.start_soon(rolling.run)
         await nursery.start(peers.run)
         return peers.leave
 
--- a/oakcroft/peers/duties.py
+++ b/oakcroft/peers/duties.py
@@ -23,7 +23,7 @@
 from oakcroft.decisions.fleet.keeping import MOST_DUTIES, Keeper
 from oakcroft.decisions.fleet.owning import Candidate, Course, Word
 from oakcroft.decisions.fleet.rendezvous import rank
-from oakcroft.decisions.fleet.terms import Answer, Ask, Learnt, Term
+from oakcroft.decisions.fleet.terms import MOST_NUMBER, Answer, Ask, Learnt, Step, Term, majority
 from oakcroft.decisions.fleet.view import View
 from oakcroft.interface import MS, SECOND
 from oakcroft.peerwire.duties import (
@@ -44,6 +44,7 @@
 IN_LINE = 5  # fronts that ask for a duty, the first in line first: a fleet of 200 is not to ask its keepers all the time
 LOOK = 50 * MS
 LEARN_EVERY = 500 * MS
+MOST_WORKING = 16  # orders at work or waiting for their turn; what is dropped is ordered again
 MOST_SAVING = 64  # answers that wait for the disk; past it a word is dropped, as any datagram may be
 RECORD = "keeper"  # a fact of the state file: epoch, epochs and all rows, always together
 
@@ -85,8 +86,10 @@
         self.orders: dict[str, Callable[[Taken, OrderWord], Awaitable[ReportWord | None]]] = {}
         self.reports: dict[str, Callable[[str, ReportWord], None]] = {}
         self.changed: dict[str, Callable[[Term | None], None]] = {}
+        self.floors: dict[str, dict[str, int]] = {}  # by duty and keeper, the highest number promised
+        self.texts: Callable[[str], bytes | None] = lambda _: None  # what this front holds, by digest
         self.parts: dict[str, dict[int, LearntWord]] = {}
-        self.saving = self.writing = 0
+        self.saving = self.writing = self.working = 0
         self.disk_sound = True
         self.began = False
         self.learn_at = now
@@ -123,6 +126,31 @@
             await trio.sleep(LOOK / SECOND / 5)
         return False
 
+    def owner(self, duty: str) -> Term | None:
+        """Who has a duty, as far as this front knows: by its own term, its keeper, or what it was told when it asked."""
+        candidate, now = self.candidates.get(duty), boot()
+        seen = self.keeper.runs(duty, now) if self.keeper is not None else None
+        told = candidate.owner(now) if candidate is not None else None
+        return max((t for t in (seen, told) if t is not None), key=lambda t: t.number, default=None)
+
+    def outbid(self, duty: str, number: int) -> None:
+        """A resource has seen a higher number than this owner's: it asks for a term over that."""
+        if (candidate := self.candidates.get(duty)) is not None and candidate.owns(boot()) is not None:
+            candidate.highest = max(candidate.highest, min(number, MOST_NUMBER - 2))
+            self._ask(candidate.want(False, boot()))
+            candidate.want(True, boot())
+            self._look(duty, candidate, boot())
+
+    def floor(self, duty: str) -> int | None:
+        """A number that no term of a duty that has begun is over, as a majority of keepers says; None until one has."""
+        told = self.floors.get(duty, {})
+        return max(told.values()) if len(told) >= majority(len(self.place.keepers)) else None
+
+    def look_for_floor(self, duty: str) -> None:
+        """Asks the keepers for it: a number as low as this is refused, with what was promised."""
+        ask = Ask(Step.PREPARE, duty, Term(1, *self.me))
+        self._ask([Word(k, ask) for k in self.place.keepers])
+
     def give_back(self, duty: str) -> None:
         """An operator has taken the duty from this front: it stands back for a few terms."""
         if (candidate := self.candidates.get(duty)) is not None:
@@ -157,12 +185,18 @@
         self.asks += 1
         answer = self.keeper.asked(ask, now)
         if answer is not None:
-            self._when_saved(lambda: self._say(sender, self.codec.answer(*self.me, answer)))
+            self._when_saved(partial(self._say_answer, sender, answer))
+
+    def _say_answer(self, to: str, answer: Answer) -> None:
+        with suppress(Dropped):  # a name too long to fit: such a candidate gets nothing
+            self._say(to, self.codec.answer(*self.me, answer))
 
     def _answered(self, answer: Answer, now: int) -> None:
         candidate = self.candidates.get(answer.duty)
         if candidate is not None:
             self.answers += 1
+            if answer.keeper in self.place.keepers:
+                self.floors.setdefault(answer.duty, {})[answer.keeper] = answer.highest
             self._ask(candidate.heard(answer, now))
             self._look(answer.duty, candidate, now)
 
@@ -170,12 +204,17 @@
         if self.keeper is None or not self.began:
             return
         told = self.keeper.tells(sender, epoch)
-        if told is not None:
+        if told is None:
+            return
+        if self.keeper.sound:
             self._when_saved(partial(self._say_all, sender, told))
+        else:  # it has no record yet that anything could rest on
+            self._say_all(sender, told)
 
     def _say_all(self, to: str, told: Learnt) -> None:
-        for part in self.codec.learnt(*self.me, told):
-            self._say(to, part)
+        with suppress(Dropped):
+            for part in self.codec.learnt(*self.me, told):
+                self._say(to, part)
 
     def _hear(self, sender: str, word: LearntWord, now: int) -> None:
         """One part of what another keeper tells."""
@@ -198,12 +237,9 @@
                 self._when_saved(lambda: None)
 
     def _ordered(self, got: Taken, word: OrderWord) -> None:
-        if (
-            (work := self.orders.get(word.duty)) is not None
-            and self.nursery is not None
-            and self.saving < MOST_SAVING
-        ):
-            self.saving += 1
+        work = self.orders.get(word.duty)
+        if work is not None and self.nursery is not None and self.working < MOST_WORKING:
+            self.working += 1
             self.nursery.start_soon(self._work, work, got, word)
 
     async def _work(
@@ -212,7 +248,7 @@
         try:
             report = await work(got, word)
         finally:
-            self.saving -= 1
+            self.working -= 1
         if report is not None:
             self._say(got.sender, self.codec.report(*self.me, report))
 
@@ -381,7 +417,7 @@
             candidate, row = self.candidates.get(duty), keeper.rows.get(duty) if keeper else None
             own = candidate.owns(now) if candidate is not None else None
             seen = keeper.runs(duty, now) if keeper is not None else None
-            known = own or seen or (candidate.owner if candidate is not None else None)
+            known = self.owner(duty)
             duties.append({
                 "duty": duty, "owner": known.owner if known else None, "number": known.number if known else 0,
                 "mine": own is not None, "course": candidate.course.value if candidate is not None else None,
--- a/oakcroft/peers/speaker.py
+++ b/oakcroft/peers/speaker.py
@@ -26,15 +26,17 @@
 from oakcroft.interface import MS, SECOND
 from oakcroft.peers.duties import Duties, Keeping
 from oakcroft.peers.starts import begin, keep
-from oakcroft.peerwire.messages import MOST_DATAGRAM, Codec, Dropped, Stream
+from oakcroft.peerwire.messages import MOST_DATAGRAM, MOST_STREAM, Codec, Dropped, Stream
 from oakcroft.peerwire.duties import FORM as DUTY_FORM
-from oakcroft.peerwire.sealing import BadKeys, Ring, keys_of
+from oakcroft.peerwire.duties import MOST_TEXT
+from oakcroft.peerwire.sealing import MAC, BadKeys, Ring, keys_of
 from oakcroft.running.clock import Clock
 
 TURN = 32  # datagrams before the front's other tasks have their turn
 MOST_A_SECOND = 2_000  # sealed datagrams followed: twelve times what 200 fronts send one in a heal
 MOST_STREAMS = 8  # exchanges at once, of others'
 STREAM_WITHIN = 2.0  # seconds for one
+TEXT_WITHIN = 10.0  # seconds for a text of 16 MiB at most
 KEYS_EVERY = 5.0
 VERSION = "0.2.0"
 DUTIES = bytes((DUTY_FORM,))
@@ -247,18 +249,73 @@
             await trio.aclose_forcefully(stream)
             return
         try:
-            with trio.move_on_after(STREAM_WITHIN), suppress(OSError, trio.BrokenResourceError):
-                if await self._hear_whole(
-                    stream
-                ):  # nobody is told anything who has not shown that he holds the key
+            with trio.move_on_after(STREAM_WITHIN) as scope, suppress(OSError, trio.BrokenResourceError):
+                first = await self._first(stream)
+                # Nobody is told anything who has not shown that he holds the key.
+                if first is not None and self.duties is not None and first[2 + MAC : 3 + MAC] == DUTIES:
+                    scope.deadline += TEXT_WITHIN
+                    await self._hand_out(stream, first)
+                elif first is not None and await self._hear_whole(stream, first):
                     await stream.send_all(self.codec.whole(self.view.whole()))
         finally:
             self.streams.release()
             await trio.aclose_forcefully(stream)
 
-    async def _hear_whole(self, stream: trio.SocketStream) -> bool:
+    @staticmethod
+    async def _first(stream: trio.SocketStream) -> bytes | None:
+        """A stream's octets up to where its first message shows its form."""
+        octets = bytearray()
+        while len(octets) < 3 + MAC:
+            more = await stream.receive_some(MOST_STREAM)
+            if not more:
+                return None
+            octets += more
+        return bytes(octets)
+
+    async def _hand_out(self, stream: trio.SocketStream, first: bytes) -> None:
+        """A text that another front asks for by its digest."""
+        assert self.duties is not None
+        codec, text = self.duties.codec, None
+        try:
+            length = 2 + int.from_bytes(first[:2], "big")
+            while len(first) < length <= MOST_DATAGRAM:
+                first += await stream.receive_some(MOST_DATAGRAM) or bytes(length)
+            text = self.duties.texts(codec.asked_for(self.codec.opened(first[2:length], self.now())))
+        except Dropped as reason:
+            self.dropped[str(reason)] += 1
+            return
+        for part in codec.chunks(*self.duties.me, text or b""):
+            await stream.send_all(part)
+
+    async def fetch(self, name: str, digest: str) -> bytes | None:
+        """A text that another front holds; None where it can't be had within `TEXT_WITHIN`."""
+        member, duties, own = self.view.members.get(name), self.duties, self.place.listen[0]
+        if member is None or duties is None:
+            return None
+        text, buffer, part = bytearray(), bytearray(), 0
+        with trio.move_on_after(TEXT_WITHIN), suppress(OSError, trio.BrokenResourceError, Dropped):
+            bound = None if ip_address(own).is_unspecified else own
+            async with await trio.open_tcp_stream(*member.news.address, local_address=bound) as stream:
+                await stream.send_all(duties.codec.fetch(*duties.me, digest))
+                while octets := await stream.receive_some(65_536):
+                    buffer += octets
+                    while len(buffer) >= 2 and len(buffer) >= (end := 2 + int.from_bytes(buffer[:2], "big")):
+                        opened = self.ring.open(bytes(buffer[2:end]), self.now())
+                        del buffer[:end]
+                        word = duties.codec.chunk(opened or b"")
+                        text += word.octets
+                        if word.part != part or len(text) > MOST_TEXT:
+                            return None
+                        part += 1
+                        if not word.more:
+                            return bytes(text) or None
+        return None
+
+    async def _hear_whole(self, stream: trio.SocketStream, first: bytes = b"") -> bool:
         heard = Stream(self.codec)
         try:
+            if first:
+                heard.receive_data(first, self.now())
             while not heard.done:
                 octets = await stream.receive_some(16_384)
                 if not octets:
--- a/oakcroft/peerwire/duties.py
+++ b/oakcroft/peerwire/duties.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
@@ -18,10 +20,13 @@
 
 FORM = 65
 MOST_NAME = 64
-MOST_KEEPERS = 15
+MOST_KEEPERS = 7
 STEPS = {s.value: s for s in Step}
-ORDER, REPORT = 32, 33
-"""Kinds over those of `Step`: an owner's order to a front, and the front's word back."""
+ORDER, REPORT, FETCH, CHUNK = 32, 33, 34, 35
+"""Kinds over those of `Step`: an owner's order to a front, and the front's word back; by stream, a text by its digest."""
+
+CHUNK_OCTETS = 12_288
+MOST_TEXT = 16_777_216
 
 
 class TermWord(msgspec.Struct, array_like=True):
@@ -99,6 +104,18 @@
     body: bytes
 
 
+class FetchWord(msgspec.Struct, array_like=True):
+    digest: str
+
+
+class ChunkWord(msgspec.Struct, array_like=True):
+    """A part of a text, in order. None at all and no more: whoever was asked does not hold it."""
+
+    part: int
+    more: bool
+    octets: bytes
+
+
 class Body(msgspec.Struct, array_like=True):
     fleet: str
     sender: str
@@ -112,7 +129,8 @@
 ASK, ANSWER = msgspec.msgpack.Decoder(AskWord), msgspec.msgpack.Decoder(AnswerWord)
 LEARN, LEARNT = msgspec.msgpack.Decoder(LearnWord), msgspec.msgpack.Decoder(LearntWord)
 ORDERS, REPORTS = msgspec.msgpack.Decoder(OrderWord), msgspec.msgpack.Decoder(ReportWord)
-ROW = msgspec.msgpack.Decoder(RowWord)
+FETCHES, CHUNKS = msgspec.msgpack.Decoder(FetchWord), msgspec.msgpack.Decoder(ChunkWord)
+T = TypeVar("T")
 Word = Ask | Answer | LearnWord | LearntWord | OrderWord | ReportWord
 
 
@@ -144,6 +162,10 @@
     return Row(_number(word.promised), _name(word.to, 2 * MOST_NAME), _term(word.term), _note(word.note))
 
 
+def _framed(octets: bytes) -> bytes:
+    return len(octets).to_bytes(2, "big") + octets
+
+
 def _number(n: int) -> int:
     if not 0 <= n < MOST_NUMBER:
         raise Dropped("malformed")
@@ -212,6 +234,37 @@
         """What became of an order."""
         return self._sealed(sender, start, REPORT, word)
 
+    # By stream: each message behind its length in two octets.
+
+    def fetch(self, sender: str, start: int, digest: str) -> bytes:
+        """The question for a text."""
+        return _framed(self._sealed(sender, start, FETCH, FetchWord(digest)))
+
+    def chunks(self, sender: str, start: int, text: bytes) -> Iterator[bytes]:
+        """A text, part by part."""
+        starts = range(0, max(1, len(text)), CHUNK_OCTETS)
+        for i, at in enumerate(starts):
+            word = ChunkWord(i, i + 1 < len(starts), text[at : at + CHUNK_OCTETS])
+            body = Body(self.fleet, sender, start, CHUNK, msgspec.Raw(ENCODER.encode(word)))
+            yield _framed(self.ring.seal(bytes((FORM,)) + ENCODER.encode(body)))
+
+    def asked_for(self, opened: bytes) -> str:
+        """The digest of the text that a stream's first message asks for."""
+        return self._of(opened, FETCH, FETCHES).digest
+
+    def chunk(self, opened: bytes) -> ChunkWord:
+        """One part of a text."""
+        return self._of(opened, CHUNK, CHUNKS)
+
+    def _of(self, opened: bytes, kind: int, decoder: msgspec.msgpack.Decoder[T]) -> T:
+        try:
+            body = BODY.decode(opened[1:])
+            if opened[:1] != bytes((FORM,)) or body.fleet != self.fleet or body.kind != kind:
+                raise Dropped("unknown kind")
+            return decoder.decode(bytes(body.payload))
+        except msgspec.MsgspecError as fault:
+            raise Dropped("malformed") from fault
+
     def taken(self, opened: bytes) -> Taken:
         """What a message says that the ring has opened, its form first."""
         try:
--- a/oakcroft/standins/between.py
+++ b/oakcroft/standins/between.py
@@ -39,6 +39,7 @@
     ails: dict[tuple[str, str], Ails] = field(default_factory=dict)
     passed: int = 0
     lost: int = 0
+    waiting: int = 0  # under way just now
 
     def on(self, one: str, other: str) -> Ails:
         """What befalls the way from one to the other, to be changed."""
@@ -86,7 +87,11 @@
 
     async def _pass(self, sock: trio.socket.SocketType, octets: bytes, to: str, late: float) -> None:
         if late:
-            await trio.sleep(late)
+            self.waiting += 1
+            try:
+                await trio.sleep(late)
+            finally:
+                self.waiting -= 1
         self.passed += 1
         try:
             await sock.sendto(octets, self.fronts[to])
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,209 @@
+"""Duties of the fleet over several processes: owners that are killed, stopped and woken, cut off, and keepers without a
+record. What is judged is what the fronts say over the operators' interface; nothing is looked up inside.
+"""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+import trio
+from rig import run
+from test_peers import TOKEN, Fronts, fronts
+
+from oakcroft.httpwire.client import Ended, Peer
+
+TERM = 2.0
+ONE = "(catalogue (others yes) (title a (home 0) (copies 1)))"
+TWO = "(catalogue (others yes) (title b (home 1) (copies 2)))"
+BROKEN = "(catalogue (others yes) (title c (holders nobody)))"
+
+
+class Owners(Fronts):
+    """Fronts of which the first three are keepers; all keep a state file."""
+
+    def file(self, name: str) -> Path:
+        path = super().file(name)
+        text = path.read_text().replace("(zone west)", f'(zone west) (state "{self.folder}/{name}.state")', 1)
+        path.write_text(f"{text}\n(keepers (names f0 f1 f2) (term {TERM:g}s))")
+        return path
+
+    async def call(
+        self, name: str, method: str, path: str, body: bytes = b"", **headers: str
+    ) -> dict[str, Any]:
+        peer = Peer("127.0.0.1", self.ports[name], connect_within=0.5)
+        try:
+            with trio.move_on_after(14):
+                fields = [
+                    ("Authorization", f"Bearer {TOKEN}"),
+                    *((k.replace("_", "-"), v) for k, v in headers.items()),
+                ]
+                said = await peer.ask(method, f"/operators/{path}", fields, body)
+                told = orjson.loads(said.body or b"{}")
+                return {"status": said.status, **(told if isinstance(told, dict) else {"all": told})}
+        except Ended:
+            pass
+        finally:
+            await peer.close()
+        return {"status": 0}
+
+    async def owner(self, among: list[str], but: str = "", within: float = 12) -> tuple[str, int]:
+        """Waits until one of these says that the duty is its own; name and number."""
+        with trio.fail_after(within):
+            while True:
+                for name in among:
+                    for d in (await self.call(name, "GET", "fleet/owners")).get("duties", []):
+                        if d["duty"] == "catalogue" and d["mine"] and name != but:
+                            return name, d["number"]
+                await trio.sleep(0.05)
+
+    async def owns(self, name: str) -> bool:
+        """Whether a front takes itself for the owner."""
+        return any(d["mine"] for d in (await self.call(name, "GET", "fleet/owners")).get("duties", []))
+
+    async def standing(self, name: str) -> dict[str, Any]:
+        return await self.call(name, "GET", "fleet/roll-out")
+
+    async def rolls(self, at: list[str], within: float = 25, **wanted: object) -> list[dict[str, Any]]:
+        """Waits until all of these say so of the last roll-out."""
+        said = list[dict[str, Any]]()
+        with trio.move_on_after(within):
+            while True:
+                said = [await self.standing(n) for n in at]
+                if all({k: s.get("roll_out", {}).get(k) for k in wanted} == wanted for s in said):
+                    return said
+                await trio.sleep(0.05)
+        pytest.fail(f"within {within} s not {wanted}: {said}")
+
+    async def roll_out(self, at: str, text: str, watch: int = 0) -> dict[str, Any]:
+        return await self.call(at, "PUT", f"fleet/roll-out?watch={watch}", text.encode(), If_Match="*")
+
+    async def numbers(self, at: list[str]) -> list[tuple[int, int]]:
+        """The (number, step) that stands at each."""
+        return [tuple((await self.standing(n))["fence"]) for n in at]
+
+    async def versions(self, name: str) -> list[str]:
+        """Digests of all that was in force on a front, in order."""
+        return [v["digest"] for v in (await self.call(name, "GET", "catalogue/versions"))["all"]]
+
+
+def on_owners(folder: Path, test: Callable[[Owners], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        async with fronts(folder, 5, Owners) as rig:
+            assert isinstance(rig, Owners)
+            await test(rig)
+
+    run(whole, 100)
+
+
+def test_a_roll_out_survives_its_owners_death_and_a_late_owner_changes_nothing(tmp_path: Path) -> None:
+    async def test(rig: Owners) -> None:
+        first, number = await rig.owner(rig.names)
+        assert (await rig.roll_out(next(n for n in rig.names if n != first), ONE, watch=2))["status"] == 202
+        await rig.rolls([first], stage="taken")
+        rig.signal(first, signal.SIGKILL)
+        rest = [n for n in rig.names if n != first]
+        second, later = await rig.owner(rest, within=6 * TERM)
+        assert later > number
+        await rig.start(first)
+        await rig.rolls(rig.names, stage="done", number=1)
+        one = {s["in_force"] for s in [await rig.standing(n) for n in rig.names]}
+        assert len(one) == 1
+
+        # Of the next version a share has it when its owner's orders come to be under way for long, and it is stopped;
+        # meanwhile another owner takes the version back.
+        second, later = await rig.owner(rig.names)
+        others = [n for n in rig.names if n != second]
+        assert (await rig.roll_out(second, TWO, watch=60))["status"] == 202
+        await rig.rolls(rig.names, stage="taken")
+        for name in others:
+            rig.between.on(second, name).late = (4 * TERM, 4 * TERM + 1)
+        passed = rig.between.waiting
+        with trio.fail_after(6):
+            while rig.between.waiting < passed + 40:  # so many of its words are under way
+                await trio.sleep(0.02)
+        rig.signal(second, signal.SIGSTOP)
+        third, latest = await rig.owner(others, within=6 * TERM)
+        assert latest > later
+        assert (await rig.call(third, "DELETE", "fleet/roll-out"))["status"] == 202
+        await rig.rolls(others, stage="stopped")
+        before = await rig.numbers(others)
+        rig.signal(second, signal.SIGCONT)
+        with trio.fail_after(20):
+            while not sum([(await rig.standing(n))["turned_away"] for n in others]):
+                await trio.sleep(0.05)
+        assert all(a >= b for a, b in zip(await rig.numbers(others), before, strict=True))
+        rig.between.heal()
+        await rig.rolls(rig.names, stage="stopped")
+        for name in rig.names:
+            assert (await rig.standing(name))["in_force"] in one
+            assert len(await rig.versions(name)) <= 3  # the first, the second, and back
+
+    on_owners(tmp_path, test)
+
+
+def test_a_minority_owns_nothing_and_keepers_without_a_record_sit_out(tmp_path: Path) -> None:
+    async def test(rig: Owners) -> None:
+        first, number = await rig.owner(rig.names)
+        rest = {n for n in rig.names if n != first}
+        keepers = {"f0", "f1", "f2"}
+        cut = {first}
+        rig.between.cut(cut, rest)
+        rig.between.cut(rest, cut)
+        second, later = await rig.owner(sorted(rest), within=6 * TERM)
+        assert later > number
+        with trio.fail_after(3 * TERM):
+            while await rig.owns(first):
+                await trio.sleep(0.05)
+        assert (await rig.standing(first))["status"] == 200  # it serves on
+        rig.between.heal()
+
+        # A keeper loses its record: it grants nothing for a term, learns, and numbers go on from where they were.
+        wiped = next(n for n in sorted(keepers) if n != second)
+        rig.signal(wiped, signal.SIGKILL)
+        await rig.processes[wiped].wait()
+        for file in tmp_path.glob(f"{wiped}.state*"):
+            file.unlink()
+        await rig.start(wiped)
+        said = await rig.call(wiped, "GET", "fleet/owners")
+        assert not said["keeper"]["speaks"]
+        with trio.fail_after(6 * TERM):
+            while not (await rig.call(wiped, "GET", "fleet/owners"))["keeper"]["speaks"]:
+                await trio.sleep(0.05)
+        assert (await rig.call(wiped, "GET", "fleet/owners"))["keeper"]["sound"]
+        rig.signal(second, signal.SIGKILL)
+        _, latest = await rig.owner([n for n in rig.names if n != second], within=6 * TERM)
+        assert latest > later
+
+    on_owners(tmp_path, test)
+
+
+def test_what_a_front_refuses_goes_nowhere_and_full_disks_grant_nothing(tmp_path: Path) -> None:
+    async def test(rig: Owners) -> None:
+        await rig.owner(rig.names)
+        assert (await rig.roll_out("f4", BROKEN))["status"] == 202
+        said = await rig.rolls(rig.names, stage="stopped")
+        assert "refused it" in said[0]["roll_out"]["reason"]
+        assert [await rig.versions(n) for n in rig.names] == [[]] * 5
+
+        # Two of three keepers have a full disk: no term can begin, and all fronts serve on.
+        for name in ("f0", "f1"):
+            rig.signal(name, signal.SIGKILL)
+            await rig.processes[name].wait()
+        for name in ("f0", "f1"):
+            await rig.start(name, full_disk=True)
+        await rig.see(rig.names, dict.fromkeys(rig.names, "alive"))
+        with trio.fail_after(4 * TERM):
+            while sum([await rig.owns(n) for n in rig.names]):
+                await trio.sleep(0.05)
+        said_ = await rig.roll_out("f4", ONE)
+        assert said_["status"] == 409
+        assert "nobody owns" in said_["title"] + str(said_)
+        for name in rig.names:
+            assert (await rig.standing(name))["status"] == 200
+
+    on_owners(tmp_path, test)
