Rehearse late owners: seven fronts, four roll-outs, and a check that judges owners from outside

Need: one owner at a time has to be shown by processes with faults between them, judged by what they say and do. Found by the rehearsal and mended: a front whose disk was wiped kept no catalogue while all others had one, for the last plan was a stopped one: it is brought to the version before (rollout.Report.bare); a report was believed for ever, also of a front that had started anew: 10 s now; 5 of 28 answers that failed on a front just woken took a sound version back: 50 answers and three standard errors now.

--- a/oakcroft/cli.py
+++ b/oakcroft/cli.py
@@ -257,7 +257,7 @@
 ) -> None:
     """Play a day FILE through real fronts on loopback and judge the rules from the sockets.
 
-    FILE may be the name of a shipped day, bad-day or split-fleet; without it the bad day is played.
+    FILE may be the name of a shipped day, bad-day, split-fleet or late-owner; without it the bad day is played.
     """
     from oakcroft.rehearsal import report, runner
     from oakcroft.rehearsal.bench_day import translate
--- a/oakcroft/decisions/fleet/rollout.py
+++ b/oakcroft/decisions/fleet/rollout.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -18,9 +19,10 @@
 
 HAND_WITHIN = 20 * SECOND  # for a version to reach all that are there
 TAKE_WITHIN = 20 * SECOND
-STALE = 5 * SECOND  # a report older than this says nothing of a front any more
-ENOUGH = 20  # answers of those that took it, under which their failures say nothing
+STALE = 10 * SECOND  # a report older than this is asked for again: the front may have started anew since
+ENOUGH = 50  # answers of those that took it, under which their failures say nothing
 WORSE = 0.05  # of the share of failures, over that of those that did not
+ERRORS = 3.0  # standard errors of that difference that it must be over as well: chance gives one of 700
 MOST_REASON = 120
 
 
@@ -72,6 +74,7 @@
     refused: str = ""
     answers: int = 0
     failures: int = 0
+    bare: bool = False  # it has no catalogue at all, though there is a version before this one
 
 
 class Rollout:
@@ -81,6 +84,7 @@
         self.plan, self.since = plan, now
         self.reports: dict[str, tuple[Report, int]] = {}
         self.all_since: int | None = None  # when all of the share had it in force
+        self.missing_since: int | None = None
 
     def heard(self, front: str, report: Report, now: int) -> None:
         """A front's report; one to an earlier step tells nothing of this one."""
@@ -89,19 +93,20 @@
 
     def recorded(self, plan: Plan, now: int) -> None:
         """A plan is on record and in force."""
-        self.plan, self.since, self.all_since = plan, now, None
+        self.plan, self.since, self.all_since, self.missing_since = plan, now, None, None
         self.reports.clear()
 
-    def unconfirmed(self, present: Iterable[str]) -> list[str]:
-        """Fronts that have not said yet that they stand as the plan wants."""
-        return [f for f in present if (told := self.reports.get(f)) is None or not self._stands(told[0])]
+    def unconfirmed(self, present: Iterable[str], now: int) -> list[str]:
+        """Fronts that have not said of late that they stand as the plan wants."""
+        return [f for f in present if (told := self.reports.get(f)) is None or now - told[1] > STALE
+                or not self._stands(told[0])]  # fmt: skip
 
     def _stands(self, report: Report) -> bool:
         plan = self.plan
         if plan.stage is Stage.HANDED:
-            return report.holds
+            return report.holds and not report.bare
         if plan.stage in (Stage.BACK, Stage.STOPPED):
-            return report.in_force != plan.digest
+            return report.in_force != plan.digest and not report.bare
         return report.in_force == plan.digest or (not report.takes_part and plan.stage is Stage.TAKEN)
 
     def next(self, present: Iterable[str], now: int) -> Plan | None:
@@ -117,20 +122,23 @@
         refused = sorted((f, told.refused) for f, (told, _) in self.reports.items() if told.refused)
         if refused and plan.stage is not Stage.BACK:
             return self._turned(f"{refused[0][0]} refused it: {refused[0][1]}")
-        missing = self.unconfirmed(there)
+        missing = self.unconfirmed(there, now)
+        if not missing:
+            self.missing_since = None
+        elif self.missing_since is None:
+            self.missing_since = now
+        waited = now - self.missing_since if self.missing_since is not None else 0
         if plan.stage is Stage.HANDED:
             if not missing:
                 return self._step(Stage.TAKEN, 0)
-            return (
-                self._turned(f"{missing[0]} did not take it in") if now - self.since > HAND_WITHIN else None
-            )
+            return self._turned(f"{missing[0]} did not take it in") if waited > HAND_WITHIN else None
         if plan.stage is Stage.BACK:
             return self._step(Stage.STOPPED, plan.share) if not missing else None
         if worse := self._worse():
             return self._turned(worse)
         if missing:
             self.all_since = None
-            return self._turned(f"{missing[0]} did not take it") if now - self.since > TAKE_WITHIN else None
+            return self._turned(f"{missing[0]} did not take it") if waited > TAKE_WITHIN else None
         if self.all_since is None:
             self.all_since = now
         if now - self.all_since < plan.watch:
@@ -170,7 +178,9 @@
             return ""
         failing = with_it[1] / with_it[0]
         usual = without[1] / without[0] if without[0] >= ENOUGH else 0.0
-        if failing <= usual + WORSE:
+        both = (with_it[1] + without[1]) / (with_it[0] + without[0])
+        error = math.sqrt(both * (1 - both) * (1 / with_it[0] + 1 / max(1, without[0])))
+        if failing - usual <= max(WORSE, ERRORS * error):
             return ""
         return f"{failing:.0%} of {with_it[0]} answers failed with it, {usual:.0%} without"
 
--- a/oakcroft/front/rolling.py
+++ b/oakcroft/front/rolling.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 
 import msgspec
 import structlog
@@ -68,6 +69,7 @@
     refused: str
     answers: int
     failures: int
+    bare: bool = False
 
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -127,7 +129,7 @@
         duties.orders[SUBMITTED] = self._submitted
         duties.reports[ACCEPTED] = self._answered
         duties.changed[DUTY] = self._changed
-        duties.texts = lambda digest: None if (text := self.texts.get(digest)) is None else text.encode()
+        duties.texts = self._held
 
     # What is ordered.
 
@@ -153,6 +155,7 @@
                     "late order", sender=got.sender, order=[word.number, word.step], stands=[number, step]
                 )
                 return ReportWord(DUTY, number, step, False, b"")
+            new = False
             if self.fence.seen.get(DUTY) != (word.number, word.step):
                 if not await self._on_record(word.number, word.step):
                     return self._report(plan, word, "its state file does not take the order")
@@ -160,7 +163,12 @@
                 if self.plan is None or self.plan.step != plan.step:
                     self.base = Counter(self.helm.finals)
                 self.plan = plan
-            return self._report(plan, word, await self._do(plan, got.sender))
+                new = True
+            refused = await self._do(plan, got.sender)
+            if new:
+                self.log.info("order", duty=DUTY, number=word.number, step=word.step, stage=plan.stage.name.lower(),
+                              in_force=self.in_force, refused=refused, sender=got.sender)  # fmt: skip
+            return self._report(plan, word, refused)
 
     async def _on_record(self, number: int, step: int) -> bool:
         if self.helm.memory is None:
@@ -175,7 +183,7 @@
         body = ReportBody(
             plan.step, plan.digest in self.texts or plan.digest == self.in_force, self.in_force,
             takes_part(terms.front, terms.fronts, int(plan.digest, 16), plan.part), refused[:120],
-            some[Final.PLAYS] + failures, failures,
+            some[Final.PLAYS] + failures, failures, self.in_force == NONE and plan.base != NONE,
         )  # fmt: skip
         return ReportWord(DUTY, word.number, word.step, True, ENCODER.encode(body))
 
@@ -184,8 +192,21 @@
         """The digest of this front's catalogue; of none at all where it has none."""
         return self.helm.catalogue.digest or NONE
 
+    def _held(self, digest: str) -> bytes | None:
+        """A text that this front can hand out: one that goes round, or a version that it keeps."""
+        text = self.texts.get(digest)
+        if text is None:
+            numbers = [k.number for k in self.catalogues.history.versions if k.digest == digest]
+            text = self.catalogues.texts.get(numbers[-1]) if numbers else None
+        return None if text is None else text.encode()
+
     async def _do(self, plan: Plan, sender: str) -> str:
         """What a plan wants of this front; why it will not."""
+        if self.in_force == NONE and plan.base != NONE and plan.stage is not Stage.DONE:
+            # It has lost its catalogue with its record, or is new here: it comes to what all others have.
+            before = replace(plan, digest=plan.base, base=NONE)
+            if why := await self._hold(before, sender) or await self._take(plan.base, before):
+                return why
         if plan.stage is Stage.HANDED:
             return await self._hold(plan, sender)
         if plan.stage in (Stage.BACK, Stage.STOPPED):
@@ -275,7 +296,7 @@
         except msgspec.MsgspecError:
             return
         running.heard(sender, Report(
-            body.step, body.holds, body.in_force, body.takes_part, body.refused, body.answers, body.failures
+            body.step, body.holds, body.in_force, body.takes_part, body.refused, body.answers, body.failures, body.bare
         ), self.helm.clock.now())  # fmt: skip
 
     async def run(self) -> None:
@@ -301,7 +322,7 @@
             return
         body = word_of(running.plan)
         # While it is watched each tells how it does; after its end only those that have not heard, or were away.
-        some = running.unconfirmed(present) if running.plan.stage in ENDED else present
+        some = running.unconfirmed(present, now) if running.plan.stage in ENDED else present
         for name in some:
             self.duties.order(name, OrderWord(DUTY, term.number, running.plan.step, body))
 
@@ -424,7 +445,7 @@
                                 "stage": plan.stage.name.lower(), "part": plan.part, "step": plan.step,
                                 "reason": plan.reason}  # fmt: skip
         if running is not None:
-            told["waits_for"] = running.unconfirmed(self.peers.view.present())[:20]
+            told["waits_for"] = running.unconfirmed(self.peers.view.present(), self.helm.clock.now())[:20]
         return told
 
 
--- a/oakcroft/peers/speaker.py
+++ b/oakcroft/peers/speaker.py
@@ -32,7 +32,7 @@
 from oakcroft.peerwire.sealing import MAC, BadKeys, Ring, keys_of
 from oakcroft.running.clock import Clock
 
-TURN = 32  # datagrams before the front's other tasks have their turn
+TURN = 8  # datagrams, some 2 ms, before the front's other tasks have their turn: one that wakes finds hundreds waiting
 MOST_A_SECOND = 2_000  # sealed datagrams followed: twelve times what 200 fronts send one in a heal
 MOST_STREAMS = 8  # exchanges at once, of others'
 STREAM_WITHIN = 2.0  # seconds for one
--- a/oakcroft/rehearsal/runner.py
+++ b/oakcroft/rehearsal/runner.py
@@ -10,10 +10,13 @@
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import orjson
 import trio
@@ -22,9 +25,10 @@
 from oakcroft.running.clock import Clock
 from oakcroft.rehearsal.viewers import Audience, Tally
 from oakcroft.rulecheck.fleet import judge_view
+from oakcroft.rulecheck.owners import judge_owners
 from oakcroft.rulecheck.rules import Fact, Finding, judge
 from oakcroft.standins.between import Between
-from oakcroft.standins.day import FRONT_FAULTS, PEER_FAULTS, Day, Fault
+from oakcroft.standins.day import FRONT_FAULTS, OWNER_FAULTS, PEER_FAULTS, Day, Fault
 from oakcroft.standins.record import Record, read
 
 SETTLE = 6.5  # a front paces every node for its first six seconds, as it cannot know which are warm
@@ -72,13 +76,14 @@
     def __init__(
         self, day: Day, folder: Path, policy: str, say: Say, audience: type[Audience] = Audience, state: bool = False,
     ) -> None:  # fmt: skip
-        self.state = state
+        self.state = state or bool(day.keepers)
         self.day, self.folder, self.policy, self.say = day, folder, policy, say
         self.record = Record(folder / "viewers.jsonl")
         self.audience = audience(day, self.record)
         self.fronts: list[FrontProcess] = []
         self.list_port = 0
         self.failures: list[str] = []
+        self.owned: dict[int, dict[str, int]] = {}  # by front, the duties that it takes for its own
         self.between = network(len(day.fronts), day.seed) if day.peers else None
 
     async def run(self) -> Outcome:
@@ -132,6 +137,11 @@
         findings = judge(facts, self.day.site)
         if self.day.peers:
             findings += judge_view(facts, {i: f"f{i}" for i in range(len(self.day.fronts))})
+        if self.day.keepers:
+            names = {i: f"f{i}" for i in range(len(self.day.fronts))}
+            findings += judge_owners(
+                facts + self._effects(), names, frozenset(self.day.keepers), self.day.term
+            )
         outcome = Outcome(
             self.day, self.policy, findings, self.audience.tally, earned, faults, self.failures, falls
         )
@@ -174,6 +184,9 @@
                 f'(operators (secret "{TOKEN}")) (peers (name {name}) (listen "{host}:{number}") (seeds {seeds})\n'
                 f'  (advertise "{relay}:{number}") (key-file "{key}") (starts "{start}"))\n'
             )
+        if self.day.keepers:
+            keepers = " ".join(f"f{i}" for i in self.day.keepers)
+            peers += f"(keepers (names {keepers}) (term {self.day.term // 1_000_000}ms))\n"
         front.file.write_text(
             f"{peers}(front (number {front.number}) (seed {self.day.seed * 1000 + front.number})\n"
             f'  (listen "127.0.0.1:{front.port}") (list-service "127.0.0.1:{self.list_port}") (kept "{kept}") {state}\n'
@@ -223,6 +236,12 @@
         if fault.kind == "front-stall":
             await self._stalls(chosen, fault)
             return
+        if fault.kind == "roll-out":
+            await self._roll_out(chosen[0], fault)
+            return
+        if fault.kind in OWNER_FAULTS:
+            await self._trouble_owner(fault)
+            return
         if fault.kind in PEER_FAULTS:
             await self._befall(chosen, fault)
             return
@@ -297,6 +316,92 @@
                 self._fill(front, False)
         self.record.note(fault.kind, fronts=numbers, phase="ends", one_way=fault.size > 0.5)
 
+    async def _roll_out(self, front: FrontProcess, fault: Fault) -> None:
+        """An operator hands a front the so-many-th version, again until it is taken."""
+        text = f"(catalogue (others yes) (title rolled-{fault.extra:g} (home 0) (copies 2)))".encode()
+        path = f"/operators/fleet/roll-out?watch={fault.size:.0f}"
+        with trio.move_on_after(30):
+            while True:
+                said = await self._operators(front, "PUT", path, text, 14)
+                self.record.note("handed", front=front.number, said=said, version=fault.extra)
+                if said.get("roll_out"):
+                    return
+                await trio.sleep(0.5)
+
+    async def _trouble_owner(self, fault: Fault) -> None:
+        """Whoever owns the catalogue is killed, or stopped with its words under way for `size` seconds, then woken."""
+        front: FrontProcess | None = None
+        with trio.move_on_after(10):
+            while front is None:
+                front = next((f for f in self.fronts if f.running and self.owned.get(f.number)), None)
+                await trio.sleep(0.02)
+        if front is None or front.process is None:
+            self.failures.append(f"{fault.kind}: nobody owned the catalogue for 10 s")
+            return
+        if fault.kind == "owner-kill":
+            self._kill(front)
+            await trio.sleep(fault.length / 1e9)
+            await self._boot(front)
+            return
+        if self.between is not None:
+            for other in self.fronts:
+                ails = self.between.on(f"f{front.number}", f"f{other.number}")
+                ails.late = (fault.size, fault.size + 0.5)
+        await trio.sleep(0.8)  # some of its words leave
+        self.record.note("front stands still", front=front.number)
+        front.process.send_signal(signal.SIGSTOP)
+        await trio.sleep(fault.length / 1e9)
+        front.process.send_signal(signal.SIGCONT)
+        self.record.note("front goes on", front=front.number)
+        if self.between is not None:
+            self.between.heal()
+
+    async def _operators(
+        self, front: FrontProcess, method: str, path: str, body: bytes = b"", within: float = 1
+    ) -> dict[str, Any]:
+        """What a front says to its operators; nothing where it does not answer, or another life of it does."""
+        port, peer = front.port, Peer("127.0.0.1", front.port, connect_within=0.5)
+        try:
+            with trio.move_on_after(within):
+                fields = [("Authorization", f"Bearer {TOKEN}"), ("If-Match", "*")]
+                said = await peer.ask(method, path, fields, body)
+                if port == front.port and said.status < 300:
+                    return dict(orjson.loads(said.body))
+                return {"status": said.status, "problem": said.body.decode("utf-8", "replace")[:200]}
+        except (Ended, orjson.JSONDecodeError):
+            pass
+        finally:
+            await peer.close()
+        return {}
+
+    async def _ask_owners(self, front: FrontProcess) -> None:
+        asked = time.time_ns()
+        said = await self._operators(front, "GET", "/operators/fleet/owners")
+        if "duties" in said:
+            mine = {d["duty"]: d["number"] for d in said["duties"] if d["mine"]}
+            self.owned[front.number] = mine
+            self.record.note("owners", front=front.number, asked=asked, duties=mine)
+        else:
+            self.owned.pop(front.number, None)
+        said = await self._operators(front, "GET", "/operators/fleet/roll-out")
+        if "fence" in said:
+            plan = said.get("roll_out") or {}
+            self.record.note("stands", front=front.number, fence=said["fence"], in_force=said["in_force"],
+                             stage=plan.get("stage", "stopped"), turned_away=said["turned_away"])  # fmt: skip
+
+    def _effects(self) -> list[Fact]:
+        """Orders that took effect, in the order of each front's own log over all its lives."""
+        some = list[Fact]()
+        for front in self.fronts:
+            for place, line in enumerate(front.log.read_bytes().splitlines()):
+                if b'"order"' in line:
+                    with suppress(orjson.JSONDecodeError):
+                        said = orjson.loads(line)
+                        if said.get("event") == "order":
+                            some.append({"t": 0, "kind": "effect", "front": front.number, "place": place,
+                                         "number": said["number"], "step": said["step"]})  # fmt: skip
+        return some
+
     def _fill(self, front: FrontProcess, full: bool) -> None:
         """No file of a front may grow, its log's neither, in this life and those that follow."""
         front.full = full
@@ -314,7 +419,10 @@
         while True:
             await trio.sleep(0.5)
             if not front.running:
+                self.owned.pop(front.number, None)
                 continue
+            if self.day.keepers:
+                await self._ask_owners(front)
             port, peer = front.port, Peer("127.0.0.1", front.port, connect_within=0.5)
             try:
                 with trio.move_on_after(1):
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -12,10 +12,14 @@
 import orjson
 import pytest
 import trio
-from rig import run
+from rig import DAY, SITE, run
 from test_peers import TOKEN, Fronts, fronts
 
+from oakcroft.commands import owners
+from oakcroft.config.compile import check
+from oakcroft.config.problems import Unsound
 from oakcroft.httpwire.client import Ended, Peer
+from oakcroft.standins.day import parse
 
 TERM = 2.0
 ONE = "(catalogue (others yes) (title a (home 0) (copies 1)))"
@@ -207,3 +211,62 @@
             assert (await rig.standing(name))["status"] == 200
 
     on_owners(tmp_path, test)
+
+
+def test_keepers_that_could_not_do_their_work_are_found_by_the_check() -> None:
+    def said(forms: str, peers: bool = True, state: bool = True) -> list[str]:
+        place = '(state "f.state")' if state else ""
+        text = SITE.replace("EXTRA", "") + (
+            f'(front (zone west) (listen "127.0.0.1:80") (list-service "127.0.0.1:1") {place}) {forms}'
+        )
+        if peers:
+            text += '(peers (name f0) (listen "127.0.0.1:7946") (seeds "127.0.0.2:7946") (key-file "k"))'
+        _, problems = check("front", lambda _: text)
+        return [
+            p.what for p in [*problems.errors, *problems.found] if "keeper" in p.what or "seven" in p.what
+        ]
+
+    assert said("(keepers (names f0 f1 f2))") == []
+    assert "stands twice" in said("(keepers (names f0 f1 f1))")[0]
+    assert "there are none" in said("(keepers (names f0 f1 f2))", peers=False)[0]
+    assert "would forget what it has granted" in said("(keepers (names f0 f1 f2))", state=False)[0]
+    assert said("(keepers (names f1 f2 f3))", state=False) == []  # it is none itself
+    assert "2 keepers bear no more losses than 1" in said("(keepers (names f0 f1))")[0]
+
+
+def test_what_operators_read_of_owners() -> None:
+    keeper = {"speaks": False, "sound": False, "record": True, "mute_ms": 1500, "waits_for": ["f1"]}
+    duty = {
+        "duty": "catalogue",
+        "owner": "f2",
+        "number": 7,
+        "mine": False,
+        "course": "waits before it asks",
+        "in_line": 0,
+    }
+    said = {"name": "f0", "keepers": ["f0", "f1", "f2"], "term_ms": 6000, "duties": [duty], "keeper": keeper}
+    assert owners(said) == [
+        "f0: keepers f0, f1, f2; a term is 6 s",
+        "  a keeper, grants nothing, remembers nothing, mute for 1.5 s, waits for f1",
+        "  catalogue: f2, number 7; here: waits before it asks, 1. in line",
+    ]
+    nobody = {"duty": "catalogue", "owner": None, "number": 0, "mine": False, "course": None, "in_line": None}
+    full = {"speaks": True, "sound": True, "record": False, "mute_ms": 0, "waits_for": []}
+    assert owners({**said, "duties": [nobody], "keeper": full})[1:] == [
+        "  a keeper, grants nothing, its record can't be written",
+        "  catalogue: nobody, as far as this front knows",
+    ]
+
+
+def test_a_day_with_owners_needs_keepers_that_are_there() -> None:
+    def errors(more: str) -> str:
+        day = DAY.replace("SITE", SITE.replace("EXTRA", "")).replace(
+            "(fronts west)", f"(fronts west) {more}", 1
+        )
+        with pytest.raises(Unsound) as found:
+            parse(day, "day")
+        return str(found.value)
+
+    assert "reached among the peers" in errors("(keepers 0)")
+    assert "there is no front 3" in errors("(peers yes) (keepers 3)")
+    assert "nobody grants terms" in errors("(fault owner-kill (at 1s) (for 1s))")
--- /dev/null
+++ b/tests/test_owners_judged.py
@@ -0,0 +1,111 @@
+"""The check of owners finds what is planted: facts as processes leave them, from a model with one fault at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import pytest
+
+from oakcroft.decisions.fleet.terms import Fence
+from oakcroft.interface import MS, SECOND
+from oakcroft.rulecheck.owners import judge_owners
+from oakcroft.rulecheck.rules import Fact
+
+TERM = 2 * SECOND
+NAMES = {i: f"f{i}" for i in range(5)}
+KEEPERS = frozenset({0, 1, 2})
+DUTY = "catalogue"
+
+
+class Unchecked(Fence):
+    """A front that does whatever it is told."""
+
+    def admits(self, duty: str, number: int, step: int) -> bool:
+        return True
+
+
+def played(
+    fence: Callable[[], Fence] = Fence, early: int = 0, forgets: bool = False, away: int = 0
+) -> list[Fact]:
+    """Owners in turn for ten seconds each, whose orders reach five fronts, some of them late. `early`: how long before
+    its predecessor's end each begins (a term counted from the wrong end); `forgets`: the keepers give a number twice;
+    `away`: how long nobody owns it in between."""
+    rng, facts, arriving = Random(3), list[Fact](), list[tuple[int, int, int, int]]()
+    for turn in range(4):
+        owner, number = turn % 5, 100 + (0 if forgets and turn == 2 else turn)
+        begin = turn * (10 * SECOND + away) - (early if turn else 0)
+        for t in range(begin, turn * (10 * SECOND + away) + 10 * SECOND, SECOND // 2):
+            facts.append(
+                {"t": t + MS, "kind": "owners", "front": owner, "asked": t, "duties": {DUTY: number}}
+            )
+        for step in range(3):
+            for front in NAMES:
+                late = 15 * SECOND if rng.random() < 0.2 else rng.randrange(SECOND)
+                arriving.append((begin + step * 3 * SECOND + late, front, number, step + 1 + turn * 3))
+    fences, place = {f: fence() for f in NAMES}, 0
+    for t, front, number, step in sorted(arriving):
+        if fences[front].admits(DUTY, number, step):
+            fences[front].takes(DUTY, number, step)
+            facts.append(
+                {"t": t, "kind": "effect", "front": front, "place": place, "number": number, "step": step}
+            )
+            place += 1
+    last = max(f["t"] for f in facts)
+    for front in NAMES:
+        seen = list(fences[front].seen[DUTY])
+        facts.append(
+            {"t": last, "kind": "stands", "front": front, "fence": seen, "in_force": "x", "stage": "done"}
+        )
+        facts.append({"t": last + MS, "kind": "owners", "front": front, "asked": last, "duties": {}})
+    return facts
+
+
+def breaches(facts: list[Fact]) -> dict[int, list[str]]:
+    return {f.rule: f.breaches for f in judge_owners(facts, NAMES, KEEPERS, TERM) if f.breaches}
+
+
+def test_a_sound_fleet_is_found_sound() -> None:
+    assert breaches(played()) == {}
+    assert all(f.cases for f in judge_owners(played(), NAMES, KEEPERS, TERM))
+
+
+@pytest.mark.parametrize(
+    ("fault", "rule", "says"),
+    [({"fence": Unchecked}, 22, "took effect after"), ({"early": 3 * SECOND}, 21, "while [0] still had 100"),
+     ({"forgets": True}, 21, "is owned by fronts [0, 2]"), ({"away": 30 * SECOND}, 23, "nobody owned it for 30")],
+)  # fmt: skip
+def test_a_planted_fault_is_found(fault: dict[str, Any], rule: int, says: str) -> None:
+    found = breaches(played(**fault))
+    assert rule in found
+    assert says in found[rule][0]
+
+
+def test_a_time_without_a_majority_of_keepers_is_no_gap() -> None:
+    facts = played(away=30 * SECOND)
+    for front in (0, 1):
+        facts += [{"t": 9 * SECOND, "kind": "front killed", "front": front},
+                  {"t": 150 * SECOND, "kind": "front started", "front": front}]  # fmt: skip
+    assert 23 not in breaches(facts)
+    one_only = [f for f in facts if f["kind"] not in ("front killed", "front started") or f["front"] == 0]
+    assert 23 in breaches(one_only)
+
+
+def test_a_fence_that_went_back_and_fronts_that_differ_are_found() -> None:
+    facts = played()
+    last = facts[-1]["t"]
+    back = {
+        "t": last + SECOND,
+        "kind": "stands",
+        "front": 1,
+        "fence": [100, 1],
+        "in_force": "y",
+        "stage": "done",
+    }
+    found = breaches([*facts, back])
+    assert "its fence went back" in found[22][0]
+    assert "in force" in found[24][0]
+    open_ = dict(back, fence=[999, 1], in_force="x", stage="taken")
+    assert "not over on fronts [1]" in breaches([*facts, open_])[24][0]
+    assert "nobody ever owned" in breaches([f for f in facts if f["kind"] == "stands"])[21][0]
