--- a/oakcroft/config/compile.py
+++ b/oakcroft/config/compile.py
@@ -671,7 +671,7 @@
         {n: Holding(t["home"], t["copies"]) for n, t in m["title"].items()}, fleet["copies"],
         tuple(signalling["ice-servers"]), replace(Bounds(), **door), signalling["way-back"], fleet["drain-grace"], fleet["usual-notice"],
         m["stopping"]["drain-within"], m["stopping"]["leave-within"], nodes["silent-after"], nodes["lost-after"],
-        nodes["connect-within"], signalling["keep-keys"], bytes.fromhex(m["operators"]["secret"]),
+        nodes["connect-within"], nodes["list-within"], signalling["keep-keys"], bytes.fromhex(m["operators"]["secret"]),
         tuple(level_of(n, x) for n, x in sorted(m["level"].items(), key=lambda level: level[1]["rank"])),
         LevelBounds(**{f.name: m["levels"][f.name.replace("_", "-")] for f in fields(LevelBounds)}),
         WingBounds(**{f.name: m["preference"][f.name] for f in fields(WingBounds)}) if "preference" in m else None,
--- a/oakcroft/config/forms.py
+++ b/oakcroft/config/forms.py
@@ -212,6 +212,7 @@
         Field("connect-within", "a connection stands by then or never", TIMES, 250 * MS, at_least=1, usual=(10 * MS, 5 * SECOND, "")),
         Field("silent-after", "a stream without a byte for so long is opened anew", TIMES, 3 * SECOND, at_least=1),
         Field("lost-after", "and its playbacks count as lost after so long", TIMES, 8 * SECOND, at_least=1),
+        Field("list-within", "a starting front listens once the list service has answered, or after so long", TIMES, 8 * SECOND),
     ),
 )  # fmt: skip
 DOOR = Schema(
--- a/oakcroft/config/told.py
+++ b/oakcroft/config/told.py
@@ -60,6 +60,7 @@
     silent_after: int
     lost_after: int
     connect_within: int
+    list_within: int  # how long a starting front waits for the list service
     keep_keys: int
     operators: bytes  # digest of their bearer token; empty: no interface
     levels: tuple[Level, ...]  # of reduced service, in order
--- a/oakcroft/front/listing.py
+++ b/oakcroft/front/listing.py
@@ -172,6 +172,7 @@
         self.path = Path(path) if path else None
         self.again = Again(LIST, rng, clock.now())
         self.version, self.failing = -1, False
+        self.answered = trio.Event()  # the service has told what stands now
 
     async def run(self) -> None:
         """Until it is cancelled."""
@@ -209,6 +210,7 @@
         if not await self.take(lines, version, service):
             return "list refused"
         self.version = version
+        self.answered.set()
         if self.path is not None:
             try:
                 await trio.to_thread.run_sync(keep, self.path, response.body)
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -31,6 +31,7 @@
 from oakcroft.front.viewers import Viewers
 from oakcroft.httpwire.client import Peer
 from oakcroft.httpwire.message import Request
+from oakcroft.interface import MS
 from oakcroft.httpwire.server import Server
 from oakcroft.config.told import Deployment
 from oakcroft.store.file import Fact, Held, StateFile
@@ -123,6 +124,14 @@
             follower = Follower(peer, clock, rng, stand.kept, me, helm.listed, self.log)
             nursery.start_soon(follower.run)
             leave = await self._meet(helm, operators, catalogues, nursery, clock)
+            # Guards against set-ups to nodes that have begun to drain, or went, while this front was away: all it has
+            # until the service answers is the list of its last life. Harm: no service for so long while that is down.
+            with trio.move_on_after(site.list_within / 1e9):
+                await follower.answered.wait()
+            if not follower.answered.is_set():
+                self.log.warning(
+                    "opened on the kept list", nodes=len(helm.roster.lines), waited_ms=site.list_within // MS
+                )
             listeners = await trio.open_tcp_listeners(stand.port, host=stand.host, backlog=4096)
             port = listeners[0].socket.getsockname()[1]
             stopping.serve(clock.now())
--- a/oakcroft/standins/fleet.py
+++ b/oakcroft/standins/fleet.py
@@ -29,6 +29,9 @@
 HOLD = 20.0
 
 
+SLOW = 0.15  # seconds that a slow list service takes for each answer
+
+
 class ListService:
     """Knows which processes run, drain or are gone, and tells each front seconds late."""
 
@@ -62,6 +65,8 @@
         asked = orjson.loads(request.body).get("version_info") or "-1"
         self.record.note("poll", front=front, version=int(asked))
         until = trio.current_time() + HOLD
+        if self.trouble == "list-slow":
+            await trio.sleep(SLOW)
         while trio.current_time() < until:
             if self.trouble == "list-down":
                 return Response(503)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -38,7 +38,7 @@
   (route course (path "/whep/course/") (plan course)) (route open (path "/whep/open/") (plan open))
   (plan seats (effect free) (startup-target 400ms) (abandon 1500ms) (revenue 1) (seats 2))
   (route seats (path "/whep/seats/") (plan seats)) (route studio (path "/whip/open/") (plan open) (for publish))
-  (nodes (silent-after 1200ms) (lost-after 2500ms)) (stopping (drain-within 1s) (leave-within 1s))
+  (nodes (silent-after 1200ms) (lost-after 2500ms) (list-within 300ms)) (stopping (drain-within 1s) (leave-within 1s))
   (signalling (ice-servers "stun:127.0.0.1:3478")) EXTRA"""
 DAY = """(day (length 60s) (fronts west) (late 10ms 20ms) (setup 2ms 4ms) (site SITE)
   (node n1 (wing west) (cell 0) (link 40000kB/s) (places 40)) (node n2 (wing west) (cell 1) (link 40000kB/s) (places 40))
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -252,6 +252,30 @@
     run(test)
 
 
+def test_a_restarted_front_listens_once_it_knows_what_stands_now(tmp_path: Path) -> None:
+    """A node began to drain while the front was away; the list service is slow to say so."""
+
+    async def test() -> None:
+        async with standing(tmp_path) as rig, trio.open_nursery() as nursery:
+            assert (await rig.watch("/whep/open/t")).status == 201
+            at = rig.playing()[0]
+            await until(lambda: (tmp_path / "kept").exists())
+            rig.front_scope.cancel()
+            at.ails.draining = True
+            rig.fleet.publish()
+            rig.fleet.list.trouble = "list-slow"
+            before = len(rig.facts("setup"))
+            await start_front(nursery, rig)
+            for _ in range(4):
+                await rig.watch("/whep/open/t")
+            assert rig.facts("setup")[before:]
+            assert at.name not in [f["node"] for f in rig.facts("setup")[before:]]
+            assert not [e for e in rig.logged() if e["event"] == "opened on the kept list"]
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
 def test_a_stopped_front_takes_nothing_new_and_ends_what_plays(tmp_path: Path) -> None:
     async def test() -> None:
         async with standing(tmp_path) as rig:
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -19,7 +19,7 @@
     (plan course (effect paid) (startup-target 1s) (abandon 3s) (revenue 2))
     (plan open (effect free) (startup-target 1s) (abandon 3s) (revenue 1) (floor 1) (seats 20))
     (route course (path "/whep/course/") (plan course)) (route open (path "/whep/open/") (plan open))
-    (nodes (silent-after 1s) (lost-after 3s)))
+    (nodes (silent-after 1s) (lost-after 3s) (list-within 300ms)))
   (node n1 (wing west) (cell 0) (link 20000kB/s) (places 40)) (node n2 (wing east) (cell 1) (link 20000kB/s) (places 40))
   (node n3 (wing west) (cell 2) (link 20000kB/s) (places 40)) (node n4 (wing east) (cell 3) (link 20000kB/s) (places 40))
   (viewers (rate 16/s) (titles 6) (back-after 300ms 900ms)
