--- a/oakcroft/decisions/fleet/owning.py
+++ b/oakcroft/decisions/fleet/owning.py
@@ -60,7 +60,8 @@
         self.rank = rank  # among those that would have it: later ones wait longer for a term that is over
         self.highest = floor  # number seen: the next is over it
         self.term: Term | None = None
-        self.seq = self.rounds = 0
+        self.seq = self.rounds = self.first = 0
+        self.kept = False  # the present round of acceptances has its majority
         self.asked_at = self.due = now
         self.held_until = 0  # by its own belief
         self.note = Note()  # the last on record, or asked to be
@@ -115,7 +116,7 @@
         if self.course is Course.BACK:
             return self._ask(now)
         if self.course is Course.OWNS:
-            return self._propose(now)
+            return self._propose(now, again=not self.kept)
         self.rounds += 1
         if self.rounds >= ROUNDS:
             self._stand_back(now, self.length // 8 + self.rng.randrange(self.length // 4 + 1))
@@ -136,13 +137,16 @@
         self.course, self.asked_at, self.due, self.answers = Course.ASKING, now, now + WITHIN, {}
         return [Word(k, Ask(Step.PREPARE, self.duty, self.term)) for k in self.keepers]
 
-    def _propose(self, now: int) -> list[Word]:
+    def _propose(self, now: int, again: bool = False) -> list[Word]:
+        """Asks for acceptance; `again`: the same once more, answers to any asking of the round counting together, and the
+        term from the first. Guards an owner against lossy links: a term holds as many askings as fit into it."""
         assert self.term is not None
         if self.course is Course.ASKING:
             self.course = Course.PROPOSING
         self.seq += 1
-        self.asked_at, self.answers = now, {}
-        self.due = now + (WITHIN if self.course is Course.PROPOSING else self.length // 4)
+        if not again:
+            self.first, self.asked_at, self.answers, self.kept = self.seq, now, {}, False
+        self.due = now + WITHIN
         ask = Ask(Step.PROPOSE, self.duty, self.term, self.seq, self.length, self.note)
         return [Word(k, ask) for k in self.keepers]
 
@@ -166,7 +170,7 @@
         wanted = {Course.ASKING: Step.PROMISED, Course.PROPOSING: Step.ACCEPTED, Course.OWNS: Step.ACCEPTED}
         if not mine or answer.step is not wanted.get(self.course):
             return []
-        if answer.step is Step.ACCEPTED and answer.seq != self.seq:
+        if answer.step is Step.ACCEPTED and not self.first <= answer.seq <= self.seq:
             return []
         self.answers[answer.keeper] = answer
         if len(self.counted()) < majority(len(self.keepers)):
@@ -192,7 +196,8 @@
         if self.course is Course.PROPOSING:
             self.course = Course.OWNS
             self.taken += 1
-            self.due = self.asked_at + self.length // 4
+        if not self.kept:
+            self.kept, self.due = True, self.asked_at + self.length // 4
         self.held_until = max(self.held_until, self.asked_at + belief(self.length))
         self.settled = max(self.settled, self.note.key)
         self.other = None
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -123,7 +123,7 @@
             self.now, self.spent, self.settled.body, tuple(sorted(self.words)), tuple(sorted(self.answers)),
             *[(k.epoch, k.sound, k.mute_until, k.until.get(DUTY, 0), *k.epochs.values(),
                LETTERS.number(("", k.rows.get(DUTY)))) for k in self.keepers.values()],
-            *[(c.course, c.highest, c.seq, c.rounds, c.due, c.held_until, c.settled, c.note.key,
+            *[(c.course, c.highest, c.seq, c.first, c.kept, c.rounds, c.due, c.held_until, c.settled, c.note.key,
                *[(n, a.seq) for n, a in sorted(c.answers.items())]) for c in self.candidates.values()],
         )  # fmt: skip
 
@@ -359,7 +359,7 @@
     def walks() -> None:
         for seed in range(40):
             for many, wipes in ((3, 1), (5, 2), (7, 3)):
-                long_walk(seed, many, wipes)
+                long_walk(seed, many, wipes, 8_000)
 
     with pytest.raises(AssertionError):
         walks()
