Answer a key that nodes tell of with "later" while the front's own file can't be read

Seen: test_a_file_of_a_newer_program failed at each play since a front waits for its list: a repeated paid key got 504 "aborted", and 201 with its session once the file could be read. Cause: front/memory.py, refusal: nodes asked at the start tell which keys ran, and such a key was aborted at once; whether that came before the first request was a race which the later listening has decided. Two answers for one key. Change: until the file has been read, such a key gets 503 no-record with a time to come back, as other paid ones do.

--- a/oakcroft/front/memory.py
+++ b/oakcroft/front/memory.py
@@ -70,7 +70,9 @@
         promised; None where it may be begun."""
         if not waits_for_record(v.pb.plan):
             return None
-        if v.key in self.recovery.learnt:
+        # While its own file can't be read yet, a key that nodes have told of may stand there as playing: it would be
+        # answered "aborted" now and "plays" later.
+        if v.key in self.recovery.learnt and self.store.read:
             return answers.aborted(v.pb.plan.effect)
         sound = self.store.health.takes_promises(self.helm.clock.now())
         return (
