--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -274,3 +274,86 @@
     other = codec("other").ask("f1", 99, Ask(Step.PREPARE, "d", TERM))
     with pytest.raises(Dropped):
         codec().taken(opened(other))
+
+
+# An owner that dies in the middle of each step.
+
+
+class Played:
+    """Ten fronts behind their fences, the record at the keepers, and owners that die where they are told to."""
+
+    def __init__(self, refuses: str = "") -> None:
+        self.record = begun(0).plan
+        self.fences = {f: Fence() for f in FRONTS}
+        self.in_force = dict.fromkeys(FRONTS, OLD)
+        self.held = dict.fromkeys(FRONTS, False)
+        self.changes: dict[str, list[str]] = {f: [] for f in FRONTS}
+        self.under_way: list[tuple[str, int, Plan]] = []
+        self.refuses, self.number, self.now = refuses, 0, 0
+        self.one = Rollout(self.record, 0)
+
+    def owner(self) -> None:
+        """Another owner goes on from what is on record."""
+        self.number += 1
+        self.one = Rollout(self.record, self.now)
+
+    def order(self, front: str, number: int, plan: Plan) -> None:
+        if not self.fences[front].admits("d", number, plan.step):
+            return
+        self.fences[front].takes("d", number, plan.step)
+        share, was, refused = round(plan.part * len(FRONTS)), self.in_force[front], ""
+        if plan.stage is Stage.HANDED:
+            self.held[front] = True
+        elif plan.stage in (Stage.BACK, Stage.STOPPED):
+            self.in_force[front] = OLD
+        elif FRONTS.index(front) < share:
+            refused = "broken" if front == self.refuses else ""
+            self.in_force[front] = self.in_force[front] if refused else NEW
+        if self.in_force[front] != was:
+            self.changes[front].append(self.in_force[front])
+        if number == self.number:
+            part = FRONTS.index(front) < share
+            report = Report(plan.step, self.held[front], self.in_force[front], part, refused)
+            self.one.heard(front, report, self.now)
+
+    def round(self, dies: str = "") -> bool:
+        """One round of the owner; True where it was to die, and did."""
+        self.now += SECOND
+        after = self.one.next(FRONTS, self.now)
+        if after is not None:
+            if dies == "before the record":
+                return True
+            self.record = after
+            if dies == "after the record":
+                return True
+            self.one.recorded(after, self.now)
+        for i, front in enumerate(FRONTS):
+            if dies == "between orders" and after is not None and i >= 5:
+                self.under_way.append((front, self.number, self.one.plan))
+            else:
+                self.order(front, self.number, self.one.plan)
+        return dies == "between orders" and after is not None
+
+
+@pytest.mark.parametrize("refuses", ["", "f4"])
+@pytest.mark.parametrize("point", ["before the record", "after the record", "between orders"])
+def test_an_owner_dies_in_the_middle_of_each_step(point: str, refuses: str) -> None:
+    deaths = 0
+    for at in range(1, 8):  # the so-many-th change of the plan
+        played, changes, died = Played(refuses), 0, False
+        played.owner()
+        for _ in range(60):
+            before = played.record.step
+            soon = not died and changes + 1 == at
+            if played.round(point if soon else ""):
+                died = True
+                deaths += 1
+                played.owner()
+            changes += played.record.step > before
+        for front, number, plan in played.under_way:  # what the dead owner had said comes at last
+            played.order(front, number, plan)
+        ends, stage = (OLD, Stage.STOPPED) if refuses else (NEW, Stage.DONE)
+        assert played.record.stage is stage
+        assert set(played.in_force.values()) == {ends}
+        assert all(seen in ([], [NEW], [NEW, OLD]) for seen in played.changes.values()), played.changes
+    assert deaths >= 4  # at each step there is
