Follow no order whose number the keepers did not promise, and none that is no plan

Found in a last reading: a digest that is none ended the peers' tasks for a second (int() of it in front/rolling.py, _report), each time it was ordered; a member that errs could raise a front's fence over any number; a fault in one duty's work took the keeper beside it along (peers/duties.py, _work). Change: plans are checked before anything is done under them; an order over the number known here waits until the keepers say that they promised as much (three datagrams, half a second a term); a fault in an order's work is logged and stays there. What a holder of the key who means harm can still do stands in docs/owners.md.

--- a/oakcroft/front/rolling.py
+++ b/oakcroft/front/rolling.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import Counter
 from dataclasses import replace
 
@@ -15,7 +16,7 @@
 import trio
 
 from oakcroft.catalogue.text import Unsound, digest as digest_of, read, write
-from oakcroft.decisions.fleet.rollout import ENDED, Plan, Report, Rollout, Stage, begins
+from oakcroft.decisions.fleet.rollout import ENDED, SHARES, Plan, Report, Rollout, Stage, begins
 from oakcroft.decisions.fleet.terms import MOST_NOTE, Fence, Term
 from oakcroft.decisions.routing.catalogue import Verdict, takes_part
 from oakcroft.decisions.sessions.answers import Final
@@ -73,6 +74,7 @@
 
 
 ENCODER = msgspec.msgpack.Encoder()
+DIGEST = re.compile("[0-9a-f]{24}")
 PLAN = msgspec.msgpack.Decoder(PlanWord)
 SUBMIT, REPORT = msgspec.msgpack.Decoder(SubmitWord), msgspec.msgpack.Decoder(ReportBody)
 SEEN = msgspec.msgpack.Decoder(dict[str, tuple[int, int]])
@@ -91,6 +93,17 @@
         why, reason = why[: len(why) // 2], reason[: max(0, len(reason) - 10)]
 
 
+def plan_of(body: bytes) -> Plan:
+    """A plan as it was recorded or ordered. ValueError where it is none: figures and digests that nothing can be done
+    with are found here, before anything is done under it."""
+    plan = PLAN.decode(body).plan()
+    if not (DIGEST.fullmatch(plan.digest) and DIGEST.fullmatch(plan.base)):
+        raise ValueError("a digest is 24 hexadecimal digits")
+    if not 0 <= plan.share < len(SHARES) or plan.step < 1 or plan.watch < 0:
+        raise ValueError("a figure is out of range")
+    return plan
+
+
 class Rolling:
     """One front's part in roll-outs."""
 
@@ -116,7 +129,6 @@
         self.texts: dict[str, str] = {}
         self.turn = trio.Lock()
         self.plan: Plan | None = None  # as last ordered here
-        self.refused: tuple[str, str] = ("", "")  # digest, why
         self.base = Counter[Final]()  # answers when the present step began here
         self.running: Rollout | None = None  # while this front owns the duty
         self.accepted: dict[str, str] = {}  # by digest, the owner's word on what was handed on
@@ -136,19 +148,22 @@
     async def _ordered(self, got: Taken, word: OrderWord) -> ReportWord | None:
         """One order: on record first, then done; turned away where a newer one has been taken."""
         try:
-            plan = PLAN.decode(word.body).plan()
-        except msgspec.MsgspecError:
+            plan = plan_of(word.body)
+        except ValueError:
             return None
         if plan.step != word.step:
             return None
         async with self.turn:
-            if not self.sure:
+            # Guards against a number that nobody has promised, and, where this front's own record may be missing its last
+            # words, against one that was the highest once: the keepers tell how far numbers are. The order comes again.
+            if not self.sure or word.number > self.fence.seen.get(DUTY, (0, 0))[0]:
                 floor = self.duties.floor(DUTY)
-                if floor is None:
+                if floor is None or floor < word.number:
                     self.duties.look_for_floor(DUTY)
                     return None
-                self.fence.takes(DUTY, floor, 0)
-                self.sure = True
+                if not self.sure:
+                    self.fence.takes(DUTY, floor, 0)
+                    self.sure = True
             if not self.fence.admits(DUTY, word.number, word.step):
                 number, step = self.fence.seen[DUTY]
                 self.log.warning(
@@ -332,8 +347,8 @@
         if self.running is not None or not note:
             return
         try:
-            plan = PLAN.decode(note).plan()
-        except msgspec.MsgspecError as fault:
+            plan = plan_of(note)
+        except ValueError as fault:
             self.log.error("plan unreadable", why=str(fault))
             return
         self.running = Rollout(plan, self.helm.clock.now())
--- a/oakcroft/peers/duties.py
+++ b/oakcroft/peers/duties.py
@@ -94,7 +94,7 @@
         self.began = False
         self.learn_at = now
         self.dropped: Counter[str] = Counter()
-        self.asks = self.answers = self.granted = 0
+        self.asks = self.answers = 0
         self.nursery: trio.Nursery | None = None
 
     # What the front's own work asks for.
@@ -245,8 +245,15 @@
     async def _work(
         self, work: Callable[[Taken, OrderWord], Awaitable[ReportWord | None]], got: Taken, word: OrderWord
     ) -> None:
+        report = None
         try:
             report = await work(got, word)
+        except (
+            Exception
+        ) as fault:  # guards the keeper beside it, and the view, against a fault in one duty's work
+            self.log.error(
+                "order failed", duty=word.duty, sender=got.sender, error=repr(fault)[:300], exc_info=fault
+            )
         finally:
             self.working -= 1
         if report is not None:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from dataclasses import replace
 from random import Random
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -13,7 +14,7 @@
 from oakcroft.decisions.fleet.rendezvous import line, rank
 from oakcroft.decisions.fleet.rollout import ENDED, SHARES, Plan, Report, Rollout, Stage, begins
 from oakcroft.decisions.fleet.terms import MOST_NOTE, Answer, Ask, Fence, Learnt, Note, Row, Step, Term
-from oakcroft.front.rolling import PLAN, word_of
+from oakcroft.front.rolling import PLAN, plan_of, word_of
 from oakcroft.interface import SECOND
 from oakcroft.peerwire.duties import ChunkWord, DutyCodec, LearntWord, OrderWord, ReportWord, row_of
 from oakcroft.peerwire.messages import MOST_DATAGRAM, Dropped
@@ -242,6 +243,21 @@
     assert PLAN.decode(word_of(small)).plan() == small
 
 
+WRONG: list[dict[str, Any]] = [
+    {"digest": "zz"}, {"base": "A" * 24}, {"digest": "a" * 25}, {"share": 3}, {"share": -1}, {"step": 0}, {"watch": -1}
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("wrong", WRONG)
+def test_a_plan_that_nothing_can_be_done_with_is_none(wrong: dict[str, Any]) -> None:
+    sound = replace(begun().plan, digest="ab" * 12, base="01" * 12)
+    assert plan_of(word_of(sound)) == sound
+    with pytest.raises(ValueError, match=r"digest|range"):
+        plan_of(word_of(replace(sound, **wrong)))
+    with pytest.raises(ValueError, match=r"."):
+        plan_of(b"no plan")
+
+
 def test_texts_go_in_parts() -> None:
     one, text = codec(), Random(1).randbytes(50_000)
     stream, parts = b"".join(one.chunks("f1", 1, text)), list[ChunkWord]()
