Let each change of a roll-out's plan be a step of its own, also where an operator interferes

Found in a last reading of front/rolling.py: the owner's own next step and an operator's taking back could be recorded under one step number while the first waited for the keepers (_own beside _begin), and fronts do a step that they know again; an owner's word that came twice stayed in a table that, once full, hid every later one (_answered). Change: both change the plan under one lock, texts are fetched outside of it, and only words that are waited for are kept.

--- a/oakcroft/front/rolling.py
+++ b/oakcroft/front/rolling.py
@@ -132,6 +132,7 @@
         self.base = Counter[Final]()  # answers when the present step began here
         self.running: Rollout | None = None  # while this front owns the duty
         self.accepted: dict[str, str] = {}  # by digest, the owner's word on what was handed on
+        self.waited: set[str] = set()  # whose word is waited for
         self.wake = trio.Event()
         self.beginning = trio.Lock()
         duties = self.duties
@@ -330,9 +331,12 @@
             return  # there never was a roll-out
         running, present = self.running, self.peers.view.present()
         now = self.helm.clock.now()
-        after = running.next(present, now)
-        if after is not None:
-            await self._go_on(running, after)
+        async with (
+            self.beginning
+        ):  # an operator's wish changes the plan too, and each change is a step of its own
+            after = running.next(present, now)
+            if after is not None:
+                await self._go_on(running, after)
         if self.duties.term(DUTY) != term or self.running is not running:
             return
         body = word_of(running.plan)
@@ -381,6 +385,7 @@
     async def _hand_on(self, wish: SubmitWord) -> str:
         key = wish.digest or "back"
         self.accepted.pop(key, None)
+        self.waited.add(key)
         with trio.move_on_after(SUBMIT_WITHIN):
             while key not in self.accepted:
                 if self.duties.term(DUTY) is not None:
@@ -392,6 +397,7 @@
                         owner.owner, OrderWord(SUBMITTED, owner.number, 0, ENCODER.encode(wish))
                     )
                 await trio.sleep(0.3)
+        self.waited.discard(key)
         return self.accepted.pop(key, "nobody owns the duty just now: look at `fleet owners`, and ask again")
 
     async def _submitted(self, got: Taken, word: OrderWord) -> ReportWord | None:
@@ -402,6 +408,10 @@
             wish = SUBMIT.decode(word.body)
         except msgspec.MsgspecError:
             return None
+        if wish.digest and not (
+            DIGEST.fullmatch(wish.digest) and DIGEST.fullmatch(wish.base) and wish.watch >= 0
+        ):
+            return None
         said = await self._begin(wish, got.sender)
         return ReportWord(
             ACCEPTED, word.number, 0, not said, f"{wish.digest or 'back'} {said}".encode()[:300]
@@ -409,11 +419,13 @@
 
     def _answered(self, sender: str, word: ReportWord) -> None:
         key, _, said = word.body.decode("utf-8", "replace").partition(" ")
-        if len(self.accepted) < 64:
+        if key in self.waited:  # the owner's word may come again after it was told on
             self.accepted[key] = said
 
     async def _begin(self, wish: SubmitWord, by: str) -> str:
         """Begins a roll-out, or takes one back; why not. The same wish again is answered as before."""
+        if wish.digest:  # outside of the lock: it may take long
+            await self._hold(Plan(0, wish.digest, wish.base, Stage.HANDED, 0), by)
         async with self.beginning:
             term, now = self.duties.term(DUTY), self.helm.clock.now()
             if term is None:
@@ -436,8 +448,6 @@
             plan = begins(last, wish.digest, wish.base, wish.watch, wish.force, wish.why)
             if isinstance(plan, str):
                 return plan
-            held = Plan(0, wish.digest, wish.base, Stage.HANDED, 0)
-            await self._hold(held, by)
             if wish.digest not in self.texts and wish.digest != self.in_force:
                 return f"its text could not be had from {by}"
             fresh = Rollout(plan, now)
