Let one piece ask fronts and stop them in a rehearsal, and drop what the owners' code no longer reads

Found in reading the whole change again: runner.py asked a front's operators in two near copies and stopped and woke one in two; each front hashed its place in line against all others twenty times a second (peers/duties.py, look), where the view hands out another list when it changes; Rollout.since, a candidate's rank argument, a count of answers and a sender were kept and not read; one sentence on a refused version stood twice in rolling.py. Change: _operators and _stand_still serve both; places are found again when the list of those present is another. Behaviour is the same. No rehearsal of a fleet was run again.

--- a/oakcroft/decisions/fleet/owning.py
+++ b/oakcroft/decisions/fleet/owning.py
@@ -52,12 +52,11 @@
 
     def __init__(
         self, duty: str, me: str, start: int, keepers: Iterable[str], length: int, rng: Random, floor: int, now: int,
-        rank: int = 0,
     ) -> None:  # fmt: skip
         self.duty, self.me, self.start, self.length, self.rng = duty, me, start, length, rng
         self.keepers = tuple(sorted(keepers))
         self.course = Course.IDLE
-        self.rank = rank  # among those that would have it: later ones wait longer for a term that is over
+        self.rank = 0  # its place among those that would have it, set by the host: later ones wait longer
         self.highest = floor  # number seen: the next is over it
         self.term: Term | None = None
         self.seq = self.rounds = self.first = 0
--- a/oakcroft/decisions/fleet/rollout.py
+++ b/oakcroft/decisions/fleet/rollout.py
@@ -80,8 +80,8 @@
 class Rollout:
     """The owner's side of one roll-out. What goes on record next comes from `next`; the host records it, then acts."""
 
-    def __init__(self, plan: Plan, now: int) -> None:
-        self.plan, self.since = plan, now
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
         self.reports: dict[str, tuple[Report, int]] = {}
         self.all_since: int | None = None  # when all of the share had it in force
         self.missing_since: int | None = None
@@ -91,9 +91,9 @@
         if report.step == self.plan.step:
             self.reports[front] = (report, now)
 
-    def recorded(self, plan: Plan, now: int) -> None:
+    def recorded(self, plan: Plan) -> None:
         """A plan is on record and in force."""
-        self.plan, self.since, self.all_since, self.missing_since = plan, now, None, None
+        self.plan, self.all_since, self.missing_since = plan, None, None
         self.reports.clear()
 
     def unconfirmed(self, present: Iterable[str], now: int) -> list[str]:
--- a/oakcroft/front/rolling.py
+++ b/oakcroft/front/rolling.py
@@ -104,6 +104,11 @@
     return plan
 
 
+def why_not(verdict: Verdict, reasons: list[str]) -> str:
+    """Why a version is not in force after it was offered; "" where it is."""
+    return "" if verdict in (Verdict.TAKEN, Verdict.SAME) else f"{verdict.value}: {'; '.join(reasons)}"
+
+
 class Rolling:
     """One front's part in roll-outs."""
 
@@ -226,7 +231,7 @@
         if plan.stage is Stage.HANDED:
             return await self._hold(plan, sender)
         if plan.stage in (Stage.BACK, Stage.STOPPED):
-            return await self._go_back(plan, sender)
+            return await self._go_back(plan)
         if self.in_force == plan.digest:
             return ""
         terms = self.helm.site.terms
@@ -268,9 +273,9 @@
         made_from = None if plan.base == NONE or plan.stage is Stage.DONE else plan.base
         reason = plan.why or f"roll-out {plan.number}"
         verdict, why = await self.catalogues.replace(self.texts[digest], made_from, plan.force, reason)
-        return "" if verdict in (Verdict.TAKEN, Verdict.SAME) else f"{verdict.value}: {'; '.join(why)}"
+        return why_not(verdict, why)
 
-    async def _go_back(self, plan: Plan, sender: str) -> str:
+    async def _go_back(self, plan: Plan) -> str:
         """To the version before, where this front had taken the one that is taken back."""
         if self.in_force != plan.digest:
             return ""
@@ -288,7 +293,7 @@
         self.log.warning(
             "catalogue taken back", roll_out=plan.number, verdict=verdict.name.lower(), reason=plan.reason
         )
-        return "" if verdict in (Verdict.TAKEN, Verdict.SAME) else f"{verdict.value}: {'; '.join(why)}"
+        return why_not(verdict, why)
 
     # While this front owns the duty.
 
@@ -355,7 +360,7 @@
         except ValueError as fault:
             self.log.error("plan unreadable", why=str(fault))
             return
-        self.running = Rollout(plan, self.helm.clock.now())
+        self.running = Rollout(plan)
         self.log.info(
             "roll-out gone on with", roll_out=plan.number, stage=plan.stage.name.lower(), term=term.number
         )
@@ -363,7 +368,7 @@
     async def _go_on(self, running: Rollout, after: Plan) -> bool:
         if not await self.duties.put_on_record(DUTY, word_of(after)):
             return False
-        running.recorded(after, self.helm.clock.now())
+        running.recorded(after)
         self.log.info("roll-out", roll_out=after.number, stage=after.stage.name.lower(), part=after.part, step=after.step,
                       digest=after.digest, reason=after.reason)  # fmt: skip
         return True
@@ -427,7 +432,7 @@
         if wish.digest:  # outside of the lock: it may take long
             await self._hold(Plan(0, wish.digest, wish.base, Stage.HANDED, 0), by)
         async with self.beginning:
-            term, now = self.duties.term(DUTY), self.helm.clock.now()
+            term = self.duties.term(DUTY)
             if term is None:
                 return "the term ended meanwhile: ask again"
             self._load(term)
@@ -450,7 +455,7 @@
                 return plan
             if wish.digest not in self.texts and wish.digest != self.in_force:
                 return f"its text could not be had from {by}"
-            fresh = Rollout(plan, now)
+            fresh = Rollout(plan)
             if not await self._go_on(fresh, plan):
                 return "the term ended meanwhile: ask again"
             self.running = fresh
--- a/oakcroft/peers/duties.py
+++ b/oakcroft/peers/duties.py
@@ -82,6 +82,8 @@
             self.keeper = Keeper(place.name, place.keepers, place.term, view.me.start, now)
         self.candidates: dict[str, Candidate] = {}
         self.wanted: set[str] = set()
+        self.ranked: list[str] | None = None  # the fronts by which `places` in line were found
+        self.places: dict[str, int] = {}
         self.owned: dict[str, Term] = {}  # as the host was last told
         self.orders: dict[str, Callable[[Taken, OrderWord], Awaitable[ReportWord | None]]] = {}
         self.reports: dict[str, Callable[[str, ReportWord], None]] = {}
@@ -94,7 +96,7 @@
         self.began = False
         self.learn_at = now
         self.dropped: Counter[str] = Counter()
-        self.asks = self.answers = 0
+        self.asks = 0
         self.nursery: trio.Nursery | None = None
 
     # What the front's own work asks for.
@@ -102,6 +104,7 @@
     def want(self, duty: str) -> None:
         """This front would have a duty when its turn in line comes."""
         self.wanted.add(duty)
+        self.ranked = None
 
     def term(self, duty: str) -> Term | None:
         """The term of a duty, while this front may take itself for its owner."""
@@ -194,7 +197,6 @@
     def _answered(self, answer: Answer, now: int) -> None:
         candidate = self.candidates.get(answer.duty)
         if candidate is not None:
-            self.answers += 1
             if answer.keeper in self.place.keepers:
                 self.floors.setdefault(answer.duty, {})[answer.keeper] = answer.highest
             self._ask(candidate.heard(answer, now))
@@ -376,9 +378,13 @@
                 self._ask(candidate.want(False, now))
             return
         present = self.view.present()
+        if (
+            present is not self.ranked
+        ):  # the view gives another list when it changes; two hundred hashes a look are saved
+            self.ranked, self.places = present, {d: rank(d, self.view.me.name, present) for d in self.wanted}
         for duty in sorted(self.wanted):
             candidate = self._candidate(duty, now)
-            place = rank(duty, self.view.me.name, present)
+            place = self.places[duty]
             if candidate.course is Course.IDLE or candidate.rank < IN_LINE:
                 candidate.rank = place
             self._ask(candidate.want(place < IN_LINE or candidate.owns(now) is not None, now))
--- a/oakcroft/rehearsal/runner.py
+++ b/oakcroft/rehearsal/runner.py
@@ -269,17 +269,21 @@
             while trio.current_time() < until:
                 process = front.process
                 if front.running and process is not None:
-                    self.record.note("front stands still", front=front.number)
-                    process.send_signal(signal.SIGSTOP)
-                    await trio.sleep(fault.size)
-                    process.send_signal(signal.SIGCONT)
-                    self.record.note("front goes on", front=front.number)
+                    await self._stand_still(front, process, fault.size)
                 await trio.sleep(max(0.1, fault.extra))
 
         async with trio.open_nursery() as nursery:
             for i, front in enumerate(chosen):
                 nursery.start_soon(one, front, i * fault.extra / max(1, len(chosen)))
 
+    async def _stand_still(self, front: FrontProcess, process: trio.Process, seconds: float) -> None:
+        """One process is stopped for so long, and woken."""
+        self.record.note("front stands still", front=front.number)
+        process.send_signal(signal.SIGSTOP)
+        await trio.sleep(seconds)
+        process.send_signal(signal.SIGCONT)
+        self.record.note("front goes on", front=front.number)
+
     async def _befall(self, chosen: list[FrontProcess], fault: Fault) -> None:
         """What befalls fronts beside their deaths: the network between them, their own standing still, their disks."""
         names, others = (
@@ -348,11 +352,7 @@
                 ails = self.between.on(f"f{front.number}", f"f{other.number}")
                 ails.late = (fault.size, fault.size + 0.5)
         await trio.sleep(0.8)  # some of its words leave
-        self.record.note("front stands still", front=front.number)
-        front.process.send_signal(signal.SIGSTOP)
-        await trio.sleep(fault.length / 1e9)
-        front.process.send_signal(signal.SIGCONT)
-        self.record.note("front goes on", front=front.number)
+        await self._stand_still(front, front.process, fault.length / 1e9)
         if self.between is not None:
             self.between.heal()
 
@@ -423,20 +423,10 @@
                 continue
             if self.day.keepers:
                 await self._ask_owners(front)
-            port, peer = front.port, Peer("127.0.0.1", front.port, connect_within=0.5)
-            try:
-                with trio.move_on_after(1):
-                    said = await peer.ask(
-                        "GET", "/operators/fleet", [("Authorization", f"Bearer {TOKEN}")], b""
-                    )
-                    view = orjson.loads(said.body)
-                    if port == front.port and said.status == 200:
-                        standings = {m["name"]: [m["standing"], m["start"]] for m in view["members"]}
-                        self.record.note("seen", front=front.number, start=view["start"], members=standings)
-            except (Ended, orjson.JSONDecodeError):
-                pass
-            finally:
-                await peer.close()
+            view = await self._operators(front, "GET", "/operators/fleet")
+            if "members" in view:
+                standings = {m["name"]: [m["standing"], m["start"]] for m in view["members"]}
+                self.record.note("seen", front=front.number, start=view["start"], members=standings)
 
     def _kill(self, front: FrontProcess) -> None:
         if front.running and front.process is not None:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -27,7 +27,7 @@
 def begun(watch: int = 10 * SECOND) -> Rollout:
     plan = begins(None, NEW, OLD, watch, False, "why")
     assert isinstance(plan, Plan)
-    return Rollout(plan, 0)
+    return Rollout(plan)
 
 
 def say(one: Rollout, now: int, some: list[str] = FRONTS, **more: object) -> None:
@@ -54,7 +54,7 @@
         assert after is not None
         assert after.step == one.plan.step + 1
         seen.append((after.stage, after.part))
-        one.recorded(after, now)
+        one.recorded(after)
     assert seen == [(Stage.TAKEN, s) for s in SHARES] + [(Stage.DONE, 1.0)]
     assert one.next(FRONTS, now + 100 * SECOND) is None
 
@@ -66,7 +66,7 @@
         say(one, 0)
         after = one.next(FRONTS, 0)
         assert after is not None
-        one.recorded(after, 0)
+        one.recorded(after)
     say(one, 1, ["f3"], refused="no ready holder")
     after = one.next(FRONTS, 1)
     assert after is not None
@@ -78,7 +78,7 @@
 
 def taken(share: int = 0) -> Rollout:
     one = begun()
-    one.recorded(replace(one.plan, stage=Stage.TAKEN, share=share, step=7), 0)
+    one.recorded(replace(one.plan, stage=Stage.TAKEN, share=share, step=7))
     return one
 
 
@@ -107,7 +107,7 @@
     one.heard("f4", Report(one.plan.step, True, "none", bare=True), 0)
     assert one.next(FRONTS, 0) is None
     assert one.unconfirmed(FRONTS, 0) == ["f4"]
-    one.recorded(replace(one.plan, stage=Stage.STOPPED, step=2), 0)
+    one.recorded(replace(one.plan, stage=Stage.STOPPED, step=2))
     say(one, 0)
     one.heard("f4", Report(2, True, "none", bare=True), 0)
     assert one.unconfirmed(FRONTS, 0) == ["f4"]
@@ -134,7 +134,7 @@
     one = taken(1)
     back = one.take_back("by hand")
     assert back is not None
-    one.recorded(back, 1)
+    one.recorded(back)
     assert one.take_back("again") is None
     say(one, 2, FRONTS[:9])
     one.heard("f9", Report(back.step, True, NEW), 2)
@@ -306,12 +306,12 @@
         self.changes: dict[str, list[str]] = {f: [] for f in FRONTS}
         self.under_way: list[tuple[str, int, Plan]] = []
         self.refuses, self.number, self.now = refuses, 0, 0
-        self.one = Rollout(self.record, 0)
+        self.one = Rollout(self.record)
 
     def owner(self) -> None:
         """Another owner goes on from what is on record."""
         self.number += 1
-        self.one = Rollout(self.record, self.now)
+        self.one = Rollout(self.record)
 
     def order(self, front: str, number: int, plan: Plan) -> None:
         if not self.fences[front].admits("d", number, plan.step):
@@ -342,7 +342,7 @@
             self.record = after
             if dies == "after the record":
                 return True
-            self.one.recorded(after, self.now)
+            self.one.recorded(after)
         for i, front in enumerate(FRONTS):
             if dies == "between orders" and after is not None and i >= 5:
                 self.under_way.append((front, self.number, self.one.plan))
