Count a front's own pause as nobody's silence, so that it ends nothing when it wakes

Cause: decisions/sessions/lifeline.py judges silence by the clock alone; helm.awake shifted the claims by a pause, not the lifelines, and nodeleg._watch judged a broken stream before anybody had asked whether the front had stood still. Change: Lifeline.stood; a leg asks the helm's awake before it judges.

--- a/oakcroft/decisions/sessions/lifeline.py
+++ b/oakcroft/decisions/sessions/lifeline.py
@@ -96,6 +96,13 @@
         self._change(Life.SILENT)
         return self.look(now)
 
+    def stood(self, for_ns: int) -> None:
+        """The front itself stood still for so long: the node could not be heard, and that speaks neither for nor against
+        it. Guards against a front that wakes and ends all that it has, for its own sleep was longer than `lost_after`."""
+        self.last_heard += for_ns
+        if self.broken_at:
+            self.broken_at += for_ns
+
     def look(self, now: int) -> Loss | None:
         """To be called now and then; the loss of the node's playbacks, if it comes to that now."""
         if self.state is Life.LOST:
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -153,6 +153,7 @@
             self.log_.warning("stood still", ms=stood // 1_000_000, unanswered=self.unanswered)
             for leg in self.legs.values():
                 leg.claims.stood(stood)
+                leg.lifeline.stood(stood)
 
     async def look_after(self) -> None:
         """Now and then: nodes that have fallen silent, and sessions that nobody claims."""
@@ -221,6 +222,7 @@
             line.name, line.address, line.port, self.me, self.clock, self.rng, self.site.connect_within, patience,
             claim_within,
         )  # fmt: skip
+        self.legs[line.name].awake = self.awake
 
     # Requests.
 
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -85,6 +85,7 @@
         self.stream: trio.CancelScope | None = None
         self.renewing = False
         self.life = trio.CancelScope()  # of the watch
+        self.awake: Callable[[int], None] = lambda _: None  # asked before time that has passed is judged
 
     def _headers(self, **more: str) -> Headers:
         return [("Via", f"1.1 {self.me}"), *((k.replace("_", "-"), v) for k, v in more.items())]
@@ -208,6 +209,7 @@
         while True:
             await self.wake.wait()
             why = await self._listen(hear, lost, again)
+            self.awake(self.clock.now())
             loss = self.lifeline.broke(why, self.clock.now())
             if loss is not None:
                 await lost(loss, why.value)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -335,6 +335,16 @@
     assert gone.broke(Break.GONE, 1) is Loss.PROVEN
 
 
+def test_a_fronts_own_pause_is_no_silence_of_its_nodes() -> None:
+    life = Lifeline(Patience(SECOND, 4 * SECOND), 0)
+    life.opened("p", 0)
+    life.stood(20 * SECOND)
+    assert life.broke(Break.UNANSWERED, 20 * SECOND) is None  # the stream broke while nobody looked
+    life.stood(20 * SECOND)
+    assert life.look(43 * SECOND) is None
+    assert life.look(45 * SECOND) is Loss.PRESUMED  # and from its waking on silence counts
+
+
 def test_silence_counts_from_when_a_stream_is_wanted() -> None:
     life = Lifeline(Patience(SECOND, 4 * SECOND), 0)
     life.wanted(60 * SECOND)  # listed long ago, first set-up now
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+import time
 from pathlib import Path
 
 import orjson
@@ -10,6 +11,7 @@
 import trio
 from rig import Rig, run, standing, start_front, until
 
+from oakcroft.decisions.sessions.lifeline import Life
 from oakcroft.decisions.sessions.resource import SDPFRAG
 from oakcroft.httpwire.client import Peer
 from oakcroft.httpwire.message import Response
@@ -385,6 +387,27 @@
     run(test, 40)
 
 
+def test_a_front_that_stood_still_for_long_ends_nothing_when_it_wakes(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            for i in range(4):
+                assert (await rig.watch(f"/whep/open/t{i}")).status == 201
+            helm = rig.helm()
+            await until(
+                lambda: all(leg.lifeline.state is Life.HEARD for leg in helm.legs.values() if leg.watched)
+            )
+            time.sleep(1.2 * helm.site.lost_after / 1e9)
+            await until(lambda: any(e["event"] == "stood still" for e in rig.logged()))
+            await until(
+                lambda: all(leg.lifeline.state is Life.HEARD for leg in helm.legs.values() if leg.watched)
+            )
+            assert helm.playing == 4
+            assert not [e for e in rig.logged() if e["event"] == "node lost"]
+            assert not rig.facts("over")
+
+    run(test)
+
+
 def test_a_session_that_begins_while_the_stream_opens_is_not_taken_as_lost(tmp_path: Path) -> None:
     async def test() -> None:
         async with standing(tmp_path) as rig:
