--- a/oakcroft/config/compile.py
+++ b/oakcroft/config/compile.py
@@ -20,11 +20,13 @@
 from oakcroft.decisions.admission.levels import Acts, Level, Mark, Sign
 from oakcroft.decisions.admission.levels import Bounds as LevelBounds
 from oakcroft.decisions.admission.limits import Limit, Scope, never_binds
+from oakcroft.decisions.fleet.adopting import Bounds as Adopts
+from oakcroft.decisions.fleet.holding import MOST_LEASE
 from oakcroft.decisions.routing.pools import Pool
 from oakcroft.decisions.routing.routing import Match, Route, RouteTable, Side, clashes, rank
 from oakcroft.decisions.routing.versions import families
 from oakcroft.decisions.routing.wings import Bounds as WingBounds
-from oakcroft.interface import Effect, Group, Plan, Terms
+from oakcroft.interface import SECOND, Effect, Group, Plan, Terms
 
 Meaning = dict[str, dict[str, Any]]
 NOWHERE = {"listen": ("127.0.0.1", 0), "list-service": ("127.0.0.1", 0)}
@@ -107,6 +109,7 @@
     _preference(checked, problems)
     _peers(checked, problems)
     _keepers(checked, problems)
+    _adopting(checked, problems)
 
 
 def _rungs(checked: Checked) -> int:
@@ -529,6 +532,31 @@
         )  # fmt: skip
 
 
+NOTICED = (
+    6 * SECOND
+)  # in which the others see a front as gone, with a link that loses a twentieth (docs/fleet.md)
+
+
+def _adopting(checked: Checked, problems: Problems) -> None:
+    """Guards against playbacks that nodes have ended before anybody could take them over."""
+    adopting = checked.one(forms.ADOPTING)
+    if adopting is None:
+        return
+    if checked.one(forms.PEERS) is None and checked.one(forms.FRONT) is not None:
+        problems.error(
+            adopting.at("after"), "who is gone is told by the peers, and there are none", "add (peers …)"
+        )
+    if adopting.get("lease") > MOST_LEASE:
+        problems.error(
+            adopting.at("lease"), f"nodes keep nothing for longer than {MOST_LEASE // SECOND} s", "write less"
+        )
+    elif adopting.get("lease") < NOTICED + adopting.get("after"):
+        problems.warn(
+            adopting.at("lease"), "it may be over before the others have noticed and asked",
+            f"write {(NOTICED + adopting.get('after')) // SECOND + 1}s or more",
+        )  # fmt: skip
+
+
 def _nodes(checked: Checked, problems: Problems) -> None:
     nodes = checked.one(forms.NODES)
     if nodes is not None and nodes.get("lost-after") < nodes.get("silent-after"):
@@ -680,17 +708,20 @@
     (host, port), (list_host, list_port) = front["listen"], front["list-service"]
     stand = Stand(host, port, list_host, list_port, front["kept"], front["state"],
                   front["state-sync"] == "yes", front["zone"], front["seed"], front["log"],
-                  _place(m["peers"], m.get("keepers")) if "peers" in m else None)  # fmt: skip
+                  _place(m["peers"], m.get("keepers"), m.get("adopting")) if "peers" in m else None)  # fmt: skip
     return Deployment(site, stand, m)
 
 
-def _place(m: Mapping[str, Any], keepers: Mapping[str, Any] | None) -> PeersPlace:
+def _place(
+    m: Mapping[str, Any], keepers: Mapping[str, Any] | None, adopting: Mapping[str, Any] | None
+) -> PeersPlace:
     told = m["advertise"] or m["listen"]
     seeds = tuple(dict.fromkeys(m["seeds"]))
     names, term = (tuple(keepers["names"]), keepers["term"]) if keepers is not None else ((), 0)
     return PeersPlace(
-        m["name"], m["listen"], told, seeds, m["key-file"], m["fleet"], m["starts"], names, term
-    )
+        m["name"], m["listen"], told, seeds, m["key-file"], m["fleet"], m["starts"], names, term,
+        Adopts(adopting["after"], adopting["lease"], adopting["most"]) if adopting is not None else None,
+    )  # fmt: skip
 
 
 # Whole files.
--- a/oakcroft/config/forms.py
+++ b/oakcroft/config/forms.py
@@ -287,6 +287,14 @@
         Field("term", "how long a duty is its owner's; the longest that it may be without one is twice that", TIMES, 6 * SECOND, at_least=SECOND),
     ),
 )  # fmt: skip
+ADOPTING = Schema(
+    "adopting", "Playbacks of a front that will not come back are taken over by the others; the same on all fronts.",
+    (
+        Field("after", "how long after the others see it as gone", TIMES, SECOND),
+        Field("lease", "how long nodes keep what a silent front has; over the time to notice, and up to 30s", TIMES, 15 * SECOND, at_least=SECOND),
+        Field("most", "playbacks taken over that one front may hold at once", WHOLE, 1_000, at_least=1),
+    ),
+)  # fmt: skip
 LEVEL = Schema(
     "level", "A level of reduced service: entered when one of its signs is over its entry, left when all are under their exits.",
     (
@@ -317,6 +325,7 @@
     PREFERENCE,
     PEERS,
     KEEPERS,
+    ADOPTING,
 )
 NAMED = (PLAN, POOL, ROUTE, LIMIT, TOKEN, TITLE_FORM, LEVEL)
 ALL = {s.name: s for s in (*SINGLE, *NAMED)}
--- a/oakcroft/config/told.py
+++ b/oakcroft/config/told.py
@@ -7,6 +7,7 @@
 from oakcroft.decisions.admission.doors import Bounds
 from oakcroft.decisions.admission.levels import Bounds as LevelBounds, Level
 from oakcroft.decisions.admission.limits import Limit
+from oakcroft.decisions.fleet.adopting import Bounds as Adopts
 from oakcroft.decisions.routing.pools import Pool
 from oakcroft.decisions.routing.routing import RouteTable
 from oakcroft.decisions.routing.wings import Bounds as WingBounds
@@ -82,6 +83,7 @@
     starts: str
     keepers: tuple[str, ...] = ()  # those that grant terms of duties, by name
     term: int = 0  # length of one, ns
+    adopts: Adopts | None = None  # how it takes over from those that are gone; None: it does not
 
 
 @dataclass(frozen=True)
--- a/oakcroft/front/hearing.py
+++ b/oakcroft/front/hearing.py
@@ -40,17 +40,22 @@
             if self.helm.memory is not None:
                 self.helm.memory.word(leg, told, asked_at)
             missing = leg.claims.told(told.sessions, asked_at, now)
-            if missing:
+            passed = set(told.passed).intersection(missing)
+            if passed:  # nothing is lost, and it says nothing against the node
+                self.log.warning("passed on", node=leg.name, playbacks=len(passed))
+                self.helm.told_passed(len(passed))
+            if len(missing) > len(passed):
                 self.log.warning(
                     "node lost",
                     node=leg.name,
                     why=told.why or "sessions ended unheard",
-                    playbacks=len(missing),
+                    playbacks=len(missing) - len(passed),
                 )
             for session in missing:
                 v = self.helm.upstreams.get((leg.name, session))
                 away = v is not None and self.helm.memory is not None and self.helm.memory.ended_away(v)
-                self._session_over(leg, session, Outcome.DONE if away else Outcome.RESET)
+                quiet = away or session in passed
+                self._session_over(leg, session, Outcome.DONE if quiet else Outcome.RESET)
             for session, rung in zip(told.sessions, told.rungs, strict=False):
                 self._rung_told(leg, session, rung, now)
         elif name == "started":
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -35,7 +35,7 @@
 from oakcroft.running.inbox import Event, handle_all
 from oakcroft.front.hearing import Hearing
 from oakcroft.front.moves import Moves
-from oakcroft.front.nodeleg import LONGEST_TRY_GRACE, NodeLeg, TryEnd
+from oakcroft.front.nodeleg import LONGEST_TRY_GRACE, NodeLeg, Standing, TryEnd
 from oakcroft.front.steering import Bell, Decide, Decider
 from oakcroft.front.viewing import Viewing
 from oakcroft.interface import Node, Note, Outcome, Playback, State
@@ -92,6 +92,8 @@
         self.catalogue = Catalogue()
         self.finals = Counter[Final]()  # answers so far
         self.told_answer: Callable[[bool, PlanTerms, int], None] | None = None
+        self.told_passed: Callable[[int], None] = lambda _: None
+        self.standing: Standing | None = None
 
     @property
     def site(self) -> Site:
@@ -222,6 +224,7 @@
             line.name, line.address, line.port, self.me, self.clock, self.rng, self.site.connect_within, patience,
             claim_within,
         )  # fmt: skip
+        self.legs[line.name].standing = self.standing
         self.legs[line.name].awake = self.awake
 
     # Requests.
--- a/oakcroft/front/memory.py
+++ b/oakcroft/front/memory.py
@@ -11,10 +11,9 @@
 import structlog
 import trio
 
-from oakcroft.choice import DISTRUST_HALF, digest
+from oakcroft.choice import DISTRUST_HALF
 from oakcroft.decisions.sessions import answers
 from oakcroft.decisions.sessions.answers import Final
-from oakcroft.decisions.admission.patience import Due
 from oakcroft.decisions.state.recovery import (
     Fate,
     Grudge,
@@ -28,12 +27,12 @@
 )
 from oakcroft.decisions.state.recovery import further_tries, judge, resolved
 from oakcroft.decisions.state.remembered import Mark, Promise, after_answer, after_try, step, waits_for_record
-from oakcroft.decisions.sessions.resource import Resource
 from oakcroft.decisions.fleet.roster import Line
 from oakcroft.front.nodeleg import NodeLeg, Told as Hello
+from oakcroft.front.recalling import plays_on, resume, viewing
 from oakcroft.front.steering import Steering
 from oakcroft.front.viewing import Upstream, Viewing
-from oakcroft.interface import MS, SECOND, Node, Outcome, Playback
+from oakcroft.interface import MS, SECOND, Node, Outcome
 from oakcroft.store.file import Fact, Held, Move, Put, Told, Whole
 from oakcroft.store.writer import WHOLE, Store
 
@@ -81,6 +80,10 @@
             else answers.REFUSALS[answers.Refusal.UNRECORDED]
         )
 
+    def learnt(self, key: str) -> bool:
+        """Whether nodes have told of a key of an earlier life that this front has forgotten."""
+        return key in self.recovery.learnt
+
     async def before_try(self, v: Viewing, node: str, rung: int, until: int) -> bool:
         """Puts the intent of a set-up on record before it leaves; False where that did not succeed in time."""
         if not waits_for_record(v.pb.plan):
@@ -303,34 +306,18 @@
         self.log.info("state taken on", promises=len(held.promises), moves=len(copies), away_ms=(now - alive) // MS,
                       late=late, spent=len(spent), **counts)  # fmt: skip
 
-    def _viewing(self, promise: Promise) -> Viewing | None:
-        """A promise as a viewing; None where its plan or title has no place here any more."""
-        helm = self.helm
-        plan = helm.site.plans.get(promise.plan)
-        title = helm.titles.get(promise.title, digest(promise.title) % helm.site.terms.cells)
-        if plan is None or title is None:
-            return None
-        pb = Playback(title, plan.plan, promise.top, promise.abandon, False)
-        pb.rung = max(plan.plan.floor, min(promise.rung, plan.plan.top))
-        v = Viewing(promise.id, promise.path, plan, promise.publishes, promise.key, "", promise.ufrag,
-                    Due(promise.written, promise.abandon), pb)  # fmt: skip
-        v.token, v.about, v.seated = promise.token, promise.about, promise.seated
-        v.asked_top = pb.top
-        return v
-
     def _recall(self, promise: Promise, what: Fate, now: int) -> bool:
         """Takes a promise on as a playback of the module, which then counts its seat and its load."""
         helm = self.helm
         node, leg, v = (
             helm.roster.nodes.get(promise.node),
             helm.legs.get(promise.node),
-            self._viewing(promise),
+            viewing(helm, promise),
         )
         if node is None or leg is None or v is None:
             return False
         self.promises[promise.id] = promise
-        helm.viewings[v.pb] = v
-        helm.controller.resumed(v.pb, node, now)
+        resume(helm, v, node)
         if what is Fate.HOLD:
             v.final, v.ending = Final.ABORTED, True
             helm.controller.left(v.pb, now)
@@ -339,25 +326,20 @@
             if promise.binds:
                 self._remember(promise, now)
         else:
-            v.final = Final.PLAYS
-            v.upstream = Upstream(
+            u = Upstream(
                 promise.node, promise.resource, promise.events, promise.layer, promise.tag, promise.answer
             )
-            v.resource = Resource(promise.tag, promise.ufrag)
-            helm.sessions[v.id] = v
-            helm.upstreams[promise.node, promise.resource] = v
-            helm.playing += 1
+            plays_on(helm, v, leg, u)
             self.adopted.add(v.id)
             if promise.seated:
                 self.unclaimed[v.id] = now + self.seat_keep
-            leg.claims.claim(promise.resource, now)
             helm.repeats.recall(v.key, v.about, promise.binds, Final.PLAYS, v, now)
         helm.follow_events(leg, promise.events or f"/events/{helm.me}")
         return True
 
     def _remember(self, promise: Promise, now: int) -> None:
         """The key of a promise that may have run is answered with an abort."""
-        v = self._viewing(promise)
+        v = viewing(self.helm, promise)
         plan = self.helm.site.plans.get(promise.plan)
         if v is None or plan is None:
             return
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from random import Random
-from urllib.parse import urljoin, urlsplit
+from urllib.parse import quote, urljoin, urlsplit
 
 import msgspec
 import orjson
@@ -28,7 +28,7 @@
 from oakcroft.httpwire.client import REFUSED, Ended, Peer
 from oakcroft.httpwire.message import Headers, Response
 from oakcroft.interface import SECOND, Outcome
-from oakcroft.signalling import sdp, words
+from oakcroft.signalling import handing, sdp, words
 
 NOTES = ("share", "link", "rung", "ended", "started")
 ERRAND = 2.0
@@ -52,6 +52,7 @@
     keys: list[str] = []  # of the sessions, one each
     rungs: list[int] = []  # likewise
     ran: list[str] = []  # keys of this front's set-ups that ran, as far back as the node remembers
+    passed: list[str] = []  # sessions that were this front's and that another has taken over since
     up_ms: int = 0
     remembers_ms: int = 0
     session: str = ""
@@ -62,6 +63,28 @@
     why: str = ""
 
 
+class Standing:
+    """Who this front is among its peers, and how long its sessions are to outlive its silence (docs/adopting.md).
+    `start`: the number of its start, which may be raised while it runs."""
+
+    def __init__(self, member: str, start: Callable[[], int], lease: int) -> None:
+        self.member, self.start, self.lease = member, start, lease
+
+    def headers(self) -> Headers:
+        """What goes with every request to a node."""
+        return [
+            (handing.FRONT, handing.front(self.member, self.start())),
+            (handing.LEASE, str(self.lease // SECOND)),
+        ]
+
+
+def memo_of(v: Viewing) -> str:
+    """What whoever takes a playback over must know of it; "" where that does not fit, and it can't be taken over."""
+    pb = v.pb
+    return handing.memo(handing.Memo(v.id, v.about, v.path, pb.title.name, v.plan.name, v.ufrag, v.token, pb.top,
+                                     v.due.written, v.due.abandon, v.publishes))  # fmt: skip
+
+
 Hear = Callable[[str, Told], Awaitable[None]]
 Lost = Callable[[Loss, str], Awaitable[None]]
 
@@ -86,9 +109,11 @@
         self.renewing = False
         self.life = trio.CancelScope()  # of the watch
         self.awake: Callable[[int], None] = lambda _: None  # asked before time that has passed is judged
+        self.standing: Standing | None = None  # where sessions are to outlive this front
 
     def _headers(self, **more: str) -> Headers:
-        return [("Via", f"1.1 {self.me}"), *((k.replace("_", "-"), v) for k, v in more.items())]
+        who = self.standing.headers() if self.standing is not None else []
+        return [("Via", f"1.1 {self.me}"), *who, *((k.replace("_", "-"), v) for k, v in more.items())]
 
     async def set_up(self, v: Viewing, rung: int, until: int) -> TryEnd:
         """One setup try, ended by `until` at the latest."""
@@ -99,6 +124,8 @@
                 headers = self._headers(Content_Type=sdp.MEDIA_TYPE, Idempotency_Key=words.quoted(v.key))
                 if v.catalogue:
                     headers.append((words.CATALOGUE, str(v.catalogue)))
+                if self.standing is not None and (memo := memo_of(v)):
+                    headers.append((handing.MEMO, memo))
                 response = await self.peer.ask(
                     "POST", f"{v.path}?encodingId={rung}", headers, v.offer.encode(), trail
                 )
@@ -188,6 +215,35 @@
         except (Ended, trio.TooSlowError):
             return None
 
+    async def offered(self, names: Iterable[str], after: str) -> handing.Listing | None:
+        """What the node has of fronts that do not listen to it any more, from a place on; None where it could not say."""
+        target = (
+            f"{handing.PATH}?of={','.join(quote(n, safe='') for n in names)}&after={quote(after, safe='')}"
+        )
+        response = await self._question("GET", target, b"")
+        try:
+            return handing.LISTING.decode(response) if response is not None else None
+        except (ValueError, msgspec.MsgspecError):
+            return None
+
+    async def take(self, sessions: list[str]) -> set[str] | None:
+        """Takes over sessions; those that the node has given, None where its answer did not come."""
+        body = msgspec.json.encode(handing.Taking(sessions))
+        response = await self._question("POST", handing.PATH, body)
+        try:
+            return set(handing.TAKING.decode(response).sessions) if response is not None else None
+        except (ValueError, msgspec.MsgspecError):
+            return None
+
+    async def _question(self, method: str, target: str, body: bytes) -> bytes | None:
+        headers = self._headers(**({"Content_Type": "application/json"} if body else {}))
+        try:
+            with trio.fail_after(ERRAND):
+                response = await self.peer.ask(method, target, headers, body)
+        except (Ended, trio.TooSlowError):
+            return None
+        return response.body if response.status == 200 else None
+
     def renew(self) -> None:
         """Opens the stream anew, so that the node tells what it runs now."""
         if self.stream is not None:
--- a/oakcroft/front/operators.py
+++ b/oakcroft/front/operators.py
@@ -54,6 +54,12 @@
     async def take_back(self, why: str) -> str: ...
 
 
+class Adopting(Protocol):
+    """Taking over, likewise."""
+
+    def status(self) -> dict[str, object]: ...
+
+
 class Operators:
     """Handles the operators' requests of one front."""
 
@@ -64,6 +70,7 @@
         )
         self.duties: Duties | None = None  # of the fleet, where its keepers are named
         self.rolling: Rolling | None = None
+        self.adopting: Adopting | None = None  # where it takes over from those that are gone
 
     def known(self, authorization: str | None) -> bool:
         """Whether this is the operators' token."""
@@ -255,6 +262,8 @@
             "level": self.reducing.status(), "wings": self.siding.status(),
             "steps_waiting": len(self.catalogues.steps.waiting),
         }  # fmt: skip
+        if self.adopting is not None:
+            told["adopting"] = self.adopting.status()
         if memory is not None:
             health, counts = memory.store.health, memory.store.counts
             told["state"] = {
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -24,6 +24,7 @@
 from oakcroft.front.memory import Memory
 from oakcroft.front.listing import BadList, Follower, kept, parse
 from oakcroft.front.operators import PATH as OPERATORS, Operators
+from oakcroft.front.nodeleg import Standing
 from oakcroft.front.reducing import Reducing
 from oakcroft.front.siding import Siding
 from oakcroft.front.steering import Bell, Decide
@@ -39,6 +40,9 @@
 
 if TYPE_CHECKING:
     from oakcroft.decisions.fleet.view import View
+    from oakcroft.front.adopting import Adopting
+    from oakcroft.front.viewing import Viewing
+    from oakcroft.peers.speaker import Peers
 
 
 class StateRecord:
@@ -76,6 +80,7 @@
         self.reads = 0
         self.held: Held | None = None
         self.catalogues: Catalogues | None = None
+        self.adopting: Adopting | None = None
         self.opens: Callable[[str], StateFile] | None = None  # in the place of the file system's
 
     async def run(
@@ -109,6 +114,7 @@
             server = Server(viewers.handle, door, clock.now, self._failed, viewers.shed, operators.roomy)
             self.queue = core.queue
             store = await self._store(helm, clock)
+            peers = self._peers(helm, clock)
             catalogues.begin(self.held)
             nursery.start_soon(catalogues.run)
             nursery.start_soon(core.beat)
@@ -123,7 +129,7 @@
             rng = Random(stand.seed + 2)
             follower = Follower(peer, clock, rng, stand.kept, me, helm.listed, self.log)
             nursery.start_soon(follower.run)
-            leave = await self._meet(helm, operators, catalogues, nursery, clock)
+            leave = await self._meet(peers, core, operators, catalogues, nursery)
             # Guards against set-ups to nodes that have begun to drain, or went, while this front was away: all it has
             # until the service answers is the list of its last life. Harm: no service for so long while that is down.
             with trio.move_on_after(site.list_within / 1e9):
@@ -150,10 +156,8 @@
             self.log.info("gone", unanswered=helm.unanswered, playing=helm.playing)
             nursery.cancel_scope.cancel()
 
-    async def _meet(
-        self, helm: Helm, operators: Operators, catalogues: Catalogues, nursery: trio.Nursery, clock: Clock
-    ) -> Callable[[], Awaitable[None]] | None:
-        """Takes part in the fleet's view where the configuration has peers; how to leave it in order."""
+    def _peers(self, helm: Helm, clock: Clock) -> Peers | None:
+        """This front's part in the fleet's view, where the configuration has peers; it speaks later."""
         stand = self.told.stand
         if stand.peers is None:
             return None
@@ -167,12 +171,31 @@
                 self.log.info(
                     "shares of rates", parts=into, fronts=helm.site.terms.fronts, left=view.gone_for_good()
                 )
+            if self.adopting is not None:
+                self.adopting.sees()
 
         try:
             record = StateRecord(helm.memory.store) if helm.memory is not None else None
             peers = Peers(stand.peers, stand.zone, stand.seed + 6, clock, self.log, changed, record)
         except BadKeys as fault:
             raise OSError(f"key file {stand.peers.key_file}: {fault}") from fault
+        if stand.peers.adopts is not None:
+            view = peers.view
+            helm.standing = Standing(stand.peers.name, lambda: view.me.start, stand.peers.adopts.lease)
+        return peers
+
+    async def _meet(
+        self,
+        peers: Peers | None,
+        core: Core,
+        operators: Operators,
+        catalogues: Catalogues,
+        nursery: trio.Nursery,
+    ) -> Callable[[], Awaitable[None]] | None:
+        """Takes part in the fleet's view; how to leave it in order."""
+        helm, place = core.helm, self.told.stand.peers
+        if peers is None or place is None:
+            return None
         operators.fleet = peers.status
         if peers.duties is not None:
             from oakcroft.front.rolling import Rolling
@@ -182,6 +205,15 @@
                 (rolling := Rolling(helm, catalogues, peers, self.log)),
             )
             nursery.start_soon(rolling.run)
+        if place.adopts is not None:
+            from oakcroft.front.adopting import Adopting
+
+            def published(v: Viewing) -> None:
+                core.publishing[v.pb.title.name] = v
+
+            self.adopting = Adopting(helm, peers.view, place.adopts, published, self.log)
+            operators.adopting = self.adopting
+            nursery.start_soon(self.adopting.run)
         await nursery.start(peers.run)
         return peers.leave
 
--- a/oakcroft/front/steering.py
+++ b/oakcroft/front/steering.py
@@ -93,6 +93,7 @@
     upstreams: dict[tuple[str, str], Viewing]
     repeats: Repeats
     playing: int
+    told_passed: Callable[[int], None]
 
     @property
     def site(self) -> Site: ...
--- /dev/null
+++ b/oakcroft/rehearsal/many_adopters.py
@@ -0,0 +1,325 @@
+"""Fronts that take over from each other and nodes that hand sessions on, as a pure fleet: the decisions of both sides
+over simulated time, with words that are late, doubled or lost, fronts that die, sleep and are seen as gone wrongly.
+
+What is modelled here and not decided by the program: the view (each front sees a death some seconds late, and now and
+then one that is none), the network, and what a front's room is. All of it comes from one seed.
+"""
+
+from __future__ import annotations
+
+import heapq
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from oakcroft.decisions.fleet.adopting import Adopting, Bounds, Errand
+from oakcroft.decisions.fleet.holding import Caller, Word, lease, may_act, may_take
+from oakcroft.interface import MS, SECOND
+
+STEP = 50 * MS
+OWN_LEASE = 3 * SECOND
+PAGE = 32
+
+
+@dataclass
+class Net:
+    """How words travel. Times in ns."""
+
+    late: tuple[int, int] = (MS, 20 * MS)
+    lose: float = 0.0
+    double: float = 0.0
+    much_later: float = 0.0  # share of words that come up to ten seconds late
+
+
+@dataclass
+class Front:
+    """One front: its course, and what it believes to hold."""
+
+    name: str
+    start: int
+    course: Adopting
+    room: int
+    held: dict[str, int] = field(default_factory=dict)  # session -> node
+    gone: dict[str, int] = field(default_factory=dict)  # whom it sees as gone
+    dead: bool = False
+    asleep: bool = False
+
+    @property
+    def caller(self) -> Caller:
+        """As nodes know it."""
+        return Caller(f"{self.name}-{self.start}", self.name, self.start)
+
+
+@dataclass
+class Ear:
+    """One front's stream at one node."""
+
+    open: bool = True
+    away: int = 0
+
+
+@dataclass
+class Node:
+    """One node: who holds what."""
+
+    holder: dict[str, Caller] = field(default_factory=dict)
+    ears: dict[str, Ear] = field(default_factory=dict)  # by pseudonym
+    asked: Counter[int] = field(default_factory=Counter)  # by second
+    turned_away: int = 0
+
+
+class ManyAdopters:
+    """The whole."""
+
+    def __init__(self, fronts: int, nodes: int, each: int, seed: int, bounds: Bounds, net: Net | None = None,
+                 room: int = 10_000, checks: bool = True) -> None:  # fmt: skip
+        self.rng, self.net, self.bounds, self.now, self.checks = Random(seed), net or Net(), bounds, 0, checks
+        self.nodes = [Node() for _ in range(nodes)]
+        self.fronts: dict[str, Front] = {}
+        self.heap: list[tuple[int, int, Callable[[], None]]] = []
+        self.number = 0
+        self.orphaned: dict[str, int] = {}  # sessions whose front died, and when
+        self.taken: list[int] = []  # how long each was without a front, ns
+        self.ended = 0  # by a lease
+        self.breaches: list[str] = []
+        self.moved = 0
+        self.cost = 0.0  # seconds of processor time in the courses
+        self.names = [f"f{i}" for i in range(fronts)]
+        for name in self.names:
+            self._begin(name, 1, room)
+        for i, name in enumerate(self.names):
+            for j in range(each):
+                at = self.rng.randrange(nodes)
+                session = f"s{i}-{j}"
+                self.nodes[at].holder[session] = self.fronts[name].caller
+                self.fronts[name].held[session] = at
+
+    def _begin(self, name: str, start: int, room: int) -> None:
+        course = Adopting(name, self.bounds)
+        self.fronts[name] = front = Front(name, start, course, room)
+        course.listed(map(str, range(len(self.nodes))), self.now)
+        course.sees((), self.names, self.now)
+        for node in self.nodes:
+            node.ears[front.caller.front] = Ear()
+
+    # The network.
+
+    def _send(self, word: Callable[[], None], lost: Callable[[], None] = lambda: None) -> None:
+        """A word that comes late, twice or never; `lost`: what its sender makes of no answer."""
+        if self.rng.random() < self.net.lose:
+            self.at(self.now + 2 * SECOND, lost)
+            return
+        times = 2 if self.rng.random() < self.net.double else 1
+        for _ in range(times):
+            late = self.rng.randint(*self.net.late)
+            if self.rng.random() < self.net.much_later:
+                late += self.rng.randint(0, 10 * SECOND)
+            self.at(self.now + late, word)
+
+    def at(self, when: int, what: Callable[[], None]) -> None:
+        """Something happens then."""
+        self.number += 1
+        heapq.heappush(self.heap, (when, self.number, what))
+
+    # Fronts.
+
+    def kill(self, some: Iterable[str], heard_after: int = 0) -> None:
+        """These die now; nodes lose their streams at once or later. All others see it in their own time."""
+        for name in some:
+            front = self.fronts[name]
+            front.dead = True
+            for session, at in front.held.items():
+                if self.nodes[at].holder.get(session) == front.caller:
+                    self.orphaned.setdefault(session, self.now)
+            self._lose_streams(front, heard_after)
+            self._seen(name, (2500 * MS, 4500 * MS))
+
+    def sleep(self, name: str, seconds: float, loses_streams: bool) -> None:
+        """This one stands still, its words under way with it, and wakes."""
+        front = self.fronts[name]
+        front.asleep = True
+        if loses_streams:
+            self._lose_streams(front, 200 * MS)
+        self._seen(name, (2500 * MS, 4500 * MS))
+
+        def wake() -> None:
+            front.asleep = False
+            for other in self.fronts.values():
+                self._back(other, name)
+            for node in self.nodes:
+                node.ears[front.caller.front] = Ear()
+            # What it believes to hold it changes now, before any node has told it otherwise.
+            for session, at in list(front.held.items()):
+                self._send(lambda s=session, n=at: self._change(front, n, s))  # type: ignore[misc]
+
+        self.at(self.now + round(seconds * SECOND), wake)
+
+    def suspect(self, by: str, whom: str) -> None:
+        """One sees another as gone, which is there."""
+        front = self.fronts[by]
+        front.gone[whom] = self.fronts[whom].start
+        self._look(front)
+
+    def _lose_streams(self, front: Front, after: int) -> None:
+        def lose() -> None:
+            for node in self.nodes:
+                if (ear := node.ears.get(front.caller.front)) is not None and (front.dead or front.asleep):
+                    ear.open, ear.away = False, self.now
+
+        self.at(self.now + after, lose)
+
+    def _seen(self, name: str, within: tuple[int, int]) -> None:
+        for other in self.fronts.values():
+            if other.name != name:
+                self.at(self.now + self.rng.randint(*within), lambda o=other: self._sees(o, name))  # type: ignore[misc]
+
+    def _sees(self, other: Front, name: str) -> None:
+        if self.fronts[name].dead or self.fronts[name].asleep:
+            other.gone[name] = self.fronts[name].start
+            self._look(other)
+
+    def _back(self, other: Front, name: str) -> None:
+        if other.gone.pop(name, None) is not None:
+            self._look(other)
+
+    def _look(self, front: Front) -> None:
+        present = [n for n in self.names if n not in front.gone]
+        front.course.sees(front.gone, present, self.now)
+
+    def _errand(self, front: Front, errand: Errand) -> None:
+        told: dict[str, Word] = {}
+        answered, told_mine = [False], list[str]()
+
+        def failed() -> None:
+            if not answered[0]:
+                answered[0] = True
+                front.course.asked(errand, None, self.now)
+
+        def node_takes(mine: list[str]) -> None:
+            given = self._take(front.caller, at, mine)
+            self._send(lambda: front_hears(given), failed)
+
+        def front_hears(given: list[str]) -> None:
+            if front.dead or front.asleep:
+                return
+            for session in set(told_mine) - set(given):
+                front.held.pop(session, None)
+            if not answered[0]:
+                answered[0] = True
+                front.course.asked(errand, told, self.now)
+
+        def node_tells() -> None:
+            second = self.now // SECOND
+            self.nodes[at].asked[second] += 1
+            words, some = self._offer(front.caller, at, errand.names)
+            self._send(lambda: front_chooses(words, some), failed)
+
+        def front_chooses(words: dict[str, Word], some: list[tuple[str, str]]) -> None:
+            if front.dead or front.asleep or answered[0]:
+                return
+            told.update(words)
+            mine = [s for s, of in some if errand.shares(of, s)][: max(0, front.room - len(front.held))]
+            told_mine.extend(mine)
+            front.held.update(dict.fromkeys(mine, at))  # its room is taken before it asks for them
+            if mine:
+                self._send(lambda: node_takes(mine), failed)
+            else:
+                front_hears([])
+
+        at = int(errand.node)
+        self._send(node_tells, failed)
+        self.at(self.now + 4 * SECOND, failed)
+
+    # Nodes.
+
+    def _offer(
+        self, caller: Caller, at: int, names: Iterable[str]
+    ) -> tuple[dict[str, Word], list[tuple[str, str]]]:
+        node, told = self.nodes[at], dict.fromkeys(names, Word.AWAY)
+        some = list[tuple[str, str]]()
+        for session, held in node.holder.items():
+            if held.member in told:
+                word = self._word(node, held, caller)
+                if word is Word.AWAY:
+                    some.append((session, held.member))
+                else:
+                    told[held.member] = word
+        return told, some
+
+    def _word(self, node: Node, held: Caller, caller: Caller) -> Word:
+        ear, mine = node.ears.get(held.front), node.ears.get(caller.front)
+        away = None if ear is not None and ear.open else self.now - (ear.away if ear is not None else 0)
+        return may_take(held, caller, away, mine is not None and mine.open)
+
+    def _take(self, caller: Caller, at: int, sessions: list[str]) -> list[str]:
+        node, given = self.nodes[at], []
+        for session in sessions:
+            held = node.holder.get(session)
+            if held is None or (self.checks and self._word(node, held, caller) is not Word.AWAY):
+                continue
+            if self._listens(node, held):
+                self.breaches.append(f"{session} taken from {held.member}, which listens")
+            node.holder[session] = caller
+            self.moved += 1
+            given.append(session)
+            if (since := self.orphaned.pop(session, None)) is not None:
+                self.taken.append(self.now - since)
+        return given
+
+    @staticmethod
+    def _listens(node: Node, held: Caller) -> bool:
+        ear = node.ears.get(held.front)
+        return ear is not None and ear.open
+
+    def _change(self, front: Front, at: int, session: str) -> None:
+        """A front's word on a session: a rung, a release."""
+        node = self.nodes[at]
+        held = node.holder.get(session)
+        if held is None:
+            return
+        if self.checks and not may_act(held, front.caller):
+            node.turned_away += 1
+        elif held.member != front.name:
+            self.breaches.append(f"{session}: {front.name} changed what {held.member} has")
+
+    def _leases(self) -> None:
+        keeps = lease(self.bounds.lease, OWN_LEASE)
+        for node in self.nodes:
+            for session, held in list(node.holder.items()):
+                ear = node.ears.get(held.front)
+                if ear is not None and not ear.open and self.now - ear.away > keeps:
+                    del node.holder[session]
+                    self.ended += 1
+                    self.orphaned.pop(session, None)
+
+    # Time.
+
+    def play(self, seconds: float) -> None:
+        """So much time passes."""
+        until = self.now + round(seconds * SECOND)
+        while self.now < until:
+            then = self.now + STEP
+            while self.heap and self.heap[0][0] <= then:
+                self.now, _, what = heapq.heappop(self.heap)
+                what()
+            self.now = then
+            self._leases()
+            for front in self.fronts.values():
+                if front.dead or front.asleep:
+                    continue
+                began = time.perf_counter()
+                errands = front.course.due(self.now)
+                front.course.finished(self.now)
+                self.cost += time.perf_counter() - began
+                for errand in errands:
+                    self._errand(front, errand)
+
+    def held(self) -> int:
+        """Sessions that run."""
+        return sum(len(n.holder) for n in self.nodes)
+
+    def busiest(self) -> int:
+        """Most questions that any node had in a second."""
+        return max((max(n.asked.values(), default=0) for n in self.nodes), default=0)
--- a/oakcroft/rehearsal/report.py
+++ b/oakcroft/rehearsal/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from oakcroft.rehearsal.runner import Outcome
+from oakcroft.rulecheck.holding import outlived, taken_after
 
 
 def rules(outcome: Outcome) -> list[str]:
@@ -42,6 +43,15 @@
         waits = sorted(t.waits)
         p = [waits[min(len(waits) - 1, int(len(waits) * q))] / 1e6 for q in (0.5, 0.99)]
         out.append(f"  a 201 took p50 {p[0]:.0f} ms, p99 {p[1]:.0f} ms")
+    if outcome.day.adopting:
+        passed, ended = outlived(outcome.facts)
+        after = taken_after(outcome.facts)
+        when = (
+            f", {after[len(after) // 2]:.1f} s (p50) and {after[-1]:.1f} s at most after its end"
+            if after
+            else ""
+        )
+        out.append(f"  playbacks that outlived their front {passed}{when}; ended with their front {ended}")
     if outcome.falls:
         out.append(f"  cold nodes pushed over: {outcome.falls}")
     return out
--- a/oakcroft/rehearsal/runner.py
+++ b/oakcroft/rehearsal/runner.py
@@ -25,6 +25,7 @@
 from oakcroft.running.clock import Clock
 from oakcroft.rehearsal.viewers import Audience, Tally
 from oakcroft.rulecheck.fleet import judge_view
+from oakcroft.rulecheck.holding import judge_holding
 from oakcroft.rulecheck.owners import judge_owners
 from oakcroft.rulecheck.rules import Fact, Finding, judge
 from oakcroft.standins.between import Between
@@ -142,6 +143,8 @@
             findings += judge_owners(
                 facts + self._effects(), names, frozenset(self.day.keepers), self.day.term
             )
+        if self.day.adopting:
+            findings += judge_holding(facts)
         outcome = Outcome(
             self.day, self.policy, findings, self.audience.tally, earned, faults, self.failures, falls
         )
@@ -187,6 +190,8 @@
         if self.day.keepers:
             keepers = " ".join(f"f{i}" for i in self.day.keepers)
             peers += f"(keepers (names {keepers}) (term {self.day.term // 1_000_000}ms))\n"
+        if self.day.adopting:
+            peers += "(adopting (after 500ms) (lease 15s))\n"
         front.file.write_text(
             f"{peers}(front (number {front.number}) (seed {self.day.seed * 1000 + front.number})\n"
             f'  (listen "127.0.0.1:{front.port}") (list-service "127.0.0.1:{self.list_port}") (kept "{kept}") {state}\n'
--- a/oakcroft/rulecheck/rules.py
+++ b/oakcroft/rulecheck/rules.py
@@ -52,6 +52,9 @@
     status: int = 0
     proven: bool = False
     over: int | None = None
+    passed: list[tuple[int, str]] = field(
+        default_factory=list
+    )  # when, and to which front, its session passed on
 
 
 def judge(facts: list[Fact], site: Site) -> list[Finding]:
@@ -78,6 +81,8 @@
             sessions[f["id"].replace(".", "-")] = one
         elif f["kind"] == "over" and f["session"] in sessions:
             sessions[f["session"]].over = f["t"]
+        elif f["kind"] == "passed" and f["session"] in sessions:
+            sessions[f["session"]].passed.append((f["t"], f["front"]))
     return list(tries.values())
 
 
@@ -307,9 +312,12 @@
             found.breach(f"{one.key}: set up on rung {one.rung} under the floor {plan.floor}")
         if plan.seats:
             done = one.over if one.status == 201 else one.ended
-            changes[one.front, one.plan, one.title].append((one.t, 1))
-            if done is not None:
-                changes[one.front, one.plan, one.title].append((done, -1))
+            begin, front = one.t, one.front
+            for end, to in [*one.passed, (done, "")]:
+                changes[front, one.plan, one.title].append((begin, 1))
+                if end is not None:
+                    changes[front, one.plan, one.title].append((end, -1))
+                    begin, front = end, to
     for f in facts:
         if f["kind"] == "rung" and f["rung"] < site.plans[f["plan"]].plan.floor:
             found.breach(f"{f['session']}: set to rung {f['rung']} under its floor")
--- a/oakcroft/standins/playout.py
+++ b/oakcroft/standins/playout.py
@@ -6,27 +6,31 @@
 import struct
 from collections import deque
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from urllib.parse import unquote
 
+import msgspec
 import orjson
 import trio
 
 from oakcroft.decisions.admission.doors import Bounds, Door
+from oakcroft.decisions.fleet.holding import MOST_LEASE, Caller, Word, lease, may_act, may_take
 from oakcroft.decisions.sessions.evidence import DRAINING_TYPE, FULL_TYPE
 from oakcroft.decisions.sessions.resource import SDPFRAG
 from oakcroft.decisions.routing.routing import Asked, Side
 from oakcroft.httpwire.message import Request, Response
 from oakcroft.httpwire.server import Server
 from oakcroft.config.told import Site
-from oakcroft.signalling import sdp, words
+from oakcroft.signalling import handing, sdp, words
 from oakcroft.standins import rtp
 from oakcroft.standins.links import Machine, Stream
 from oakcroft.standins.record import Record
 
 REMEMBERS = 120.0  # seconds for which a node knows the keys that it ran
 LEASE = 3.0  # a front whose event stream is gone for so long has lost its sessions
+MOST_LISTING = 200_000  # octets of one answer to a front that would take over
+MOST_PASSED = 1_024
 FINGERPRINT = "sha-256 " + ":".join(["AB"] * 32)
 
 
@@ -40,8 +44,12 @@
     plan: str
     title: str
     tag: int = 1
+    holder: Caller = field(default_factory=lambda: Caller(""))
+    memo: str = ""  # what its front left for whoever takes it over
+    answer: str = ""
     media: tuple[str, int] | None = None  # where the player receives, if it says
     sequence: int = 0
+    number: int = 0  # of the set-up, in its process
 
 
 @dataclass
@@ -50,6 +58,10 @@
 
     send: trio.MemorySendChannel[bytes] | None = None
     away_since: float = 0.0
+    lease: float = LEASE
+    passed: deque[tuple[float, str]] = field(
+        default_factory=deque
+    )  # sessions that others took over, and when
 
 
 @dataclass
@@ -62,6 +74,7 @@
     lost_share: float = 0.0
     draining: bool = False
     late: float = 0.0
+    trusts_all: bool = False  # a planted fault: it does not check who holds a session
     cut_from: set[str] = field(default_factory=set)
 
 
@@ -176,19 +189,31 @@
     async def handle(self, request: Request) -> Response:
         """One request of a front."""
         front = (request.header("via") or "").removeprefix("1.1 ")
-        if request.method == "POST" and not request.path.startswith("/sessions/"):
+        if request.method == "POST" and not request.path.startswith(("/sessions/", handing.PATH)):
             return await self._set_up(request, front)
         while self._mute(front):
             await self.changed.wait()
         if request.path.startswith("/events/"):
+            self._leased(front, request)
             return self._events(front)
+        if request.path == handing.PATH:
+            return self._take(request) if request.method == "POST" else self._offer(request)
         _, _, name = request.path.partition("/sessions/")
         name, _, part = name.partition("/")
         session = self.sessions.get(name)
         if session is None:
             return Response(404)
+        caller = caller_of(request)
+        if not may_act(session.holder, caller) and not self.ails.trusts_all:
+            self.record.note("turned away", node=self.name, session=name, front=front, method=request.method)
+            return Response(
+                409,
+                [("Content-Type", words.PROBLEM)],
+                words.problem(409, handing.NOT_HELD, "another front has it"),
+            )
+        session.holder = replace(session.holder, start=max(session.holder.start, caller.start))
         if request.method == "DELETE":
-            self._drop(name, "deleted")
+            self._drop(name, "deleted", front)
             return Response(200)
         if request.method == "PATCH":
             return self._patch(request, session)
@@ -269,7 +294,12 @@
         finally:
             machine.waiting -= 1
         session = Session(number.replace(".", "-"), front, key, plan, title, media=rtp.receiver(offer))
+        session.holder, session.number = caller_of(request), int(number.rpartition(".")[2])
+        session.memo = (request.header(handing.MEMO.lower()) or "")[: handing.MOST_MEMO]
+        body = sdp.answer(offer, self.numbers, ("node" + "A" * 4, "B" * 24), FINGERPRINT).encode()
+        session.answer = body.decode()
         self._start(session, rung)
+        self._leased(front, request)
         while self.ails.hung or self._mute(front):
             await self.changed.wait()
         if self.rng.random() < self.ails.lost_share:
@@ -282,7 +312,6 @@
             ("Link", words.link(f"{here}/layer", words.REL_LAYER)),
             (words.LOAD, words.load_report(self._load())),
         ]  # fmt: skip
-        body = sdp.answer(offer, self.numbers, ("node" + "A" * 4, "B" * 24), FINGERPRINT).encode()
         return Response(201, headers, body, unsent=lambda: self._drop(session.id, "answer not taken"))
 
     def _refused(self, kind: str, title: str) -> Response:
@@ -312,13 +341,15 @@
         ear = self.ears.setdefault(session.front, Ear(away_since=trio.current_time()))
         self.say(ear, "started", {"session": f"/sessions/{session.id}"})
 
-    def _drop(self, name: str, why: str) -> None:
+    def _drop(self, name: str, why: str, by: str = "") -> None:
         session = self.sessions.pop(name, None)
         stream = self.machine.end(name)
         if session is None or stream is None:
             return
         self.earned[session.plan] = self.earned.get(session.plan, 0.0) + stream.earned
-        self.record.note("over", node=self.name, session=name, key=session.key, front=session.front, why=why)
+        self.record.note(
+            "over", node=self.name, session=name, key=session.key, front=session.front, why=why, by=by
+        )
         if ear := self.ears.get(session.front):
             self.say(ear, "ended", {"session": f"/sessions/{name}", "why": why})
 
@@ -333,17 +364,91 @@
 
     # The event stream of each front.
 
+    def _leased(self, front: str, request: Request) -> None:
+        """For how long a front asks this node to keep what it has."""
+        asked = lease(handing.read_lease(request.header(handing.LEASE.lower())), round(LEASE * 1e9))
+        self.ears.setdefault(front, Ear(away_since=trio.current_time())).lease = asked / 1e9
+
+    # Sessions that outlive their front.
+
+    def _away(self, front: str) -> int | None:
+        """For how long a front has not listened, ns; None where it does."""
+        ear = self.ears.get(front)
+        if ear is None:
+            return MOST_LEASE
+        return None if ear.send is not None else round((trio.current_time() - ear.away_since) * 1e9)
+
+    def _offer(self, request: Request) -> Response:
+        """What may be taken over of the fronts that are named."""
+        caller, some, going_on = caller_of(request), list[handing.Offered](), ""
+        asked = [unquote(n) for n in (request.query("of") or "").split(",") if n][: handing.MOST_OF]
+        after = request.query("after") or "0"
+        told = dict.fromkeys(asked, Word.AWAY.value)
+        room, last = MOST_LISTING, 0
+        for s in sorted(self.sessions.values(), key=lambda s: s.number):
+            if s.holder.member not in told or not s.memo:
+                continue
+            word = self._may_take(s, caller)
+            if word is not Word.AWAY:
+                told[s.holder.member] = word.value
+                continue
+            if s.number <= int(after):
+                continue
+            room -= len(s.answer) + len(s.memo) + 1_000
+            if len(some) == handing.MOST_PAGE or room < 0:
+                going_on = str(last)
+                break
+            last = s.number
+            rung, path, of = self.machine.streams[s.id].rung, f"/sessions/{s.id}", s.holder.member
+            some.append(handing.Offered(path, s.key, of, rung, str(s.tag), s.memo, s.answer))
+        body = msgspec.json.encode(handing.Listing(told, some, going_on))
+        return Response(200, [("Content-Type", "application/json"), ("Cache-Control", "no-store")], body)
+
+    def _may_take(self, session: Session, caller: Caller) -> Word:
+        ear = self.ears.get(caller.front)
+        return may_take(
+            session.holder, caller, self._away(session.front), ear is not None and ear.send is not None
+        )
+
+    def _take(self, request: Request) -> Response:
+        """Hands sessions over to a front; all that may be, in one step of this node."""
+        caller = caller_of(request)
+        try:
+            wanted = handing.TAKING.decode(request.body).sessions
+        except msgspec.MsgspecError:
+            return Response(400)
+        given = []
+        for path in wanted:
+            session = self.sessions.get(path.removeprefix("/sessions/"))
+            if session is None or not (self.ails.trusts_all or self._may_take(session, caller) is Word.AWAY):
+                continue
+            before = session.front
+            passed = self.ears.setdefault(before, Ear(away_since=trio.current_time())).passed
+            passed.append((trio.current_time(), path))
+            while len(passed) > MOST_PASSED or passed[0][0] < trio.current_time() - REMEMBERS:
+                passed.popleft()
+            session.front, session.holder = caller.front, caller
+            self._ran(caller.front).append((trio.current_time(), session.key))
+            self.record.note("passed", node=self.name, session=session.id, key=session.key, plan=session.plan,
+                             title=session.title, before=before, front=caller.front, start=caller.start)  # fmt: skip
+            given.append(path)
+        return Response(
+            200, [("Content-Type", "application/json")], msgspec.json.encode(handing.Taking(given))
+        )
+
     def _events(self, front: str) -> Response:
         send, receive = trio.open_memory_channel[bytes](1024)
         ear = self.ears.setdefault(front, Ear())
         if ear.send is not None:
             ear.send.close()
         ear.send = send
+        self.record.note("listens", node=self.name, front=front, open=True)
         mine = [s for s in self.sessions.values() if s.front == front]
         send.send_nowait(words.event("hello", {
             "process": self.process, "sessions": [f"/sessions/{s.id}" for s in mine], "keys": [s.key for s in mine],
             "rungs": [self.machine.streams[s.id].rung for s in mine], "ran": [key for _, key in self._ran(front)],
             "up_ms": int((trio.current_time() - self.up_since) * 1000), "remembers_ms": int(REMEMBERS * 1000),
+            "passed": [path for _, path in ear.passed],
         }))  # fmt: skip
         headers = [("Content-Type", words.EVENTS), ("Cache-Control", "no-store")]
         return Response(200, headers, stream=self._chunks(front, ear, send, receive))
@@ -370,6 +475,7 @@
             receive.close()
             if ear.send is send:
                 ear.send, ear.away_since = None, trio.current_time()
+                self.record.note("listens", node=self.name, front=front, open=False)
 
     @staticmethod
     def say(ear: Ear, name: str, data: object) -> None:
@@ -385,13 +491,21 @@
         """Ends what fronts play here whose stream has been gone for the lease."""
         now = trio.current_time()
         for front, ear in list(self.ears.items()):
-            if ear.send is None and now - ear.away_since > LEASE and not self._mute(front):
+            if ear.send is None and now - ear.away_since > ear.lease and not self._mute(front):
                 for session in [s.id for s in self.sessions.values() if s.front == front]:
                     self._drop(session, "front gone")
-                if not any(s.front == front for s in self.sessions.values()):
+                if not any(s.front == front for s in self.sessions.values()) and not (
+                    ear.passed and ear.passed[-1][0] > now - REMEMBERS
+                ):
                     del self.ears[front]
 
 
+def caller_of(request: Request) -> Caller:
+    """Which front asks."""
+    member, start = handing.read_front(request.header(handing.FRONT.lower()))
+    return Caller((request.header("via") or "").removeprefix("1.1 "), member, start)
+
+
 def reset(stream: trio.SocketStream) -> None:
     """Closes a connection so that its peer sees a reset."""
     try:
--- /dev/null
+++ b/tests/test_adopting.py
@@ -0,0 +1,353 @@
+"""Playbacks that outlive their front, over several processes of the program: fronts killed, stopped and woken, cut off
+from each other, restarted, with nodes that remember who holds what. Judged by the nodes' records and the sockets."""
+
+from __future__ import annotations
+
+import signal
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import orjson
+import trio
+from rig import run
+from test_peers import TOKEN, Fronts, fronts
+
+from oakcroft.httpwire.client import Ended, Peer
+from oakcroft.httpwire.message import Response
+from oakcroft.rehearsal.viewers import offer
+from oakcroft.rulecheck.holding import judge_holding, outlived
+from oakcroft.rulecheck.rules import judge
+from oakcroft.signalling import handing, sdp
+
+KINDS = ("ran", "passed", "rung", "over", "listens", "death")
+
+
+class Adopters(Fronts):
+    """Fronts that take over from each other."""
+
+    form = "(adopting (after 200ms) (lease 10s))"
+    state = False
+    unsound = False  # a breach was planted
+
+    def file(self, name: str) -> Path:
+        path = super().file(name)
+        text = path.read_text()
+        if self.state:
+            text = text.replace("(zone west)", f'(zone west) (state "{self.folder}/{name}.state")', 1)
+        path.write_text(f"{text}\n{self.form}")
+        return path
+
+    async def ask(self, name: str, method: str, path: str, body: bytes = b"", **headers: str) -> Response:
+        peer = Peer("127.0.0.1", self.ports[name], connect_within=0.5)
+        try:
+            fields = [(k.replace("_", "-"), v) for k, v in headers.items()]
+            return await peer.ask(method, path, fields, body)
+        finally:
+            await peer.close()
+
+    async def watch(self, name: str, path: str, key: str) -> Response:
+        body = offer(20_000, 1, path.startswith("/whip")).encode()
+        return await self.ask(
+            name, "POST", path, body, Content_Type=sdp.MEDIA_TYPE, Idempotency_Key=f'"{key}"'
+        )
+
+    async def plays(self, name: str, path: str, key: str) -> Response:
+        """A playback that is asked for until it plays: a front that has just started paces its nodes."""
+        with trio.fail_after(20):
+            while (answer := await self.watch(name, path, key)).status in (429, 503):
+                await trio.sleep(0.1)
+        assert answer.status == 201, answer
+        return answer
+
+    async def status(self, name: str) -> dict[str, Any]:
+        try:
+            with trio.fail_after(2):
+                said = await self.ask(name, "GET", "/operators/status", Authorization=f"Bearer {TOKEN}")
+            return dict(orjson.loads(said.body))
+        except (Ended, trio.TooSlowError):
+            return {}
+
+    def sessions(self) -> dict[str, str]:
+        """By key, the member that holds it, as the nodes have it."""
+        return {s.key: s.holder.member for n in self.nodes.nodes.values() for s in n.sessions.values()}
+
+    async def fill(self, name: str, many: int, plan: str = "open") -> list[str]:
+        keys = [f"{name}-{plan}-{i}" for i in range(many)]
+        for i, key in enumerate(keys):
+            await self.plays(name, f"/whep/{plan}/t{i % 3}", key)
+        return keys
+
+    async def until(self, true: Callable[[], object], within: float = 10) -> None:
+        with trio.fail_after(within):
+            while not true():
+                await trio.sleep(0.02)
+
+    async def ask_quietly(self, name: str, method: str, path: str) -> None:
+        """A call whose front may never answer it."""
+        with trio.move_on_after(20), suppress(Ended, OSError):
+            await self.ask(name, method, path)
+
+    def lose_streams(self, name: str) -> None:
+        """The nodes lose the streams of a front, as where its machine drops."""
+        pseudonyms = {
+            s.front for n in self.nodes.nodes.values() for s in n.sessions.values() if s.holder.member == name
+        }
+        for node in self.nodes.nodes.values():
+            for front in pseudonyms & set(node.ears):
+                if (send := node.ears[front].send) is not None:
+                    send.close()
+
+    def judged(self) -> None:
+        """Each session had one front at a time, and no front held more than its seats."""
+        if self.unsound:
+            return
+        facts = self.facts(*KINDS, "setup", "answer", "broken")
+        found = [*judge_holding(facts), judge(facts, self.nodes.day.site)[4]]
+        assert [f.breaches for f in found] == [[]] * 4, found
+
+    async def held_by(self, keys: list[str], among: set[str], within: float = 14) -> Counter[str]:
+        """Waits until all of these are held by some of `among`."""
+        some = dict[str, str]()
+        with trio.move_on_after(within):
+            while True:
+                some = self.sessions()
+                if all(some.get(k) in among for k in keys):
+                    return Counter(some[k] for k in keys)
+                await trio.sleep(0.05)
+        raise AssertionError(Counter(some.get(k) for k in keys))
+
+
+def on_adopters(
+    folder: Path, test: Callable[[Adopters], Awaitable[None]], kind: type[Adopters] = Adopters
+) -> None:
+    async def whole() -> None:
+        async with fronts(folder, 5, kind) as rig:
+            assert isinstance(rig, Adopters)
+            await test(rig)
+            rig.judged()
+
+    run(whole, 100)
+
+
+def test_playbacks_outlive_their_front_and_its_adopters_and_their_keys_are_known(tmp_path: Path) -> None:
+    async def test(rig: Adopters) -> None:
+        keys = await rig.fill("f2", 12) + await rig.fill("f2", 6, "course")
+        first = await rig.plays("f2", "/whep/course/t9", "paid")
+        rest = {n for n in rig.names if n != "f2"}
+        rig.signal("f2", signal.SIGKILL)
+        spread = await rig.held_by([*keys, "paid"], rest)
+        assert len(spread) >= 3, spread  # three in line for each node take a share each
+
+        # A paid one that is asked for again at whoever has it plays on: the same answer, and no second set-up.
+        keeper = rig.sessions()["paid"]
+        again = await rig.watch(keeper, "/whep/course/t9", "paid")
+        assert (again.status, again.body) == (201, first.body)
+        assert len([f for f in rig.facts("ran") if f["key"] == "paid"]) == 1
+
+        # Its viewer ends it there, under the name that it has had from the start.
+        location = str(first.header("location")).split("://", 1)[-1]
+        gone = await rig.ask(keeper, "DELETE", location[location.index("/") :])
+        assert gone.status == 200
+        await rig.until(lambda: "paid" not in rig.sessions())
+
+        # The one that has most dies in turn: its own are taken over, and those that it had taken.
+        second = spread.most_common(1)[0][0]
+        rig.signal(second, signal.SIGKILL)
+        await rig.held_by(keys, rest - {second})
+        # What the nodes' leases would have ended plays on after all have asked.
+        with trio.fail_after(30):
+            for name in sorted(rest - {second}):
+                while (await rig.status(name))["adopting"]["asking"]:
+                    await trio.sleep(0.1)
+        assert set(keys) <= set(rig.sessions())
+        assert not [f for f in rig.facts("over") if f["why"] == "front gone"]
+
+    on_adopters(tmp_path, test)
+
+
+def test_a_front_that_sleeps_while_its_playbacks_pass_on_does_nothing_late(tmp_path: Path) -> None:
+    async def test(rig: Adopters) -> None:
+        keys = await rig.fill("f1", 8)
+        first = await rig.plays("f1", "/whep/open/t5", "mine")
+        location = str(first.header("location")).split("://", 1)[-1]
+        path, rest = location[location.index("/") :], {n for n in rig.names if n != "f1"}
+        rig.signal(f := "f1", signal.SIGSTOP)
+        # While nodes hear its stream, nothing is taken from it, whatever all the others see.
+        await rig.see(sorted(rest), {f: "gone"}, 12)
+        with trio.fail_after(10):
+            while not any([(await rig.status(n))["adopting"]["asking"] for n in sorted(rest)]):
+                await trio.sleep(0.05)
+        assert await rig.held_by([*keys, "mine"], {f})
+        # Its viewer's call waits for it; the nodes lose its streams, and others take over what it had.
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rig.ask_quietly, f, "DELETE", path)
+            rig.lose_streams(f)
+            await rig.held_by([*keys, "mine"], rest)
+            rig.signal(f, signal.SIGCONT)
+            await rig.see(sorted(rest), {f: "alive"}, 12)
+            # The call of its viewer may have come before the nodes' word on the ninth.
+            with trio.fail_after(10):
+                while (await rig.status(f))["adopting"]["passed_on"] < 8:
+                    await trio.sleep(0.05)
+        assert set(rig.sessions()) == {*keys, "mine"}
+        assert (await rig.status(f))["playing"] == 0
+        assert len(rig.facts("turned away")) <= 1
+        assert b"node lost" not in (tmp_path / "f1.log").read_bytes()
+        await rig.plays(f, "/whep/open/t6", "after")
+
+    on_adopters(tmp_path, test)
+
+
+def test_a_partition_moves_nothing_and_a_restarted_front_has_its_own_again(tmp_path: Path) -> None:
+    async def test(rig: Adopters) -> None:
+        keys = {n: await rig.fill(n, 4) for n in rig.names}
+        halves = {"f0", "f1"}, {"f2", "f3", "f4"}
+        for one, other in (halves, halves[::-1]):
+            rig.between.cut(one, other)
+        await rig.see(["f0", "f1"], dict.fromkeys(halves[1], "gone"), 12)
+        await rig.see(sorted(halves[1]), dict.fromkeys(halves[0], "gone"), 12)
+        with trio.fail_after(10):
+            while not any([(await rig.status(n))["adopting"]["asking"] for n in rig.names]):
+                await trio.sleep(0.05)
+        rig.between.heal()
+        await rig.see(rig.names, dict.fromkeys(rig.names, "alive"), 12)
+        assert not rig.facts("passed")
+        assert all([await rig.held_by(keys[n], {n}) for n in rig.names])
+
+        # Killed and started again at once, without a file: what its earlier life had is its own again.
+        rig.signal("f3", signal.SIGKILL)
+        await rig.processes["f3"].wait()
+        await rig.start("f3")
+        await rig.held_by(keys["f3"], set(rig.names))
+        await rig.until(lambda: len(rig.facts("passed")) >= 4)
+        moved = {f["front"] for f in rig.facts("passed")}
+        assert all(m.startswith("front-3-") for m in moved), moved
+        again = await rig.watch("f3", "/whep/open/t0", keys["f3"][0])
+        assert again.status == 201
+        assert len([f for f in rig.facts("ran") if f["key"] == keys["f3"][0]]) == 1
+
+    on_adopters(tmp_path, test)
+
+
+class Keeping(Adopters):
+    """They keep state files."""
+
+    state = True
+
+
+def test_with_a_file_a_front_comes_back_to_its_own_and_the_lost_one_is_shared_out(tmp_path: Path) -> None:
+    async def test(rig: Adopters) -> None:
+        keys = await rig.fill("f1", 4) + await rig.fill("f1", 4, "course")
+        rig.signal("f1", signal.SIGKILL)
+        await rig.processes["f1"].wait()
+        await rig.start("f1")
+        await rig.held_by(keys, {"f1"})
+        assert not rig.facts("passed")  # it knows them by its file
+        again = await rig.watch("f1", "/whep/course/t0", keys[4])
+        assert again.status == 201
+
+        rest = {n for n in rig.names if n != "f1"}
+        rig.signal("f1", signal.SIGKILL)
+        await rig.processes["f1"].wait()
+        spread = await rig.held_by(keys, rest)
+        keeper = rig.sessions()[keys[4]]
+        # An adopter that keeps a file has it on record: killed and started again, it knows the key and sets up nothing.
+        rig.signal(keeper, signal.SIGKILL)
+        await rig.processes[keeper].wait()
+        await rig.start(keeper)
+        await rig.held_by([keys[4]], {keeper})
+        again = await rig.watch(keeper, "/whep/course/t0", keys[4])
+        assert again.status == 201
+        assert len([f for f in rig.facts("ran") if f["key"] == keys[4]]) == 1
+
+        # The dead one comes back with its file, long after: it ends nothing that others have.
+        await rig.start("f1")
+        with trio.fail_after(10):
+            while (await rig.status("f1"))["adopting"]["passed_on"] < len(keys) - spread.get("f1", 0):
+                await trio.sleep(0.05)
+        assert set(keys) <= set(rig.sessions())
+        assert "f1" not in {rig.sessions()[k] for k in keys}
+
+    on_adopters(tmp_path, test, Keeping)
+
+
+def test_what_has_no_seat_is_left_and_no_rule_broken(tmp_path: Path) -> None:
+    async def test(rig: Adopters) -> None:
+        for name in ("f0", "f1", "f2", "f3"):  # two seats a title at each
+            for i in range(2):
+                await rig.plays(name, "/whep/seats/t0", f"{name}-seat-{i}")
+        rig.signal("f0", signal.SIGKILL)
+        await rig.held_by(["f0-seat-0", "f0-seat-1"], {"f4"})
+        rig.signal("f1", signal.SIGKILL)  # nobody has a seat for its two: nodes end them with the lease
+        gone = {"f1-seat-0", "f1-seat-1"}
+        await rig.until(lambda: not gone & set(rig.sessions()), 25)
+        why = {f["why"] for f in rig.facts("over") if f["key"] in gone}
+        assert why == {"front gone"}
+        told = [(await rig.status(n))["adopting"]["left"] for n in ("f2", "f3", "f4")]
+        assert any("its seats are taken" in t for t in told), told
+
+    on_adopters(tmp_path, test)
+
+
+def test_a_node_that_does_not_check_is_found_out() -> None:
+    def fact(t: int, kind: str, **more: Any) -> dict[str, Any]:
+        return {"t": t, "kind": kind, "node": "n1", **more}
+
+    sound = [
+        fact(1, "listens", front="a", open=True), fact(2, "ran", session="s", front="a", key="k"),
+        fact(3, "rung", session="s", front="a", rung=1), fact(4, "listens", front="a", open=False),
+        fact(9, "passed", session="s", before="a", front="b"),
+        fact(10, "over", session="s", front="b", why="deleted", by="b"),
+    ]  # fmt: skip
+    assert [f.breaches for f in judge_holding(sound)] == [[], [], []]
+    assert outlived(sound) == (1, 0)
+    late = [*sound[:5], fact(10, "rung", session="s", front="a", rung=0)]
+    assert [len(f.breaches) for f in judge_holding(late)] == [1, 0, 0]
+    ended = [*sound[:5], fact(10, "over", session="s", front="b", why="deleted", by="a")]
+    assert [len(f.breaches) for f in judge_holding(ended)] == [1, 0, 0]
+    robbed = [f for f in sound if not (f["kind"] == "listens" and not f["open"])]
+    assert [len(f.breaches) for f in judge_holding(robbed)] == [0, 1, 0]
+    twice = [*sound[:5], fact(10, "passed", session="s", before="a", front="c")]
+    assert [len(f.breaches) for f in judge_holding(twice)] == [1, 0, 1]
+
+
+def test_late_words_of_the_one_that_had_it_are_turned_away_and_a_node_that_trusts_all_is_found(
+    tmp_path: Path,
+) -> None:
+    async def test(rig: Adopters) -> None:
+        await rig.plays("f1", "/whep/open/t5", "mine")
+        node = next(n for n in rig.nodes.nodes.values() if n.sessions)
+        (session,) = node.sessions.values()
+        late = [("Via", f"1.1 {session.front}"), (handing.FRONT, handing.front("f1", session.holder.start))]
+        path = f"/sessions/{session.id}"
+        rig.signal("f1", signal.SIGKILL)
+        await rig.held_by(["mine"], {n for n in rig.names if n != "f1"})
+        rung = node.machine.streams[session.id].rung
+
+        async def word(method: str, target: str, body: bytes = b"") -> int:
+            peer = Peer("127.0.0.1", node.port)
+            answer = await peer.ask(method, target, late, body)
+            await peer.close()
+            return answer.status
+
+        # What the dead front had under way comes now: a change of rung, a trickle, an end, and its wish to have it back.
+        assert await word("POST", f"{path}/layer", b'{"encodingId": "0"}') == 409
+        assert await word("PATCH", path) == 409
+        assert await word("DELETE", path) == 409
+        taking = orjson.dumps({"sessions": [path]})
+        assert await word("POST", handing.PATH, taking) == 200
+        assert rig.sessions() == {"mine": session.holder.member}
+        assert session.holder.member != "f1"
+        assert node.machine.streams[session.id].rung == rung
+        rig.judged()
+
+        node.ails.trusts_all = True
+        assert await word("DELETE", path) == 200
+        (held, *_) = judge_holding(rig.facts(*KINDS))
+        assert any("ended by front-1-" in b for b in held.breaches), held
+        rig.unsound = True
+
+    on_adopters(tmp_path, test)
--- /dev/null
+++ b/tests/test_handing.py
@@ -0,0 +1,241 @@
+"""Taking over, pure: who holds a session, whom this front asks and when, the words between; and a whole fleet of both
+sides in simulated time, with words late, doubled and lost."""
+
+from __future__ import annotations
+
+from itertools import product
+from random import Random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from oakcroft.decisions.fleet import adopting
+from oakcroft.decisions.fleet.adopting import AT_ONCE, MOST_NAMES, Adopting, Bounds
+from oakcroft.decisions.fleet.holding import HELD_BACK, MOST_LEASE, Caller, Word, lease, may_act, may_take
+from oakcroft.interface import MS, SECOND
+from oakcroft.rehearsal.many_adopters import ManyAdopters, Net
+from oakcroft.signalling import handing
+
+BOUNDS = Bounds(200 * MS, 15 * SECOND, 1_000)
+TEXT = st.text(max_size=60)
+
+
+def test_who_may_act_and_who_may_take_in_every_case() -> None:
+    """All of two fronts, three starts, streams open, just lost and away, callers that listen and do not."""
+    for held_by, held_start, by, start in product("ab", (1, 2), ("a", "b", ""), (1, 2, 3)):
+        held = Caller(f"front-{held_by}", held_by, held_start)
+        caller = Caller(f"front-{by}", by, start)
+        act = may_act(held, caller)
+        assert act == (by == held_by and start >= held_start)
+        for away, listens in product((None, 0, HELD_BACK - 1, HELD_BACK, MOST_LEASE), (True, False)):
+            word = may_take(held, caller, away, listens)
+            taken = word is Word.AWAY
+            assert not taken or (away is not None and away >= HELD_BACK)  # none that listens is robbed
+            assert not taken or listens  # nor is it given to one that may be dead
+            assert not taken or by  # nor to one without a name
+            assert not taken or by != held_by or start > held_start  # nor back to an earlier life
+            if by and by != held_by and listens and away is not None and away >= HELD_BACK:
+                assert taken
+            if taken:  # after which the one before can do nothing
+                assert not may_act(
+                    Caller(caller.front, by, start), Caller(held.front, held_by, held_start)
+                ) or (by == held_by and held_start >= start)
+
+
+def test_leases_are_bounded() -> None:
+    assert lease(0, 3 * SECOND) == 3 * SECOND
+    assert lease(15 * SECOND, 3 * SECOND) == 15 * SECOND
+    assert lease(SECOND, 3 * SECOND) == 3 * SECOND
+    assert lease(3600 * SECOND, 3 * SECOND) == MOST_LEASE
+
+
+def test_each_node_is_asked_by_three_in_line_who_share_and_then_take_the_rest() -> None:
+    names = [f"f{i}" for i in range(9)]
+    living = [n for n in names if n != "f4"]
+    asked: dict[str, list[tuple[str, set[str]]]] = {}
+    sessions = {f"s{i}" for i in range(60)}
+    for name in living:
+        course = Adopting(name, BOUNDS)
+        course.listed(["n1", "n2", "n3"], 0)
+        course.sees([], names, 0)
+        assert course.due(10 * SECOND) == []
+        course.sees(["f4"], living, 10 * SECOND)
+        assert course.due(10 * SECOND + 100 * MS) == []  # not before its time
+        for errand in course.due(10 * SECOND + 300 * MS):
+            assert errand.names == ["f4"]
+            mine = {s for s in sessions if errand.shares("f4", s)}
+            assert not errand.shares("f5", "s1")
+            asked.setdefault(errand.node, []).append((name, mine))
+            course.asked(errand, {"f4": Word.AWAY}, 11 * SECOND)
+            assert all(e.node != errand.node for e in course.due(11 * SECOND + 500 * MS))
+            (again,) = [e for e in course.due(12 * SECOND + 100 * MS) if e.node == errand.node]
+            assert all(again.shares("f4", s) for s in sessions)
+            course.asked(again, {"f4": Word.AWAY}, 12 * SECOND + 200 * MS)
+            assert not [e for e in course.due(20 * SECOND) if e.node == errand.node]
+    assert set(asked) == {"n1", "n2", "n3"}
+    for some in asked.values():
+        assert len(some) == 3
+        assert set().union(*(mine for _, mine in some)) == sessions
+        assert sum(len(mine) for _, mine in some) == len(sessions)  # each is one front's
+
+
+def test_one_that_is_back_is_left_alone_and_what_a_node_could_not_say_is_asked_again() -> None:
+    course = Adopting("f0", BOUNDS)
+    course.listed(["n1"], 0)
+    course.sees([], ["f0", "f1"], 0)
+    course.sees(["f1"], ["f0"], SECOND)
+    (errand,) = course.due(2 * SECOND)
+    course.asked(errand, None, 2 * SECOND)
+    assert course.due(2 * SECOND + 100 * MS) == []
+    (errand,) = course.due(3 * SECOND)
+    course.asked(errand, {"f1": Word.HERE}, 3 * SECOND)  # the node hears it
+    (errand,) = course.due(4 * SECOND)
+    (over,) = course.sees([], ["f0", "f1"], 4 * SECOND)
+    assert over.name == "f1"
+    course.asked(errand, {"f1": Word.HERE}, 4 * SECOND)
+    assert course.due(9 * SECOND) == []
+    assert not course.pairs
+    course.sees(["f1"], ["f0"], 20 * SECOND)
+    assert course.due(21 * SECOND)  # it dies again
+    course.sees([], ["f0"], 22 * SECOND)
+    course.sees(["f1"], ["f0"], 23 * SECOND)
+    assert course.due(23 * SECOND + BOUNDS.lease + 10 * SECOND) == []  # nodes have ended what it had
+    assert [d.name for d in course.finished(60 * SECOND)] == ["f1"]
+    assert course.finished(61 * SECOND) == []
+
+
+def test_an_earlier_life_is_asked_for_whole_at_all_nodes_also_before_they_are_known() -> None:
+    course = Adopting("f0", BOUNDS)
+    course.earlier_life(SECOND)
+    assert course.finished(SECOND) == []
+    course.sees([], ["f0", "f1", "f2", "f3"], SECOND)
+    course.listed([f"n{i}" for i in range(AT_ONCE + 4)], 2 * SECOND)
+    first = course.due(2 * SECOND)
+    assert len(first) == AT_ONCE
+    assert all(e.shares("f0", f"s{i}") for e in first for i in range(20))
+    for errand in first:
+        course.asked(errand, {"f0": Word.AWAY}, 3 * SECOND)
+    for errand in (rest := course.due(3 * SECOND)):
+        course.asked(errand, {"f0": Word.OLDER}, 3 * SECOND)
+    assert {e.node for e in first + rest} == course.nodes
+    assert [d.name for d in course.finished(4 * SECOND)] == ["f0"]
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.integers(1, 40), st.integers(1, 12), st.randoms(use_true_random=False))
+def test_errands_and_tables_stay_within_their_bounds(fronts: int, nodes: int, rng: Random) -> None:
+    names = [f"f{i}" for i in range(fronts)]
+    course, now = Adopting("f0", BOUNDS), 0
+    out: list[adopting.Errand] = []
+    for _ in range(60):
+        now += rng.randrange(400 * MS)
+        gone = {n for n in names[1:] if rng.random() < 0.4}
+        course.sees(gone, [n for n in names if n not in gone], now)
+        if rng.random() < 0.3:
+            course.listed([f"n{i}" for i in range(rng.randrange(nodes + 1))], now)
+        out += course.due(now)
+        assert len({e.node for e in out}) == len(out) == len(course.busy) <= AT_ONCE
+        assert all(0 < len(e.names) <= MOST_NAMES for e in out)
+        while out and rng.random() < 0.6:
+            errand = out.pop(rng.randrange(len(out)))
+            told = rng.choice([None, dict.fromkeys(errand.names, rng.choice(list(Word)))])
+            course.asked(errand, told, now)
+        course.finished(now)
+        # Each living pair stands once: waiting, or at work.
+        stands = [(p.dead.name, p.node) for p in course.pairs if course.dead.get(p.dead.name) is p.dead]
+        stands += [
+            (p.dead.name, p.node) for e in out for p in e.pairs if course.dead.get(p.dead.name) is p.dead
+        ]
+        assert len(stands) == len(set(stands))
+        assert set(stands) == {(d.name, n) for d in course.dead.values() for n in d.asking}
+
+
+def test_pairs_past_the_bound_are_left_to_their_lease(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(adopting, "MOST_PAIRS", 10)
+    course = Adopting("f0", BOUNDS)
+    course.listed([f"n{i}" for i in range(4)], 0)
+    course.sees([f"f{i}" for i in range(1, 6)], ["f0"], 0)
+    assert (len(course.pairs), course.passed_over) == (10, 10)
+
+
+@given(TEXT, TEXT, st.integers(0, 1 << 40), st.booleans())
+def test_a_memo_comes_back_as_it_went(id_: str, title: str, when: int, publishes: bool) -> None:
+    memo = handing.Memo(id_, "a", "/whep/open/t", title, "open", "u", "", 3, when, when + 1, publishes)
+    assert handing.read_memo(handing.memo(memo)) == memo
+
+
+@given(st.text(max_size=80) | st.binary(max_size=80).map(lambda b: b.decode("latin-1")))
+def test_what_is_no_memo_front_or_lease_says_nothing(text: str) -> None:
+    assert handing.read_memo(text) is None or handing.memo(handing.read_memo(text))  # type: ignore[arg-type]
+    name, start = handing.read_front(text)
+    assert (name == "") == (start == 0) or start == 0
+    assert 0 <= handing.read_lease(text) < 10_000 * SECOND
+
+
+@given(st.text(min_size=1, max_size=64), st.integers(1, (1 << 56) - 1))
+def test_any_members_name_can_stand_in_a_field(name: str, start: int) -> None:
+    try:
+        name.encode()
+    except UnicodeEncodeError:
+        return
+    assert handing.read_front(handing.front(name, start)) == (name, start)
+
+
+def test_a_memo_that_would_not_fit_its_field_is_none() -> None:
+    memo = handing.Memo("i", "a", "/" + "x" * 5_000, "t", "open", "u", "", 3, 0, 1, False)
+    assert handing.memo(memo) == ""
+    assert handing.read_memo("A" * 100) is None
+
+
+# A whole fleet, simulated.
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_playbacks_of_the_dead_are_taken_over_by_the_living(seed: int) -> None:
+    fleet = ManyAdopters(12, 6, 20, seed, BOUNDS)
+    fleet.play(1)
+    fleet.kill([f"f{i}" for i in range(1 + 3 * (seed % 3))], heard_after=seed * 100 * MS)
+    fleet.play(25)
+    assert (fleet.held(), fleet.ended, fleet.breaches) == (240, 0, [])
+    assert fleet.moved == 20 * (1 + 3 * (seed % 3))
+    assert max(fleet.taken) < 8 * SECOND
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_word_however_late_or_often_breaks_who_holds_what(seed: int) -> None:
+    rng, net = Random(seed), Net(lose=0.1, double=0.2, much_later=0.2)
+    fleet = ManyAdopters(8, 4, 10, seed, BOUNDS, net)
+    for _ in range(6):
+        fleet.play(rng.random() * 6)
+        up = [f.name for f in fleet.fronts.values() if not f.dead and not f.asleep]
+        match rng.randrange(4):
+            case 0 if len(up) > 3:
+                fleet.kill([rng.choice(up)], heard_after=rng.randrange(3) * SECOND)
+            case 1 if len(up) > 2:
+                fleet.sleep(rng.choice(up), rng.uniform(1, 20), rng.random() < 0.7)
+            case _ if len(up) > 1:
+                fleet.suspect(*rng.sample(up, 2))
+    fleet.play(40)
+    assert fleet.breaches == []
+    dead = {f.name for f in fleet.fronts.values() if f.dead}
+    assert not [h for n in fleet.nodes for h in n.holder.values() if h.member in dead]
+
+
+def test_nodes_that_do_not_check_are_found_by_the_same_walks() -> None:
+    found = 0
+    for seed in range(20):
+        rng = Random(seed)
+        fleet = ManyAdopters(8, 4, 10, seed, BOUNDS, Net(lose=0.1, double=0.2, much_later=0.2), checks=False)
+        fleet.sleep("f1", 12, loses_streams=True)
+        fleet.play(rng.uniform(5, 8))
+        fleet.kill(["f2"])
+        fleet.play(30)
+        found += bool(fleet.breaches)
+    assert found >= 18
+
+
+def test_what_nobody_has_room_for_ends_with_its_lease() -> None:
+    fleet = ManyAdopters(4, 2, 10, 1, BOUNDS, room=12)
+    fleet.kill(["f0"])
+    fleet.play(25)
+    assert (fleet.moved, fleet.ended, fleet.breaches) == (6, 4, [])
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -38,6 +38,7 @@
 from oakcroft.standins.day import parse
 from oakcroft.standins.fleet import Fleet
 from oakcroft.standins.record import Record
+from oakcroft.standins.record import read as read_record
 from test_view import ALIVE, SECRET, news as named
 
 
@@ -52,8 +53,8 @@
 class Fronts:
     """So many processes of `oakcroft serve` with peers."""
 
-    def __init__(self, folder: Path, many: int, list_port: int, nursery: trio.Nursery) -> None:
-        self.folder, self.list_port, self.nursery = folder, list_port, nursery
+    def __init__(self, folder: Path, many: int, nodes: Fleet, record: Record, nursery: trio.Nursery) -> None:
+        self.folder, self.nodes, self.record, self.nursery = folder, nodes, record, nursery
         self.names = [f"f{i}" for i in range(many)]
         with socket.socket() as probe:
             probe.bind(("127.0.71.1", 0))
@@ -72,7 +73,7 @@
         site = SITE.replace("(fronts 1)", f"(fronts {len(self.names)})")
         site = site.replace("EXTRA", f'(operators (secret "{TOKEN}")) (limit all (on all) (rate 50/s))')
         path.write_text(f"""(front (number {number}) (seed {number + 1}) (zone west) (listen "127.0.0.1:0")
-            (list-service "127.0.0.1:{self.list_port}"))
+            (list-service "127.0.0.1:{self.nodes.list_port}"))
             (peers (name {name}) (listen "{host}:{port}") (advertise "{relay}:{port}") (seeds {seeds})
               (key-file "{self.folder}/key") (starts "{self.folder}/{name}.start"))
             {site}""")
@@ -125,19 +126,26 @@
                 await trio.sleep(0.05)
         pytest.fail(f"within {within} s not {wanted}: {seen}")
 
+    def facts(self, *kinds: str) -> list[dict[str, Any]]:
+        """What the nodes have on record."""
+        self.record.out.flush()
+        return [f for f in read_record(self.folder / "fleet.jsonl") if f["kind"] in kinds]
+
     def signal(self, name: str, number: signal.Signals) -> None:
         self.processes[name].send_signal(number)
 
 
 @asynccontextmanager
 async def fronts(folder: Path, many: int = 5, kind: type[Fronts] = Fronts) -> AsyncIterator[Fronts]:
-    day = parse(DAY.replace("SITE", SITE.replace("EXTRA", "")), "day")
+    site = SITE.replace("EXTRA", "").replace("(fronts 1)", f"(fronts {many})")
+    plan = DAY.replace("(fronts west)", f"(fronts{' west' * many})").replace("SITE", site)
+    day = parse(plan, "day")
     record = Record(folder / "fleet.jsonl")
     async with trio.open_nursery() as nursery:
         nodes, up = Fleet(day, record, Clock()), trio.Event()
         nursery.start_soon(nodes.run, 0, up)
         await up.wait()
-        rig = kind(folder, many, nodes.list_port, nursery)
+        rig = kind(folder, many, nodes, record, nursery)
         await nursery.start(rig.between.run)
         try:
             async with trio.open_nursery() as starting:
