Pass playbacks on only where (adopting ...) stands: its absence was read as its defaults

Seen: a measurement of five processes without the form had 14 of 14 playbacks of a killed front taken over. Cause: config/compile.py, meaning, gives a form that does not stand its defaults, unless it is named among those whose absence means something; (adopting ...) has no field that must stand, so with (peers ...) it was on. Change: it is named there. The test fails without it.

--- a/oakcroft/config/compile.py
+++ b/oakcroft/config/compile.py
@@ -591,6 +591,7 @@
             forms.PREFERENCE,
             forms.PEERS,
             forms.KEEPERS,
+            forms.ADOPTING,
         ):
             out[schema.name] = {f.name: f.default for f in schema.fields}
     for schema in forms.NAMED:
--- a/tests/test_handing.py
+++ b/tests/test_handing.py
@@ -9,6 +9,10 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from rig import SITE
+
+from oakcroft.config.compile import check, told
+from oakcroft.config.told import PeersPlace
 from oakcroft.decisions.fleet import adopting
 from oakcroft.decisions.fleet.adopting import AT_ONCE, MOST_NAMES, Adopting, Bounds
 from oakcroft.decisions.fleet.holding import HELD_BACK, MOST_LEASE, Caller, Word, lease, may_act, may_take
@@ -187,6 +191,20 @@
     assert handing.read_memo("A" * 100) is None
 
 
+def test_nothing_passes_on_without_the_form() -> None:
+    def place(more: str) -> PeersPlace:
+        peers = '(peers (name f0) (listen "127.0.0.1:7946") (seeds "127.0.0.1:7947") (key-file "k"))'
+        front = '(front (zone west) (listen "127.0.0.1:0") (list-service "127.0.0.1:1"))'
+        found, problems = check("front", lambda _: f"{front} {peers} {more} {SITE.replace('EXTRA', '')}")
+        assert found is not None, [problems.show(p) for p in problems.errors]
+        meant = told(found).stand.peers
+        assert meant is not None
+        return meant
+
+    assert place("").adopts is None
+    assert place("(adopting)").adopts == Bounds(SECOND, 15 * SECOND, 1_000)
+
+
 # A whole fleet, simulated.
 
 
