Ask each node's load by one front and tell it to the others, where (probing ...) stands

Need: a front hears of a node by its own traffic only; of many nodes, and after a restart of all, it takes the load as usual. Each front asking each node would be 80 questions a second a node at 200 fronts.

--- /dev/null
+++ b/benchmarks/figures.py
@@ -0,0 +1,81 @@
+"""What sharing nodes' loads costs and gives, simulated: whole fleets of the decisions, with datagrams that are lost.
+
+python -m benchmarks.figures
+"""
+
+from __future__ import annotations
+
+import time
+from random import Random
+
+from oakcroft.decisions.fleet.figures import Figures
+from oakcroft.interface import MS, SECOND
+from oakcroft.peerwire.figures import FigureCodec
+from oakcroft.peerwire.sealing import Ring
+
+STEP = 100 * MS
+ROWS = [
+    (3, 20, 0.0),
+    (7, 5, 0.0),
+    (50, 40, 0.0),
+    (50, 40, 0.05),
+    (200, 200, 0.0),
+    (200, 200, 0.05),
+    (200, 200, 0.2),
+]
+HEAD = ("fronts", "nodes", "lost", "asks a node a second", "age of what fronts know, s (p50, p99, most)", "nodes unknown",
+        "datagrams and kB a second a front", "ms of a core a front a second")  # fmt: skip
+
+
+def play(fronts: int, nodes: int, lose: float, seconds: int = 60) -> list[str]:
+    """One fleet for so long, without traffic of its own; the first third is not counted."""
+    rng = Random(1)
+    names, list_ = [f"f{i}" for i in range(fronts)], {f"n{i}": i + 1 for i in range(nodes)}
+    all_ = {n: Figures(n, 2500 * MS, Random(i)) for i, n in enumerate(names)}
+    codec = FigureCodec("oakcroft", Ring((b"x" * 32,)))
+    now, cost, datagrams, octets, asks = 0, 0.0, 0, 0, 0
+    ages, unknown, looks = list[int](), 0, 0
+    truth = {n: rng.random() for n in list_}
+    for figures in all_.values():
+        figures.listed(list_)
+        figures.sees(names)
+    while now < seconds * SECOND:
+        now += STEP
+        counted = now > seconds * SECOND // 3
+        for node in list_:
+            truth[node] = min(1.2, max(0.0, truth[node] + rng.gauss(0, 0.01)))
+        for name, figures in all_.items():
+            began = time.perf_counter()
+            figures.sees(names)
+            due, tells = figures.due(now), figures.tells(now)
+            cost += (time.perf_counter() - began) * counted
+            for node in due:
+                asks += counted
+                figures.asked(node, truth[node], True, now)
+            for to, rows in tells:
+                if counted:
+                    datagrams, octets = datagrams + 1, octets + len(codec.rows(name, 1, rows)) + 28
+                if rng.random() >= lose:
+                    began = time.perf_counter()
+                    all_[to].heard(rows, now)
+                    cost += (time.perf_counter() - began) * counted
+        if counted and now % SECOND == 0:
+            for figures in all_.values():
+                some = figures.ages(now)
+                ages += some
+                unknown += nodes - len(some)
+                looks += 1
+    ages.sort()
+    span = seconds * 2 / 3
+    p = [ages[min(len(ages) - 1, int(q * len(ages)))] / 1e9 for q in (0.5, 0.99, 1)]
+    return [
+        str(fronts), str(nodes), f"{lose:.0%}", f"{asks / nodes / span:.2f}", f"{p[0]:.1f}, {p[1]:.1f}, {p[2]:.1f}",
+        f"{unknown / max(1, looks):.1f}", f"{datagrams / fronts / span:.1f}, {octets / fronts / span / 1000:.2f}",
+        f"{1000 * cost / fronts / span:.2f}",
+    ]  # fmt: skip
+
+
+if __name__ == "__main__":
+    print(" | ".join(HEAD))
+    for row in ROWS:
+        print(" | ".join(play(*row)), flush=True)
--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -187,13 +187,21 @@
 
     def _report(self, node: Node, value: float, age: int, now: int) -> None:
         """A report of what is asked of a link, as it was `age` ago."""
-        if now - age < node.reported_at:
+        if now - age < node.reported_at and not node.told:
             return
         old = node.level
-        node.heard, node.reported, node.reported_at = True, value, now - age
+        node.heard, node.reported, node.reported_at, node.told = True, value, now - age, False
         node.level = self._level(node)
         node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
 
+    def told(self, node: Node, asked: float, age: int, now: int) -> None:
+        """What another front heard of a link, `age` ago. It is taken where this front's own traffic tells nothing of the
+        link any more, and whatever that tells next replaces it."""
+        own = node.heard and not node.told and now - node.reported_at <= self.terms.reports_every + TOO_OLD
+        if not own and now - age > (node.reported_at if node.heard else 0):
+            self._report(node, asked, age, now)
+            node.told = True
+
     def _uplink_report(self, rack: Rack, value: float) -> None:
         if rack.carried > 0 and self.terms.uplink > 0:
             rack.tight = min(TIGHTEST, max(LOOSEST, value * self.terms.uplink / rack.carried))
--- a/oakcroft/config/compile.py
+++ b/oakcroft/config/compile.py
@@ -110,6 +110,7 @@
     _peers(checked, problems)
     _keepers(checked, problems)
     _adopting(checked, problems)
+    _probing(checked, problems)
 
 
 def _rungs(checked: Checked) -> int:
@@ -532,6 +533,14 @@
         )  # fmt: skip
 
 
+def _probing(checked: Checked, problems: Problems) -> None:
+    probing = checked.one(forms.PROBING)
+    if probing is not None and checked.one(forms.PEERS) is None and checked.one(forms.FRONT) is not None:
+        problems.error(
+            probing.at("every"), "loads are told among the peers, and there are none", "add (peers …)"
+        )
+
+
 NOTICED = (
     6 * SECOND
 )  # in which the others see a front as gone, with a link that loses a twentieth (docs/fleet.md)
@@ -592,6 +601,7 @@
             forms.PEERS,
             forms.KEEPERS,
             forms.ADOPTING,
+            forms.PROBING,
         ):
             out[schema.name] = {f.name: f.default for f in schema.fields}
     for schema in forms.NAMED:
@@ -709,18 +719,19 @@
     (host, port), (list_host, list_port) = front["listen"], front["list-service"]
     stand = Stand(host, port, list_host, list_port, front["kept"], front["state"],
                   front["state-sync"] == "yes", front["zone"], front["seed"], front["log"],
-                  _place(m["peers"], m.get("keepers"), m.get("adopting")) if "peers" in m else None)  # fmt: skip
+                  _place(m["peers"], m) if "peers" in m else None)  # fmt: skip
     return Deployment(site, stand, m)
 
 
-def _place(
-    m: Mapping[str, Any], keepers: Mapping[str, Any] | None, adopting: Mapping[str, Any] | None
-) -> PeersPlace:
+def _place(m: Mapping[str, Any], whole: Mapping[str, Any]) -> PeersPlace:
+    """Where a front stands among its peers. `whole`: the meaning of all its forms."""
+    keepers, adopting, probing = whole.get("keepers"), whole.get("adopting"), whole.get("probing")
     told = m["advertise"] or m["listen"]
     seeds = tuple(dict.fromkeys(m["seeds"]))
     names, term = (tuple(keepers["names"]), keepers["term"]) if keepers is not None else ((), 0)
     return PeersPlace(
         m["name"], m["listen"], told, seeds, m["key-file"], m["fleet"], m["starts"], names, term,
+        probing["every"] if probing is not None else 0,
         Adopts(adopting["after"], adopting["lease"], adopting["most"]) if adopting is not None else None,
     )  # fmt: skip
 
--- a/oakcroft/config/forms.py
+++ b/oakcroft/config/forms.py
@@ -295,6 +295,12 @@
         Field("most", "playbacks taken over that one front may hold at once", WHOLE, 1_000, at_least=1),
     ),
 )  # fmt: skip
+PROBING = Schema(
+    "probing", "Each node's load is asked by one front and told to the others; the same on all fronts.",
+    (
+        Field("every", "between two figures of a node; longer where the fleet has over a hundred", TIMES, 2500 * MS, at_least=500 * MS),
+    ),
+)  # fmt: skip
 LEVEL = Schema(
     "level", "A level of reduced service: entered when one of its signs is over its entry, left when all are under their exits.",
     (
@@ -326,6 +332,7 @@
     PEERS,
     KEEPERS,
     ADOPTING,
+    PROBING,
 )
 NAMED = (PLAN, POOL, ROUTE, LIMIT, TOKEN, TITLE_FORM, LEVEL)
 ALL = {s.name: s for s in (*SINGLE, *NAMED)}
--- a/oakcroft/config/told.py
+++ b/oakcroft/config/told.py
@@ -83,6 +83,7 @@
     starts: str
     keepers: tuple[str, ...] = ()  # those that grant terms of duties, by name
     term: int = 0  # length of one, ns
+    probes: int = 0  # between two figures of a node, ns; 0: none are shared
     adopts: Adopts | None = None  # how it takes over from those that are gone; None: it does not
 
 
--- a/oakcroft/front/hearing.py
+++ b/oakcroft/front/hearing.py
@@ -75,6 +75,7 @@
             elif name == "link":
                 if told.asked is not None and sound(told.asked):
                     self.helm.controller.noted(pb, Note.LINK_ASKED, told.asked, now)
+                    self.helm.heard_load(leg.name, told.asked, self.helm.site.terms.seen_after)
                 if told.uplink is not None and sound(told.uplink):
                     self.helm.controller.noted(pb, Note.UPLINK_ASKED, told.uplink, now)
 
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -94,6 +94,7 @@
         self.told_answer: Callable[[bool, PlanTerms, int], None] | None = None
         self.told_passed: Callable[[int], None] = lambda _: None
         self.standing: Standing | None = None
+        self.heard_load: Callable[[str, float, int], None] = lambda node, asked, age: None
 
     @property
     def site(self) -> Site:
@@ -424,6 +425,12 @@
         self.controller.tried(pb, end.outcome, closed, end.load.asked, end.load.used, end.load.uplink, now)
         self._forget(v)
 
+    def told_load(self, name: str, asked: float, at: int) -> None:
+        """Another front, or this one's asking, tells of a node's load as it was then."""
+        node, now = self.roster.nodes.get(name), self.clock.now()
+        if node is not None and name in self.roster.lines:
+            self.controller.told(node, asked, max(0, now - at), now)
+
     def _set_up(self, v: Viewing, leg: NodeLeg, end: TryEnd) -> None:
         now, pb = self.clock.now(), v.pb
         assert end.upstream is not None
@@ -440,6 +447,7 @@
         self.controller.playing(pb, now)
         if end.load.asked is not None:
             self.controller.noted(pb, Note.LINK_ASKED, end.load.asked, now)
+            self.heard_load(leg.name, end.load.asked, 0)
         if end.load.uplink is not None:
             self.controller.noted(pb, Note.UPLINK_ASKED, end.load.uplink, now)
         if v.beside is None:
--- a/oakcroft/front/nodeleg.py
+++ b/oakcroft/front/nodeleg.py
@@ -235,6 +235,17 @@
         except (ValueError, msgspec.MsgspecError):
             return None
 
+    async def load(self) -> tuple[float | None, bool]:
+        """What is asked of the node's link over what it gives; None where it did not say, and whether it knows the
+        question."""
+        try:
+            with trio.fail_after(ERRAND):
+                response = await self.peer.ask("GET", words.LOAD_PATH, self._headers(), b"")
+        except (Ended, trio.TooSlowError):
+            return None, True
+        asked = words.read_load(response.header(words.LOAD)).asked if response.status < 300 else None
+        return (asked, True) if sound(asked) else (None, response.status >= 500)
+
     async def _question(self, method: str, target: str, body: bytes) -> bytes | None:
         headers = self._headers(**({"Content_Type": "application/json"} if body else {}))
         try:
--- a/oakcroft/front/operators.py
+++ b/oakcroft/front/operators.py
@@ -54,8 +54,8 @@
     async def take_back(self, why: str) -> str: ...
 
 
-class Adopting(Protocol):
-    """Taking over, likewise."""
+class Told(Protocol):
+    """Taking over, and nodes' loads from others, likewise."""
 
     def status(self) -> dict[str, object]: ...
 
@@ -70,7 +70,8 @@
         )
         self.duties: Duties | None = None  # of the fleet, where its keepers are named
         self.rolling: Rolling | None = None
-        self.adopting: Adopting | None = None  # where it takes over from those that are gone
+        self.adopting: Told | None = None  # where it takes over from those that are gone
+        self.probing: Told | None = None  # where nodes' loads are shared
 
     def known(self, authorization: str | None) -> bool:
         """Whether this is the operators' token."""
@@ -262,6 +263,8 @@
             "level": self.reducing.status(), "wings": self.siding.status(),
             "steps_waiting": len(self.catalogues.steps.waiting),
         }  # fmt: skip
+        if self.probing is not None:
+            told["probing"] = self.probing.status()
         if self.adopting is not None:
             told["adopting"] = self.adopting.status()
         if memory is not None:
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -205,6 +205,13 @@
                 (rolling := Rolling(helm, catalogues, peers, self.log)),
             )
             nursery.start_soon(rolling.run)
+        if place.probes:
+            from oakcroft.front.probing import Probing
+
+            seed = self.told.stand.seed + 8
+            operators.probing = probing = Probing(helm, peers, place.name, place.probes, seed, self.log)
+            peers.figures = probing.heard
+            nursery.start_soon(probing.run)
         if place.adopts is not None:
             from oakcroft.front.adopting import Adopting
 
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -175,6 +175,7 @@
         self.waiting: dict[Playback, int] = {}  # set-ups without an answer, and when they were sent
         self.own: deque[tuple[int, float]] = deque()  # own changes of what it carries, kB a second
         self.heard, self.reported, self.reported_at = False, 0.0, 0
+        self.told = False  # the last report is another front's
         self.level = 0.0  # load of its link, as estimated now
         self.short, self.short_at = 1.0, 0  # delivered share, as last told
         self.samples: list[float] = []
--- a/oakcroft/peers/speaker.py
+++ b/oakcroft/peers/speaker.py
@@ -21,6 +21,7 @@
 import trio
 
 from oakcroft.config.told import PeersPlace
+from oakcroft.decisions.fleet.figures import Row
 from oakcroft.decisions.fleet.member import News, Standing, commitment
 from oakcroft.decisions.fleet.view import Address, Kind, Out, View
 from oakcroft.interface import MS, SECOND
@@ -29,6 +30,8 @@
 from oakcroft.peerwire.messages import MOST_DATAGRAM, MOST_STREAM, Codec, Dropped, Stream
 from oakcroft.peerwire.duties import FORM as DUTY_FORM
 from oakcroft.peerwire.duties import MOST_TEXT
+from oakcroft.peerwire.figures import FORM as FIGURE_FORM
+from oakcroft.peerwire.figures import FigureCodec
 from oakcroft.peerwire.sealing import MAC, BadKeys, Ring, keys_of
 from oakcroft.running.clock import Clock
 
@@ -40,6 +43,7 @@
 KEYS_EVERY = 5.0
 VERSION = "0.2.0"
 DUTIES = bytes((DUTY_FORM,))
+FIGURES = bytes((FIGURE_FORM,))
 AGAIN = 1.0  # seconds, after a fault
 LEAVES = 3  # times that the last word is said, so that a lost datagram does not lose it
 LEAVES_APART = 0.05
@@ -80,6 +84,8 @@
         self.duties: Duties | None = None
         if place.keepers:
             self.duties = Duties(place, self.ring, self.view, record, seed + 1, self._say, log)
+        self.figures: Callable[[list[Row]], None] | None = None  # who wants other fronts' figures of nodes
+        self.figure_codec = FigureCodec(place.fleet, self.ring)
         self.key_age = _age(place.key_file)
 
     def now(self) -> int:
@@ -225,6 +231,9 @@
                 self.duties.taken(opened)
                 self.taken += 1
                 return
+            if self.figures is not None and opened[:1] == FIGURES:
+                self._figures(opened)
+                return
             sender, kind, seq, to, about, news = self.codec.read(opened)
         except Dropped as reason:
             self.dropped[str(reason)] += 1
@@ -233,6 +242,24 @@
         self.view.heard(sender, kind, seq, to, about, news, now)
         self._carry_out()
 
+    def _figures(self, opened: bytes) -> None:
+        """Figures of nodes: taken of members that this front sees, whatever their start."""
+        sender, rows = self.figure_codec.taken(opened)
+        if sender not in self.view.members or self.view.displaced:
+            raise Dropped("no member")
+        self.taken += 1
+        if self.figures is not None:
+            self.figures(rows)
+
+    def present(self) -> list[str]:
+        """Who is there, this front among them; itself alone where another process has its name."""
+        return [self.view.me.name] if self.view.displaced else self.view.present()
+
+    def tell_figures(self, to: str, rows: list[Row]) -> None:
+        """Figures of nodes, to a member by name."""
+        if not self.view.displaced and not self.view.left:
+            self._say(to, self.figure_codec.rows(self.view.me.name, self.view.me.start, rows))
+
     def _within_pace(self, now: int) -> bool:
         """Guards the front's turns against a peer that floods: covers one that holds the key and is broken."""
         if now // SECOND != self.second:
--- /dev/null
+++ b/oakcroft/peerwire/figures.py
@@ -0,0 +1,63 @@
+"""Nodes' loads, from front to front, as MessagePack in a seal.
+
+message = seal:16 form:1 body       body: an array [fleet, sender, start, rows]       row = [mark:8, load, age]
+
+The load of a link in thousandths, the age in milliseconds. The form is another than those of the view and of duties, so a
+program that knows no figures drops them as `other form`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Annotated
+
+import msgspec
+
+from oakcroft.decisions.fleet.figures import MOST_AGE, MOST_ASKED, MOST_ROWS, Row
+from oakcroft.interface import MS
+from oakcroft.peerwire.messages import MOST_DATAGRAM, Dropped
+from oakcroft.peerwire.sealing import Ring
+
+FORM = 67
+THOUSAND = 1_000
+
+Mark = Annotated[bytes, msgspec.Meta(min_length=8, max_length=8)]
+Load = Annotated[int, msgspec.Meta(ge=0, le=round(MOST_ASKED * THOUSAND))]
+Age = Annotated[int, msgspec.Meta(ge=0, le=MOST_AGE // MS)]
+
+
+class Body(msgspec.Struct, array_like=True):
+    fleet: str
+    sender: Annotated[str, msgspec.Meta(max_length=64)]
+    start: int
+    rows: Annotated[list[tuple[Mark, Load, Age]], msgspec.Meta(max_length=MOST_ROWS)]
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Body)
+
+
+class FigureCodec:
+    """Writes and reads the figures of one fleet."""
+
+    def __init__(self, fleet: str, ring: Ring) -> None:
+        self.fleet, self.ring = fleet, ring
+
+    def rows(self, sender: str, start: int, rows: Sequence[Row]) -> bytes:
+        """One datagram. Rows that do not fit stay out, the last first."""
+        some = [(r.mark, round(r.asked * THOUSAND), min(r.age, MOST_AGE) // MS) for r in rows[:MOST_ROWS]]
+        while True:
+            octets = self.ring.seal(bytes((FORM,)) + ENCODER.encode(Body(self.fleet, sender, start, some)))
+            if len(octets) <= MOST_DATAGRAM or not some:
+                return octets
+            some.pop()
+
+    def taken(self, opened: bytes) -> tuple[str, list[Row]]:
+        """Whose figures, and which, of a message that the ring has opened, its form first. Dropped where it is none."""
+        try:
+            body = DECODER.decode(opened[1:])
+        except msgspec.MsgspecError as fault:
+            raise Dropped("malformed") from fault
+        if body.fleet != self.fleet:
+            raise Dropped("other fleet")
+        return body.sender, [Row(mark, load / THOUSAND, age * MS) for mark, load, age in body.rows]
--- a/oakcroft/rehearsal/baseline.py
+++ b/oakcroft/rehearsal/baseline.py
@@ -55,6 +55,9 @@
     def noted(self, pb: Playback, kind: Note, value: float, now: int) -> None:
         pass
 
+    def told(self, node: Node, asked: float, age: int, now: int) -> None:
+        pass
+
     def left(self, pb: Playback, now: int) -> None:
         if pb.state in (State.SETTING_UP, State.PLAYING):
             pb.state = State.CLOSED
--- a/oakcroft/rehearsal/runner.py
+++ b/oakcroft/rehearsal/runner.py
@@ -190,6 +190,8 @@
         if self.day.keepers:
             keepers = " ".join(f"f{i}" for i in self.day.keepers)
             peers += f"(keepers (names {keepers}) (term {self.day.term // 1_000_000}ms))\n"
+        if self.day.probing:
+            peers += "(probing)\n"
         if self.day.adopting:
             peers += "(adopting (after 500ms) (lease 15s))\n"
         front.file.write_text(
--- a/oakcroft/signalling/words.py
+++ b/oakcroft/signalling/words.py
@@ -21,6 +21,9 @@
 PARAMETER = re.compile(r";\s*([^=;\s]+)\s*(?:=\s*(?:\"([^\"]*)\"|([^\s,;]*)))?")
 KEY = re.compile(r'^"([\x20-\x21\x23-\x5b\x5d-\x7e]{1,255})"$|^([!#$%&\'*+\-.^_`|~0-9A-Za-z:/]{1,255})$')
 PATH = re.compile(r"/[!\"$->@-~]*")  # visible ASCII but # and ?
+LOAD_PATH = "/load"
+"""Where a node tells its load to whoever asks, in the field that goes with its answers."""
+
 CATALOGUE = "Oakcroft-Catalogue"
 """The version of the catalogue under which a set-up left its front."""
 
--- a/oakcroft/standins/day.py
+++ b/oakcroft/standins/day.py
@@ -99,6 +99,7 @@
     keepers: tuple[int, ...] = ()  # those that grant terms of the fleet's duties
     term: int = 2 * SECOND
     adopting: bool = False  # whether fronts take over playbacks of those that are gone
+    probing: bool = False  # whether they share what nodes tell of their loads
 
     def seeded(self, seed: int) -> Day:
         """The same day from another seed."""
@@ -161,6 +162,7 @@
         Field("keepers", "numbers of the fronts that grant terms of duties", WHOLE, (), most=7),
         Field("term", "the length of a term", TIMES, 2 * SECOND, at_least=SECOND),
         Field("adopting", "whether they take over from those that are gone", choice("answer", ("yes", "no")), "no"),
+        Field("probing", "whether they share nodes' loads", choice("answer", ("yes", "no")), "no"),
         Field("stall", "points of worth lost for each point of the rate that is missing", NUMBER, 7.0),
         Field("node", NODE.doc, form=NODE, repeats=True, required=True),
         Field("viewers", VIEWERS.doc, form=VIEWERS, required=True),
@@ -240,8 +242,9 @@
     }
     if record.get("keepers") and record.get("peers") != "yes":
         problems.error(record.at("keepers"), "keepers are reached among the peers", "add (peers yes)")
-    if record.get("adopting") == "yes" and record.get("peers") != "yes":
-        problems.error(record.at("adopting"), "who is gone is told among the peers", "add (peers yes)")
+    for name, why in (("adopting", "who is gone is told"), ("probing", "loads are told")):
+        if record.get(name) == "yes" and record.get("peers") != "yes":
+            problems.error(record.at(name), f"{why} among the peers", "add (peers yes)")
     for number in record.get("keepers"):
         if number >= len(fronts):
             problems.error(record.at("keepers"), f"there is no front {number}; there are {len(fronts)}")
@@ -254,6 +257,7 @@
         record.get("guard"), record.get("stall"), (setup[0], setup[-1]), crowd,
         tuple(sorted(faults, key=lambda x: (x.at, x.kind, x.on))), record.get("peers") == "yes",
         tuple(record.get("keepers")), record.get("term"), record.get("adopting") == "yes",
+        record.get("probing") == "yes",
     )  # fmt: skip
 
 
--- a/oakcroft/standins/playout.py
+++ b/oakcroft/standins/playout.py
@@ -196,6 +196,9 @@
         if request.path.startswith("/events/"):
             self._leased(front, request)
             return self._events(front)
+        if request.path == words.LOAD_PATH and request.method == "GET":
+            self.record.note("load asked", node=self.name, front=front)
+            return Response(204, [(words.LOAD, words.load_report(self._load()))])
         if request.path == handing.PATH:
             return self._take(request) if request.method == "POST" else self._offer(request)
         _, _, name = request.path.partition("/sessions/")
--- a/tests/test_handing.py
+++ b/tests/test_handing.py
@@ -126,8 +126,9 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(st.integers(1, 40), st.integers(1, 12), st.randoms(use_true_random=False))
-def test_errands_and_tables_stay_within_their_bounds(fronts: int, nodes: int, rng: Random) -> None:
+@given(st.integers(1, 40), st.integers(1, 12), st.integers(0, 1 << 30))
+def test_errands_and_tables_stay_within_their_bounds(fronts: int, nodes: int, seed: int) -> None:
+    rng = Random(seed)
     names = [f"f{i}" for i in range(fronts)]
     course, now = Adopting("f0", BOUNDS), 0
     out: list[adopting.Errand] = []
@@ -191,7 +192,7 @@
     assert handing.read_memo("A" * 100) is None
 
 
-def test_nothing_passes_on_without_the_form() -> None:
+def test_nothing_passes_on_and_nothing_is_asked_without_the_forms() -> None:
     def place(more: str) -> PeersPlace:
         peers = '(peers (name f0) (listen "127.0.0.1:7946") (seeds "127.0.0.1:7947") (key-file "k"))'
         front = '(front (zone west) (listen "127.0.0.1:0") (list-service "127.0.0.1:1"))'
@@ -201,8 +202,9 @@
         assert meant is not None
         return meant
 
-    assert place("").adopts is None
+    assert (place("").adopts, place("").probes) == (None, 0)
     assert place("(adopting)").adopts == Bounds(SECOND, 15 * SECOND, 1_000)
+    assert place("(probing)").probes == 2500 * MS
 
 
 # A whole fleet, simulated.
