--- a/oakcroft/peers/speaker.py
+++ b/oakcroft/peers/speaker.py
@@ -20,6 +20,7 @@
 import structlog
 import trio
 
+from oakcroft import __version__
 from oakcroft.config.told import PeersPlace
 from oakcroft.decisions.fleet.figures import Row
 from oakcroft.decisions.fleet.member import News, Standing, commitment
@@ -41,7 +42,6 @@
 STREAM_WITHIN = 2.0  # seconds for one
 TEXT_WITHIN = 10.0  # seconds for a text of 16 MiB at most
 KEYS_EVERY = 5.0
-VERSION = "0.2.0"
 DUTIES = bytes((DUTY_FORM,))
 FIGURES = bytes((FIGURE_FORM,))
 AGAIN = 1.0  # seconds, after a fault
@@ -71,7 +71,9 @@
         if trouble:
             log.warning("start not kept", file=place.starts, why=trouble)
         secret = secrets.token_bytes(16)
-        me = News(place.name, start, 0, Standing.ALIVE, *place.advertise, wing, VERSION, commitment(secret))
+        me = News(
+            place.name, start, 0, Standing.ALIVE, *place.advertise, wing, __version__, commitment(secret)
+        )
         self.view = View(me, secret, Random(seed), self.now(), place.seeds)
         self.kept = start
         self.dropped: Counter[str] = Counter()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -25,6 +25,7 @@
 import trio
 from rig import DAY, SITE, run, standing, until
 
+from oakcroft import __version__
 from oakcroft.config.compile import check
 from oakcroft.config.told import PeersPlace
 from oakcroft.decisions.fleet.member import News, Standing
@@ -178,6 +179,7 @@
         assert await rig.see(rest, {"f4": "gone"}) < 8
         await rig.start("f4")
         await rig.see(rig.names, dict.fromkeys(rig.names, "alive"))
+        assert {m["version"] for m in (await rig.view("f0"))["members"]} == {__version__}
         rig.signal("f3", signal.SIGSTOP)
         others = [n for n in rig.names if n != "f3"]
         await rig.see(others, {"f3": "gone"})
