Take nothing over while leaving, and ask a node again whose pages broke off

Found in reading the change again: a front in its drain went on taking playbacks over, and ended them with its own when it left (front/adopting.py, run); a node whose second page did not come counted as asked (_errand). Change: no errand begins once the front takes nothing new; an unfinished one is asked again. Measured: a front that drains for 14 s and is first in line takes nothing, the others all ten; the test fails without the mend.

--- a/oakcroft/front/adopting.py
+++ b/oakcroft/front/adopting.py
@@ -37,9 +37,10 @@
 
     def __init__(
         self, helm: Helm, view: View, bounds: Bounds, published: Callable[[Viewing], None],
-        log: structlog.typing.FilteringBoundLogger,
+        takes_new: Callable[[], bool], log: structlog.typing.FilteringBoundLogger,
     ) -> None:  # fmt: skip
         self.helm, self.view, self.bounds, self.published, self.log = helm, view, bounds, published, log
+        self.takes_new = takes_new  # a front that leaves would end at once what it took over
         self.course = Course(view.me.name, bounds)
         self.held: dict[str, Viewing] = {}  # adopted, by the session's id
         self.adopted, self.passed = Counter[str](), 0
@@ -65,7 +66,7 @@
             now = self.helm.clock.now()
             self.held = {id_: v for id_, v in self.held.items() if v.pb in self.helm.viewings}
             self.course.listed(self.helm.roster.lines, now)
-            for errand in self.course.due(now):
+            for errand in self.course.due(now) if self.takes_new() else ():
                 self.helm.nursery.start_soon(self._errand, errand)
             for dead in self.course.finished(now):
                 if dead.taken or dead.left or dead.name != self.view.me.name:
@@ -83,6 +84,7 @@
                 for _ in range(MOST_PAGES):
                     listing = await leg.offered(errand.names, after)
                     if listing is None:
+                        told = None  # not all was seen: it is asked again
                         break
                     told = {n: WORDS.get(w, Word.SOON) for n, w in listing.fronts.items()}
                     mine = [s for s in listing.sessions if errand.shares(s.front, s.session)]
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -218,7 +218,9 @@
             def published(v: Viewing) -> None:
                 core.publishing[v.pb.title.name] = v
 
-            self.adopting = Adopting(helm, peers.view, place.adopts, published, self.log)
+            self.adopting = Adopting(
+                helm, peers.view, place.adopts, published, core.stopping.takes_new, self.log
+            )
             operators.adopting = self.adopting
             nursery.start_soon(self.adopting.run)
         await nursery.start(peers.run)
--- a/tests/test_adopting.py
+++ b/tests/test_adopting.py
@@ -15,6 +15,8 @@
 from rig import run
 from test_peers import TOKEN, Fronts, fronts
 
+from oakcroft.decisions.fleet.adopting import SLOTS
+from oakcroft.decisions.fleet.rendezvous import line, weight
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.httpwire.message import Response
 from oakcroft.rehearsal.viewers import offer
@@ -274,6 +276,35 @@
     on_adopters(tmp_path, test, Keeping)
 
 
+class Leaving(Adopters):
+    """They take their time to leave."""
+
+    def file(self, name: str) -> Path:
+        path = super().file(name)
+        text = path.read_text()
+        path.write_text(
+            text.replace("(drain-within 1s) (leave-within 1s)", "(drain-within 14s) (leave-within 1s)")
+        )
+        return path
+
+
+def test_a_front_that_is_leaving_takes_nothing_over(tmp_path: Path) -> None:
+    async def test(rig: Adopters) -> None:
+        dead, node = "f4", "n1"
+        order = line(f"{node}/{weight('slot', dead) % SLOTS}", [n for n in rig.names if n != dead])
+        leaving = order[0]  # the first of those that would ask
+        keys = await rig.fill(dead, 10)
+        kept = await rig.fill(leaving, 2)
+        rig.signal(leaving, signal.SIGTERM)
+        rig.signal(dead, signal.SIGKILL)
+        await rig.held_by(keys, set(order[1:]))
+        number = leaving.removeprefix("f")
+        assert not [f for f in rig.facts("passed") if f["front"].startswith(f"front-{number}-")]
+        assert await rig.held_by(kept, {leaving})
+
+    on_adopters(tmp_path, test, Leaving)
+
+
 def test_what_has_no_seat_is_left_and_no_rule_broken(tmp_path: Path) -> None:
     async def test(rig: Adopters) -> None:
         for name in ("f0", "f1", "f2", "f3"):  # two seats a title at each
