--- a/oakcroft/cli.py
+++ b/oakcroft/cli.py
@@ -297,8 +297,8 @@
 @click.option("--start", type=int, required=True, help="When the day begins, ns since the epoch.")
 @click.option("--record", type=click.Path(dir_okay=False, path_type=Path), required=True)
 def stand_in(file: Path, seed: int, start: int, record: Path) -> None:
-    """Run the fleet of a day: its nodes, its list service and its troubles."""
-    from oakcroft.standins import fleet
+    """Run the fleet of a day: its nodes, its list service and its faults."""
+    from oakcroft.standins import program
     from oakcroft.standins.day import load as load_day
 
-    trio.run(fleet.main, load_day(file).seeded(seed), start, record)
+    trio.run(program.main, load_day(file).seeded(seed), start, record)
--- a/oakcroft/standins/fleet.py
+++ b/oakcroft/standins/fleet.py
@@ -1,167 +1,119 @@
-"""The fleet as a program: all nodes of a day on ports of their own, the list service, and the day's troubles.
+"""The emulated fleet: the playout nodes of a day on ports of their own, their list service, and their load reports.
 
-It prints one JSON line with its ports when it is ready, plays from the given start, and ends on SIGTERM.
+Faults are no part of it; `faults` injects them from outside, by what this module offers.
 """
 
 from __future__ import annotations
 
 import heapq
-import signal
-import sys
-from pathlib import Path
+from dataclasses import dataclass, field
 from random import Random
 
-import orjson
 import trio
 
 from oakcroft.decisions.admission.doors import Bounds, Door
-from oakcroft.running.clock import Clock
-from oakcroft.front.listing import PATH
-from oakcroft.httpwire.message import Request, Response
 from oakcroft.httpwire.server import Server
 from oakcroft.interface import MS, SECOND
-from oakcroft.standins.day import Day, Fault, NodePlace
+from oakcroft.running.clock import Clock
+from oakcroft.standins.day import Day, NodePlace
 from oakcroft.standins.links import Machine, Rack, Warmth
+from oakcroft.standins.list_service import ListedNode, ListService
 from oakcroft.standins.playout import PlayoutNode
 from oakcroft.standins.record import Record
 
-TICK = 0.1
-HOLD = 20.0
+TICK_SECONDS = 0.1
+"""The step in which the links are reckoned."""
 
+TICKS_BETWEEN_SHARES = 10
+"""A node's share is looked at once in so many ticks."""
 
-SLOW = 0.15  # seconds that a slow list service takes for each answer
+SHORT_SHARE = 0.98
+"""Under this share of its rates a node delivers short, and says so."""
 
+LINK_SPREAD = (0.85, 1.15)
+"""What a node's link gives over what the list says of it: lists are never exact."""
 
-class ListService:
-    """Knows which processes run, drain or are gone, and tells each front seconds late."""
+LIST_IDLE_NS = 3600 * SECOND
+"""Connections to the list service are never cut for being idle within a day."""
 
-    def __init__(self, day: Day, clock: Clock, record: Record) -> None:
-        self.day, self.clock, self.record = day, clock, record
-        self.history: list[tuple[int, list[dict[str, object]]]] = []
-        self.changed = trio.Event()
-        self.trouble = ""
+SEED_FACTOR, SEED_OFFSET = 7919, 1
+"""Keep the fleet's chance apart from that of other parts that are seeded with the day's seed as it is."""
 
-    def publish(self, lines: list[dict[str, object]], at: int) -> None:
-        """A new state of the fleet."""
-        self.history.append((at, lines))
-        self.changed.set()
-        self.changed = trio.Event()
 
-    def _seen_at(self, version: int, front: str) -> int:
-        """When a version reaches a front: its own lateness, which differs from list to list."""
-        low, high = self.day.late
-        number = front.split("-")[1] if front.count("-") >= 2 else "0"
-        if version == 0:
-            return self.history[0][0]
-        return self.history[version][0] + round(
-            Random(f"{self.day.seed} {number} {version}").uniform(low, high)
-        )
+@dataclass(order=True)
+class DelayedReport:
+    """A node's report that reaches the front ends at a time of the event loop's clock, if its process lives till then."""
 
-    async def handle(self, request: Request) -> Response:
-        """One poll."""
-        front = (request.header("via") or "").removeprefix("1.1 ")
-        if request.path != PATH or request.method != "POST":
-            return Response(404)
-        asked = orjson.loads(request.body).get("version_info") or "-1"
-        self.record.note("poll", front=front, version=int(asked))
-        until = trio.current_time() + HOLD
-        if self.trouble == "list-slow":
-            await trio.sleep(SLOW)
-        while trio.current_time() < until:
-            if self.trouble == "list-down":
-                return Response(503)
-            if self.trouble == "list-broken":
-                return Response(
-                    200, [("Content-Type", "application/json")], b'{"version_info": "9", "resources": [{"clu'
-                )
-            if self.trouble == "list-empty":
-                return Response(
-                    200, [("Content-Type", "application/json")], self._body(len(self.history) + 1000, [])
-                )
-            now = self.clock.now()
-            due = [(v, self._seen_at(v, front)) for v in range(int(asked) + 1, len(self.history))]
-            visible = max((v for v, at in due if at <= now), default=-1)
-            if visible > int(asked):
-                lines = self.history[visible][1]
-                self.record.note("told", front=front, version=visible,
-                                 ready=[x["name"] for x in lines if x["health"] == "HEALTHY"],
-                                 started={str(x["name"]): x["started"] for x in lines})  # fmt: skip
-                return Response(200, [("Content-Type", "application/json")], self._body(visible, lines))
-            soonest = min((at for _, at in due if at > now), default=now + 10 * SECOND)
-            with trio.move_on_after(max(0.001, min((soonest - now) / 1e9, until - trio.current_time()))):
-                await self.changed.wait()
-        return Response(304)
-
-    def _body(self, version: int, lines: list[dict[str, object]]) -> bytes:
-        zones: dict[str, list[object]] = {}
-        for x in lines:
-            more = {"name": x["name"], "cell": x["cell"], "link_kb": x["link"], "places": x["places"],
-                    "started_at_ms": x["started"]}  # fmt: skip
-            zones.setdefault(str(x["zone"]), []).append({
-                "endpoint": {"address": {"socket_address": {"address": "127.0.0.1", "port_value": x["port"]}}},
-                "health_status": x["health"], "metadata": {"filter_metadata": {"oakcroft": more}},
-            })  # fmt: skip
-        endpoints = [{"locality": {"zone": z}, "lb_endpoints": e} for z, e in zones.items()]
-        return orjson.dumps({
-            "version_info": str(version), "control_plane": {"identifier": "stand-in"},
-            "resources": [{"cluster_name": "playout", "endpoints": endpoints}],
-        })  # fmt: skip
+    at: float
+    number: int
+    node: PlayoutNode = field(compare=False)
+    process: str = field(compare=False)
+    name: str = field(compare=False)
+    data: object = field(compare=False)
 
 
 class Fleet:
-    """All nodes, and what befalls them."""
+    """All nodes of a day, and the list service that names them."""
 
     def __init__(self, day: Day, record: Record, clock: Clock) -> None:
+        """The nodes stand but no process runs yet; `run` starts them."""
         self.day, self.record, self.clock = day, record, clock
-        self.rng = Random(day.seed * 7919 + 1)
-        self.racks = [Rack(u) for u in day.uplinks]
+        self.rng = Random(day.seed * SEED_FACTOR + SEED_OFFSET)
+        self.racks = [Rack(uplink) for uplink in day.uplinks]
         self.nodes: dict[str, PlayoutNode] = {}
         self.retired: list[PlayoutNode] = []
-        self.heap: list[tuple[float, int, PlayoutNode, str, str, object]] = []
-        self.heap_number = 0
         self.list = ListService(day, clock, record)
-        self.short: dict[str, bool] = {}
         self.list_port = 0
+        self._reports: list[DelayedReport] = []
+        self._reports_made = 0
+        self._delivers_short: dict[str, bool] = {}
         for place in day.nodes:
-            self._add(place, place.name)
+            self.add(place, place.name)
 
-    def _add(self, place: NodePlace, name: str) -> PlayoutNode:
-        t = self.day.site.terms
-        warmth = Warmth(t.cold_share, t.cold_for, t.fall_multiple, t.fall_window)
-        wonky = place.link * self.rng.uniform(0.85, 1.15)
-        machine = Machine(name, self.racks[place.cell % t.racks], wonky, place.places, warmth, self.day.guard)
+    def add(self, place: NodePlace, name: str) -> PlayoutNode:
+        """Puts a node on a place, under a name of its own; its process is not started."""
+        terms = self.day.site.terms
+        warmth = Warmth(terms.cold_share, terms.cold_for, terms.fall_multiple, terms.fall_window)
+        link = place.link * self.rng.uniform(*LINK_SPREAD)
+        machine = Machine(
+            name, self.racks[place.cell % terms.racks], link, place.places, warmth, self.day.guard
+        )
         node = PlayoutNode(name, place.wing, place.cell, machine, self.day.site, self.record,
                            Random(f"{self.day.seed} {name}"), self.day.setup, self.clock.now, self.wing_of)  # fmt: skip
         self.nodes[name] = node
         return node
 
+    def retire(self, node: PlayoutNode) -> None:
+        """Takes a dead node out of the fleet; what it earned still counts."""
+        del self.nodes[node.name]
+        self.retired.append(node)
+        node.machine.rack.nodes.remove(node.machine)
+
     def wing_of(self, front: str) -> str:
         """The wing of a front, by the name that it goes by."""
-        parts = front.split("-")
-        return self.day.fronts[int(parts[1])] if len(parts) >= 2 and parts[1].isdigit() else ""
+        _, _, rest = front.partition("-")
+        number = rest.partition("-")[0]
+        return self.day.fronts[int(number)] if number.isdigit() else ""
 
     def place(self, name: str) -> NodePlace:
         """The place that a node, or its replacement, stands on."""
-        return next(p for p in self.day.nodes if p.name == name.split("+")[0])
+        return next(place for place in self.day.nodes if place.name == name.split("+")[0])
 
-    async def run(self, start: int, ready: trio.Event) -> None:
-        """The day."""
+    async def run(self, ready: trio.Event) -> None:
+        """Runs all nodes and the list service until cancelled; sets `ready` once every port is open."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             for node in list(self.nodes.values()):
                 await self.boot(node)
             service = Server(
-                self.list.handle, Door(Bounds(idle=3600 * 10**9)), self.clock.now, lambda *_: None
+                self.list.handle, Door(Bounds(idle=LIST_IDLE_NS)), self.clock.now, lambda *_: None
             )
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             self.publish()
             nursery.start_soon(service.run, listeners)
-            nursery.start_soon(self._notes)
+            nursery.start_soon(self._pass_time)
             self.list_port = listeners[0].socket.getsockname()[1]
             ready.set()
-            for fault in self.day.faults:
-                nursery.start_soon(self._befall, fault, start)
-            await trio.sleep_forever()
 
     async def boot(self, node: PlayoutNode) -> None:
         """Starts a node's process."""
@@ -169,66 +121,66 @@
         self.nursery.start_soon(node.live, listeners)
 
     def publish(self) -> None:
-        """Tells the list service how the fleet stands."""
-        lines: list[dict[str, object]] = []
-        for node in self.nodes.values():
-            if node.ails.dead:
-                continue
-            place = self.place(node.name)
-            health = "DRAINING" if node.ails.draining else "HEALTHY"
-            lines.append({"name": node.name, "zone": node.wing, "cell": node.cell, "port": node.port, "health": health,
-                          "link": place.link, "places": place.places, "started": node.machine.started / MS})  # fmt: skip
-        self.list.publish(lines, self.clock.now())
-
-    # Notes to the fronts.
-
-    async def _notes(self) -> None:
-        """Time passes for the links; what they tell goes out late."""
+        """Publishes the list of all nodes whose process lives."""
+        living = [node for node in self.nodes.values() if not node.ails.dead]
+        self.list.publish([self._listed(node) for node in living], self.clock.now())
+
+    def _listed(self, node: PlayoutNode) -> ListedNode:
+        place = self.place(node.name)
+        health = "DRAINING" if node.ails.draining else "HEALTHY"
+        return ListedNode(node.name, node.wing, node.cell, node.port, health, place.link, place.places,
+                          node.machine.started / MS)  # fmt: skip
+
+    async def _pass_time(self) -> None:
+        """Time passes for the links; what the nodes report of them reaches the front ends late."""
         last, tick = trio.current_time(), 0
-        terms = self.day.site.terms
-        every = max(1, round(terms.reports_every / 1e9 / TICK))
+        ticks_between_loads = max(1, round(self.day.site.terms.reports_every / SECOND / TICK_SECONDS))
         while True:
-            await trio.sleep(TICK)
+            await trio.sleep(TICK_SECONDS)
             now, tick = trio.current_time(), tick + 1
             for node in list(self.nodes.values()):
-                dead = node.ails.dead or node.ails.hung or node.ails.silent
-                node.machine.pass_time(now - last, self.day.stall, dead)
-                if node.ails.dead or node.ails.silent:
+                ails = node.ails
+                node.machine.pass_time(now - last, self.day.stall, ails.dead or ails.hung or ails.silent)
+                if ails.dead or ails.silent:
                     continue
-                late = terms.seen_after / 1e9 + node.ails.late
-                if tick % 10 == 0:
-                    share = 0.0 if node.ails.hung else node.machine.smooth
-                    if share < 0.98 or self.short.get(node.name):
-                        self._later(node, now + late, "share", {"share": share})
-                    self.short[node.name] = share < 0.98
+                if tick % TICKS_BETWEEN_SHARES == 0:
+                    self._report_share(node, now)
                     node.look_for_lost_fronts()
-                if tick % every == 0:
-                    word = {"asked": node.machine.asked()}
-                    if node.machine.rack.uplink:
-                        word["uplink"] = node.machine.uplink_asked()
-                    self._later(node, now + late, "link", word)
-            while self.heap and self.heap[0][0] <= now:
-                _, _, node, process, name, data = heapq.heappop(self.heap)
-                if process == node.process and not node.ails.dead:
-                    playing = {s.front for s in node.sessions.values()}
-                    for front, ear in list(node.ears.items()):
-                        if front in playing:
-                            node.say(ear, name, data)
+                if tick % ticks_between_loads == 0:
+                    self._report_load(node, now)
+            self._deliver_reports(now)
             last = now
 
-    def _later(self, node: PlayoutNode, at: float, name: str, data: object) -> None:
-        self.heap_number += 1
-        heapq.heappush(self.heap, (at, self.heap_number, node, node.process, name, data))
-
-    # Troubles.
-
-    async def _befall(self, fault: Fault, start: int) -> None:
-        from oakcroft.standins.troubles import befall
-
-        await trio.sleep_until(self.clock.deadline(start + fault.at))
-        self.record.note("fault", what=fault.kind, on=list(fault.on), phase="begins")
-        await befall(self, fault)
-        self.record.note("fault", what=fault.kind, on=list(fault.on), phase="ends")
+    def _report_share(self, node: PlayoutNode, now: float) -> None:
+        """A node that delivers short says so, and once more when it does no longer."""
+        share = 0.0 if node.ails.hung else node.machine.smooth
+        short = share < SHORT_SHARE
+        if short or self._delivers_short.get(node.name):
+            self._delay(node, now, "share", {"share": share})
+        self._delivers_short[node.name] = short
+
+    def _report_load(self, node: PlayoutNode, now: float) -> None:
+        load = {"asked": node.machine.asked()}
+        if node.machine.rack.uplink:
+            load["uplink"] = node.machine.uplink_asked()
+        self._delay(node, now, "link", load)
+
+    def _delay(self, node: PlayoutNode, now: float, name: str, data: object) -> None:
+        at = now + self.day.site.terms.seen_after / SECOND + node.ails.late
+        self._reports_made += 1
+        heapq.heappush(self._reports, DelayedReport(at, self._reports_made, node, node.process, name, data))
+
+    def _deliver_reports(self, now: float) -> None:
+        """Sends every report that is due to the front ends that play something on its node."""
+        while self._reports and self._reports[0].at <= now:
+            report = heapq.heappop(self._reports)
+            node = report.node
+            if report.process != node.process or node.ails.dead:
+                continue
+            playing = {session.front for session in node.sessions.values()}
+            for front, ear in list(node.ears.items()):
+                if front in playing:
+                    node.say(ear, report.name, report.data)
 
     def summary(self) -> dict[str, float]:
         """Revenue-seconds earned for each plan."""
@@ -239,33 +191,3 @@
             for plan, earned in node.earned.items():
                 out[plan] = out.get(plan, 0.0) + earned
         return out
-
-
-async def main(day: Day, start: int, path: Path) -> None:
-    """Runs the fleet until SIGTERM or the end of standard input, so that it never outlives who started it."""
-    record, clock = Record(path), Clock()
-    fleet = Fleet(day, record, clock)
-
-    async def orphaned(scope: trio.CancelScope) -> None:
-        stream = trio.lowlevel.FdStream(0)
-        try:
-            while await stream.receive_some(1):
-                pass
-        except OSError:
-            pass
-        scope.cancel()
-
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with trio.open_nursery() as nursery:
-            ready = trio.Event()
-            nursery.start_soon(fleet.run, start, ready)
-            await ready.wait()
-            ports = {"list": fleet.list_port, "nodes": [n.port for n in fleet.nodes.values()]}
-            print(orjson.dumps(ports).decode(), flush=True)
-            nursery.start_soon(orphaned, nursery.cancel_scope)
-            async for _ in signals:
-                nursery.cancel_scope.cancel()
-                break
-    record.note("earned", plans=fleet.summary())
-    record.close()
-    sys.stdout.flush()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -160,7 +160,7 @@
     record, out = Record(folder / "fleet.jsonl"), io.BytesIO()
     async with trio.open_nursery() as nursery:
         nodes, up = Fleet(plot, record, Clock()), trio.Event()
-        nursery.start_soon(nodes.run, 0, up)
+        nursery.start_soon(nodes.run, up)
         await up.wait()
         rig = Rig(0, nodes, record, folder, out, trio.Event(), trio.CancelScope(), site)
         await start_front(nursery, rig, state=state)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -144,7 +144,7 @@
     record = Record(folder / "fleet.jsonl")
     async with trio.open_nursery() as nursery:
         nodes, up = Fleet(day, record, Clock()), trio.Event()
-        nursery.start_soon(nodes.run, 0, up)
+        nursery.start_soon(nodes.run, up)
         await up.wait()
         rig = kind(folder, many, nodes, record, nursery)
         await nursery.start(rig.between.run)
