--- a/oakcroft/standins/fleet.py
+++ b/oakcroft/standins/fleet.py
@@ -187,7 +187,7 @@
         out: dict[str, float] = {}
         for node in [*self.nodes.values(), *self.retired]:
             for session in list(node.sessions):
-                node._drop(session, "end of the day")
+                node.end_session(session, "end of the day")
             for plan, earned in node.earned.items():
                 out[plan] = out.get(plan, 0.0) + earned
         return out
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -413,7 +413,7 @@
         async with standing(tmp_path) as rig:
             helm = rig.front.helm if rig.front else None
             assert helm is not None
-            real, waiting = PlayoutNode._events, trio.Event()
+            real, waiting = PlayoutNode.open_events, trio.Event()
 
             def early(self: PlayoutNode, front: str) -> Response:
                 response = real(self, front)  # the node's word is written now and arrives late
@@ -429,7 +429,7 @@
                 return response
 
             for node in rig.fleet.nodes.values():
-                node._events = early.__get__(node)  # type: ignore[method-assign]
+                node.open_events = early.__get__(node)  # type: ignore[method-assign]
             sat = [await rig.watch("/whep/open/t") for _ in range(6)]
             assert [s.status for s in sat] == [201] * 6
             waiting.set()
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -162,7 +162,7 @@
 ) -> None:
     async def test() -> None:
         async with standing(tmp_path) as rig:
-            answered, odd = PlayoutNode._set_up, [True]
+            answered, odd = PlayoutNode.set_up, [True]
 
             async def oddly(node: PlayoutNode, request: Request, front: str) -> Response:
                 response = await answered(node, request, front)
@@ -171,7 +171,7 @@
                     response.headers = [(n, value if n == field else v) for n, v in response.headers]
                 return response
 
-            monkeypatch.setattr(PlayoutNode, "_set_up", oddly)
+            monkeypatch.setattr(PlayoutNode, "set_up", oddly)
             first = await rig.watch("/whep/course/t")
             assert first.status == status
             if status == 201:
@@ -519,7 +519,7 @@
                 leg = rig.helm().legs[node.name]
                 await until(lambda leg=leg: leg.lifeline.state is Life.HEARD)  # type: ignore[misc]
                 for session in list(node.sessions):
-                    node._drop(session, "the publisher has gone")
+                    node.end_session(session, "the publisher has gone")
                 await until(lambda: not rig.helm().viewings)
             assert len(core.publishing) == 1
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -615,7 +615,7 @@
             await rig.ended.wait()
             for node in rig.fleet.nodes.values():
                 for session in list(node.sessions):
-                    node._drop(session, "lease")
+                    node.end_session(session, "lease")
             await start_front(nursery, rig, state=True)
             await until(lambda: rig.front and rig.front.helm and not rig.front.helm.sessions)
             assert rig.front is not None
