Split the configuration compiler by step, and say once that a form needs peers

Hard to read: config/compile.py (768 lines) read forms, checked them against each other, made their meaning and what a front is told of it; two checks had 47 and 59 lines; the check that a form needs (peers ...) stood three times.

Changed: records.py reads forms by their schemas, checks/ has one module a matter (plans, pools, routes, limits, fronts, levels, peers), meaning.py makes the meaning, deployment.py what a front works with, and compile.py has the steps in their order and the names that others import. has_peers in checks/peers.py is the one place that asks for (peers ...). Site and PeersPlace are made by keyword.

Ran: tests/test_config.py, test_versions.py, test_levels.py, test_handing.py, test_imports.py, test_lint_list.py (309 passed), ruff, mypy.

--- /dev/null
+++ b/oakcroft/config/checks/names.py
@@ -0,0 +1,24 @@
+"""What every check of names shares: a name that another form has to define."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from oakcroft.config.problems import Problems, near, or_list
+from oakcroft.config.schema import Record
+
+
+def is_defined(
+    record: Record, field: str, known: Iterable[str], what: str, problems: Problems, given: str | None = None
+) -> bool:
+    """Whether a field's name, or `given` in its place, is known; an error is noted where it is not. No name at all is
+    another check's matter."""
+    names = list(known)
+    name = record.values.get(field) if given is None else given
+    if not name or name in names:
+        return True
+    guess = near(name, names)
+    there = f"; did you mean {guess}?" if guess else f"; there is {or_list(names)}" if names else ""
+    fix = f"write {guess}" if guess else f"add ({what} {name} …)"
+    problems.error(record.at(field), f"there is no {what} {name}{there}", fix, record.also)
+    return False
--- a/oakcroft/config/compare.py
+++ b/oakcroft/config/compare.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from oakcroft.config import forms
-from oakcroft.config.compile import Meaning, route_of
+from oakcroft.config.deployment import route_of
+from oakcroft.config.meaning import Meaning
 from oakcroft.config.schema import Field, Schema, say
 from oakcroft.decisions.routing.routing import Asked, RouteTable, example
 
