Check (keepers ...) without readable names instead of failing on it

Cause: the check of keepers took their names as read; where the field was missing or held something that is no name, the check of the whole file ended with a TypeError, so the operator saw no problem at all and a front that reads its file again said nothing of use.

--- a/oakcroft/config/checks/peers.py
+++ b/oakcroft/config/checks/peers.py
@@ -60,7 +60,7 @@
 def check_keepers(records: Records, problems: Problems) -> None:
     """Guards against keepers that could never grant anything, or that would forget what they have granted."""
     keepers, front = records.one(forms.KEEPERS), records.one(forms.FRONT)
-    if keepers is None:
+    if keepers is None or "names" not in keepers.values:  # that they are missing is noted already
         return
     names = keepers.get("names")
     many = len(set(names))
