Give each of the six rules a module of its own, and the facts that they read another

Hard to read: rulecheck/rules.py (359 lines) held six judges, two of them of 47 and 49 lines, with one-letter names over bare maps and tuples; other judges took Fact and Finding from it.

Changed: facts.py has facts, findings and set-ups as they reached the nodes (Try is SetUp now); answers.py, repeated_set_ups.py, drains.py, cold_nodes.py, plan_terms.py and retry_budget.py have a rule each; rules.py calls them.

--- a/benchmarks/moving.py
+++ b/benchmarks/moving.py
@@ -16,7 +16,7 @@
 
 from oakcroft.rehearsal import report, runner
 from oakcroft.rehearsal.players import MODES, Players
-from oakcroft.rulecheck.rules import base
+from oakcroft.rulecheck.repeated_set_ups import base
 from oakcroft.standins.day import parse
 
 NODES = 8
--- a/oakcroft/rehearsal/runner.py
+++ b/oakcroft/rehearsal/runner.py
@@ -27,7 +27,8 @@
 from oakcroft.rulecheck.fleet import judge_view
 from oakcroft.rulecheck.holding import judge_holding
 from oakcroft.rulecheck.owners import judge_owners
-from oakcroft.rulecheck.rules import Fact, Finding, judge
+from oakcroft.rulecheck.facts import Fact, Finding
+from oakcroft.rulecheck.rules import judge
 from oakcroft.standins.between import Between
 from oakcroft.standins.day import FRONT_FAULTS, OWNER_FAULTS, PEER_FAULTS, Day, Fault
 from oakcroft.standins.record import Record, read
--- a/oakcroft/rulecheck/fleet.py
+++ b/oakcroft/rulecheck/fleet.py
@@ -1,8 +1,8 @@
 """The properties of the fleet's view, judged from outside: by what fronts said when they were asked, and by what was
 done to them and to the network between them. Nothing that a front believes is taken for granted.
 
-Facts, beside those of rules.py: `seen` (front, start, members: name to standing and start), `front started`, `front
-killed`, and `cut`, `lose`, `stand` with `phase` begins or ends, `fronts`, `one_way`.
+Facts, beside those that the six rules read: `seen` (front, start, members: name to standing and start), `front started`,
+`front killed`, and `cut`, `lose`, `stand` with `phase` begins or ends, `fronts`, `one_way`.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from oakcroft.interface import SECOND
-from oakcroft.rulecheck.rules import Fact, Finding
+from oakcroft.rulecheck.facts import Fact, Finding
 
 KNOWN_WITHIN = 8 * SECOND
 """A death: six seconds as stated for the fleet, half a second between two questions, and what a busy machine takes."""
--- a/oakcroft/rulecheck/holding.py
+++ b/oakcroft/rulecheck/holding.py
@@ -1,15 +1,15 @@
 """Whether each session had one front at a time while fronts died and others took over from them, judged by the nodes'
 records alone.
 
-Facts, beside those of rules.py: `ran` and `over` (session, front, and who ended it), `passed` (session, before, front),
-`rung` (session, front: who set it) and `listens` (node, front, open).
+Facts, beside those that the six rules read: `ran` and `over` (session, front, and who ended it), `passed` (session,
+before, front), `rung` (session, front: who set it) and `listens` (node, front, open).
 """
 
 from __future__ import annotations
 
 from collections import Counter, defaultdict
 
-from oakcroft.rulecheck.rules import Fact, Finding
+from oakcroft.rulecheck.facts import Fact, Finding
 
 
 def judge_holding(facts: list[Fact]) -> list[Finding]:
--- a/oakcroft/rulecheck/owners.py
+++ b/oakcroft/rulecheck/owners.py
@@ -14,7 +14,7 @@
 
 from oakcroft.interface import SECOND
 from oakcroft.rulecheck.fleet import KNOWN_WITHIN, Span, spans
-from oakcroft.rulecheck.rules import Fact, Finding
+from oakcroft.rulecheck.facts import Fact, Finding
 
 ASKED_EVERY = SECOND  # between two looks at the same front, on a busy machine
 SITS_OUT = 2  # terms; beside what the view needs to know that the first in line are dead
--- a/tests/test_owners_judged.py
+++ b/tests/test_owners_judged.py
@@ -11,7 +11,7 @@
 from oakcroft.decisions.fleet.terms import Fence
 from oakcroft.interface import MS, SECOND
 from oakcroft.rulecheck.owners import judge_owners
-from oakcroft.rulecheck.rules import Fact
+from oakcroft.rulecheck.facts import Fact
 
 TERM = 2 * SECOND
 NAMES = {i: f"f{i}" for i in range(5)}
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -50,8 +50,9 @@
 from oakcroft.httpwire.message import Response
 from oakcroft.interface import MS, SECOND, Effect, Group, Listing, Outcome, Plan
 from oakcroft.rehearsal.viewers import offer
-from oakcroft.rulecheck.rules import no_set_up_twice, terms_kept
-from oakcroft.rulecheck.rules import _tries as tries_of
+from oakcroft.rulecheck.facts import set_ups as tries_of
+from oakcroft.rulecheck.plan_terms import terms_kept
+from oakcroft.rulecheck.repeated_set_ups import no_set_up_twice
 from oakcroft.signalling import words
 from oakcroft.standins.disk import Disk
 from oakcroft.store.file import Expire, Fact, Move, Put, StateFile, Told, Unusable, Version, Whole, set_aside
