Split the operators' commands by what they act on, and the command line from them

Hard to read: commands.py (348 lines) held commands on state files, catalogues and running fronts, cli.py (304 lines) besides the program's own commands those on configurations and rehearsals (one of 44 lines); the reason of a change was made fit for a query in two places, and the tag of the catalogue in force asked for in three.

Changed: oakcroft/commands/ has a module for each: state, catalogue, fleet, configuration, rehearsal, beside arguments.py (exit codes, files) and operators.py (requests to a running front, with query_text and etag once). cli.py serves and joins them.

--- /dev/null
+++ b/oakcroft/commands/catalogue.py
@@ -0,0 +1,92 @@
+"""Commands on catalogues: check and lay out a file, and change the one that a front serves by."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from oakcroft.catalogue.text import Unsound, read, write
+from oakcroft.commands.arguments import FAULTY, FILE
+from oakcroft.commands.operators import FRONT, call, end_with, etag, query_text
+
+LINES_BESIDE_TITLES = 3
+"""Lines of a catalogue's layout that hold no title."""
+
+
+@click.group()
+def catalogue() -> None:
+    """Check catalogues, and change the one that a front serves by."""
+
+
+def text_of(file: Path) -> str:
+    """A catalogue file's own layout, or the end of the command with its faults."""
+    try:
+        said = read(file.read_text(encoding="utf-8"))
+    except Unsound as fault:
+        for one in fault.faults:
+            click.echo(one.show(str(file)), err=True)
+        sys.exit(FAULTY)
+    except UnicodeDecodeError as fault:
+        click.echo(f"{file}: not UTF-8: {fault}", err=True)
+        sys.exit(FAULTY)
+    return write(said.titles.items(), said.others)
+
+
+@catalogue.command("check")
+@click.argument("files", nargs=-1, required=True, type=FILE)
+def catalogue_check(files: tuple[Path, ...]) -> None:
+    """Show every fault of FILES."""
+    for file in files:
+        click.echo(f"{file}: sound, {text_of(file).count(chr(10)) - LINES_BESIDE_TITLES} titles")
+
+
+@catalogue.command("fmt")
+@click.argument("file", type=FILE)
+def catalogue_fmt(file: Path) -> None:
+    """Bring FILE into its layout: titles by name, one a line."""
+    file.write_text(text_of(file), encoding="utf-8")
+
+
+@catalogue.command("get")
+@FRONT
+@click.option("--version", default="", help="An earlier version.")
+def catalogue_get(address: str, version: str) -> None:
+    """Print the catalogue in force."""
+    end_with(call(address, "GET", f"catalogue?version={version}" if version else "catalogue"))
+
+
+@catalogue.command("put")
+@click.argument("file", type=FILE)
+@FRONT
+@click.option("--change", is_flag=True, help="FILE holds changes, (put …) and (drop …).")
+@click.option(
+    "--from", "made_from", default="", help="ETag of the version it was made from; else the one in force now."
+)
+@click.option("--force", is_flag=True, help="Take it although a title would have no ready holder.")
+@click.option("--share", type=float, default=1.0, help="Only this share of the fronts takes it.")
+@click.option("--why", default="", help="Kept with the version.")
+def catalogue_put(
+    file: Path, address: str, change: bool, made_from: str, force: bool, share: float, why: str
+) -> None:
+    """Offer FILE to a front."""
+    body = file.read_bytes() if change else text_of(file).encode()
+    query = f"catalogue?share={share}&why={query_text(why)}" + ("&force=yes" if force else "")
+    method = "PATCH" if change else "PUT"
+    end_with(call(address, method, query, body, If_Match=made_from or etag(address)))
+
+
+@catalogue.command("versions")
+@FRONT
+def catalogue_versions(address: str) -> None:
+    """List the versions that a front keeps."""
+    end_with(call(address, "GET", "catalogue/versions"))
+
+
+@catalogue.command("roll-back")
+@click.argument("to", type=int)
+@FRONT
+def catalogue_roll_back(to: int, address: str) -> None:
+    """Put version TO into force again, as a new version."""
+    end_with(call(address, "POST", f"catalogue/roll-back?to={to}", If_Match=etag(address)))
--- /dev/null
+++ b/oakcroft/commands/fleet.py
@@ -0,0 +1,133 @@
+"""Commands that ask a running front how it stands, and how it sees the others."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+
+from oakcroft.commands.arguments import FILE
+from oakcroft.commands.catalogue import text_of
+from oakcroft.commands.operators import FRONT, call, end_with, etag, is_refusal, query_text
+
+MS_PER_SECOND = 1000
+NOBODY = "nobody, as far as this front knows"
+
+
+@click.command()
+@FRONT
+def status(address: str) -> None:
+    """Tell how a running front stands."""
+    end_with(call(address, "GET", "status"))
+
+
+@click.group()
+def fleet() -> None:
+    """Ask a running front how it sees the others."""
+
+
+@fleet.command("view")
+@FRONT
+@click.option("--json", "as_json", is_flag=True, help="For tools: what the front said, as it said it.")
+def fleet_view(address: str, as_json: bool) -> None:
+    """Tell who is there, by one front: a line each, with how it stands, since when, and by whose word."""
+    answer = call(address, "GET", "fleet")
+    if as_json or is_refusal(answer):
+        end_with(answer)
+    for line in member_lines(orjson.loads(answer.body)):
+        click.echo(line)
+
+
+@fleet.command("owners")
+@FRONT
+@click.option("--json", "as_json", is_flag=True, help="For tools: what the front said, as it said it.")
+@click.option(
+    "--give-back",
+    "duty",
+    default="",
+    help="A duty of this front: it lets go of it, for another.",
+)
+def fleet_owners(address: str, as_json: bool, duty: str) -> None:
+    """Tell who owns which duty of the fleet, under which number, and how this front's keeper stands."""
+    method, query = ("DELETE", f"?duty={duty}") if duty else ("GET", "")
+    answer = call(address, method, f"fleet/owners{query}")
+    if as_json or is_refusal(answer):
+        end_with(answer)
+    for line in owner_lines(orjson.loads(answer.body)):
+        click.echo(line)
+
+
+@fleet.command("roll-out")
+@click.argument("file", type=FILE, required=False)
+@FRONT
+@click.option(
+    "--watch", type=click.IntRange(0, 86_400), default=10, help="Seconds between one share and the next."
+)
+@click.option("--force", is_flag=True, help="Take it although a title would have no ready holder.")
+@click.option("--why", default="", help="Kept with the version.")
+@click.option("--take-back", is_flag=True, help="Have the one under way, or the last, taken back.")
+def fleet_roll_out(
+    file: Path | None, address: str, watch: int, force: bool, why: str, take_back: bool
+) -> None:
+    """Take the catalogue FILE to all fronts, a share after the other; without FILE tell how the last one stands.
+
+    Any front takes it and hands it to the one that owns the catalogue. A version that a front refuses, or under which
+    more answers fail than without it, is taken back everywhere.
+    """
+    if take_back:
+        end_with(call(address, "DELETE", f"fleet/roll-out?why={query_text(why)}"))
+    if file is None:
+        end_with(call(address, "GET", "fleet/roll-out"))
+    else:
+        tag = etag(address)
+        query = f"fleet/roll-out?watch={watch}&why={query_text(why)}" + ("&force=yes" if force else "")
+        end_with(call(address, "PUT", query, text_of(file).encode(), If_Match=tag))
+
+
+def owner_lines(said: dict[str, Any]) -> list[str]:
+    """Duties in lines."""
+    term = said["term_ms"] / MS_PER_SECOND
+    out = [f"{said['name']}: keepers {', '.join(said['keepers'])}; a term is {term:g} s"]
+    if keeper := said.get("keeper"):
+        out.append(_keeper_line(keeper))
+    for duty in said["duties"]:
+        owner = f"{duty['owner']}, number {duty['number']}" if duty["owner"] else NOBODY
+        mine = f"; here: {duty['course']}, {duty['in_line'] + 1}. in line" if duty["course"] else ""
+        out.append(f"  {duty['duty']}: {owner}{mine}")
+    return out
+
+
+def _keeper_line(keeper: dict[str, Any]) -> str:
+    grants = "grants" if keeper["speaks"] and keeper["record"] else "grants nothing"
+    memory = "" if keeper["sound"] else ", remembers nothing"
+    mute = f", mute for {keeper['mute_ms'] / MS_PER_SECOND:.1f} s" if keeper["mute_ms"] else ""
+    waits = f", waits for {', '.join(keeper['waits_for'])}" if keeper["waits_for"] else ""
+    disk = "" if keeper["record"] else ", its record can't be written"
+    return f"  a keeper, {grants}{memory}{mute}{waits}{disk}"
+
+
+def member_lines(view: dict[str, Any]) -> list[str]:
+    """A front's view of the others in lines."""
+    members = view["members"]
+    states = Counter(member["standing"] for member in members)
+    own = "displaced by another of its name" if view["displaced"] else "alive"
+    counts = ", ".join(f"{count} {state}" for state, count in sorted(states.items()))
+    width = max(len(member["name"]) for member in members)
+    dropped = ", ".join(f"{what} {count}" for what, count in sorted(view["dropped"].items())) or "nothing"
+    return [
+        f"{view['name']}, start {view['start']}, {own}: {counts}",
+        *(_member_line(member, width) for member in members),
+        f"  sent {view['sent']}, taken {view['taken']}, dropped: {dropped}",
+    ]
+
+
+def _member_line(member: dict[str, Any], width: int) -> str:
+    heard = ""
+    if member["heard_ms"] is not None:
+        heard = f", heard {member['heard_ms'] / MS_PER_SECOND:.1f} s ago"
+    by = f" by {member['by']}" if member["by"] else ""
+    name, since = f"{member['name']:{width}}", f"{member['since_ms'] / MS_PER_SECOND:8.1f} s"
+    return f"  {name} {member['standing']:9} {since}  {member['address']} {member['wing']}{heard}{by}"
--- /dev/null
+++ b/oakcroft/commands/operators.py
@@ -0,0 +1,64 @@
+"""Requests to the operators' interface of a running front."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+import click
+import trio
+
+from oakcroft.commands.arguments import BROKEN, FAULTY
+from oakcroft.httpwire.client import Ended, Peer
+from oakcroft.httpwire.message import Response
+
+FRONT = click.option("--front", "address", required=True, help="HOST:PORT of the front.")
+SECRET = "OAKCROFT_OPERATORS"
+"""The environment variable that holds the operators' token."""
+
+ANSWER_WITHIN_SECONDS = 60
+FIRST_REFUSAL = 400
+"""Statuses from here on say that the front did not do it."""
+
+ANY_VERSION = "*"
+
+
+def call(address: str, method: str, path: str, body: bytes = b"", **headers: str) -> Response:
+    """One request to the operators' interface, with the token from the environment."""
+    secret = os.environ.get(SECRET, "")
+    if not secret:
+        click.echo(f"set {SECRET} to the operators' token", err=True)
+        sys.exit(FAULTY)
+    host, _, port = address.rpartition(":")
+    fields = [("Authorization", f"Bearer {secret}"), *((k.replace("_", "-"), v) for k, v in headers.items())]
+
+    async def ask() -> Response:
+        with trio.fail_after(ANSWER_WITHIN_SECONDS):
+            return await Peer(host or "127.0.0.1", int(port)).ask(method, f"/operators/{path}", fields, body)
+
+    try:
+        return trio.run(ask)
+    except (Ended, trio.TooSlowError, ValueError) as fault:
+        click.echo(f"{address}: {fault or 'no answer'}", err=True)
+        sys.exit(BROKEN)
+
+
+def is_refusal(answer: Response) -> bool:
+    """Whether the front did not do what it was asked."""
+    return answer.status >= FIRST_REFUSAL
+
+
+def end_with(answer: Response) -> None:
+    """Prints an answer and ends the command, with 1 where it is a refusal."""
+    click.echo(answer.body.decode("utf-8", "replace"), err=is_refusal(answer))
+    sys.exit(BROKEN if is_refusal(answer) else 0)
+
+
+def etag(address: str) -> str:
+    """The entity tag of the catalogue that a front has in force, for a change that is made from it."""
+    return call(address, "GET", "catalogue").header("etag") or ANY_VERSION
+
+
+def query_text(text: str) -> str:
+    """Text as it may stand in a query: what is no letter, digit, hyphen, underscore or dot becomes a space."""
+    return "".join(letter if letter.isalnum() or letter in "-_." else "%20" for letter in text)
--- /dev/null
+++ b/oakcroft/commands/rehearsal.py
@@ -0,0 +1,97 @@
+"""Commands that rehearse a day on loopback.
+
+What they run is imported only when they are called: a front that serves starts by way of the same command line and has
+no use for it.
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+import trio
+
+from oakcroft.commands.arguments import BROKEN, FAULTY, FILE
+from oakcroft.config.problems import Unsound
+
+if TYPE_CHECKING:
+    from oakcroft.standins.day import Day
+
+SHIPPED_DAYS = Path(__file__).parents[1] / "rehearsal"
+
+
+@click.command()
+@click.argument("file", required=False)
+@click.option("--seed", type=int, help="Play the day from another seed.")
+@click.option("--baseline/--no-baseline", default=True, help="Play the same day with the naive baseline too.")
+@click.option("--day", "bench_day", type=FILE, help="Play the troubles of a day file as the bench draws it.")
+@click.option(
+    "--keep", type=click.Path(file_okay=False, path_type=Path), help="Keep records and logs in this folder."
+)
+@click.option("--mixed", is_flag=True, help="Every second viewer comes over the WebSocket session API.")
+@click.option("--state", "with_state", is_flag=True, help="Fronts keep a state file over their deaths.")
+@click.option("--patient", is_flag=True, help="Players look for their sessions again when a front dies.")
+def rehearse(
+    file: str | None,
+    seed: int | None,
+    baseline: bool,
+    bench_day: Path | None,
+    keep: Path | None,
+    mixed: bool,
+    with_state: bool,
+    patient: bool,
+) -> None:
+    """Play a day FILE through real fronts on loopback and judge the rules from the sockets.
+
+    FILE may be the name of a shipped day, bad-day, split-fleet or late-owner; without it the bad day is played.
+    """
+    from oakcroft.rehearsal import report, runner
+    from oakcroft.rehearsal.mixed import Mixed
+    from oakcroft.rehearsal.viewers import Audience
+
+    try:
+        day, body = _read_day(file, bench_day)
+    except (Unsound, ValueError, OSError) as fault:
+        click.echo(str(fault), err=True)
+        sys.exit(FAULTY)
+    if seed is not None:
+        day = day.seeded(seed)
+    audience = Mixed if mixed else Audience
+    outcome = runner.play(day, body, "oakcroft", click.echo, keep, audience, with_state, patient)
+    other = None
+    if baseline:
+        click.echo("the naive baseline on the same day:")
+        other = runner.play(day, body, "naive", click.echo, keep and keep / "naive")
+    click.echo(report.whole(outcome, other))
+    sys.exit(0 if outcome.kept else BROKEN)
+
+
+def _read_day(file: str | None, bench_day: Path | None) -> tuple[Day, str]:
+    """A day and its text: the one that is named, or one that is made of the bench's file."""
+    from oakcroft.rehearsal.bench_day import translate
+    from oakcroft.standins.day import parse
+
+    if bench_day is not None:
+        body, notes = translate(bench_day.read_bytes(), bench_day.stem)
+        for note in notes:
+            click.echo(note)
+        return parse(body, bench_day.stem), body
+    shipped = SHIPPED_DAYS / f"{file or 'bad-day'}.oak"
+    source = shipped if shipped.exists() else Path(file or "")
+    body = source.read_text(encoding="utf-8")
+    return parse(body, source.stem), body
+
+
+@click.command(name="stand-in", hidden=True)
+@click.argument("file", type=FILE)
+@click.option("--seed", type=int, required=True)
+@click.option("--start", type=int, required=True, help="When the day begins, ns since the epoch.")
+@click.option("--record", type=click.Path(dir_okay=False, path_type=Path), required=True)
+def stand_in(file: Path, seed: int, start: int, record: Path) -> None:
+    """Run the fleet of a day: its nodes, its list service and its faults."""
+    from oakcroft.standins import program
+    from oakcroft.standins.day import load as load_day
+
+    trio.run(program.main, load_day(file).seeded(seed), start, record)
--- /dev/null
+++ b/oakcroft/commands/state.py
@@ -0,0 +1,132 @@
+"""Commands on the state file of a front that does not run."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections import Counter
+from contextlib import closing
+from pathlib import Path
+
+import click
+
+from oakcroft.commands.arguments import BROKEN, FAULTY, FILE, NEW_FILE
+from oakcroft.decisions.state.durable import Trouble
+from oakcroft.decisions.state.remembered import Mark
+from oakcroft.interface import SECOND
+from oakcroft.store.file import Held, StateFile, Unusable
+from oakcroft.store.schema import VERSION
+
+
+def open_file(file: Path) -> StateFile:
+    """A state file, or the end of the command with what is wrong."""
+    try:
+        return StateFile(str(file))
+    except Unusable as fault:
+        click.echo(f"{file}: {fault}", err=True)
+        if fault.trouble is Trouble.BUSY:
+            click.echo("a running front has it; ask that front: oakcroft status", err=True)
+        sys.exit(BROKEN)
+
+
+@click.group()
+def state() -> None:
+    """Look at, copy and check the state file of a front that does not run."""
+
+
+def content_lines(held: Held, now: int) -> list[str]:
+    """A state file's contents in lines."""
+    alive = int(held.facts.get("alive", b"0"))
+    knows_all = "whole" in held.facts
+    marks = Counter(promise.mark for promise in held.promises)
+    by_mark = ", ".join(f"{marks[mark]} {mark.value}" for mark in Mark if marks[mark])
+    return [
+        f"version {VERSION}; "
+        + ("knows all promises" if knows_all else "does not know all promises: nodes are asked"),
+        f"last written {max(0, now - alive) / SECOND:.1f} s ago"
+        if alive
+        else "never written by a serving front",
+        f"{len(held.promises)} promises: {by_mark}",
+        *_plan_lines(held),
+        f"{len(held.lines)} nodes in list {held.list_version} of {held.service or 'no service'}",
+        f"{len(held.grudges)} nodes with something held against them, {len(held.spent)} slots of cold nodes spent",
+        f"{len(held.moves)} moves under way",
+        *(
+            f"{version.kind} {version.number} {version.digest} {version.why}".rstrip()
+            for version in held.versions
+        ),
+    ]
+
+
+def _plan_lines(held: Held) -> list[str]:
+    plans = Counter((promise.plan, promise.mark) for promise in held.promises)
+    in_order = sorted(plans, key=lambda plan_and_mark: (plan_and_mark[0], plan_and_mark[1].name))
+    return [f"  {plan}: {plans[plan, mark]} {mark.value}" for plan, mark in in_order]
+
+
+@state.command("show")
+@click.argument("file", type=FILE)
+@click.option("--promises", is_flag=True, help="Each promise on a line of its own.")
+def state_show(file: Path, promises: bool) -> None:
+    """Tell what FILE holds."""
+    with closing(open_file(file)) as one:
+        held = one.read()
+    for line in content_lines(held, time.time_ns()):
+        click.echo(line)
+    for promise in held.promises if promises else []:
+        mark = promise.mark.name.lower()
+        click.echo(f"  {promise.id} {mark} {promise.plan} {promise.title} {promise.node} {promise.key}")
+
+
+@state.command("check")
+@click.argument("file", type=FILE)
+def state_check(file: Path) -> None:
+    """Read all of FILE; exit 1 where it is damaged or another program's."""
+    with closing(open_file(file)) as one:
+        try:
+            held = one.read()
+        except Unusable as fault:
+            click.echo(f"{file}: {fault}", err=True)
+            sys.exit(BROKEN)
+    keys = Counter(promise.key for promise in held.promises)
+    twice = [key for key, times in keys.items() if times > 1]
+    more = f", {len(twice)} keys twice" if twice else ""
+    click.echo(f"{file}: sound, {len(held.promises)} promises{more}")
+
+
+@state.command("snapshot")
+@click.argument("file", type=FILE)
+@click.argument("to", type=NEW_FILE)
+def state_snapshot(file: Path, to: Path) -> None:
+    """Copy FILE to TO, whole or not at all."""
+    with closing(open_file(file)) as one:
+        try:
+            one.snapshot(to)
+        except Unusable as fault:
+            click.echo(f"{to}: {fault}", err=True)
+            sys.exit(BROKEN)
+        click.echo(f"{to}: {len(one.read().promises)} promises")
+
+
+@state.command("restore")
+@click.argument("snapshot", type=FILE)
+@click.argument("file", type=NEW_FILE)
+@click.option("--yes", is_flag=True, help="Replace a FILE that is there; it is kept beside, as FILE.before.")
+def state_restore(snapshot: Path, file: Path, yes: bool) -> None:
+    """Put SNAPSHOT in the place of FILE.
+
+    A snapshot does not know what its front promised since: it is marked so, and the front asks its nodes at the next
+    start before it takes paid requests.
+    """
+    if file.exists():
+        if not yes:
+            click.echo(f"{file} is there; say --yes to replace it", err=True)
+            sys.exit(FAULTY)
+        open_file(file).close()  # nobody may have it, and its log goes into it
+        file.replace(file.with_name(file.name + ".before"))
+    with closing(open_file(snapshot)) as held:
+        count = len(held.read().promises)
+        held.snapshot(file)
+    with closing(open_file(file)) as new:
+        new.forget_fact("whole")
+    click.echo(f"{file}: {count} promises; the front will ask its nodes for what it promised since")
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -15,7 +15,7 @@
 from rig import DAY, SITE, run
 from test_peers import TOKEN, Fronts, fronts
 
-from oakcroft.commands import owners
+from oakcroft.commands.fleet import owner_lines
 from oakcroft.config.compile import check
 from oakcroft.config.problems import Unsound
 from oakcroft.httpwire.client import Ended, Peer
@@ -247,14 +247,14 @@
         "in_line": 0,
     }
     said = {"name": "f0", "keepers": ["f0", "f1", "f2"], "term_ms": 6000, "duties": [duty], "keeper": keeper}
-    assert owners(said) == [
+    assert owner_lines(said) == [
         "f0: keepers f0, f1, f2; a term is 6 s",
         "  a keeper, grants nothing, remembers nothing, mute for 1.5 s, waits for f1",
         "  catalogue: f2, number 7; here: waits before it asks, 1. in line",
     ]
     nobody = {"duty": "catalogue", "owner": None, "number": 0, "mine": False, "course": None, "in_line": None}
     full = {"speaks": True, "sound": True, "record": False, "mute_ms": 0, "waits_for": []}
-    assert owners({**said, "duties": [nobody], "keeper": full})[1:] == [
+    assert owner_lines({**said, "duties": [nobody], "keeper": full})[1:] == [
         "  a keeper, grants nothing, its record can't be written",
         "  catalogue: nobody, as far as this front knows",
     ]
