--- a/benchmarks/moving.py
+++ b/benchmarks/moving.py
@@ -15,6 +15,7 @@
 from hdrh.histogram import HdrHistogram
 
 from oakcroft.rehearsal import report, runner
+from oakcroft.rehearsal.outcome import Outcome
 from oakcroft.rehearsal.players import MODES, Players
 from oakcroft.rulecheck.repeated_set_ups import base
 from oakcroft.standins.day import parse
@@ -97,7 +98,7 @@
         print(f"  failed: {failure}")
 
 
-def overlap(outcome: runner.Outcome) -> float:
+def overlap(outcome: Outcome) -> float:
     """The share of playing time in which a playback and its copy both played, from the nodes' records."""
     spans: dict[str, list[tuple[int, int]]] = {}
     ran: dict[str, tuple[str, int]] = {}
--- a/oakcroft/rehearsal/report.py
+++ b/oakcroft/rehearsal/report.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from oakcroft.rehearsal.runner import Outcome
+from oakcroft.rehearsal.outcome import Outcome
 from oakcroft.rulecheck.holding import outlived, taken_after
 
 
