Part reading a form from describing one

Hard to read: config/schema.py (372 lines) held units, kinds and schemas together with the reading of forms, one function of which was 57 lines and looped over five kinds of faults.

Changed: schema.py describes (units, kinds, fields, records), reading.py reads by it, a function for each step; units stand in one table by kind where two chains chose them. slip is usual_spelling now.

--- a/oakcroft/config/records.py
+++ b/oakcroft/config/records.py
@@ -7,7 +7,8 @@
 
 from oakcroft.config import forms
 from oakcroft.config.problems import Place, Problems, near, or_list
-from oakcroft.config.schema import Record, Schema, read_form
+from oakcroft.config.reading import read_form
+from oakcroft.config.schema import Record, Schema
 from oakcroft.config.syntax import Form
 
 MOST_NAMES_SHOWN = 30
--- a/oakcroft/config/schema.py
+++ b/oakcroft/config/schema.py
@@ -1,7 +1,7 @@
 """Schemas of forms: the one source for the checker, the reference page and completion.
 
 A schema says what a form is called, which value names it, and which fields it has; a field says what values it holds, in
-which unit, within which usual range. Reading a form notes every problem and goes on, so that one run shows all.
+which unit, within which usual range.
 """
 
 from __future__ import annotations
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from oakcroft.config.problems import Place, Problems, near, or_list
-from oakcroft.config.syntax import Atom, Form
+from oakcroft.config.problems import Place, near, or_list
+from oakcroft.config.syntax import Atom
 from oakcroft.interface import MS, SECOND
 
 FIGURE = re.compile(r"^([+-]?(?:\d+\.?\d*|\.\d+))([^\d].*)?$")
@@ -33,8 +33,9 @@
     """A value that is not of its kind: what is wrong and what to write."""
 
     def __init__(self, what: str, fix: str = "", bare: bool = False) -> None:
+        """`bare`: it is a figure that lacks its unit."""
         super().__init__(what)
-        self.what, self.fix, self.bare = what, fix, bare  # bare: a figure that lacks its unit
+        self.what, self.fix, self.bare = what, fix, bare
 
 
 @dataclass(frozen=True)
@@ -46,8 +47,12 @@
     read: Callable[[Atom], Any]
 
 
+LARGEST_SHOWN_SHORT = 1e6
+"""From here on, a figure in its shortest form would be shown with an exponent."""
+
+
 def _show(value: float) -> str:
-    return f"{value:g}" if abs(value) < 1e6 else f"{value:.0f}"
+    return f"{value:g}" if abs(value) < LARGEST_SHOWN_SHORT else f"{value:.0f}"
 
 
 def measured(name: str, units: Mapping[str, float], usual: tuple[str, str], whole: bool = False) -> Kind:
@@ -188,185 +193,26 @@
         return self.places.get(name, self.place)
 
 
-def read_form(schema: Schema, form: Form, problems: Problems) -> Record:
-    """A form by its schema. What is wrong is noted; the record holds what could be read."""
-    also = tuple(f"used at {place}" for place in form.used)
-    record, items = Record(schema, form.place, also=also), list(form.items[1:])
-    if schema.head is not None:
-        if items and isinstance(items[0], Atom):
-            record.head = _value(schema.head, items.pop(0), problems, also) or ""
-        else:
-            problems.error(
-                form.place, f"({schema.name} …) is named first: {schema.head_doc}", _example(schema), also
-            )
-    for item in items:
-        if not isinstance(item, Form) or not item.name:
-            shown = item.raw if isinstance(item, Atom) else "a list without a name"
-            problems.error(
-                item.place,
-                f"{shown} stands alone in ({schema.name} …), which holds fields (name value …)",
-                "",
-                also,
-            )
-            continue
-        found = schema.field(item.name)
-        if found is None:
-            names = [f.name for f in schema.fields]
-            guess = near(item.name, names)
-            known = f"did you mean {guess}?" if guess else f"known are {or_list(names, 20)}"
-            problems.error(
-                item.place,
-                f"({schema.name} …) has no field {item.name}; {known}",
-                f"write {guess}" if guess else "",
-                also,
-            )
-            continue
-        if found.name in record.places and not found.repeats:
-            first = record.places[found.name]
-            problems.error(
-                item.place, f"{found.name} stands twice; first at line {first.line}", "keep one of them", also
-            )
-            continue
-        record.places.setdefault(found.name, item.place)
-        value = _field(found, item, problems, also)
-        if value is None:
-            continue
-        if found.repeats:
-            record.values.setdefault(found.name, []).append(value)
-        else:
-            record.values[found.name] = value
-    for wanted in schema.fields:
-        if wanted.required and wanted.name not in record.places:
-            named = f" {record.head}" if record.head else ""
-            problems.error(
-                form.place,
-                f"({schema.name}{named} …) lacks {wanted.name}: {wanted.doc}",
-                f"add {sample(wanted)}",
-                also,
-            )
-    return record
-
-
-def _example(schema: Schema) -> str:
-    return f"write {schema.example}" if schema.example else ""
+UNITS: dict[str, Mapping[str, float]] = {"time": TIME, "size": SIZE, "rate": RATE, "pace": PACE}
+"""By kind: what each unit is worth in the kind's base unit."""
 
-
-SAMPLES = {
-    "time": "1s", "size": "64KiB", "rate": "400kB/s", "pace": "40/s", "whole number": "3", "figure": "1", "share": "20%",
-    "name": "NAME", "text": "TEXT", "path": '"/whep/open/"', "title": "intro", "address": '"127.0.0.1:8080"',
-    "ICE server": '"stun:host:3478"', "secret": '"…"',
+SHOWN_UNITS = {
+    "time": ("d", "h", "min", "s", "ms", "us", "ns"), "size": ("GiB", "MiB", "KiB", "B"),
+    "rate": ("GB/s", "MB/s", "kB/s", "B/s"), "pace": ("/s",),
 }  # fmt: skip
+"""By kind: the units in which a value may be shown, the largest first."""
 
-
-def sample(wanted: Field) -> str:
-    """A field as it might be written."""
-    if wanted.form is not None:
-        return f"({wanted.name} …)"
-    value = SAMPLES.get(wanted.kind.name) or wanted.kind.how.split(",")[0].split(" or ")[0]
-    return f"({wanted.name} {' '.join([value] * max(1, min(wanted.least, 2)))})"
-
-
-def _value(
-    kind: Kind, item: Atom | Form, problems: Problems, also: tuple[str, ...], wanted: Field | None = None
-) -> Any:
-    if isinstance(item, Form):
-        problems.error(item.place, f"a list stands where a {kind.name} is wanted: {kind.how}", "", also)
-        return None
-    try:
-        return kind.read(item)
-    except Bad as bad:
-        fix = bad.fix
-        if bad.bare and wanted is not None and wanted.usual is not None:
-            meant = slip(wanted, item, wanted.usual[0], wanted.usual[1])
-            fix = f"write {meant}, if so meant" if meant else fix
-        problems.error(item.place, bad.what, fix, also)
-        return None
-
-
-def _field(wanted: Field, form: Form, problems: Problems, also: tuple[str, ...]) -> Any:
-    if wanted.form is not None:
-        return read_form(wanted.form, form, problems)
-    items = form.items[1:]
-    if not wanted.least <= len(items) <= wanted.most:
-        many = (
-            "one value"
-            if wanted.most == 1
-            else f"{wanted.least} to {wanted.most} values"
-            if wanted.most < 999
-            else "one value or more"
-        )
-        if wanted.least == wanted.most != 1:
-            many = f"{wanted.least} values"
-        problems.error(
-            form.place,
-            f"{wanted.name} holds {many}, not {len(items)}: {wanted.doc}",
-            f"write {sample(wanted)}",
-            also,
-        )
-        return None
-    values = []
-    for item in items:
-        value = _value(wanted.kind, item, problems, also, wanted)
-        if value is None:
-            return None
-        assert isinstance(item, Atom)
-        _bounds(wanted, value, item, problems, also)
-        values.append(value)
-    return values[0] if wanted.most == 1 else values
-
-
-def _bounds(wanted: Field, value: Any, atom: Atom, problems: Problems, also: tuple[str, ...]) -> None:
-    if isinstance(value, str):
-        return
-    if wanted.at_least is not None and value < wanted.at_least:
-        problems.error(
-            atom.place,
-            f"{wanted.name} is {atom.raw}, but no less than {say(wanted.kind, wanted.at_least)} can be",
-            "",
-            also,
-        )
-    elif wanted.at_most is not None and value > wanted.at_most:
-        problems.error(
-            atom.place,
-            f"{wanted.name} is {atom.raw}, but no more than {say(wanted.kind, wanted.at_most)} can be",
-            "",
-            also,
-        )
-    elif wanted.usual is not None and not wanted.usual[0] <= value <= wanted.usual[1]:
-        low, high, think = wanted.usual
-        between = f"{say(wanted.kind, low)} to {say(wanted.kind, high)}"
-        guess = slip(wanted, atom, low, high)
-        problems.warn(atom.place, f"{wanted.name} {atom.raw} is suspicious: usual are {between}" + (f"; {think}" if think else ""),
-                      f"write {guess}, if that was meant" if guess else "", also)  # fmt: skip
-
-
-def slip(wanted: Field, atom: Atom, low: float, high: float) -> str:
-    """The same figure in another unit, where that would be usual: seconds written for milliseconds and the like."""
-    match = FIGURE.match(atom.text)
-    units = {"time": TIME, "size": SIZE, "rate": RATE, "pace": PACE}.get(wanted.kind.name)
-    if match is None or units is None:
-        return ""
-    fits = [unit for unit, worth in units.items() if low <= float(match[1]) * worth <= high]
-    prefer = [u for u in ("ms", "s", "kB/s", "MB/s", "Mbit/s", "KiB", "kB", "/s", "/min") if u in fits]
-    return match[1] + (prefer or fits)[0] if fits else ""
+DECIMALS = 3
+"""A value is shown in the largest unit in which it has no more."""
 
 
 def say(kind: Kind, value: float) -> str:
     """A value of a kind in the unit that reads best."""
-    units: Sequence[str]
-    table: Mapping[str, float]
-    match kind.name:
-        case "time":
-            table, units = TIME, ("d", "h", "min", "s", "ms", "us", "ns")
-        case "size":
-            table, units = SIZE, ("GiB", "MiB", "KiB", "B")
-        case "rate":
-            table, units = RATE, ("GB/s", "MB/s", "kB/s", "B/s")
-        case "pace":
-            table, units = PACE, ("/s",)
-        case _:
-            return _show(value)
-    for unit in units:
-        if value >= table[unit] and (value / table[unit]) == round(value / table[unit], 3):
-            return f"{_show(value / table[unit])}{unit}"
-    return f"{_show(value / table[units[-1]])}{units[-1]}"
+    if kind.name not in UNITS:
+        return _show(value)
+    worth, shown = UNITS[kind.name], SHOWN_UNITS[kind.name]
+    for unit in shown:
+        in_unit = value / worth[unit]
+        if value >= worth[unit] and in_unit == round(in_unit, DECIMALS):
+            return f"{_show(in_unit)}{unit}"
+    return f"{_show(value / worth[shown[-1]])}{shown[-1]}"
--- a/oakcroft/standins/day.py
+++ b/oakcroft/standins/day.py
@@ -10,6 +10,7 @@
 from oakcroft.config.expand import Expander
 from oakcroft.config.format import flat
 from oakcroft.config.problems import Place, Problems, Unsound, or_list
+from oakcroft.config.reading import read_form
 from oakcroft.config.schema import (
     NAME,
     NUMBER,
@@ -21,7 +22,6 @@
     Record,
     Schema,
     choice,
-    read_form,
 )
 from oakcroft.config.syntax import Form, read, without_comments
 from oakcroft.config.told import Site
