Part what is written to a state file from the file and from its statements

Hard to read: store/file.py (319 lines) held the types of all changes, one function of 41 lines that wrote each of them, and the file itself with bare offsets into its head.

Changed: changes.py has the typed changes and what a file holds, statements.py a function for each kind of change (dispatched by type), file.py the file. Names that front ends and tests import from store.file stay there, listed in its __all__, until those modules are touched.

--- a/oakcroft/commands/state.py
+++ b/oakcroft/commands/state.py
@@ -14,7 +14,8 @@
 from oakcroft.decisions.state.durable import Trouble
 from oakcroft.decisions.state.remembered import Mark
 from oakcroft.interface import SECOND
-from oakcroft.store.file import Held, StateFile, Unusable
+from oakcroft.store.changes import Held
+from oakcroft.store.file import StateFile, Unusable
 from oakcroft.store.schema import VERSION
 
 
--- a/oakcroft/store/file.py
+++ b/oakcroft/store/file.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Iterable, Iterator
 from contextlib import closing, contextmanager, suppress
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import apsw
@@ -16,111 +15,40 @@
 
 from oakcroft.decisions.state.durable import Trouble
 from oakcroft.decisions.state.recovery import Grudge, Spent
-from oakcroft.decisions.state.remembered import Mark, Promise
+from oakcroft.decisions.state.remembered import Promise
 from oakcroft.decisions.fleet.roster import Line
+from oakcroft.store.changes import (
+    Change, Dropped, Expire, Fact, Held, Move, Put, Told, Version, Whole,
+)  # fmt: skip
 from oakcroft.store.schema import STEPS, VERSION
+from oakcroft.store.statements import LIST, write_change
 
-MAGIC = 0x6F616B63  # "oakc": what the file says that it is
+__all__ = [
+    "Change", "Dropped", "Expire", "Fact", "Held", "Move", "Put", "StateFile", "Told", "Unusable", "Version", "Whole",
+    "set_aside",
+]  # fmt: skip
+
+MAGIC = 0x6F616B63
+"""The application id, "oakc": what the file says that it is."""
+
+HEAD_OCTETS = 100
+HEAD_BEGINS = b"SQLite format 3\0"
+USER_VERSION, APPLICATION_ID = slice(60, 64), slice(68, 72)
+"""The head of a database, and where two numbers stand in it (SQLite's file format, section 1.3)."""
+
+REPORT_SHOWN = 200
+"""Characters of a failed check that are shown."""
 
 
 class Unusable(Exception):
     """A call on the file failed; `trouble` says how."""
 
     def __init__(self, trouble: Trouble, detail: str) -> None:
+        """`detail`: what the library or the system said."""
         super().__init__(f"{trouble.value}: {detail}")
         self.trouble = trouble
 
 
-@dataclass(frozen=True)
-class Put:
-    """A promise as it stands now; one that binds no more goes."""
-
-    promise: Promise
-
-
-@dataclass(frozen=True)
-class Told:
-    """The list of nodes in force."""
-
-    lines: tuple[Line, ...]
-    version: int
-    service: str
-    at: int
-
-
-@dataclass(frozen=True)
-class Move:
-    """A move under way, or over (no copy)."""
-
-    playback: str
-    copy: str
-    began: int
-
-
-@dataclass(frozen=True)
-class Version:
-    """A version of a document that is changed while serving."""
-
-    kind: str
-    number: int
-    digest: str
-    taken: int
-    why: str
-    body: bytes
-
-
-@dataclass(frozen=True)
-class Dropped:
-    """A version that is out of its history."""
-
-    kind: str
-    number: int
-
-
-@dataclass(frozen=True)
-class Fact:
-    """One named value."""
-
-    name: str
-    value: bytes
-
-
-@dataclass(frozen=True)
-class Expire:
-    """Drops up to `most` promises in these marks that were changed before a time, what is held against nodes and spent
-    of their slots `nodes_before` another, and gives pages back."""
-
-    before: int
-    most: int
-    nodes_before: int = 0
-
-
-@dataclass(frozen=True)
-class Whole:
-    """Everything that is in memory, in the place of everything that is in the file; versions and facts stay."""
-
-    promises: tuple[Promise, ...]
-    told: Told | None = None
-
-
-Change = Put | Told | Move | Version | Dropped | Fact | Expire | Whole | Grudge | Spent
-
-
-@dataclass
-class Held:
-    """All that a file holds."""
-
-    promises: list[Promise] = field(default_factory=list)
-    lines: list[Line] = field(default_factory=list)
-    list_version: int = -1
-    service: str = ""
-    grudges: list[Grudge] = field(default_factory=list)
-    spent: list[Spent] = field(default_factory=list)
-    moves: list[Move] = field(default_factory=list)
-    versions: list[Version] = field(default_factory=list)
-    facts: dict[str, bytes] = field(default_factory=dict)
-
-
 @contextmanager
 def troubles() -> Iterator[None]:
     """Turns the library's errors into ours."""
@@ -157,17 +85,17 @@
 
     @staticmethod
     def _look(path: Path) -> None:
-        """Looks at the head of a file before SQLite touches it, so that a newer program's stays as it is (file format
-        1.3: user version at 60, application id at 68)."""
+        """Looks at the head of a file before SQLite touches it, so that a newer program's stays as it is."""
         try:
             with path.open("rb") as file:
-                head = file.read(100)
+                head = file.read(HEAD_OCTETS)
         except FileNotFoundError:
             return
         except OSError as error:
             raise Unusable(Trouble.IO, str(error)) from error
-        if len(head) == 100 and head.startswith(b"SQLite format 3\0"):
-            version, magic = int.from_bytes(head[60:64], "big"), int.from_bytes(head[68:72], "big")
+        if len(head) == HEAD_OCTETS and head.startswith(HEAD_BEGINS):
+            version = int.from_bytes(head[USER_VERSION], "big")
+            magic = int.from_bytes(head[APPLICATION_ID], "big")
             if magic not in (0, MAGIC) or version > VERSION:
                 raise Unusable(Trouble.FOREIGN, f"{path} has version {version}, this program knows {VERSION}")
 
@@ -185,7 +113,7 @@
         self.db.pragma("journal_mode", "wal")
         self.db.pragma("synchronous", "full" if sync else "off")
         if (said := self.db.pragma("quick_check")) != "ok":
-            raise Unusable(Trouble.CORRUPT, str(said)[:200])
+            raise Unusable(Trouble.CORRUPT, str(said)[:REPORT_SHOWN])
         if version < VERSION:
             with self.db:
                 for number in range(version, VERSION):
@@ -204,62 +132,9 @@
         """All of these, or none."""
         with troubles(), self.db:
             for change in changes:
-                self._apply(change)
+                write_change(change, self.db)
                 self.written += 1
 
-    def _apply(self, change: Change) -> None:
-        run = self.db.execute
-        match change:
-            case Put(p):
-                self._put(p)
-            case Told(lines, version, service, at):
-                run("DELETE FROM nodes")
-                for line in lines:
-                    run("INSERT INTO nodes VALUES (?, ?, ?)", (line.name, at, msgspec.msgpack.encode(line)))
-                self._fact("list", msgspec.msgpack.encode((version, service)))
-            case Move(playback, copy, began) if copy:
-                run("INSERT OR REPLACE INTO moves VALUES (?, ?, ?)", (playback, copy, began))
-            case Move(playback):
-                run("DELETE FROM moves WHERE playback = ?", (playback,))
-            case Version():
-                run("INSERT OR REPLACE INTO versions VALUES (?, ?, ?, ?, ?, ?)", (
-                    change.kind, change.number, change.digest, change.taken, change.why, change.body,
-                ))  # fmt: skip
-            case Dropped(kind, number):
-                run("DELETE FROM versions WHERE kind = ? AND number = ?", (kind, number))
-            case Fact(name, value):
-                self._fact(name, value)
-            case Expire(before, most, nodes_before):
-                old = "SELECT id FROM promises WHERE mark IN (?, ?) AND changed < ? LIMIT ?"
-                run(
-                    f"DELETE FROM promises WHERE id IN ({old})",
-                    (Mark.ABORTED.name, Mark.INTENT.name, before, most),
-                )
-                for table in ("grudges", "spent"):  # of nodes that are long gone, too
-                    run(f"DELETE FROM {table} WHERE at < ?", (nodes_before,))
-                run(f"PRAGMA incremental_vacuum({int(most)})").fetchall()  # a row for each page
-            case Whole(promises, told):
-                if told is not None:
-                    self._apply(told)
-                run("DELETE FROM promises")
-                for p in promises:
-                    self._put(p)
-            case Grudge(node, score, at, failed):
-                run("INSERT OR REPLACE INTO grudges VALUES (?, ?, ?, ?)", (node, score, at, failed))
-            case Spent(node, started, slot, used, at):
-                run("INSERT OR REPLACE INTO spent VALUES (?, ?, ?, ?, ?)", (node, started, slot, used, at))
-
-    def _put(self, p: Promise) -> None:
-        if p.mark is Mark.GONE:
-            self.db.execute("DELETE FROM promises WHERE id = ?", (p.id,))
-            return
-        self.db.execute("INSERT OR REPLACE INTO promises VALUES (?, ?, ?, ?, ?, ?)", (
-            p.id, p.key, p.mark.name, p.node, p.changed, msgspec.msgpack.encode(p),
-        ))  # fmt: skip
-
-    def _fact(self, name: str, value: bytes) -> None:
-        self.db.execute("INSERT OR REPLACE INTO facts VALUES (?, ?)", (name, value))
-
     def forget_fact(self, name: str) -> None:
         """Drops a named value."""
         with troubles():
@@ -280,9 +155,9 @@
             held.moves = [Move(*row) for row in run("SELECT * FROM moves ORDER BY playback")]
             held.versions = [Version(*row) for row in run("SELECT * FROM versions ORDER BY kind, number")]
             held.facts = dict(run("SELECT name, value FROM facts ORDER BY name"))
-            if "list" in held.facts:
+            if LIST in held.facts:
                 held.list_version, held.service = msgspec.msgpack.decode(
-                    held.facts["list"], type=tuple[int, str]
+                    held.facts[LIST], type=tuple[int, str]
                 )
             return held
 
--- a/oakcroft/store/writer.py
+++ b/oakcroft/store/writer.py
@@ -18,7 +18,8 @@
 
 from oakcroft.decisions.state.durable import Disk, Health, Trouble, Upkeep
 from oakcroft.interface import SECOND
-from oakcroft.store.file import Change, Expire, Held, StateFile, Unusable, Whole, set_aside
+from oakcroft.store.changes import Change, Expire, Held, Whole
+from oakcroft.store.file import StateFile, Unusable, set_aside
 
 WHOLE = "whole"  # the fact that a file knows all promises
 T = TypeVar("T")
