--- a/oakcroft/standins/day.py
+++ b/oakcroft/standins/day.py
@@ -183,7 +183,7 @@
     day = parts[0] if len(parts) == 1 else None
     if not isinstance(day, Form) or day.name != "day":
         if not problems.found:
-            problems.error(parts[0].place if parts else problems_start(name), "the file holds one (day …)")
+            problems.error(parts[0].place if parts else Place(name, 1, 1), "the file holds one (day …)")
         raise Unsound(problems)
     sites = [p for p in day.items if isinstance(p, Form) and p.name == "site"]
     rest = Form(tuple(p for p in day.items if p not in sites), day.place, day.end)
@@ -205,59 +205,72 @@
     return out
 
 
-def problems_start(name: str) -> Place:
-    """The beginning of a file."""
-    return Place(name, 1, 1)
-
-
 def _no_files(name: str) -> str:
     raise OSError("a day includes no files")
 
 
 def _day(record: Record, site: Site, text: str, name: str, problems: Problems) -> Day:
-    fronts, nodes = tuple(record.get("fronts")), tuple(_node(n) for n in record.get("node"))
+    """The day of a record; what contradicts itself in it is noted."""
+    fronts, nodes = tuple(record.get("fronts")), tuple(_node(node) for node in record.get("node"))
     uplinks = tuple(record.get("uplinks")) or (0.0,) * site.terms.racks
-    late, setup = record.get("late"), record.get("setup")
-    if len(fronts) != site.terms.fronts:
-        problems.error(
-            record.at("fronts"), f"{len(fronts)} fronts stand here, the fleet has {site.terms.fronts}"
-        )
-    if len(uplinks) != site.terms.racks:
-        problems.error(record.at("uplinks"), f"{len(uplinks)} uplinks stand for {site.terms.racks} racks")
-    viewers: Record = record.get("viewers")
+    late, setup, peers = record.get("late"), record.get("setup"), _is_yes(record, "peers")
+    _check_sizes(record, site, len(fronts), len(uplinks), problems)
+    _check_peers(record, len(fronts), problems)
+    known = {
+        "node": {node.name for node in nodes},
+        "wing": set(fronts),
+        "front": {str(number) for number in range(len(fronts))},
+    }
+    keepers = tuple(record.get("keepers"))
+    faults = [_fault(fault, known, peers, bool(keepers), problems) for fault in record.get("fault") or []]
+    return Day(
+        name=name, length=record.get("length"), seed=record.get("seed"), site=site, site_text=text, fronts=fronts,
+        nodes=nodes, uplinks=uplinks, late=(late[0], late[-1]), guard=record.get("guard"), stall=record.get("stall"),
+        setup=(setup[0], setup[-1]), crowd=_crowd(record.get("viewers"), site, problems),
+        faults=tuple(sorted(faults, key=lambda fault: (fault.at, fault.kind, fault.on))), peers=peers, keepers=keepers,
+        term=record.get("term"), adopting=_is_yes(record, "adopting"), probing=_is_yes(record, "probing"),
+    )  # fmt: skip
+
+
+def _is_yes(record: Record, field: str) -> bool:
+    return bool(record.get(field) == "yes")
+
+
+def _check_sizes(record: Record, site: Site, fronts: int, uplinks: int, problems: Problems) -> None:
+    if fronts != site.terms.fronts:
+        what = f"{fronts} fronts stand here, the fleet has {site.terms.fronts}"
+        problems.error(record.at("fronts"), what)
+    if uplinks != site.terms.racks:
+        problems.error(record.at("uplinks"), f"{uplinks} uplinks stand for {site.terms.racks} racks")
+
+
+NEEDS_PEERS = {
+    "keepers": "keepers are reached", "adopting": "who is gone is told", "probing": "loads are told",
+}  # fmt: skip
+"""Fields of a day that work by way of the peers, and how."""
+
+
+def _check_peers(record: Record, fronts: int, problems: Problems) -> None:
+    for field, how in NEEDS_PEERS.items():
+        wanted = _is_yes(record, field) or (field == "keepers" and bool(record.get(field)))
+        if wanted and not _is_yes(record, "peers"):
+            problems.error(record.at(field), f"{how} among the peers", "add (peers yes)")
+    for number in record.get("keepers"):
+        if number >= fronts:
+            problems.error(record.at("keepers"), f"there is no front {number}; there are {fronts}")
+
+
+def _crowd(viewers: Record, site: Site, problems: Problems) -> Crowd:
     shares: list[Record] = viewers.get("plan") or []
     for share in shares:
         if share.head not in site.plans:
             problems.error(share.place, f"there is no plan {share.head}; there is {or_list(site.plans)}")
     back = viewers.get("back-after")
-    crowd = Crowd(
-        viewers.get("rate"), viewers.get("titles"), viewers.get("zipf"), {s.head: s.get("share") for s in shares},
-        {s.head: s.get("life") for s in shares}, viewers.get("returns"), (back[0], back[-1]),
-        viewers.get("small-screens"), viewers.get("uneven"),
-    )  # fmt: skip
-    known = {
-        "node": {n.name for n in nodes},
-        "wing": set(fronts),
-        "front": {str(i) for i in range(len(fronts))},
-    }
-    if record.get("keepers") and record.get("peers") != "yes":
-        problems.error(record.at("keepers"), "keepers are reached among the peers", "add (peers yes)")
-    for name, why in (("adopting", "who is gone is told"), ("probing", "loads are told")):
-        if record.get(name) == "yes" and record.get("peers") != "yes":
-            problems.error(record.at(name), f"{why} among the peers", "add (peers yes)")
-    for number in record.get("keepers"):
-        if number >= len(fronts):
-            problems.error(record.at("keepers"), f"there is no front {number}; there are {len(fronts)}")
-    faults = [
-        _fault(f, known, record.get("peers") == "yes", bool(record.get("keepers")), problems)
-        for f in record.get("fault") or []
-    ]
-    return Day(
-        name, record.get("length"), record.get("seed"), site, text, fronts, nodes, uplinks, (late[0], late[-1]),
-        record.get("guard"), record.get("stall"), (setup[0], setup[-1]), crowd,
-        tuple(sorted(faults, key=lambda x: (x.at, x.kind, x.on))), record.get("peers") == "yes",
-        tuple(record.get("keepers")), record.get("term"), record.get("adopting") == "yes",
-        record.get("probing") == "yes",
+    return Crowd(
+        rate=viewers.get("rate"), titles=viewers.get("titles"), zipf=viewers.get("zipf"),
+        share={share.head: share.get("share") for share in shares},
+        life={share.head: share.get("life") for share in shares}, returns=viewers.get("returns"),
+        back_after=(back[0], back[-1]), small_screens=viewers.get("small-screens"), uneven=viewers.get("uneven"),
     )  # fmt: skip
 
 
