--- a/oakcroft/rehearsal/bench_day.py
+++ b/oakcroft/rehearsal/bench_day.py
@@ -1,7 +1,8 @@
-"""The troubles of a bench day, translated into a day of ours and scaled to one machine."""
+"""A day as the bench draws it, translated into a day of ours and scaled to one machine."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -12,107 +13,198 @@
     "deploy": "deploy", "balancer_roll": "front-kill", "shared_slow": "shared-slow", "ageing": "ageing",
     "answer_lost": "answer-lost", "balancer_stall": "front-stall", "preempt": "preempt",
 }  # fmt: skip
+EFFECTS = {"safe": "free", "keyed": "keyed", "unsafe": "paid"}
+
 MOST_NODES, MOST_FRONTS, MOST_RATE = 24, 4, 45.0
+"""What one machine plays: nodes, fronts, and new playbacks a second."""
+
+LEAST_RATE, SHORTEST_LIVES = 20.0, 0.15
+"""Lives are shortened so that no fewer playbacks come a second, but to no less than this part of them."""
+
+LOAD_SHARE = 0.92
+"""Of the load that is drawn. Why it is not all of it was never written down."""
+
+NODES_IN_A_RACK, LEAST_PLACES, LEAST_COPIES, MOST_TITLES = 4, 4, 3, 60
+SEEDS = 1_000_000
+US_PER_MS, US_PER_SECOND = 1000, 1e6
+REJOIN_SPREAD = (0.7, 1.3)
+UNEVEN = 0.4
+
+LEAST_CROWD = 0.05
+LONGEST_STALL_SECONDS = 20
+"""A stall that is drawn longer is drawn in ms."""
+
+DOWN_SECONDS = 0.5
+"""How long a killed front is down where that is not drawn."""
+
+
+@dataclass(frozen=True)
+class Scale:
+    """A drawn day brought to the size of one machine. Links and uplinks in kB a second."""
+
+    picked: list[int]
+    """Numbers of the drawn servers that are kept."""
+    fronts: list[dict[str, Any]]
+    zones: list[str]
+    links: list[float]
+    places: list[int]
+    uplinks: list[float]
+    rate: float
+    """New playbacks a second."""
+    shorter: float
+    """Lives times this."""
+    notes: list[str]
 
 
 def translate(body: bytes, name: str) -> tuple[str, list[str]]:
     """The day as text, and notes on how it was scaled and what was not mapped. ValueError: no such file."""
     try:
-        d: dict[str, Any] = orjson.loads(body)
-        return _translate(d)
+        day: dict[str, Any] = orjson.loads(body)
+        return _translate(day)
     except (orjson.JSONDecodeError, KeyError, TypeError, IndexError) as fault:
         raise ValueError(f"{name}: not a day as the bench draws it: {type(fault).__name__} {fault}") from None
 
 
 def us(value: float) -> str:
     """Microseconds as a time of ours."""
-    return f"{max(1, round(value / 1000))}ms"
-
-
-def _translate(d: dict[str, Any]) -> tuple[str, list[str]]:
-    fam, tier = d["fam"], d["tiers"][0]
-    servers, balancers, zones = d["servers"], d["balancers"], [str(z) for z in d["zones"]]
-    pick = _spread(servers, MOST_NODES)
-    fronts = [balancers[i] for i in _spread(balancers, MOST_FRONTS)]
-    kept = {i: n for n, i in enumerate(pick)}
-    racks = max(1, min(len(fam["uplink_kb"]), len(pick) // 4))
-    kinds = tier["kinds"]
-    cores = [kinds[servers[i]["kind"]]["cores"] for i in pick]
-    link = [c * fam["core_kb"] for c in cores]
-    places = [max(4, round(c * fam["core_slots"])) for c in cores]
-    rates = fam["rates"]
-    middle = rates[len(rates) // 2]
-    life = fam["life_s"]
-    scale = sum(u["scale"] * c["share"] * u["life"] for u, c in zip(fam["uses"], d["classes"], strict=False))
-    rate = d["traffic"]["load"] * 0.92 * sum(link) / (middle * scale * life)
-    notes = [f"scaled: {len(servers)} nodes to {len(pick)}, {len(balancers)} fronts to {len(fronts)}"]
-    shorter = 1.0
-    if rate < 20:  # lives are shortened so that the machine's worth of requests comes
-        shorter = max(0.15, rate / 20)
-        rate /= shorter
+    return f"{max(1, round(value / US_PER_MS))}ms"
+
+
+def _translate(day: dict[str, Any]) -> tuple[str, list[str]]:
+    scale = _scale(day)
+    kept = {number: place for place, number in enumerate(scale.picked)}
+    lines = [
+        *_day_lines(day, scale),
+        *_site_lines(day, scale),
+        *_node_lines(day, scale),
+        *_viewer_lines(day, scale),
+    ]
+    notes = list(scale.notes)
+    for trouble in day["troubles"]:
+        line, note = _fault(trouble, kept, len(day["servers"]), len(scale.fronts), scale.zones)
+        if line:
+            lines.append("  " + line)
+        notes.append(note)
+    return "\n".join([*lines, ")"]) + "\n", notes
+
+
+def _scale(day: dict[str, Any]) -> Scale:
+    """Brings a day to the size of one machine, with notes on how."""
+    family, servers, balancers = day["fam"], day["servers"], day["balancers"]
+    picked = _spread(servers, MOST_NODES)
+    fronts = [balancers[number] for number in _spread(balancers, MOST_FRONTS)]
+    cores = [_kinds(day)[servers[number]["kind"]]["cores"] for number in picked]
+    links = [count * family["core_kb"] for count in cores]
+    notes = [f"scaled: {len(servers)} nodes to {len(picked)}, {len(balancers)} fronts to {len(fronts)}"]
+    rate, shorter = _rate(day, sum(links))
     if rate > MOST_RATE:
         notes.append(f"{rate:.0f} new playbacks a second held to {MOST_RATE:.0f}")
         rate = MOST_RATE
     notes.append(f"{rate:.1f} new playbacks a second, lives times {shorter:.2f}")
-    uplink = [u * len(pick) / len(servers) * len(fam["uplink_kb"]) / racks for u in fam["uplink_kb"][:racks]]
-    kind = kinds[0]
-    effects = {"safe": "free", "keyed": "keyed", "unsafe": "paid"}
-    out = ["(day", f"  (length {us(d['length'])}) (seed {d['noise'] % 1_000_000 + 1})"]
-    out.append("  (fronts " + " ".join(f'"{zones[b["zone"]]}"' for b in fronts) + ")")
-    out.append("  (uplinks " + " ".join(f"{u:.0f}kB/s" for u in uplink) + ")")
-    out.append(f"  (late {us(d['discovery']['add'])} {us(d['discovery']['notice'])}) (guard {fam['guard']})")
-    out.append(f"  (stall {fam['stall']})")
-    mean_uplink = sum(uplink) / len(uplink)
-    copies = max(3, round(fam["copies"] * 4)) if fam["copies"] else 0
-    stay = us(d["clients"]["max_retry_after"]) if d["allow"]["retry_after"] else "0ms"
-    out.append("  (site (fleet")
-    out.append(
-        f"      (fronts {len(fronts)}) (cells {len(pick)}) (racks {racks}) (uplink {mean_uplink:.0f}kB/s)"
-    )
-    out.append(
-        "      (wings "
-        + " ".join(f'"{z}"' for z in zones)
-        + f") (copies {copies}) (seen-after {us(fam['see'])})"
-    )
-    out.append(
-        f"      (reports-every {us(fam['tell'])}) (most-tries {d['allow']['max_attempts']}) (stay-away-most {stay})"
-    )
-    out.append(f"      (cold-share {kind['cold_from']:.3f}) (cold-for {us(kind['cold'])})")
-    out.append(f"      (fall-multiple {d['fall_multiple']}) (fall-window {us(d['fall_for'])})")
-    out.append(f"      (drain-grace {us(d['drain_grace'])}))")
-    out.append("    (nodes (lost-after 6s) (silent-after 2s))")
-    out.append("    (ladder (rates " + " ".join(f"{r}kB/s" for r in rates) + ")")
-    out.append("      (worth " + " ".join(str(w) for w in fam["worth"]) + "))")
-    for use, c in zip(fam["uses"], d["classes"], strict=False):
-        lasts = f"(key-lasts {us(c['window'])}) (group {c['group']})"
-        out.append(
-            f"    (plan {c['name']} (effect {effects[c['effect']]}) {lasts} (startup-target {us(c['aim'])}) "
-            f"(abandon {us(c['deadline'])}) (revenue {c['worth']}) (rate-factor {use['scale']}) (floor {use['floor']}) "
-            f"(top {min(use['top'], len(rates) - 1)}) (seats {use['seats']}))"
-        )
-        out.append(f'    (route {c["name"]} (path "/{c["name"]}/") (plan {c["name"]}))')
-    out.append("  )")
-    for n, i in enumerate(pick):
-        s = servers[i]
-        out.append(
-            f'  (node n{n} (wing "{zones[s["zone"]]}") (cell {n}) (link {link[n]:.0f}kB/s) (places {places[n]}))'
+    racks = max(1, min(len(family["uplink_kb"]), len(picked) // NODES_IN_A_RACK))
+    drawn = family["uplink_kb"]
+    return Scale(
+        picked, fronts, zones=[str(zone) for zone in day["zones"]], links=links,
+        places=[max(LEAST_PLACES, round(count * family["core_slots"])) for count in cores],
+        uplinks=[uplink * len(picked) / len(servers) * len(drawn) / racks for uplink in drawn[:racks]],
+        rate=rate, shorter=shorter, notes=notes,
+    )  # fmt: skip
+
+
+def _kinds(day: dict[str, Any]) -> list[dict[str, Any]]:
+    kinds: list[dict[str, Any]] = day["tiers"][0]["kinds"]
+    return kinds
+
+
+def _rate(day: dict[str, Any], links: float) -> tuple[float, float]:
+    """New playbacks a second that make the drawn load of these links, and the part of their lives that they play."""
+    family = day["fam"]
+    rates = family["rates"]
+    middle = rates[len(rates) // 2]
+    uses = zip(family["uses"], day["classes"], strict=False)
+    scale = sum(use["scale"] * one["share"] * use["life"] for use, one in uses)
+    rate = day["traffic"]["load"] * LOAD_SHARE * links / (middle * scale * family["life_s"])
+    if rate >= LEAST_RATE:
+        return rate, 1.0
+    shorter = max(SHORTEST_LIVES, rate / LEAST_RATE)
+    return rate / shorter, shorter
+
+
+def _day_lines(day: dict[str, Any], scale: Scale) -> list[str]:
+    family, late = day["fam"], day["discovery"]
+    fronts = " ".join(f'"{scale.zones[front["zone"]]}"' for front in scale.fronts)
+    uplinks = " ".join(f"{uplink:.0f}kB/s" for uplink in scale.uplinks)
+    return [
+        "(day",
+        f"  (length {us(day['length'])}) (seed {day['noise'] % SEEDS + 1})",
+        f"  (fronts {fronts})",
+        f"  (uplinks {uplinks})",
+        f"  (late {us(late['add'])} {us(late['notice'])}) (guard {family['guard']})",
+        f"  (stall {family['stall']})",
+    ]
+
+
+def _site_lines(day: dict[str, Any], scale: Scale) -> list[str]:
+    family, allowed, kind = day["fam"], day["allow"], _kinds(day)[0]
+    copies = max(LEAST_COPIES, round(family["copies"] * 4)) if family["copies"] else 0
+    stay = us(day["clients"]["max_retry_after"]) if allowed["retry_after"] else "0ms"
+    uplink = sum(scale.uplinks) / len(scale.uplinks)
+    wings = " ".join(f'"{zone}"' for zone in scale.zones)
+    rates = " ".join(f"{rate}kB/s" for rate in family["rates"])
+    worth = " ".join(str(one) for one in family["worth"])
+    return [
+        "  (site (fleet",
+        f"      (fronts {len(scale.fronts)}) (cells {len(scale.picked)}) (racks {len(scale.uplinks)})"
+        f" (uplink {uplink:.0f}kB/s)",
+        f"      (wings {wings}) (copies {copies}) (seen-after {us(family['see'])})",
+        f"      (reports-every {us(family['tell'])}) (most-tries {allowed['max_attempts']}) (stay-away-most {stay})",
+        f"      (cold-share {kind['cold_from']:.3f}) (cold-for {us(kind['cold'])})",
+        f"      (fall-multiple {day['fall_multiple']}) (fall-window {us(day['fall_for'])})",
+        f"      (drain-grace {us(day['drain_grace'])}))",
+        "    (nodes (lost-after 6s) (silent-after 2s))",
+        f"    (ladder (rates {rates})",
+        f"      (worth {worth}))",
+        *_plan_lines(day),
+        "  )",
+    ]
+
+
+def _plan_lines(day: dict[str, Any]) -> list[str]:
+    lines, last = [], len(day["fam"]["rates"]) - 1
+    for use, one in zip(day["fam"]["uses"], day["classes"], strict=False):
+        name, lasts = one["name"], f"(key-lasts {us(one['window'])}) (group {one['group']})"
+        lines.append(
+            f"    (plan {name} (effect {EFFECTS[one['effect']]}) {lasts} (startup-target {us(one['aim'])}) "
+            f"(abandon {us(one['deadline'])}) (revenue {one['worth']}) (rate-factor {use['scale']}) "
+            f"(floor {use['floor']}) (top {min(use['top'], last)}) (seats {use['seats']}))"
         )
-    out.append(
-        f"  (viewers (rate {rate:.2f}/s) (titles {min(60, fam['titles'])}) (zipf {fam['title_zipf']:.3f}) "
-        f"(returns {fam['returns']:.3f}) (back-after {us(fam['rejoin_us'] * 0.7)} {us(fam['rejoin_us'] * 1.3)}) "
-        f"(small-screens {fam['small_screens']:.3f}) (uneven 0.4)"
-    )
-    for use, c in zip(fam["uses"], d["classes"], strict=False):
-        out.append(
-            f"    (plan {c['name']} (share {c['share']}) (life {us(life * use['life'] * shorter * 1e6)}))"
+        lines.append(f'    (route {name} (path "/{name}/") (plan {name}))')
+    return lines
+
+
+def _node_lines(day: dict[str, Any], scale: Scale) -> list[str]:
+    lines = []
+    for cell, number in enumerate(scale.picked):
+        zone = scale.zones[day["servers"][number]["zone"]]
+        link, places = scale.links[cell], scale.places[cell]
+        lines.append(
+            f'  (node n{cell} (wing "{zone}") (cell {cell}) (link {link:.0f}kB/s) (places {places}))'
         )
-    out.append("  )")
-    for trouble in d["troubles"]:
-        line, note = _fault(trouble, kept, len(servers), len(fronts), zones)
-        if line:
-            out.append("  " + line)
-        notes.append(note)
-    return "\n".join([*out, ")"]) + "\n", notes
+    return lines
+
+
+def _viewer_lines(day: dict[str, Any], scale: Scale) -> list[str]:
+    family = day["fam"]
+    soon, late = (us(family["rejoin_us"] * part) for part in REJOIN_SPREAD)
+    lines = [
+        f"  (viewers (rate {scale.rate:.2f}/s) (titles {min(MOST_TITLES, family['titles'])}) "
+        f"(zipf {family['title_zipf']:.3f}) (returns {family['returns']:.3f}) (back-after {soon} {late}) "
+        f"(small-screens {family['small_screens']:.3f}) (uneven {UNEVEN})"
+    ]
+    for use, one in zip(family["uses"], day["classes"], strict=False):
+        life = us(family["life_s"] * use["life"] * scale.shorter * US_PER_SECOND)
+        lines.append(f"    (plan {one['name']} (share {one['share']}) (life {life}))")
+    return [*lines, "  )"]
 
 
 def _spread(things: list[Any], most: int) -> list[int]:
@@ -122,37 +214,41 @@
 
 
 def _fault(
-    t: dict[str, Any], kept: dict[int, int], servers: int, fronts: int, zones: list[str]
+    trouble: dict[str, Any], kept: dict[int, int], servers: int, fronts: int, zones: list[str]
 ) -> tuple[str, str]:
-    kind = KINDS.get(t["kind"])
+    """The line of a fault and a note on how it was mapped; no line where it was not."""
+    drawn, size, extra = trouble["kind"], float(trouble["size"]), float(trouble["extra"])
+    kind = KINDS.get(drawn)
     if kind is None:
-        return "", f"not mapped: {t['kind']}"
-    head = f"(fault {kind} (at {us(t['at'])}) (for {us(t['len'])})"
-    size, extra = float(t["size"]), float(t["extra"])
-    on = [f"n{kept[i]}" for i in t["on"] if i in kept]
+        return "", f"not mapped: {drawn}"
+    head = f"(fault {kind} (at {us(trouble['at'])}) (for {us(trouble['len'])})"
     if kind in ("zone-loss", "zone-cut"):
-        zone = zones[int(t["which"]) % len(zones)]
-        return f'{head} (on "{zone}") (size {size}) (extra {extra}))', f"mapped: {t['kind']} on {zone}"
+        zone = zones[int(trouble["which"]) % len(zones)]
+        return f'{head} (on "{zone}") (size {size}) (extra {extra}))', f"mapped: {drawn} on {zone}"
     if kind == "crowd":
-        return (
-            f"{head} (size {max(0.05, size)}))",
-            f"mapped: {t['kind']} as a crowd of {size:.2f} of the rate",
-        )
+        note = f"mapped: {drawn} as a crowd of {size:.2f} of the rate"
+        return f"{head} (size {max(LEAST_CROWD, size)}))", note
     if kind in ("report-late", "shared-slow"):
-        return f"{head} (size {size}))", f"mapped: {t['kind']}"
+        return f"{head} (size {size}))", f"mapped: {drawn}"
     if kind in ("front-kill", "front-stall"):
-        share = len(t["on"]) or fronts
-        numbers = " ".join(str(i) for i in range(min(fronts, max(1, share))))
-        if kind == "front-stall":
-            size = size / 1000 if size > 20 else size
-        else:
-            size, extra = 0.0, extra or 0.5
-        return (
-            f"{head} (on {numbers}) (size {size}) (extra {extra}))",
-            f"mapped: {t['kind']} on fronts {numbers}",
-        )
-    if not on:
-        wanted = max(1, round(len(t["on"]) * len(kept) / servers))
-        on = [f"n{i}" for i in range(wanted)]
-    names = " ".join(on)
-    return f"{head} (on {names}) (size {size}) (extra {extra}))", f"mapped: {t['kind']} on {len(on)} nodes"
+        on, figures = _on_fronts(trouble, fronts), _front_figures(kind, size, extra)
+        return f"{head} (on {on}) {figures})", f"mapped: {drawn} on fronts {on}"
+    names = [f"n{kept[number]}" for number in trouble["on"] if number in kept]
+    if not names:
+        wanted = max(1, round(len(trouble["on"]) * len(kept) / servers))
+        names = [f"n{number}" for number in range(wanted)]
+    line = f"{head} (on {' '.join(names)}) (size {size}) (extra {extra}))"
+    return line, f"mapped: {drawn} on {len(names)} nodes"
+
+
+def _on_fronts(trouble: dict[str, Any], fronts: int) -> str:
+    """As many of the fronts as are drawn, or all."""
+    wanted = len(trouble["on"]) or fronts
+    return " ".join(str(number) for number in range(min(fronts, max(1, wanted))))
+
+
+def _front_figures(kind: str, size: float, extra: float) -> str:
+    if kind == "front-kill":
+        return f"(size 0.0) (extra {extra or DOWN_SECONDS})"
+    seconds = size / 1000 if size > LONGEST_STALL_SECONDS else size
+    return f"(size {seconds}) (extra {extra})"
