Document and name what small modules left out: client, rehearsal, emulator, configuration

Changed: docstrings that say what is passed in and in which unit; http.HTTPStatus in the place of numbers; names for the rest.

--- a/oakcroft/client/blocking.py
+++ b/oakcroft/client/blocking.py
@@ -18,6 +18,7 @@
     """`with BlockingWhepClient(base) as client: playing = client.ask(path, offer)`."""
 
     def __init__(self, base: str, token: str = "") -> None:
+        """`base`: as http://127.0.0.1:8080. Its thread starts where the client is entered."""
         self.base, self.token = base, token
         self.started = threading.Event()
         self.thread = threading.Thread(
@@ -32,6 +33,7 @@
         await self.client.close()
 
     def __enter__(self) -> BlockingWhepClient:
+        """Starts the thread that speaks to the front."""
         self.thread.start()
         self.started.wait(10)
         return self
@@ -39,6 +41,7 @@
     def __exit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
+        """Closes the connection and ends the thread."""
         self._call(self._end)
         self.thread.join(10)
 
--- a/oakcroft/client/retry.py
+++ b/oakcroft/client/retry.py
@@ -11,6 +11,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from http import HTTPStatus
 from random import Random
 
 
@@ -18,6 +19,7 @@
     """The front rejected the request, and asking again was no use or not allowed. `status` and `kind` as it said."""
 
     def __init__(self, status: int, kind: str, title: str) -> None:
+        """`kind`: the problem's type; `title`: its text for people."""
         super().__init__(f"{status} {title}")
         self.status, self.kind, self.title = status, kind, title
 
@@ -63,7 +65,7 @@
     ) -> tuple[Next, float]:
         """What follows an answer (None: none came; `sent`: the request may have been read), and the seconds to wait
         first."""
-        if status is not None and status < 300:
+        if status is not None and status < HTTPStatus.MULTIPLE_CHOICES:
             return Next.DONE, 0.0
         how = (
             Next.GIVE_UP
@@ -83,7 +85,7 @@
             return Next.SAME_KEY
         if status in (429, 503) and retry:
             return Next.NEW_KEY
-        return Next.NEW_KEY if status == 504 and retry else Next.GIVE_UP
+        return Next.NEW_KEY if status == HTTPStatus.GATEWAY_TIMEOUT and retry else Next.GIVE_UP
 
 
 def fault(status: int, kind: str, title: str, retry: bool) -> Refused:
--- a/oakcroft/client/session.py
+++ b/oakcroft/client/session.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from random import Random
+from http import HTTPStatus
 from urllib.parse import urlsplit
 
 import trio
@@ -25,6 +26,7 @@
     """One playback: its answer, and its events as they come."""
 
     def __init__(self, id_: str, answer: str, tag: str, asked: api.Ask | None = None) -> None:
+        """`answer`: in SDP; `tag`: of its ICE session; `asked`: what it was asked for by, to ask for it again."""
         self.id, self.answer, self.tag, self.asked = id_, answer, tag, asked
         self.send, self.events = trio.open_memory_channel[api.Event](256)
 
@@ -35,6 +37,7 @@
     def __init__(
         self, url: str, token: str, subprotocol: str, nursery: trio.Nursery, retries: Retries
     ) -> None:
+        """`subprotocol`: the coding of messages; `nursery`: in which the client's tasks run."""
         parts = urlsplit(url)
         self.host, self.port, self.token = parts.hostname or "127.0.0.1", parts.port or 80, token
         self.subprotocol, self.codec, self.nursery = subprotocol, api.Codec(subprotocol), nursery
@@ -137,7 +140,11 @@
         """Asks a restarted front for a playback under its key: the same goes on, or it is lost."""
         again = api.Ask(next(self.numbers), asked.path, asked.offer, asked.key, asked.wait_s, asked.top)
         answer = await self.call(again)
-        if isinstance(answer, api.Answer) and answer.status == 201 and answer.playback == playback.id:
+        if (
+            isinstance(answer, api.Answer)
+            and answer.status == HTTPStatus.CREATED
+            and answer.playback == playback.id
+        ):
             return
         if self.playbacks.pop(playback.id, None) is not None:
             self.lost += 1
@@ -223,7 +230,7 @@
             answer = await self.call(ask)
             assert isinstance(answer, api.Answer)
             tries += 1
-            if answer.status == 201:
+            if answer.status == HTTPStatus.CREATED:
                 playback = self.playbacks[answer.playback] = Playback(
                     answer.playback, answer.answer, answer.tag, ask
                 )
--- a/oakcroft/client/whep.py
+++ b/oakcroft/client/whep.py
@@ -4,6 +4,7 @@
 
 import uuid
 from dataclasses import dataclass
+from http import HTTPStatus
 from random import Random
 from urllib.parse import urlsplit
 
@@ -30,6 +31,7 @@
     """Asks one front. `base`: as http://127.0.0.1:8080."""
 
     def __init__(self, base: str, token: str = "", retries: Retries | None = None) -> None:
+        """`token`: a bearer token, if the front asks for one; `retries`: which may be shared by several clients."""
         parts = urlsplit(base)
         self.peer = Peer(parts.hostname or "127.0.0.1", parts.port or 80, 2.0)
         self.headers: Headers = [("Authorization", f"Bearer {token}")] if token else []
@@ -43,7 +45,7 @@
         while True:
             response, sent = await self._once(path, offer, key, wait)
             tries += 1
-            if response is not None and response.status == 201:
+            if response is not None and response.status == HTTPStatus.CREATED:
                 tag = (response.header("etag") or "").strip('"')
                 return Playing(response.header("location") or "", response.body.decode(), tag)
             status, kind, title, retry, after = said(response)
--- a/oakcroft/config/expand.py
+++ b/oakcroft/config/expand.py
@@ -29,6 +29,7 @@
     """Opens files below one folder; an include cannot lead out of it."""
 
     def __init__(self, root: Path) -> None:
+        """`root`: the folder."""
         self.root = root.resolve()
 
     def open(self, name: str) -> str:
@@ -47,6 +48,7 @@
     """Expands one configuration."""
 
     def __init__(self, open_: Open, problems: Problems) -> None:
+        """`open_`: gives the text of a file by its path from the first one's folder."""
         self.open, self.problems = open_, problems
         self.definitions: dict[str, Definition] = {}
         self.files: set[str] = set()
--- a/oakcroft/config/problems.py
+++ b/oakcroft/config/problems.py
@@ -25,6 +25,7 @@
     length: int = 1
 
     def __str__(self) -> str:
+        """As editors and terminals know to follow it."""
         return f"{self.file}:{self.line}:{self.column}"
 
 
@@ -96,6 +97,7 @@
     """A configuration that did not pass its check."""
 
     def __init__(self, problems: Problems) -> None:
+        """Its text has the errors; `problems` the warnings as well."""
         super().__init__("\n".join(problems.show(p) for p in problems.sorted() if p.grade is Grade.ERROR))
         self.problems = problems
 
--- a/oakcroft/rehearsal/many_adopters.py
+++ b/oakcroft/rehearsal/many_adopters.py
@@ -75,6 +75,7 @@
 
     def __init__(self, fronts: int, nodes: int, each: int, seed: int, bounds: Bounds, net: Net | None = None,
                  room: int = 10_000, checks: bool = True) -> None:  # fmt: skip
+        """`each`: sessions that a front begins with; `room`: that it takes; `checks`: whether nodes check who asks."""
         self.rng, self.net, self.bounds, self.now, self.checks = Random(seed), net or Net(), bounds, 0, checks
         self.nodes = [Node() for _ in range(nodes)]
         self.fronts: dict[str, Front] = {}
--- a/oakcroft/rehearsal/many_owners.py
+++ b/oakcroft/rehearsal/many_owners.py
@@ -27,6 +27,7 @@
     """So many fronts, the first of them keepers, one duty, and what befalls them. `now` in ns from 0."""
 
     def __init__(self, fronts: int, keepers: int, term: int, loss: float = 0.0, seed: int = 1) -> None:
+        """`term`: the length of a lease, ns; `loss`: the share of messages that is lost."""
         self.rng, self.loss, self.term = Random(seed), loss, term
         self.names = [f"f{i:03}" for i in range(fronts)]
         granting = self.names[:keepers]
--- a/oakcroft/rehearsal/mixed.py
+++ b/oakcroft/rehearsal/mixed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from random import Random
 
 import trio
@@ -14,6 +15,10 @@
 from oakcroft.signalling import sdp, session_api as api, words
 
 
+BOTH_WAYS_EVERY, BOTH_WAYS_FIRST = 10, 5
+"""Of all viewers: which ask over HTTP as well, under the key that they have asked by."""
+
+
 class Mixed(Audience):
     """Half and half; what passes is recorded alike, so that the rules are judged over both ways."""
 
@@ -42,14 +47,14 @@
                             continue
                         connecting.deadline = float("inf")
                         answer = await self._say(client, visit, front, key)
-                        if answer is not None and answer.status == 201:
+                        if answer is not None and answer.status == HTTPStatus.CREATED:
                             if not served:
                                 served = True
                                 self.tally.served[name] += 1
                                 self.tally.in_target[name] += (
                                     trio.current_time() - began <= plan.plan.startup_target / 1e9
                                 )
-                            if visit.number % 10 == 5:
+                            if visit.number % BOTH_WAYS_EVERY == BOTH_WAYS_FIRST:
                                 await self._other_way(visit, front, key, answer.playback)
                             playback = Playback(answer.playback, answer.answer, answer.tag)
                             client.playbacks[answer.playback] = playback
@@ -59,7 +64,7 @@
                             self.tally.lost += not whole
                         elif answer is not None:
                             after = float(answer.retry_after_s or 0)
-                            if answer.status != 503:
+                            if answer.status != HTTPStatus.SERVICE_UNAVAILABLE:
                                 return
                 if connecting.cancelled_caught:
                     self.tally.answers["unreached"] += 1
@@ -91,7 +96,7 @@
             return None
         self.record.note("got", key=key, status=answer.status, type=answer.kind, extra=False)
         self.tally.answers[f"{answer.status} {answer.kind.rpartition(':')[2]}".strip()] += 1
-        if answer.status == 201:
+        if answer.status == HTTPStatus.CREATED:
             self.tally.waits.append(round((trio.current_time() - sent) * 1e9))
         return answer
 
@@ -107,8 +112,8 @@
             return
         finally:
             await peer.close()
-        same = sat.status == 201 and sat.header("location") == f"/session/{playback}"
-        gone = sat.status != 201  # it ended, or its front was stopped, in between
+        same = sat.status == HTTPStatus.CREATED and sat.header("location") == f"/session/{playback}"
+        gone = sat.status != HTTPStatus.CREATED  # it ended, or its front was stopped, in between
         self.record.note("both ways", key=key, same=same, status=sat.status)
         self.tally.answers["both ways: " + ("same" if same else "gone" if gone else "ANOTHER")] += 1
 
--- a/oakcroft/rehearsal/viewers.py
+++ b/oakcroft/rehearsal/viewers.py
@@ -6,6 +6,7 @@
 import itertools
 from collections import Counter
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from random import Random
 
 import trio
@@ -113,6 +114,7 @@
     waits: list[int] = field(default_factory=list)  # of every 201, ns
 
 
+GIVES_UP_AFTER = 30.0  # seconds after its first request, a viewer that was turned away asks no more
 PATIENCE = 8.0  # seconds for which a patient player looks for its front again, while its node plays on
 
 
@@ -123,6 +125,7 @@
     patient = False
 
     def __init__(self, day: Day, record: Record) -> None:
+        """`record`: told of what is asked and answered."""
         self.day, self.record, self.tally = day, record, Tally()
         self.ports: dict[int, int] = {}
         self.stopped = False
@@ -157,9 +160,13 @@
             tries += 1
             front = self._front(rng, visit.wing)
             sat = await self._ask(visit, rng, front, key)
-            if sat is None or sat.status != 201:
-                again = sat is None or sat.status == 503
-                if not again or rng.random() > self.day.crowd.returns or trio.current_time() - began > 30:
+            if sat is None or sat.status != HTTPStatus.CREATED:
+                again = sat is None or sat.status == HTTPStatus.SERVICE_UNAVAILABLE
+                if (
+                    not again
+                    or rng.random() > self.day.crowd.returns
+                    or trio.current_time() - began > GIVES_UP_AFTER
+                ):
                     return
                 wait = rng.uniform(*self.day.crowd.back_after) / 1e9
                 if sat is not None and (after := sat.header("retry-after")):
@@ -212,10 +219,10 @@
         extra = (
             bool(peer.idle) and readable(peer.idle[-1].stream) and response.header("connection") != "close"
         )
-        kind = words.problem_type(response.body) if response.status >= 400 else ""
+        kind = words.problem_type(response.body) if response.status >= HTTPStatus.BAD_REQUEST else ""
         self.record.note("got", key=key, status=response.status, type=kind, extra=extra)
         self.tally.answers[f"{response.status} {kind.rpartition(':')[2]}".strip()] += 1
-        if response.status == 201:
+        if response.status == HTTPStatus.CREATED:
             self.tally.waits.append(round((trio.current_time() - sent) * 1e9))
         await peer.close()
         return response
@@ -228,7 +235,7 @@
                 peer = Peer("127.0.0.1", self.ports.get(front, 1), 1.0)
                 events = f"{here}/events?kinds=inactive"
                 async with peer.stream("GET", events, [("Accept", words.EVENTS)]) as (head, chunks):
-                    if head.status != 200:
+                    if head.status != HTTPStatus.OK:
                         return False
                     until = 0.0
                     async for chunk in chunks:
--- a/oakcroft/standins/links.py
+++ b/oakcroft/standins/links.py
@@ -78,6 +78,7 @@
     smooth: float = 1.0
 
     def __post_init__(self) -> None:
+        """Puts itself into its rack."""
         self.rack.nodes.append(self)
 
     def asked_kb(self) -> float:
--- a/oakcroft/standins/record.py
+++ b/oakcroft/standins/record.py
@@ -13,6 +13,7 @@
     """Appends facts to a file."""
 
     def __init__(self, path: Path) -> None:
+        """Begins the file anew."""
         self.out: IO[bytes] = path.open("wb", buffering=1 << 16)
 
     def note(self, kind: str, **fields: Any) -> None:
--- a/oakcroft/standins/rtp.py
+++ b/oakcroft/standins/rtp.py
@@ -45,9 +45,16 @@
     rung: int
 
 
+VERSION_2 = 0x80
+"""The first octet of a packet without padding, extension or contributing sources (RFC 3550, section 5.1)."""
+
+CANDIDATE_PARTS = 8
+"""Of a candidate attribute up to its type (RFC 8839, section 5.1)."""
+
+
 def parse(data: bytes) -> Packet | None:
     """Reads a packet; None for what is none of ours."""
-    if len(data) != HEADER.size + EXTRA.size or data[0] != 0x80 or data[1] & 0x7F != VIDEO:
+    if len(data) != HEADER.size + EXTRA.size or data[0] != VERSION_2 or data[1] & 0x7F != VIDEO:
         return None
     _, _, sequence, timestamp, source = HEADER.unpack_from(data)
     sent, rung = EXTRA.unpack_from(data, HEADER.size)
@@ -59,7 +66,12 @@
     for media in offer.media:
         for name, value in media.attributes:
             parts = value.split(" ")
-            if name == "candidate" and len(parts) >= 8 and parts[7] == "host" and parts[5].isdigit():
+            if (
+                name == "candidate"
+                and len(parts) >= CANDIDATE_PARTS
+                and parts[7] == "host"
+                and parts[5].isdigit()
+            ):
                 return parts[4], int(parts[5])
     return None
 
@@ -72,6 +84,7 @@
     """
 
     def __init__(self) -> None:
+        """Nothing has played yet."""
         self.last_timestamp, self.last_at = -1, 0
         self.played = self.doubles = 0
         self.longest = 0
