Send ends of sessions to viewers that confirm them, and keep connections with sessions

Ruled out: requests without a final answer (none lost), evictions under an open set-up (none), unsent octets (none), answers after their time. Cause: platform/viewers.py _make_room took the never-speaking first, however new, then the one silent for longest, which were those with sessions; platform/owner.py _release took the oldest open connection, a stranger's. An answer that is still unsent makes room last. Five cases of tests/test_instants.py fail on the text before.

--- a/oakcroft/platform/owner.py
+++ b/oakcroft/platform/owner.py
@@ -22,6 +22,7 @@
 from oakcroft.interface import State
 from oakcroft.platform.alarms import Alarms
 from oakcroft.platform.pool import GIVEN_UP, NodeLink, Pool
+from oakcroft.platform.releases import Releases
 from oakcroft.platform.ticket import Asked, Ticket, ViewerEnd
 from oakcroft.platform.viewers import FAILED, OVER, REFUSED, ViewerLink, release
 from oakcroft.platformwire import channel, framing, lines
@@ -34,7 +35,6 @@
 MOST_TITLES = 1_024
 MOST_OPEN = 1_024  # set-ups
 MOST_PLAYING = 8_192
-MOST_OWED = 4_096  # releases for which no viewer's connection is open
 NODE_LINKS = 16  # connections to one node at most
 MOST_EARLY = 4_096  # playbacks of which nodes tell before they are handed over
 HELD_PART = 8  # of the memory: for descriptions that wait for an answer
@@ -65,7 +65,7 @@
         self.pools: dict[str, Pool] = {}
         self.former: dict[Pool, None] = {}  # of nodes whose name has another address now
         self.viewers: dict[ViewerLink, None] = {}
-        self.owed: deque[bytes] = deque(maxlen=MOST_OWED)  # releases, for the next connection that opens
+        self.releases = Releases(clock, self.viewers)
         self.early: dict[str, deque[Event]] = {}  # what nodes told of playbacks that are not handed over yet
         self.setting_up = 0
         self.held = 0  # characters of the descriptions of set-ups that are open, or come to be
@@ -145,6 +145,7 @@
 
     def _look(self) -> None:
         now = self.clock.now()
+        self.releases.look()
         if self.early and self._handed_over_all(now):
             self.early.clear()
         for pool in [*self.pools.values(), *self.former]:
@@ -261,8 +262,7 @@
     def opened(self, link: ViewerLink) -> None:
         """A connection has come: releases that found none open go out on it."""
         self.viewers[link] = None
-        while self.owed and link.open:
-            link.write(self.owed.popleft())
+        self.releases.opened(link)
 
     def asked(self, a: Asked) -> None:
         """A set-up has come. It waits for its turn, but nobody waits for a place: what finds none is refused at once, so
@@ -340,6 +340,7 @@
             link.write(release(t.id, FAILED))
             return
         t.pool, t.began_at = pool, now
+        link.sessions += 1
         self.tickets[t.id] = self.of[t.pb] = t
         pool.standing[t] = None
         self.controller.resumed(t.pb, pool.node, now)
@@ -370,6 +371,10 @@
         elif t.viewer is link:
             self._given_up(t)
 
+    def release_heard(self, session: str) -> None:
+        """A viewer's side has heard the end of a session."""
+        self.releases.confirmed(session)
+
     def _cut(self, t: Ticket) -> None:
         """The node has not said that a playback is over which its viewer has ended."""
         if t.pb.state is State.CLOSED:
@@ -426,6 +431,8 @@
                 t.pool.standing.pop(t, None)
             if t.began_at == 0:
                 self._settled(t)
+            elif t.viewer is not None:
+                t.viewer.sessions -= 1
             if t.pb.tries and t.pb.plan.effect is not Effect.FREE:
                 self.spent[t.id] = None
                 if len(self.spent) > MOST_SPENT:
@@ -496,6 +503,8 @@
         pool.standing[t] = None
         if t.viewer is not None:
             t.viewer.open_here.pop(t.id, None)
+            t.viewer.has_served = True
+            t.viewer.sessions += 1
             t.viewer.write(answer)
         self.controller.playing(t.pb, now)
 
@@ -531,11 +540,7 @@
 
     def _release(self, t: Ticket, cause: int) -> None:
         """The end of a playback, on its own connection, else on any, else on the next."""
-        message = release(t.id, cause)
-        for link in ([t.viewer] if t.viewer is not None else []) + list(self.viewers):
-            if not link.ended() and link.write(message):
-                return
-        self.owed.append(message)
+        self.releases.send(t.id, release(t.id, cause), t.viewer)
 
     # What the module asks for.
 
--- /dev/null
+++ b/oakcroft/platform/releases.py
@@ -0,0 +1,89 @@
+"""Releases towards viewers: sends the end of each session on a connection, and again until it is confirmed."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from oakcroft.decisions.sessions.release_delivery import ReleaseTarget, UnconfirmedReleases, target_order
+from oakcroft.platform.ticket import ViewerEnd
+from oakcroft.running.clock import Clock
+
+MAX_OWED = 4_096  # releases for which no viewer's connection is open; past it the oldest goes
+
+
+@dataclass
+class _Release:
+    """One release: its message, its session's own connection, and the connections it was sent on."""
+
+    message: bytes
+    own: ViewerEnd | None
+    sent_on: list[ViewerEnd] = field(default_factory=list)
+
+
+class Releases:
+    """Ends of sessions on their way to their viewers, over the connections that are open.
+
+    One that went on its session's own connection needs no confirmation: it arrives, or the connection breaks.
+    """
+
+    def __init__(self, clock: Clock, connections: Iterable[ViewerEnd]) -> None:
+        """`connections`: those that are open, a live view."""
+        self.clock, self.connections = clock, connections
+        self.owed = OrderedDict[str, _Release]()  # for the next connection that opens
+        self.unconfirmed = UnconfirmedReleases()
+        self._under_way: dict[str, _Release] = {}
+
+    def send(self, session: str, message: bytes, own: ViewerEnd | None) -> None:
+        """Sends the end of a session on its own connection, else on another, else on the next that opens."""
+        release = _Release(message, own)
+        if self._attempt(session, release):
+            return
+        self.owed[session] = release
+        if len(self.owed) > MAX_OWED:
+            self.owed.popitem(last=False)
+
+    def opened(self, connection: ViewerEnd) -> None:
+        """A connection has come: releases that found none open go out on it."""
+        for session, release in list(self.owed.items()):
+            if not self._send_on(connection, session, release):
+                return
+            del self.owed[session]
+
+    def confirmed(self, session: str) -> None:
+        """A viewer's side has heard the release."""
+        self.unconfirmed.confirmed(session)
+        self._under_way.pop(session, None)
+
+    def look(self) -> None:
+        """Sends again what has not been confirmed in time, where there is another connection to send it on."""
+        for session in self.unconfirmed.overdue(self.clock.now()):
+            if not self._attempt(session, self._under_way[session]):
+                self.unconfirmed.confirmed(session)
+        for session in [s for s in self._under_way if s not in self.unconfirmed]:
+            del self._under_way[session]
+
+    def _attempt(self, session: str, release: _Release) -> bool:
+        """Whether there was a connection on which it had not been sent yet."""
+        return any(self._send_on(connection, session, release) for connection in self._targets(release))
+
+    def _targets(self, release: _Release) -> list[ViewerEnd]:
+        """The connections that it may be sent on next, the best first."""
+        candidates = dict.fromkeys([release.own, *self.connections])
+        untried = [c for c in candidates if c is not None and c not in release.sent_on]
+
+        def order(connection: ViewerEnd) -> tuple[bool, bool, bool]:
+            own = connection is release.own
+            return target_order(ReleaseTarget(own, connection.has_served, connection.sessions))
+
+        return sorted(untried, key=order)
+
+    def _send_on(self, connection: ViewerEnd, session: str, release: _Release) -> bool:
+        if connection.ended() or not connection.write(release.message):
+            return False
+        release.sent_on.append(connection)
+        if connection is not release.own:
+            self._under_way[session] = release
+            self.unconfirmed.sent(session, self.clock.now())
+        return True
--- a/oakcroft/platform/ticket.py
+++ b/oakcroft/platform/ticket.py
@@ -12,6 +12,9 @@
 class ViewerEnd(Protocol):
     """What a playback needs of its viewer's connection."""
 
+    sessions: int  # that stand and came on it
+    has_served: bool  # a set-up that came on it was answered with a session
+
     @property
     def open_here(self) -> dict[str, Ticket]:
         """The set-ups that are open on it."""
--- a/oakcroft/platform/viewers.py
+++ b/oakcroft/platform/viewers.py
@@ -9,6 +9,7 @@
 import structlog
 import trio
 
+from oakcroft.decisions.admission.eviction import IdleConnection, eviction_order
 from oakcroft.decisions.admission.patience import Stillness
 from oakcroft.interface import MS, SECOND
 from oakcroft.platform.link import READ, Link, prepared
@@ -50,6 +51,9 @@
     def released(self, link: ViewerLink, session: str) -> None:
         """A viewer gives a set-up up, or ends a playback."""
 
+    def release_heard(self, session: str) -> None:
+        """A viewer's side confirms that it has heard the end of a session."""
+
     def asked(self, a: Asked) -> None:
         """A set-up has come. It waits for its turn."""
 
@@ -72,6 +76,8 @@
         self.since = self.empty_at = clock.now()  # when it last gave a whole message; was last known empty
         self.written: int | None = None  # the earliest time at which what is unread may have been
         self.spoke = False
+        self.sessions = 0  # that stand and came on it
+        self.has_served = False  # a set-up that came on it was answered with a session
         self.left = False  # the peer has closed or reset it: nothing more comes
         self.waiting = trio.CancelScope()
 
@@ -114,6 +120,11 @@
         """Whether nothing is owed on it."""
         return not (self.open_here or self.asked)
 
+    @property
+    def as_idle(self) -> IdleConnection:
+        """What its eviction is decided by, where it is idle."""
+        return IdleConnection(self.since, self.spoke, self.sessions, self.frames.partial, bool(self.out))
+
     @property
     def unread(self) -> int:
         """Whole messages that have not been taken, those in its socket among them."""
@@ -190,15 +201,16 @@
         return sum(1 for link in self.links if link.out)
 
     def _make_room(self) -> bool:
-        """Closes the connection without an open set-up that has been silent for longest.
-
-        Guards against clients that connect by hundreds and say nothing; covers any that hold more connections than
-        they use. Harm: a viewer that is as idle opens another.
-        """
-        for link in sorted((x for x in self.links if x.idle), key=lambda x: (x.spoke, x.since)):
-            if not link.unread:  # a set-up may be on its way already
-                self._drop(link)
-                return True
+        """Closes a connection without an open set-up, if there is one."""
+        now = self.clock.now()
+        idle = [link for link in self.links if link.idle]
+        for link in sorted(idle, key=lambda x: eviction_order(x.as_idle, now)):
+            was_partial = link.frames.partial
+            has_come = link.unread > 0
+            if has_come or link.frames.partial > was_partial:  # its request, or a part of it
+                continue
+            self._drop(link)
+            return True
         return False
 
     def _drop(self, link: ViewerLink) -> None:
@@ -249,6 +261,8 @@
             link.write(framing.encode(framing.TESTED, session, (framing.CAUSE, bytes((int(self.ready),)))))
         elif kind == framing.RELEASE:
             owner.released(link, session)
+        elif kind == framing.HEARD:
+            owner.release_heard(session)
         elif kind == framing.SET_UP:
             try:
                 asked = asking.playback(
--- /dev/null
+++ b/tests/test_connection_limits.py
@@ -0,0 +1,86 @@
+"""Which connection makes room for a new one, and on which connection the end of a session is sent."""
+
+from __future__ import annotations
+
+from oakcroft.decisions.admission.eviction import (
+    FIRST_REQUEST_EXPECTED,
+    Evictable,
+    IdleConnection,
+    eviction_order,
+)
+from oakcroft.decisions.sessions.release_delivery import (
+    CONFIRMED_WITHIN,
+    MAX_ATTEMPTS,
+    MAX_UNCONFIRMED,
+    ReleaseTarget,
+    UnconfirmedReleases,
+    target_order,
+)
+from oakcroft.interface import SECOND
+
+NOW = 100 * SECOND
+
+
+def connection(
+    since: int = NOW, has_asked: bool = True, sessions: int = 0, partial: bool = False, unsent: bool = False
+) -> IdleConnection:
+    """A connection that has asked once and plays nothing, but for what a test names."""
+    return IdleConnection(since, has_asked, sessions, partial, unsent)
+
+
+def test_the_silent_go_first_then_whoever_plays_nothing_and_newcomers_late() -> None:
+    """Each line of the classes, in the order in which they make room."""
+    connections = [
+        connection(since=NOW - FIRST_REQUEST_EXPECTED - 1, has_asked=False),
+        connection(),
+        connection(sessions=1),
+        connection(since=NOW - FIRST_REQUEST_EXPECTED, has_asked=False),
+        connection(since=0, has_asked=False, partial=True),
+        connection(since=0, sessions=1, unsent=True),
+    ]
+    classes = [eviction_order(one, NOW)[0] for one in connections]
+    assert classes == list(Evictable)
+
+
+def test_of_one_class_the_one_idle_for_longest_goes_first() -> None:
+    """Whatever the order in which they came."""
+    older, newer = connection(since=NOW - 2), connection(since=NOW - 1)
+    assert min((newer, older), key=lambda one: eviction_order(one, NOW)) is older
+
+
+def test_an_end_is_sent_on_its_own_connection_then_on_those_that_were_served() -> None:
+    """A stranger's connection is the last resort."""
+    targets = [
+        ReleaseTarget(own=True, has_served=False, sessions=0),
+        ReleaseTarget(own=False, has_served=True, sessions=2),
+        ReleaseTarget(own=False, has_served=True, sessions=0),
+        ReleaseTarget(own=False, has_served=False, sessions=1),
+        ReleaseTarget(own=False, has_served=False, sessions=0),
+    ]
+    shuffled = [targets[i] for i in (3, 0, 4, 2, 1)]
+    assert sorted(shuffled, key=target_order) == targets
+
+
+def test_an_end_is_sent_again_until_it_is_confirmed_and_so_often_at_most() -> None:
+    """Each attempt has its time; one that is confirmed is never sent again."""
+    releases, now = UnconfirmedReleases(), NOW
+    for session in ("heard", "never heard"):
+        releases.sent(session, now)
+    assert releases.overdue(now + CONFIRMED_WITHIN - 1) == []
+    releases.confirmed("heard")
+    for _ in range(MAX_ATTEMPTS - 1):
+        now += CONFIRMED_WITHIN
+        assert releases.overdue(now) == ["never heard"]
+        releases.sent("never heard", now)
+    assert releases.overdue(now + CONFIRMED_WITHIN) == []
+    assert len(releases) == 0
+
+
+def test_ends_without_confirmation_are_bounded() -> None:
+    """Past the bound the oldest is taken as heard."""
+    releases = UnconfirmedReleases()
+    for i in range(MAX_UNCONFIRMED + 2):
+        releases.sent(str(i), NOW)
+    assert len(releases) == MAX_UNCONFIRMED
+    assert "1" not in releases
+    assert "2" in releases
--- a/tests/test_instants.py
+++ b/tests/test_instants.py
@@ -551,6 +551,89 @@
     on_platform(test)
 
 
+async def stranger(rig: PlatformRig) -> WireViewer:
+    """A client that asks once, has its answer, and keeps its connection for good."""
+    one = await rig.viewer()
+    await one.say(framing.TEST, C, 0)
+    assert (await one.hear() or (0,))[0] == framing.TESTED
+    return one
+
+
+async def plays(rig: PlatformRig, sid: str) -> tuple[WireViewer, WireNode]:
+    """A viewer with a session that stands, and its node."""
+    viewer = await rig.viewer()
+    await viewer.ask(sid)
+    assert (await viewer.hear() or (0,))[0] == framing.ANSWER
+    return viewer, next(n for n in rig.nodes if n.got("open", sid))
+
+
+def test_a_crowd_that_asks_once_and_stays_closes_no_connection_with_a_session() -> None:
+    async def test(rig: PlatformRig) -> None:
+        viewers = rig.platform.viewers
+        assert viewers is not None
+        viewer, node = await plays(rig, A)
+        crowd = [await stranger(rig) for _ in range(viewers.most + 3)]
+        assert viewers.shed == 4
+        assert [await one.hear() for one in crowd[:4]] == [None] * 4
+        await node.say(node.links[0], msg="close", sid=A, attrs={}, code=16)
+        assert await viewer.hear() == (framing.RELEASE, A, OVER, b"")
+
+    on_platform(test)
+
+
+def test_a_newcomer_does_not_close_the_one_before_it_whose_set_up_is_on_its_way() -> None:
+    async def test(rig: PlatformRig) -> None:
+        viewers = rig.platform.viewers
+        assert viewers is not None
+        crowd = [await stranger(rig) for _ in range(viewers.most)]
+        newcomers = [await rig.viewer() for _ in range(3)]
+        await until(lambda: viewers.shed == 3)
+        for one, sid in zip(newcomers, (A, B, "0" * 15 + "d"), strict=True):
+            await one.ask(sid)
+            assert (await one.hear() or (0,))[0] == framing.ANSWER
+        assert [await one.hear() for one in crowd[:3]] == [None] * 3
+
+    on_platform(test)
+
+
+def test_an_end_whose_connection_has_gone_goes_to_one_that_was_served_and_to_no_stranger() -> None:
+    async def test(rig: PlatformRig) -> None:
+        first = await stranger(rig)
+        viewer, node = await plays(rig, A)
+        other, _ = await plays(rig, B)
+        await viewer.stream.aclose()
+        await until(lambda: len(rig.owner.viewers) == 2)
+        await node.say(node.links[0], msg="close", sid=A, attrs={}, code=16)
+        assert await other.hear() == (framing.RELEASE, A, OVER, b"")
+        await other.say(framing.HEARD, A)
+        await until(lambda: len(rig.owner.releases.unconfirmed) == 0)
+        await first.say(framing.TEST, C, 0)
+        assert (await first.hear() or (0,))[0] == framing.TESTED  # and nothing before it
+
+    on_platform(test)
+
+
+@pytest.mark.parametrize("owed", [False, True], ids=["strangers there", "strangers come"])
+def test_an_end_that_strangers_do_not_confirm_is_sent_again_until_a_viewer_hears_it(owed: bool) -> None:
+    async def test(rig: PlatformRig) -> None:
+        strangers = [] if owed else [await stranger(rig), await stranger(rig)]
+        viewer, node = await plays(rig, A)
+        await viewer.stream.aclose()
+        await until(lambda: len(rig.owner.viewers) == len(strangers))
+        await node.say(node.links[0], msg="close", sid=A, attrs={}, code=16)
+        if owed:
+            await until(lambda: rig.owner.releases.owed)
+            strangers = [await rig.viewer(), await rig.viewer()]
+        for one in strangers:
+            assert await one.hear() == (framing.RELEASE, A, OVER, b"")
+        late = await rig.viewer()
+        assert await late.hear() == (framing.RELEASE, A, OVER, b"")
+        await late.say(framing.HEARD, A)
+        await until(lambda: len(rig.owner.releases.unconfirmed) == 0)
+
+    on_platform(test)
+
+
 def test_a_front_that_stood_still_does_not_hold_it_against_those_who_spoke(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -223,7 +223,7 @@
         await other.stream.aclose()
         await until(lambda: not rig.owner.viewers)
         await places[B].say(places[B].links[0], msg="close", sid=B, attrs={}, code=16)
-        await until(lambda: rig.owner.owed)
+        await until(lambda: rig.owner.releases.owed)
         assert await (await rig.viewer()).hear() == (framing.RELEASE, B, OVER, b"")
 
     on_platform(test)
@@ -401,7 +401,7 @@
         assert not owner.of
         assert owner.setting_up == 0
         assert len(owner.titles.titles) <= limits.MOST_TITLES
-        assert not owner.owed
+        assert not owner.releases.owed
         assert not owner.work
         for pool in owner.pools.values():
             assert not pool.standing
