--- /dev/null
+++ b/tests/test_platform_terms.py
@@ -0,0 +1,163 @@
+"""Terms that the platform's users have renewed and that no page shows in full, each forced over real connections:
+reloads while nodes drain, whole lists, nodes killed behind an accept, requests in pieces, channels that fall silent late.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+from pathlib import Path
+
+import orjson
+import pytest
+import trio
+from helpers import PlatformRig, WireViewer, on_platform
+from rig import until
+
+from oakcroft.interface import Listing
+from oakcroft.platformwire import framing
+
+A, B, C = "000000000000000a", "000000000000000b", "000000000000000c"
+FAILED, REFUSED = 41, 42
+SESSIONS = 8
+SET_UPS = [f"{number:016x}" for number in range(100, 100 + SESSIONS)]
+
+
+async def asks_all(rig: PlatformRig, viewer: WireViewer) -> None:
+    """Several titles, so that every node that may be chosen is."""
+    for sid in SET_UPS:
+        await viewer.ask(sid, title=f"title {sid}")
+        assert (await viewer.hear() or (0,))[0] == framing.ANSWER
+
+
+def listed(rig: PlatformRig, name: str) -> Listing:
+    """What the front believes of a node."""
+    return rig.owner.pools[name].node.listing
+
+
+def opens(rig: PlatformRig, node: int) -> int:
+    """Set-ups that have reached a node."""
+    return len(rig.nodes[node].got("open"))
+
+
+@pytest.mark.parametrize("how", ["told on the new channel", "told on the old one as it ends"])
+def test_a_reload_while_a_node_drains_sends_it_nothing(how: str, tmp_path: Path) -> None:
+    """The channel moves in the same moment in which a node begins to drain."""
+
+    async def test(rig: PlatformRig) -> None:
+        rig.platform.file = tmp_path / "config.json"
+        viewer, old, told = await rig.viewer(), rig.channel, rig.told()
+        if how == "told on the old one as it ends":
+            rig.change(2, rig.member(rig.nodes[0], "draining"))
+            await until(lambda: listed(rig, "n0") is Listing.DRAINING)
+        new_port = await rig.listen(type(old).serve.__get__(rig.channel))
+        rig.platform.file.write_bytes(orjson.dumps(told | {"channel": f"127.0.0.1:{new_port}"}))
+        rig.platform.reload()
+        if how == "told on the new channel":
+            rig.change(2, rig.member(rig.nodes[0], "draining"))
+            await until(lambda: listed(rig, "n0") is Listing.DRAINING)
+        before = opens(rig, 0)
+        await asks_all(rig, viewer)
+        assert opens(rig, 0) == before
+        assert rig.platform.follower is not None
+        assert rig.platform.follower.address[1] == new_port
+
+    on_platform(test)
+
+
+def test_a_whole_list_in_the_middle_removes_what_it_does_not_name() -> None:
+    """A later event may hold the whole list again; a node that is not on it has gone, with what stood there."""
+
+    async def test(rig: PlatformRig) -> None:
+        viewer = await rig.viewer()
+        await viewer.ask(A)
+        await viewer.hear()
+        node = next(n for n in rig.nodes if n.got("open", A))
+        other = next(n for n in rig.nodes if n is not node)
+        whole = {"complete": True, "members": [rig.member(other)]}
+        rig.channel.cmds.append({"cursor": 2, "nodes": whole})
+        assert (await viewer.hear() or ())[:3] == (framing.RELEASE, A, FAILED)
+        before = len(node.got("open"))
+        await asks_all(rig, viewer)
+        assert len(node.got("open")) == before
+        again = {"complete": True, "members": [rig.member(n) for n in rig.nodes]}
+        rig.channel.cmds.append({"cursor": 3, "nodes": again})
+        await until(lambda: len(rig.owner.pools) == 2 and listed(rig, node.name) is Listing.READY)
+
+    on_platform(test)
+
+
+def reset(stream: trio.SocketStream) -> None:
+    """Ends a connection as the death of its process does."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    stream.socket.close()
+
+
+@pytest.mark.parametrize(("plan", "answers"), [("paid", (FAILED,)), ("free", (framing.ANSWER,))])
+def test_a_node_killed_behind_its_accept_costs_one_answer_and_no_second_run(
+    plan: str, answers: tuple[int, ...]
+) -> None:
+    """It has accepted the connection and dies with the set-up unread: it may have run, so a paid one is not repeated."""
+
+    async def test(rig: PlatformRig) -> None:
+        killed: list[int] = []
+        for node in rig.nodes:
+            node.reads = trio.Event()
+        viewer = await rig.viewer()
+        await viewer.ask(A, plan)
+        await until(lambda: any(pool.links and pool.links[0].out_here for pool in rig.owner.pools.values()))
+        for number, node in enumerate(rig.nodes):
+            if node.links:
+                killed.append(number)
+                reset(node.links[0])
+        for number, node in enumerate(rig.nodes):
+            if number not in killed:  # the dead read nothing
+                node.reads.set()
+        heard = await viewer.hear()
+        assert heard is not None
+        assert (heard[2] if heard[0] == framing.RELEASE else heard[0],) == answers
+        assert len(killed) == 1
+        assert sum(opens(rig, number) for number in range(2)) == (plan == "free")
+        await viewer.ask(C)
+        assert (await viewer.hear() or (0, ""))[1] == C  # and nothing else under the first id
+
+    on_platform(test)
+
+
+def test_a_request_in_pieces_is_answered_also_while_places_are_short() -> None:
+    """Each octet by itself, while a crowd takes every place for connections: its connection makes room last."""
+
+    async def test(rig: PlatformRig) -> None:
+        viewers = rig.platform.viewers
+        assert viewers is not None
+        viewer = await rig.viewer()
+        request = viewer.set_up(A, "paid")
+        crowd = list[WireViewer]()
+        for octet in request:
+            await viewer.stream.send_all(bytes((octet,)))
+            if len(crowd) < viewers.most + SESSIONS:
+                crowd.append(one := await rig.viewer())
+                await one.say(framing.TEST, C, 0)
+                await one.hear()
+        assert len(crowd) == viewers.most + SESSIONS
+        assert (await viewer.hear() or ())[:2] == (framing.ANSWER, A)
+
+    on_platform(test)
+
+
+def test_a_request_whose_last_piece_brings_its_release_is_set_up_nowhere() -> None:
+    """What is taken back in the read that makes it whole was never owed anything."""
+
+    async def test(rig: PlatformRig) -> None:
+        viewer = await rig.viewer()
+        request = viewer.set_up(A, "paid")
+        await viewer.stream.send_all(request[:-1])
+        await until(lambda: any(link.frames.partial for link in rig.owner.viewers))
+        await viewer.stream.send_all(
+            request[-1:] + framing.encode(framing.RELEASE, A, (framing.CAUSE, b"\x10"))
+        )
+        await viewer.ask(B)
+        assert (await viewer.hear() or ())[:2] == (framing.ANSWER, B)
+        assert not any(node.got("open", A) for node in rig.nodes)
+
+    on_platform(test)
