--- a/oakcroft/platform/owner.py
+++ b/oakcroft/platform/owner.py
@@ -18,9 +18,10 @@
 from oakcroft.choice import Controller
 from oakcroft.decisions.admission.patience import BEAT, Stillness, due, margin
 from oakcroft.decisions.routing.titles import Shelf
-from oakcroft.interface import MS, SECOND, Effect, Entry, Listing, ListKind, Node, Note, Outcome, Playback
+from oakcroft.interface import MS, SECOND, Effect, ListKind, Node, Note, Outcome, Playback
 from oakcroft.interface import State
 from oakcroft.platform.alarms import Alarms
+from oakcroft.platform.node_pools import MAX_CONNECTIONS_PER_NODE, NodePools
 from oakcroft.platform.pool import GIVEN_UP, NodeLink, Pool
 from oakcroft.platform.releases import Releases
 from oakcroft.platform.ticket import Asked, Ticket, ViewerEnd
@@ -35,7 +36,6 @@
 MOST_TITLES = 1_024
 MOST_OPEN = 1_024  # set-ups
 MOST_PLAYING = 8_192
-NODE_LINKS = 16  # connections to one node at most
 MOST_EARLY = 4_096  # playbacks of which nodes tell before they are handed over
 HELD_PART = 8  # of the memory: for descriptions that wait for an answer
 WAY_BACK = 15 * MS  # kept of a viewer's wait for the answer's way
@@ -62,8 +62,7 @@
         self.titles = Shelf(MOST_TITLES, told.terms.cells, 0, {})
         self.tickets: dict[str, Ticket] = {}
         self.of: dict[Playback, Ticket] = {}
-        self.pools: dict[str, Pool] = {}
-        self.former: dict[Pool, None] = {}  # of nodes whose name has another address now
+        self.node_pools = NodePools(told, clock, self, self._make_pool)
         self.viewers: dict[ViewerLink, None] = {}
         self.releases = Releases(clock, self.viewers)
         self.early: dict[str, deque[Event]] = {}  # what nodes told of playbacks that are not handed over yet
@@ -71,7 +70,6 @@
         self.held = 0  # characters of the descriptions of set-ups that are open, or come to be
         self.most_held = told.memory // HELD_PART
         self.counts: dict[str, int] = {}
-        self.node_links = max(1, told.sockets // 3)
         # A node tells of each playback's link so often: one that is silent for longer may be gone. Where nodes tell
         # nothing unasked, silence says little, and a node is shown to be there by a connection now and then.
         every = told.terms.reports_every
@@ -86,7 +84,18 @@
     @property
     def unsaid(self) -> int:
         """Nodes for which releases and other words wait, for a connection or for the node to read."""
-        return sum(1 for p in self.pools.values() if p.unsaid or any(x.out for x in p.links))
+        return self.node_pools.unsaid
+
+    @property
+    def pools(self) -> dict[str, Pool]:
+        """The connections to each node on the list, by its name."""
+        return self.node_pools.by_name
+
+    def _make_pool(self, node: Node, address: tuple[str, int]) -> Pool:
+        return Pool(
+            node, address, MAX_CONNECTIONS_PER_NODE, self.told.streams, self.told.idle, self.told.connect_within,
+            self.silent, self.clock, self.nursery, self.tell, self,
+        )  # fmt: skip
 
     @property
     def playing(self) -> int:
@@ -139,7 +148,7 @@
             looks += 1
             if looks % 50 == 0:
                 self.logger.info("figures", open=self.setting_up, playing=self.playing,
-                                 viewers=len(self.viewers), node_links=sum(len(p.links) for p in self.pools.values()),
+                                 viewers=len(self.viewers), node_links=self.node_pools.connections,
                                  titles=len(self.titles.titles), nodes=len(self.pools), x=round(self.controller.x, 3),
                                  lag_ms=self.lag // MS, **self.counts)  # fmt: skip
 
@@ -148,13 +157,7 @@
         self.releases.look()
         if self.early and self._handed_over_all(now):
             self.early.clear()
-        for pool in [*self.pools.values(), *self.former]:
-            pool.look(now)
-            if not pool.listed and pool.unused:
-                pool.close()
-                if self.pools.get(pool.node.name) is pool:
-                    del self.pools[pool.node.name]
-                self.former.pop(pool, None)
+        self.node_pools.look(now)
 
     def count(self, what: str, why: str = "") -> None:
         """Counts something that clients or nodes did wrong."""
@@ -175,51 +178,14 @@
 
     def listed(self, complete: bool, members: list[channel.Member]) -> None:
         """A list or its changes have come."""
-        entries = list[Entry]()
-        for name, address, wing, kind, cell, listing, size, started_at in members:
-            pool = self.pools.get(name)
-            if listing is Listing.GONE and pool is None:
-                continue
-            if pool is None or (listing is not Listing.GONE and (pool.gone or address != pool.address)):
-                node = pool.node if pool is not None else Node(name)
-                if pool is not None:
-                    pool.gone = True
-                    self.former[pool] = None
-                    self.lost(pool, "another address")
-                pool = self.pools[name] = Pool(
-                    node, address, NODE_LINKS, self.told.streams, self.told.idle, self.told.connect_within, self.silent,
-                    self.clock, self.nursery, self.tell, self,
-                )  # fmt: skip
-            node = pool.node
-            if listing is not Listing.GONE:
-                node.cell, node.zone, node.kind = cell, wing, kind
-            if node.started_at < started_at:
-                self._restarted(pool, started_at)
-            entries.append(
-                Entry(
-                    node,
-                    listing,
-                    started_at,
-                    self.told.link_per_weight * size,
-                    self.told.places.get(kind, 0.0),
-                )
-            )
-        self.controller.listed(ListKind.WHOLE if complete else ListKind.CHANGES, entries, self.clock.now())
-        for pool in self.pools.values():
-            if pool.node.listing is Listing.GONE and not pool.gone:
-                pool.gone = True
-                self.lost(pool, "removed")
-            if pool.node.listing is not Listing.READY:
-                pool.withdraw()
-        for pool in self.former:
-            pool.withdraw()
-        each = max(1, min(NODE_LINKS, self.node_links // max(1, len(self.pools))))
-        for pool in self.pools.values():
-            pool.most = each
+        entries = self.node_pools.entries(members)
+        kind = ListKind.WHOLE if complete else ListKind.CHANGES
+        self.controller.listed(kind, entries, self.clock.now())
+        self.node_pools.listed()
         told = ", ".join(f"{e.node.name} {e.listing.value}" for e in entries[:6])
         self.logger.info("list", whole=complete, changed=len(entries), nodes=len(self.pools), changes=told)
 
-    def _restarted(self, pool: Pool, started_at: int) -> None:
+    def restarted(self, pool: Pool, started_at: int) -> None:
         """Another process has the node's name: what stood in the one before is over."""
         for t in [t for t in pool.standing if t.began_at < started_at]:
             self._over(t, Outcome.RESET, FAILED, None)
@@ -233,25 +199,8 @@
             self._over(t, Outcome.RESET, FAILED, None)
 
     def may_open(self, pool: Pool, spare: int) -> bool:
-        """Whether there is a descriptor for one more connection to a node.
-
-        Guards the listener's descriptors and the channel's: each node has one connection at least, and there may be more
-        nodes than that allows. Harm: past it a node's connection is closed for another's, and what it tells comes later.
-        """
-        pools = [*self.pools.values(), *self.former]
-        if sum(p.descriptors for p in pools) <= self.node_links:  # its own counts as held already
-            return True
-        idle = [
-            (bool(p.standing), x.used_at, i, p, x)
-            for i, p in enumerate(pools)
-            for x in p.links
-            if p is not pool and not x.out_here and self.clock.now() - x.used_at >= spare
-        ]
-        if not idle:
-            return False
-        *_, p, x = min(idle, key=lambda found: found[:3])
-        p.let_go(x)
-        return True
+        """Whether there is a descriptor for one more connection to a node."""
+        return self.node_pools.may_open(pool, spare)
 
     def unreadable(self, pool: Pool, why: str) -> None:
         """A node has sent what can't be read, or can't be reached for want of means here."""
--- a/tests/test_instants.py
+++ b/tests/test_instants.py
@@ -805,7 +805,7 @@
 
 def test_more_nodes_than_descriptors_leave_the_channel_and_viewers_theirs() -> None:
     async def test(rig: PlatformRig) -> None:
-        rig.owner.node_links = 1
+        rig.owner.node_pools.max_connections = 1
         viewer = await rig.viewer()
         for i in range(12):
             await viewer.ask(f"{i + 1:016x}", title=f"t{i}")
