Move the fleet's view into a package of its own, decisions/membership

Cause: the membership code stood among leases, roll-outs and lists of nodes in decisions/fleet. Change: files moved and imports follow, nothing else; the import test knows the package, and the platform's run is barred from all of it.

--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -16,7 +16,7 @@
 
 import click
 
-from oakcroft.decisions.fleet.member import Standing
+from oakcroft.decisions.membership.member import Standing
 from oakcroft.interface import MS, SECOND
 from oakcroft.rehearsal.many_views import HEADER, Net, fleet
 
--- a/oakcroft/decisions/fleet/spreading.py
+++ b/oakcroft/decisions/membership/dissemination.py
@@ -8,7 +8,7 @@
 
 import math
 
-from oakcroft.decisions.fleet.member import News
+from oakcroft.decisions.membership.member import News
 
 TIMES = 4
 """Times log10(n + 1) that a word is carried (as memberlist does): at 200 members 12 messages, each to another at
--- a/oakcroft/decisions/fleet/view.py
+++ b/oakcroft/decisions/membership/membership.py
@@ -15,10 +15,10 @@
 from enum import Enum
 from random import Random
 
-from oakcroft.decisions.fleet.member import News, Standing, holds
-from oakcroft.decisions.fleet.probing import EVERY, HELPERS, MOST_PROBES, Health, Probe, Round
-from oakcroft.decisions.fleet.spreading import Spreading
-from oakcroft.decisions.fleet.suspicion import Suspicion
+from oakcroft.decisions.membership.member import News, Standing, holds
+from oakcroft.decisions.membership.failure_detector import EVERY, HELPERS, MOST_PROBES, Health, Probe, Round
+from oakcroft.decisions.membership.dissemination import Spreading
+from oakcroft.decisions.membership.suspicion import Suspicion
 from oakcroft.interface import MS, SECOND
 
 Address = tuple[str, int]
--- a/oakcroft/front/adopting.py
+++ b/oakcroft/front/adopting.py
@@ -16,8 +16,8 @@
 
 from oakcroft.decisions.fleet.adopting import Adopting as Course, Bounds, Errand, Why
 from oakcroft.decisions.fleet.holding import Word
-from oakcroft.decisions.fleet.member import Standing
-from oakcroft.decisions.fleet.view import View
+from oakcroft.decisions.membership.member import Standing
+from oakcroft.decisions.membership.membership import View
 from oakcroft.decisions.sessions.answers import Final
 from oakcroft.decisions.state.remembered import Mark, Promise
 from oakcroft.front.core import MOST_TITLE
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -39,7 +39,7 @@
 from oakcroft.store.writer import Store
 
 if TYPE_CHECKING:
-    from oakcroft.decisions.fleet.view import View
+    from oakcroft.decisions.membership.membership import View
     from oakcroft.front.adopting import Adopting
     from oakcroft.front.viewing import Viewing
     from oakcroft.peers.speaker import Peers
@@ -161,7 +161,7 @@
         stand = self.told.stand
         if stand.peers is None:
             return None
-        from oakcroft.decisions.fleet.shares import parts
+        from oakcroft.decisions.membership.shares import parts
         from oakcroft.peers.speaker import Peers
         from oakcroft.peerwire.sealing import BadKeys
 
--- a/oakcroft/peers/duties.py
+++ b/oakcroft/peers/duties.py
@@ -24,7 +24,7 @@
 from oakcroft.decisions.fleet.owning import Candidate, Course, Word
 from oakcroft.decisions.fleet.rendezvous import rank
 from oakcroft.decisions.fleet.terms import MOST_NUMBER, Answer, Ask, Learnt, Step, Term, majority
-from oakcroft.decisions.fleet.view import View
+from oakcroft.decisions.membership.membership import View
 from oakcroft.interface import MS, SECOND
 from oakcroft.peerwire.duties import (
     ENCODER,
--- a/oakcroft/peers/speaker.py
+++ b/oakcroft/peers/speaker.py
@@ -2,7 +2,7 @@
 
 Nothing here waits on a peer, and nothing is in an answer's way: datagrams are written without waiting (one that the
 kernel does not take is lost, as any may be), reading gives way after each few, and what comes faster than a whole
-fleet's talk is dropped and counted. All that is decided is decided by decisions/fleet/view.py.
+fleet's talk is dropped and counted. All that is decided is decided by decisions/membership/membership.py.
 """
 
 from __future__ import annotations
@@ -23,8 +23,8 @@
 from oakcroft import __version__
 from oakcroft.config.told import PeersPlace
 from oakcroft.decisions.fleet.figures import Row
-from oakcroft.decisions.fleet.member import News, Standing, commitment
-from oakcroft.decisions.fleet.view import Address, Kind, Out, View
+from oakcroft.decisions.membership.member import News, Standing, commitment
+from oakcroft.decisions.membership.membership import Address, Kind, Out, View
 from oakcroft.interface import MS, SECOND
 from oakcroft.peers.duties import Duties, Keeping
 from oakcroft.peers.starts import begin, keep
--- a/oakcroft/peers/starts.py
+++ b/oakcroft/peers/starts.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-from oakcroft.decisions.fleet.member import MOST_START, next_start
+from oakcroft.decisions.membership.member import MOST_START, next_start
 
 
 def begin(file: str) -> tuple[int, str]:
--- a/oakcroft/peerwire/messages.py
+++ b/oakcroft/peerwire/messages.py
@@ -15,8 +15,8 @@
 
 import msgspec
 
-from oakcroft.decisions.fleet.member import News, Standing
-from oakcroft.decisions.fleet.view import MOST_NEWS, Kind
+from oakcroft.decisions.membership.member import News, Standing
+from oakcroft.decisions.membership.membership import MOST_NEWS, Kind
 from oakcroft.peerwire.sealing import MAC, Ring
 
 FORM = 1
--- a/oakcroft/rehearsal/many_views.py
+++ b/oakcroft/rehearsal/many_views.py
@@ -12,8 +12,8 @@
 from functools import partial
 from random import Random
 
-from oakcroft.decisions.fleet.member import News, Standing, commitment
-from oakcroft.decisions.fleet.view import Kind, Out, View
+from oakcroft.decisions.membership.member import News, Standing, commitment
+from oakcroft.decisions.membership.membership import Kind, Out, View
 from oakcroft.interface import MS, SECOND
 
 HEADER = 28 + 80  # octets of IP and UDP, and of a message without news, as sealed by peerwire
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -46,6 +46,7 @@
 MATTERS = {  # each folder of decisions may import these beside itself
     "admission": set[str](),
     "fleet": set[str](),
+    "membership": set[str](),
     "moving": set[str](),
     "routing": set[str](),
     "sessions": {"admission"},
@@ -99,5 +100,5 @@
         [sys.executable, "-c", code], capture_output=True, text=True, check=True, cwd=ROOT.parent
     ).stdout.split()
     assert "oakcroft.platform.owner" in loaded
-    barred = ("oakcroft.peer", "oakcroft.decisions.fleet.view", "oakcroft.front", "oakcroft.config")
+    barred = ("oakcroft.peer", "oakcroft.decisions.membership", "oakcroft.front", "oakcroft.config")
     assert not [m for m in loaded if m.startswith(barred)]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -28,8 +28,8 @@
 from oakcroft import __version__
 from oakcroft.config.compile import check
 from oakcroft.config.told import PeersPlace
-from oakcroft.decisions.fleet.member import News, Standing
-from oakcroft.decisions.fleet.view import Kind, View
+from oakcroft.decisions.membership.member import News, Standing
+from oakcroft.decisions.membership.membership import Kind, View
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.peers import speaker
 from oakcroft.peerwire.messages import Codec, Dropped, Stream
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -17,10 +17,10 @@
 from hypothesis import given, strategies as st
 
 from oakcroft.decisions.admission.limits import Ledger, Limit, Scope
-from oakcroft.decisions.fleet import suspicion
-from oakcroft.decisions.fleet.member import MOST_INCARNATION, News, Standing, commitment, holds, next_start
-from oakcroft.decisions.fleet.shares import overshoot, parts
-from oakcroft.decisions.fleet.view import KEPT_GONE, MOST_FORMER, MOST_MEMBERS, MOST_NEWS, Kind, View
+from oakcroft.decisions.membership import suspicion
+from oakcroft.decisions.membership.member import MOST_INCARNATION, News, Standing, commitment, holds, next_start
+from oakcroft.decisions.membership.shares import overshoot, parts
+from oakcroft.decisions.membership.membership import KEPT_GONE, MOST_FORMER, MOST_MEMBERS, MOST_NEWS, Kind, View
 from oakcroft.interface import MS, SECOND
 from oakcroft.rehearsal.many_views import Net, fleet
 from oakcroft.rulecheck.fleet import judge_view
