--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -16,7 +16,7 @@
 
 import click
 
-from oakcroft.decisions.membership.member import Standing
+from oakcroft.decisions.membership.member import MemberState
 from oakcroft.interface import MS, SECOND
 from oakcroft.rehearsal.many_views import HEADER, Net, fleet
 
@@ -71,7 +71,7 @@
     net.told.clear()
     began = net.now
     net.kill(name)
-    if not net.run(60 * SECOND, lambda: net.agree({name}, Standing.GONE)):
+    if not net.run(60 * SECOND, lambda: net.agree({name}, MemberState.FAILED)):
         raise click.ClickException(f"{name} was not seen as gone by all within a minute")
     first = min(t for t, _, about, _, now in net.told if about == name and now == "gone")
     return (first - began) / SECOND, (net.now - began) / SECOND
--- a/oakcroft/decisions/membership/member.py
+++ b/oakcroft/decisions/membership/member.py
@@ -1,10 +1,10 @@
-"""What is told of a member of the fleet, and which word of two holds.
+"""What is said of one member of the fleet, and which of two updates about it holds.
 
-All that is told of one member stands in one order: a later start over an earlier one; in a start, its leaving over
-all else; then the higher incarnation; then gone over suspected over alive. So the order in which news comes, and how
-often, does not matter: what holds is the greatest that was told. Only the member itself raises its incarnation (SWIM,
-Das, Gupta and Motivala 2002, section 4.2), and only it can say that it leaves: each start is announced with the
-digest of a secret, and leaving shows the secret.
+All updates about one member stand in one order: a later generation over an earlier one; within a generation, leaving
+over all else; then the higher incarnation; then failed over suspected over alive. So neither the order in which updates
+arrive nor how often matters: what holds is the greatest that was received. Only the member itself raises its incarnation
+(SWIM, Das, Gupta and Motivala 2002, section 4.2), and only it can say that it leaves: each generation is announced with
+the digest of a secret, and leaving shows the secret.
 """
 
 from __future__ import annotations
@@ -14,81 +14,102 @@
 from enum import Enum
 
 
-class Standing(Enum):
-    """How a member stands; the number is its rank among words of one incarnation."""
+class MemberState(Enum):
+    """State of a member; the value is its rank among updates of one incarnation, and its number on the wire."""
 
     ALIVE = 0
     SUSPECTED = 1
-    GONE = 2
+    FAILED = 2
     LEFT = 3
 
+    @property
+    def label(self) -> str:
+        """The word that operators read for it, in logs and in `fleet view`."""
+        return _LABELS[self]
+
+
+_LABELS = {
+    MemberState.ALIVE: "alive",
+    MemberState.SUSPECTED: "suspected",
+    MemberState.FAILED: "gone",  # operators' scripts read this word
+    MemberState.LEFT: "left",
+}
+
+MAX_INCARNATION = 1 << 40
+"""An update that claims as much is dropped: nobody could refute it any more."""
+
+MAX_GENERATION = 1 << 56
+"""Generations count microseconds since the epoch; this lasts for two thousand years."""
 
-MOST_INCARNATION = 1 << 40  # past it nobody could refute any more: a word that claims so much is none
-MOST_START = 1 << 56  # microseconds since the epoch, for two thousand years
+MAX_NAME_LENGTH = 64
+MAX_PORT = 65_535
+PROOF_LENGTH = 16
 
 
 @dataclass(frozen=True)
-class News:
-    """One word of one member. `proof`: 16 octets, the digest of its secret; where it has left, the secret itself.
+class MemberUpdate:
+    """One statement about one member.
 
-    `by`: who says so, where it is suspected or gone.
+    `generation` numbers the starts of its process. `proof` is the digest of its secret in `PROOF_LENGTH` octets; where it
+    has left, the secret itself. `reported_by` is who reports it as suspected or failed.
     """
 
     name: str
-    start: int
+    generation: int
     incarnation: int
-    standing: Standing
+    state: MemberState
     host: str
     port: int
-    wing: str
+    zone: str
     version: str
     proof: bytes
-    by: str = ""
+    reported_by: str = ""
 
     @property
-    def key(self) -> tuple[int, bool, int, int]:
-        """By which of two words of one member holds."""
-        return self.start, self.standing is Standing.LEFT, self.incarnation, self.standing.value
+    def precedence(self) -> tuple[int, bool, int, int]:
+        """The key by which the greater of two updates about one member holds."""
+        return self.generation, self.state is MemberState.LEFT, self.incarnation, self.state.value
 
     @property
     def address(self) -> tuple[str, int]:
-        """Where it can be reached."""
+        """Host and port at which the member can be reached."""
         return self.host, self.port
 
-    def sound(self) -> bool:
-        """Whether it can be a word of anybody. Guards against figures that nobody could ever outbid."""
+    def is_plausible(self) -> bool:
+        """Whether any sound member could have said this. Guards against numbers that nobody could ever outbid."""
         return (
-            0 < self.start < MOST_START
-            and 0 <= self.incarnation < MOST_INCARNATION
-            and 0 < self.port < 65_536
-            and 0 < len(self.name) <= 64
-            and len(self.proof) == 16
+            0 < self.generation < MAX_GENERATION
+            and 0 <= self.incarnation < MAX_INCARNATION
+            and 0 < self.port <= MAX_PORT
+            and 0 < len(self.name) <= MAX_NAME_LENGTH
+            and len(self.proof) == PROOF_LENGTH
         )
 
-    def of(self, standing: Standing, by: str) -> News:
-        """The same member, judged by somebody."""
-        return replace(self, standing=standing, by=by)
+    def with_state(self, state: MemberState, reported_by: str) -> MemberUpdate:
+        """The same member in another state, as somebody reports it."""
+        return replace(self, state=state, reported_by=reported_by)
 
 
 def commitment(secret: bytes) -> bytes:
-    """What is announced of a secret: 16 octets."""
-    return hashlib.blake2b(secret, digest_size=16, person=b"oakcroft-leave").digest()
+    """The digest under which a member announces the secret that proves its leaving."""
+    return hashlib.blake2b(secret, digest_size=PROOF_LENGTH, person=b"oakcroft-leave").digest()
 
 
-def holds(told: News, known: News | None) -> bool:
-    """Whether a word is to be taken over what is known."""
+def supersedes(update: MemberUpdate, known: MemberUpdate | None) -> bool:
+    """Whether an update is to be taken over what is known."""
     if known is None:
         return True
-    if told.standing is Standing.LEFT and told.start == known.start and known.standing is not Standing.LEFT:
+    leaves = update.state is MemberState.LEFT and known.state is not MemberState.LEFT
+    if leaves and update.generation == known.generation:
         # Guards against a member that says others have left, whose shares of limits would pass on.
-        return commitment(told.proof) == known.proof
-    return told.key > known.key
+        return commitment(update.proof) == known.proof
+    return update.precedence > known.precedence
 
 
-def next_start(clock_us: int, kept: int, peers: int = 0) -> int:
-    """The number of a new start: over the clock, over that of the life before as kept on disk, and over what peers know.
+def next_generation(clock_us: int, stored: int, known_to_peers: int = 0) -> int:
+    """The generation of a new start: over the clock (µs), over the one stored on disk, and over what peers know.
 
     Any one of the three may be lost: a clock that went back, a file that is gone, peers that cannot be reached yet. What
     peers know comes later and is then taken over at once.
     """
-    return min(MOST_START - 1, max(clock_us, kept + 1, peers + 1, 1))
+    return min(MAX_GENERATION - 1, max(clock_us, stored + 1, known_to_peers + 1, 1))
--- /dev/null
+++ b/oakcroft/decisions/membership/push_pull.py
@@ -0,0 +1,100 @@
+"""Joining, rejoining, and push-pull anti-entropy: full states exchanged with one other member now and then.
+
+Gossip reaches all but surely; a push-pull makes up for what it missed (Demers and others 1987, as in memberlist). Seeds
+are asked until one answers; failed members, absent seeds and the addresses of forgotten members are pinged now and then,
+so that the sides of a healed partition find each other without a person.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from random import Random
+
+from oakcroft.decisions.membership.member import MemberState
+from oakcroft.decisions.membership.member_table import MemberTable
+from oakcroft.decisions.membership.messages import Address, Message, MessageKind
+from oakcroft.decisions.membership.outbox import Outbox
+from oakcroft.interface import SECOND
+
+PUSH_PULL_INTERVAL = 60 * SECOND
+"""On average, between two with a member at random: two of 14 kB a minute at 200 members."""
+
+PUSH_PULL_SPACING = SECOND
+"""At least, between two that this front begins."""
+
+MAX_WANTED = 4
+"""Addresses that wait for a push-pull; further ones are met by gossip, or later."""
+
+JOIN_INTERVAL = SECOND
+"""Between two attempts to join by a seed, until somebody answers; half as much again at random."""
+
+REJOIN_INTERVAL = 2 * SECOND
+"""Between two pings to addresses where somebody was, or should be; a quarter more at random."""
+
+
+class PushPull:
+    """When this front exchanges full states, and with whom."""
+
+    def __init__(
+        self, table: MemberTable, outbox: Outbox, rng: Random, now: int, seeds: Iterable[Address]
+    ) -> None:
+        self.table = table
+        self.outbox = outbox
+        self.rng = rng
+        self.seeds = [seed for seed in dict.fromkeys(seeds) if seed != table.me.address]
+        self.joined = False
+        self.wanted: dict[Address, None] = {}
+        self.next_join_at = now
+        self.next_rejoin_at = now + rng.randrange(REJOIN_INTERVAL)
+        self.next_push_pull_at = now + rng.randrange(PUSH_PULL_INTERVAL)
+        self.last_push_pull_at = now - PUSH_PULL_SPACING
+
+    def deadlines(self) -> Iterator[int]:
+        """When there is something to do."""
+        yield self.next_rejoin_at
+        yield self.next_push_pull_at
+        if not self.joined and self.seeds:
+            yield self.next_join_at
+        if self.wanted:
+            yield self.last_push_pull_at + PUSH_PULL_SPACING
+
+    def postpone(self, until: int) -> None:
+        """Nothing periodic before then."""
+        self.next_rejoin_at = self.next_push_pull_at = until
+
+    def want(self, address: Address) -> None:
+        """A push-pull with whoever is at an address, when its turn comes."""
+        if len(self.wanted) < MAX_WANTED:
+            self.wanted[address] = None
+
+    def remove_seed(self, address: Address) -> None:
+        """A seed that turned out to be this front itself."""
+        self.seeds = [seed for seed in self.seeds if seed != address]
+
+    def tick(self, now: int) -> None:
+        """Does what is due."""
+        if not self.joined and self.seeds and now >= self.next_join_at:
+            self.next_join_at = now + JOIN_INTERVAL + self.rng.randrange(JOIN_INTERVAL // 2)
+            self.want(self.rng.choice(self.seeds))
+        if now >= self.next_rejoin_at:
+            self.next_rejoin_at = now + REJOIN_INTERVAL + self.rng.randrange(REJOIN_INTERVAL // 4)
+            self._ping_absent()
+        if now >= self.next_push_pull_at:
+            self.next_push_pull_at = now + PUSH_PULL_INTERVAL // 2 + self.rng.randrange(PUSH_PULL_INTERVAL)
+            for name in self.table.sample(1):
+                self.want(self.table.members[name].latest.address)
+        if self.wanted and now - self.last_push_pull_at >= PUSH_PULL_SPACING:
+            self.last_push_pull_at = now
+            address = next(iter(self.wanted))
+            del self.wanted[address]
+            self.outbox.put(Message(MessageKind.PUSH_PULL, address))
+
+    def _ping_absent(self) -> None:
+        """Asks one address, of those where somebody was or should be, whether anybody is there."""
+        members = self.table.members
+        present = {members[name].latest.address for name in self.table.present()}
+        failed = [m.latest.address for m in members.values() if m.latest.state is MemberState.FAILED]
+        candidates = dict.fromkeys([*failed, *self.seeds, *self.table.former_addresses])
+        absent = [address for address in candidates if address not in present]
+        if absent:
+            self.outbox.ping_address(self.rng.choice(absent))
--- /dev/null
+++ b/oakcroft/decisions/membership/update_merger.py
@@ -0,0 +1,126 @@
+"""Takes updates into the table of members, whoever brings them: newcomers, changes, confirmations, disputed failures.
+
+An update that a present member has failed is never taken over. It counts as a confirmation where the member is suspected
+here as well; where it is not, the failure is disputed: this front probes the member itself, with the update in the
+message, so that the member can refute it.
+"""
+
+from __future__ import annotations
+
+from oakcroft.decisions.membership.counters import Counters
+from oakcroft.decisions.membership.failure_detector import LocalHealth
+from oakcroft.decisions.membership.member import MemberState, MemberUpdate, supersedes
+from oakcroft.decisions.membership.member_table import PRESENT_STATES, Member, MemberTable
+from oakcroft.decisions.membership.messages import MessageKind
+from oakcroft.decisions.membership.outbox import Outbox
+from oakcroft.decisions.membership.own_identity import OwnIdentity
+from oakcroft.decisions.membership.prober import Prober
+from oakcroft.decisions.membership.suspicion import Suspicion
+from oakcroft.decisions.membership.suspicion_tracker import SuspicionTracker
+from oakcroft.interface import MS
+
+MAX_DISPUTED = 256
+"""Disputed failures that wait to be looked into; further ones are dropped, and come again with gossip."""
+
+DISPUTE_INTERVAL = 50 * MS
+DISPUTES_AT_ONCE = 4
+"""Looked into in one interval: after a partition hundreds may be disputed in one moment."""
+
+
+class UpdateMerger:
+    """Merges updates into one front's table."""
+
+    def __init__(
+        self, table: MemberTable, outbox: Outbox, identity: OwnIdentity, prober: Prober,
+        suspicions: SuspicionTracker, health: LocalHealth, counters: Counters, now: int,
+    ) -> None:  # fmt: skip
+        self.table = table
+        self.outbox = outbox
+        self.identity = identity
+        self.prober = prober
+        self.suspicions = suspicions
+        self.health = health
+        self.counters = counters
+        self.disputed: dict[str, MemberUpdate] = {}
+        self.next_dispute_at = now
+
+    def merge(self, update: MemberUpdate, by: str, now: int) -> None:
+        """One update, brought by the member `by`."""
+        if not update.is_plausible():
+            self.counters.unsound += 1
+            return
+        if update.name == self.table.own_name:
+            if self.identity.told_of_me(update, by, now):
+                self.counters.refuted += 1
+            return
+        member = self.table.members.get(update.name)
+        if member is None:
+            self._admit(update, by, now)
+        elif supersedes(update, member.latest):
+            self._apply(member, update, by, now)
+        else:
+            self._note_outdated(member, update, by)
+
+    def _admit(self, update: MemberUpdate, by: str, now: int) -> None:
+        if update.state is MemberState.FAILED:
+            return  # kept by hearsay, members that failed would be handed to and fro for ever
+        suspicion = None
+        if update.state is MemberState.SUSPECTED:
+            suspicion = Suspicion(now, update.reported_by or by)
+        if self.table.admit(update, suspicion, now, _source(update, by)):
+            self.prober.round.add(update.name)
+        else:
+            self.counters.full += 1
+
+    def _note_outdated(self, member: Member, update: MemberUpdate, by: str) -> None:
+        """An update that does not hold may still confirm a suspicion, or be a leave without proof."""
+        latest = member.latest
+        self.suspicions.confirm(member, update, by)
+        leaves = update.state is MemberState.LEFT and latest.state is not MemberState.LEFT
+        if leaves and update.generation == latest.generation:
+            self.counters.refused_leaves += 1
+
+    def _apply(self, member: Member, update: MemberUpdate, by: str, now: int) -> None:
+        latest = member.latest
+        if update.state is MemberState.FAILED and latest.state in PRESENT_STATES:
+            self._dispute(member, update, by)
+            return
+        if update.state is MemberState.SUSPECTED:
+            accuser = update.reported_by or by
+            self.table.set_suspicion(member, Suspicion(now, accuser))
+            self.table.transition(member, update, now, f"suspected by {accuser}")
+            return
+        suspicion = member.suspicion
+        was_own_suspicion = suspicion is not None and suspicion.first_accuser == self.table.own_name
+        if was_own_suspicion and update.state is MemberState.ALIVE:
+            self.health.worsen()
+        self.table.set_suspicion(member, None)
+        why = _source(update, by)
+        if update.generation > latest.generation:
+            member.count_restart(now)
+            why += ", a new start"
+        self.table.transition(member, update, now, why)
+
+    def _dispute(self, member: Member, update: MemberUpdate, by: str) -> None:
+        self.suspicions.confirm(member, update, by)
+        if member.latest.state is MemberState.ALIVE and len(self.disputed) < MAX_DISPUTED:
+            self.disputed[update.name] = update
+
+    def look_into_disputed(self, now: int) -> None:
+        """Probes members that others call failed and this front does not, with the update in a message to them."""
+        if not self.disputed or now < self.next_dispute_at:
+            return
+        self.next_dispute_at = now + DISPUTE_INTERVAL
+        for name in list(self.disputed)[:DISPUTES_AT_ONCE]:
+            claim = self.disputed.pop(name)
+            member = self.table.members.get(name)
+            if member is None or member.latest.state is not MemberState.ALIVE:
+                continue
+            if supersedes(claim, member.latest):
+                self.prober.probe(name, now)
+                self.outbox.send(MessageKind.GOSSIP, name, first=claim)
+
+
+def _source(update: MemberUpdate, by: str) -> str:
+    """Who brought an update, for operators."""
+    return f"told by {by}" if by != update.name else "by its own word"
--- a/oakcroft/front/adopting.py
+++ b/oakcroft/front/adopting.py
@@ -16,8 +16,8 @@
 
 from oakcroft.decisions.fleet.adopting import Adopting as Course, Bounds, Errand, Why
 from oakcroft.decisions.fleet.holding import Word
-from oakcroft.decisions.membership.member import Standing
-from oakcroft.decisions.membership.membership import View
+from oakcroft.decisions.membership.member import MemberState
+from oakcroft.decisions.membership.membership import Membership
 from oakcroft.decisions.sessions.answers import Final
 from oakcroft.decisions.state.remembered import Mark, Promise
 from oakcroft.front.core import MOST_TITLE
@@ -37,7 +37,7 @@
     """One front's taking over."""
 
     def __init__(
-        self, helm: Helm, view: View, bounds: Bounds, published: Callable[[Viewing], None],
+        self, helm: Helm, view: Membership, bounds: Bounds, published: Callable[[Viewing], None],
         takes_new: Callable[[], bool], log: structlog.typing.FilteringBoundLogger,
     ) -> None:  # fmt: skip
         self.helm, self.view, self.bounds, self.published, self.log = helm, view, bounds, published, log
@@ -54,7 +54,7 @@
 
     def sees(self) -> None:
         """The view has changed."""
-        gone = [n for n, m in self.view.members.items() if m.news.standing is Standing.GONE]
+        gone = [n for n, m in self.view.members.items() if m.latest.state is MemberState.FAILED]
         present = [self.view.me.name] if self.view.displaced else self.view.present()
         for dead in self.course.sees(() if self.view.displaced else gone, present, self.helm.clock.now()):
             self.log.info("adoption over", of=dead.name, why="it is back, or forgotten", taken=dead.taken)
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -39,7 +39,7 @@
 from oakcroft.store.writer import Store
 
 if TYPE_CHECKING:
-    from oakcroft.decisions.membership.membership import View
+    from oakcroft.decisions.membership.membership import Membership
     from oakcroft.front.adopting import Adopting
     from oakcroft.front.viewing import Viewing
     from oakcroft.peers.speaker import Peers
@@ -161,15 +161,15 @@
         stand = self.told.stand
         if stand.peers is None:
             return None
-        from oakcroft.decisions.membership.shares import parts
+        from oakcroft.decisions.membership.shares import rate_divisor
         from oakcroft.peers.speaker import Peers
-        from oakcroft.peerwire.sealing import BadKeys
+        from oakcroft.peerwire.sealing import KeyFileError
 
-        def changed(view: View) -> None:
-            into = parts(helm.site.terms.fronts, view.gone_for_good())
+        def changed(view: Membership) -> None:
+            into = rate_divisor(helm.site.terms.fronts, view.left_count())
             if helm.ledger.take_parts(into):
                 self.log.info(
-                    "shares of rates", parts=into, fronts=helm.site.terms.fronts, left=view.gone_for_good()
+                    "shares of rates", parts=into, fronts=helm.site.terms.fronts, left=view.left_count()
                 )
             if self.adopting is not None:
                 self.adopting.sees()
@@ -177,11 +177,11 @@
         try:
             record = StateRecord(helm.memory.store) if helm.memory is not None else None
             peers = Peers(stand.peers, stand.zone, stand.seed + 6, clock, self.log, changed, record)
-        except BadKeys as fault:
+        except KeyFileError as fault:
             raise OSError(f"key file {stand.peers.key_file}: {fault}") from fault
         if stand.peers.adopts is not None:
             view = peers.view
-            helm.standing = Standing(stand.peers.name, lambda: view.me.start, stand.peers.adopts.lease)
+            helm.standing = Standing(stand.peers.name, lambda: view.me.generation, stand.peers.adopts.lease)
         return peers
 
     async def _meet(
--- a/oakcroft/peers/duties.py
+++ b/oakcroft/peers/duties.py
@@ -24,7 +24,7 @@
 from oakcroft.decisions.fleet.owning import Candidate, Course, Word
 from oakcroft.decisions.fleet.rendezvous import rank
 from oakcroft.decisions.fleet.terms import MOST_NUMBER, Answer, Ask, Learnt, Step, Term, majority
-from oakcroft.decisions.membership.membership import View
+from oakcroft.decisions.membership.membership import Membership
 from oakcroft.interface import MS, SECOND
 from oakcroft.peerwire.duties import (
     ENCODER,
@@ -38,8 +38,8 @@
     row_of,
     row_word,
 )
-from oakcroft.peerwire.messages import Dropped
-from oakcroft.peerwire.sealing import Ring
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.sealing import KeyRing
 
 IN_LINE = 5  # fronts that ask for a duty, the first in line first: a fleet of 200 is not to ask its keepers all the time
 LOOK = 50 * MS
@@ -71,7 +71,7 @@
     """All duties of one front."""
 
     def __init__(
-        self, place: PeersPlace, ring: Ring, view: View, record: Keeping | None, seed: int,
+        self, place: PeersPlace, ring: KeyRing, view: Membership, record: Keeping | None, seed: int,
         send: Callable[[str, bytes], None], log: structlog.typing.FilteringBoundLogger,
     ) -> None:  # fmt: skip
         self.place, self.view, self.record, self.log = place, view, record, log
@@ -79,7 +79,7 @@
         now = boot()
         self.keeper: Keeper | None = None
         if place.name in place.keepers and record is not None:
-            self.keeper = Keeper(place.name, place.keepers, place.term, view.me.start, now)
+            self.keeper = Keeper(place.name, place.keepers, place.term, view.me.generation, now)
         self.candidates: dict[str, Candidate] = {}
         self.wanted: set[str] = set()
         self.ranked: list[str] | None = None  # the fronts by which `places` in line were found
@@ -164,7 +164,7 @@
     # Words in.
 
     def taken(self, opened: bytes) -> None:
-        """A word that came by datagram. Dropped where it is none."""
+        """A word that came by datagram. MessageError where it is none."""
         got = self.codec.taken(opened)
         if self.view.displaced or self.view.left:
             return  # another process has this name: it speaks
@@ -191,7 +191,7 @@
             self._when_saved(partial(self._say_answer, sender, answer))
 
     def _say_answer(self, to: str, answer: Answer) -> None:
-        with suppress(Dropped):  # a name too long to fit: such a candidate gets nothing
+        with suppress(MessageError):  # a name too long to fit: such a candidate gets nothing
             self._say(to, self.codec.answer(*self.me, answer))
 
     def _answered(self, answer: Answer, now: int) -> None:
@@ -214,7 +214,7 @@
             self._say_all(sender, told)
 
     def _say_all(self, to: str, told: Learnt) -> None:
-        with suppress(Dropped):
+        with suppress(MessageError):
             for part in self.codec.learnt(*self.me, told):
                 self._say(to, part)
 
@@ -224,7 +224,7 @@
         if keeper is None or keeper.sound or sender not in keeper.keepers:
             return
         if not 0 <= word.part < word.parts <= MOST_DUTIES:
-            raise Dropped("malformed")
+            raise MessageError("malformed")
         parts = self.parts.setdefault(sender, {})
         if any((p.epoch, p.sound, p.parts) != (word.epoch, word.sound, word.parts) for p in parts.values()):
             parts.clear()
@@ -266,11 +266,11 @@
     @property
     def me(self) -> tuple[str, int]:
         """This front's name and start."""
-        return self.view.me.name, self.view.me.start
+        return self.view.me.name, self.view.me.generation
 
     def _ask(self, words: list[Word]) -> None:
         for word in words:
-            with suppress(Dropped):
+            with suppress(MessageError):
                 self._say(word.to, self.codec.ask(*self.me, word.ask))
 
     def order(self, to: str, word: OrderWord) -> None:
@@ -286,7 +286,7 @@
     async def _to_itself(self, octets: bytes) -> None:
         opened = self.codec.ring.open(octets, 0)
         if opened is not None:
-            with suppress(Dropped):
+            with suppress(MessageError):
                 self.taken(opened)
 
     # The record.
@@ -340,7 +340,7 @@
             keeper.take_on(epoch, dict(epochs), {w.duty: row_of(w) for w in words}, whole, now)
         except KeyError:
             pass  # it never was a keeper, or all of it is lost
-        except (msgspec.MsgspecError, Dropped) as fault:
+        except (msgspec.MsgspecError, MessageError) as fault:
             self.log.error("keeper's record unreadable", why=str(fault))
         if not keeper.sound:
             self.log.warning(
@@ -366,7 +366,7 @@
             self._begin(now)
         if keeper is not None and self.began and not keeper.sound and now >= self.learn_at:
             self.learn_at = now + LEARN_EVERY
-            keeper.epoch = self.view.me.start
+            keeper.epoch = self.view.me.generation
             if not keeper.asks_others():
                 keeper.learnt.clear()  # all have told, and it was not enough: anew
             for other in keeper.asks_others():
@@ -393,9 +393,9 @@
 
     def _candidate(self, duty: str, now: int) -> Candidate:
         known = self.candidates.get(duty)
-        if known is not None and (known.start == self.view.me.start or known.owns(now) is not None):
+        if known is not None and (known.start == self.view.me.generation or known.owns(now) is not None):
             return known
-        start = self.view.me.start
+        start = self.view.me.generation
         self.candidates[duty] = new = Candidate(
             duty, self.view.me.name, start, self.place.keepers, self.place.term, self.rng, start, now
         )
--- a/oakcroft/peers/speaker.py
+++ b/oakcroft/peers/speaker.py
@@ -23,17 +23,20 @@
 from oakcroft import __version__
 from oakcroft.config.told import PeersPlace
 from oakcroft.decisions.fleet.figures import Row
-from oakcroft.decisions.membership.member import News, Standing, commitment
-from oakcroft.decisions.membership.membership import Address, Kind, Out, View
+from oakcroft.decisions.membership.member import MemberState, MemberUpdate, commitment
+from oakcroft.decisions.membership.membership import Membership
+from oakcroft.decisions.membership.messages import Address, Message, MessageKind
 from oakcroft.interface import MS, SECOND
 from oakcroft.peers.duties import Duties, Keeping
-from oakcroft.peers.starts import begin, keep
-from oakcroft.peerwire.messages import MOST_DATAGRAM, MOST_STREAM, Codec, Dropped, Stream
+from oakcroft.peers.generations import begin_generation, store_generation
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.membership_codec import MAX_DATAGRAM, MembershipCodec
+from oakcroft.peerwire.push_pull_stream import MAX_PART, FullStateReader, write_full_state
 from oakcroft.peerwire.duties import FORM as DUTY_FORM
 from oakcroft.peerwire.duties import MOST_TEXT
 from oakcroft.peerwire.figures import FORM as FIGURE_FORM
 from oakcroft.peerwire.figures import FigureCodec
-from oakcroft.peerwire.sealing import MAC, BadKeys, Ring, keys_of
+from oakcroft.peerwire.sealing import SEAL_LENGTH, KeyFileError, KeyRing, parse_keys
 from oakcroft.running.clock import Clock
 
 TURN = 8  # datagrams, some 2 ms, before the front's other tasks have their turn: one that wakes finds hundreds waiting
@@ -50,11 +53,11 @@
 
 
 def read_keys(file: str) -> tuple[bytes, ...]:
-    """The keys of a file. BadKeys where it can't be read or holds none."""
+    """The keys of a file. KeyFileError where it can't be read or holds none."""
     try:
-        return keys_of(Path(file).read_text(encoding="ascii"))
+        return parse_keys(Path(file).read_text(encoding="ascii"))
     except (OSError, UnicodeDecodeError) as fault:
-        raise BadKeys(str(fault)) from fault
+        raise KeyFileError(str(fault)) from fault
 
 
 class Peers:
@@ -62,19 +65,19 @@
 
     def __init__(
         self, place: PeersPlace, wing: str, seed: int, clock: Clock, log: structlog.typing.FilteringBoundLogger,
-        changed: Callable[[View], None] = lambda _: None, record: Keeping | None = None,
+        changed: Callable[[Membership], None] = lambda _: None, record: Keeping | None = None,
     ) -> None:  # fmt: skip
         self.place, self.clock, self.log, self.changed = place, clock, log, changed
-        self.ring = Ring(read_keys(place.key_file))
-        self.codec = Codec(place.fleet, self.ring)
-        start, trouble = begin(place.starts)
+        self.ring = KeyRing(read_keys(place.key_file))
+        self.codec = MembershipCodec(place.fleet, self.ring)
+        start, trouble = begin_generation(place.starts)
         if trouble:
             log.warning("start not kept", file=place.starts, why=trouble)
         secret = secrets.token_bytes(16)
-        me = News(
-            place.name, start, 0, Standing.ALIVE, *place.advertise, wing, __version__, commitment(secret)
+        me = MemberUpdate(
+            place.name, start, 0, MemberState.ALIVE, *place.advertise, wing, __version__, commitment(secret)
         )
-        self.view = View(me, secret, Random(seed), self.now(), place.seeds)
+        self.view = Membership(me, secret, Random(seed), self.now(), place.seeds)
         self.kept = start
         self.dropped: Counter[str] = Counter()
         self.sent = self.taken = self.octets_out = 0
@@ -120,7 +123,7 @@
             self.log.info(
                 "peers",
                 name=me.name,
-                start=me.start,
+                start=me.generation,
                 address=f"{me.host}:{me.port}",
                 seeds=len(self.view.seeds),
             )
@@ -154,7 +157,7 @@
         while view.out:
             out, view.out = view.out, []
             for message in out:
-                if message.kind is Kind.EXCHANGE:
+                if message.kind is MessageKind.PUSH_PULL:
                     self.nursery.start_soon(self._exchange, message.address)
                 else:
                     self._write(message)
@@ -164,9 +167,9 @@
                 self.log.info(
                     "member", name=c.name, was=c.was, now=c.now, why=c.why, present=len(view.present())
                 )
-            if view.me.start != self.kept:
-                self.kept = view.me.start
-                if trouble := keep(self.place.starts, self.kept):
+            if view.me.generation != self.kept:
+                self.kept = view.me.generation
+                if trouble := store_generation(self.place.starts, self.kept):
                     self.log.warning("start not kept", file=self.place.starts, why=trouble)
             self.changed(view)
         self.sooner.set()
@@ -174,12 +177,10 @@
     def _say(self, to: str, octets: bytes) -> None:
         """A word of the duties, to a member by name; lost where nobody knows the name."""
         if (member := self.view.members.get(to)) is not None and self.sock is not None:
-            self._put(octets, member.news.address)
+            self._put(octets, member.latest.address)
 
-    def _write(self, message: Out) -> None:
-        octets = self.codec.datagram(
-            self.view.me, message.kind, message.seq, message.to, message.about, message.news
-        )
+    def _write(self, message: Message) -> None:
+        octets = self.codec.encode(self.view.me, message)
         self._put(octets, message.address)
 
     def _put(self, octets: bytes, address: Address) -> None:
@@ -196,12 +197,12 @@
 
     async def _exchange(self, address: Address) -> None:
         """Whole views, with whoever is at an address."""
-        with trio.move_on_after(STREAM_WITHIN), suppress(OSError, trio.BrokenResourceError, Dropped):
+        with trio.move_on_after(STREAM_WITHIN), suppress(OSError, trio.BrokenResourceError, MessageError):
             own = self.place.listen[0]
             bound = None if ip_address(own).is_unspecified else own
             stream = await trio.open_tcp_stream(*address, local_address=bound)
             async with stream:
-                await stream.send_all(self.codec.whole(self.view.whole()))
+                await stream.send_all(write_full_state(self.codec, self.view.whole()))
                 await self._hear_whole(stream)
 
     # In.
@@ -211,7 +212,7 @@
         turn = 0
         while True:
             try:
-                octets, _ = self.sock.recvfrom(MOST_DATAGRAM + 1)
+                octets, _ = self.sock.recvfrom(MAX_DATAGRAM + 1)
             except BlockingIOError:
                 await trio.lowlevel.wait_readable(self.sock)
                 continue
@@ -226,9 +227,9 @@
     def _take(self, octets: bytes) -> None:
         now = self.now()
         try:
-            opened = self.codec.opened(octets, now)
+            opened = self.codec.open(octets, now)
             if not self._within_pace(now):
-                raise Dropped("too many")
+                raise MessageError("too many")
             if self.duties is not None and opened[:1] == DUTIES:
                 self.duties.taken(opened)
                 self.taken += 1
@@ -236,19 +237,27 @@
             if self.figures is not None and opened[:1] == FIGURES:
                 self._figures(opened)
                 return
-            sender, kind, seq, to, about, news = self.codec.read(opened)
-        except Dropped as reason:
+            received = self.codec.read(opened)
+        except MessageError as reason:
             self.dropped[str(reason)] += 1
             return
         self.taken += 1
-        self.view.heard(sender, kind, seq, to, about, news, now)
+        self.view.heard(
+            received.sender,
+            received.kind,
+            received.sequence,
+            received.to,
+            received.target,
+            received.updates,
+            now,
+        )
         self._carry_out()
 
     def _figures(self, opened: bytes) -> None:
         """Figures of nodes: taken of members that this front sees, whatever their start."""
         sender, rows = self.figure_codec.taken(opened)
         if sender not in self.view.members or self.view.displaced:
-            raise Dropped("no member")
+            raise MessageError("no member")
         self.taken += 1
         if self.figures is not None:
             self.figures(rows)
@@ -260,7 +269,7 @@
     def tell_figures(self, to: str, rows: list[Row]) -> None:
         """Figures of nodes, to a member by name."""
         if not self.view.displaced and not self.view.left:
-            self._say(to, self.figure_codec.rows(self.view.me.name, self.view.me.start, rows))
+            self._say(to, self.figure_codec.rows(self.view.me.name, self.view.me.generation, rows))
 
     def _within_pace(self, now: int) -> bool:
         """Guards the front's turns against a peer that floods: covers one that holds the key and is broken."""
@@ -281,11 +290,15 @@
             with trio.move_on_after(STREAM_WITHIN) as scope, suppress(OSError, trio.BrokenResourceError):
                 first = await self._first(stream)
                 # Nobody is told anything who has not shown that he holds the key.
-                if first is not None and self.duties is not None and first[2 + MAC : 3 + MAC] == DUTIES:
+                if (
+                    first is not None
+                    and self.duties is not None
+                    and first[2 + SEAL_LENGTH : 3 + SEAL_LENGTH] == DUTIES
+                ):
                     scope.deadline += TEXT_WITHIN
                     await self._hand_out(stream, first)
                 elif first is not None and await self._hear_whole(stream, first):
-                    await stream.send_all(self.codec.whole(self.view.whole()))
+                    await stream.send_all(write_full_state(self.codec, self.view.whole()))
         finally:
             self.streams.release()
             await trio.aclose_forcefully(stream)
@@ -294,8 +307,8 @@
     async def _first(stream: trio.SocketStream) -> bytes | None:
         """A stream's octets up to where its first message shows its form."""
         octets = bytearray()
-        while len(octets) < 3 + MAC:
-            more = await stream.receive_some(MOST_STREAM)
+        while len(octets) < 3 + SEAL_LENGTH:
+            more = await stream.receive_some(MAX_PART)
             if not more:
                 return None
             octets += more
@@ -307,10 +320,10 @@
         codec, text = self.duties.codec, None
         try:
             length = 2 + int.from_bytes(first[:2], "big")
-            while len(first) < length <= MOST_DATAGRAM:
-                first += await stream.receive_some(MOST_DATAGRAM) or bytes(length)
-            text = self.duties.texts(codec.asked_for(self.codec.opened(first[2:length], self.now())))
-        except Dropped as reason:
+            while len(first) < length <= MAX_DATAGRAM:
+                first += await stream.receive_some(MAX_DATAGRAM) or bytes(length)
+            text = self.duties.texts(codec.asked_for(self.codec.open(first[2:length], self.now())))
+        except MessageError as reason:
             self.dropped[str(reason)] += 1
             return
         for part in codec.chunks(*self.duties.me, text or b""):
@@ -322,9 +335,9 @@
         if member is None or duties is None:
             return None
         text, buffer, part = bytearray(), bytearray(), 0
-        with trio.move_on_after(TEXT_WITHIN), suppress(OSError, trio.BrokenResourceError, Dropped):
+        with trio.move_on_after(TEXT_WITHIN), suppress(OSError, trio.BrokenResourceError, MessageError):
             bound = None if ip_address(own).is_unspecified else own
-            async with await trio.open_tcp_stream(*member.news.address, local_address=bound) as stream:
+            async with await trio.open_tcp_stream(*member.latest.address, local_address=bound) as stream:
                 await stream.send_all(duties.codec.fetch(*duties.me, digest))
                 while octets := await stream.receive_some(65_536):
                     buffer += octets
@@ -341,7 +354,7 @@
         return None
 
     async def _hear_whole(self, stream: trio.SocketStream, first: bytes = b"") -> bool:
-        heard = Stream(self.codec)
+        heard = FullStateReader(self.codec)
         try:
             if first:
                 heard.receive_data(first, self.now())
@@ -350,11 +363,11 @@
                 if not octets:
                     return False
                 heard.receive_data(octets, self.now())
-        except Dropped as reason:
+        except MessageError as reason:
             self.dropped[str(reason)] += 1
             return False
         assert heard.sender is not None
-        self.view.exchanged(heard.sender, heard.news, self.now())
+        self.view.exchanged(heard.sender, heard.updates, self.now())
         self._carry_out()
         return True
 
@@ -381,7 +394,7 @@
             try:
                 self.ring.change(read_keys(self.place.key_file), self.now())
                 self.log.info("peer keys taken", keys=len(self.ring.keys), lingering=len(self.ring.former))
-            except BadKeys as fault:
+            except KeyFileError as fault:
                 self.log.warning("peer keys not taken", why=str(fault))
 
     # What operators see.
@@ -391,19 +404,19 @@
         view, now = self.view, self.now()
         members = [
             {
-                "name": n, "standing": m.news.standing.name.lower(), "start": m.news.start,
-                "incarnation": m.news.incarnation, "address": f"{m.news.host}:{m.news.port}", "wing": m.news.wing,
-                "version": m.news.version, "since_ms": (now - m.since) // MS,
+                "name": n, "standing": m.latest.state.label, "start": m.latest.generation,
+                "incarnation": m.latest.incarnation, "address": f"{m.latest.host}:{m.latest.port}", "wing": m.latest.zone,
+                "version": m.latest.version, "since_ms": (now - m.since) // MS,
                 "heard_ms": (now - m.heard_at) // MS if m.heard_at else None,
-                "by": m.news.by,
+                "by": m.latest.reported_by,
             }
             for n, m in sorted(view.members.items())
         ]  # fmt: skip
         return {
-            "name": view.me.name, "start": view.me.start, "incarnation": view.me.incarnation,
-            "displaced": view.displaced, "joined": view.joined, "slow": view.health.slow, "members": members,
+            "name": view.me.name, "start": view.me.generation, "incarnation": view.me.incarnation,
+            "displaced": view.displaced, "joined": view.joined, "slow": view.health.multiplier, "members": members,
             "sent": self.sent, "taken": self.taken, "octets_out": self.octets_out,
-            "keys": self.ring.marks(), "dropped": dict(self.dropped), "counts": vars(view.counts),
+            "keys": self.ring.fingerprints(), "dropped": dict(self.dropped), "counts": vars(view.counts),
         }  # fmt: skip
 
 
--- a/oakcroft/peerwire/duties.py
+++ b/oakcroft/peerwire/duties.py
@@ -15,8 +15,9 @@
 import msgspec
 
 from oakcroft.decisions.fleet.terms import MOST_NOTE, MOST_NUMBER, Answer, Ask, Learnt, Note, Row, Step, Term
-from oakcroft.peerwire.messages import MOST_DATAGRAM, Dropped
-from oakcroft.peerwire.sealing import Ring
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.membership_codec import MAX_DATAGRAM
+from oakcroft.peerwire.sealing import KeyRing
 
 FORM = 65
 MOST_NAME = 64
@@ -158,7 +159,7 @@
 
 
 def row_of(word: RowWord) -> Row:
-    """A row that has been read. Dropped where it is none."""
+    """A row that has been read. MessageError where it is none."""
     return Row(_number(word.promised), _name(word.to, 2 * MOST_NAME), _term(word.term), _note(word.note))
 
 
@@ -168,13 +169,13 @@
 
 def _number(n: int) -> int:
     if not 0 <= n < MOST_NUMBER:
-        raise Dropped("malformed")
+        raise MessageError("malformed")
     return n
 
 
 def _name(name: str, most: int = MOST_NAME) -> str:
     if len(name) > most:
-        raise Dropped("malformed")
+        raise MessageError("malformed")
     return name
 
 
@@ -184,21 +185,21 @@
 
 def _note(word: NoteWord) -> Note:
     if len(word.body) > MOST_NOTE:
-        raise Dropped("malformed")
+        raise MessageError("malformed")
     return Note(_number(word.number), _number(word.step), word.body)
 
 
 class DutyCodec:
-    """Writes and reads the words of one fleet's duties. Dropped for whatever is none of them."""
+    """Writes and reads the words of one fleet's duties. MessageError for whatever is none of them."""
 
-    def __init__(self, fleet: str, ring: Ring) -> None:
+    def __init__(self, fleet: str, ring: KeyRing) -> None:
         self.fleet, self.ring = fleet, ring
 
     def _sealed(self, sender: str, start: int, kind: int, payload: msgspec.Struct) -> bytes:
         body = Body(self.fleet, sender, start, kind, msgspec.Raw(ENCODER.encode(payload)))
         octets = self.ring.seal(bytes((FORM,)) + ENCODER.encode(body))
-        if len(octets) > MOST_DATAGRAM:
-            raise Dropped("too long")
+        if len(octets) > MAX_DATAGRAM:
+            raise MessageError("too long")
         return octets
 
     def ask(self, sender: str, start: int, ask: Ask) -> bytes:
@@ -260,20 +261,20 @@
         try:
             body = BODY.decode(opened[1:])
             if opened[:1] != bytes((FORM,)) or body.fleet != self.fleet or body.kind != kind:
-                raise Dropped("unknown kind")
+                raise MessageError("unknown kind")
             return decoder.decode(bytes(body.payload))
         except msgspec.MsgspecError as fault:
-            raise Dropped("malformed") from fault
+            raise MessageError("malformed") from fault
 
     def taken(self, opened: bytes) -> Taken:
         """What a message says that the ring has opened, its form first."""
         try:
             body = BODY.decode(opened[1:])
             if body.fleet != self.fleet:
-                raise Dropped("other fleet")
+                raise MessageError("other fleet")
             return Taken(_name(body.sender), _number(body.start), self._word(body))
         except msgspec.MsgspecError as fault:
-            raise Dropped("malformed") from fault
+            raise MessageError("malformed") from fault
 
     @staticmethod
     def _word(body: Body) -> Word:
@@ -302,4 +303,4 @@
             return LEARN.decode(raw)
         if step is Step.LEARNT:
             return LEARNT.decode(raw)
-        raise Dropped("unknown kind")
+        raise MessageError("unknown kind")
--- a/oakcroft/peerwire/figures.py
+++ b/oakcroft/peerwire/figures.py
@@ -15,8 +15,9 @@
 
 from oakcroft.decisions.fleet.figures import MOST_AGE, MOST_ASKED, MOST_ROWS, Row
 from oakcroft.interface import MS
-from oakcroft.peerwire.messages import MOST_DATAGRAM, Dropped
-from oakcroft.peerwire.sealing import Ring
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.membership_codec import MAX_DATAGRAM
+from oakcroft.peerwire.sealing import KeyRing
 
 FORM = 67
 THOUSAND = 1_000
@@ -40,7 +41,7 @@
 class FigureCodec:
     """Writes and reads the figures of one fleet."""
 
-    def __init__(self, fleet: str, ring: Ring) -> None:
+    def __init__(self, fleet: str, ring: KeyRing) -> None:
         self.fleet, self.ring = fleet, ring
 
     def rows(self, sender: str, start: int, rows: Sequence[Row]) -> bytes:
@@ -48,16 +49,16 @@
         some = [(r.mark, round(r.asked * THOUSAND), min(r.age, MOST_AGE) // MS) for r in rows[:MOST_ROWS]]
         while True:
             octets = self.ring.seal(bytes((FORM,)) + ENCODER.encode(Body(self.fleet, sender, start, some)))
-            if len(octets) <= MOST_DATAGRAM or not some:
+            if len(octets) <= MAX_DATAGRAM or not some:
                 return octets
             some.pop()
 
     def taken(self, opened: bytes) -> tuple[str, list[Row]]:
-        """Whose figures, and which, of a message that the ring has opened, its form first. Dropped where it is none."""
+        """Whose figures, and which, of a message that the ring has opened, its form first. MessageError if it is none."""
         try:
             body = DECODER.decode(opened[1:])
         except msgspec.MsgspecError as fault:
-            raise Dropped("malformed") from fault
+            raise MessageError("malformed") from fault
         if body.fleet != self.fleet:
-            raise Dropped("other fleet")
+            raise MessageError("other fleet")
         return body.sender, [Row(mark, load / THOUSAND, age * MS) for mark, load, age in body.rows]
--- /dev/null
+++ b/oakcroft/peerwire/membership_codec.py
@@ -0,0 +1,188 @@
+"""The membership messages of peers as MessagePack under a seal.
+
+message = seal:16 format:1 body       body: an array [fleet, sender, kind, sequence, to, to generation, target, updates]
+update = [name, generation, incarnation, state, host, port, zone, version, proof, reported by]
+
+Neighbouring formats understand each other: a later format may add fields at the end of an array and kinds of message;
+the earlier one ignores them, and the later one does without them. Anything else is told apart by its reason and dropped.
+What is decoded goes on as typed values of the decisions; the structures here are the wire's own.
+"""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+
+import msgspec
+
+from oakcroft.decisions.membership.member import MAX_NAME_LENGTH, MemberState, MemberUpdate
+from oakcroft.decisions.membership.messages import (
+    MAX_UPDATES,
+    MemberId,
+    Message,
+    MessageKind,
+    ProbeTarget,
+    ReceivedMessage,
+)
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.sealing import KeyRing
+
+FORMAT = 1
+FORMATS_READ = (FORMAT, FORMAT + 1)
+"""Formats that are read. There is none before the first."""
+
+MAX_DATAGRAM = 1_400
+"""Octets, seal included: what crosses an Ethernet path whole, with room for tunnels."""
+
+MAX_TEXT_LENGTH = MAX_NAME_LENGTH
+"""Of host, zone, version and reporter."""
+
+STATES = {state.value: state for state in MemberState}
+KINDS = {kind.value: kind for kind in MessageKind}
+
+
+class WireUpdate(msgspec.Struct, array_like=True):
+    """A `MemberUpdate` on the wire."""
+
+    name: str
+    generation: int
+    incarnation: int
+    state: int
+    host: str
+    port: int
+    zone: str
+    version: str
+    proof: bytes
+    reported_by: str = ""
+
+
+class WireBody(msgspec.Struct, array_like=True):
+    """A message on the wire; `more`: of a push-pull, whether another part follows."""
+
+    fleet: str
+    sender: WireUpdate
+    kind: int
+    sequence: int = 0
+    to: str = ""
+    to_generation: int = 0
+    target: tuple[str, int, str, int] | None = None
+    updates: list[WireUpdate] = []
+    more: bool = False
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(WireBody)
+
+
+def to_wire(update: MemberUpdate) -> WireUpdate:
+    """An update as it goes on the wire."""
+    return WireUpdate(
+        update.name, update.generation, update.incarnation, update.state.value, update.host, update.port,
+        update.zone, update.version, update.proof, update.reported_by,
+    )  # fmt: skip
+
+
+def from_wire(wire: WireUpdate) -> MemberUpdate | None:
+    """An update that has been read; None where this format can't say it, such as one of an unknown state."""
+    longest = max(len(text) for text in (wire.host, wire.zone, wire.version, wire.reported_by))
+    if longest > MAX_TEXT_LENGTH or wire.state not in STATES or not is_numeric_host(wire.host):
+        return None
+    return MemberUpdate(
+        wire.name, wire.generation, wire.incarnation, STATES[wire.state], wire.host, wire.port,
+        wire.zone, wire.version, wire.proof, wire.reported_by,
+    )  # fmt: skip
+
+
+def is_numeric_host(host: str) -> bool:
+    """Whether a host is an IP address. Guards the front's turns against names that would have to be looked up: a name in
+    a peer's update held the whole process for seconds, as the resolver was asked for it."""
+    try:
+        ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+class MembershipCodec:
+    """Writes and reads the membership messages of one fleet."""
+
+    def __init__(self, fleet: str, ring: KeyRing) -> None:
+        self.fleet = fleet
+        self.ring = ring
+
+    def encode(self, sender: MemberUpdate, message: Message) -> bytes:
+        """One datagram. Updates that do not fit stay out, the last first."""
+        updates = [to_wire(update) for update in message.updates]
+        while True:
+            body = self._body(sender, message, updates)
+            octets = self.seal(body)
+            if len(octets) <= MAX_DATAGRAM or not updates:
+                return octets
+            updates.pop()
+
+    def _body(self, sender: MemberUpdate, message: Message, updates: list[WireUpdate]) -> WireBody:
+        target = message.target
+        wire_target = None if target is None else (target.name, target.generation, *target.address)
+        return WireBody(
+            self.fleet,
+            to_wire(sender),
+            message.kind.value,
+            message.sequence,
+            *message.to,
+            wire_target,
+            updates,
+        )
+
+    def seal(self, body: WireBody) -> bytes:
+        """A body as sealed octets."""
+        return self.ring.seal(bytes((FORMAT,)) + ENCODER.encode(body))
+
+    def open(self, octets: bytes, now: int) -> bytes:
+        """What a datagram's seal holds, its format first. MessageError where no holder of a key sealed it."""
+        if len(octets) > MAX_DATAGRAM:
+            raise MessageError("too long")
+        return self.unseal(octets, now)
+
+    def unseal(self, octets: bytes, now: int) -> bytes:
+        """What a seal holds, whatever its length. MessageError where no holder of a key sealed it."""
+        opened = self.ring.open(octets, now)
+        if opened is None:
+            raise MessageError("not sealed")
+        return opened
+
+    def decode(self, octets: bytes, now: int) -> ReceivedMessage:
+        """What a datagram says. MessageError where it is none of this fleet's."""
+        return self.read(self.open(octets, now))
+
+    def read(self, opened: bytes) -> ReceivedMessage:
+        """What an opened datagram says. MessageError where it is none of this fleet's."""
+        body = self.read_body(opened)
+        kind = KINDS.get(body.kind)
+        if kind is None or kind is MessageKind.PUSH_PULL:
+            raise MessageError("unknown kind")
+        sender = from_wire(body.sender)
+        if sender is None:
+            raise MessageError("malformed")
+        updates = [update for w in body.updates[:MAX_UPDATES] if (update := from_wire(w)) is not None]
+        to = MemberId(body.to, body.to_generation)
+        return ReceivedMessage(sender, kind, body.sequence, to, _target(body), updates)
+
+    def read_body(self, opened: bytes) -> WireBody:
+        """The body of opened octets. MessageError where it is none of this fleet's."""
+        if not opened or opened[0] not in FORMATS_READ:
+            raise MessageError("other form")
+        try:
+            body = DECODER.decode(opened[1:])
+        except msgspec.MsgspecError as error:
+            raise MessageError("malformed") from error
+        if body.fleet != self.fleet:
+            raise MessageError("other fleet")
+        return body
+
+
+def _target(body: WireBody) -> ProbeTarget | None:
+    if body.target is None:
+        return None
+    name, generation, host, port = body.target
+    if not is_numeric_host(host):
+        raise MessageError("malformed")
+    return ProbeTarget(name, generation, (host, port))
--- /dev/null
+++ b/oakcroft/peerwire/push_pull_stream.py
@@ -0,0 +1,80 @@
+"""Full states over a stream, for push-pull: parts in order, each behind its length in two octets."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from oakcroft.decisions.membership.member import MemberUpdate
+from oakcroft.decisions.membership.messages import MessageKind
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.membership_codec import MembershipCodec, WireBody, from_wire, to_wire
+from oakcroft.peerwire.sealing import SEAL_LENGTH
+
+MAX_PART = 16_384
+"""Octets of one part."""
+
+MAX_PARTS = 64
+"""Of one full state, each way."""
+
+UPDATES_A_PART = 96
+LENGTH_OCTETS = 2
+
+
+def frame(octets: bytes) -> bytes:
+    """Octets behind their length."""
+    return len(octets).to_bytes(LENGTH_OCTETS, "big") + octets
+
+
+def write_full_state(codec: MembershipCodec, updates: Sequence[MemberUpdate]) -> bytes:
+    """A full state, its sender's own update first. What is over `MAX_PARTS` stays out."""
+    sender, rest = updates[0], updates[1 : 1 + MAX_PARTS * UPDATES_A_PART]
+    parts = [rest[i : i + UPDATES_A_PART] for i in range(0, len(rest), UPDATES_A_PART)] or [[]]
+    octets = bytearray()
+    for number, part in enumerate(parts):
+        more = number + 1 < len(parts)
+        wire_updates = [to_wire(update) for update in part]
+        kind = MessageKind.PUSH_PULL.value
+        body = WireBody(codec.fleet, to_wire(sender), kind, number, updates=wire_updates, more=more)
+        octets += frame(codec.seal(body))
+    return bytes(octets)
+
+
+class FullStateReader:
+    """Reads another's full state from a stream, in any pieces. `done` once it is whole."""
+
+    def __init__(self, codec: MembershipCodec) -> None:
+        self.codec = codec
+        self.buffer = bytearray()
+        self.sender: MemberUpdate | None = None
+        self.updates = list[MemberUpdate]()
+        self.parts = 0
+        self.done = False
+
+    def receive_data(self, octets: bytes, now: int) -> None:
+        """Takes octets in. MessageError where they are no full state of this fleet."""
+        self.buffer += octets
+        while not self.done and len(self.buffer) >= LENGTH_OCTETS:
+            length = int.from_bytes(self.buffer[:LENGTH_OCTETS], "big")
+            if length > MAX_PART:
+                raise MessageError("too long")
+            if length <= SEAL_LENGTH:
+                raise MessageError("malformed")
+            end = LENGTH_OCTETS + length
+            if len(self.buffer) < end:
+                return
+            opened = self.codec.unseal(bytes(self.buffer[LENGTH_OCTETS:end]), now)
+            del self.buffer[:end]
+            self._take_part(self.codec.read_body(opened))
+
+    def _take_part(self, body: WireBody) -> None:
+        sender = from_wire(body.sender)
+        if body.kind != MessageKind.PUSH_PULL.value or body.sequence != self.parts or sender is None:
+            raise MessageError("malformed")
+        if self.sender is not None and self.sender.name != sender.name:
+            raise MessageError("malformed")
+        self.sender = sender
+        self.parts += 1
+        self.updates += [u for w in body.updates[:UPDATES_A_PART] if (u := from_wire(w)) is not None]
+        if self.parts >= MAX_PARTS and body.more:
+            raise MessageError("too long")
+        self.done = not body.more
--- a/oakcroft/peerwire/sealing.py
+++ b/oakcroft/peerwire/sealing.py
@@ -1,8 +1,8 @@
-"""Seals: who holds the fleet's key may speak, and nobody else is heard.
+"""Seals: only holders of the fleet's key may speak, and nobody else is listened to.
 
 A key file holds one key a line, 32 octets in hexadecimal. The first seals; all open. So a key is changed while
 serving by adding the new one below the old on every front, then putting it first, then taking the old one out; one
-that is taken out still opens for `LINGERS`, for the fronts that have not read their files yet. This is no encryption:
+that is taken out still opens for `KEY_LINGERS`, for the fronts that have not read their files yet. This is no encryption:
 what peers say of each other is no secret, but nobody else may say it.
 """
 
@@ -13,36 +13,40 @@
 
 from oakcroft.interface import SECOND
 
-MAC = 16
-MOST_KEYS = 4
-LINGERS = 120 * SECOND
+SEAL_LENGTH = 16
+KEY_LENGTH = 32
+MAX_KEYS = 4
+KEY_LINGERS = 120 * SECOND
 PERSON = b"oakcroft-peers"
+"""Domain of the keyed BLAKE2b (RFC 7693), so that a seal is good for nothing else."""
 
+FINGERPRINT_LENGTH = 4
 
-class BadKeys(Exception):
+
+class KeyFileError(Exception):
     """A key file that can't be used; says why, never what stands in it."""
 
 
-def keys_of(text: str) -> tuple[bytes, ...]:
-    """The keys of a file's text, the sealing one first. BadKeys where there is none, or one is no key."""
-    found = list[bytes]()
+def parse_keys(text: str) -> tuple[bytes, ...]:
+    """The keys of a file's text, the sealing one first. KeyFileError where there is none, or one is no key."""
+    keys = list[bytes]()
     for number, line in enumerate(text.splitlines(), 1):
-        word = line.split("#")[0].strip()
-        if not word:
+        digits = line.split("#")[0].strip()
+        if not digits:
             continue
         try:
-            key = bytes.fromhex(word)
+            key = bytes.fromhex(digits)
         except ValueError:
             key = b""
-        if len(key) != 32:
-            raise BadKeys(f"line {number} is not 64 hexadecimal digits")
-        found.append(key)
-    if not 0 < len(found) <= MOST_KEYS:
-        raise BadKeys(f"it holds {len(found)} keys; 1 to {MOST_KEYS} are wanted")
-    return tuple(found)
+        if len(key) != KEY_LENGTH:
+            raise KeyFileError(f"line {number} is not {2 * KEY_LENGTH} hexadecimal digits")
+        keys.append(key)
+    if not 0 < len(keys) <= MAX_KEYS:
+        raise KeyFileError(f"it holds {len(keys)} keys; 1 to {MAX_KEYS} are wanted")
+    return tuple(keys)
 
 
-class Ring:
+class KeyRing:
     """The keys in force."""
 
     def __init__(self, keys: tuple[bytes, ...]) -> None:
@@ -51,15 +55,18 @@
 
     def change(self, keys: tuple[bytes, ...], now: int) -> None:
         """Other keys from now on."""
-        self.former = {k: t for k, t in self.former.items() if t > now and k not in keys}
-        self.former |= {k: now + LINGERS for k in self.keys if k not in keys}
-        while len(self.former) > MOST_KEYS:
+        self.former = {k: until for k, until in self.former.items() if until > now and k not in keys}
+        self.former |= {k: now + KEY_LINGERS for k in self.keys if k not in keys}
+        while len(self.former) > MAX_KEYS:
             del self.former[min(self.former, key=lambda k: self.former[k])]
         self.keys = keys
 
-    def marks(self) -> list[str]:
-        """A mark of each key in force, the sealing one first, for operators to compare; no key follows from it."""
-        return [hashlib.blake2b(k, digest_size=4, person=b"oakcroft-mark").hexdigest() for k in self.keys]
+    def fingerprints(self) -> list[str]:
+        """Of each key in force, the sealing one first, for operators to compare; no key follows from it."""
+        return [
+            hashlib.blake2b(key, digest_size=FINGERPRINT_LENGTH, person=b"oakcroft-mark").hexdigest()
+            for key in self.keys
+        ]
 
     def seal(self, body: bytes) -> bytes:
         """A body under its seal."""
@@ -67,12 +74,13 @@
 
     def open(self, sealed: bytes, now: int) -> bytes | None:
         """The body of what a holder of a key has sealed; None for all else."""
-        seal, body = sealed[:MAC], sealed[MAC:]
-        for key in (*self.keys, *(k for k, until in self.former.items() if until > now)):
+        seal, body = sealed[:SEAL_LENGTH], sealed[SEAL_LENGTH:]
+        lingering = (key for key, until in self.former.items() if until > now)
+        for key in (*self.keys, *lingering):
             if hmac.compare_digest(seal, _mac(key, body)):
                 return body
         return None
 
 
 def _mac(key: bytes, body: bytes) -> bytes:
-    return hashlib.blake2b(body, key=key, digest_size=MAC, person=PERSON).digest()
+    return hashlib.blake2b(body, key=key, digest_size=SEAL_LENGTH, person=PERSON).digest()
--- a/oakcroft/rehearsal/many_views.py
+++ b/oakcroft/rehearsal/many_views.py
@@ -12,8 +12,9 @@
 from functools import partial
 from random import Random
 
-from oakcroft.decisions.membership.member import News, Standing, commitment
-from oakcroft.decisions.membership.membership import Kind, Out, View
+from oakcroft.decisions.membership.member import MemberState, MemberUpdate, commitment
+from oakcroft.decisions.membership.membership import Membership
+from oakcroft.decisions.membership.messages import Message, MessageKind
 from oakcroft.interface import MS, SECOND
 
 HEADER = 28 + 80  # octets of IP and UDP, and of a message without news, as sealed by peerwire
@@ -25,7 +26,7 @@
     """One simulated front."""
 
     name: str
-    view: View
+    view: Membership
     alive: bool = True
     stopped: bool = False  # stands still: nothing is done, what comes waits, bounded
     waiting: list[Callable[[], None]] = field(default_factory=list)
@@ -58,18 +59,18 @@
         known = self.processes.get(name)
         lives = known.lives + 1 if known is not None else 1
         secret = self.rng.randbytes(16)
-        me = News(
+        me = MemberUpdate(
             name,
             start or self.now // 1_000 + 1,
             0,
-            Standing.ALIVE,
+            MemberState.ALIVE,
             host or f"host-{name}",
             1,
             "w",
             "1",
             commitment(secret),
         )
-        view = View(me, secret, Random(self.rng.getrandbits(64)), self.now, seeds)
+        view = Membership(me, secret, Random(self.rng.getrandbits(64)), self.now, seeds)
         process = Process(name, view, lives=lives)
         if known is not None:
             process.messages, process.octets = known.messages, known.octets
@@ -150,12 +151,12 @@
             process.view.tick(self.now)
             self._after(process)
 
-    def _carry(self, sender: Process, message: Out) -> None:
-        if message.kind is Kind.EXCHANGE:
+    def _carry(self, sender: Process, message: Message) -> None:
+        if message.kind is MessageKind.PUSH_PULL:
             self._exchange(sender, message.address)
             return
         sender.messages += 1
-        sender.octets += HEADER + WORD * (1 + len(message.news))
+        sender.octets += HEADER + WORD * (1 + len(message.updates))
         me, times = sender.view.me, 2 if self.rng.random() < self.double else 1
         for _ in range(times):
             if self.rng.random() >= self.loss:
@@ -163,13 +164,15 @@
                     self.now + self.rng.randint(*self.latency), lambda: self._arrive(sender, me, message)
                 )
 
-    def _arrive(self, sender: Process, me: News, message: Out) -> None:
+    def _arrive(self, sender: Process, me: MemberUpdate, message: Message) -> None:
         there = self.at.get(message.address)
         if there is None or not there.alive or self.cut(sender.name, there.name):
             return
 
         def hear() -> None:
-            there.view.heard(me, message.kind, message.seq, message.to, message.about, message.news, self.now)
+            there.view.heard(
+                me, message.kind, message.sequence, message.to, message.target, message.updates, self.now
+            )
             self._after(there)
 
         if there.stopped:
@@ -202,7 +205,7 @@
 
     # What the views say.
 
-    def agree(self, names: set[str], standing: Standing) -> bool:
+    def agree(self, names: set[str], standing: MemberState) -> bool:
         """Whether all that run see all these so."""
         return all(p.view.standing(n) is standing for p in self.living() for n in names if n != p.name)
 
@@ -212,10 +215,10 @@
         return all(self._sees(p.view, living) for p in self.living())
 
     @staticmethod
-    def _sees(view: View, living: set[str]) -> bool:
+    def _sees(view: Membership, living: set[str]) -> bool:
         if view.suspects or len(view.present()) != len(living):
             return False
-        return all(view.standing(n) is Standing.ALIVE for n in living)
+        return all(view.standing(n) is MemberState.ALIVE for n in living)
 
 
 def fleet(size: int, seed: int, loss: float = 0.0, double: float = 0.0) -> Net:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,9 +12,10 @@
 import socket
 import subprocess
 import sys
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from hashlib import sha256
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -28,25 +29,42 @@
 from oakcroft import __version__
 from oakcroft.config.compile import check
 from oakcroft.config.told import PeersPlace
-from oakcroft.decisions.membership.member import News, Standing
-from oakcroft.decisions.membership.membership import Kind, View
+from oakcroft.decisions.membership.member import MemberState, MemberUpdate
+from oakcroft.decisions.membership.membership import Membership
+from oakcroft.decisions.membership.messages import (
+    ANYONE,
+    MemberId,
+    Message,
+    MessageKind,
+    ProbeTarget,
+    ReceivedMessage,
+)
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.peers import speaker
-from oakcroft.peerwire.messages import Codec, Dropped, Stream
-from oakcroft.peerwire.sealing import LINGERS, BadKeys, Ring, keys_of
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.membership_codec import MembershipCodec
+from oakcroft.peerwire.push_pull_stream import FullStateReader, write_full_state
+from oakcroft.peerwire.sealing import KEY_LINGERS, KeyFileError, KeyRing, parse_keys
 from oakcroft.running.clock import Clock
 from oakcroft.standins.between import Between
 from oakcroft.standins.day import parse
 from oakcroft.standins.fleet import Fleet
 from oakcroft.standins.record import Record
 from oakcroft.standins.record import read as read_record
-from test_view import ALIVE, SECRET, news as named
+from test_view import ALIVE, SECRET, update as named
 
 
-def news(name: str, *more: Any) -> News:
+def update(name: str, *more: Any) -> MemberUpdate:
     return replace(named(name, *more), host="127.0.74.9")
 
 
+def datagram(
+    codec: MembershipCodec, sender: MemberUpdate, kind: MessageKind, sequence: int, to: MemberId,
+    target: ProbeTarget | None, updates: Sequence[MemberUpdate],
+) -> bytes:  # fmt: skip
+    return codec.encode(sender, Message(kind, ("127.0.74.9", 1), sequence, to, target, updates))
+
+
 KEY, OTHER = "11" * 32, "22" * 32
 TOKEN = "operators-secret"
 
@@ -252,7 +270,7 @@
         assert await rig.see(rig.names, dict.fromkeys(rig.names, "alive")) < 8
         for word in (f"{KEY}\n{OTHER}", f"{OTHER}\n{KEY}", OTHER):
             (tmp_path / "key").write_text(word)
-            marks = Ring(keys_of(word)).marks()
+            marks = KeyRing(parse_keys(word)).fingerprints()
             with trio.fail_after(15):
                 for name in rig.names:
                     while (await rig.view(name)).get("keys") != marks:
@@ -283,64 +301,89 @@
 
 
 def test_keys_and_seals() -> None:
-    assert keys_of(f"# ours\n{KEY} # old\n\n{OTHER}") == (bytes.fromhex(KEY), bytes.fromhex(OTHER))
+    assert parse_keys(f"# ours\n{KEY} # old\n\n{OTHER}") == (bytes.fromhex(KEY), bytes.fromhex(OTHER))
     for bad in ("", "zz", KEY[:-2], "\n".join([KEY] * 5)):
-        with pytest.raises(BadKeys):
-            keys_of(bad)
-    ring, other = Ring(keys_of(KEY)), Ring(keys_of(OTHER))
+        with pytest.raises(KeyFileError):
+            parse_keys(bad)
+    ring, other = KeyRing(parse_keys(KEY)), KeyRing(parse_keys(OTHER))
     sealed = ring.seal(b"body")
     assert other.open(sealed, 0) is None
-    other.change(keys_of(f"{OTHER}\n{KEY}"), 0)
+    other.change(parse_keys(f"{OTHER}\n{KEY}"), 0)
     assert other.open(sealed, 0) == b"body"
-    other.change(keys_of(OTHER), 1)
-    assert other.open(sealed, LINGERS) == b"body"
-    assert other.open(sealed, LINGERS + 2) is None
+    other.change(parse_keys(OTHER), 1)
+    assert other.open(sealed, KEY_LINGERS) == b"body"
+    assert other.open(sealed, KEY_LINGERS + 2) is None
     assert other.open(b"", 0) is None
 
 
 def test_what_is_malformed_of_another_fleet_or_form_is_told_apart() -> None:
-    codec, stranger = Codec("one", Ring(keys_of(KEY))), Codec("two", Ring(keys_of(KEY)))
-    sound = codec.datagram(news("a"), Kind.PING, 7, ("b", 1), None, [news(f"m{i}") for i in range(40)])
+    codec, stranger = (
+        MembershipCodec("one", KeyRing(parse_keys(KEY))),
+        MembershipCodec("two", KeyRing(parse_keys(KEY))),
+    )
+    sound = datagram(
+        codec, update("a"), MessageKind.PING, 7, MemberId("b", 1), None, [update(f"m{i}") for i in range(40)]
+    )
     assert len(sound) <= 1_400
-    sender, kind, seq, to, about, some = codec.taken(sound, 0)
-    assert (sender, kind, seq, to, about) == (news("a"), Kind.PING, 7, ("b", 1), None)
-    assert some
+    received = codec.decode(sound, 0)
+    assert replace(received, updates=[]) == ReceivedMessage(
+        update("a"), MessageKind.PING, 7, MemberId("b", 1), None, []
+    )
+    assert received.updates
     body = codec.ring.open(sound, 0)
     assert body is not None
     reasons = {
         "not sealed": sound[:-1] + bytes((sound[-1] ^ 1,)),
         "malformed": codec.ring.seal(body[:20]),
         "other form": codec.ring.seal(b"\x09" + body[1:]),
-        "other fleet": stranger.datagram(news("a"), Kind.PING, 7, ("b", 1), None, []),
+        "other fleet": datagram(stranger, update("a"), MessageKind.PING, 7, MemberId("b", 1), None, []),
         "too long": sound + b"x" * 1_400,
     }
-    looked_up = codec.datagram(
-        named("a"), Kind.PING, 7, ("b", 1), None, []
+    looked_up = datagram(
+        codec, named("a"), MessageKind.PING, 7, MemberId("b", 1), None, []
     )  # by a name, which nobody may have to look up
     for reason, octets in [*reasons.items(), ("malformed", looked_up)]:
-        with pytest.raises(Dropped, match=reason):
-            codec.taken(octets, 0)
+        with pytest.raises(MessageError, match=reason):
+            codec.decode(octets, 0)
     later = codec.ring.seal(
         b"\x02" + b"\x9a" + body[2:] + b"\x00"
     )  # the next form, with one more field at the end
-    assert codec.taken(later, 0)[0] == news("a")
+    assert codec.decode(later, 0).sender == update("a")
+
+
+def test_octets_are_those_of_the_releases_before() -> None:
+    """Pinned as the release before the renaming of these modules wrote them: fronts of both form one fleet."""
+    codec = MembershipCodec("one", KeyRing((b"k" * 32,)))
+    sender = MemberUpdate("a", 7, 2, MemberState.ALIVE, "127.0.0.1", 9000, "west", "1.0", b"p" * 16)
+    failed = MemberUpdate("b", 8, 0, MemberState.FAILED, "127.0.0.2", 9001, "east", "1.0", b"q" * 16, "a")
+    target = ProbeTarget("b", 8, ("127.0.0.2", 9001))
+    octets = datagram(codec, sender, MessageKind.PING_REQUEST, 77, MemberId("c", 9), target, [failed])
+    assert octets == bytes.fromhex(
+        "a8388490e7a2c5c1c9c7600657ae31eb0199a36f6e659aa161070200a93132372e302e302e31cd2328a477657374a3312e30"
+        "c41070707070707070707070707070707070a0034da1630994a16208a93132372e302e302e32cd2329919aa162080002a931"
+        "32372e302e302e32cd2329a465617374a3312e30c41071717171717171717171717171717171a161c2"
+    )
+    full_state = write_full_state(codec, [sender, *[failed] * 100])
+    assert (
+        sha256(full_state).hexdigest() == "56d0289a936365b88b83abec225d8560bd6ead04d9e771bede7036cb02945f5a"
+    )
 
 
 def test_a_whole_view_over_a_stream_in_any_pieces() -> None:
-    codec = Codec("one", Ring(keys_of(KEY)))
-    some = [news(f"m{i}") for i in range(250)]
-    octets = codec.whole(some)
+    codec = MembershipCodec("one", KeyRing(parse_keys(KEY)))
+    some = [update(f"m{i}") for i in range(250)]
+    octets = write_full_state(codec, some)
     for step in (1, 7, 1_000, len(octets)):
-        heard = Stream(codec)
+        heard = FullStateReader(codec)
         for i in range(0, len(octets), step):
             heard.receive_data(octets[i : i + step], 0)
         assert heard.done
-        assert [heard.sender, *heard.news] == some
-    with pytest.raises(Dropped, match="too long"):
-        Stream(codec).receive_data(b"\xff\xff", 0)
-    with pytest.raises(Dropped, match="not sealed"):
-        Stream(codec).receive_data(b"\x00\x40" + os.urandom(64), 0)
-    assert news("a", ALIVE).proof != SECRET
+        assert [heard.sender, *heard.updates] == some
+    with pytest.raises(MessageError, match="too long"):
+        FullStateReader(codec).receive_data(b"\xff\xff", 0)
+    with pytest.raises(MessageError, match="not sealed"):
+        FullStateReader(codec).receive_data(b"\x00\x40" + os.urandom(64), 0)
+    assert update("a", ALIVE).proof != SECRET
 
 
 def test_a_fault_among_the_peers_ends_neither_the_front_nor_its_part(
@@ -352,7 +395,7 @@
         probe.bind(("127.0.73.1", 0))
         port = probe.getsockname()[1]
     place = PeersPlace("a", ("127.0.73.1", port), ("127.0.73.1", port), (), str(tmp_path / "key"), "one", "")
-    log, codec = io.BytesIO(), Codec("one", Ring(keys_of(KEY)))
+    log, codec = io.BytesIO(), MembershipCodec("one", KeyRing(parse_keys(KEY)))
 
     async def test() -> None:
         logger = structlog.wrap_logger(
@@ -362,7 +405,7 @@
         peers = speaker.Peers(place, "w", 1, Clock(), logger)
         view, failed = peers.view, list[int]()
 
-        def fails(_: View) -> None:  # once, within what a datagram sets off
+        def fails(_: Membership) -> None:  # once, within what a datagram sets off
             if not failed:
                 failed.append(1)
                 raise RuntimeError("planted")
@@ -372,7 +415,9 @@
             await nursery.start(peers.run)
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
                 for i in range(400):
-                    sock.sendto(codec.datagram(news("b"), Kind.PING, i, ("", 0), None, []), place.listen)
+                    sock.sendto(
+                        datagram(codec, update("b"), MessageKind.PING, i, ANYONE, None, []), place.listen
+                    )
                     if view.standing("b") is ALIVE:
                         break
                     await trio.sleep(0.01)
@@ -390,7 +435,7 @@
         probe.bind(("127.0.74.1", 0))
         at = probe.getsockname()[:2]
     extra = f'(peers (name a) (listen "{at[0]}:{at[1]}") (key-file "{tmp_path}/key")) (limit all (on all) (rate 500/s))'
-    codec, rng = Codec("oakcroft", Ring(keys_of(KEY))), Random(1)
+    codec, rng = MembershipCodec("oakcroft", KeyRing(parse_keys(KEY))), Random(1)
 
     async def test() -> None:
         async with standing(tmp_path, extra=extra) as rig, trio.open_nursery() as nursery:
@@ -400,14 +445,28 @@
                 with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
                     while True:
                         some = [
-                            news(rng.choice(["a", *(f"x{i}" for i in range(50))]), rng.choice(list(Standing)),
+                            update(rng.choice(["a", *(f"x{i}" for i in range(50))]), rng.choice(list(MemberState)),
                                  rng.randrange(1 << 39), rng.randrange(1, 1 << 55), "liar")
                             for _ in range(12)
                         ]  # fmt: skip
-                        kind = rng.choice([Kind.PING, Kind.ACK, Kind.ASK, Kind.TELL])
-                        about = ("x1", 1, ("127.0.74.2", 9)) if kind is Kind.ASK else None
+                        kind = rng.choice(
+                            [MessageKind.PING, MessageKind.ACK, MessageKind.PING_REQUEST, MessageKind.GOSSIP]
+                        )
+                        about = (
+                            ProbeTarget("x1", 1, ("127.0.74.2", 9))
+                            if kind is MessageKind.PING_REQUEST
+                            else None
+                        )
                         sock.sendto(
-                            codec.datagram(news("liar"), kind, rng.randrange(1 << 40), ("a", 0), about, some),
+                            datagram(
+                                codec,
+                                update("liar"),
+                                kind,
+                                rng.randrange(1 << 40),
+                                MemberId("a", 0),
+                                about,
+                                some,
+                            ),
                             at,
                         )
                         said[0] += 1
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -17,8 +17,9 @@
 from oakcroft.front.rolling import PLAN, plan_of, word_of
 from oakcroft.interface import SECOND
 from oakcroft.peerwire.duties import ChunkWord, DutyCodec, LearntWord, OrderWord, ReportWord, row_of
-from oakcroft.peerwire.messages import MOST_DATAGRAM, Dropped
-from oakcroft.peerwire.sealing import Ring
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.membership_codec import MAX_DATAGRAM
+from oakcroft.peerwire.sealing import KeyRing
 
 FRONTS = [f"f{i}" for i in range(10)]
 NEW, OLD = "new", "old"
@@ -188,11 +189,11 @@
 
 
 def codec(fleet: str = "oakcroft", key: bytes = KEY) -> DutyCodec:
-    return DutyCodec(fleet, Ring((key,)))
+    return DutyCodec(fleet, KeyRing((key,)))
 
 
 def opened(octets: bytes) -> bytes:
-    found = Ring((KEY,)).open(octets, 0)
+    found = KeyRing((KEY,)).open(octets, 0)
     assert found is not None
     return found
 
@@ -223,7 +224,7 @@
         codec().ask(name, 1 << 60, Ask(Step.PROPOSE, name, row, 1 << 60, 1 << 60, big)),
         codec().answer(name, 1 << 60, Answer(Step.REFUSED, name, name, 1, 1, 1, 1, row, 1, big, epochs)),
     ]
-    assert all(len(w) <= MOST_DATAGRAM for w in words), [len(w) for w in words]
+    assert all(len(w) <= MAX_DATAGRAM for w in words), [len(w) for w in words]
 
 
 def test_a_plan_fits_its_record_whatever_was_written_into_it() -> None:
@@ -269,13 +270,13 @@
     assert [p.more for p in parts] == [True] * (len(parts) - 1) + [False]
     asked = one.fetch("f1", 1, "abc")
     assert one.asked_for(opened(asked[2:])) == "abc"
-    with pytest.raises(Dropped):
+    with pytest.raises(MessageError):
         one.chunk(opened(asked[2:]))
 
 
 @given(st.binary(max_size=200))
 def test_what_is_no_word_is_dropped(octets: bytes) -> None:
-    with pytest.raises(Dropped):
+    with pytest.raises(MessageError):
         codec().taken(bytes((65,)) + octets)
 
 
@@ -285,10 +286,10 @@
         opened(codec().ask("f1", 99, Ask(Step.PROPOSE, "catalogue", TERM, 3, 6 * SECOND, NOTE)))
     )
     octets[at % len(octets)] = value
-    with suppress(Dropped):
+    with suppress(MessageError):
         codec().taken(bytes(octets))
     other = codec("other").ask("f1", 99, Ask(Step.PREPARE, "d", TERM))
-    with pytest.raises(Dropped):
+    with pytest.raises(MessageError):
         codec().taken(opened(other))
 
 
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -18,87 +18,96 @@
 
 from oakcroft.decisions.admission.limits import Ledger, Limit, Scope
 from oakcroft.decisions.membership import suspicion
-from oakcroft.decisions.membership.member import MOST_INCARNATION, News, Standing, commitment, holds, next_start
-from oakcroft.decisions.membership.shares import overshoot, parts
-from oakcroft.decisions.membership.membership import KEPT_GONE, MOST_FORMER, MOST_MEMBERS, MOST_NEWS, Kind, View
+from oakcroft.decisions.membership.member import (
+    MAX_INCARNATION,
+    MemberState,
+    MemberUpdate,
+    commitment,
+    next_generation,
+    supersedes,
+)
+from oakcroft.decisions.membership.shares import max_overshoot, rate_divisor
+from oakcroft.decisions.membership.member_table import FAILED_RETENTION, MAX_FORMER_ADDRESSES, MAX_MEMBERS
+from oakcroft.decisions.membership.membership import Membership
+from oakcroft.decisions.membership.messages import ANYONE, MAX_UPDATES, MessageKind
 from oakcroft.interface import MS, SECOND
 from oakcroft.rehearsal.many_views import Net, fleet
 from oakcroft.rulecheck.fleet import judge_view
 from oakcroft.running.logs import Spared
 
-ALIVE, SUSPECTED, GONE, LEFT = Standing
+ALIVE, SUSPECTED, FAILED, LEFT = MemberState
 SECRET = b"s" * 16
 word = st.builds(
-    lambda start, incarnation, standing, by: News(
-        "x", start, incarnation, standing, "h", 1, "w", "1", SECRET if standing is LEFT else commitment(SECRET), by
+    lambda generation, incarnation, state, by: MemberUpdate(
+        "x", generation, incarnation, state, "h", 1, "w", "1", SECRET if state is LEFT else commitment(SECRET), by
     ),
-    st.integers(1, 3), st.integers(0, 3), st.sampled_from(Standing), st.sampled_from(["a", "b"]),
+    st.integers(1, 3), st.integers(0, 3), st.sampled_from(MemberState), st.sampled_from(["a", "b"]),
 )  # fmt: skip
 
 
-def news(
-    name: str = "x", standing: Standing = ALIVE, incarnation: int = 0, start: int = 1, by: str = ""
-) -> News:
-    proof = SECRET if standing is LEFT else commitment(SECRET)
-    return News(name, start, incarnation, standing, f"host-{name}", 1, "w", "1", proof, by)
+def update(
+    name: str = "x", state: MemberState = ALIVE, incarnation: int = 0, generation: int = 1, by: str = ""
+) -> MemberUpdate:
+    proof = SECRET if state is LEFT else commitment(SECRET)
+    return MemberUpdate(name, generation, incarnation, state, f"host-{name}", 1, "w", "1", proof, by)
 
 
-def told(net: Net, standing: Standing) -> set[str]:
+def told(net: Net, state: MemberState) -> set[str]:
     """Whom anybody has seen so."""
-    return {about for _, _, about, _, now in net.told if now == standing.name.lower()}
+    return {about for _, _, about, _, now in net.told if now == state.label}
 
 
 @given(st.lists(word, max_size=6))
-def test_what_holds_does_not_depend_on_the_order_of_news(some: list[News]) -> None:
+def test_what_holds_does_not_depend_on_the_order_of_news(some: list[MemberUpdate]) -> None:
     ends = set[tuple[int, bool, int, int]]()
     for order in list(permutations(some))[:60]:
-        known: News | None = None
+        known: MemberUpdate | None = None
         for one in order:
-            if holds(one, known):
+            if supersedes(one, known):
                 known = one
-        ends.add(known.key if known is not None else (0, False, 0, 0))
+        ends.add(known.precedence if known is not None else (0, False, 0, 0))
     assert len(ends) == 1
-    assert not some or ends == {max(n.key for n in some)}
+    assert not some or ends == {max(n.precedence for n in some)}
 
 
-@given(st.lists(word.filter(lambda n: n.standing in (ALIVE, SUSPECTED, LEFT)), max_size=6), st.randoms())
-def test_views_that_were_told_the_same_are_the_same(some: list[News], rng: Random) -> None:
-    views = [View(news("me"), SECRET, Random(1), 0) for _ in range(2)]
+@given(st.lists(word.filter(lambda n: n.state in (ALIVE, SUSPECTED, LEFT)), max_size=6), st.randoms())
+def test_views_that_were_told_the_same_are_the_same(some: list[MemberUpdate], rng: Random) -> None:
+    views = [Membership(update("me"), SECRET, Random(1), 0) for _ in range(2)]
     for view in views:
         rng.shuffle(some)
         for one in some:
-            view.heard(news("teller"), Kind.TELL, 0, ("", 0), None, [one], 0)
-    held = [{n: m.news.key for n, m in v.members.items()} for v in views]
+            view.heard(update("teller"), MessageKind.GOSSIP, 0, ANYONE, None, [one], 0)
+    held = [{n: m.latest.precedence for n, m in v.members.items()} for v in views]
     assert held[0] == held[1]
 
 
 def test_only_a_member_itself_can_say_that_it_leaves() -> None:
-    view = View(news("me"), SECRET, Random(1), 0)
-    view.heard(news("x"), Kind.TELL, 0, ("", 0), None, [], 0)
-    forged = replace(news("x", LEFT), proof=b"f" * 16)
-    view.heard(news("liar"), Kind.TELL, 0, ("", 0), None, [forged], 0)
+    view = Membership(update("me"), SECRET, Random(1), 0)
+    view.heard(update("x"), MessageKind.GOSSIP, 0, ANYONE, None, [], 0)
+    forged = replace(update("x", LEFT), proof=b"f" * 16)
+    view.heard(update("liar"), MessageKind.GOSSIP, 0, ANYONE, None, [forged], 0)
     assert view.standing("x") is ALIVE
     assert view.counts.refused_leaves == 1
-    view.heard(news("x", LEFT), Kind.TELL, 0, ("", 0), None, [], 0)
+    view.heard(update("x", LEFT), MessageKind.GOSSIP, 0, ANYONE, None, [], 0)
     assert view.standing("x") is LEFT
 
 
 def test_words_that_nobody_could_outbid_are_none() -> None:
-    view = View(news("me"), SECRET, Random(1), 0)
+    view = Membership(update("me"), SECRET, Random(1), 0)
     for bad in (
-        news("x", incarnation=MOST_INCARNATION),
-        news("x", start=1 << 60),
-        replace(news("x"), proof=b""),
+        update("x", incarnation=MAX_INCARNATION),
+        update("x", generation=1 << 60),
+        replace(update("x"), proof=b""),
     ):
-        view.heard(news("liar"), Kind.TELL, 0, ("", 0), None, [bad], 0)
+        view.heard(update("liar"), MessageKind.GOSSIP, 0, ANYONE, None, [bad], 0)
     assert view.standing("x") is None
     assert view.counts.unsound == 3
 
 
 def test_the_number_of_a_start_grows_without_file_or_with_the_clock_back() -> None:
-    assert next_start(1_000, 0) == 1_000
-    assert next_start(500, 1_000) == 1_001  # the clock went back
-    assert next_start(500, 0, 2_000) == 2_001  # the file is lost as well: peers know
+    assert next_generation(1_000, 0) == 1_000
+    assert next_generation(500, 1_000) == 1_001  # the clock went back
+    assert next_generation(500, 0, 2_000) == 2_001  # the file is lost as well: peers know
 
 
 def test_every_order_of_messages_of_three_members_to_a_depth() -> None:
@@ -106,26 +115,28 @@
     incarnation never wins, nobody is gone by hearsay, tables stay within bounds."""
     names, seen, states = ("a", "b", "c"), set[str](), 0
 
-    def start() -> tuple[dict[str, View], list[tuple[str, News, object]]]:
-        views = {n: View(news(n), SECRET, Random(ord(n)), 0) for n in names}
+    def start() -> tuple[dict[str, Membership], list[tuple[str, MemberUpdate, object]]]:
+        views = {n: Membership(update(n), SECRET, Random(ord(n)), 0) for n in names}
         for view in views.values():
             for other in names:
                 if other != view.me.name:
-                    view.heard(news(other), Kind.TELL, 0, ("", 0), None, [], 0)
-        views["a"].heard(news("b"), Kind.TELL, 0, ("", 0), None, [news("c", SUSPECTED, by="b")], 0)
+                    view.heard(update(other), MessageKind.GOSSIP, 0, ANYONE, None, [], 0)
+        views["a"].heard(
+            update("b"), MessageKind.GOSSIP, 0, ANYONE, None, [update("c", SUSPECTED, by="b")], 0
+        )
         return views, []
 
-    def collect(views: dict[str, View], flying: list[tuple[str, News, object]]) -> None:
+    def collect(views: dict[str, Membership], flying: list[tuple[str, MemberUpdate, object]]) -> None:
         for view in views.values():
             for out in view.out:
                 to = out.address[0].removeprefix("host-")
-                if out.kind is not Kind.EXCHANGE and len(flying) < 6:
+                if out.kind is not MessageKind.PUSH_PULL and len(flying) < 6:
                     flying.append((to, view.me, out))
             view.out, view.changes = [], []
 
-    def shape(views: dict[str, View], flying: list[tuple[str, News, object]], now: int) -> str:
-        held = [sorted((n, m.news.key) for n, m in v.members.items()) for v in views.values()]
-        return repr((held, sorted((t, s.key, repr(o)) for t, s, o in flying), now))
+    def shape(views: dict[str, Membership], flying: list[tuple[str, MemberUpdate, object]], now: int) -> str:
+        held = [sorted((n, m.latest.precedence) for n, m in v.members.items()) for v in views.values()]
+        return repr((held, sorted((t, s.precedence, repr(o)) for t, s, o in flying), now))
 
     first = start()
     collect(*first)
@@ -137,7 +148,9 @@
             for step in steps:
                 v, f = copy.deepcopy((views, flying))
                 then = now
-                before = {n: {m: x.news.key for m, x in view.members.items()} for n, view in v.items()}
+                before = {
+                    n: {m: x.latest.precedence for m, x in view.members.items()} for n, view in v.items()
+                }
                 if step == "time":
                     then = now + 700 * MS
                     for view in v.values():
@@ -146,13 +159,15 @@
                     f.pop(int(step.split()[1]))
                 else:
                     to, sender, out = f.pop(step)
-                    v[to].heard(sender, out.kind, out.seq, out.to, out.about, out.news, then)  # type: ignore[attr-defined]
+                    v[to].heard(sender, out.kind, out.sequence, out.to, out.target, out.updates, then)  # type: ignore[attr-defined]
                 for n, view in v.items():
                     for m, x in view.members.items():
-                        assert x.news.key >= before[n].get(m, (0, False, 0, 0)), "an older word won"
-                        assert x.news.standing is not GONE or then >= suspicion.SHORTEST, "gone by hearsay"
+                        assert x.latest.precedence >= before[n].get(m, (0, False, 0, 0)), "an older word won"
+                        assert x.latest.state is not FAILED or then >= suspicion.MIN_TIMEOUT, (
+                            "gone by hearsay"
+                        )
                     assert len(view.members) == 3
-                    assert len(view.probes) <= 32
+                    assert len(view.prober.probes) <= 32
                 collect(v, f)
                 states += 1
                 if (key := shape(v, f, then)) not in seen:
@@ -167,10 +182,10 @@
     net.told.clear()
     began = net.now
     net.kill("f7")
-    assert net.run(10 * SECOND, lambda: net.agree({"f7"}, GONE))
+    assert net.run(10 * SECOND, lambda: net.agree({"f7"}, FAILED))
     assert net.now - began < 6 * SECOND
     net.run(10 * SECOND)
-    assert told(net, GONE) == {"f7"}
+    assert told(net, FAILED) == {"f7"}
     net.add("f7", (("host-f0", 1),))
     assert net.run(3 * SECOND, net.settled)
 
@@ -182,7 +197,7 @@
     for name in victims:
         net.kill(name)
     assert net.run(15 * SECOND, net.settled)
-    assert told(net, GONE) == victims
+    assert told(net, FAILED) == victims
     for name in victims:
         net.add(name, (("host-f0", 1), ("host-f20", 1)))
     assert net.run(5 * SECOND, net.settled)
@@ -191,7 +206,7 @@
 def test_one_that_stood_still_for_half_a_minute_declares_nobody_dead_and_is_taken_back() -> None:
     net = fleet(12, 3)
     net.stop("f4")
-    assert net.run(10 * SECOND, lambda: net.agree({"f4"}, GONE))
+    assert net.run(10 * SECOND, lambda: net.agree({"f4"}, FAILED))
     net.run(30 * SECOND)
     net.told.clear()
     net.go_on("f4")
@@ -199,7 +214,7 @@
     assert net.run(5 * SECOND, net.settled)
     assert net.now - began < 3 * SECOND
     net.run(10 * SECOND)
-    assert told(net, GONE) == set()
+    assert told(net, FAILED) == set()
     assert net.processes["f4"].view.counts.stood_still == 1
 
 
@@ -208,10 +223,10 @@
     net.told.clear()
     net.cut = lambda one, other: (one, other) == ("f1", "f2")
     net.run(60 * SECOND)
-    assert told(net, GONE) == set()
+    assert told(net, FAILED) == set()
     net.cut = lambda one, other: "f2" in (one, other) and "f5" not in (one, other)
     net.run(60 * SECOND)  # f2 is reached through f5 only
-    assert told(net, GONE) == set()
+    assert told(net, FAILED) == set()
 
 
 def test_a_third_lost_doubled_late_and_out_of_order() -> None:
@@ -219,7 +234,7 @@
     net.told.clear()
     net.loss, net.double, net.latency = 0.33, 0.2, (MS, 150 * MS)
     net.run(120 * SECOND)
-    assert told(net, GONE) == set()
+    assert told(net, FAILED) == set()
 
 
 @pytest.mark.parametrize("many", [2, 5])
@@ -227,7 +242,7 @@
     net = fleet(10, 6)
     part = {f"f{i}": i % many for i in range(10)}
     net.cut = lambda one, other: part[one] != part[other]
-    net.run(KEPT_GONE + 60 * SECOND)
+    net.run(FAILED_RETENTION + 60 * SECOND)
     view = net.processes["f3"].view
     assert all(view.standing(n) is None for n in part if part[n] != part["f3"])  # forgotten
     net.cut = lambda _one, _other: False
@@ -244,7 +259,7 @@
     assert net.run(5 * SECOND, net.settled)
     net.told.clear()
     net.run(15 * SECOND)
-    assert told(net, GONE) == set()
+    assert told(net, FAILED) == set()
 
 
 def test_a_start_with_a_lower_number_learns_the_higher_from_its_peers() -> None:
@@ -253,7 +268,7 @@
     net.run(1 * SECOND)
     net.add("f3", (("host-f0", 1),), start=1)  # no file, and the clock went back
     assert net.run(5 * SECOND, net.settled)
-    assert net.processes["f3"].view.me.start > 1
+    assert net.processes["f3"].view.me.generation > 1
     assert not net.processes["f3"].view.displaced
 
 
@@ -301,7 +316,7 @@
     net = fleet(6, 12)
     net.kill("f4")
     net.add("new", (("host-f0", 1),), host="host-f4")
-    assert net.run(10 * SECOND, lambda: net.agree({"f4"}, GONE) and net.agree({"new"}, ALIVE))
+    assert net.run(10 * SECOND, lambda: net.agree({"f4"}, FAILED) and net.agree({"new"}, ALIVE))
 
 
 def test_a_front_that_crashes_every_two_seconds_does_not_flood_the_rest() -> None:
@@ -332,7 +347,7 @@
         net.add(f"f{i}", (("host-f0", 1), ("host-f5", 1)))
         net.run(SECOND)
     assert net.run(5 * SECOND, net.settled)
-    assert told(net, GONE) == set()  # they left, each by its own word
+    assert told(net, FAILED) == set()  # they left, each by its own word
     assert told(net, LEFT) == {f"f{i}" for i in range(10)}
 
 
@@ -344,42 +359,42 @@
         view = liar.view
         for name in sorted(view.members):
             if name != "f3":
-                known = view.members[name].news
+                known = view.members[name].latest
                 lies = [
-                    known.of(GONE, "f3"),
-                    replace(known.of(SUSPECTED, "f3"), incarnation=known.incarnation + 1),
+                    known.with_state(FAILED, "f3"),
+                    replace(known.with_state(SUSPECTED, "f3"), incarnation=known.incarnation + 1),
                 ]
-                for to in view._some(3):
+                for to in view.table.sample(3):
                     there = net.processes[to].view
-                    there.heard(view.me, Kind.TELL, 0, ("", 0), None, lies, net.now)
+                    there.heard(view.me, MessageKind.GOSSIP, 0, ANYONE, None, lies, net.now)
                     net._after(net.processes[to])
         net.run(100 * MS)
-    assert told(net, GONE) == set()
+    assert told(net, FAILED) == set()
     assert sum(p.view.counts.refuted for p in net.living()) > 0
     assert net.run(10 * SECOND, net.settled)
 
 
 def test_tables_stay_within_their_bounds() -> None:
-    view, now = View(news("me"), SECRET, Random(1), 0), 0
-    for i in range(3 * MOST_MEMBERS):
-        view.heard(news(f"m{i}"), Kind.PING, i, ("", 0), None, [news(f"n{i}", GONE)] * 50, now)
-        assert all(len(out.news) <= MOST_NEWS for out in view.out)
+    view, now = Membership(update("me"), SECRET, Random(1), 0), 0
+    for i in range(3 * MAX_MEMBERS):
+        view.heard(update(f"m{i}"), MessageKind.PING, i, ANYONE, None, [update(f"n{i}", FAILED)] * 50, now)
+        assert all(len(out.updates) <= MAX_UPDATES for out in view.out)
         view.out.clear()
         if i % 100 == 0:
             now += 100 * MS
             view.tick(now)
-    assert len(view.members) == MOST_MEMBERS
+    assert len(view.members) == MAX_MEMBERS
     assert view.counts.full > 0
     for _ in range(100):
         now += 900 * MS
         view.tick(now)
-    assert len(view.probes) <= 32
-    assert len(view.helping) <= 64
-    now += KEPT_GONE
+    assert len(view.prober.probes) <= 32
+    assert len(view.prober.relayed) <= 64
+    now += FAILED_RETENTION
     for _ in range(30):
         now += 20 * SECOND
         view.tick(now)
-    assert len(view.former) <= MOST_FORMER
+    assert len(view.table.former_addresses) <= MAX_FORMER_ADDRESSES
 
 
 def test_a_share_passes_on_only_from_one_that_left_and_within_the_stated_bound() -> None:
@@ -393,12 +408,12 @@
         for process in net.living():
             ledger = Ledger(int(process.name[1:]), fronts)
             ledger.take_version([limit])
-            ledger.take_parts(parts(fronts, process.view.gone_for_good()))
+            ledger.take_parts(rate_divisor(fronts, process.view.left_count()))
             whole += ledger.limits["all"].rate or 0.0
         return whole
 
     net.kill("f8")
-    assert net.run(10 * SECOND, lambda: net.agree({"f8"}, GONE))
+    assert net.run(10 * SECOND, lambda: net.agree({"f8"}, FAILED))
     assert total() == pytest.approx(
         rate * 9 / 10
     )  # gone: its share stays its own, for it may serve elsewhere
@@ -413,7 +428,7 @@
     net.add("f8", (("host-f0", 1),))
     for _ in range(40):
         net.run(SECOND)
-        assert total() <= rate * (1 + overshoot(fronts, 1)) + 1e-9
+        assert total() <= rate * (1 + max_overshoot(fronts, 1)) + 1e-9
     net.cut = lambda _one, _other: False
     assert net.run(20 * SECOND, net.settled)
     assert total() == pytest.approx(rate)
@@ -429,7 +444,7 @@
         net.run(SECOND // 2)
         for process in net.living():
             members = {
-                n: [m.news.standing.name.lower(), m.news.start] for n, m in process.view.members.items()
+                n: [m.latest.state.label, m.latest.generation] for n, m in process.view.members.items()
             }
             facts.append({"t": net.now, "kind": "seen", "front": int(process.name[1:]), "members": members})
     return facts
@@ -463,7 +478,7 @@
 
 def test_a_front_that_never_forgets_is_found() -> None:
     def plant(net: Net) -> None:
-        net.processes["f3"].view._suspicions = lambda now: None  # type: ignore[method-assign]
+        net.processes["f3"].view._expire_suspicions = lambda now: None  # type: ignore[method-assign]
 
     assert judged(plant).keys() >= {12}
 
@@ -476,8 +491,8 @@
         def ticks(now: int) -> None:
             tick(now)
             for member in view.members.values():
-                if member.news.standing is GONE and now - member.since > 3 * SECOND:
-                    member.news = replace(member.news, standing=ALIVE)
+                if member.latest.state is FAILED and now - member.since > 3 * SECOND:
+                    member.latest = replace(member.latest, state=ALIVE)
 
         view.tick = ticks  # type: ignore[method-assign]
 
@@ -491,7 +506,7 @@
 
         def ticks(now: int) -> None:
             tick(now)
-            view.members["f4"].news = replace(view.members["f4"].news, standing=GONE)
+            view.members["f4"].latest = replace(view.members["f4"].latest, state=FAILED)
 
         view.tick = ticks  # type: ignore[method-assign]
 
