Rename the peers' modules: peer_endpoint, leases, lease_codec, load_codec

Cause: speaker, duties and figures are words of our own; two modules were called duties.py. Change: renames only, of files and of the classes PeerEndpoint (Peers), LeaseHost (Duties), LeaseCodec, LoadCodec.

--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -10,7 +10,7 @@
 
 from oakcroft.decisions.fleet.figures import Figures
 from oakcroft.interface import MS, SECOND
-from oakcroft.peerwire.figures import FigureCodec
+from oakcroft.peerwire.load_codec import LoadCodec
 from oakcroft.peerwire.sealing import KeyRing
 
 STEP = 100 * MS
@@ -32,7 +32,7 @@
     rng = Random(1)
     names, list_ = [f"f{i}" for i in range(fronts)], {f"n{i}": i + 1 for i in range(nodes)}
     all_ = {n: Figures(n, 2500 * MS, Random(i)) for i, n in enumerate(names)}
-    codec = FigureCodec("oakcroft", KeyRing((b"x" * 32,)))
+    codec = LoadCodec("oakcroft", KeyRing((b"x" * 32,)))
     now, cost, datagrams, octets, asks = 0, 0.0, 0, 0, 0
     ages, unknown, looks = list[int](), 0, 0
     truth = {n: rng.random() for n in list_}
--- a/benchmarks/peers_lag.py
+++ b/benchmarks/peers_lag.py
@@ -25,7 +25,7 @@
 
 from benchmarks.front_cost import SITE, WARM, Load, Process, day, line
 from oakcroft.config.told import PeersPlace
-from oakcroft.peers.speaker import Peers
+from oakcroft.peers.peer_endpoint import PeerEndpoint
 from oakcroft.running.clock import Clock
 
 PORT, KEY = 7946, "5a" * 32
@@ -49,7 +49,7 @@
     async def one(number: int, scope: trio.CancelScope) -> None:
         with scope:
             at = address(number)
-            peers = Peers(
+            peers = PeerEndpoint(
                 replace(place, name=f"peer{number:03}", listen=at, advertise=at), "west", number, Clock(), log
             )
             await peers.run()
--- a/oakcroft/front/rolling.py
+++ b/oakcroft/front/rolling.py
@@ -22,8 +22,8 @@
 from oakcroft.decisions.sessions.answers import Final
 from oakcroft.front.catalogues import Catalogues
 from oakcroft.front.helm import Helm
-from oakcroft.peers.speaker import Peers
-from oakcroft.peerwire.duties import OrderWord, ReportWord, Taken
+from oakcroft.peers.peer_endpoint import PeerEndpoint
+from oakcroft.peerwire.lease_codec import OrderWord, ReportWord, Taken
 from oakcroft.store.file import Fact
 
 DUTY = "catalogue"
@@ -113,7 +113,11 @@
     """One front's part in roll-outs."""
 
     def __init__(
-        self, helm: Helm, catalogues: Catalogues, peers: Peers, log: structlog.typing.FilteringBoundLogger
+        self,
+        helm: Helm,
+        catalogues: Catalogues,
+        peers: PeerEndpoint,
+        log: structlog.typing.FilteringBoundLogger,
     ) -> None:
         assert peers.duties is not None
         self.helm, self.catalogues, self.peers, self.duties, self.log = (
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -42,7 +42,7 @@
     from oakcroft.decisions.membership.membership import Membership
     from oakcroft.front.adopting import Adopting
     from oakcroft.front.viewing import Viewing
-    from oakcroft.peers.speaker import Peers
+    from oakcroft.peers.peer_endpoint import PeerEndpoint
 
 
 class StateRecord:
@@ -156,13 +156,13 @@
             self.log.info("gone", unanswered=helm.unanswered, playing=helm.playing)
             nursery.cancel_scope.cancel()
 
-    def _peers(self, helm: Helm, clock: Clock) -> Peers | None:
+    def _peers(self, helm: Helm, clock: Clock) -> PeerEndpoint | None:
         """This front's part in the fleet's view, where the configuration has peers; it speaks later."""
         stand = self.told.stand
         if stand.peers is None:
             return None
         from oakcroft.decisions.membership.shares import rate_divisor
-        from oakcroft.peers.speaker import Peers
+        from oakcroft.peers.peer_endpoint import PeerEndpoint
         from oakcroft.peerwire.sealing import KeyFileError
 
         def changed(view: Membership) -> None:
@@ -176,7 +176,7 @@
 
         try:
             record = StateRecord(helm.memory.store) if helm.memory is not None else None
-            peers = Peers(stand.peers, stand.zone, stand.seed + 6, clock, self.log, changed, record)
+            peers = PeerEndpoint(stand.peers, stand.zone, stand.seed + 6, clock, self.log, changed, record)
         except KeyFileError as fault:
             raise OSError(f"key file {stand.peers.key_file}: {fault}") from fault
         if stand.peers.adopts is not None:
@@ -186,7 +186,7 @@
 
     async def _meet(
         self,
-        peers: Peers | None,
+        peers: PeerEndpoint | None,
         core: Core,
         operators: Operators,
         catalogues: Catalogues,
--- a/oakcroft/peers/duties.py
+++ b/oakcroft/peers/leases.py
@@ -26,9 +26,9 @@
 from oakcroft.decisions.fleet.terms import MOST_NUMBER, Answer, Ask, Learnt, Step, Term, majority
 from oakcroft.decisions.membership.membership import Membership
 from oakcroft.interface import MS, SECOND
-from oakcroft.peerwire.duties import (
+from oakcroft.peerwire.lease_codec import (
     ENCODER,
-    DutyCodec,
+    LeaseCodec,
     LearntWord,
     LearnWord,
     OrderWord,
@@ -67,7 +67,7 @@
         """What is on record, and whether it is the last that was written; None while the file can't be read."""
 
 
-class Duties:
+class LeaseHost:
     """All duties of one front."""
 
     def __init__(
@@ -75,7 +75,7 @@
         send: Callable[[str, bytes], None], log: structlog.typing.FilteringBoundLogger,
     ) -> None:  # fmt: skip
         self.place, self.view, self.record, self.log = place, view, record, log
-        self.send, self.codec, self.rng = send, DutyCodec(place.fleet, ring), Random(seed)
+        self.send, self.codec, self.rng = send, LeaseCodec(place.fleet, ring), Random(seed)
         now = boot()
         self.keeper: Keeper | None = None
         if place.name in place.keepers and record is not None:
--- a/oakcroft/peers/speaker.py
+++ b/oakcroft/peers/peer_endpoint.py
@@ -27,15 +27,15 @@
 from oakcroft.decisions.membership.membership import Membership
 from oakcroft.decisions.membership.messages import Address, Message, MessageKind
 from oakcroft.interface import MS, SECOND
-from oakcroft.peers.duties import Duties, Keeping
+from oakcroft.peers.leases import LeaseHost, Keeping
 from oakcroft.peers.generations import begin_generation, store_generation
 from oakcroft.peerwire.errors import MessageError
 from oakcroft.peerwire.membership_codec import MAX_DATAGRAM, MembershipCodec
 from oakcroft.peerwire.push_pull_stream import MAX_PART, FullStateReader, write_full_state
-from oakcroft.peerwire.duties import FORM as DUTY_FORM
-from oakcroft.peerwire.duties import MOST_TEXT
-from oakcroft.peerwire.figures import FORM as FIGURE_FORM
-from oakcroft.peerwire.figures import FigureCodec
+from oakcroft.peerwire.lease_codec import FORM as DUTY_FORM
+from oakcroft.peerwire.lease_codec import MOST_TEXT
+from oakcroft.peerwire.load_codec import FORM as FIGURE_FORM
+from oakcroft.peerwire.load_codec import LoadCodec
 from oakcroft.peerwire.sealing import SEAL_LENGTH, KeyFileError, KeyRing, parse_keys
 from oakcroft.running.clock import Clock
 
@@ -60,7 +60,7 @@
         raise KeyFileError(str(fault)) from fault
 
 
-class Peers:
+class PeerEndpoint:
     """One front's part in the fleet's view."""
 
     def __init__(
@@ -86,11 +86,11 @@
         self.began = False
         self.sooner = trio.Event()
         self.streams = trio.CapacityLimiter(MOST_STREAMS)
-        self.duties: Duties | None = None
+        self.duties: LeaseHost | None = None
         if place.keepers:
-            self.duties = Duties(place, self.ring, self.view, record, seed + 1, self._say, log)
+            self.duties = LeaseHost(place, self.ring, self.view, record, seed + 1, self._say, log)
         self.figures: Callable[[list[Row]], None] | None = None  # who wants other fronts' figures of nodes
-        self.figure_codec = FigureCodec(place.fleet, self.ring)
+        self.figure_codec = LoadCodec(place.fleet, self.ring)
         self.key_age = _age(place.key_file)
 
     def now(self) -> int:
--- a/oakcroft/peerwire/duties.py
+++ b/oakcroft/peerwire/lease_codec.py
@@ -189,7 +189,7 @@
     return Note(_number(word.number), _number(word.step), word.body)
 
 
-class DutyCodec:
+class LeaseCodec:
     """Writes and reads the words of one fleet's duties. MessageError for whatever is none of them."""
 
     def __init__(self, fleet: str, ring: KeyRing) -> None:
--- a/oakcroft/peerwire/figures.py
+++ b/oakcroft/peerwire/load_codec.py
@@ -38,7 +38,7 @@
 DECODER = msgspec.msgpack.Decoder(Body)
 
 
-class FigureCodec:
+class LoadCodec:
     """Writes and reads the figures of one fleet."""
 
     def __init__(self, fleet: str, ring: KeyRing) -> None:
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -27,7 +27,7 @@
     mark,
 )
 from oakcroft.interface import MS, SECOND, Outcome
-from oakcroft.peerwire.figures import FigureCodec
+from oakcroft.peerwire.load_codec import LoadCodec
 from oakcroft.peerwire.errors import MessageError
 from oakcroft.peerwire.membership_codec import MAX_DATAGRAM
 from oakcroft.peerwire.sealing import KeyRing
@@ -150,14 +150,14 @@
 
 
 def test_words_between_fronts() -> None:
-    codec = FigureCodec("oakcroft", KeyRing((bytes.fromhex(KEY),)))
+    codec = LoadCodec("oakcroft", KeyRing((bytes.fromhex(KEY),)))
     rows = [Row(mark(f"n{i}", i), i / 8, i * 100 * MS) for i in range(MOST_ROWS)]
     octets = codec.rows("f" * 64, 1 << 55, rows)
     assert len(octets) <= MAX_DATAGRAM
     sender, taken = codec.taken(codec.ring.open(octets, 0) or b"")
     assert (sender, taken) == ("f" * 64, rows)
     assert codec.taken(codec.ring.open(codec.rows("f0", 1, [*rows, rows[0]]), 0) or b"")[1] == rows
-    other = FigureCodec("another", codec.ring)
+    other = LoadCodec("another", codec.ring)
     for opened in (b"", b"C", b"C\xc1", octets, other.ring.open(other.rows("f0", 1, rows), 0) or b""):
         with pytest.raises(MessageError):
             codec.taken(opened)
@@ -230,7 +230,7 @@
             # A liar with the key says that all is full; whoever plays there goes by its own traffic, and no rule breaks.
             honest = next(n for n in rig.names if n != first)
             await rig.plays(honest, "/whep/open/t1", "before")
-            codec = FigureCodec("oakcroft", KeyRing((bytes.fromhex(KEY),)))
+            codec = LoadCodec("oakcroft", KeyRing((bytes.fromhex(KEY),)))
             place = {n.name: round(n.machine.started) for n in rig.nodes.nodes.values()}
             lies = [Row(mark(n, at), 40.0, 0) for n, at in place.items()]
             with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as out:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -40,7 +40,7 @@
     ReceivedMessage,
 )
 from oakcroft.httpwire.client import Ended, Peer
-from oakcroft.peers import speaker
+from oakcroft.peers import peer_endpoint
 from oakcroft.peerwire.errors import MessageError
 from oakcroft.peerwire.membership_codec import MembershipCodec
 from oakcroft.peerwire.push_pull_stream import FullStateReader, write_full_state
@@ -389,7 +389,7 @@
 def test_a_fault_among_the_peers_ends_neither_the_front_nor_its_part(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(speaker, "AGAIN", 0.01)
+    monkeypatch.setattr(peer_endpoint, "AGAIN", 0.01)
     (tmp_path / "key").write_text(KEY)
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
         probe.bind(("127.0.73.1", 0))
@@ -402,7 +402,7 @@
             structlog.BytesLogger(log),
             processors=[structlog.processors.JSONRenderer(serializer=orjson.dumps)],
         )
-        peers = speaker.Peers(place, "w", 1, Clock(), logger)
+        peers = peer_endpoint.PeerEndpoint(place, "w", 1, Clock(), logger)
         view, failed = peers.view, list[int]()
 
         def fails(_: Membership) -> None:  # once, within what a datagram sets off
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -16,7 +16,7 @@
 from oakcroft.decisions.fleet.terms import MOST_NOTE, Answer, Ask, Fence, Learnt, Note, Row, Step, Term
 from oakcroft.front.rolling import PLAN, plan_of, word_of
 from oakcroft.interface import SECOND
-from oakcroft.peerwire.duties import ChunkWord, DutyCodec, LearntWord, OrderWord, ReportWord, row_of
+from oakcroft.peerwire.lease_codec import ChunkWord, LeaseCodec, LearntWord, OrderWord, ReportWord, row_of
 from oakcroft.peerwire.errors import MessageError
 from oakcroft.peerwire.membership_codec import MAX_DATAGRAM
 from oakcroft.peerwire.sealing import KeyRing
@@ -188,8 +188,8 @@
 NOTE = Note(7, 2, b"plan")
 
 
-def codec(fleet: str = "oakcroft", key: bytes = KEY) -> DutyCodec:
-    return DutyCodec(fleet, KeyRing((key,)))
+def codec(fleet: str = "oakcroft", key: bytes = KEY) -> LeaseCodec:
+    return LeaseCodec(fleet, KeyRing((key,)))
 
 
 def opened(octets: bytes) -> bytes:
