Split the peers' endpoint and leases by job

Cause: speaker.py (416 lines) and duties.py (449) each did several jobs: sockets, streams, key file, status; candidates, acceptor, orders. Log events, fleet view and the leases' status keep their words and keys. A stream that ends within its question counts as 'not sealed', as before.

--- a/oakcroft/decisions/membership/dissemination.py
+++ b/oakcroft/decisions/membership/dissemination.py
@@ -20,6 +20,7 @@
     """The updates under way, with how often each was carried."""
 
     def __init__(self) -> None:
+        """Starts with nothing to carry."""
         self.pending: dict[str, tuple[MemberUpdate, int]] = {}
 
     def add(self, update: MemberUpdate) -> None:
--- a/oakcroft/decisions/membership/failure_detector.py
+++ b/oakcroft/decisions/membership/failure_detector.py
@@ -64,6 +64,7 @@
     """The members in turn: shuffled anew for each round, newcomers at random places in what is left of this one."""
 
     def __init__(self, rng: Random) -> None:
+        """`rng` shuffles the rounds."""
         self.rng = rng
         self.remaining = list[str]()
 
--- a/oakcroft/decisions/membership/member_table.py
+++ b/oakcroft/decisions/membership/member_table.py
@@ -69,6 +69,7 @@
     """All members that this front knows, itself among them."""
 
     def __init__(self, me: MemberUpdate, rng: Random, now: int) -> None:
+        """A table that holds this front alone, as it says of itself in `me`."""
         self.own_name = me.name
         self.rng = rng
         self.members: dict[str, Member] = {me.name: Member(me, now)}
--- a/oakcroft/decisions/membership/membership.py
+++ b/oakcroft/decisions/membership/membership.py
@@ -54,6 +54,7 @@
     def __init__(
         self, me: MemberUpdate, secret: bytes, rng: Random, now: int, seeds: Iterable[Address] = ()
     ) -> None:
+        """`me` is announced, `secret` proves leaving, `seeds` are addresses at which the fleet is looked for."""
         self.counts = Counters()
         self.health = LocalHealth()
         self.table = MemberTable(me, rng, now)
--- a/oakcroft/decisions/membership/outbox.py
+++ b/oakcroft/decisions/membership/outbox.py
@@ -24,6 +24,7 @@
     """The messages that one front has to send, in order."""
 
     def __init__(self, table: MemberTable, rng: Random) -> None:
+        """Addresses come from `table`, sequence numbers from `rng`."""
         self.table = table
         self.rng = rng
         self.messages: list[Message] = []
--- a/oakcroft/decisions/membership/own_identity.py
+++ b/oakcroft/decisions/membership/own_identity.py
@@ -43,6 +43,7 @@
     """What this front says of itself, and defends."""
 
     def __init__(self, table: MemberTable, outbox: Outbox, secret: bytes) -> None:
+        """`secret` is what `table.me` announces the digest of."""
         self.table = table
         self.outbox = outbox
         self.secret = secret
--- a/oakcroft/decisions/membership/prober.py
+++ b/oakcroft/decisions/membership/prober.py
@@ -42,6 +42,7 @@
     def __init__(
         self, table: MemberTable, outbox: Outbox, health: LocalHealth, rng: Random, now: int
     ) -> None:
+        """The first probe begins at a random time within one interval."""
         self.table = table
         self.outbox = outbox
         self.health = health
--- a/oakcroft/decisions/membership/push_pull.py
+++ b/oakcroft/decisions/membership/push_pull.py
@@ -38,6 +38,7 @@
     def __init__(
         self, table: MemberTable, outbox: Outbox, rng: Random, now: int, seeds: Iterable[Address]
     ) -> None:
+        """Of `seeds`, this front's own address is left out."""
         self.table = table
         self.outbox = outbox
         self.rng = rng
--- a/oakcroft/decisions/membership/suspicion_tracker.py
+++ b/oakcroft/decisions/membership/suspicion_tracker.py
@@ -19,6 +19,7 @@
     """Begins, confirms and ends suspicions in a table of members."""
 
     def __init__(self, table: MemberTable, health: LocalHealth) -> None:
+        """`health` says how long this front waits before it judges."""
         self.table = table
         self.health = health
 
--- a/oakcroft/decisions/membership/update_merger.py
+++ b/oakcroft/decisions/membership/update_merger.py
@@ -34,6 +34,7 @@
         self, table: MemberTable, outbox: Outbox, identity: OwnIdentity, prober: Prober,
         suspicions: SuspicionTracker, health: LocalHealth, counters: Counters, now: int,
     ) -> None:  # fmt: skip
+        """Shares its parts with the `Membership` that it belongs to."""
         self.table = table
         self.outbox = outbox
         self.identity = identity
--- a/oakcroft/front/probing.py
+++ b/oakcroft/front/probing.py
@@ -20,7 +20,7 @@
 class Speaking(Protocol):
     """The peers, as far as figures go."""
 
-    def tell_figures(self, to: str, rows: list[Row]) -> None: ...
+    def send_loads(self, to: str, rows: list[Row]) -> None: ...
     def present(self) -> list[str]: ...
 
 
@@ -54,7 +54,7 @@
             for node in self.figures.due(now):
                 self.helm.nursery.start_soon(self._ask, node)
             for to, rows in self.figures.tells(now):
-                self.peers.tell_figures(to, rows)
+                self.peers.send_loads(to, rows)
             await trio.sleep(LOOK / SECOND)
 
     async def _ask(self, node: str) -> None:
--- a/oakcroft/front/rolling.py
+++ b/oakcroft/front/rolling.py
@@ -249,7 +249,9 @@
         """Has the text of a version, from whoever orders it or from another that does."""
         if plan.digest in self.texts or plan.digest == self.in_force:
             return ""
-        others = [n for n in self.peers.view.present() if n not in (sender, self.peers.view.me.name)]
+        others = [
+            n for n in self.peers.membership.present() if n not in (sender, self.peers.membership.me.name)
+        ]
         for name in (sender, *others[:2]):
             found = await self.peers.fetch(name, plan.digest)
             if found is None:
@@ -338,7 +340,7 @@
         self._load(term)
         if self.running is None:
             return  # there never was a roll-out
-        running, present = self.running, self.peers.view.present()
+        running, present = self.running, self.peers.membership.present()
         now = self.helm.clock.now()
         async with (
             self.beginning
@@ -398,7 +400,7 @@
         with trio.move_on_after(SUBMIT_WITHIN):
             while key not in self.accepted:
                 if self.duties.term(DUTY) is not None:
-                    self.accepted[key] = await self._begin(wish, self.peers.view.me.name)
+                    self.accepted[key] = await self._begin(wish, self.peers.membership.me.name)
                     break
                 self.duties.look_for_floor(DUTY)  # the answers tell who has it
                 if owner := self.duties.owner(DUTY):
@@ -479,7 +481,9 @@
                                 "stage": plan.stage.name.lower(), "part": plan.part, "step": plan.step,
                                 "reason": plan.reason}  # fmt: skip
         if running is not None:
-            told["waits_for"] = running.unconfirmed(self.peers.view.present(), self.helm.clock.now())[:20]
+            told["waits_for"] = running.unconfirmed(self.peers.membership.present(), self.helm.clock.now())[
+                :20
+            ]
         return told
 
 
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -180,7 +180,7 @@
         except KeyFileError as fault:
             raise OSError(f"key file {stand.peers.key_file}: {fault}") from fault
         if stand.peers.adopts is not None:
-            view = peers.view
+            view = peers.membership
             helm.standing = Standing(stand.peers.name, lambda: view.me.generation, stand.peers.adopts.lease)
         return peers
 
@@ -210,7 +210,7 @@
 
             seed = self.told.stand.seed + 8
             operators.probing = probing = Probing(helm, peers, place.name, place.probes, seed, self.log)
-            peers.figures = probing.heard
+            peers.on_loads = probing.heard
             nursery.start_soon(probing.run)
         if place.adopts is not None:
             from oakcroft.front.adopting import Adopting
@@ -219,7 +219,7 @@
                 core.publishing[v.pb.title.name] = v
 
             self.adopting = Adopting(
-                helm, peers.view, place.adopts, published, core.stopping.takes_new, self.log
+                helm, peers.membership, place.adopts, published, core.stopping.takes_new, self.log
             )
             operators.adopting = self.adopting
             nursery.start_soon(self.adopting.run)
--- /dev/null
+++ b/oakcroft/peers/lease_acceptor.py
@@ -0,0 +1,232 @@
+"""The lease acceptor of one front, with its record in the state file.
+
+An answer leaves once what it rests on is durable in the front's state file; where that fails the acceptor says nothing,
+and so grants nothing.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from functools import partial
+from typing import Protocol
+
+import msgspec
+import structlog
+import trio
+
+from oakcroft.decisions.fleet.keeping import MOST_DUTIES, Keeper
+from oakcroft.decisions.fleet.terms import Answer, Ask, Learnt
+from oakcroft.interface import MS, SECOND
+from oakcroft.peerwire.lease_codec import ENCODER, LeaseCodec, LearntWord, RowWord, row_of, row_word
+from oakcroft.peerwire.errors import MessageError
+
+LEARN_INTERVAL = SECOND // 2
+"""Between two questions of an acceptor that remembers nothing."""
+
+MAX_SAVING = 64
+"""Answers that wait for the disk; past it a message is dropped, as any datagram may be."""
+
+RECORD_NAME = "keeper"
+"""A fact of the state file: epoch, epochs and all rows, always together."""
+
+EPOCHS = ""
+"""Among what is unsaved, stands for the epochs of the other acceptors' records."""
+
+RECORD_DECODER = msgspec.msgpack.Decoder(tuple[int, list[tuple[str, int]], list[RowWord]])
+
+
+class Keeping(Protocol):
+    """The state file, as far as an acceptor needs it."""
+
+    async def save(self, name: str, value: bytes) -> bool:
+        """Puts a named value on record, synced; False where that is not known to have succeeded."""
+
+    def held(self) -> tuple[dict[str, bytes], bool] | None:
+        """What is on record, and whether it is the last that was written; None while the file can't be read."""
+
+
+class AcceptorHost:
+    """Hosts an acceptor: takes messages to it, keeps its record, and sends what it answers.
+
+    `me` gives this front's name and generation, `send` takes octets to a front by name.
+    """
+
+    def __init__(
+        self, keeper: Keeper, record: Keeping, codec: LeaseCodec, me: Callable[[], tuple[str, int]],
+        send: Callable[[str, bytes], None], dropped: Counter[str], log: structlog.typing.FilteringBoundLogger, now: int,
+    ) -> None:  # fmt: skip
+        """`record` is the state file; `dropped` counts what could not wait for it."""
+        self.keeper = keeper
+        self.record = record
+        self.codec = codec
+        self.me = me
+        self.send = send
+        self.dropped = dropped
+        self.log = log
+        self.nursery: trio.Nursery | None = None
+        self.has_begun = False
+        self.disk_sound = True
+        self.waiting_for_record = 0
+        self.writing = 0
+        self.asks = 0
+        self.next_learn_at = now
+        self.parts: dict[str, dict[int, LearntWord]] = {}  # by acceptor, what it has told so far
+
+    # Messages.
+
+    def receive_ask(self, sender: str, ask: Ask, now: int) -> None:
+        """A candidate's message."""
+        if not self.has_begun or ask.term.owner != sender:
+            return
+        self.asks += 1
+        answer = self.keeper.asked(ask, now)
+        if answer is not None:
+            self._when_saved(partial(self._send_answer, sender, answer))
+
+    def _send_answer(self, to: str, answer: Answer) -> None:
+        with suppress(MessageError):  # a name too long to fit: such a candidate gets nothing
+            self.send(to, self.codec.answer(*self.me(), answer))
+
+    def receive_question(self, sender: str, epoch: int) -> None:
+        """Another acceptor, which remembers nothing, asks what this one knows."""
+        if not self.has_begun:
+            return
+        told = self.keeper.tells(sender, epoch)
+        if told is None:
+            return
+        if self.keeper.sound:
+            self._when_saved(partial(self._send_learnt, sender, told))
+        else:  # it has no record yet that anything could rest on
+            self._send_learnt(sender, told)
+
+    def _send_learnt(self, to: str, told: Learnt) -> None:
+        with suppress(MessageError):
+            for part in self.codec.learnt(*self.me(), told):
+                self.send(to, part)
+
+    def receive_learnt(self, sender: str, part: LearntWord, now: int) -> None:
+        """One part of what another acceptor tells. MessageError where it can't be one."""
+        keeper = self.keeper
+        if keeper.sound or sender not in keeper.keepers:
+            return
+        if not 0 <= part.part < part.parts <= MOST_DUTIES:
+            raise MessageError("malformed")
+        parts = self.parts.setdefault(sender, {})
+        if any((p.epoch, p.sound, p.parts) != (part.epoch, part.sound, part.parts) for p in parts.values()):
+            parts.clear()
+        parts[part.part] = part
+        if len(parts) < part.parts:
+            return
+        del self.parts[sender]
+        rows = tuple((p.row.duty, row_of(p.row)) for p in parts.values() if p.row is not None)
+        if keeper.hears(Learnt(sender, part.epoch, part.sound, rows), now):
+            mute_ms = max(0, keeper.mute_until - now) // MS
+            self.log.info("keeper learnt", duties=len(keeper.rows), mute_ms=mute_ms)
+            self._when_saved(lambda: None)
+
+    # The record.
+
+    def _when_saved(self, then: Callable[[], object]) -> None:
+        """Does something once what the acceptor holds is on record; never where it can't be put there."""
+        if self.nursery is None:
+            return
+        if not self.keeper.unsaved and not self.writing:
+            then()
+        elif self.waiting_for_record < MAX_SAVING:
+            self.waiting_for_record += 1
+            self.nursery.start_soon(self._save, then)
+        else:
+            self.dropped["too many to save"] += 1
+
+    async def _save(self, then: Callable[[], object]) -> None:
+        """All that the acceptor holds is written each time, so that no part of it can be missing from a new file."""
+        keeper = self.keeper
+        duties, keeper.unsaved = keeper.unsaved, set()
+        value = self._record_value()
+        saved = False
+        self.writing += 1
+        try:
+            saved = keeper.sound and await self.record.save(RECORD_NAME, value)
+        finally:
+            self.waiting_for_record -= 1
+            self.writing -= 1
+            if not saved:
+                keeper.unsaved |= duties  # until it is, nothing that rests on it leaves
+        if saved is not self.disk_sound and keeper.sound:
+            self.disk_sound = saved
+            why = "on record again" if saved else "its record can't be written"
+            self.log.warning("keeper", grants=saved, why=why)
+        if saved:
+            then()
+
+    def _record_value(self) -> bytes:
+        keeper = self.keeper
+        rows = [row_word(duty, row) for duty, row in sorted(keeper.rows.items())]
+        return ENCODER.encode((keeper.epoch, sorted(keeper.epochs.items()), rows))
+
+    def _begin(self, now: int) -> None:
+        """Takes the record on once it can be read."""
+        keeper = self.keeper
+        held = self.record.held()
+        if held is None:
+            return
+        facts, whole = held
+        self.has_begun = True
+        try:
+            epoch, epochs, words = RECORD_DECODER.decode(facts[RECORD_NAME])
+            keeper.take_on(epoch, dict(epochs), {w.duty: row_of(w) for w in words}, whole, now)
+        except KeyError:
+            pass  # it never was an acceptor, or all of it is lost
+        except (msgspec.MsgspecError, MessageError) as error:
+            self.log.error("keeper's record unreadable", why=str(error))
+        if not keeper.sound:
+            asks = len(keeper.keepers) - 1
+            self.log.warning("keeper remembers nothing", asks=asks, mute_ms=keeper.length // MS)
+
+    # Time.
+
+    def tick(self, now: int) -> None:
+        """Begins once the record can be read; asks the other acceptors while this one remembers nothing."""
+        if not self.has_begun:
+            self._begin(now)
+        if self.has_begun and not self.keeper.sound and now >= self.next_learn_at:
+            self.next_learn_at = now + LEARN_INTERVAL
+            self._ask_others()
+
+    def _ask_others(self) -> None:
+        keeper = self.keeper
+        _, keeper.epoch = self.me()
+        if not keeper.asks_others():
+            keeper.learnt.clear()  # all have told, and it was not enough: anew
+        for other in keeper.asks_others():
+            self.send(other, self.codec.learn(*self.me(), keeper.epoch))
+        if len(keeper.keepers) == 1:
+            keeper.sound = True  # nobody else to ask
+            keeper.unsaved = {EPOCHS}
+
+    def promised(self, duty: str) -> int | None:
+        """The highest number promised for a lease; None where none was."""
+        row = self.keeper.rows.get(duty)
+        return row.promised if row is not None else None
+
+    def time_left(self, duty: str, now: int) -> int | None:
+        """Milliseconds that the running term of a lease has left here; None where none runs."""
+        if self.keeper.runs(duty, now) is None:
+            return None
+        return (self.keeper.until[duty] - now) // MS
+
+    def status(self, now: int) -> dict[str, object]:
+        """For operators."""
+        keeper = self.keeper
+        return {
+            "speaks": self.has_begun and keeper.speaks(now),
+            "sound": keeper.sound,
+            "epoch": keeper.epoch,
+            "record": self.disk_sound,
+            "mute_ms": max(0, keeper.mute_until - now) // MS,
+            "asks": self.asks,
+            "waits_for": keeper.asks_others(),
+            "epochs": dict(keeper.epochs),
+        }
--- /dev/null
+++ b/oakcroft/peers/push_pull_service.py
@@ -0,0 +1,71 @@
+"""Push-pull over streams: full states sent and received, begun here or by another."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+
+import trio
+
+from oakcroft.decisions.membership.membership import Membership
+from oakcroft.decisions.membership.messages import Address
+from oakcroft.peers.streams import STREAM_ERRORS, connect
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.membership_codec import MembershipCodec
+from oakcroft.peerwire.push_pull_stream import MAX_PART, FullStateReader, write_full_state
+
+PUSH_PULL_TIMEOUT = 2.0
+"""Seconds for one, from the first octet to the last."""
+
+
+class PushPullService:
+    """Exchanges this front's full state with others'. `merged` is called after each that has been taken."""
+
+    def __init__(
+        self, codec: MembershipCodec, membership: Membership, own_host: str, now: Callable[[], int],
+        dropped: Counter[str], merged: Callable[[], None],
+    ) -> None:  # fmt: skip
+        """`own_host` is the address that streams are begun from."""
+        self.codec = codec
+        self.membership = membership
+        self.own_host = own_host
+        self.now = now
+        self.dropped = dropped
+        self.merged = merged
+
+    def _own_state(self) -> bytes:
+        return write_full_state(self.codec, self.membership.whole())
+
+    async def begin(self, address: Address) -> None:
+        """A push-pull with whoever is at an address; one that fails is as good as lost."""
+        with trio.move_on_after(PUSH_PULL_TIMEOUT), suppress(*STREAM_ERRORS, MessageError):
+            async with await connect(address, self.own_host) as stream:
+                await stream.send_all(self._own_state())
+                await self._receive(stream)
+
+    async def answer(self, stream: trio.SocketStream, first: bytes) -> None:
+        """A push-pull that another has begun, with its first octets.
+
+        Nobody is told anything who has not shown that he holds the key.
+        """
+        if await self._receive(stream, first):
+            await stream.send_all(self._own_state())
+
+    async def _receive(self, stream: trio.SocketStream, first: bytes = b"") -> bool:
+        """Takes the other's full state; whether it was whole."""
+        reader = FullStateReader(self.codec)
+        try:
+            reader.receive_data(first, self.now())
+            while not reader.done:
+                octets = await stream.receive_some(MAX_PART)
+                if not octets:
+                    return False
+                reader.receive_data(octets, self.now())
+        except MessageError as error:
+            self.dropped[str(error)] += 1
+            return False
+        assert reader.sender is not None
+        self.membership.exchanged(reader.sender, reader.updates, self.now())
+        self.merged()
+        return True
--- /dev/null
+++ b/oakcroft/peers/status.py
@@ -0,0 +1,41 @@
+"""What operators see of a front's membership, as plain values.
+
+The keys are the operators' interface (`oakcroft fleet view --json`) and keep their words: `standing`, `start`, `wing`.
+"""
+
+from __future__ import annotations
+
+from oakcroft.decisions.membership.member_table import Member
+from oakcroft.decisions.membership.membership import Membership
+from oakcroft.interface import MS
+
+
+def membership_status(membership: Membership, now: int) -> dict[str, object]:
+    """The membership: this front's own place in it, and its members."""
+    members = [member_status(member, now) for _, member in sorted(membership.members.items())]
+    return {
+        "name": membership.me.name,
+        "start": membership.me.generation,
+        "incarnation": membership.me.incarnation,
+        "displaced": membership.displaced,
+        "joined": membership.joined,
+        "slow": membership.health.multiplier,
+        "members": members,
+    }
+
+
+def member_status(member: Member, now: int) -> dict[str, object]:
+    """One member, as one front sees it."""
+    latest = member.latest
+    return {
+        "name": latest.name,
+        "standing": latest.state.label,
+        "start": latest.generation,
+        "incarnation": latest.incarnation,
+        "address": f"{latest.host}:{latest.port}",
+        "wing": latest.zone,
+        "version": latest.version,
+        "since_ms": (now - member.since) // MS,
+        "heard_ms": (now - member.heard_at) // MS if member.heard_at else None,
+        "by": latest.reported_by,
+    }
--- /dev/null
+++ b/oakcroft/peers/text_transfer.py
@@ -0,0 +1,90 @@
+"""Texts from front to front by their digest, over a stream: what a staged rollout hands on."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from contextlib import suppress
+
+import trio
+
+from oakcroft.decisions.membership.messages import Address
+from oakcroft.peers.leases import LeaseHost
+from oakcroft.peers.streams import STREAM_ERRORS, connect
+from oakcroft.peerwire.lease_codec import MOST_TEXT, ChunkWord
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.membership_codec import MAX_DATAGRAM, MembershipCodec
+from oakcroft.peerwire.push_pull_stream import LENGTH_OCTETS
+
+TEXT_TIMEOUT = 10.0
+"""Seconds for a text of 16 MiB at most."""
+
+READ_SIZE = 65_536
+
+
+class TextTransfer:
+    """Hands texts out, and fetches them from others."""
+
+    def __init__(
+        self,
+        codec: MembershipCodec,
+        leases: LeaseHost,
+        own_host: str,
+        now: Callable[[], int],
+        dropped: Counter[str],
+    ) -> None:
+        """`leases` says what texts this front holds."""
+        self.codec = codec
+        self.leases = leases
+        self.own_host = own_host
+        self.now = now
+        self.dropped = dropped
+
+    async def answer(self, stream: trio.SocketStream, first: bytes) -> None:
+        """A text that another front asks for by its digest, with the first octets of its question."""
+        try:
+            digest = await self._read_question(stream, first)
+        except MessageError as error:
+            self.dropped[str(error)] += 1
+            return
+        text = self.leases.texts(digest) or b""
+        for part in self.leases.codec.chunks(*self.leases.me, text):
+            await stream.send_all(part)
+
+    async def _read_question(self, stream: trio.SocketStream, first: bytes) -> str:
+        end = LENGTH_OCTETS + int.from_bytes(first[:LENGTH_OCTETS], "big")
+        while len(first) < end <= MAX_DATAGRAM:
+            more = await stream.receive_some(MAX_DATAGRAM)
+            if not more:
+                raise MessageError("not sealed")
+            first += more
+        opened = self.codec.open(first[LENGTH_OCTETS:end], self.now())
+        return self.leases.codec.asked_for(opened)
+
+    async def fetch(self, address: Address, digest: str) -> bytes | None:
+        """A text that another front holds; None where it can't be had within `TEXT_TIMEOUT`."""
+        text = bytearray()
+        expected_part = 0
+        with trio.move_on_after(TEXT_TIMEOUT), suppress(*STREAM_ERRORS, MessageError):
+            async with await connect(address, self.own_host) as stream:
+                await stream.send_all(self.leases.codec.fetch(*self.leases.me, digest))
+                async for chunk in self._chunks(stream):
+                    text += chunk.octets
+                    if chunk.part != expected_part or len(text) > MOST_TEXT:
+                        return None
+                    expected_part += 1
+                    if not chunk.more:
+                        return bytes(text) or None
+        return None
+
+    async def _chunks(self, stream: trio.SocketStream) -> AsyncIterator[ChunkWord]:
+        buffer = bytearray()
+        while octets := await stream.receive_some(READ_SIZE):
+            buffer += octets
+            while len(buffer) >= LENGTH_OCTETS:
+                end = LENGTH_OCTETS + int.from_bytes(buffer[:LENGTH_OCTETS], "big")
+                if len(buffer) < end:
+                    break
+                opened = self.codec.unseal(bytes(buffer[LENGTH_OCTETS:end]), self.now())
+                del buffer[:end]
+                yield self.leases.codec.chunk(opened)
--- a/oakcroft/peerwire/membership_codec.py
+++ b/oakcroft/peerwire/membership_codec.py
@@ -106,6 +106,7 @@
     """Writes and reads the membership messages of one fleet."""
 
     def __init__(self, fleet: str, ring: KeyRing) -> None:
+        """`fleet` names the fleet, `ring` seals and opens."""
         self.fleet = fleet
         self.ring = ring
 
--- a/oakcroft/peerwire/push_pull_stream.py
+++ b/oakcroft/peerwire/push_pull_stream.py
@@ -43,6 +43,7 @@
     """Reads another's full state from a stream, in any pieces. `done` once it is whole."""
 
     def __init__(self, codec: MembershipCodec) -> None:
+        """Starts before the first octet."""
         self.codec = codec
         self.buffer = bytearray()
         self.sender: MemberUpdate | None = None
--- a/oakcroft/peerwire/sealing.py
+++ b/oakcroft/peerwire/sealing.py
@@ -50,6 +50,7 @@
     """The keys in force."""
 
     def __init__(self, keys: tuple[bytes, ...]) -> None:
+        """The first of `keys` seals; all open."""
         self.keys = keys
         self.former: dict[bytes, int] = {}  # until when they still open
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -389,7 +389,7 @@
 def test_a_fault_among_the_peers_ends_neither_the_front_nor_its_part(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(peer_endpoint, "AGAIN", 0.01)
+    monkeypatch.setattr(peer_endpoint, "RESTART_DELAY", 0.01)
     (tmp_path / "key").write_text(KEY)
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
         probe.bind(("127.0.73.1", 0))
@@ -403,14 +403,14 @@
             processors=[structlog.processors.JSONRenderer(serializer=orjson.dumps)],
         )
         peers = peer_endpoint.PeerEndpoint(place, "w", 1, Clock(), logger)
-        view, failed = peers.view, list[int]()
+        view, failed = peers.membership, list[int]()
 
         def fails(_: Membership) -> None:  # once, within what a datagram sets off
             if not failed:
                 failed.append(1)
                 raise RuntimeError("planted")
 
-        peers.changed = fails
+        peers.on_change = fails
         async with trio.open_nursery() as nursery:
             await nursery.start(peers.run)
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
