Refute an accusation at the highest incarnation by a new generation

Cause: an accusation at MAX_INCARNATION - 1 is plausible, its refutation one higher was not: all others dropped the accused's messages from then on and found it failed. One liar that holds the key, one message. Change: where no higher incarnation is left the front announces its next generation.

--- a/oakcroft/decisions/membership/own_identity.py
+++ b/oakcroft/decisions/membership/own_identity.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, replace
 
-from oakcroft.decisions.membership.member import MemberState, MemberUpdate
+from oakcroft.decisions.membership.member import MAX_INCARNATION, MemberState, MemberUpdate
 from oakcroft.decisions.membership.member_table import MemberTable
 from oakcroft.decisions.membership.messages import MemberId, Message, MessageKind
 from oakcroft.decisions.membership.outbox import Outbox
@@ -73,7 +73,11 @@
     def _refute(self, update: MemberUpdate, by: str) -> bool:
         if update.state is MemberState.LEFT or update.precedence <= self.me.precedence:
             return False
-        self.table.announce(replace(self.me, incarnation=update.incarnation + 1))
+        me = replace(self.me, incarnation=update.incarnation + 1)
+        if me.incarnation >= MAX_INCARNATION:
+            # Guards against a liar that claims the highest incarnation there is: one more would be dropped by all.
+            me = replace(self.me, generation=self.me.generation + 1, incarnation=0)
+        self.table.announce(me)
         if update.state is not MemberState.ALIVE:
             why = f"refuted what {update.reported_by or by} said"
             self.table.record_own_change(update.state.label, ALIVE, why)
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -374,6 +374,23 @@
     assert net.run(10 * SECOND, net.settled)
 
 
+@pytest.mark.parametrize("state", [ALIVE, SUSPECTED, FAILED])
+def test_the_highest_incarnation_that_can_be_claimed_is_refuted_too(state: MemberState) -> None:
+    """One message of one liar: without a way out the accused could say nothing any more that others would take."""
+    net = fleet(8, 17)
+    net.told.clear()
+    claim = replace(net.processes["f5"].view.me.with_state(state, "f3"), incarnation=MAX_INCARNATION - 1)
+    for process in net.living():
+        if process.name not in ("f3", "f5"):
+            liar = net.processes["f3"].view.me
+            process.view.heard(liar, MessageKind.GOSSIP, 0, ANYONE, None, [claim], net.now)
+            net._after(process)
+    net.run(30 * SECOND)
+    assert told(net, FAILED) == set()
+    assert net.settled()
+    assert all(p.view.members["f5"].latest.is_plausible() for p in net.living())
+
+
 def test_tables_stay_within_their_bounds() -> None:
     view, now = Membership(update("me"), SECRET, Random(1), 0), 0
     for i in range(3 * MAX_MEMBERS):
