--- /dev/null
+++ b/oakcroft/decisions/membership/zone_author.py
@@ -0,0 +1,133 @@
+"""What a front says of its own zone to others, and when: the content of the zone's summary, and its heartbeat.
+
+Every front keeps the recent changes, since any may become the author. The delegate of first rank authors; one of a later
+rank steps in where the summary has not moved for so many heartbeats more.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from oakcroft.decisions.membership.member import MemberState
+from oakcroft.decisions.membership.zone_directory import ZoneRecord
+from oakcroft.decisions.membership.zone_summary import (
+    MAX_CHANGES,
+    MAX_COUNTER,
+    MemberChange,
+    StateCounts,
+    ZoneContact,
+    ZoneSummary,
+    next_key,
+)
+from oakcroft.interface import SECOND
+
+HEARTBEAT_INTERVAL = 4 * SECOND
+"""Between two moves of a zone's summary: at 32 zones a kilobyte a second of the author, who tells each zone directly."""
+
+PUBLICATION_SPACING = 2 * SECOND
+"""At least, between two contents of one author: what changes meanwhile goes together."""
+
+FRESH_TIME = 60 * SECOND
+"""For which every recent change is listed, up to `MAX_CHANGES`: ten times what a reader needs to take it in."""
+
+LISTED_LATER = 8
+"""Changes that are listed even when they are older: for a region that returns after long."""
+
+MAX_RECENT = 64
+MAX_CONTESTED = 256
+
+TOLD_FIRST = (MemberState.FAILED, MemberState.LEFT, MemberState.ALIVE)
+"""Which changes are listed where not all can be."""
+
+
+@dataclass(frozen=True)
+class RecentChange:
+    """A change of a member of the own zone, and when it was seen here."""
+
+    change: MemberChange
+    at: int
+
+
+@dataclass(frozen=True)
+class LocalState:
+    """The own zone by the flat membership of this front, as the summary tells it."""
+
+    counts: StateCounts
+    delegates: tuple[ZoneContact, ...]
+    member_digest: int
+
+
+class ZoneAuthor:
+    """Authors the summary of one front's own zone, when it is this front's turn."""
+
+    def __init__(self, me: ZoneContact, region: str, now: int) -> None:
+        """Nothing has changed yet."""
+        self.me = me
+        self.region = region
+        self.recent: dict[str, RecentChange] = {}
+        self.contested: dict[str, MemberChange] = {}
+        self.published_at = now - PUBLICATION_SPACING
+        self.next_heartbeat_at = now
+
+    # What has changed.
+
+    def note(self, change: MemberChange, now: int) -> None:
+        """A change of a member that others are to be told of."""
+        self.recent.pop(change.name, None)
+        self.recent[change.name] = RecentChange(change, now)
+        while len(self.recent) > MAX_RECENT:
+            del self.recent[next(iter(self.recent))]
+
+    def contest(self, accusation: MemberChange) -> None:
+        """Somebody told of this zone that a member failed or left which is present here."""
+        if accusation.name in self.contested or len(self.contested) < MAX_CONTESTED:
+            self.contested[accusation.name] = accusation
+
+    def refuted(self, members: Iterable[MemberChange], now: int) -> None:
+        """Contested members as they stand: one that has raised its incarnation over the accusation is told of as alive."""
+        for change in members:
+            if change.precedence > self.contested[change.name].precedence:
+                del self.contested[change.name]
+                self.note(change, now)
+
+    def changes(self, now: int) -> tuple[MemberChange, ...]:
+        """The changes that a summary lists now, by name so that two authors write the same."""
+        fresh = [recent for recent in self.recent.values() if now - recent.at < FRESH_TIME]
+        older = [recent for recent in self.recent.values() if now - recent.at >= FRESH_TIME]
+        padding = older[max(0, len(older) - max(0, LISTED_LATER - len(fresh))) :]
+        # The earliest first within a state: in a mass failure a reader must find again what it is to confirm.
+        fresh.sort(key=lambda recent: TOLD_FIRST.index(recent.change.state))
+        listed = [recent.change for recent in [*fresh, *padding][:MAX_CHANGES]]
+        return tuple(sorted(listed, key=lambda change: change.name))
+
+    # When it is told.
+
+    def is_due(self, rank: int | None, record: ZoneRecord | None, now: int) -> bool:
+        """Whether this front is to author now; `rank` is its own among the delegates."""
+        if rank is None:
+            return False
+        if rank == 0 or record is None:
+            return True
+        return now - record.moved_at > (1 + rank) * HEARTBEAT_INTERVAL
+
+    def next_summary(self, local: LocalState, record: ZoneRecord | None, now: int) -> ZoneSummary | None:
+        """The summary to be published now, if any: a new content, or the content that is known with the next heartbeat."""
+        desired = self._content(local, record, now)
+        is_new = record is None or not desired.says_the_same(record.summary)
+        if is_new and now - self.published_at >= PUBLICATION_SPACING:
+            self.published_at = now
+            return desired
+        if record is None or now < self.next_heartbeat_at:
+            return None
+        self.next_heartbeat_at = now + HEARTBEAT_INTERVAL
+        if record.heartbeat + 1 >= MAX_COUNTER:
+            return desired
+        return record.summary.with_heartbeat(record.heartbeat + 1)
+
+    def _content(self, local: LocalState, record: ZoneRecord | None, now: int) -> ZoneSummary:
+        epoch, version = next_key(record.entry if record is not None else None, self.me.generation)
+        return ZoneSummary(
+            self.me.zone, self.region, self.me.name, epoch, version, 0, local.counts, local.delegates,
+            local.member_digest, self.changes(now),
+        )  # fmt: skip
--- /dev/null
+++ b/oakcroft/decisions/membership/zone_summary.py
@@ -0,0 +1,212 @@
+"""The summary by which other zones know a zone: its content, which of two holds, and which are plausible.
+
+The members of a zone author summaries of it without coordination. All summaries of one zone stand in one order: epoch,
+version, fingerprint of the content, heartbeat; the greatest holds. The order is total and a key has one content, so
+taking the greatest is associative, commutative and idempotent: readers agree whatever the order, repeats and gaps of
+messages. Within a summary each change of a member has an order of its own, so a later author who does not list a change
+does not take it back.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, replace
+from functools import cached_property
+
+from oakcroft.decisions.membership.member import MAX_INCARNATION, MAX_NAME_LENGTH, MAX_PORT, MemberState
+from oakcroft.decisions.membership.messages import Address
+
+MAX_DELEGATES = 3
+"""Of one zone: two may fail in one detection time and the zone still speaks."""
+
+MAX_CHANGES = 24
+"""Of members in one summary: with these it takes some 750 octets of a datagram's 1,400."""
+
+MAX_ZONE_NAME_LENGTH = 32
+MAX_ZONE_MEMBERS = 256
+"""Present members of a zone, by which the flat protocol's traffic inside it stays within the budget."""
+
+MAX_ABSENT_MEMBERS = 1_024
+"""Failed or left members that a summary may count: the bound of the flat protocol's table."""
+
+MAX_COUNTER = 1 << 40
+"""Of versions and heartbeats. Past it an author takes the next epoch, so that every plausible summary can be outbid."""
+
+FINGERPRINT_OCTETS = 8
+MAX_FINGERPRINT = 1 << 8 * FINGERPRINT_OCTETS
+
+TOLD_STATES = (MemberState.ALIVE, MemberState.FAILED, MemberState.LEFT)
+"""Suspicions are not told between zones: most are refuted within half a second."""
+
+
+@dataclass(frozen=True)
+class ZoneContact:
+    """A process that speaks for itself or for its zone, and where it can be reached."""
+
+    name: str
+    generation: int
+    zone: str
+    host: str
+    port: int
+
+    @property
+    def address(self) -> Address:
+        """Host and port."""
+        return self.host, self.port
+
+    def is_plausible(self, latest_generation: int) -> bool:
+        """Whether a sound process could be this."""
+        return (
+            0 < len(self.name) <= MAX_NAME_LENGTH
+            and 0 < self.generation <= latest_generation
+            and 0 < len(self.zone) <= MAX_ZONE_NAME_LENGTH
+            and 0 < self.port <= MAX_PORT
+        )
+
+
+@dataclass(frozen=True)
+class StateCounts:
+    """How many members of a zone are in a state."""
+
+    present: int
+    failed: int
+    left: int
+
+    def is_plausible(self) -> bool:
+        """Whether a zone's table could hold so many."""
+        absent = (self.failed, self.left)
+        return 0 <= self.present <= MAX_ABSENT_MEMBERS and all(0 <= n <= MAX_ABSENT_MEMBERS for n in absent)
+
+
+@dataclass(frozen=True)
+class MemberChange:
+    """What a zone says of one of its members, as told to other zones."""
+
+    name: str
+    generation: int
+    incarnation: int
+    state: MemberState
+
+    @property
+    def precedence(self) -> tuple[int, int, int]:
+        """The key by which the greater of two changes of one member holds.
+
+        Other than in the flat protocol a later incarnation goes over a leaving: its proof cannot be checked outside the
+        zone, so a false one has to be refutable.
+        """
+        return self.generation, self.incarnation, self.state.value
+
+    def is_plausible(self, latest_generation: int) -> bool:
+        """Whether a sound zone could say this."""
+        return (
+            0 < len(self.name) <= MAX_NAME_LENGTH
+            and 0 < self.generation <= latest_generation
+            and 0 <= self.incarnation < MAX_INCARNATION
+            and self.state in TOLD_STATES
+        )
+
+
+@dataclass(frozen=True)
+class DigestEntry:
+    """Which summary of a zone somebody holds."""
+
+    zone: str
+    epoch: int
+    version: int
+    fingerprint: int
+    heartbeat: int
+
+    @property
+    def content_precedence(self) -> tuple[int, int, int]:
+        """The order of contents."""
+        return self.epoch, self.version, self.fingerprint
+
+    @property
+    def precedence(self) -> tuple[int, int, int, int]:
+        """The order of summaries: by content, then by heartbeat."""
+        return self.epoch, self.version, self.fingerprint, self.heartbeat
+
+    def is_plausible(self, latest_generation: int) -> bool:
+        """Whether an author could have said this. Guards against numbers that nobody could outbid: epochs are
+        generations, so one far in the future is none."""
+        return (
+            0 < len(self.zone) <= MAX_ZONE_NAME_LENGTH
+            and 0 < self.epoch <= latest_generation
+            and 0 <= self.version < MAX_COUNTER
+            and 0 <= self.fingerprint < MAX_FINGERPRINT
+            and 0 <= self.heartbeat < MAX_COUNTER
+        )
+
+
+@dataclass(frozen=True)
+class ZoneSummary:
+    """A zone as its author sees it. `member_digest` is over the names and generations of the present members."""
+
+    zone: str
+    region: str
+    author: str
+    epoch: int
+    version: int
+    heartbeat: int
+    counts: StateCounts
+    delegates: tuple[ZoneContact, ...]
+    member_digest: int
+    changes: tuple[MemberChange, ...]
+
+    @cached_property
+    def fingerprint(self) -> int:
+        """Digest of the content: all but epoch, version and heartbeat."""
+        content = replace(self, epoch=0, version=0, heartbeat=0)
+        digest = hashlib.blake2b(
+            repr(content).encode(), digest_size=FINGERPRINT_OCTETS, person=b"oakcroft-zone"
+        )
+        return int.from_bytes(digest.digest(), "big")
+
+    @cached_property
+    def entry(self) -> DigestEntry:
+        """Its entry in a digest."""
+        return DigestEntry(self.zone, self.epoch, self.version, self.fingerprint, self.heartbeat)
+
+    def is_plausible(self, latest_generation: int) -> bool:
+        """Whether an author could have said this."""
+        return (
+            self.entry.is_plausible(latest_generation)
+            and 0 < len(self.region) <= MAX_ZONE_NAME_LENGTH
+            and 0 < len(self.author) <= MAX_NAME_LENGTH
+            and self.counts.is_plausible()
+            and 0 <= self.member_digest < MAX_FINGERPRINT
+            and len(self.delegates) <= MAX_DELEGATES
+            and len(self.changes) <= MAX_CHANGES
+            and all(d.zone == self.zone and d.is_plausible(latest_generation) for d in self.delegates)
+            and all(change.is_plausible(latest_generation) for change in self.changes)
+        )
+
+    def says_the_same(self, other: ZoneSummary) -> bool:
+        """Whether two summaries differ in author and numbers only."""
+        return (self.counts, self.delegates, self.member_digest, self.changes) == (
+            other.counts, other.delegates, other.member_digest, other.changes,
+        )  # fmt: skip
+
+    def with_heartbeat(self, heartbeat: int) -> ZoneSummary:
+        """The same content at another heartbeat."""
+        summary = replace(self, heartbeat=heartbeat)
+        summary.__dict__["fingerprint"] = self.fingerprint  # of the content, which stays: not reckoned again
+        return summary
+
+
+def member_digest(members: list[tuple[str, int]]) -> int:
+    """Digest of the names and generations of a zone's present members."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_OCTETS, person=b"oakcroft-member")
+    for name, generation in sorted(members):
+        digest.update(f"{len(name)}:{name}{generation};".encode())
+    return int.from_bytes(digest.digest(), "big")
+
+
+def next_key(known: DigestEntry | None, generation: int) -> tuple[int, int]:
+    """Epoch and version of a new content that outbids what is known of the zone. The author's own `generation` is the
+    epoch where nothing is known."""
+    if known is None:
+        return generation, 0
+    if known.version + 1 < MAX_COUNTER:
+        return known.epoch, known.version + 1
+    return known.epoch + 1, 0
