Host the membership of zones in the peers' endpoint

Cause: zones have decisions and a wire, and nothing that runs them. Change: PeerEndpoint hosts either membership (membership_start.py); zone_service.py takes datagrams of format 69 in and out and tells operators of other zones; change_log.py writes one line a change ('zone', 'zone member' beside 'member'); a push-pull is served only within the traffic budget. PeersPlace names a region and other zones; without a region all stays flat. decisions/fleet/rendezvous.py moves into decisions/membership: test_imports failed on an arrow from membership to the lease package; leases rest on membership, not the other way. Measured: test_imports 163 passed (1 had failed before the move); test_peers and test_figures passed before it; mypy clean. No test of zones over datagrams yet.

--- a/oakcroft/config/told.py
+++ b/oakcroft/config/told.py
@@ -70,6 +70,15 @@
     then: tuple[str, ...]  # other wings in order of preference
 
 
+@dataclass(frozen=True)
+class OtherZone:
+    """Another zone, with addresses of some of its fronts."""
+
+    zone: str
+    region: str
+    addresses: tuple[tuple[str, int], ...]
+
+
 @dataclass(frozen=True)
 class PeersPlace:
     """Where a front stands among its peers."""
@@ -85,6 +94,8 @@
     term: int = 0  # length of one, ns
     probes: int = 0  # between two figures of a node, ns; 0: none are shared
     adopts: Adopts | None = None  # how it takes over from those that are gone; None: it does not
+    region: str = ""  # of this front's zone; empty: one flat membership of all fronts
+    other_zones: tuple[OtherZone, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/oakcroft/decisions/fleet/adopting.py
+++ b/oakcroft/decisions/fleet/adopting.py
@@ -17,7 +17,7 @@
 from enum import Enum
 
 from oakcroft.decisions.fleet.holding import Word
-from oakcroft.decisions.fleet.rendezvous import line, weight
+from oakcroft.decisions.membership.rendezvous import line, weight
 from oakcroft.interface import MS, SECOND
 
 IN_LINE = 3
--- a/oakcroft/decisions/fleet/figures.py
+++ b/oakcroft/decisions/fleet/figures.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from oakcroft.decisions.fleet.rendezvous import rank
+from oakcroft.decisions.membership.rendezvous import rank
 from oakcroft.interface import MS, SECOND
 
 TELL_EVERY = 500 * MS
--- a/oakcroft/decisions/membership/delegates.py
+++ b/oakcroft/decisions/membership/delegates.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Sequence
 
-from oakcroft.decisions.fleet.rendezvous import weight
+from oakcroft.decisions.membership.rendezvous import weight
 from oakcroft.decisions.membership.zone_summary import MAX_DELEGATES
 from oakcroft.interface import SECOND
 
--- a/oakcroft/peers/leases.py
+++ b/oakcroft/peers/leases.py
@@ -18,7 +18,7 @@
 from oakcroft.config.told import PeersPlace
 from oakcroft.decisions.fleet.keeping import Keeper
 from oakcroft.decisions.fleet.owning import Candidate, Course, Word
-from oakcroft.decisions.fleet.rendezvous import rank
+from oakcroft.decisions.membership.rendezvous import rank
 from oakcroft.decisions.fleet.terms import MOST_NUMBER, Answer, Ask, Step, Term, majority
 from oakcroft.decisions.membership.membership import Membership
 from oakcroft.interface import MS, SECOND
--- a/oakcroft/peers/peer_endpoint.py
+++ b/oakcroft/peers/peer_endpoint.py
@@ -7,35 +7,37 @@
 
 from __future__ import annotations
 
-import secrets
 from collections import Counter
 from collections.abc import Callable
-from random import Random
 
 import structlog
 import trio
 
-from oakcroft import __version__
 from oakcroft.config.told import PeersPlace
 from oakcroft.decisions.fleet.figures import Row
-from oakcroft.decisions.membership.member import MemberState, MemberUpdate, commitment
+from oakcroft.decisions.membership.hierarchy import ZonedMembership
 from oakcroft.decisions.membership.membership import Membership
 from oakcroft.decisions.membership.messages import Message, MessageKind
+from oakcroft.decisions.membership.zone_messages import ZoneOut
 from oakcroft.interface import MS, SECOND
+from oakcroft.peers.change_log import log_changes
 from oakcroft.peers.datagrams import DatagramSocket, RateLimit
 from oakcroft.peers.lease_acceptor import Keeping
 from oakcroft.peers.leases import LeaseHost
-from oakcroft.peers.generations import begin_generation, store_generation
+from oakcroft.peers.generations import store_generation
 from oakcroft.peers.key_file import KeyFile
+from oakcroft.peers.membership_start import begin_membership, own_zone_membership
 from oakcroft.peers.push_pull_service import PUSH_PULL_TIMEOUT, PushPullService
 from oakcroft.peers.status import membership_status
 from oakcroft.peers.streams import StreamServer
 from oakcroft.peers.text_transfer import TEXT_TIMEOUT, TextTransfer
+from oakcroft.peers.zone_service import ZoneService
 from oakcroft.peerwire.lease_codec import FORM as LEASE_FORMAT
 from oakcroft.peerwire.errors import MessageError
 from oakcroft.peerwire.load_codec import FORM as LOAD_FORMAT
 from oakcroft.peerwire.load_codec import LoadCodec
 from oakcroft.peerwire.membership_codec import MembershipCodec
+from oakcroft.peerwire.zone_codec import ZONE_FORMAT, ZoneCodec
 from oakcroft.running.clock import Clock
 
 RESTART_DELAY = 1.0
@@ -48,7 +50,6 @@
 """Seconds."""
 
 LISTEN_BACKLOG = 64
-SECRET_LENGTH = 16
 
 
 class PeerEndpoint:
@@ -70,12 +71,16 @@
         self.codec = MembershipCodec(place.fleet, self.key_file.ring)
         self.load_codec = LoadCodec(place.fleet, self.key_file.ring)
         self.on_loads: Callable[[list[Row]], None] | None = None  # who wants other fronts' loads of nodes
-        self.membership = self._begin_membership(zone, seed)
+        self.hosted = begin_membership(place, zone, seed, self.now(), log)
+        self.membership = own_zone_membership(self.hosted)
+        self.zones: ZoneService | None = None
+        if isinstance(self.hosted, ZonedMembership):
+            self.zones = ZoneService(self.hosted, ZoneCodec(place.fleet, self.key_file.ring))
         self.stored_generation = self.membership.me.generation
         self.datagrams = DatagramSocket(place.listen, self.dropped)
         own_host = place.listen[0]
         self.push_pulls = PushPullService(
-            self.codec, self.membership, own_host, self.now, self.dropped, self._carry_out
+            self.codec, self.hosted, own_host, self.now, self.dropped, self._carry_out
         )
         self.streams = StreamServer(self.push_pulls.answer, PUSH_PULL_TIMEOUT, self.dropped)
         self.duties: LeaseHost | None = None
@@ -89,24 +94,6 @@
         self.has_begun = False
         self.woken = trio.Event()
 
-    def _begin_membership(self, zone: str, seed: int) -> Membership:
-        place = self.place
-        generation, trouble = begin_generation(place.starts)
-        if trouble:
-            self.log.warning("start not kept", file=place.starts, why=trouble)
-        secret = secrets.token_bytes(SECRET_LENGTH)
-        me = MemberUpdate(
-            place.name,
-            generation,
-            0,
-            MemberState.ALIVE,
-            *place.advertise,
-            zone,
-            __version__,
-            commitment(secret),
-        )
-        return Membership(me, secret, Random(seed), self.now(), place.seeds)
-
     def now(self) -> int:
         """Now, by the front's clock, which no step of the wall clock moves."""
         return self.clock.now()
@@ -152,8 +139,8 @@
         """Says that this front leaves in order. Call it when no more is let in: its shares pass on with it."""
         if self.duties is not None:
             self.duties.leave()
-        self.membership.leave()
-        last_messages, self.membership.out = self.membership.out, []
+        self.hosted.leave()
+        last_messages = self._take_messages()
         for _ in range(LEAVE_REPEATS):
             for message in last_messages:
                 self._send(message)
@@ -161,37 +148,47 @@
 
     # Sending.
 
+    def _take_messages(self) -> list[Message | ZoneOut]:
+        messages: list[Message | ZoneOut] = [*self.hosted.out]
+        self.hosted.out = []
+        return messages
+
     def _carry_out(self) -> None:
         """What the membership has asked for, and what has changed in it. Called after each call of it."""
-        membership = self.membership
-        while membership.out:
-            messages, membership.out = membership.out, []
-            for message in messages:
+        while self.hosted.out:
+            for message in self._take_messages():
                 self._send(message)
-        if membership.changes:
+        if self.hosted.changes:
             self._tell_changes()
         self.woken.set()
 
     def _tell_changes(self) -> None:
         membership = self.membership
-        changes, membership.changes = membership.changes, []
-        for change in changes:
-            present = len(membership.present())
-            self.log.info(
-                "member", name=change.name, was=change.was, now=change.now, why=change.why, present=present
-            )
+        log_changes(self.hosted.changes, len(membership.present()), self.log)
+        self.hosted.changes = []
         if membership.me.generation != self.stored_generation:
             self.stored_generation = membership.me.generation
             if trouble := store_generation(self.place.starts, self.stored_generation):
                 self.log.warning("start not kept", file=self.place.starts, why=trouble)
         self.on_change(membership)
 
-    def _send(self, message: Message) -> None:
-        if message.kind is MessageKind.PUSH_PULL:
+    def _send(self, message: Message | ZoneOut) -> None:
+        if isinstance(message, ZoneOut):
+            self._send_between_zones(message)
+        elif message.kind is MessageKind.PUSH_PULL:
             self.nursery.start_soon(self.push_pulls.begin, message.address)
         else:
             self.datagrams.send(self.codec.encode(self.membership.me, message), message.address)
 
+    def _send_between_zones(self, message: ZoneOut) -> None:
+        assert self.zones is not None
+        try:
+            octets = self.zones.encode(message)
+        except MessageError as error:
+            self.dropped[f"not sent: {error}"] += 1
+            return
+        self.datagrams.send(octets, message.address)
+
     def _send_to_member(self, name: str, octets: bytes) -> None:
         """Octets to a member by name; lost where nobody knows the name."""
         member = self.membership.members.get(name)
@@ -224,6 +221,10 @@
         if self.duties is not None and wire_format == LEASE_FORMAT:
             self.duties.taken(opened)
             self.received += 1
+        elif self.zones is not None and wire_format == ZONE_FORMAT:
+            self.zones.receive(opened, now)
+            self.received += 1
+            self._carry_out()
         elif self.on_loads is not None and wire_format == LOAD_FORMAT:
             self.on_loads(self._read_loads(opened))
         else:
@@ -232,7 +233,7 @@
     def _receive_membership(self, opened: bytes, now: int) -> None:
         message = self.codec.read(opened)
         self.received += 1
-        self.membership.heard(
+        self.hosted.heard(
             message.sender, message.kind, message.sequence, message.to, message.target, message.updates, now
         )
         self._carry_out()
@@ -261,10 +262,10 @@
 
     async def _run_timers(self) -> None:
         while True:
-            self.membership.tick(self.now())
+            self.hosted.tick(self.now())
             self._carry_out()
             self.woken = trio.Event()
-            deadline = max(self.membership.due, self.now() + MS)
+            deadline = max(self.hosted.due, self.now() + MS)
             with trio.move_on_at(self.clock.deadline(deadline)):
                 await self.woken.wait()
                 await trio.sleep(MS / SECOND)  # what comes together is looked at together
@@ -273,8 +274,10 @@
 
     def status(self) -> dict[str, object]:
         """The membership and its counts, as plain values."""
+        now = self.now()
         return {
-            **membership_status(self.membership, self.now()),
+            **membership_status(self.membership, now),
+            **(self.zones.status(now) if self.zones is not None else {}),
             "sent": self.datagrams.sent,
             "taken": self.received,
             "octets_out": self.datagrams.octets_sent,
--- a/oakcroft/peers/push_pull_service.py
+++ b/oakcroft/peers/push_pull_service.py
@@ -8,8 +8,9 @@
 
 import trio
 
-from oakcroft.decisions.membership.membership import Membership
+from oakcroft.decisions.membership.hierarchy import ZonedMembership
 from oakcroft.decisions.membership.messages import Address
+from oakcroft.peers.membership_start import HostedMembership
 from oakcroft.peers.streams import STREAM_ERRORS, connect
 from oakcroft.peerwire.errors import MessageError
 from oakcroft.peerwire.membership_codec import MembershipCodec
@@ -23,7 +24,7 @@
     """Exchanges this front's full state with others'. `merged` is called after each that has been taken."""
 
     def __init__(
-        self, codec: MembershipCodec, membership: Membership, own_host: str, now: Callable[[], int],
+        self, codec: MembershipCodec, membership: HostedMembership, own_host: str, now: Callable[[], int],
         dropped: Counter[str], merged: Callable[[], None],
     ) -> None:  # fmt: skip
         """`own_host` is the address that streams are begun from."""
@@ -49,9 +50,17 @@
 
         Nobody is told anything who has not shown that he holds the key.
         """
-        if await self._receive(stream, first):
+        if await self._receive(stream, first) and self._may_answer():
             await stream.send_all(self._own_state())
 
+    def _may_answer(self) -> bool:
+        """Whether the traffic budget of a zoned membership allows for a full state now; the other asks again."""
+        hosted = self.membership
+        if not isinstance(hosted, ZonedMembership) or hosted.accepts_exchange(self.now()):
+            return True
+        self.dropped["exchange over budget"] += 1
+        return False
+
     async def _receive(self, stream: trio.SocketStream, first: bytes = b"") -> bool:
         """Takes the other's full state; whether it was whole."""
         reader = FullStateReader(self.codec)
--- a/oakcroft/rehearsal/many_owners.py
+++ b/oakcroft/rehearsal/many_owners.py
@@ -12,7 +12,7 @@
 
 from oakcroft.decisions.fleet.keeping import Keeper
 from oakcroft.decisions.fleet.owning import Candidate, Course, Word
-from oakcroft.decisions.fleet.rendezvous import line
+from oakcroft.decisions.membership.rendezvous import line
 from oakcroft.decisions.fleet.terms import Answer, Learnt
 from oakcroft.interface import MS, SECOND
 
--- a/tests/test_adopting.py
+++ b/tests/test_adopting.py
@@ -16,7 +16,7 @@
 from test_peers import TOKEN, Fronts, fronts
 
 from oakcroft.decisions.fleet.adopting import SLOTS
-from oakcroft.decisions.fleet.rendezvous import line, weight
+from oakcroft.decisions.membership.rendezvous import line, weight
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.httpwire.message import Response
 from oakcroft.rehearsal.viewers import offer
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from oakcroft.decisions.fleet.rendezvous import line, rank
+from oakcroft.decisions.membership.rendezvous import line, rank
 from oakcroft.decisions.fleet.rollout import ENDED, SHARES, Plan, Report, Rollout, Stage, begins
 from oakcroft.decisions.fleet.terms import MOST_NOTE, Answer, Ask, Fence, Learnt, Note, Row, Step, Term
 from oakcroft.front.rolling import PLAN, plan_of, word_of
