--- a/oakcroft/commands.py
+++ b/oakcroft/commands.py
@@ -344,5 +344,14 @@
         out.append(
             f"  {m['name']:{width}} {m['standing']:9} {m['since_ms'] / 1e3:8.1f} s  {m['address']} {m['wing']}{heard}{by}"
         )
+    out += [zone_line(zone) for zone in view.get("zones", ())]
     dropped = ", ".join(f"{what} {n}" for what, n in sorted(view["dropped"].items())) or "nothing"
     return [*out, f"  sent {view['sent']}, taken {view['taken']}, dropped: {dropped}"]
+
+
+def zone_line(zone: dict[str, Any]) -> str:
+    """Another zone in a line."""
+    reach = "reachable" if zone["reachable"] else "unreachable"
+    counts = f"{zone['present']} present, {zone['failed']} gone, {zone['left']} left"
+    moved = f"heard {zone['moved_ms'] / 1e3:.1f} s ago"
+    return f"  zone {zone['zone']} of {zone['region']}: {reach}, {counts}, {moved}"
--- a/oakcroft/config/checks/peers.py
+++ b/oakcroft/config/checks/peers.py
@@ -28,7 +28,8 @@
     seeds = peers.get("seeds")
     if len(set(seeds)) < len(seeds):
         problems.warn(peers.at("seeds"), "a seed stands twice", "keep one of them")
-    if not [seed for seed in seeds if seed != (advertised or listen)]:
+    zone_seeds = [seed for zone in records.all(forms.ZONE).values() for seed in zone.values.get("seeds", ())]
+    if not [seed for seed in (*seeds, *zone_seeds) if seed != (advertised or listen)]:
         what = "there is no seed but this front: it waits for others to find it"
         problems.warn(peers.at("seeds"), what, "add (seeds …)")
     front = records.one(forms.FRONT)
--- /dev/null
+++ b/oakcroft/config/checks/zones.py
@@ -0,0 +1,65 @@
+"""Checks of the zones of a large fleet, and of what needs to know all fronts by name."""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+
+from oakcroft.config import forms
+from oakcroft.config.checks.peers import has_peers
+from oakcroft.config.problems import Problems
+from oakcroft.config.records import Records
+from oakcroft.config.schema import Record
+from oakcroft.decisions.membership.zone_directory import MAX_ZONES
+from oakcroft.decisions.membership.zone_summary import MAX_ZONE_NAME_LENGTH
+
+
+def check_zones(records: Records, problems: Problems) -> None:
+    """Each zone can be reached and named on the wire, this front stands in one, and nothing needs all fronts by name."""
+    zones = records.all(forms.ZONE)
+    if not zones:
+        return
+    first = next(iter(zones.values()))
+    if len(zones) > MAX_ZONES:
+        problems.error(
+            first.place, f"there are {len(zones)} zones, and {MAX_ZONES} at most can be", "join some"
+        )
+    for name, zone in zones.items():
+        _check_names(name, zone, problems)
+        _check_seeds(zone, problems)
+    if not has_peers(records, first, "region", "zones are of the peers", problems):
+        return
+    front = records.one(forms.FRONT)
+    if front is not None and front.get("zone") not in zones:
+        shown = front.get("zone") or "none"
+        what = f"this front stands in no zone that is listed, but in {shown}"
+        problems.error(front.at("zone"), what, f"add (zone {shown} …), or write another")
+    _check_keepers(records, problems)
+
+
+def _check_names(name: str, zone: Record, problems: Problems) -> None:
+    for text in (name, zone.values.get("region", "")):
+        if len(text) > MAX_ZONE_NAME_LENGTH:
+            what = f"{text} is longer than the {MAX_ZONE_NAME_LENGTH} letters that go to other zones"
+            problems.error(zone.place, what, "write a shorter name")
+
+
+def _check_seeds(zone: Record, problems: Problems) -> None:
+    for host, port in zone.values.get("seeds", ()):
+        try:
+            ip_address(host)
+        except ValueError:
+            what = f"{host} is not an IP address; names are not looked up"
+            problems.error(zone.at("seeds"), what, "write its address")
+        if port == 0:
+            problems.error(zone.at("seeds"), "port 0: nobody listens there", "write its port")
+
+
+def _check_keepers(records: Records, problems: Problems) -> None:
+    """Guards against a duty for each zone: keepers are reached by name, and a front knows those of its own zone alone, so
+    that a version of titles would be rolled out in one zone and not in the others."""
+    keepers = records.one(forms.KEEPERS)
+    if keepers is not None:
+        what = (
+            "with (zone …) a front knows by name the fronts of its own zone alone, and could not reach these"
+        )
+        problems.error(keepers.at("names"), what, "take (keepers …) out, or all (zone …)")
--- a/oakcroft/config/deployment.py
+++ b/oakcroft/config/deployment.py
@@ -9,7 +9,7 @@
 from oakcroft.config import forms
 from oakcroft.config.meaning import Meaning, plain_values
 from oakcroft.config.schema import Record
-from oakcroft.config.told import Deployment, Holding, PeersPlace, PlanTerms, Site, Stand, Token
+from oakcroft.config.told import Deployment, Holding, OtherZone, PeersPlace, PlanTerms, Site, Stand, Token
 from oakcroft.decisions.admission.doors import Bounds
 from oakcroft.decisions.admission.levels import Acts, Level, Mark, Sign
 from oakcroft.decisions.admission.levels import Bounds as LevelBounds
@@ -41,7 +41,7 @@
     stand = Stand(
         host=host, port=port, list_host=list_host, list_port=list_port, kept=front["kept"], state=front["state"],
         state_sync=_is_yes(front["state-sync"]), zone=front["zone"], seed=front["seed"], log=front["log"],
-        peers=_peers_place(meaning) if "peers" in meaning else None,
+        peers=_peers_place(meaning, front["zone"]) if "peers" in meaning else None,
     )  # fmt: skip
     return Deployment(_site(meaning, front["number"], known_families or {}), stand, meaning)
 
@@ -110,16 +110,21 @@
     }
 
 
-def _peers_place(meaning: Meaning) -> PeersPlace:
+def _peers_place(meaning: Meaning, own_zone: str) -> PeersPlace:
     """Where a front stands among its peers, with what is done by way of them."""
     peers, keepers = meaning["peers"], meaning.get("keepers")
     adopting, probing = meaning.get("adopting"), meaning.get("probing")
+    zones = meaning["zone"]
+    own = zones.get(own_zone, {"region": "", "seeds": ()})
     return PeersPlace(
         name=peers["name"], listen=peers["listen"], advertise=peers["advertise"] or peers["listen"],
-        seeds=tuple(dict.fromkeys(peers["seeds"])), key_file=peers["key-file"], fleet=peers["fleet"],
+        seeds=tuple(dict.fromkeys([*peers["seeds"], *own["seeds"]])), key_file=peers["key-file"], fleet=peers["fleet"],
         starts=peers["starts"], keepers=tuple(keepers["names"]) if keepers is not None else (),
         term=keepers["term"] if keepers is not None else 0, probes=probing["every"] if probing is not None else 0,
         adopts=AdoptingBounds(adopting["after"], adopting["lease"], adopting["most"]) if adopting is not None else None,
+        region=own["region"], other_zones=tuple(
+            OtherZone(name, zone["region"], tuple(zone["seeds"])) for name, zone in zones.items() if name != own_zone
+        ),
     )  # fmt: skip
 
 
--- a/oakcroft/config/forms.py
+++ b/oakcroft/config/forms.py
@@ -280,6 +280,14 @@
         Field("starts", "file in which the number of the last start is kept; none: the clock and the others tell", TEXT, ""),
     ),
 )  # fmt: skip
+ZONE = Schema(
+    "zone", "A zone of a large fleet, the same list on all fronts, which stand in one by (front (zone …)): each lists the fronts of its own, and keeps a summary of others.",
+    (
+        Field("region", "the region that it lies in", NAME, required=True),
+        Field("seeds", "some of its fronts, as the others reach them", ADDRESS, required=True, most=MANY),
+    ),
+    NAME, "the zone's name", '(zone north (region europe) (seeds "10.0.0.5:7946" "10.0.0.6:7946"))',
+)  # fmt: skip
 KEEPERS = Schema(
     "keepers", "The fronts that grant terms of duties done on behalf of the fleet, one owner at a time; the same on all fronts.",
     (
@@ -334,6 +342,6 @@
     ADOPTING,
     PROBING,
 )
-NAMED = (PLAN, POOL, ROUTE, LIMIT, TOKEN, TITLE_FORM, LEVEL)
+NAMED = (PLAN, POOL, ROUTE, LIMIT, TOKEN, TITLE_FORM, LEVEL, ZONE)
 ALL = {s.name: s for s in (*SINGLE, *NAMED)}
 WORDS = ("include", "define", "use")
--- a/oakcroft/front/rolling.py
+++ b/oakcroft/front/rolling.py
@@ -23,7 +23,8 @@
 from oakcroft.front.catalogues import Catalogues
 from oakcroft.front.helm import Helm
 from oakcroft.peers.peer_endpoint import PeerEndpoint
-from oakcroft.peerwire.lease_codec import OrderWord, ReportWord, Taken
+from oakcroft.peerwire.lease_codec import ReceivedLeaseMessage
+from oakcroft.peerwire.lease_wire import Order, OrderReport
 from oakcroft.store.file import Fact
 
 DUTY = "catalogue"
@@ -155,7 +156,7 @@
 
     # What is ordered.
 
-    async def _ordered(self, got: Taken, word: OrderWord) -> ReportWord | None:
+    async def _ordered(self, got: ReceivedLeaseMessage, word: Order) -> OrderReport | None:
         """One order: on record first, then done; turned away where a newer one has been taken."""
         try:
             plan = plan_of(word.body)
@@ -179,7 +180,7 @@
                 self.log.warning(
                     "late order", sender=got.sender, order=[word.number, word.step], stands=[number, step]
                 )
-                return ReportWord(DUTY, number, step, False, b"")
+                return OrderReport(DUTY, number, step, False, b"")
             new = False
             if self.fence.seen.get(DUTY) != (word.number, word.step):
                 if not await self._on_record(word.number, word.step):
@@ -201,7 +202,7 @@
         seen = {**self.fence.seen, DUTY: (number, step)}
         return await self.helm.memory.store.durable(Fact(FENCE, ENCODER.encode(seen)))
 
-    def _report(self, plan: Plan, word: OrderWord, refused: str) -> ReportWord:
+    def _report(self, plan: Plan, word: Order, refused: str) -> OrderReport:
         some = self.helm.finals - self.base
         failures = some[Final.REJECTED] + some[Final.ABORTED]
         terms = self.helm.site.terms
@@ -210,7 +211,7 @@
             takes_part(terms.front, terms.fronts, int(plan.digest, 16), plan.part), refused[:120],
             some[Final.PLAYS] + failures, failures, self.in_force == NONE and plan.base != NONE,
         )  # fmt: skip
-        return ReportWord(DUTY, word.number, word.step, True, ENCODER.encode(body))
+        return OrderReport(DUTY, word.number, word.step, True, ENCODER.encode(body))
 
     @property
     def in_force(self) -> str:
@@ -307,7 +308,7 @@
         self.running = None
         self.wake.set()
 
-    def _reported(self, sender: str, word: ReportWord) -> None:
+    def _reported(self, sender: str, word: OrderReport) -> None:
         term, running = self.duties.term(DUTY), self.running
         if term is None or running is None:
             return
@@ -354,7 +355,7 @@
         # While it is watched each tells how it does; after its end only those that have not heard, or were away.
         some = running.unconfirmed(present, now) if running.plan.stage in ENDED else present
         for name in some:
-            self.duties.order(name, OrderWord(DUTY, term.number, running.plan.step, body))
+            self.duties.order(name, Order(DUTY, term.number, running.plan.step, body))
 
     def _load(self, term: Term) -> None:
         """Goes on where the owner before this one left the plan on record."""
@@ -404,14 +405,12 @@
                     break
                 self.duties.look_for_floor(DUTY)  # the answers tell who has it
                 if owner := self.duties.owner(DUTY):
-                    self.duties.order(
-                        owner.owner, OrderWord(SUBMITTED, owner.number, 0, ENCODER.encode(wish))
-                    )
+                    self.duties.order(owner.owner, Order(SUBMITTED, owner.number, 0, ENCODER.encode(wish)))
                 await trio.sleep(0.3)
         self.waited.discard(key)
         return self.accepted.pop(key, "nobody owns the duty just now: look at `fleet owners`, and ask again")
 
-    async def _submitted(self, got: Taken, word: OrderWord) -> ReportWord | None:
+    async def _submitted(self, got: ReceivedLeaseMessage, word: Order) -> OrderReport | None:
         """Another front hands on what an operator wants."""
         if self.duties.term(DUTY) is None:
             return None
@@ -424,11 +423,11 @@
         ):
             return None
         said = await self._begin(wish, got.sender)
-        return ReportWord(
+        return OrderReport(
             ACCEPTED, word.number, 0, not said, f"{wish.digest or 'back'} {said}".encode()[:300]
         )
 
-    def _answered(self, sender: str, word: ReportWord) -> None:
+    def _answered(self, sender: str, word: OrderReport) -> None:
         key, _, said = word.body.decode("utf-8", "replace").partition(" ")
         if key in self.waited:  # the owner's word may come again after it was told on
             self.accepted[key] = said
--- a/oakcroft/peers/lease_acceptor.py
+++ b/oakcroft/peers/lease_acceptor.py
@@ -19,8 +19,9 @@
 from oakcroft.decisions.fleet.keeping import MOST_DUTIES, Keeper
 from oakcroft.decisions.fleet.terms import Answer, Ask, Learnt
 from oakcroft.interface import MS, SECOND
-from oakcroft.peerwire.lease_codec import ENCODER, LeaseCodec, LearntWord, RowWord, row_of, row_word
 from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.lease_codec import ENCODER, LeaseCodec
+from oakcroft.peerwire.lease_wire import RecordPart, WireRow, row_from_wire, row_to_wire
 
 LEARN_INTERVAL = SECOND // 2
 """Between two questions of an acceptor that remembers nothing."""
@@ -34,7 +35,7 @@
 EPOCHS = ""
 """Among what is unsaved, stands for the epochs of the other acceptors' records."""
 
-RECORD_DECODER = msgspec.msgpack.Decoder(tuple[int, list[tuple[str, int]], list[RowWord]])
+RECORD_DECODER = msgspec.msgpack.Decoder(tuple[int, list[tuple[str, int]], list[WireRow]])
 
 
 class Keeping(Protocol):
@@ -72,7 +73,7 @@
         self.writing = 0
         self.asks = 0
         self.next_learn_at = now
-        self.parts: dict[str, dict[int, LearntWord]] = {}  # by acceptor, what it has told so far
+        self.parts: dict[str, dict[int, RecordPart]] = {}  # by acceptor, what it has told so far
 
     # Messages.
 
@@ -106,7 +107,7 @@
             for part in self.codec.learnt(*self.me(), told):
                 self.send(to, part)
 
-    def receive_learnt(self, sender: str, part: LearntWord, now: int) -> None:
+    def receive_learnt(self, sender: str, part: RecordPart, now: int) -> None:
         """One part of what another acceptor tells. MessageError where it can't be one."""
         keeper = self.keeper
         if keeper.sound or sender not in keeper.keepers:
@@ -120,7 +121,7 @@
         if len(parts) < part.parts:
             return
         del self.parts[sender]
-        rows = tuple((p.row.duty, row_of(p.row)) for p in parts.values() if p.row is not None)
+        rows = tuple((p.row.duty, row_from_wire(p.row)) for p in parts.values() if p.row is not None)
         if keeper.hears(Learnt(sender, part.epoch, part.sound, rows), now):
             mute_ms = max(0, keeper.mute_until - now) // MS
             self.log.info("keeper learnt", duties=len(keeper.rows), mute_ms=mute_ms)
@@ -163,7 +164,7 @@
 
     def _record_value(self) -> bytes:
         keeper = self.keeper
-        rows = [row_word(duty, row) for duty, row in sorted(keeper.rows.items())]
+        rows = [row_to_wire(duty, row) for duty, row in sorted(keeper.rows.items())]
         return ENCODER.encode((keeper.epoch, sorted(keeper.epochs.items()), rows))
 
     def _begin(self, now: int) -> None:
@@ -176,7 +177,7 @@
         self.has_begun = True
         try:
             epoch, epochs, words = RECORD_DECODER.decode(facts[RECORD_NAME])
-            keeper.take_on(epoch, dict(epochs), {w.duty: row_of(w) for w in words}, whole, now)
+            keeper.take_on(epoch, dict(epochs), {w.duty: row_from_wire(w) for w in words}, whole, now)
         except KeyError:
             pass  # it never was an acceptor, or all of it is lost
         except (msgspec.MsgspecError, MessageError) as error:
--- a/oakcroft/peers/lease_status.py
+++ b/oakcroft/peers/lease_status.py
@@ -5,15 +5,32 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections import Counter
+from typing import Protocol
 
+from oakcroft.config.told import PeersPlace
+from oakcroft.decisions.fleet.owning import Candidate
+from oakcroft.decisions.fleet.terms import Term
+from oakcroft.decisions.membership.membership import Membership
 from oakcroft.interface import MS
+from oakcroft.peers.lease_acceptor import AcceptorHost
 
-if TYPE_CHECKING:
-    from oakcroft.peers.leases import LeaseHost
 
+class Leases(Protocol):
+    """What is shown of the leases that a front hosts."""
 
-def lease_status(host: LeaseHost, now: int) -> dict[str, object]:
+    place: PeersPlace
+    membership: Membership
+    acceptor: AcceptorHost | None
+    candidates: dict[str, Candidate]
+    wanted: set[str]
+    dropped: Counter[str]
+
+    def owner(self, duty: str) -> Term | None:
+        """Who has a lease, as far as this front knows."""
+
+
+def lease_status(host: Leases, now: int) -> dict[str, object]:
     """Leases, holders and this front's acceptor."""
     acceptor = host.acceptor
     known = set(acceptor.keeper.rows) if acceptor is not None else set[str]()
@@ -30,7 +47,7 @@
     return status
 
 
-def _one_lease(host: LeaseHost, duty: str, now: int) -> dict[str, object]:
+def _one_lease(host: Leases, duty: str, now: int) -> dict[str, object]:
     candidate, holder, acceptor = host.candidates.get(duty), host.owner(duty), host.acceptor
     return {
         "duty": duty,
--- a/oakcroft/peers/leases.py
+++ b/oakcroft/peers/leases.py
@@ -25,8 +25,9 @@
 from oakcroft.peers.lease_acceptor import AcceptorHost, Keeping
 from oakcroft.peers.lease_status import lease_status
 from oakcroft.peers.order_work import OrderWork
-from oakcroft.peerwire.lease_codec import LeaseCodec, LearntWord, LearnWord, OrderWord, ReportWord
 from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.lease_codec import LeaseCodec
+from oakcroft.peerwire.lease_wire import Order, OrderReport, RecordPart, RecordQuestion
 from oakcroft.peerwire.sealing import KeyRing
 
 MAX_RANK = 5
@@ -64,7 +65,7 @@
         self.owned: dict[str, Term] = {}  # as the host was last told
         self.order_work = OrderWork(self._send_report, log)
         self.orders = self.order_work.by_duty
-        self.reports: dict[str, Callable[[str, ReportWord], None]] = {}
+        self.reports: dict[str, Callable[[str, OrderReport], None]] = {}
         self.changed: dict[str, Callable[[Term | None], None]] = {}
         self.floors: dict[str, dict[str, int]] = {}  # by duty and acceptor, the highest number promised
         self.texts: Callable[[str], bytes | None] = lambda _: None  # what this front holds, by digest
@@ -150,12 +151,12 @@
         received = self.codec.taken(opened)
         if self.membership.displaced or self.membership.left:
             return  # another process has this name: it speaks
-        sender, message, now = received.sender, received.word, boot_time()
+        sender, message, now = received.sender, received.message, boot_time()
         if isinstance(message, Answer):
             self._receive_answer(message, now)
-        elif isinstance(message, OrderWord):
+        elif isinstance(message, Order):
             self.order_work.begin(received, message)
-        elif isinstance(message, ReportWord):
+        elif isinstance(message, OrderReport):
             if (reported := self.reports.get(message.duty)) is not None:
                 reported(sender, message)
         elif self.acceptor is not None:
@@ -163,11 +164,11 @@
 
     @staticmethod
     def _pass_to_acceptor(
-        acceptor: AcceptorHost, sender: str, message: Ask | LearnWord | LearntWord, now: int
+        acceptor: AcceptorHost, sender: str, message: Ask | RecordQuestion | RecordPart, now: int
     ) -> None:
         if isinstance(message, Ask):
             acceptor.receive_ask(sender, message, now)
-        elif isinstance(message, LearnWord):
+        elif isinstance(message, RecordQuestion):
             acceptor.receive_question(sender, message.epoch)
         else:
             acceptor.receive_learnt(sender, message, now)
@@ -196,11 +197,11 @@
             with suppress(MessageError):
                 self._send_to(word.to, self.codec.ask(*self.me, word.ask))
 
-    def order(self, to: str, word: OrderWord) -> None:
+    def order(self, to: str, word: Order) -> None:
         """A holder's order to a front."""
         self._send_to(to, self.codec.order(*self.me, word))
 
-    def _send_report(self, to: str, word: ReportWord) -> None:
+    def _send_report(self, to: str, word: OrderReport) -> None:
         self._send_to(to, self.codec.report(*self.me, word))
 
     def _send_to(self, to: str, octets: bytes) -> None:
--- a/oakcroft/peers/order_work.py
+++ b/oakcroft/peers/order_work.py
@@ -7,7 +7,8 @@
 import structlog
 import trio
 
-from oakcroft.peerwire.lease_codec import OrderWord, ReportWord, Taken
+from oakcroft.peerwire.lease_codec import ReceivedLeaseMessage
+from oakcroft.peerwire.lease_wire import Order, OrderReport
 
 MAX_WORKING = 16
 """Orders at work or waiting for their turn; what is dropped is ordered again."""
@@ -15,7 +16,7 @@
 MAX_ERROR_LENGTH = 300
 """Characters of an error in the log."""
 
-Work = Callable[[Taken, OrderWord], Awaitable[ReportWord | None]]
+Work = Callable[[ReceivedLeaseMessage, Order], Awaitable[OrderReport | None]]
 """Does what an order says; the report to whoever sent it, or none."""
 
 
@@ -23,7 +24,7 @@
     """Starts the work that each order is for. `send_report` takes what became of it to a front by name."""
 
     def __init__(
-        self, send_report: Callable[[str, ReportWord], None], log: structlog.typing.FilteringBoundLogger
+        self, send_report: Callable[[str, OrderReport], None], log: structlog.typing.FilteringBoundLogger
     ) -> None:
         """`send_report` sends without waiting."""
         self.send_report = send_report
@@ -32,14 +33,14 @@
         self.working = 0
         self.nursery: trio.Nursery | None = None
 
-    def begin(self, received: Taken, order: OrderWord) -> None:
+    def begin(self, received: ReceivedLeaseMessage, order: Order) -> None:
         """Begins the work of one order, if this front knows it and not too much is under way."""
         work = self.by_duty.get(order.duty)
         if work is not None and self.nursery is not None and self.working < MAX_WORKING:
             self.working += 1
             self.nursery.start_soon(self._do, work, received, order)
 
-    async def _do(self, work: Work, received: Taken, order: OrderWord) -> None:
+    async def _do(self, work: Work, received: ReceivedLeaseMessage, order: Order) -> None:
         """Guards the acceptor beside it, and the membership, against a fault in one order's work."""
         report = None
         try:
--- a/oakcroft/peers/peer_endpoint.py
+++ b/oakcroft/peers/peer_endpoint.py
@@ -32,10 +32,9 @@
 from oakcroft.peers.streams import StreamServer
 from oakcroft.peers.text_transfer import TEXT_TIMEOUT, TextTransfer
 from oakcroft.peers.zone_service import ZoneService
-from oakcroft.peerwire.lease_codec import FORM as LEASE_FORMAT
 from oakcroft.peerwire.errors import MessageError
-from oakcroft.peerwire.load_codec import FORM as LOAD_FORMAT
-from oakcroft.peerwire.load_codec import LoadCodec
+from oakcroft.peerwire.lease_codec import LEASE_FORMAT
+from oakcroft.peerwire.load_codec import LOAD_FORMAT, LoadCodec
 from oakcroft.peerwire.membership_codec import MembershipCodec
 from oakcroft.peerwire.zone_codec import ZONE_FORMAT, ZoneCodec
 from oakcroft.running.clock import Clock
--- a/oakcroft/peers/text_transfer.py
+++ b/oakcroft/peers/text_transfer.py
@@ -11,8 +11,9 @@
 from oakcroft.decisions.membership.messages import Address
 from oakcroft.peers.leases import LeaseHost
 from oakcroft.peers.streams import STREAM_ERRORS, connect
-from oakcroft.peerwire.lease_codec import MOST_TEXT, ChunkWord
 from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.lease_codec import MAX_TEXT
+from oakcroft.peerwire.lease_wire import TextChunk
 from oakcroft.peerwire.membership_codec import MAX_DATAGRAM, MembershipCodec
 from oakcroft.peerwire.push_pull_stream import LENGTH_OCTETS
 
@@ -70,14 +71,14 @@
                 await stream.send_all(self.leases.codec.fetch(*self.leases.me, digest))
                 async for chunk in self._chunks(stream):
                     text += chunk.octets
-                    if chunk.part != expected_part or len(text) > MOST_TEXT:
+                    if chunk.part != expected_part or len(text) > MAX_TEXT:
                         return None
                     expected_part += 1
                     if not chunk.more:
                         return bytes(text) or None
         return None
 
-    async def _chunks(self, stream: trio.SocketStream) -> AsyncIterator[ChunkWord]:
+    async def _chunks(self, stream: trio.SocketStream) -> AsyncIterator[TextChunk]:
         buffer = bytearray()
         while octets := await stream.receive_some(READ_SIZE):
             buffer += octets
--- a/oakcroft/peerwire/lease_codec.py
+++ b/oakcroft/peerwire/lease_codec.py
@@ -1,306 +1,227 @@
-"""The words of candidates and keepers, and of whoever owns a duty to the others, as MessagePack in a seal.
+"""The messages of candidates and acceptors of leases, and of holders to the other fronts, as MessagePack under a seal.
 
-message = seal:16 form:1 body       body: an array [fleet, sender, start, kind, payload]
+message = seal:16 format:1 body       body: an array [fleet, sender, generation, kind, payload]
 
-The payload is an array by kind. The form is another than that of the view's messages, so a program that knows no duties
-drops them as `other form`. What can't be read, or is no sound value, is dropped with a reason to be counted by.
+The payload is an array by kind. The format is another than that of the membership's messages, so a program that knows no
+leases drops them as `other form`. What can't be read, or is no sound value, is dropped with a reason to be counted by.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
 
-from oakcroft.decisions.fleet.terms import MOST_NOTE, MOST_NUMBER, Answer, Ask, Learnt, Note, Row, Step, Term
+from oakcroft.decisions.fleet.terms import Answer, Ask, Learnt, Step
 from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.lease_wire import (
+    Order,
+    OrderReport,
+    RecordPart,
+    RecordQuestion,
+    TextChunk,
+    TextQuestion,
+    WireAnswer,
+    WireAsk,
+    WireBody,
+    checked_name,
+    checked_number,
+    note_from_wire,
+    note_to_wire,
+    row_to_wire,
+    term_from_wire,
+    term_to_wire,
+)
 from oakcroft.peerwire.membership_codec import MAX_DATAGRAM
+from oakcroft.peerwire.push_pull_stream import frame
 from oakcroft.peerwire.sealing import KeyRing
 
-FORM = 65
-MOST_NAME = 64
-MOST_KEEPERS = 7
-STEPS = {s.value: s for s in Step}
-ORDER, REPORT, FETCH, CHUNK = 32, 33, 34, 35
-"""Kinds over those of `Step`: an owner's order to a front, and the front's word back; by stream, a text by its digest."""
+LEASE_FORMAT = 65
+MAX_ACCEPTORS = 7
+STEPS = {step.value: step for step in Step}
+ORDER, REPORT, TEXT_QUESTION, TEXT_CHUNK = 32, 33, 34, 35
+"""Kinds over those of `Step`: a holder's order to a front, and the front's report; by stream, a text by its digest."""
 
 CHUNK_OCTETS = 12_288
-MOST_TEXT = 16_777_216
-
-
-class TermWord(msgspec.Struct, array_like=True):
-    number: int
-    owner: str
-    start: int
-
-
-class NoteWord(msgspec.Struct, array_like=True, frozen=True):
-    number: int = 0
-    step: int = 0
-    body: bytes = b""
-
-
-class AskWord(msgspec.Struct, array_like=True):
-    duty: str
-    term: TermWord
-    seq: int = 0
-    length: int = 0
-    note: NoteWord = NoteWord()
-
-
-class AnswerWord(msgspec.Struct, array_like=True):
-    duty: str
-    epoch: int
-    number: int
-    seq: int = 0
-    highest: int = 0
-    running: TermWord | None = None
-    left: int = 0
-    note: NoteWord = NoteWord()
-    epochs: list[tuple[str, int]] = []
-
-
-class LearnWord(msgspec.Struct, array_like=True):
-    epoch: int
-
-
-class RowWord(msgspec.Struct, array_like=True):
-    """A row of a keeper's record; also as it stands in the state file."""
-
-    duty: str
-    promised: int
-    to: str
-    term: TermWord | None
-    note: NoteWord
-
-
-class LearntWord(msgspec.Struct, array_like=True):
-    """One part of what a keeper tells: a row, or none where it has none."""
-
-    epoch: int
-    sound: bool
-    part: int
-    parts: int
-    row: RowWord | None = None
-
-
-class OrderWord(msgspec.Struct, array_like=True):
-    """An owner's order under its term's number and a step of it; `body` is the work's own."""
-
-    duty: str
-    number: int
-    step: int
-    body: bytes
-
-
-class ReportWord(msgspec.Struct, array_like=True):
-    """What became of an order; `taken` false: it was turned away here, and (number, step) is what stands."""
-
-    duty: str
-    number: int
-    step: int
-    taken: bool
-    body: bytes
-
-
-class FetchWord(msgspec.Struct, array_like=True):
-    digest: str
-
-
-class ChunkWord(msgspec.Struct, array_like=True):
-    """A part of a text, in order. None at all and no more: whoever was asked does not hold it."""
-
-    part: int
-    more: bool
-    octets: bytes
-
-
-class Body(msgspec.Struct, array_like=True):
-    fleet: str
-    sender: str
-    start: int
-    kind: int
-    payload: msgspec.Raw
-
+MAX_TEXT = 16_777_216
+"""Octets of a text."""
 
 ENCODER = msgspec.msgpack.Encoder()
-BODY = msgspec.msgpack.Decoder(Body)
-ASK, ANSWER = msgspec.msgpack.Decoder(AskWord), msgspec.msgpack.Decoder(AnswerWord)
-LEARN, LEARNT = msgspec.msgpack.Decoder(LearnWord), msgspec.msgpack.Decoder(LearntWord)
-ORDERS, REPORTS = msgspec.msgpack.Decoder(OrderWord), msgspec.msgpack.Decoder(ReportWord)
-FETCHES, CHUNKS = msgspec.msgpack.Decoder(FetchWord), msgspec.msgpack.Decoder(ChunkWord)
+BODY_DECODER = msgspec.msgpack.Decoder(WireBody)
+ASK_DECODER = msgspec.msgpack.Decoder(WireAsk)
+ANSWER_DECODER = msgspec.msgpack.Decoder(WireAnswer)
+QUESTION_DECODER = msgspec.msgpack.Decoder(RecordQuestion)
+PART_DECODER = msgspec.msgpack.Decoder(RecordPart)
+ORDER_DECODER = msgspec.msgpack.Decoder(Order)
+REPORT_DECODER = msgspec.msgpack.Decoder(OrderReport)
+TEXT_QUESTION_DECODER = msgspec.msgpack.Decoder(TextQuestion)
+TEXT_CHUNK_DECODER = msgspec.msgpack.Decoder(TextChunk)
+
 T = TypeVar("T")
-Word = Ask | Answer | LearnWord | LearntWord | OrderWord | ReportWord
+LeaseMessage = Ask | Answer | RecordQuestion | RecordPart | Order | OrderReport
 
 
 @dataclass(frozen=True)
-class Taken:
-    """A word, and whose."""
+class ReceivedLeaseMessage:
+    """A message as it was read, and whose; `start` is the sender's generation."""
 
     sender: str
     start: int
-    word: Word
-
-
-def term_word(term: Term) -> TermWord:
-    return TermWord(term.number, term.owner, term.start)
-
-
-def note_word(note: Note) -> NoteWord:
-    return NoteWord(note.number, note.step, note.body)
-
-
-def row_word(duty: str, row: Row) -> RowWord:
-    """A row for the wire or the state file."""
-    term = None if row.term is None else term_word(row.term)
-    return RowWord(duty, row.promised, row.to, term, note_word(row.note))
-
-
-def row_of(word: RowWord) -> Row:
-    """A row that has been read. MessageError where it is none."""
-    return Row(_number(word.promised), _name(word.to, 2 * MOST_NAME), _term(word.term), _note(word.note))
-
-
-def _framed(octets: bytes) -> bytes:
-    return len(octets).to_bytes(2, "big") + octets
-
-
-def _number(n: int) -> int:
-    if not 0 <= n < MOST_NUMBER:
-        raise MessageError("malformed")
-    return n
-
-
-def _name(name: str, most: int = MOST_NAME) -> str:
-    if len(name) > most:
-        raise MessageError("malformed")
-    return name
-
-
-def _term(word: TermWord | None) -> Term | None:
-    return None if word is None else Term(_number(word.number), _name(word.owner), _number(word.start))
-
-
-def _note(word: NoteWord) -> Note:
-    if len(word.body) > MOST_NOTE:
-        raise MessageError("malformed")
-    return Note(_number(word.number), _number(word.step), word.body)
+    message: LeaseMessage
 
 
 class LeaseCodec:
-    """Writes and reads the words of one fleet's duties. MessageError for whatever is none of them."""
+    """Writes and reads the lease messages of one fleet. MessageError for whatever is none of them."""
 
     def __init__(self, fleet: str, ring: KeyRing) -> None:
-        self.fleet, self.ring = fleet, ring
+        """`fleet` names the fleet, `ring` seals and opens."""
+        self.fleet = fleet
+        self.ring = ring
+
+    def _seal(self, sender: str, start: int, kind: int, payload: msgspec.Struct) -> bytes:
+        body = WireBody(self.fleet, sender, start, kind, msgspec.Raw(ENCODER.encode(payload)))
+        return self.ring.seal(bytes((LEASE_FORMAT,)) + ENCODER.encode(body))
 
-    def _sealed(self, sender: str, start: int, kind: int, payload: msgspec.Struct) -> bytes:
-        body = Body(self.fleet, sender, start, kind, msgspec.Raw(ENCODER.encode(payload)))
-        octets = self.ring.seal(bytes((FORM,)) + ENCODER.encode(body))
+    def _datagram(self, sender: str, start: int, kind: int, payload: msgspec.Struct) -> bytes:
+        octets = self._seal(sender, start, kind, payload)
         if len(octets) > MAX_DATAGRAM:
             raise MessageError("too long")
         return octets
 
     def ask(self, sender: str, start: int, ask: Ask) -> bytes:
-        """A candidate's word."""
-        word = AskWord(ask.duty, term_word(ask.term), ask.seq, ask.length, note_word(ask.note))
-        return self._sealed(sender, start, ask.step.value, word)
-
-    def answer(self, sender: str, start: int, a: Answer) -> bytes:
-        """A keeper's word to a candidate."""
-        running = None if a.running is None else term_word(a.running)
-        word = AnswerWord(a.duty, a.epoch, a.number, a.seq, a.highest, running, a.left, note_word(a.note),
-                          list(a.epochs[:MOST_KEEPERS]))  # fmt: skip
-        return self._sealed(sender, start, a.step.value, word)
+        """A candidate's message to an acceptor."""
+        wire = WireAsk(ask.duty, term_to_wire(ask.term), ask.seq, ask.length, note_to_wire(ask.note))
+        return self._datagram(sender, start, ask.step.value, wire)
+
+    def answer(self, sender: str, start: int, answer: Answer) -> bytes:
+        """An acceptor's message to a candidate."""
+        running = None if answer.running is None else term_to_wire(answer.running)
+        wire = WireAnswer(
+            answer.duty, answer.epoch, answer.number, answer.seq, answer.highest, running, answer.left,
+            note_to_wire(answer.note), list(answer.epochs[:MAX_ACCEPTORS]),
+        )  # fmt: skip
+        return self._datagram(sender, start, answer.step.value, wire)
 
     def learn(self, sender: str, start: int, epoch: int) -> bytes:
-        """The question of a keeper that remembers nothing."""
-        return self._sealed(sender, start, Step.LEARN.value, LearnWord(epoch))
+        """The question of an acceptor that remembers nothing."""
+        return self._datagram(sender, start, Step.LEARN.value, RecordQuestion(epoch))
 
     def learnt(self, sender: str, start: int, told: Learnt) -> list[bytes]:
         """The answer to it, a row a datagram."""
         parts = max(1, len(told.rows))
-        words = [
-            LearntWord(told.epoch, told.sound, i, parts, row_word(d, r)) for i, (d, r) in enumerate(told.rows)
+        wire = [
+            RecordPart(told.epoch, told.sound, number, parts, row_to_wire(duty, row))
+            for number, (duty, row) in enumerate(told.rows)
         ]
-        words = words or [LearntWord(told.epoch, told.sound, 0, 1)]
-        return [self._sealed(sender, start, Step.LEARNT.value, w) for w in words]
+        wire = wire or [RecordPart(told.epoch, told.sound, 0, 1)]
+        return [self._datagram(sender, start, Step.LEARNT.value, part) for part in wire]
 
-    def order(self, sender: str, start: int, word: OrderWord) -> bytes:
-        """An owner's order."""
-        return self._sealed(sender, start, ORDER, word)
+    def order(self, sender: str, start: int, order: Order) -> bytes:
+        """A holder's order."""
+        return self._datagram(sender, start, ORDER, order)
 
-    def report(self, sender: str, start: int, word: ReportWord) -> bytes:
+    def report(self, sender: str, start: int, report: OrderReport) -> bytes:
         """What became of an order."""
-        return self._sealed(sender, start, REPORT, word)
+        return self._datagram(sender, start, REPORT, report)
 
     # By stream: each message behind its length in two octets.
 
     def fetch(self, sender: str, start: int, digest: str) -> bytes:
         """The question for a text."""
-        return _framed(self._sealed(sender, start, FETCH, FetchWord(digest)))
+        return frame(self._datagram(sender, start, TEXT_QUESTION, TextQuestion(digest)))
 
     def chunks(self, sender: str, start: int, text: bytes) -> Iterator[bytes]:
         """A text, part by part."""
-        starts = range(0, max(1, len(text)), CHUNK_OCTETS)
-        for i, at in enumerate(starts):
-            word = ChunkWord(i, i + 1 < len(starts), text[at : at + CHUNK_OCTETS])
-            body = Body(self.fleet, sender, start, CHUNK, msgspec.Raw(ENCODER.encode(word)))
-            yield _framed(self.ring.seal(bytes((FORM,)) + ENCODER.encode(body)))
+        offsets = range(0, max(1, len(text)), CHUNK_OCTETS)
+        for number, offset in enumerate(offsets):
+            more = number + 1 < len(offsets)
+            chunk = TextChunk(number, more, text[offset : offset + CHUNK_OCTETS])
+            yield frame(self._seal(sender, start, TEXT_CHUNK, chunk))
 
     def asked_for(self, opened: bytes) -> str:
         """The digest of the text that a stream's first message asks for."""
-        return self._of(opened, FETCH, FETCHES).digest
+        return self._payload(opened, TEXT_QUESTION, TEXT_QUESTION_DECODER).digest
 
-    def chunk(self, opened: bytes) -> ChunkWord:
+    def chunk(self, opened: bytes) -> TextChunk:
         """One part of a text."""
-        return self._of(opened, CHUNK, CHUNKS)
+        return self._payload(opened, TEXT_CHUNK, TEXT_CHUNK_DECODER)
 
-    def _of(self, opened: bytes, kind: int, decoder: msgspec.msgpack.Decoder[T]) -> T:
+    def _payload(self, opened: bytes, kind: int, decoder: msgspec.msgpack.Decoder[T]) -> T:
         try:
-            body = BODY.decode(opened[1:])
-            if opened[:1] != bytes((FORM,)) or body.fleet != self.fleet or body.kind != kind:
+            body = BODY_DECODER.decode(opened[1:])
+            if opened[:1] != bytes((LEASE_FORMAT,)) or body.fleet != self.fleet or body.kind != kind:
                 raise MessageError("unknown kind")
             return decoder.decode(bytes(body.payload))
-        except msgspec.MsgspecError as fault:
-            raise MessageError("malformed") from fault
+        except msgspec.MsgspecError as error:
+            raise MessageError("malformed") from error
 
-    def taken(self, opened: bytes) -> Taken:
-        """What a message says that the ring has opened, its form first."""
+    def taken(self, opened: bytes) -> ReceivedLeaseMessage:
+        """What a message says that the ring has opened, its format first."""
         try:
-            body = BODY.decode(opened[1:])
+            body = BODY_DECODER.decode(opened[1:])
             if body.fleet != self.fleet:
                 raise MessageError("other fleet")
-            return Taken(_name(body.sender), _number(body.start), self._word(body))
-        except msgspec.MsgspecError as fault:
-            raise MessageError("malformed") from fault
-
-    @staticmethod
-    def _word(body: Body) -> Word:
-        raw, step = bytes(body.payload), STEPS.get(body.kind)
-        if body.kind == ORDER:
-            order = ORDERS.decode(raw)
-            _name(order.duty), _number(order.number), _number(order.step)
-            return order
-        if body.kind == REPORT:
-            report = REPORTS.decode(raw)
-            _name(report.duty), _number(report.number), _number(report.step)
-            return report
-        if step in (Step.PREPARE, Step.PROPOSE, Step.RELEASE):
-            a = ASK.decode(raw)
-            term = _term(a.term)
-            assert term is not None
-            return Ask(step, _name(a.duty), term, _number(a.seq), _number(a.length), _note(a.note))
-        if step in (Step.PROMISED, Step.REFUSED, Step.ACCEPTED):
-            b = ANSWER.decode(raw)
-            epochs = tuple((_name(n), _number(e)) for n, e in b.epochs[:MOST_KEEPERS])
-            return Answer(
-                step, _name(b.duty), _name(body.sender), _number(b.epoch), _number(b.number), _number(b.seq),
-                _number(b.highest), _term(b.running), _number(b.left), _note(b.note), epochs,
-            )  # fmt: skip
-        if step is Step.LEARN:
-            return LEARN.decode(raw)
-        if step is Step.LEARNT:
-            return LEARNT.decode(raw)
+            sender, start = checked_name(body.sender), checked_number(body.start)
+            return ReceivedLeaseMessage(sender, start, _read(body))
+        except msgspec.MsgspecError as error:
+            raise MessageError("malformed") from error
+
+
+def _read(body: WireBody) -> LeaseMessage:
+    reader = READERS.get(body.kind)
+    if reader is None:
         raise MessageError("unknown kind")
+    return reader(body)
+
+
+def _read_order(body: WireBody) -> Order:
+    order = ORDER_DECODER.decode(body.payload)
+    _check_fence(order)
+    return order
+
+
+def _read_report(body: WireBody) -> OrderReport:
+    report = REPORT_DECODER.decode(body.payload)
+    _check_fence(report)
+    return report
+
+
+def _check_fence(message: Order | OrderReport) -> None:
+    checked_name(message.duty)
+    checked_number(message.number)
+    checked_number(message.step)
+
+
+def _read_ask(body: WireBody) -> Ask:
+    wire = ASK_DECODER.decode(body.payload)
+    return Ask(
+        STEPS[body.kind], checked_name(wire.duty), term_from_wire(wire.term), checked_number(wire.seq),
+        checked_number(wire.length), note_from_wire(wire.note),
+    )  # fmt: skip
+
+
+def _read_answer(body: WireBody) -> Answer:
+    wire = ANSWER_DECODER.decode(body.payload)
+    epochs = tuple((checked_name(name), checked_number(epoch)) for name, epoch in wire.epochs[:MAX_ACCEPTORS])
+    running = None if wire.running is None else term_from_wire(wire.running)
+    return Answer(
+        STEPS[body.kind], checked_name(wire.duty), checked_name(body.sender), checked_number(wire.epoch),
+        checked_number(wire.number), checked_number(wire.seq), checked_number(wire.highest), running,
+        checked_number(wire.left), note_from_wire(wire.note), epochs,
+    )  # fmt: skip
+
+
+READERS: dict[int, Callable[[WireBody], LeaseMessage]] = {
+    Step.PREPARE.value: _read_ask,
+    Step.PROPOSE.value: _read_ask,
+    Step.RELEASE.value: _read_ask,
+    Step.PROMISED.value: _read_answer,
+    Step.REFUSED.value: _read_answer,
+    Step.ACCEPTED.value: _read_answer,
+    Step.LEARN.value: lambda body: QUESTION_DECODER.decode(body.payload),
+    Step.LEARNT.value: lambda body: PART_DECODER.decode(body.payload),
+    ORDER: _read_order,
+    REPORT: _read_report,
+}
--- /dev/null
+++ b/oakcroft/peerwire/lease_wire.py
@@ -0,0 +1,174 @@
+"""The structures that lease messages have on the wire; `lease_codec` turns them into the decisions' own.
+
+A lease is called a duty on the wire, its acceptors keepers, and a generation a start.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from oakcroft.decisions.fleet.terms import MOST_NOTE, MOST_NUMBER, Note, Row, Term
+from oakcroft.peerwire.errors import MessageError
+
+MAX_NAME_LENGTH = 64
+
+MAX_PROMISED_TO_LENGTH = 2 * MAX_NAME_LENGTH
+"""Of whom a number was promised to: a name and a generation as one text."""
+
+
+class WireTerm(msgspec.Struct, array_like=True):
+    """A `Term` on the wire."""
+
+    number: int
+    owner: str
+    start: int
+
+
+class WireNote(msgspec.Struct, array_like=True, frozen=True):
+    """A `Note` on the wire."""
+
+    number: int = 0
+    step: int = 0
+    body: bytes = b""
+
+
+class WireAsk(msgspec.Struct, array_like=True):
+    """An `Ask` on the wire."""
+
+    duty: str
+    term: WireTerm
+    seq: int = 0
+    length: int = 0
+    note: WireNote = WireNote()
+
+
+class WireAnswer(msgspec.Struct, array_like=True):
+    """An `Answer` on the wire."""
+
+    duty: str
+    epoch: int
+    number: int
+    seq: int = 0
+    highest: int = 0
+    running: WireTerm | None = None
+    left: int = 0
+    note: WireNote = WireNote()
+    epochs: list[tuple[str, int]] = []
+
+
+class RecordQuestion(msgspec.Struct, array_like=True):
+    """An acceptor that remembers nothing, with the epoch of its new record, asks what another knows."""
+
+    epoch: int
+
+
+class WireRow(msgspec.Struct, array_like=True):
+    """A row of an acceptor's record; also as it stands in the state file."""
+
+    duty: str
+    promised: int
+    to: str
+    term: WireTerm | None
+    note: WireNote
+
+
+class RecordPart(msgspec.Struct, array_like=True):
+    """One part of what an acceptor tells: a row, or none where it has none."""
+
+    epoch: int
+    sound: bool
+    part: int
+    parts: int
+    row: WireRow | None = None
+
+
+class Order(msgspec.Struct, array_like=True):
+    """A holder's order under its term's number and a step of it; `body` is the work's own."""
+
+    duty: str
+    number: int
+    step: int
+    body: bytes
+
+
+class OrderReport(msgspec.Struct, array_like=True):
+    """What became of an order; `taken` false: it was turned away here, and (number, step) is what stands."""
+
+    duty: str
+    number: int
+    step: int
+    taken: bool
+    body: bytes
+
+
+class TextQuestion(msgspec.Struct, array_like=True):
+    """Asks for a text by its digest."""
+
+    digest: str
+
+
+class TextChunk(msgspec.Struct, array_like=True):
+    """A part of a text, in order. None at all and no more: whoever was asked does not hold it."""
+
+    part: int
+    more: bool
+    octets: bytes
+
+
+class WireBody(msgspec.Struct, array_like=True):
+    """A message under its seal and format."""
+
+    fleet: str
+    sender: str
+    start: int
+    kind: int
+    payload: msgspec.Raw
+
+
+def checked_number(number: int) -> int:
+    """A number that is within bounds. MessageError where it is not."""
+    if not 0 <= number < MOST_NUMBER:
+        raise MessageError("malformed")
+    return number
+
+
+def checked_name(name: str, max_length: int = MAX_NAME_LENGTH) -> str:
+    """A name that is within bounds. MessageError where it is not."""
+    if len(name) > max_length:
+        raise MessageError("malformed")
+    return name
+
+
+def term_to_wire(term: Term) -> WireTerm:
+    """A term for the wire."""
+    return WireTerm(term.number, term.owner, term.start)
+
+
+def term_from_wire(wire: WireTerm) -> Term:
+    """A term that has been read. MessageError where it is none."""
+    return Term(checked_number(wire.number), checked_name(wire.owner), checked_number(wire.start))
+
+
+def note_to_wire(note: Note) -> WireNote:
+    """A note for the wire."""
+    return WireNote(note.number, note.step, note.body)
+
+
+def note_from_wire(wire: WireNote) -> Note:
+    """A note that has been read. MessageError where it is none."""
+    if len(wire.body) > MOST_NOTE:
+        raise MessageError("malformed")
+    return Note(checked_number(wire.number), checked_number(wire.step), wire.body)
+
+
+def row_to_wire(duty: str, row: Row) -> WireRow:
+    """A row for the wire or the state file."""
+    term = None if row.term is None else term_to_wire(row.term)
+    return WireRow(duty, row.promised, row.to, term, note_to_wire(row.note))
+
+
+def row_from_wire(wire: WireRow) -> Row:
+    """A row that has been read. MessageError where it is none."""
+    term = None if wire.term is None else term_from_wire(wire.term)
+    to = checked_name(wire.to, MAX_PROMISED_TO_LENGTH)
+    return Row(checked_number(wire.promised), to, term, note_from_wire(wire.note))
--- a/oakcroft/peerwire/load_codec.py
+++ b/oakcroft/peerwire/load_codec.py
@@ -19,36 +19,46 @@
 from oakcroft.peerwire.membership_codec import MAX_DATAGRAM
 from oakcroft.peerwire.sealing import KeyRing
 
-FORM = 67
+LOAD_FORMAT = 67
 THOUSAND = 1_000
+"""Parts of one, in which a load goes on the wire."""
 
-Mark = Annotated[bytes, msgspec.Meta(min_length=8, max_length=8)]
+MAX_NAME_LENGTH = 64
+MARK_LENGTH = 8
+
+Mark = Annotated[bytes, msgspec.Meta(min_length=MARK_LENGTH, max_length=MARK_LENGTH)]
 Load = Annotated[int, msgspec.Meta(ge=0, le=round(MOST_ASKED * THOUSAND))]
 Age = Annotated[int, msgspec.Meta(ge=0, le=MOST_AGE // MS)]
 
 
-class Body(msgspec.Struct, array_like=True):
+class WireBody(msgspec.Struct, array_like=True):
+    """A message under its seal and format."""
+
     fleet: str
-    sender: Annotated[str, msgspec.Meta(max_length=64)]
+    sender: Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
     start: int
     rows: Annotated[list[tuple[Mark, Load, Age]], msgspec.Meta(max_length=MOST_ROWS)]
 
 
 ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(Body)
+DECODER = msgspec.msgpack.Decoder(WireBody)
 
 
 class LoadCodec:
     """Writes and reads the figures of one fleet."""
 
     def __init__(self, fleet: str, ring: KeyRing) -> None:
-        self.fleet, self.ring = fleet, ring
+        """`fleet` names the fleet, `ring` seals and opens."""
+        self.fleet = fleet
+        self.ring = ring
 
     def rows(self, sender: str, start: int, rows: Sequence[Row]) -> bytes:
         """One datagram. Rows that do not fit stay out, the last first."""
         some = [(r.mark, round(r.asked * THOUSAND), min(r.age, MOST_AGE) // MS) for r in rows[:MOST_ROWS]]
         while True:
-            octets = self.ring.seal(bytes((FORM,)) + ENCODER.encode(Body(self.fleet, sender, start, some)))
+            octets = self.ring.seal(
+                bytes((LOAD_FORMAT,)) + ENCODER.encode(WireBody(self.fleet, sender, start, some))
+            )
             if len(octets) <= MAX_DATAGRAM or not some:
                 return octets
             some.pop()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -27,8 +27,8 @@
 from rig import DAY, SITE, run, standing, until
 
 from oakcroft import __version__
-from oakcroft.config.compile import check
-from oakcroft.config.told import PeersPlace
+from oakcroft.config.compile import check, told
+from oakcroft.config.told import OtherZone, PeersPlace
 from oakcroft.decisions.membership.member import MemberState, MemberUpdate
 from oakcroft.decisions.membership.membership import Membership
 from oakcroft.decisions.membership.messages import (
@@ -300,6 +300,64 @@
     assert any("lacks key-file" in e for e in errors(good.replace('(key-file "k")', "")))
 
 
+ZONES = (
+    '(zone north (region europe) (seeds "127.0.0.1:7946" "127.0.0.1:7947"))'
+    '(zone south (region africa) (seeds "127.0.0.2:7946"))'
+)
+
+
+def zoned(zones: str = ZONES, more: str = "", own: str = "north", peers: bool = True) -> str:
+    """A front's text in a fleet of zones."""
+    text = SITE.replace("EXTRA", "").replace("(wings west)", "(wings north south west)") + zones + more
+    text += f'(front (zone {own}) (listen "127.0.0.1:80") (list-service "127.0.0.1:1"))'
+    return text + ('(peers (name a) (listen "127.0.0.1:7946") (key-file "k"))' if peers else "")
+
+
+def test_a_front_in_a_zone_knows_its_seeds_and_the_other_zones() -> None:
+    found, problems = check("front", lambda _: zoned())
+    assert problems.found == []
+    assert found is not None
+    place = told(found).stand.peers
+    assert place is not None
+    assert place.region == "europe"
+    assert place.seeds == (("127.0.0.1", 7946), ("127.0.0.1", 7947))
+    assert place.other_zones == (OtherZone("south", "africa", (("127.0.0.2", 7946),)),)
+
+
+def test_without_zones_the_membership_stays_flat() -> None:
+    found, _ = check("front", lambda _: zoned(zones=""))
+    assert found is not None
+    place = told(found).stand.peers
+    assert place is not None
+    assert (place.region, place.other_zones) == ("", ())
+
+
+@pytest.mark.parametrize(
+    ("text", "error"),
+    [
+        (zoned(own="west"), "stands in no zone that is listed, but in west"),
+        (zoned(peers=False), "zones are of the peers, and there are none"),
+        (zoned(more="(keepers (names a b c))"), "knows by name the fronts of its own zone alone"),
+        (zoned(zones=ZONES.replace("127.0.0.2", "host")), "names are not looked up"),
+        (zoned(zones=ZONES.replace("127.0.0.2:7946", "127.0.0.2:0")), "port 0"),
+        (zoned(zones=ZONES.replace("africa", "a" * 40)), "longer than the 32 letters"),
+        (zoned(zones=ZONES.replace("(region africa)", "")), "lacks region"),
+        (
+            zoned(more="".join(f'(zone z{i} (region r) (seeds "127.0.0.3:1"))' for i in range(64))),
+            "64 at most",
+        ),
+    ],
+)
+def test_zones_that_could_not_work_are_refused(text: str, error: str) -> None:
+    _, problems = check("front", lambda _: text)
+    assert any(error in problem.what for problem in problems.errors), [p.what for p in problems.errors]
+
+
+def test_sharing_loads_and_taking_over_go_on_within_a_zone() -> None:
+    _, problems = check("front", lambda _: zoned(more="(probing) (adopting)"))
+    assert problems.errors == []
+
+
 def test_keys_and_seals() -> None:
     assert parse_keys(f"# ours\n{KEY} # old\n\n{OTHER}") == (bytes.fromhex(KEY), bytes.fromhex(OTHER))
     for bad in ("", "zz", KEY[:-2], "\n".join([KEY] * 5)):
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -16,7 +16,8 @@
 from oakcroft.decisions.fleet.terms import MOST_NOTE, Answer, Ask, Fence, Learnt, Note, Row, Step, Term
 from oakcroft.front.rolling import PLAN, plan_of, word_of
 from oakcroft.interface import SECOND
-from oakcroft.peerwire.lease_codec import ChunkWord, LeaseCodec, LearntWord, OrderWord, ReportWord, row_of
+from oakcroft.peerwire.lease_codec import LeaseCodec
+from oakcroft.peerwire.lease_wire import Order, OrderReport, RecordPart, TextChunk, row_from_wire
 from oakcroft.peerwire.errors import MessageError
 from oakcroft.peerwire.membership_codec import MAX_DATAGRAM
 from oakcroft.peerwire.sealing import KeyRing
@@ -203,15 +204,18 @@
     ask = Ask(Step.PROPOSE, "catalogue", TERM, 3, 6 * SECOND, NOTE)
     answer = Answer(Step.REFUSED, "catalogue", "f1", 5, 6, 7, 8, TERM, 9, NOTE, (("f2", 3),))
     got = one.taken(opened(one.ask("f1", 99, ask)))
-    assert (got.sender, got.start, got.word) == ("f1", 99, ask)
-    assert one.taken(opened(one.answer("f1", 99, answer))).word == answer
-    order, report = OrderWord("catalogue", 5, 2, b"x" * 900), ReportWord("catalogue", 5, 2, True, b"y")
-    assert one.taken(opened(one.order("f1", 1, order))).word == order
-    assert one.taken(opened(one.report("f1", 1, report))).word == report
+    assert (got.sender, got.start, got.message) == ("f1", 99, ask)
+    assert one.taken(opened(one.answer("f1", 99, answer))).message == answer
+    order, report = Order("catalogue", 5, 2, b"x" * 900), OrderReport("catalogue", 5, 2, True, b"y")
+    assert one.taken(opened(one.order("f1", 1, order))).message == order
+    assert one.taken(opened(one.report("f1", 1, report))).message == report
     rows = tuple((f"d{i}", Row(i + 1, "f1/9", TERM, NOTE)) for i in range(64))
-    parts = [one.taken(opened(p)).word for p in one.learnt("f1", 1, Learnt("f1", 4, True, rows))]
+    parts = [one.taken(opened(p)).message for p in one.learnt("f1", 1, Learnt("f1", 4, True, rows))]
     assert len(parts) == 64
-    assert tuple((p.row.duty, row_of(p.row)) for p in parts if isinstance(p, LearntWord) and p.row) == rows
+    assert (
+        tuple((p.row.duty, row_from_wire(p.row)) for p in parts if isinstance(p, RecordPart) and p.row)
+        == rows
+    )
     assert len(one.learnt("f1", 1, Learnt("f1", 4, False, ()))) == 1
 
 
@@ -261,7 +265,7 @@
 
 def test_texts_go_in_parts() -> None:
     one, text = codec(), Random(1).randbytes(50_000)
-    stream, parts = b"".join(one.chunks("f1", 1, text)), list[ChunkWord]()
+    stream, parts = b"".join(one.chunks("f1", 1, text)), list[TextChunk]()
     while stream:
         end = 2 + int.from_bytes(stream[:2], "big")
         parts.append(one.chunk(opened(stream[2:end])))
--- a/tests/test_zone_peers.py
+++ b/tests/test_zone_peers.py
@@ -20,6 +20,7 @@
 import trio
 from rig import run, until
 
+from oakcroft.commands import seen
 from oakcroft.config.told import OtherZone, PeersPlace
 from oakcroft.decisions.membership.hierarchy import ZonedMembership
 from oakcroft.decisions.membership.member import MemberState, MemberUpdate, commitment
@@ -294,5 +295,7 @@
         assert (south["zone"], south["region"], south["reachable"]) == ("south", "africa", True)
         assert (south["present"], south["failed"], south["left"]) == (len(SOUTH), 0, 0)
         assert orjson.loads(orjson.dumps(status)) == status
+        (line,) = [line for line in seen(status) if line.startswith("  zone ")]
+        assert line.startswith("  zone south of africa: reachable, 3 present, 0 gone, 0 left, heard ")
 
     on_zones(tmp_path, test)
