--- a/oakcroft/decisions/membership/delegates.py
+++ b/oakcroft/decisions/membership/delegates.py
@@ -1,8 +1,9 @@
-"""Which members speak for their zone to other zones: rendezvous hashing with hysteresis, reckoned by each front alone.
+"""Which members speak for their zone to other zones: rendezvous hashing with hysteresis, reckoned by each
+front alone.
 
-The members of the highest weight for the zone's name (Thaler and Ravishankar 1998) among those that have been present
-long enough. Nobody elects: where memberships differ for a while more than three act, and this costs messages only.
-"""
+The members of the highest weight for the zone's name (Thaler and Ravishankar 1998) among those that have
+been present long enough. Nobody elects: where memberships differ for a while more than three act, and this
+costs messages only."""
 
 from __future__ import annotations
 
@@ -13,8 +14,8 @@
 from oakcroft.interface import SECOND
 
 SETTLING_TIME = 30 * SECOND
-"""For which a member must have been present: guards the zone's voice against members that come and go. Who is found in a
-front's own first so many seconds counts as settled, since it may have been there for long."""
+"""For which a member must have been present: guards the zone's voice against members that come and go. Who
+is found in a front's own first so many seconds counts as settled, since it may have been there for long."""
 
 
 class DelegateSelection:
@@ -30,7 +31,8 @@
         self._valid_until = now
 
     def observe(self, present: Sequence[str], now: int) -> None:
-        """Who is present, whenever that has changed. Suspected members count: a suspicion moves no delegate."""
+        """Who is present, whenever that has changed. Suspected members count: a suspicion moves no
+        delegate."""
         names = set(present)
         for name in [n for n in self._settled_at if n not in names]:
             del self._settled_at[name]
--- /dev/null
+++ b/oakcroft/decisions/membership/paced_pool.py
@@ -0,0 +1,247 @@
+"""The flat membership of one zone, with its traffic paced and members of other zones kept out.
+
+The flat protocol stands as it is. Here what can wait of its traffic (updates that ride along, gossip, whole
+tables) draws on the front's budget, and what comes of another zone is turned away before the protocol sees
+it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from random import Random
+
+from oakcroft.decisions.membership.dissemination import UpdateQueue
+from oakcroft.decisions.membership.member import MemberState, MemberUpdate
+from oakcroft.decisions.membership.membership import Membership
+from oakcroft.decisions.membership.messages import (
+    MAX_UPDATES,
+    Address,
+    MemberId,
+    Message,
+    MessageKind,
+    ProbeTarget,
+)
+from oakcroft.decisions.membership.traffic_budget import TrafficBudget
+from oakcroft.decisions.membership.zone_summary import MAX_ZONE_MEMBERS
+from oakcroft.interface import SECOND
+
+FLAT_MESSAGE_SIZE = 130
+"""Octets of a flat message without updates, sealed."""
+
+UPDATE_SIZE = 78
+"""Octets of one update, for names of nine octets."""
+
+CROWDED_QUEUE = 24
+"""Updates under way past which each is carried fewer times: exchanges of tables bring the rest more
+cheaply."""
+
+CROWDED_MEMBERS = 9
+"""The size of a fleet whose number of retransmissions is taken then: four."""
+
+MAX_WAITING_EXCHANGES = 4
+
+START_EXCHANGE_INTERVAL = SECOND
+"""Between two exchanges of a front that has just started. In a whole start tables double with each, which
+brings a zone together for an eighth of the octets of gossip."""
+
+MAX_START_EXCHANGES = 15
+"""After which a front no longer counts as just started, whatever its exchanges bring."""
+
+ENOUGH_FRUITLESS = 2
+"""Exchanges in a row that brought no member, after which it has found its zone."""
+
+START_TIME = 15 * SECOND
+"""In which the answers to probes introduce other members."""
+
+INTRODUCTIONS = 3
+"""Members on one such answer, at random. Guards the seeds in a whole start: who knows nobody else probes them alone."""
+
+MIN_PART = 8
+"""Members in a part of a table, where tokens do not reach for all of it."""
+
+
+class PacedUpdateQueue(UpdateQueue):
+    """The flat protocol's updates, which wait for tokens. Guards the budget in a whole start, when each
+    member is news."""
+
+    def __init__(self, queue: UpdateQueue, own_name: str, budget: TrafficBudget) -> None:
+        """Takes over what waits in a queue."""
+        super().__init__()
+        self.pending = queue.pending
+        self.own_name = own_name
+        self.budget = budget
+        self.charged = 0
+        self.is_starting = True
+
+    def add(self, update: MemberUpdate) -> None:
+        """An update to be carried; not who lives while this front has just started and learns of all at
+        once."""
+        if update.name == self.own_name or update.state is not MemberState.ALIVE or not self.is_starting:
+            super().add(update)
+
+    def __bool__(self) -> bool:
+        """Whether any update waits and may be carried."""
+        return bool(self.pending) and self.budget.available >= FLAT_MESSAGE_SIZE
+
+    def take(self, most: int, members: int) -> list[MemberUpdate]:
+        """At most as many as there are tokens for."""
+        if len(self.pending) > CROWDED_QUEUE:
+            members = min(members, CROWDED_MEMBERS)
+        taken = super().take(min(most, self.budget.available // UPDATE_SIZE), members)
+        self.budget.charge(UPDATE_SIZE * len(taken))
+        self.charged += UPDATE_SIZE * len(taken)
+        return taken
+
+
+@dataclass
+class PoolCounters:
+    """What was turned away, and why."""
+
+    other_zone: int = 0  # messages and updates of members of other zones
+    zone_full: int = 0  # and of newcomers past the bound of a zone
+    refused_exchanges: int = 0  # whole tables that were not served, for want of tokens
+
+
+class PacedPool:
+    """One front's flat membership of its zone. `membership` is read by all; messages go in here and stand in
+    `out`."""
+
+    def __init__(
+        self,
+        me: MemberUpdate,
+        secret: bytes,
+        rng: Random,
+        now: int,
+        seeds: Sequence[Address],
+        budget: TrafficBudget,
+    ) -> None:
+        """The membership of a front that starts now."""
+        self.zone = me.zone
+        self.rng = rng
+        self.budget = budget
+        self.membership = Membership(me, secret, rng, now, seeds)
+        self.queue = PacedUpdateQueue(self.membership.table.queue, me.name, budget)
+        self.membership.table.queue = self.queue
+        self.counts = PoolCounters()
+        self.out: list[Message] = []
+        self.started_at = now
+        self._exchanges: dict[Address, None] = {}
+        self._start_exchanges = 0
+        self._fruitless = 0
+        self._next_start_exchange_at = now
+
+    @property
+    def is_starting(self) -> bool:
+        """Whether this front has just started and still looks for its zone."""
+        return self._fruitless < ENOUGH_FRUITLESS and self._start_exchanges < MAX_START_EXCHANGES
+
+    @property
+    def due(self) -> int:
+        """When `tick` has something to do at the latest."""
+        if self.is_starting:
+            return min(self.membership.due, self._next_start_exchange_at)
+        return self.membership.due
+
+    def tick(self, now: int) -> None:
+        """Does what is due."""
+        self.membership.tick(now)
+        if self.is_starting and now >= self._next_start_exchange_at:
+            self._next_start_exchange_at = now + START_EXCHANGE_INTERVAL
+            self._exchange_at_start()
+        self.queue.is_starting = self.is_starting
+
+    def _exchange_at_start(self) -> None:
+        """Guards the seeds in a whole start: who knows any member asks them no longer, and exchanges with
+        others."""
+        own_name = self.membership.me.name
+        others = [name for name in self.membership.present() if name != own_name]
+        if others:
+            self._start_exchanges += 1
+            self.membership.push_pull.joined = True
+            self._exchanges.clear()
+            self._want(self.membership.members[self.rng.choice(others)].latest.address)
+
+    # What is received.
+
+    def heard(
+        self, sender: MemberUpdate, kind: MessageKind, sequence: int, to: MemberId, target: ProbeTarget |
+        None, updates: Sequence[MemberUpdate], now: int,
+    ) -> None:  # fmt: skip
+        """A datagram of the flat protocol."""
+        if self._is_own(sender):
+            self.membership.heard(sender, kind, sequence, to, target, self._own(updates), now)
+
+    def accepts_exchange(self) -> bool:
+        """Whether to serve a table now, or a part of one. Guards a seed in a whole start, which all ask at
+        once."""
+        if self.budget.available >= _table_size(MIN_PART):
+            return True
+        self.counts.refused_exchanges += 1
+        return False
+
+    def table(self) -> list[MemberUpdate]:
+        """The table that an exchange sends: this front's own update first, and of the others as many as
+        there are tokens for, chosen at random. A part is as sound as the whole: what it leaves out comes
+        with another."""
+        whole = self.membership.whole()
+        affordable = max(MIN_PART, self.budget.available // UPDATE_SIZE)
+        if len(whole) > affordable:
+            whole = whole[:1] + self.rng.sample(whole[1:], affordable - 1)
+        self.budget.charge(_table_size(len(whole)))
+        return whole
+
+    def exchanged(self, sender: MemberUpdate, updates: Sequence[MemberUpdate], now: int) -> None:
+        """Another front's table, by stream."""
+        if not self._is_own(sender):
+            return
+        known = len(self.membership.members)
+        self.membership.exchanged(sender, self._own(updates), now)
+        self._fruitless = 0 if len(self.membership.members) > known else self._fruitless + 1
+
+    def _is_own(self, update: MemberUpdate) -> bool:
+        """Guards the zone's pool against members of another, which a seed in the wrong list would join to
+        it, and against more of them than its traffic is meant for."""
+        if update.zone != self.zone:
+            self.counts.other_zone += 1
+            return False
+        if update.name in self.membership.members or len(self.membership.present()) < MAX_ZONE_MEMBERS:
+            return True
+        self.counts.zone_full += 1
+        return False
+
+    def _own(self, updates: Sequence[MemberUpdate]) -> list[MemberUpdate]:
+        return [update for update in updates if self._is_own(update)]
+
+    # What is sent.
+
+    def collect(self, now: int) -> None:
+        """Gathers what the membership has to send, and charges it."""
+        for message in self.membership.out:
+            if message.kind is not MessageKind.PUSH_PULL:
+                if message.kind is MessageKind.ACK and now - self.started_at < START_TIME:
+                    message = self._with_introductions(message)
+                self.budget.charge(FLAT_MESSAGE_SIZE + UPDATE_SIZE * len(message.updates))
+                self.out.append(message)
+            elif not self.is_starting or not self.membership.joined:
+                self._want(message.address)
+        self.membership.out = []
+        # What rides along was charged when it was taken from the queue.
+        self.budget.charge(-self.queue.charged)
+        self.queue.charged = 0
+        while self._exchanges and self.budget.available >= _table_size(MIN_PART):
+            address = next(iter(self._exchanges))
+            del self._exchanges[address]
+            self.out.append(Message(MessageKind.PUSH_PULL, address))
+
+    def _with_introductions(self, message: Message) -> Message:
+        names = self.membership.table.sample(INTRODUCTIONS, message.to.name)
+        introduced = [self.membership.members[name].latest for name in names]
+        return replace(message, updates=[*message.updates, *introduced][:MAX_UPDATES])
+
+    def _want(self, address: Address) -> None:
+        if len(self._exchanges) < MAX_WAITING_EXCHANGES:
+            self._exchanges[address] = None
+
+
+def _table_size(members: int) -> int:
+    return FLAT_MESSAGE_SIZE + UPDATE_SIZE * members
--- a/oakcroft/decisions/membership/traffic_budget.py
+++ b/oakcroft/decisions/membership/traffic_budget.py
@@ -1,8 +1,8 @@
 """A token bucket over all that one front sends for membership.
 
-What must not wait (probes, their answers, heartbeats) is charged and may overdraw the bucket; what can wait (updates
-that ride along, gossip, whole tables, contents, reconciliation) goes only while tokens are there. So a storm of changes
-slows repair and drops no heartbeat.
+What must not wait (probes, their answers, heartbeats) is charged and may overdraw the bucket; what can wait
+(updates that ride along, gossip, whole tables, contents, reconciliation) goes only while tokens are there.
+So a storm of changes slows repair and drops no heartbeat.
 """
 
 from __future__ import annotations
@@ -10,13 +10,16 @@
 from oakcroft.interface import SECOND
 
 RATE = 5_000
-"""Octets a second: with what overdraws it, under the 8,000 that a front may spend for control in any ten seconds."""
+"""Octets a second: with what overdraws it, under the 8,000 that a front may spend for control in any ten
+seconds."""
 
 BURST = 12_000
-"""Octets at once: one table of a zone of 85 and a dozen summaries, so that a newcomer is not slow in quiet times."""
+"""Octets at once: one table of a zone of 85 and a dozen summaries, so that a newcomer is not slow in quiet
+times."""
 
 MAX_DEBT = 12_000
-"""Octets: what was overdrawn beyond is forgiven, or a minute of many failing probes would silence gossip for another."""
+"""Octets: what was overdrawn beyond is forgiven, or a minute of many failing probes would silence gossip for
+another."""
 
 
 class TrafficBudget:
@@ -45,8 +48,8 @@
         self._balance = max(-MAX_DEBT * SECOND, self._balance - octets * SECOND)
 
     def spend(self, octets: int) -> bool:
-        """Whether something that can wait may be sent now; charged if so. What is larger than half the burst may overdraw
-        it, or it could never be sent."""
+        """Whether something that can wait may be sent now; charged if so. What is larger than half the burst
+        may overdraw it, or it could never be sent."""
         if self.available < min(octets, self.burst // 2):
             return False
         self.charge(octets)
--- a/oakcroft/decisions/membership/zone_author.py
+++ b/oakcroft/decisions/membership/zone_author.py
@@ -1,7 +1,8 @@
-"""What a front says of its own zone to others, and when: the content of the zone's summary, and its heartbeat.
+"""What a front says of its own zone to others, and when: the content of the zone's summary, and its
+heartbeat.
 
-Every front keeps the recent changes, since any may become the author. The delegate of first rank authors; one of a later
-rank steps in where the summary has not moved for so many heartbeats more.
+Every front keeps the recent changes, since any may become the author. The delegate of first rank authors;
+one of a later rank steps in where the summary has not moved for so many heartbeats more.
 """
 
 from __future__ import annotations
@@ -23,13 +24,15 @@
 from oakcroft.interface import SECOND
 
 HEARTBEAT_INTERVAL = 4 * SECOND
-"""Between two moves of a zone's summary: at 32 zones a kilobyte a second of the author, who tells each zone directly."""
+"""Between two moves of a zone's summary: at 32 zones a kilobyte a second of the author, who tells each zone
+directly."""
 
 PUBLICATION_SPACING = 2 * SECOND
 """At least, between two contents of one author: what changes meanwhile goes together."""
 
 FRESH_TIME = 60 * SECOND
-"""For which every recent change is listed, up to `MAX_CHANGES`: ten times what a reader needs to take it in."""
+"""For which every recent change is listed, up to `MAX_CHANGES`: ten times what a reader needs to take it
+in."""
 
 LISTED_LATER = 8
 """Changes that are listed even when they are older: for a region that returns after long."""
@@ -85,7 +88,8 @@
             self.contested[accusation.name] = accusation
 
     def refuted(self, members: Iterable[MemberChange], now: int) -> None:
-        """Contested members as they stand: one that has raised its incarnation over the accusation is told of as alive."""
+        """Contested members as they stand: one that has raised its incarnation over the accusation is told
+        of as alive."""
         for change in members:
             if change.precedence > self.contested[change.name].precedence:
                 del self.contested[change.name]
@@ -112,7 +116,8 @@
         return now - record.moved_at > (1 + rank) * HEARTBEAT_INTERVAL
 
     def next_summary(self, local: LocalState, record: ZoneRecord | None, now: int) -> ZoneSummary | None:
-        """The summary to be published now, if any: a new content, or the content that is known with the next heartbeat."""
+        """The summary to be published now, if any: a new content, or the content that is known with the next
+        heartbeat."""
         desired = self._content(local, record, now)
         is_new = record is None or not desired.says_the_same(record.summary)
         if is_new and now - self.published_at >= PUBLICATION_SPACING:
--- a/oakcroft/decisions/membership/zone_directory.py
+++ b/oakcroft/decisions/membership/zone_directory.py
@@ -1,8 +1,9 @@
-"""What one front knows of all zones: the greatest summary of each, who failed there, and which zones are silent.
+"""What one front knows of all zones: the greatest summary of each, who failed there, and which zones are
+silent.
 
-Nobody fails by hearsay alone: a failure that another zone tells of counts after `CONFIRMATION_TIME`, and only if that
-zone's summary still lists it then. A false one is taken back by the accused's own zone in the meantime. A zone whose
-heartbeat stands still is unreachable; its members are unknown, never failed.
+Nobody fails by hearsay alone: a failure that another zone tells of counts after `CONFIRMATION_TIME`, and
+only if that zone's summary still lists it then. A false one is taken back by the accused's own zone in the
+meantime. A zone whose heartbeat stands still is unreachable; its members are unknown, never failed.
 """
 
 from __future__ import annotations
@@ -20,8 +21,8 @@
 """Of members of one other zone; past it the oldest goes, and its member is `UNLISTED` again."""
 
 CONFIRMATION_TIME = 6 * SECOND
-"""For which a failure told by another zone stays a suspicion. A refutation takes the way of any change: to the accused's
-zone, to the accused and back."""
+"""For which a failure told by another zone stays a suspicion. A refutation takes the way of any change: to
+the accused's zone, to the accused and back."""
 
 UNREACHABLE_TIME = 30 * SECOND
 """Without a move of its heartbeat a zone counts as unreachable: seven heartbeats."""
@@ -53,8 +54,9 @@
 
 @dataclass(frozen=True)
 class ZoneChange:
-    """A change of what is known of other zones, with its evidence. `name` is empty where it is about the zone itself, which
-    then is `reachable` or `unreachable`; else `was` and `now` are values of `RemoteState`."""
+    """A change of what is known of other zones, with its evidence. `name` is empty where it is about the
+    zone itself, which then is `reachable` or `unreachable`; else `was` and `now` are values of
+    `RemoteState`."""
 
     zone: str
     name: str
@@ -181,7 +183,8 @@
         return True
 
     def _has_room(self, zone: str) -> bool:
-        """Guards the table against zones that nobody configured, and the configured ones against being kept out."""
+        """Guards the table against zones that nobody configured, and the configured ones against being kept
+        out."""
         if zone in self.configured:
             return True
         others = sum(known not in self.configured for known in self.records)
@@ -247,7 +250,8 @@
                 self._confirm(zone, name, now)
 
     def _confirm(self, zone: str, name: str, now: int) -> None:
-        """A failure has stood for long enough: it counts, if its zone still says so and could have taken it back."""
+        """A failure has stood for long enough: it counts, if its zone still says so and could have taken it
+        back."""
         record = self.records.get(zone)
         if record is None:
             del self._pending[zone, name]
--- a/oakcroft/decisions/membership/zone_gossip.py
+++ b/oakcroft/decisions/membership/zone_gossip.py
@@ -1,9 +1,9 @@
 """How summaries of zones get round: eager forwarding of new contents, and digests that repair what it missed.
 
-Inside a zone and between delegates alike, who takes a newer content forwards it at once to a few others chosen at random, and
-digests are reconciled at a steady pace (push-pull as in Scuttlebutt, van Renesse and others 2008). An author tells its
-heartbeat to each zone directly, whether that zone is reachable or not: this is what finds a region again after a partition.
-"""
+Inside a zone and between delegates alike, who takes a newer content forwards it at once to a few others
+chosen at random, and digests are reconciled at a steady pace (push-pull as in Scuttlebutt, van Renesse and
+others 2008). An author tells its heartbeat to each zone directly, whether that zone is reachable or not:
+this is what finds a region again after a partition."""
 
 from __future__ import annotations
 
@@ -29,15 +29,17 @@
 from oakcroft.interface import MS, SECOND
 
 LOCAL_DIGEST_INTERVAL = SECOND
-"""Between two digests to a member of the own zone: a heartbeat gets through a zone of 85 in some seven of them."""
+"""Between two digests to a member of the own zone: a heartbeat gets through a zone of 85 in some seven of
+them."""
 
 REMOTE_DIGEST_INTERVAL = 4 * SECOND
-"""Between two digests of a delegate to a delegate of another zone. Guards a zone that only a third one can reach."""
+"""Between two digests of a delegate to a delegate of another zone. Guards a zone that only a third one can
+reach."""
 
 LOCAL_FANOUT = 3
 REMOTE_FANOUT = 3
-"""To how many a new content is forwarded: with three, some 94% are reached by forwarding alone (Kermarrec, Massoulié and
-Ganesh 2003), digests reach the rest."""
+"""To how many a new content is forwarded: with three, some 94% are reached by forwarding alone (Kermarrec,
+Massoulié and Ganesh 2003), digests reach the rest."""
 
 REQUEST_SPACING = 500 * MS
 """Between two requests for one zone's summary: several members may offer it in one moment."""
@@ -48,8 +50,8 @@
 
 @dataclass
 class LocalZone:
-    """What the gossip needs to know of the own zone: addresses of the other present members, and whether this front acts as a
-    delegate."""
+    """What the gossip needs to know of the own zone: addresses of the other present members, and whether
+    this front acts as a delegate."""
 
     peers: Sequence[Address] = ()
     is_delegate: bool = False
@@ -84,9 +86,6 @@
         self.local = LocalZone()
         self.out: list[ZoneOut] = []
         self.counts = GossipCounters()
-        self.taken_own: list[
-            ZoneSummary
-        ] = []  # summaries of the own zone by others, for the host to look into
         self._requested_at: dict[str, int] = {}
         self._next_local_digest_at = now + rng.randrange(LOCAL_DIGEST_INTERVAL)
         self._next_remote_digest_at = now + rng.randrange(REMOTE_DIGEST_INTERVAL)
@@ -119,7 +118,8 @@
     # What this front authors.
 
     def publish(self, summary: ZoneSummary, now: int) -> None:
-        """A summary of the own zone by this front: a new content is forwarded, a heartbeat told to each zone."""
+        """A summary of the own zone by this front: a new content is forwarded, a heartbeat told to each
+        zone."""
         if self.directory.take(summary, now):
             # Forwarding has a head start: told of a new content at once, each zone would ask this front for it.
             self._forward((summary,), except_for=None)
@@ -161,9 +161,10 @@
 
     def received_records(
         self, sender: ZoneContact, message: ZoneRecords, latest_generation: int, now: int
-    ) -> None:
-        """Summaries are taken where they are newer, and forwarded."""
+    ) -> list[ZoneSummary]:
+        """Summaries are taken where they are newer, and forwarded; returns those of the own zone."""
         fresh = []
+        own = []
         for summary in message.summaries:
             if not summary.is_plausible(latest_generation):
                 self.counts.implausible += 1
@@ -172,12 +173,13 @@
             if not self.directory.take(summary, now):
                 continue
             if summary.zone == self.directory.own_zone:
-                self.taken_own.append(summary)
+                own.append(summary)
             if self.local.is_delegate or not is_first:
                 # A newcomer's first look at each zone is news to nobody else, unless it speaks for its zone.
                 fresh.append(summary)
         if fresh:
             self._forward(fresh, sender.address)
+        return own
 
     # Sending.
 
@@ -192,7 +194,8 @@
             self._requested_at.update(dict.fromkeys(due, now))
 
     def _forward(self, summaries: Sequence[ZoneSummary], except_for: Address | None) -> None:
-        """New contents, at once, to some members of the own zone and, from a delegate, to some other zones."""
+        """New contents, at once, to some members of the own zone and, from a delegate, to some other
+        zones."""
         peers = [address for address in self.local.peers if address != except_for]
         addresses = self.rng.sample(peers, min(LOCAL_FANOUT, len(peers)))
         if self.local.is_delegate:
@@ -209,7 +212,8 @@
         return sorted({*self.directory.records, *self.others.seeds} - {own})
 
     def _contact(self, zone: str) -> Address | None:
-        """One address to speak to a zone: of its delegates, or of its seeds where they are not known or are silent."""
+        """One address to speak to a zone: of its delegates, or of its seeds where they are not known or are
+        silent."""
         record = self.directory.records.get(zone)
         seeds = list(self.others.seeds.get(zone, ()))
         delegates = [delegate.address for delegate in record.summary.delegates] if record is not None else []
--- a/oakcroft/decisions/membership/zone_lookup.py
+++ b/oakcroft/decisions/membership/zone_lookup.py
@@ -1,4 +1,5 @@
-"""Questions for one member of another zone, put to some of that zone's delegates. Bounded in number and in time."""
+"""Questions for one member of another zone, put to some of that zone's delegates. Bounded in number and in
+time."""
 
 from __future__ import annotations
 
@@ -18,7 +19,8 @@
 
 @dataclass(frozen=True)
 class LookupResult:
-    """What a lookup found; `member` is None where the zone does not know it, or `is_answered` is False and nobody spoke."""
+    """What a lookup found; `member` is None where the zone does not know it, or `is_answered` is False and
+    nobody spoke."""
 
     zone: str
     name: str
@@ -45,7 +47,8 @@
         self._open: dict[int, Lookup] = {}
 
     def begin(self, zone: str, name: str, asked: int, now: int) -> LookupRequest | None:
-        """The question to be put to so many; None, and found unanswered, where too many are open or nobody can be asked."""
+        """The question to be put to so many; None, and found unanswered, where too many are open or nobody
+        can be asked."""
         if asked == 0 or len(self._open) >= MAX_LOOKUPS:
             self.found.append(LookupResult(zone, name, None, is_answered=False))
             return None
--- a/oakcroft/decisions/membership/zone_messages.py
+++ b/oakcroft/decisions/membership/zone_messages.py
@@ -31,7 +31,8 @@
 
 @dataclass(frozen=True)
 class ZoneDigest:
-    """Which summaries the sender holds. `wants_answer`: it asks for the entries that are newer at the receiver."""
+    """Which summaries the sender holds. `wants_answer`: it asks for the entries that are newer at the
+    receiver."""
 
     entries: tuple[DigestEntry, ...]
     wants_answer: bool
--- a/oakcroft/decisions/membership/zone_summary.py
+++ b/oakcroft/decisions/membership/zone_summary.py
@@ -1,10 +1,10 @@
 """The summary by which other zones know a zone: its content, which of two holds, and which are plausible.
 
-The members of a zone author summaries of it without coordination. All summaries of one zone stand in one order: epoch,
-version, fingerprint of the content, heartbeat; the greatest holds. The order is total and a key has one content, so
-taking the greatest is associative, commutative and idempotent: readers agree whatever the order, repeats and gaps of
-messages. Within a summary each change of a member has an order of its own, so a later author who does not list a change
-does not take it back.
+The members of a zone author summaries of it without coordination. All summaries of one zone stand in one
+order: epoch, version, fingerprint of the content, heartbeat; the greatest holds. The order is total and a
+key has one content, so taking the greatest is associative, commutative and idempotent: readers agree
+whatever the order, repeats and gaps of messages. Within a summary each change of a member has an order of
+its own, so a later author who does not list a change does not take it back.
 """
 
 from __future__ import annotations
@@ -30,7 +30,8 @@
 """Failed or left members that a summary may count: the bound of the flat protocol's table."""
 
 MAX_COUNTER = 1 << 40
-"""Of versions and heartbeats. Past it an author takes the next epoch, so that every plausible summary can be outbid."""
+"""Of versions and heartbeats. Past it an author takes the next epoch, so that every plausible summary can be
+outbid."""
 
 FINGERPRINT_OCTETS = 8
 MAX_FINGERPRINT = 1 << 8 * FINGERPRINT_OCTETS
@@ -91,8 +92,8 @@
     def precedence(self) -> tuple[int, int, int]:
         """The key by which the greater of two changes of one member holds.
 
-        Other than in the flat protocol a later incarnation goes over a leaving: its proof cannot be checked outside the
-        zone, so a false one has to be refutable.
+        Other than in the flat protocol a later incarnation goes over a leaving: its proof cannot be checked
+        outside the zone, so a false one has to be refutable.
         """
         return self.generation, self.incarnation, self.state.value
 
@@ -140,7 +141,8 @@
 
 @dataclass(frozen=True)
 class ZoneSummary:
-    """A zone as its author sees it. `member_digest` is over the names and generations of the present members."""
+    """A zone as its author sees it. `member_digest` is over the names and generations of the present
+    members."""
 
     zone: str
     region: str
@@ -203,8 +205,8 @@
 
 
 def next_key(known: DigestEntry | None, generation: int) -> tuple[int, int]:
-    """Epoch and version of a new content that outbids what is known of the zone. The author's own `generation` is the
-    epoch where nothing is known."""
+    """Epoch and version of a new content that outbids what is known of the zone. The author's own
+    `generation` is the epoch where nothing is known."""
     if known is None:
         return generation, 0
     if known.version + 1 < MAX_COUNTER:
