--- a/tests/zone_fleet.py
+++ b/tests/zone_fleet.py
@@ -40,11 +40,13 @@
     scheduled: int = -1
     changes: list[tuple[int, StateChange | ZoneChange]] = field(default_factory=list)
     recent: deque[tuple[int, int]] = field(default_factory=deque)
+    sent: int = 0
     in_window: int = 0
     worst_window: int = 0
 
     def count(self, now: int, octets: int) -> None:
         """Counts what is sent, and the most in any ten seconds."""
+        self.sent += octets
         self.recent.append((now, octets))
         self.in_window += octets
         while self.recent[0][0] <= now - WINDOW:
@@ -56,6 +58,7 @@
     """Fronts and the network between them. `now` in ns from 0."""
 
     def __init__(self, seed: int, regions: int, zones: int, members: int, loss: float = 0.0) -> None:
+        """Nobody has started. `regions` of so many `zones` each, of so many `members`."""
         self.rng = Random(seed)
         self.loss = loss
         self.now = 0
@@ -229,6 +232,11 @@
         receiver.membership.heard_zone(sender, message, self.now)
         self._after(receiver)
 
+    def look_up(self, front: Front, zone: str, name: str) -> None:
+        """A front asks another zone for one of its members."""
+        front.membership.lookup(zone, name, self.now)
+        self._after(front)
+
     def _exchange(self, one: Front, other: Front | None) -> None:
         if other is None or not other.alive or self.cut(one, other) or self.cut(other, one):
             return
