--- a/oakcroft/peers/membership_start.py
+++ b/oakcroft/peers/membership_start.py
@@ -9,9 +9,10 @@
 
 from oakcroft import __version__
 from oakcroft.config.told import PeersPlace
-from oakcroft.decisions.membership.hierarchy import ZonedMembership, ZonePlacement, ZoneSeeds
+from oakcroft.decisions.membership.hierarchy import ZonedMembership
 from oakcroft.decisions.membership.member import MemberState, MemberUpdate, commitment
 from oakcroft.decisions.membership.membership import Membership
+from oakcroft.decisions.membership.zone_placement import ZonePlacement, ZoneSeeds
 from oakcroft.peers.generations import begin_generation
 
 SECRET_LENGTH = 16
@@ -41,3 +42,11 @@
 def own_zone_membership(hosted: HostedMembership) -> Membership:
     """The flat membership in it: of the whole fleet, or of the own zone."""
     return hosted.local if isinstance(hosted, ZonedMembership) else hosted
+
+
+def leave_in_order(hosted: HostedMembership, now: int) -> None:
+    """Puts the last update of this front into the messages to be sent."""
+    if isinstance(hosted, ZonedMembership):
+        hosted.leave(now)
+    else:
+        hosted.leave()
--- a/oakcroft/peers/peer_endpoint.py
+++ b/oakcroft/peers/peer_endpoint.py
@@ -26,7 +26,7 @@
 from oakcroft.peers.leases import LeaseHost
 from oakcroft.peers.generations import store_generation
 from oakcroft.peers.key_file import KeyFile
-from oakcroft.peers.membership_start import begin_membership, own_zone_membership
+from oakcroft.peers.membership_start import begin_membership, leave_in_order, own_zone_membership
 from oakcroft.peers.push_pull_service import PUSH_PULL_TIMEOUT, PushPullService
 from oakcroft.peers.status import membership_status
 from oakcroft.peers.streams import StreamServer
@@ -74,7 +74,8 @@
         self.membership = own_zone_membership(self.hosted)
         self.zones: ZoneService | None = None
         if isinstance(self.hosted, ZonedMembership):
-            self.zones = ZoneService(self.hosted, ZoneCodec(place.fleet, self.key_file.ring))
+            zone_codec = ZoneCodec(place.fleet, self.key_file.ring)
+            self.zones = ZoneService(self.hosted, place.region, zone_codec)
         self.stored_generation = self.membership.me.generation
         self.datagrams = DatagramSocket(place.listen, self.dropped)
         own_host = place.listen[0]
@@ -138,7 +139,7 @@
         """Says that this front leaves in order. Call it when no more is let in: its shares pass on with it."""
         if self.duties is not None:
             self.duties.leave()
-        self.hosted.leave()
+        leave_in_order(self.hosted, self.now())
         last_messages = self._take_messages()
         for _ in range(LEAVE_REPEATS):
             for message in last_messages:
--- a/oakcroft/peers/zone_service.py
+++ b/oakcroft/peers/zone_service.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from oakcroft.decisions.membership.hierarchy import ZonedMembership, ZoneStatus
+from oakcroft.decisions.membership.hierarchy import ZonedMembership
 from oakcroft.decisions.membership.zone_messages import ZoneOut
+from oakcroft.decisions.membership.zone_placement import ZoneStatus
 from oakcroft.decisions.membership.zone_summary import ZoneContact
 from oakcroft.interface import MS
 from oakcroft.peerwire.zone_codec import ZoneCodec
@@ -12,9 +13,10 @@
 class ZoneService:
     """The layer between zones of one front."""
 
-    def __init__(self, zoned: ZonedMembership, codec: ZoneCodec) -> None:
-        """`zoned` decides, `codec` reads and writes its messages."""
+    def __init__(self, zoned: ZonedMembership, region: str, codec: ZoneCodec) -> None:
+        """`zoned` decides, `region` is the own zone's, `codec` reads and writes messages."""
         self.zoned = zoned
+        self.region = region
         self.codec = codec
 
     def encode(self, out: ZoneOut) -> bytes:
@@ -33,10 +35,10 @@
         zoned = self.zoned
         return {
             "zone": zoned.zone,
-            "region": zoned.placement.region,
+            "region": self.region,
             "zones": [_zone_status(zone, now) for zone in zoned.zones()],
             "zone_counts": {
-                **vars(zoned.counts),
+                **vars(zoned.pool.counts),
                 **vars(zoned.gossip.counts),
                 **vars(zoned.directory.counts),
             },
--- a/tests/test_zone_peers.py
+++ b/tests/test_zone_peers.py
@@ -277,7 +277,7 @@
         unsealed = {forged, octets[-1]}
         await until(lambda: endpoint.dropped["not sealed"] >= len(unsealed))
         await until(lambda: endpoint.dropped["other fleet"] >= 1 and endpoint.dropped["malformed"] >= 1)
-        await until(lambda: rig.zoned("north-0").counts.other_zone >= 1)
+        await until(lambda: rig.zoned("north-0").pool.counts.other_zone >= 1)
         assert rig.zoned("north-0").standing("south-9") is None
         assert rig.know_each_other()
 
