--- a/tests/test_zone_membership.py
+++ b/tests/test_zone_membership.py
@@ -419,6 +419,49 @@
     return lambda: all_reachable(fleet)
 
 
+def test_a_zone_is_split_in_itself_and_nobody_elsewhere_calls_its_members_failed_for_long() -> None:
+    """Both halves speak for it; each of their members refutes what the other half says, by way of other zones."""
+    fleet = small_fleet(18)
+    half = set(fleet.names("r1z0")[:3])
+    fleet.cut = lambda one, other: (
+        one.zone == other.zone == "r1z0" and (one.name in half) != (other.name in half)
+    )
+    fleet.run(90 * SECOND)
+    others = [front for front in fleet.living() if front.zone != "r1z0"]
+    called = [(f.name, n) for f in others for n in fleet.names("r1z0") if fleet.sees_failed(f, n)]
+    assert called == []
+    heal(fleet)
+    assert fleet.run(60 * SECOND, fleet.is_settled)
+    assert fleet.worst_rate() <= BUDGET
+
+
+def test_a_front_that_leaves_in_order_is_known_to_have_left_everywhere() -> None:
+    """And is nowhere called failed; its share passes on in its own zone only."""
+    fleet = small_fleet(19)
+    fleet.leave(VICTIM)
+    others = [front for front in fleet.living() if front.zone != "r1z0"]
+    assert fleet.run(
+        KNOWN_EVERYWHERE,
+        lambda: all(f.membership.remote_state("r1z0", VICTIM) is RemoteState.LEFT for f in others),
+    )
+    assert fleet.called_failed() == []
+    assert {front.membership.left_count() for front in others} == {0}
+    assert {f.membership.left_count() for f in fleet.living() if f.zone == "r1z0"} == {1}
+
+
+def test_a_front_whose_clock_is_days_behind_harms_itself_only() -> None:
+    """It refuses what others' epochs say and sees no other zone; its own zone and the others go on."""
+    fleet = ZoneFleet(20, regions=4, zones=2, members=6)
+    fleet.now = 30 * 86_400 * SECOND
+    fleet.settle()
+    late = fleet.start("r1z0f9", generation=5)
+    fleet.run(60 * SECOND)
+    assert late.membership.zones() == []
+    assert late.membership.present() == [*fleet.names("r1z0"), "r1z0f9"]
+    assert all_reachable(fleet)
+    assert fleet.called_failed() == []
+
+
 def test_a_front_alone_with_no_zone_in_reach_goes_on() -> None:
     """It sees itself, calls nobody failed, and sends next to nothing."""
     fleet = ZoneFleet(7, regions=4, zones=2, members=6)
--- a/tests/zone_fleet.py
+++ b/tests/zone_fleet.py
@@ -82,12 +82,12 @@
         """Where a front stands."""
         return f"host-{name}", PORT
 
-    def start(self, name: str) -> Front:
+    def start(self, name: str, generation: int = 0) -> Front:
         """Starts a front, again or for the first time."""
         zone = name[: name.index("f")]
         secret = self.rng.randbytes(16)
         host, port = self.address(name)
-        generation = self.now // 1_000 + 1
+        generation = generation or self.now // 1_000 + 1
         me = MemberUpdate(name, generation, 0, MemberState.ALIVE, host, port, zone, "1", commitment(secret))
         membership = ZonedMembership(
             me, secret, Random(self.rng.getrandbits(64)), self.now, self._placement(zone)
@@ -146,6 +146,13 @@
         """A front ends without a word."""
         self.fronts[name].alive = False
 
+    def leave(self, name: str) -> None:
+        """A front leaves in order."""
+        front = self.fronts[name]
+        front.membership.leave(self.now)
+        self._after(front)
+        self.later(self.now + SECOND, lambda: setattr(front, "alive", False))
+
     def living(self) -> list[Front]:
         """Those that run."""
         return [front for front in self.fronts.values() if front.alive]
