--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,7 @@
 
 import io
 import os
+import re
 import resource
 import signal
 import socket
@@ -18,7 +19,7 @@
 from hashlib import sha256
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, ClassVar
 
 import orjson
 import pytest
@@ -134,6 +135,9 @@
     async def standings(self, name: str) -> dict[str, str]:
         return {m["name"]: m["standing"] for m in (await self.view(name)).get("members", [])}
 
+    async def settle(self) -> None:
+        await self.see(self.names, dict.fromkeys(self.names, "alive"))
+
     async def see(self, at: list[str], wanted: dict[str, str], within: float = 10) -> float:
         """Waits until all of `at` see these so; the seconds it took."""
         began, seen = trio.current_time(), dict[str, dict[str, str]]()
@@ -170,7 +174,7 @@
             async with trio.open_nursery() as starting:
                 for name in rig.names:
                     starting.start_soon(rig.start, name)
-            await rig.see(rig.names, dict.fromkeys(rig.names, "alive"))
+            await rig.settle()
             yield rig
         finally:
             with trio.CancelScope(shield=True):
@@ -358,6 +362,57 @@
     assert problems.errors == []
 
 
+class ZonedFronts(Fronts):
+    """Fronts in two zones, by turns."""
+
+    ZONES: ClassVar[dict[str, str]] = {"west": "europe", "south": "africa"}
+
+    def zone(self, name: str) -> str:
+        return list(self.ZONES)[self.names.index(name) % len(self.ZONES)]
+
+    def file(self, name: str) -> Path:
+        path = super().file(name)
+        text = path.read_text().replace("(wings west)", "(wings west south)")
+        text = text.replace("(zone west)", f"(zone {self.zone(name)})")
+        text = re.sub(r'\(seeds "[^)]*\)', "", text)
+        for zone, region in self.ZONES.items():
+            relays = [self.between.relays[n] for n in self.names if self.zone(n) == zone]
+            seeds = " ".join(f'"{host}:{port}"' for host, port in relays)
+            text += f"(zone {zone} (region {region}) (seeds {seeds}))"
+        path.write_text(text)
+        return path
+
+    async def settle(self) -> None:
+        await self.see_zones({"f0": (2, 0), "f1": (2, 0), "f2": (2, 0), "f3": (2, 0)})
+
+    async def see_zones(self, wanted: dict[str, tuple[int, int]], within: float = 40) -> None:
+        """Waits until each front sees the other zone reachable, with so many present and failed."""
+        with trio.move_on_after(within):
+            while True:
+                views = {name: await self.view(name) for name in wanted}
+                seen = {
+                    name: [(z["present"], z["failed"]) for z in view.get("zones", ()) if z["reachable"]]
+                    for name, view in views.items()
+                }
+                if seen == {name: [counts] for name, counts in wanted.items()}:
+                    return
+                await trio.sleep(0.05)
+        pytest.fail(f"within {within} s not {wanted}: {seen}")
+
+
+def test_processes_in_two_zones_see_their_own_members_and_the_counts_of_the_other(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fronts(tmp_path, 4, ZonedFronts) as rig:
+            assert await rig.standings("f0") == {"f0": "alive", "f2": "alive"}
+            rig.signal("f3", signal.SIGKILL)
+            await rig.see(["f1"], {"f3": "gone"})
+            assert isinstance(rig, ZonedFronts)
+            await rig.see_zones({"f0": (1, 1), "f2": (1, 1)})
+            assert await rig.standings("f0") == {"f0": "alive", "f2": "alive"}
+
+    run(test, 120)
+
+
 def test_keys_and_seals() -> None:
     assert parse_keys(f"# ours\n{KEY} # old\n\n{OTHER}") == (bytes.fromhex(KEY), bytes.fromhex(OTHER))
     for bad in ("", "zz", KEY[:-2], "\n".join([KEY] * 5)):
--- a/tests/test_zone_peers.py
+++ b/tests/test_zone_peers.py
@@ -10,7 +10,7 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -76,6 +76,7 @@
     clock: Clock = field(default_factory=FastClock)
     endpoints: dict[str, PeerEndpoint] = field(default_factory=dict)
     scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
+    ended: dict[str, trio.Event] = field(default_factory=dict)
     logs: dict[str, io.BytesIO] = field(default_factory=dict)
 
     def place(self, name: str) -> PeersPlace:
@@ -90,7 +91,7 @@
             region=REGIONS[zone], other_zones=others,
         )  # fmt: skip
 
-    async def start(self, name: str) -> None:
+    async def start(self, name: str, place: PeersPlace | None = None) -> None:
         """Starts a front, again or for the first time."""
         self.logs[name] = io.BytesIO()
         log = structlog.wrap_logger(
@@ -98,16 +99,19 @@
             processors=[structlog.processors.JSONRenderer(serializer=orjson.dumps)],
         )
         zone, number = name.split("-")
-        self.endpoints[name] = PeerEndpoint(self.place(name), zone, int(number), self.clock, log)
+        self.endpoints[name] = PeerEndpoint(place or self.place(name), zone, int(number), self.clock, log)
         await self.nursery.start(self._host, name)
 
     async def _host(self, name: str, task_status: trio.TaskStatus[None]) -> None:
+        self.ended[name] = trio.Event()
         with trio.CancelScope() as self.scopes[name]:
             await self.endpoints[name].run(task_status)
+        self.ended[name].set()
 
-    def kill(self, name: str) -> None:
-        """The front ends without a word."""
+    async def kill(self, name: str) -> None:
+        """The front ends without a word; its sockets are closed then."""
         self.scopes[name].cancel()
+        await self.ended[name].wait()
         del self.endpoints[name]
 
     def zoned(self, name: str) -> ZonedMembership:
@@ -183,7 +187,7 @@
     """And the one that comes back is seen alive again in both."""
 
     async def test(rig: Zones) -> None:
-        rig.kill("south-1")
+        await rig.kill("south-1")
         await until(
             lambda: all(rig.zoned(n).standing("south-1") is MemberState.FAILED for n in rig.in_zone(SOUTH)),
             FAILED_IN_ZONE_SECONDS,
@@ -207,13 +211,13 @@
     async def test(rig: Zones) -> None:
         now = rig.clock.now()
         first = next(n for n in rig.in_zone(SOUTH) if rig.zoned(n).rank(now) == 0)
-        rig.kill(first)
+        await rig.kill(first)
         await until(
             lambda: rig.remote_states(NORTH, first) == {RemoteState.FAILED}, FAILED_EVERYWHERE_SECONDS
         )
         leaver = rig.in_zone(SOUTH)[0]
         await rig.endpoints[leaver].leave()
-        rig.kill(leaver)
+        await rig.kill(leaver)
         await until(lambda: rig.remote_states(NORTH, leaver) == {RemoteState.LEFT}, FAILED_EVERYWHERE_SECONDS)
         assert rig.called_failed() == {first}
         for name in rig.in_zone(NORTH):
@@ -234,7 +238,7 @@
         )
         assert rig.remote_states(NORTH, "south-0") == {RemoteState.UNKNOWN}
         assert rig.called_failed() == set()
-        rig.kill("south-2")
+        await rig.kill("south-2")
         await until(
             lambda: all(rig.zoned(n).standing("south-2") is MemberState.FAILED for n in rig.in_zone(SOUTH)),
             FAILED_IN_ZONE_SECONDS,
@@ -284,6 +288,24 @@
     on_zones(tmp_path, test)
 
 
+def test_a_front_without_zones_and_its_zone_see_each_other_while_a_fleet_goes_over(tmp_path: Path) -> None:
+    """It was started with the file of before; it drops what is between zones, and its zone lists it."""
+
+    async def test(rig: Zones) -> None:
+        await rig.kill("north-2")
+        flat = replace(rig.place("north-2"), region="", other_zones=())
+        await rig.start("north-2", flat)
+        seen = rig.endpoints["north-2"].membership
+        await until(lambda: set(seen.present()) >= NORTH, START_SECONDS)
+        await until(
+            lambda: all(set(rig.zoned(n).present()) == NORTH for n in ("north-0", "north-1")), START_SECONDS
+        )
+        await until(lambda: rig.endpoints["north-2"].dropped["other form"] >= 1, START_SECONDS)
+        assert all(zone.is_reachable for n in rig.in_zone(SOUTH) for zone in rig.zoned(n).zones())
+
+    on_zones(tmp_path, test)
+
+
 def test_operators_see_zones_with_counts(tmp_path: Path) -> None:
     """In the status that `fleet view` shows, beside the members of the own zone."""
 
