--- a/oakcroft/commands/fleet.py
+++ b/oakcroft/commands/fleet.py
@@ -120,10 +120,18 @@
     return [
         f"{view['name']}, start {view['start']}, {own}: {counts}",
         *(_member_line(member, width) for member in members),
+        *(_zone_line(zone) for zone in view.get("zones", ())),
         f"  sent {view['sent']}, taken {view['taken']}, dropped: {dropped}",
     ]
 
 
+def _zone_line(zone: dict[str, Any]) -> str:
+    reach = "reachable" if zone["reachable"] else "unreachable"
+    counts = f"{zone['present']} present, {zone['failed']} gone, {zone['left']} left"
+    moved = f"heard {zone['moved_ms'] / MS_PER_SECOND:.1f} s ago"
+    return f"  zone {zone['zone']} of {zone['region']}: {reach}, {counts}, {moved}"
+
+
 def _member_line(member: dict[str, Any], width: int) -> str:
     heard = ""
     if member["heard_ms"] is not None:
--- /dev/null
+++ b/oakcroft/decisions/membership/membership.py
@@ -0,0 +1,290 @@
+"""One front's membership of the fleet: who is there, as a state machine without sockets, clock or threads.
+
+Time and chance come in with each call; what is to be sent stands in `out` and what has changed in `changes`, both to
+be taken by the host after each call. Built from SWIM (probes, indirect probes, suspicion, incarnations, updates that are
+piggybacked), Lifeguard (suspicion that shortens with confirmations, local health, telling the accused first) and
+periodic push-pull. What differs, and why, stands in docs/fleet.md; above all: nobody fails by hearsay. An update that a
+member has failed makes this front probe that member, with the update in the message, and only its own clock ends a
+suspicion.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from random import Random
+
+from oakcroft.decisions.membership.counters import Counters
+from oakcroft.decisions.membership.failure_detector import LocalHealth
+from oakcroft.decisions.membership.member import MemberState, MemberUpdate
+from oakcroft.decisions.membership.member_table import MAX_MEMBERS, MemberTable, StateChange
+from oakcroft.decisions.membership.messages import (
+    MAX_UPDATES,
+    Address,
+    MemberId,
+    Message,
+    MessageKind,
+    ProbeTarget,
+)
+from oakcroft.decisions.membership.outbox import Outbox
+from oakcroft.decisions.membership.own_identity import OwnIdentity
+from oakcroft.decisions.membership.prober import Prober
+from oakcroft.decisions.membership.push_pull import PushPull
+from oakcroft.decisions.membership.suspicion_tracker import SuspicionTracker
+from oakcroft.decisions.membership.update_merger import UpdateMerger
+from oakcroft.interface import MS, SECOND
+
+GOSSIP_INTERVAL = 200 * MS
+"""Between messages that only carry updates, while there are any."""
+
+GOSSIP_FANOUT = 3
+"""Members told in each interval."""
+
+PAUSE_THRESHOLD = SECOND
+"""Without a tick for longer, this process stood still."""
+
+TIDY_INTERVAL = 10 * SECOND
+
+DISPLACED_POSTPONEMENT = SECOND
+"""How far a displaced front puts off all that is periodic, again and again."""
+
+
+class Membership:
+    """The membership of one front."""
+
+    def __init__(
+        self, me: MemberUpdate, secret: bytes, rng: Random, now: int, seeds: Iterable[Address] = ()
+    ) -> None:
+        """`me` is announced, `secret` proves leaving, `seeds` are addresses at which the fleet is looked for."""
+        self.counts = Counters()
+        self.health = LocalHealth()
+        self.table = MemberTable(me, rng, now)
+        self.outbox = Outbox(self.table, rng)
+        self.identity = OwnIdentity(self.table, self.outbox, secret)
+        self.prober = Prober(self.table, self.outbox, self.health, rng, now)
+        self.push_pull = PushPull(self.table, self.outbox, rng, now, seeds)
+        self.suspicions = SuspicionTracker(self.table, self.health)
+        self.merger = UpdateMerger(
+            self.table,
+            self.outbox,
+            self.identity,
+            self.prober,
+            self.suspicions,
+            self.health,
+            self.counts,
+            now,
+        )
+        self.members = self.table.members
+        self.suspects = self.table.suspects
+        self.last_tick_at = now
+        self.next_gossip_at = now
+        self.next_tidy_at = now
+
+    # What the host takes after each call.
+
+    @property
+    def out(self) -> list[Message]:
+        """Messages to be sent. The host takes the list and puts an empty one in its place."""
+        return self.outbox.messages
+
+    @out.setter
+    def out(self, messages: list[Message]) -> None:
+        self.outbox.messages = messages
+
+    @property
+    def changes(self) -> list[StateChange]:
+        """Changes to be told of. The host takes the list and puts an empty one in its place."""
+        return self.table.changes
+
+    @changes.setter
+    def changes(self, changes: list[StateChange]) -> None:
+        self.table.changes = changes
+
+    # What is known.
+
+    @property
+    def me(self) -> MemberUpdate:
+        """What this front says of itself."""
+        return self.table.me
+
+    @property
+    def displaced(self) -> bool:
+        """Whether another process under this front's name holds it."""
+        return self.identity.displaced
+
+    @property
+    def left(self) -> bool:
+        """Whether this front has left in order."""
+        return self.identity.left
+
+    @property
+    def joined(self) -> bool:
+        """Whether any push-pull has succeeded."""
+        return self.push_pull.joined
+
+    @property
+    def seeds(self) -> list[Address]:
+        """Addresses at which the fleet is looked for."""
+        return self.push_pull.seeds
+
+    def standing(self, name: str) -> MemberState | None:
+        """The state of a member; None where it is not known."""
+        return self.table.state(name)
+
+    def present(self) -> list[str]:
+        """Those taken to be there, this front among them, by name. Not to be changed."""
+        return self.table.present()
+
+    def left_count(self) -> int:
+        """How many have left in order, each by its own update."""
+        return self.table.count(MemberState.LEFT)
+
+    def whole(self) -> list[MemberUpdate]:
+        """The full state that a push-pull sends: this front's own update first."""
+        return self.table.full_state()
+
+    @property
+    def due(self) -> int:
+        """When `tick` has something to do at the latest."""
+        times = [self.prober.next_probe_at]
+        times += self.push_pull.deadlines()
+        times += self.prober.deadlines()
+        times += self.suspicions.deadlines()
+        if self.table.queue:
+            times.append(self.next_gossip_at)
+        if self.merger.disputed:
+            times.append(self.merger.next_dispute_at)
+        if self.identity.conflict is not None:
+            times.append(self.identity.conflict.until)
+        return min(times)
+
+    # Time.
+
+    def tick(self, now: int) -> None:
+        """Does what is due."""
+        since_last_tick = now - self.last_tick_at
+        self.last_tick_at = now
+        if since_last_tick > PAUSE_THRESHOLD:
+            self._recover_from_pause(since_last_tick, now)
+        if self.left:
+            return
+        self.identity.tick(now)
+        if self.displaced:
+            self._postpone(now + DISPLACED_POSTPONEMENT)
+            return
+        self._probe(now)
+        self._expire_suspicions(now)
+        self.merger.look_into_disputed(now)
+        self.push_pull.tick(now)
+        self._gossip(now)
+        if now >= self.next_tidy_at:
+            self.next_tidy_at = now + TIDY_INTERVAL
+            self.table.forget_expired(now)
+
+    def _recover_from_pause(self, duration: int, now: int) -> None:
+        """Guards against declaring the rest failed after a pause of this process: its own probes and suspicions ran out
+        while it could receive nothing. Covers a stopped machine, a long collection, a starved core."""
+        self.counts.stood_still += 1
+        self.health.worsen()
+        self.prober.reset(now)
+        self.suspicions.extend_all(duration)
+
+    def _postpone(self, until: int) -> None:
+        self.prober.next_probe_at = until
+        self.push_pull.postpone(until)
+        self.next_gossip_at = until
+        self.merger.next_dispute_at = until
+
+    def _probe(self, now: int) -> None:
+        for member in self.prober.advance(now):
+            self.suspicions.probe_failed(member, now)
+        self.prober.begin_next(now)
+
+    def _expire_suspicions(self, now: int) -> None:
+        self.suspicions.expire(now)
+
+    def _gossip(self, now: int) -> None:
+        if not self.table.queue or now < self.next_gossip_at:
+            return
+        self.next_gossip_at = now + GOSSIP_INTERVAL
+        for name in self.table.sample(GOSSIP_FANOUT):
+            self.outbox.send(MessageKind.GOSSIP, name)
+
+    # What is received.
+
+    def heard(
+        self, sender: MemberUpdate, kind: MessageKind, sequence: int, to: MemberId, target: ProbeTarget | None,
+        updates: Sequence[MemberUpdate], now: int,
+    ) -> None:  # fmt: skip
+        """A datagram: what its sender says of itself, and what it brings."""
+        if self.left or not self._accept_sender(sender, kind, sequence, now):
+            return
+        if kind is MessageKind.PING:
+            self._answer_ping(sender, sequence, to)
+        elif kind is MessageKind.ACK:
+            self.prober.acknowledged(sequence, sender.name)
+        elif kind is MessageKind.PING_REQUEST and target is not None:
+            self.prober.relay(sender, sequence, target, now)
+        for update in updates[:MAX_UPDATES]:
+            self.merger.merge(update, sender.name, now)
+
+    def exchanged(self, sender: MemberUpdate, updates: Sequence[MemberUpdate], now: int) -> None:
+        """Another front's full state, by push-pull."""
+        if self.left:
+            return
+        if (sender.name, sender.generation) == (self.me.name, self.me.generation):
+            self.push_pull.remove_seed(sender.address)
+            return
+        if not self._accept_sender(sender, MessageKind.GOSSIP, 0, now):
+            return
+        self.push_pull.joined = True
+        for update in updates[:MAX_MEMBERS]:
+            self.merger.merge(update, sender.name, now)
+
+    def _accept_sender(self, sender: MemberUpdate, kind: MessageKind, sequence: int, now: int) -> bool:
+        """Whether a message is to be followed; what it says of its sender is taken."""
+        if not sender.is_plausible():
+            self.counts.unsound += 1
+            return False
+        if sender.name == self.me.name:
+            if self.identity.received_from_namesake(sender, kind, sequence, now):
+                self.prober.probes.clear()
+            return False
+        known = self.members.get(sender.name)
+        if known is not None and sender.generation < known.latest.generation:
+            # An older life, or what was recorded of it: it is told who has the name now, and changes nothing.
+            self.counts.old_start += 1
+            self.outbox.reply(MessageKind.GOSSIP, sender, first=known.latest)
+            return False
+        is_stranger = known is None or known.latest.state is MemberState.FAILED
+        self.merger.merge(sender, sender.name, now)
+        known = self.members.get(sender.name)
+        if known is None:
+            return False
+        known.heard_at = now
+        if is_stranger and known.latest.state is not MemberState.LEFT:
+            self.push_pull.want(sender.address)
+        if known.latest.precedence > sender.precedence and kind is not MessageKind.PING:
+            self._tell_accused(sender, known.latest)  # an answer to a ping tells it anyway
+        return True
+
+    def _tell_accused(self, sender: MemberUpdate, accusation: MemberUpdate) -> None:
+        to = MemberId(sender.name, sender.generation)
+        self.outbox.put(Message(MessageKind.GOSSIP, sender.address, to=to, updates=[accusation]))
+
+    def _answer_ping(self, sender: MemberUpdate, sequence: int, to: MemberId) -> None:
+        known = self.members[sender.name].latest
+        accusation = known if known.precedence > sender.precedence else None
+        is_for_other_name = to[0] not in ("", self.me.name)
+        is_for_other_generation = to[1] not in (0, self.me.generation)
+        if is_for_other_name:  # the address was another's: it is told who is here, and that is no answer
+            self.counts.misaddressed += 1
+        elif is_for_other_generation:
+            self.counts.other_start += 1
+        if is_for_other_name or is_for_other_generation:
+            self.outbox.reply(MessageKind.GOSSIP, sender, first=accusation)
+        else:
+            self.outbox.reply(MessageKind.ACK, sender, sequence, accusation)
+
+    def leave(self) -> None:
+        """This front leaves in order: its last update, with the secret that proves it, to some of the others."""
+        self.identity.leave()
--- a/oakcroft/front/rolling.py
+++ b/oakcroft/front/rolling.py
@@ -22,8 +22,9 @@
 from oakcroft.decisions.sessions.answers import Final
 from oakcroft.front.catalogues import Catalogues
 from oakcroft.front.helm import Helm
-from oakcroft.peers.speaker import Peers
-from oakcroft.peerwire.duties import OrderWord, ReportWord, Taken
+from oakcroft.peers.peer_endpoint import PeerEndpoint
+from oakcroft.peerwire.lease_codec import ReceivedLeaseMessage
+from oakcroft.peerwire.lease_wire import Order, OrderReport
 from oakcroft.store.file import Fact
 
 DUTY = "catalogue"
@@ -113,7 +114,11 @@
     """One front's part in roll-outs."""
 
     def __init__(
-        self, helm: Helm, catalogues: Catalogues, peers: Peers, log: structlog.typing.FilteringBoundLogger
+        self,
+        helm: Helm,
+        catalogues: Catalogues,
+        peers: PeerEndpoint,
+        log: structlog.typing.FilteringBoundLogger,
     ) -> None:
         assert peers.duties is not None
         self.helm, self.catalogues, self.peers, self.duties, self.log = (
@@ -151,7 +156,7 @@
 
     # What is ordered.
 
-    async def _ordered(self, got: Taken, word: OrderWord) -> ReportWord | None:
+    async def _ordered(self, got: ReceivedLeaseMessage, word: Order) -> OrderReport | None:
         """One order: on record first, then done; turned away where a newer one has been taken."""
         try:
             plan = plan_of(word.body)
@@ -175,7 +180,7 @@
                 self.log.warning(
                     "late order", sender=got.sender, order=[word.number, word.step], stands=[number, step]
                 )
-                return ReportWord(DUTY, number, step, False, b"")
+                return OrderReport(DUTY, number, step, False, b"")
             new = False
             if self.fence.seen.get(DUTY) != (word.number, word.step):
                 if not await self._on_record(word.number, word.step):
@@ -197,7 +202,7 @@
         seen = {**self.fence.seen, DUTY: (number, step)}
         return await self.helm.memory.store.durable(Fact(FENCE, ENCODER.encode(seen)))
 
-    def _report(self, plan: Plan, word: OrderWord, refused: str) -> ReportWord:
+    def _report(self, plan: Plan, word: Order, refused: str) -> OrderReport:
         some = self.helm.finals - self.base
         failures = some[Final.REJECTED] + some[Final.ABORTED]
         terms = self.helm.site.terms
@@ -206,7 +211,7 @@
             takes_part(terms.front, terms.fronts, int(plan.digest, 16), plan.part), refused[:120],
             some[Final.PLAYS] + failures, failures, self.in_force == NONE and plan.base != NONE,
         )  # fmt: skip
-        return ReportWord(DUTY, word.number, word.step, True, ENCODER.encode(body))
+        return OrderReport(DUTY, word.number, word.step, True, ENCODER.encode(body))
 
     @property
     def in_force(self) -> str:
@@ -245,7 +250,9 @@
         """Has the text of a version, from whoever orders it or from another that does."""
         if plan.digest in self.texts or plan.digest == self.in_force:
             return ""
-        others = [n for n in self.peers.view.present() if n not in (sender, self.peers.view.me.name)]
+        others = [
+            n for n in self.peers.membership.present() if n not in (sender, self.peers.membership.me.name)
+        ]
         for name in (sender, *others[:2]):
             found = await self.peers.fetch(name, plan.digest)
             if found is None:
@@ -301,7 +308,7 @@
         self.running = None
         self.wake.set()
 
-    def _reported(self, sender: str, word: ReportWord) -> None:
+    def _reported(self, sender: str, word: OrderReport) -> None:
         term, running = self.duties.term(DUTY), self.running
         if term is None or running is None:
             return
@@ -334,7 +341,7 @@
         self._load(term)
         if self.running is None:
             return  # there never was a roll-out
-        running, present = self.running, self.peers.view.present()
+        running, present = self.running, self.peers.membership.present()
         now = self.helm.clock.now()
         async with (
             self.beginning
@@ -348,7 +355,7 @@
         # While it is watched each tells how it does; after its end only those that have not heard, or were away.
         some = running.unconfirmed(present, now) if running.plan.stage in ENDED else present
         for name in some:
-            self.duties.order(name, OrderWord(DUTY, term.number, running.plan.step, body))
+            self.duties.order(name, Order(DUTY, term.number, running.plan.step, body))
 
     def _load(self, term: Term) -> None:
         """Goes on where the owner before this one left the plan on record."""
@@ -394,18 +401,16 @@
         with trio.move_on_after(SUBMIT_WITHIN):
             while key not in self.accepted:
                 if self.duties.term(DUTY) is not None:
-                    self.accepted[key] = await self._begin(wish, self.peers.view.me.name)
+                    self.accepted[key] = await self._begin(wish, self.peers.membership.me.name)
                     break
                 self.duties.look_for_floor(DUTY)  # the answers tell who has it
                 if owner := self.duties.owner(DUTY):
-                    self.duties.order(
-                        owner.owner, OrderWord(SUBMITTED, owner.number, 0, ENCODER.encode(wish))
-                    )
+                    self.duties.order(owner.owner, Order(SUBMITTED, owner.number, 0, ENCODER.encode(wish)))
                 await trio.sleep(0.3)
         self.waited.discard(key)
         return self.accepted.pop(key, "nobody owns the duty just now: look at `fleet owners`, and ask again")
 
-    async def _submitted(self, got: Taken, word: OrderWord) -> ReportWord | None:
+    async def _submitted(self, got: ReceivedLeaseMessage, word: Order) -> OrderReport | None:
         """Another front hands on what an operator wants."""
         if self.duties.term(DUTY) is None:
             return None
@@ -418,11 +423,11 @@
         ):
             return None
         said = await self._begin(wish, got.sender)
-        return ReportWord(
+        return OrderReport(
             ACCEPTED, word.number, 0, not said, f"{wish.digest or 'back'} {said}".encode()[:300]
         )
 
-    def _answered(self, sender: str, word: ReportWord) -> None:
+    def _answered(self, sender: str, word: OrderReport) -> None:
         key, _, said = word.body.decode("utf-8", "replace").partition(" ")
         if key in self.waited:  # the owner's word may come again after it was told on
             self.accepted[key] = said
@@ -475,7 +480,9 @@
                                 "stage": plan.stage.name.lower(), "part": plan.part, "step": plan.step,
                                 "reason": plan.reason}  # fmt: skip
         if running is not None:
-            told["waits_for"] = running.unconfirmed(self.peers.view.present(), self.helm.clock.now())[:20]
+            told["waits_for"] = running.unconfirmed(self.peers.membership.present(), self.helm.clock.now())[
+                :20
+            ]
         return told
 
 
