--- a/oakcroft/decisions/routing/wings.py
+++ b/oakcroft/decisions/routing/wings.py
@@ -9,10 +9,14 @@
 
 Where the own wing takes nothing, others do, for no more than a stated part of this front's requests in any window and
 only while their links have room. What is over that the module turns away at once, before the surviving wing is overrun.
+
+A draining node takes nothing new and is meant to leave. It is no evidence for or against its zone, and a zone without a
+ready node has no room, whatever its nodes' links carry.
 """
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
@@ -20,6 +24,14 @@
 
 from oakcroft.interface import SECOND
 
+NO_READY_NODE = math.inf
+"""The load of a zone in which no node is ready: over any `room`."""
+
+
+def zone_load(ready_nodes: Sequence[float]) -> float:
+    """The load of a zone from the link loads (asked over given) of its ready nodes: their mean."""
+    return sum(ready_nodes) / len(ready_nodes) if ready_nodes else NO_READY_NODE
+
 
 class Seen(Enum):
     """How one node looks from here."""
@@ -28,6 +40,7 @@
     SILENT = "silent, though the list has it"
     REFUSES = "nothing listens there"
     GONE = "the list has it no more"
+    DRAINS = "the list has it draining"
 
 
 class State(Enum):
@@ -87,8 +100,12 @@
         return state
 
     def evidence(self, nodes: Mapping[Seen, int]) -> State:
-        """What the nodes of a wing say of it now: sound, cut or lost."""
-        whole = sum(nodes.values())
+        """What the nodes of a zone say of it now: sound, cut or lost.
+
+        Draining nodes are left out. Guards against a zone that looks sound as most of its nodes drain and answer, while
+        the ready ones are out. Harm: a zone whose few ready nodes are out while the rest drain comes back by its ramp.
+        """
+        whole = sum(nodes.values()) - nodes.get(Seen.DRAINS, 0)
         dead = nodes.get(Seen.REFUSES, 0) + nodes.get(Seen.GONE, 0)
         out = dead + nodes.get(Seen.SILENT, 0)
         if whole == 0 or out < self.bounds.most * whole:
@@ -174,7 +191,8 @@
         return out
 
     def choose(self, loads: Mapping[str, float], draw: float, now: int) -> frozenset[str]:
-        """The wings that a request may go to; none where it is to be turned away. `draw`: from 0 to 1, by lot."""
+        """The wings that a request may go to; none where it is to be turned away. `loads`: of each zone, by `zone_load`;
+        `draw`: from 0 to 1, by lot."""
         own, *others = self.tiers
         if draw < self.lives[own].share(now) and loads.get(own, 0.0) <= self.bounds.room:
             self.spill.asked(False, now)
--- a/oakcroft/front/siding.py
+++ b/oakcroft/front/siding.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 import structlog
@@ -11,7 +11,7 @@
 
 from oakcroft.choice import DISTRUST_HALF, DISTRUSTED
 from oakcroft.decisions.sessions.lifeline import Life as NodeLife, Loss
-from oakcroft.decisions.routing.wings import Seen, State, Wings
+from oakcroft.decisions.routing.wings import Seen, State, Wings, zone_load
 from oakcroft.front.helm import Helm
 from oakcroft.interface import SECOND, Listing, Node
 
@@ -49,6 +49,8 @@
         return out
 
     def _seen(self, node: Node, now: int) -> Seen:
+        if node.listing is Listing.DRAINING:
+            return Seen.DRAINS
         leg = self.helm.legs.get(node.name)
         if leg is not None and leg.lifeline.how is not None:
             return Seen.REFUSES if leg.lifeline.how is Loss.PROVEN else Seen.SILENT
@@ -56,13 +58,13 @@
             return Seen.SILENT
         return Seen.SILENT if node.distrust.read(now, DISTRUST_HALF) >= DISTRUSTED else Seen.ANSWERS
 
-    def loads(self) -> dict[str, float]:
-        """The mean load of each wing's ready links, as the module knows it."""
-        some: dict[str, list[float]] = {}
+    def loads(self, zones: Iterable[str]) -> dict[str, float]:
+        """The load of each zone, from the loads of links as the module knows them."""
+        ready: dict[str, list[float]] = {zone: [] for zone in zones}
         for node in self.helm.roster.nodes.values():
-            if node.listing is Listing.READY:
-                some.setdefault(node.zone, []).append(node.level)
-        return {wing: sum(levels) / len(levels) for wing, levels in some.items()}
+            if node.listing is Listing.READY and node.zone in ready:
+                ready[node.zone].append(node.level)
+        return {zone: zone_load(levels) for zone, levels in ready.items()}
 
     async def run(self) -> None:
         """Looks, for as long as the front runs."""
@@ -102,7 +104,8 @@
         """The nodes that a new request may go to, as far as wings go; None for all."""
         if self.wings is None:
             return None
-        chosen = self.wings.choose(self.loads(), self.rng.random(), self.helm.clock.now())
+        loads = self.loads(self.wings.tiers)
+        chosen = self.wings.choose(loads, self.rng.random(), self.helm.clock.now())
         return lambda node: node.zone in chosen
 
     def status(self) -> dict[str, object]:
--- a/tests/test_wings.py
+++ b/tests/test_wings.py
@@ -11,7 +11,17 @@
 from hypothesis import given, strategies as st
 from rig import run, standing, until
 
-from oakcroft.decisions.routing.wings import FOLLOWS, Bounds, Life, Seen, Spill, State, Wings
+from oakcroft.decisions.routing.wings import (
+    FOLLOWS,
+    NO_READY_NODE,
+    Bounds,
+    Life,
+    Seen,
+    Spill,
+    State,
+    Wings,
+    zone_load,
+)
 from oakcroft.interface import SECOND
 
 ALL = {Seen.ANSWERS: 10}
@@ -108,6 +118,34 @@
     }  # so is the other: the module decides
 
 
+def test_a_zone_without_a_ready_node_has_no_room_at_any_bound() -> None:
+    assert zone_load([0.5, 0.7]) == 0.6
+    assert zone_load([]) == NO_READY_NODE
+    zones = Wings(("west", "east"), Bounds(spill=1.0, room=1_000.0))
+    assert zones.choose({"west": NO_READY_NODE, "east": 0.5}, 0.5, 0) == {"east"}
+    assert zones.choose({"west": 0.5, "east": NO_READY_NODE}, 0.5, 0) == {"west"}
+    nowhere = {"west": NO_READY_NODE, "east": NO_READY_NODE}
+    assert zones.choose(nowhere, 0.5, 0) == {"west"}  # the module decides
+
+
+def test_while_a_zone_drains_its_requests_spill_within_the_bound_and_all_come_back_at_once_after() -> None:
+    zones, drained = Wings(("west", "east"), Bounds(spill=0.5)), {Seen.DRAINS: 10}
+    zones.look({"west": drained, "east": ALL}, 0)
+    chosen = [zones.choose({"west": NO_READY_NODE, "east": 0.5}, 0.5, n) for n in range(100)]
+    assert sum(c == {"east"} for c in chosen) == 50
+    zones.look({"west": drained, "east": ALL}, 9 * SECOND)
+    assert zones.lives["west"].state is State.SOUND  # a drain is no loss, and has no way back
+    assert zones.choose({"west": 0.5, "east": 0.5}, 0.99, 10 * SECOND) == {"west"}
+
+
+def test_draining_nodes_are_no_evidence_for_or_against_their_zone() -> None:
+    assert through(Life(Bounds()), 10, {Seen.DRAINS: 10}) == []
+    assert through(Life(Bounds()), 10, {Seen.DRAINS: 8, Seen.ANSWERS: 2}) == []
+    assert through(Life(Bounds()), 10, {Seen.DRAINS: 8, Seen.ANSWERS: 1, Seen.SILENT: 1}) == []
+    assert through(Life(Bounds()), 10, {Seen.DRAINS: 8, Seen.SILENT: 2}) == [State.CUT]
+    assert through(Life(Bounds()), 10, {Seen.DRAINS: 5, Seen.REFUSES: 5}) == [State.LOST]
+
+
 def test_a_returning_wing_gets_its_share_over_two_hundred_fronts_by_and_by() -> None:
     fronts = [Wings(("west", "east"), Bounds(spill=1.0)) for _ in range(200)]
     rng, got = Random(5), list[int]()
