--- a/oakcroft/decisions/moving/may_move.py
+++ b/oakcroft/decisions/moving/may_move.py
@@ -62,3 +62,8 @@
         return plan.effect is Effect.FREE
     same = {Group.ALL: True, Group.ZONE: node.zone == source.zone, Group.CELL: node.cell == source.cell}
     return same[plan.group]
+
+
+def keeps_to_its_zone(plan: Plan) -> bool:
+    """Whether the key confines a copy to the source's zone or cell, so that no other zone needs to be looked for."""
+    return plan.effect is Effect.KEYED and plan.group is not Group.ALL
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -29,7 +29,7 @@
 from oakcroft.decisions.fleet.stopping import Stopping
 from oakcroft.running.clock import Clock
 from oakcroft.front.helm import Helm
-from oakcroft.front.moves import STAY, Move
+from oakcroft.front.moves import STAY, Admits, Move
 from oakcroft.front.reducing import Reducing
 from oakcroft.front.siding import Siding
 from oakcroft.front.viewing import Reader, Viewing
@@ -286,12 +286,8 @@
         v.token, v.about, v.asked_top, v.catalogue = who, about, max(asked_top, plan.plan.floor), version
         if self.helm.memory is not None and (reply := self.helm.memory.refusal(v)) is not None:
             return reply, True
-        if route.pool:
-            pool, racks = site.pools[route.pool], site.terms.racks
-            v.pb.admits = lambda node: pool.admits(node, racks)
-        if self.siding is not None and (sides := self.siding.admits()) is not None:
-            inner = v.pb.admits
-            v.pb.admits = lambda node: sides(node) and (inner is None or inner(node))
+        v.pool = site.pools[route.pool] if route.pool else None
+        v.pb.admits = self._admits(v)
         ticket = self.helm.ledger.ask(Party(who, route.name, route.plan, self.zone), now)
         if isinstance(ticket, Over):
             return answers.over(ticket), True
@@ -299,6 +295,15 @@
         self.number += 1
         return await self._answered(v, self.number, about, ask.client or who)
 
+    def _admits(self, v: Viewing, zones_matter: bool = True) -> Admits | None:
+        """The nodes that a set-up asked for now may go to: those of its route's pool, in the zones that may take it as
+        they stand now; None for all."""
+        zones = self.siding.admits() if self.siding is not None and zones_matter else None
+        pool, racks = v.pool, self.helm.site.terms.racks
+        if pool is None:
+            return zones
+        return lambda node: pool.admits(node, racks) and (zones is None or zones(node))
+
     async def _answered(
         self, v: Viewing, number: int, about: str, client: str
     ) -> tuple[Viewing | Reply, bool]:
@@ -482,7 +487,8 @@
         return upstream.answer, upstream.tag
 
     def _begin_move(self, move: Move, other: Viewing) -> None:
-        if not self.helm.moves.offered(move, other):
+        other.pool = move.v.pool
+        if not self.helm.moves.offered(move, other, self._admits):
             other.settle(Final.REJECTED, STAY)
 
     async def moved(self, v: Viewing) -> None:
--- a/oakcroft/front/moves.py
+++ b/oakcroft/front/moves.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
@@ -15,15 +16,16 @@
 from oakcroft.decisions.sessions.answers import Final, Reply
 from oakcroft.decisions.moving.fading import Fadings
 from oakcroft.decisions.moving.handover import Act, Course, Handover, Happening
-from oakcroft.decisions.moving.may_move import Way, allowed, stays, way
+from oakcroft.decisions.moving.may_move import Way, allowed, keeps_to_its_zone, stays, way
 from oakcroft.decisions.moving.mover import LONGEST_CONFIRM, LONGEST_OFFER, Mover, Pace, Why, waits
 from oakcroft.decisions.moving.notice import Notices
 from oakcroft.decisions.sessions.resource import Resource
 from oakcroft.front.steering import Steering
 from oakcroft.front.viewing import Viewing
-from oakcroft.interface import SECOND, Entry, Listing, State
+from oakcroft.interface import SECOND, Entry, Listing, Node, State
 
 STAY = Reply(503, "urn:oakcroft:problem:stay", "No other place was found: stay where you are", None, False)
+Admits = Callable[[Node], bool]
 TIMES = {Happening.NO_OFFER: LONGEST_OFFER, Happening.UNCONFIRMED: LONGEST_CONFIRM}
 
 
@@ -167,8 +169,9 @@
         """The move that a viewing is part of."""
         return self.roles.get(v)
 
-    def offered(self, move: Move, other: Viewing) -> bool:
-        """The player has made its offer; False when it is not wanted any more."""
+    def offered(self, move: Move, other: Viewing, admits: Callable[[Viewing, bool], Admits | None]) -> bool:
+        """The player has made its offer; False when it is not wanted any more. `admits` names the nodes that the copy may
+        go to now, with or without a choice of zones: that for the source is as old as the playback."""
         if not move.hand.takes_offer() or move.v.pb.node is None:
             return False
         move.other, other.beside = other, move.v
@@ -176,9 +179,10 @@
             self.helm.memory.move_begins(move.v, other)
         self.roles[other] = move
         other.pb.beside, other.pb.moved = move.v.pb, True
-        source, plan, key, inner = move.v.pb.node, move.v.pb.plan, move.v.id, move.v.pb.admits
+        source, plan, key = move.v.pb.node, move.v.pb.plan, move.v.id
+        chosen = admits(other, not keeps_to_its_zone(plan))
         other.pb.admits = lambda n: (
-            allowed(plan, source, n) and self.mover.may_go_to(key, n.name) and (inner is None or inner(n))
+            allowed(plan, source, n) and self.mover.may_go_to(key, n.name) and (chosen is None or chosen(n))
         )
         self.happens(move, Happening.OFFER)
         return True
--- a/oakcroft/front/viewing.py
+++ b/oakcroft/front/viewing.py
@@ -9,6 +9,7 @@
 from oakcroft.decisions.sessions.answers import Final, Reply
 from oakcroft.decisions.admission.limits import Ticket
 from oakcroft.decisions.admission.patience import Due
+from oakcroft.decisions.routing.pools import Pool
 from oakcroft.decisions.sessions.resource import Resource
 from oakcroft.interface import Playback
 from oakcroft.config.told import PlanTerms
@@ -60,6 +61,7 @@
     token: str = ""  # the name of the token that it was asked with
     beside: Viewing | None = None  # the one that its player knows, of which this is the copy in a move
     ticket: Ticket | None = None  # what it holds of the limits
+    pool: Pool | None = None  # of its route: every set-up of it keeps to these nodes; none: all
     seated: bool = False  # it belongs to a seat of the session API
     asked_top: int = 1 << 30  # its highest rung but for what its title has
     catalogue: int = 0  # the version of the catalogue under which its last set-up left
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from random import Random
 
@@ -16,12 +16,12 @@
 
 from oakcroft.decisions.moving.fading import Fadings
 from oakcroft.decisions.moving.handover import OVER, TABLE, Act, Course, Handover, Happening
-from oakcroft.decisions.moving.may_move import Reason, Way, allowed, stays, way
+from oakcroft.decisions.moving.may_move import Reason, Way, allowed, keeps_to_its_zone, stays, way
 from oakcroft.decisions.moving.mover import Mover, Pace, Why
 from oakcroft.decisions.moving.notice import Notices
 from oakcroft.httpwire.client import Ended, Peer
 from oakcroft.httpwire.message import Response
-from oakcroft.interface import MS, SECOND, Group, Node, Outcome, Playback
+from oakcroft.interface import MS, SECOND, Group, Listing, Node, Outcome, Playback
 from oakcroft.rehearsal.viewers import offer
 from oakcroft.signalling import sdp, words
 from oakcroft.standins import rtp
@@ -174,6 +174,8 @@
     assert allowed(FREE, a, b)
     assert KEYED.group is Group.ZONE
     assert not allowed(KEYED, a, b)
+    confined = [KEYED, replace(KEYED, group=Group.CELL), replace(KEYED, group=Group.ALL), FREE, PAID]
+    assert [keeps_to_its_zone(plan) for plan in confined] == [True, True, False, False, False]
     b.zone = "west"
     assert allowed(KEYED, a, b)
     seated = FREE.__class__(**{**FREE.__dict__, "seats": 2})
@@ -349,6 +351,51 @@
     run(test)
 
 
+async def moved_away(rig: Rig, player: Player) -> PlayoutNode:
+    """Drains the node that plays until its playback plays on the other; the node that it left."""
+    helm, before = rig.helm(), len(ends(rig))
+    player.told = trio.Event()
+    source, _ = drain(rig)
+    await player.told.wait()
+    assert (await player.offer()).status == 201
+    await player.done()
+    await until(lambda: len(ends(rig)) > before and not source.sessions)
+    assert ends(rig)[-1] == "done"
+    source.ails.draining = False
+    rig.fleet.publish()
+    await until(lambda: helm.roster.lines[source.name].listing is Listing.READY)
+    return source
+
+
+def test_a_playback_moves_back_to_the_node_that_it_left(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as rig, trio.open_nursery() as nursery:
+            player = await playing(rig, nursery)
+            first = await moved_away(rig, player)
+            second = await moved_away(rig, player)
+            assert second is not first
+            assert rig.playing() == [first]
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
+def test_a_copy_keeps_to_the_pool_of_its_route(tmp_path: Path) -> None:
+    form = """(pool first (nodes n1)) (route first (path "/whep/first/") (plan open) (pool first))"""
+
+    async def test() -> None:
+        async with standing(tmp_path, form) as rig, trio.open_nursery() as nursery:
+            player = await playing(rig, nursery, "/whep/first/t")
+            assert [n.name for n in rig.playing()] == ["n1"]
+            drain(rig)
+            await player.told.wait()
+            assert (await player.offer()).status == 503
+            assert [n.name for n in rig.playing()] == ["n1"]
+            nursery.cancel_scope.cancel()
+
+    run(test)
+
+
 def test_paid_playbacks_and_plain_players_stay(tmp_path: Path) -> None:
     async def test() -> None:
         async with standing(tmp_path) as rig, trio.open_nursery() as nursery:
