--- a/oakcroft/decisions/fleet/again.py
+++ b/oakcroft/decisions/fleet/again.py
@@ -25,6 +25,7 @@
 LIST = Rhythm(100 * MS, 2 * SECOND, 2.0, 0)
 EVENTS = Rhythm(50 * MS, SECOND, 2.0, 0)
 RUNG = Rhythm(50 * MS, 400 * MS, 2.0, 1500 * MS)
+RENDITION_BOUND = Rhythm(250 * MS, 5 * SECOND, 2.0, 30 * SECOND)  # of a node that refused to step down
 FAREWELL = Rhythm(200 * MS, 5 * SECOND, 2.0, 30 * SECOND)
 
 
--- a/oakcroft/front/hearing.py
+++ b/oakcroft/front/hearing.py
@@ -83,6 +83,8 @@
         v = self.helm.upstreams.get((leg.name, session))
         if v is not None and 0 <= rung < len(self.helm.site.terms.rates) and rung != v.pb.rung:
             self.helm.controller.noted(v.pb, Note.RUNG, rung, now)
+            if v.pb.rung > v.pb.top:
+                self.helm.above_bound(v)
 
     async def _lost(self, leg: NodeLeg, loss: Loss, why: str) -> None:
         await self.helm.tell(partial(self.node_lost, leg, loss, why))
--- a/oakcroft/front/helm.py
+++ b/oakcroft/front/helm.py
@@ -36,6 +36,7 @@
 from oakcroft.front.hearing import Hearing
 from oakcroft.front.moves import Moves
 from oakcroft.front.nodeleg import LONGEST_TRY_GRACE, NodeLeg, Standing, TryEnd
+from oakcroft.front.rendition_bound import RenditionBound
 from oakcroft.front.steering import Bell, Decide, Decider
 from oakcroft.front.viewing import Viewing
 from oakcroft.interface import Node, Note, Outcome, Playback, State
@@ -87,6 +88,7 @@
         self.longest_abandon = max(p.abandon for p in site.plans.values())
         self.moves = Moves(self, Random(seed + 3), site.usual_notice, log)
         self.controller: Decider = decide(site.terms, seed, self, clock.now())
+        self.rendition_bound = RenditionBound(self, self.rng, log)
         self.hearing = Hearing(self, self.moves, log)
         self.memory: Memory | None = None
         self.catalogue = Catalogue()
@@ -327,10 +329,11 @@
 
     def bounded(self, v: Viewing, top: int) -> None:
         """A playing playback goes no higher than this; where it does, it steps down at once, and the module hears so."""
-        v.pb.top = top
-        if v.pb.rung > top:
-            self.controller.noted(v.pb, Note.RUNG, top, self.clock.now())
-            self.set_rung(v.pb, top)
+        self.rendition_bound.set(v, top)
+
+    def above_bound(self, v: Viewing) -> None:
+        """The node's word: a rendition over the bound is in force."""
+        self.rendition_bound.exceeded(v)
 
     async def _farewell(self, v: Viewing) -> None:
         try:
@@ -400,7 +403,7 @@
                     return
                 if not await leg.set_rung(v.upstream, rung):
                     leg.renew()  # the node's own word at the beginning of its stream tells which is in force
-                    return
+                    continue  # with the rung wanted since, if any
                 self.publish(v, "layers", {"encodingId": str(rung)})
         finally:
             v.rung_at_work = False
--- a/oakcroft/front/viewing.py
+++ b/oakcroft/front/viewing.py
@@ -9,6 +9,7 @@
 from oakcroft.decisions.sessions.answers import Final, Reply
 from oakcroft.decisions.admission.limits import Ticket
 from oakcroft.decisions.admission.patience import Due
+from oakcroft.decisions.fleet.again import Again
 from oakcroft.decisions.routing.pools import Pool
 from oakcroft.decisions.sessions.resource import Resource
 from oakcroft.interface import Playback
@@ -56,6 +57,8 @@
     resource: Resource | None = None
     rung_wanted: int | None = None
     rung_at_work: bool = False
+    bound_retry: Again | None = None  # of a step down to `pb.top` that its node has not carried out
+    bound_retry_waits: bool = False
     ending: bool = False
     readers: list[Reader] = field(default_factory=list)
     token: str = ""  # the name of the token that it was asked with
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -11,7 +11,7 @@
 from oakcroft.decisions.sessions import answers
 from oakcroft.decisions.routing import ladder
 from oakcroft.decisions.admission import patience
-from oakcroft.decisions.fleet.again import EVENTS, RUNG, Again
+from oakcroft.decisions.fleet.again import EVENTS, RENDITION_BOUND, RUNG, Again
 from oakcroft.decisions.sessions.answers import Final, Refusal
 from oakcroft.decisions.sessions.claims import Claims
 from oakcroft.decisions.admission.doors import (
@@ -188,6 +188,18 @@
     assert all(0 < (forever.failed(0) or 0) <= EVENTS.longest for _ in range(50))
 
 
+def test_a_refused_step_down_is_asked_again_a_bounded_number_of_times() -> None:
+    for seed in range(200):
+        retry, now, attempts = Again(RENDITION_BOUND, Random(seed), 0), 0, 0
+        while (wait := retry.failed(now)) is not None:
+            assert RENDITION_BOUND.first // 2 <= wait <= RENDITION_BOUND.longest
+            now += wait
+            attempts += 1
+        assert 8 <= attempts <= 15
+        assert now <= RENDITION_BOUND.give_up_after
+        assert retry.failed(RENDITION_BOUND.give_up_after) is None  # for good, whatever fails later
+
+
 def test_a_full_door_sheds_the_longest_idle_and_never_one_at_work() -> None:
     door = Door(Bounds(connections=2))
     assert door.knock(1, "a", 0)[0] is Verdict.PASS
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -15,10 +15,13 @@
 from oakcroft.decisions.routing.catalogue import Verdict
 from oakcroft.decisions.admission.levels import Acts, Level
 from oakcroft.front.catalogues import Catalogues
+from oakcroft.front import rendition_bound
 from oakcroft.front.viewing import Viewing
+from oakcroft.decisions.fleet.again import Rhythm
 from oakcroft.decisions.sessions.lifeline import Life
 from oakcroft.decisions.routing.versions import Verdict as Taken
 from oakcroft.httpwire.message import Request, Response
+from oakcroft.interface import MS
 from oakcroft.standins.playout import PlayoutNode
 
 PREFERENCE = "(preference (spill 50%) (window 60s) (hold 300ms) (ramp 2s) (room 2))"
@@ -228,6 +231,35 @@
     run(test)
 
 
+def test_a_node_that_refuses_every_step_down_is_asked_a_bounded_number_of_times(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    refused = refusing(monkeypatch, 409)
+    monkeypatch.setattr(rendition_bound, "RENDITION_BOUND", Rhythm(20 * MS, 40 * MS, 2.0, 200 * MS))
+
+    async def test() -> None:
+        async with standing(tmp_path) as rig:
+            sat, v = await watched(rig)
+            before = v.pb.rung
+            await until(lambda: rig.helm().legs[rig.playing()[0].name].lifeline.state is Life.HEARD)
+            assert await layer(rig, sat, 0) == 200
+            await until(lambda: [e for e in rig.logged() if e["event"] == "rendition bound not in force"])
+            assert 3 <= len(refused.asked) <= 12
+            assert (v.pb.rung, v.pb.top) == (before, 0)  # it plays on, and the module knows at what
+            leg = rig.helm().legs[rig.playing()[0].name]
+            refused.now, asked_at = False, leg.asked_at
+            leg.renew()
+            await until(lambda: leg.lifeline.last_heard > leg.asked_at > asked_at)
+            await trio.testing.wait_all_tasks_blocked()
+            assert not v.bound_retry_waits  # the node's word alone does not begin it anew
+            assert not rig.facts("rung")
+            assert await layer(rig, sat, 0) == 200  # a new wish does
+            await until(lambda: rig.facts("rung"))
+            rig.judged()
+
+    run(test)
+
+
 def test_a_playback_moves_to_another_wing_when_its_own_drains(tmp_path: Path) -> None:
     async def test() -> None:
         async with standing(tmp_path, PREFERENCE, wings=True) as rig, trio.open_nursery() as nursery:
