--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -77,6 +77,7 @@
         self.wakes = now + INTERVAL  # when the running interval ends
         self.t2, self.t3, self.x, self.err, self.predicted = T2, T3, 0.0, 1.0, 0.0
         self.usual = USUAL  # load of a link that tells nothing: the mean of those that do
+        self.any_told = False  # `usual` is such a mean, not yet `_untold`
         self.due = terms.reports_every + terms.seen_after + TOO_OLD  # age of a report that is still fresh
         self.blind, self.mean_rung = 0.0, self._middle()  # how few nodes tell; of own playbacks
         self.held, self.links = 0.0, 1.0  # kB a second of own playbacks, and of all links
@@ -118,6 +119,10 @@
             rack.nodes = [n for n in self.nodes if n.cell % self.terms.racks == i]
         self.version += 1
         self.links = max(1.0, sum(n.link for n in self.nodes))
+        if not self.any_told:
+            self.usual = self._untold()
+            for node in self.nodes:
+                node.level = self._level(node)
         self._carry()
 
     def _holders(self, title: Title) -> list[Node]:
@@ -154,6 +159,13 @@
         since = sum(kb for at, kb in node.own if at > node.reported_at) / node.link
         return max(0.0, node.reported + since + self._unseen(node.reported_at))
 
+    def _untold(self) -> float:
+        """The load of links of which none has told: usual for whichever is tighter, link or uplink. Guards against
+        racks that look full on a guess alone, where all of a rack's links give more than its uplink. Harm: a fleet
+        that is full is learnt from short notes only."""
+        through = self.terms.uplink * self.terms.racks / self.links if self.terms.uplink > 0 else 1.0
+        return USUAL * min(1.0, through)
+
     def _unseen(self, at: int) -> float:
         """What the other fronts have added to a link since then, as this front's set-ups and losses tell.
 
@@ -185,12 +197,13 @@
         node.level = max(0.0, node.level + kb / node.link)
         node.rack.carried += kb
 
-    def _report(self, node: Node, value: float, age: int, now: int) -> None:
-        """A report of what is asked of a link, as it was `age` ago."""
+    def _report(self, node: Node, value: float, age: int, now: int, inferred: bool = False) -> None:
+        """A report of what is asked of a link, as it was `age` ago; `inferred`: from what its node did, not told."""
         if now - age < node.reported_at and not node.told:
             return
         old = node.level
         node.heard, node.reported, node.reported_at, node.told = True, value, now - age, False
+        node.reports |= not inferred
         node.level = self._level(node)
         node.rack.carried += (min(node.level, CROWDED) - min(old, CROWDED)) * node.link
 
@@ -227,7 +240,7 @@
             node.short, node.short_at = value, now if value < SHORT else node.short_at - NOTED
             alone = self._squeeze(node, now)
             if value < SHORT and alone and 1 / max(value, 0.2) > node.level + 0.05:
-                self._report(node, 1 / max(value, 0.2), self.terms.seen_after, now)
+                self._report(node, 1 / max(value, 0.2), self.terms.seen_after, now, inferred=True)
 
     def _squeeze(self, node: Node, now: int) -> bool:
         """Whether short delivery is the node's own. An uplink gives all its nodes the same share at most, so
@@ -267,10 +280,14 @@
         ready = [n for n in listed if self._sound(n, now)] or listed
         self._log_health(listed, now)
         fresh = [n for n in ready if n.heard and now - n.reported_at <= self.due]
+        # Guards against taking the few links that are found full, and no others, for all, where nodes report
+        # nothing. Harm: a fleet that is full all over is learnt there node by node.
+        if not any(n.reports for n in fresh):
+            fresh = []
         silent = 1 - len(fresh) / len(ready)  # few silent nodes are no reason to stray, many are
         self.blind = silent**3 / (silent**3 + (1 - silent) ** 3)
         if fresh:
-            self.usual = sum(n.level for n in fresh) / len(fresh)
+            self.usual, self.any_told = sum(n.level for n in fresh) / len(fresh), True
         if now - self.started <= UNHEARD:
             self.held_then.clear()
         self.held_then.append((now, self.held))
@@ -591,7 +608,8 @@
             # node that answers all with errors keeps it until it is asked for a title that has played.
             node.distrust.add(0.4, now, DISTRUST_HALF)
         elif outcome is Outcome.FULL:
-            self._report(node, max(node.level, T1), 0, now)  # all places taken, though the link may have room
+            # All places are taken, though the link may have room.
+            self._report(node, max(node.level, T1), 0, now, inferred=True)
         if closed or state is not State.SETTING_UP:
             self._change(pb, State.ENDED, now)
             return
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -176,6 +176,7 @@
         self.own: deque[tuple[int, float]] = deque()  # own changes of what it carries, kB a second
         self.heard, self.reported, self.reported_at = False, 0.0, 0
         self.told = False  # the last report is another front's
+        self.reports = False  # its load has been told at some time, not only inferred from what it did
         self.level = 0.0  # load of its link, as estimated now
         self.short, self.short_at = 1.0, 0  # delivered share, as last told
         self.samples: list[float] = []
--- /dev/null
+++ b/tests/test_untold_loads.py
@@ -0,0 +1,90 @@
+"""Fleets whose nodes report no loads: what a front takes links for, and what one that is found full tells of the rest."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from helpers import FREE, TERMS, Fleet
+
+from oakcroft.choice import T1, USUAL
+from oakcroft.interface import SECOND, ListKind, Node, Note, Outcome, Playback, Title
+
+NODES, LINK = 8, 4000.0  # of `Fleet`
+UNTOLD = replace(TERMS, fronts=40, reports_every=0, uplink=0.65 * NODES / TERMS.racks * LINK)
+"""Nothing is reported unasked, and a rack's uplink gives two thirds of what its links give."""
+LIGHT = replace(FREE, rate_factor=0.1)  # one on each of forty fronts asks a twentieth of what the links give
+
+
+def pass_seconds(fleet: Fleet, seconds: int) -> None:
+    for _ in range(seconds):
+        fleet.now += SECOND
+        fleet.control.alarm(fleet.now)
+
+
+def plays_on(fleet: Fleet, node: Node) -> Playback:
+    """A playback that this front was handed."""
+    pb = Playback(Title(f"on {node.name}", 0, 0), FREE, 2, fleet.now + SECOND, False)
+    fleet.control.resumed(pb, node, fleet.now)
+    return pb
+
+
+def test_racks_do_not_look_full_on_a_guess_alone() -> None:
+    fleet = Fleet(NODES, UNTOLD)
+    pass_seconds(fleet, 3)
+    playing = []
+    for second in range(3):
+        pb = fleet.ask(LIGHT, Title(f"t{second}", 0, 0))
+        assert not fleet.answers(pb)
+        fleet.control.playing(pb, fleet.now)
+        playing.append(pb)
+        pass_seconds(fleet, 10)
+        assert fleet.control.x < (T1 + USUAL) / 2
+    assert sum(pb.rung for pb in playing) / len(playing) >= 1  # off the ladder's foot
+
+
+def test_links_are_taken_at_the_usual_of_what_their_uplink_lets_through() -> None:
+    wide = Fleet(NODES, replace(UNTOLD, uplink=NODES * LINK))
+    without = Fleet(NODES, replace(UNTOLD, uplink=0.0))
+    assert wide.control.usual == without.control.usual == USUAL
+    narrow = Fleet(NODES, UNTOLD)
+    assert narrow.control.usual == pytest.approx(0.65 * USUAL)
+    assert all(node.level < USUAL for node in narrow.nodes)  # from the first request on
+
+
+@pytest.mark.parametrize("sign", ["short delivery", "full answer"])
+def test_one_link_that_is_found_full_says_nothing_of_the_others(sign: str) -> None:
+    fleet = Fleet(NODES, UNTOLD)
+    pass_seconds(fleet, 3)
+    usual = fleet.control.usual
+    if sign == "short delivery":
+        plays_on(fleet, fleet.nodes[2])  # in the same rack, with all that it asks
+        node = fleet.nodes[0]
+        fleet.control.noted(plays_on(fleet, node), Note.DELIVERED, 0.7, fleet.now)
+    else:
+        pb = fleet.ask()
+        node = fleet.sends()[-1]
+        fleet.control.tried(pb, Outcome.FULL, False, None, None, None, fleet.now)
+    assert node.level > usual + 0.2
+    pass_seconds(fleet, 10)
+    assert fleet.control.usual == usual
+    assert fleet.control.x < T1
+    assert not fleet.answers(fleet.ask(title=Title("another", 0, 0)))
+
+
+def test_what_is_found_full_counts_beside_what_is_told() -> None:
+    fleet = Fleet(NODES, replace(UNTOLD, reports_every=3 * SECOND))
+    told, short = plays_on(fleet, fleet.nodes[0]), plays_on(fleet, fleet.nodes[2])
+    fleet.control.noted(told, Note.LINK_ASKED, 0.5, fleet.now)
+    fleet.control.noted(short, Note.DELIVERED, 0.7, fleet.now)
+    pass_seconds(fleet, 1)
+    assert fleet.control.usual == pytest.approx((0.5 + 1 / 0.7) / 2, abs=0.1)
+
+
+def test_a_mean_that_was_told_stands_when_the_list_changes() -> None:
+    fleet = Fleet(NODES, UNTOLD)
+    fleet.control.noted(plays_on(fleet, fleet.nodes[0]), Note.LINK_ASKED, 0.2, fleet.now)
+    pass_seconds(fleet, 1)
+    usual = fleet.control.usual
+    fleet.relist(ListKind.WHOLE)
+    assert fleet.control.usual == usual < 0.65 * USUAL
