Name the preference between zones by the field's terms: zones, health, spill window

Wings, Life, Seen, State, FOLLOWS, Spill and Siding are ZonePreference, ZoneHealth, NodeEvidence, ZoneState, TRANSITIONS, SpillWindow and ZoneRouting; falters in code are relapses. Operators' words stay: the form (preference ...), the `wing` log event with its fields, `wings` in the status. No behaviour changes; tests/test_wings.py differs by names only.

--- a/benchmarks/untold_loads.py
+++ b/benchmarks/untold_loads.py
@@ -79,6 +79,7 @@
     """One front: the module's host."""
 
     def __init__(self, day: Day, number: int) -> None:
+        """The front of this number on a day."""
         self.day = day
         self.nodes = {Node(f"n{i}"): node for i, node in enumerate(day.nodes)}
         self.sessions: dict[Playback, Session] = {}
@@ -127,10 +128,12 @@
     # What the module asks for.
 
     def send(self, pb: Playback, node: Node, abandon_at: int) -> None:
+        """A set-up leaves."""
         model = self.nodes[node]
         self.day.at(self.day.now + SET_UP, lambda: self._set_up(pb, model))
 
     def reject(self, pb: Playback, stay_away: int) -> None:
+        """A viewer is refused; most come again, to any front."""
         session, day = self.sessions.pop(pb), self.day
         day.refused += 1
         if day.rng.random() < RETURNS:
@@ -140,24 +143,30 @@
                 day.at(back, lambda: front.ask(pb.plan, session.top, session.ends))
 
     def abort(self, pb: Playback) -> None:
+        """The same to a viewer."""
         self.reject(pb, 0)
 
     def set_rung(self, pb: Playback, rung: int) -> None:
+        """A rung comes into force at once."""
         if pb in self.sessions:
             self.sessions[pb].rung = rung
 
     def alarm(self, at: int) -> None:
+        """The end of an interval."""
         self.day.at(at, lambda: self.control.alarm(self.day.now))
 
-    def follow(self) -> None: ...
+    def follow(self) -> None:
+        """The list does not change."""
 
-    def log(self, line: str) -> None: ...
+    def log(self, line: str) -> None:
+        """Nobody reads it."""
 
 
 class Day:
     """One simulated day. `load`: of what links and uplinks give, at the middle rate."""
 
     def __init__(self, fronts: int, nodes: int, load: float, seed: int) -> None:
+        """A day with so many fronts and nodes."""
         self.rng, self.now, self.refused, self.asks = Random(seed), 0, 0, 0
         self.earned = self.wanted = 0.0
         self.heap = list[tuple[int, int, Callable[[], None]]]()
--- a/oakcroft/front/core.py
+++ b/oakcroft/front/core.py
@@ -31,7 +31,7 @@
 from oakcroft.front.helm import Helm
 from oakcroft.front.moves import STAY, Admits, Move
 from oakcroft.front.reducing import Reducing
-from oakcroft.front.siding import Siding
+from oakcroft.front.siding import ZoneRouting
 from oakcroft.front.viewing import Reader, Viewing
 from oakcroft.interface import Outcome
 from oakcroft.signalling import sdp, words
@@ -98,7 +98,7 @@
         self.shed, self.shed_told = 0, 0  # turned away before they were read; and of those, told in the log
         self.shedding = False
         self.reducing: Reducing | None = None
-        self.siding: Siding | None = None
+        self.zone_routing: ZoneRouting | None = None
         self.turns: dict[int, trio.Event] = {}
         self.granted: set[int] = set()
 
@@ -298,7 +298,7 @@
     def _admits(self, v: Viewing, zones_matter: bool = True) -> Admits | None:
         """The nodes that a set-up asked for now may go to: those of its route's pool, in the zones that may take it as
         they stand now; None for all."""
-        zones = self.siding.admits() if self.siding is not None and zones_matter else None
+        zones = self.zone_routing.admits() if self.zone_routing is not None and zones_matter else None
         pool, racks = v.pool, self.helm.site.terms.racks
         if pool is None:
             return zones
--- a/oakcroft/front/operators.py
+++ b/oakcroft/front/operators.py
@@ -16,7 +16,7 @@
 from oakcroft.front.core import Faulty
 from oakcroft.front.helm import Helm
 from oakcroft.front.reducing import Reducing
-from oakcroft.front.siding import Siding
+from oakcroft.front.siding import ZoneRouting
 from oakcroft.interface import SECOND
 from oakcroft.httpwire.message import Headers, Request, Response
 from oakcroft.signalling import words
@@ -63,8 +63,11 @@
 class Operators:
     """Handles the operators' requests of one front."""
 
-    def __init__(self, helm: Helm, catalogues: Catalogues, reducing: Reducing, siding: Siding) -> None:
-        self.helm, self.catalogues, self.reducing, self.siding = helm, catalogues, reducing, siding
+    def __init__(
+        self, helm: Helm, catalogues: Catalogues, reducing: Reducing, zone_routing: ZoneRouting
+    ) -> None:
+        self.helm, self.catalogues = helm, catalogues
+        self.reducing, self.zone_routing = reducing, zone_routing
         self.fleet: Callable[[], dict[str, object]] | None = (
             None  # how the front sees its peers, where it has any
         )
@@ -260,7 +263,7 @@
         told: dict[str, object] = {
             "front": helm.me, "playing": helm.playing, "unanswered": helm.unanswered, "catalogue": helm.catalogue.number,
             "configuration": helm.versions.offer.number, "nodes": len(helm.roster.lines),
-            "level": self.reducing.status(), "wings": self.siding.status(),
+            "level": self.reducing.status(), "wings": self.zone_routing.status(),
             "steps_waiting": len(self.catalogues.steps.waiting),
         }  # fmt: skip
         if self.probing is not None:
--- a/oakcroft/front/rendition_bound.py
+++ b/oakcroft/front/rendition_bound.py
@@ -21,6 +21,7 @@
     """The bounds of all sessions of one front."""
 
     def __init__(self, helm: Steering, rng: Random, log: structlog.typing.FilteringBoundLogger) -> None:
+        """`helm` has the sessions and sends what is decided; `rng` spreads repeated attempts."""
         self.helm, self.rng, self.log = helm, rng, log
 
     def set(self, v: Viewing, top: int) -> None:
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -26,7 +26,7 @@
 from oakcroft.front.operators import PATH as OPERATORS, Operators
 from oakcroft.front.nodeleg import Standing
 from oakcroft.front.reducing import Reducing
-from oakcroft.front.siding import Siding
+from oakcroft.front.siding import ZoneRouting
 from oakcroft.front.steering import Bell, Decide
 from oakcroft.front.sockets import PATH, SessionApi
 from oakcroft.front.viewers import Viewers
@@ -105,9 +105,9 @@
             self.catalogues = catalogues = Catalogues(helm, self.log)
             core.reducing = reducing = Reducing(helm, Random(stand.seed + 4), self.log)
             nursery.start_soon(reducing.run)
-            core.siding = siding = Siding(helm, stand.zone, Random(stand.seed + 5), self.log)
-            nursery.start_soon(siding.run)
-            operators = Operators(helm, catalogues, reducing, siding)
+            core.zone_routing = zone_routing = ZoneRouting(helm, stand.zone, Random(stand.seed + 5), self.log)
+            nursery.start_soon(zone_routing.run)
+            operators = Operators(helm, catalogues, reducing, zone_routing)
             viewers = Viewers(core, (PATH, sessions.response), (OPERATORS, operators.handle))
             nursery.start_soon(sessions.look_after)
             self.sessions = sessions
--- a/oakcroft/front/siding.py
+++ b/oakcroft/front/siding.py
@@ -1,4 +1,4 @@
-"""Preference between wings on one front: gathers the evidence, and holds each request to the wings that it may go to.
+"""Preference between zones on one front: gathers the evidence, and holds each request to the zones that it may go to.
 What is decided stands in `oakcroft/decisions/routing/wings.py`."""
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 
 from oakcroft.choice import DISTRUST_HALF, DISTRUSTED
 from oakcroft.decisions.sessions.lifeline import Life as NodeLife, Loss
-from oakcroft.decisions.routing.wings import Seen, State, Wings, zone_load
+from oakcroft.decisions.routing.wings import NodeEvidence, ZonePreference, ZoneState, zone_load
 from oakcroft.front.helm import Helm
 from oakcroft.interface import SECOND, Listing, Node
 
@@ -19,44 +19,48 @@
 KNOCK = SECOND  # between two tries to hear of one lost node
 
 
-class Siding:
-    """Where requests of one front may go. Without a (preference …) form, or a wing of its own, everywhere."""
+class ZoneRouting:
+    """Where requests of one front may go. Without a (preference …) form, or a zone of its own, everywhere."""
 
     def __init__(
         self, helm: Helm, zone: str, rng: Random, log: structlog.typing.FilteringBoundLogger
     ) -> None:
         self.helm, self.zone, self.rng, self.log = helm, zone, rng, log
         self.knocked: dict[str, int] = {}
-        self.wings = self._made()
+        self.zones = self._made()
 
-    def _made(self) -> Wings | None:
+    def _made(self) -> ZonePreference | None:
         site = self.helm.site
         if site.preference is None or not self.zone:
             return None
         others = [w for w in site.then if w != self.zone]
-        return Wings((self.zone, *others), site.preference)
+        return ZonePreference((self.zone, *others), site.preference)
 
-    def evidence(self, now: int) -> dict[str, dict[Seen, int]]:
-        """How many nodes of each wing look how."""
-        out: dict[str, dict[Seen, int]] = {}
+    def evidence(self, now: int) -> dict[str, dict[NodeEvidence, int]]:
+        """How many nodes of each zone look how."""
+        out: dict[str, dict[NodeEvidence, int]] = {}
         listed = {name.partition("+")[0] for name in self.helm.roster.lines}
         for name, node in self.helm.roster.nodes.items():
             if name in self.helm.roster.gone_at and name.partition("+")[0] in listed:
                 continue  # its replacement counts in its place
-            seen = Seen.GONE if name in self.helm.roster.gone_at else self._seen(node, now)
-            of_wing = out.setdefault(node.zone, {})
-            of_wing[seen] = of_wing.get(seen, 0) + 1
+            seen = NodeEvidence.GONE if name in self.helm.roster.gone_at else self._seen(node, now)
+            of_zone = out.setdefault(node.zone, {})
+            of_zone[seen] = of_zone.get(seen, 0) + 1
         return out
 
-    def _seen(self, node: Node, now: int) -> Seen:
+    def _seen(self, node: Node, now: int) -> NodeEvidence:
         if node.listing is Listing.DRAINING:
-            return Seen.DRAINS
+            return NodeEvidence.DRAINS
         leg = self.helm.legs.get(node.name)
         if leg is not None and leg.lifeline.how is not None:
-            return Seen.REFUSES if leg.lifeline.how is Loss.PROVEN else Seen.SILENT
+            return NodeEvidence.REFUSES if leg.lifeline.how is Loss.PROVEN else NodeEvidence.SILENT
         if leg is not None and leg.lifeline.state is NodeLife.SILENT:
-            return Seen.SILENT
-        return Seen.SILENT if node.distrust.read(now, DISTRUST_HALF) >= DISTRUSTED else Seen.ANSWERS
+            return NodeEvidence.SILENT
+        return (
+            NodeEvidence.SILENT
+            if node.distrust.read(now, DISTRUST_HALF) >= DISTRUSTED
+            else NodeEvidence.ANSWERS
+        )
 
     def loads(self, zones: Iterable[str]) -> dict[str, float]:
         """The load of each zone, from the loads of links as the module knows them."""
@@ -72,51 +76,57 @@
         while True:
             await trio.sleep(EVERY)
             if (self.helm.site.preference, self.helm.site.then) != made_from:
-                made_from, self.wings = (self.helm.site.preference, self.helm.site.then), self._made()
-            if self.wings is not None:
-                self.look(self.wings)
+                made_from, self.zones = (self.helm.site.preference, self.helm.site.then), self._made()
+            if self.zones is not None:
+                self.look(self.zones)
 
-    def look(self, wings: Wings) -> None:
+    def look(self, zones: ZonePreference) -> None:
         """Takes fresh evidence; one line for each change."""
         now = self.helm.clock.now()
-        self._knock(wings, now)
+        self._knock(zones, now)
         self.knocked = {n: at for n, at in self.knocked.items() if n in self.helm.legs}
         nodes = self.evidence(now)
-        for wing, before, after in wings.look(nodes, now):
-            life = wings.lives[wing]
-            self.log.warning("wing", wing=wing, before=before.value, after=after.value, falters=life.falters,
-                             ramp_s=life.ramp // 1_000_000_000, turned_away=wings.turned,
-                             nodes={s.name.lower(): n for s, n in nodes.get(wing, {}).items()})  # fmt: skip
-
-    def _knock(self, wings: Wings, now: int) -> None:
-        """Opens the event streams of lost nodes now and then: nothing else goes to a wing that is out, so nothing else
+        for zone, before, after in zones.look(nodes, now):
+            health = zones.health[zone]
+            # Operators' tools know the event and its fields by these names.
+            self.log.warning("wing", wing=zone, before=before.value, after=after.value, falters=health.relapses,
+                             ramp_s=health.ramp // 1_000_000_000, turned_away=zones.turned,
+                             nodes={s.name.lower(): n for s, n in nodes.get(zone, {}).items()})  # fmt: skip
+
+    def _knock(self, zones: ZonePreference, now: int) -> None:
+        """Opens the event streams of lost nodes now and then: nothing else goes to a zone that is out, so nothing else
         would tell that it answers again."""
         for name, leg in self.helm.legs.items():
             node = self.helm.roster.nodes.get(name)
             if node is None or leg.lifeline.state is not NodeLife.LOST or node.listing is not Listing.READY:
                 continue
-            life = wings.lives.get(node.zone)
-            if life is not None and life.state is not State.SOUND and now - self.knocked.get(name, 0) > KNOCK:
+            health = zones.health.get(node.zone)
+            if (
+                health is not None
+                and health.state is not ZoneState.SOUND
+                and now - self.knocked.get(name, 0) > KNOCK
+            ):
                 self.knocked[name] = now
                 self.helm.follow_events(leg, leg.events)
 
     def admits(self) -> Callable[[Node], bool] | None:
-        """The nodes that a new request may go to, as far as wings go; None for all."""
-        if self.wings is None:
+        """The nodes that a new request may go to, as far as zones go; None for all."""
+        if self.zones is None:
             return None
-        loads = self.loads(self.wings.tiers)
-        chosen = self.wings.choose(loads, self.rng.random(), self.helm.clock.now())
+        loads = self.loads(self.zones.tiers)
+        chosen = self.zones.choose(loads, self.rng.random(), self.helm.clock.now())
         return lambda node: node.zone in chosen
 
     def status(self) -> dict[str, object]:
         """For operators."""
-        if self.wings is None:
+        if self.zones is None:
             return {}
         now = self.helm.clock.now()
         out: dict[str, object] = {
-            wing: {"state": life.state.value, "since_s": round((now - life.since) / 1e9, 1),
-                   "share": round(life.share(now), 3), "falters": life.falters, "ramp_s": life.ramp // 1_000_000_000}
-            for wing, life in self.wings.lives.items()
+            zone: {"state": health.state.value, "since_s": round((now - health.since) / 1e9, 1),
+                   "share": round(health.share(now), 3), "falters": health.relapses,
+                   "ramp_s": health.ramp // 1_000_000_000}
+            for zone, health in self.zones.health.items()
         }  # fmt: skip
-        spill = self.wings.spill
-        return out | {"spilled": f"{spill.spilled} of {len(spill.sent)}", "turned_away": self.wings.turned}
+        spill = self.zones.spill
+        return out | {"spilled": f"{spill.spilled} of {len(spill.sent)}", "turned_away": self.zones.turned}
--- a/tests/test_untold_loads.py
+++ b/tests/test_untold_loads.py
@@ -17,6 +17,7 @@
 
 
 def pass_seconds(fleet: Fleet, seconds: int) -> None:
+    """The end of each interval comes."""
     for _ in range(seconds):
         fleet.now += SECOND
         fleet.control.alarm(fleet.now)
@@ -30,6 +31,7 @@
 
 
 def test_racks_do_not_look_full_on_a_guess_alone() -> None:
+    """A guess of each link alone fills no uplink: requests are placed, off the ladder's foot."""
     fleet = Fleet(NODES, UNTOLD)
     pass_seconds(fleet, 3)
     playing = []
@@ -44,6 +46,7 @@
 
 
 def test_links_are_taken_at_the_usual_of_what_their_uplink_lets_through() -> None:
+    """The guess is of what is tighter, link or uplink, and stands before the first request."""
     wide = Fleet(NODES, replace(UNTOLD, uplink=NODES * LINK))
     without = Fleet(NODES, replace(UNTOLD, uplink=0.0))
     assert wide.control.usual == without.control.usual == USUAL
@@ -54,6 +57,7 @@
 
 @pytest.mark.parametrize("sign", ["short delivery", "full answer"])
 def test_one_link_that_is_found_full_says_nothing_of_the_others(sign: str) -> None:
+    """Full links are what is noticed where nothing reports; the rest is taken for usual all the same."""
     fleet = Fleet(NODES, UNTOLD)
     pass_seconds(fleet, 3)
     usual = fleet.control.usual
@@ -73,6 +77,7 @@
 
 
 def test_what_is_found_full_counts_beside_what_is_told() -> None:
+    """Where nodes report, short delivery is a sample among others."""
     fleet = Fleet(NODES, replace(UNTOLD, reports_every=3 * SECOND))
     told, short = plays_on(fleet, fleet.nodes[0]), plays_on(fleet, fleet.nodes[2])
     fleet.control.noted(told, Note.LINK_ASKED, 0.5, fleet.now)
@@ -82,6 +87,7 @@
 
 
 def test_a_mean_that_was_told_stands_when_the_list_changes() -> None:
+    """Once a link has told, no list brings the first guess back."""
     fleet = Fleet(NODES, UNTOLD)
     fleet.control.noted(plays_on(fleet, fleet.nodes[0]), Note.LINK_ASKED, 0.2, fleet.now)
     pass_seconds(fleet, 1)
--- a/tests/test_wings.py
+++ b/tests/test_wings.py
@@ -1,4 +1,4 @@
-"""Wings: evidence, the way back, and the bound on what spills."""
+"""Preference between zones: evidence, the way back, and the bound on what spills."""
 
 from __future__ import annotations
 
@@ -12,25 +12,25 @@
 from rig import run, standing, until
 
 from oakcroft.decisions.routing.wings import (
-    FOLLOWS,
+    TRANSITIONS,
     NO_READY_NODE,
     Bounds,
-    Life,
-    Seen,
-    Spill,
-    State,
-    Wings,
+    ZoneHealth,
+    NodeEvidence,
+    SpillWindow,
+    ZoneState,
+    ZonePreference,
     zone_load,
 )
 from oakcroft.interface import SECOND
 
-ALL = {Seen.ANSWERS: 10}
-SILENT = {Seen.ANSWERS: 2, Seen.SILENT: 8}
-DEAD = {Seen.ANSWERS: 1, Seen.REFUSES: 5, Seen.GONE: 4}
-SOME = {Seen.ANSWERS: 6, Seen.REFUSES: 4}
+ALL = {NodeEvidence.ANSWERS: 10}
+SILENT = {NodeEvidence.ANSWERS: 2, NodeEvidence.SILENT: 8}
+DEAD = {NodeEvidence.ANSWERS: 1, NodeEvidence.REFUSES: 5, NodeEvidence.GONE: 4}
+SOME = {NodeEvidence.ANSWERS: 6, NodeEvidence.REFUSES: 4}
 
 
-def through(life: Life, seconds: int, nodes: dict[Seen, int], now: int = 0) -> list[State]:
+def through(life: ZoneHealth, seconds: int, nodes: dict[NodeEvidence, int], now: int = 0) -> list[ZoneState]:
     out = []
     for n in range(seconds * 2):
         if (state := life.look(nodes, now * SECOND + n * SECOND // 2)) is not None:
@@ -39,23 +39,23 @@
 
 
 def test_a_cut_is_told_from_a_loss_and_both_from_a_few_dead_nodes() -> None:
-    life = Life(Bounds())
+    life = ZoneHealth(Bounds())
     assert through(life, 10, SOME) == []
     assert through(life, 1, SILENT, 10) == []  # not for long enough
     assert through(life, 10, ALL, 11) == []
-    assert through(life, 5, SILENT, 30) == [State.CUT]
-    assert through(life, 5, DEAD, 40) == [State.LOST]
+    assert through(life, 5, SILENT, 30) == [ZoneState.CUT]
+    assert through(life, 5, DEAD, 40) == [ZoneState.LOST]
     assert through(life, 5, SILENT, 50) == []  # what is lost is not found again by silence
-    assert through(life, 60, ALL, 60) == [State.RETURNING, State.SOUND]
+    assert through(life, 60, ALL, 60) == [ZoneState.RETURNING, ZoneState.SOUND]
     assert through(life, 5, {}, 130) == []
 
 
 def test_the_way_back_rises_and_takes_longer_with_each_falter() -> None:
-    life, ramps, now = Life(Bounds()), list[int](), 0
+    life, ramps, now = ZoneHealth(Bounds()), list[int](), 0
     for _ in range(6):
         through(life, 5, DEAD, now)
         through(life, 3, ALL, now + 5)
-        assert life.state is State.RETURNING
+        assert life.state is ZoneState.RETURNING
         ramps.append(life.ramp // SECOND)
         shares = [life.share(life.since + t * SECOND) for t in range(400)]
         assert all(b >= a for a, b in pairwise(shares))
@@ -64,8 +64,8 @@
         now += 8
     assert ramps == [30, 60, 120, 240, 300, 300]
     through(life, 2000, ALL, now)
-    assert (life.state, life.falters) == (State.SOUND, 0)
-    cut = Life(Bounds())
+    assert (life.state, life.relapses) == (ZoneState.SOUND, 0)
+    cut = ZoneHealth(Bounds())
     through(cut, 5, SILENT)
     through(cut, 4, ALL, 5)
     assert cut.ramp == 30 * SECOND // 4  # its nodes are warm
@@ -73,7 +73,7 @@
 
 def test_every_small_history_goes_only_where_it_can_and_comes_back() -> None:
     for what in product((ALL, SILENT, DEAD, SOME), repeat=6):
-        life = Life(Bounds(hold=1, ramp=4, longest=16))
+        life = ZoneHealth(Bounds(hold=1, ramp=4, longest=16))
         states = [life.state]
         for n, nodes in enumerate(what):
             life.look(nodes, n * 2)
@@ -82,16 +82,17 @@
         for n in range(12, 200):
             life.look(ALL, n)
             states.append(life.state)
-        assert states[-1] is State.SOUND
+        assert states[-1] is ZoneState.SOUND
         assert all(
-            a is b or b in FOLLOWS[a] or any(b in FOLLOWS[m] for m in FOLLOWS[a]) for a, b in pairwise(states)
+            a is b or b in TRANSITIONS[a] or any(b in TRANSITIONS[m] for m in TRANSITIONS[a])
+            for a, b in pairwise(states)
         )
 
 
 @given(st.integers(0, 1 << 30), st.floats(0, 1), st.lists(st.integers(0, 3_000), max_size=150))
 def test_never_more_spills_than_stated(seed: int, part: float, gaps: list[int]) -> None:
     bounds, rng = Bounds(spill=part), Random(seed)
-    wings, now, let = Wings(("west", "east"), bounds), 0, list[tuple[int, bool]]()
+    wings, now, let = ZonePreference(("west", "east"), bounds), 0, list[tuple[int, bool]]()
     for gap in gaps:
         now += gap * 1_000_000
         out = DEAD if rng.random() < 0.8 else ALL
@@ -103,7 +104,7 @@
 
 
 def test_own_wing_first_others_within_the_bound_and_the_rest_turned_away() -> None:
-    wings = Wings(("west", "east"), Bounds(spill=0.5))
+    wings = ZonePreference(("west", "east"), Bounds(spill=0.5))
     assert wings.choose({}, 0.99, 0) == {"west"}
     for n in range(8):
         wings.look({"west": DEAD, "east": ALL}, n * SECOND)
@@ -111,7 +112,7 @@
     assert sum(c == {"east"} for c in chosen) == 50
     assert sum(not c for c in chosen) == wings.turned == 50
     assert wings.choose({"east": 0.95}, 0.5, 60 * SECOND) == set()  # the surviving wing has no room
-    full = Wings(("west", "east"), Bounds(spill=1.0))
+    full = ZonePreference(("west", "east"), Bounds(spill=1.0))
     assert full.choose({"west": 0.95, "east": 0.5}, 0.5, 0) == {"east"}  # its own wing is full
     assert full.choose({"west": 0.95, "east": 0.95}, 0.5, 0) == {
         "west"
@@ -121,7 +122,7 @@
 def test_a_zone_without_a_ready_node_has_no_room_at_any_bound() -> None:
     assert zone_load([0.5, 0.7]) == 0.6
     assert zone_load([]) == NO_READY_NODE
-    zones = Wings(("west", "east"), Bounds(spill=1.0, room=1_000.0))
+    zones = ZonePreference(("west", "east"), Bounds(spill=1.0, room=1_000.0))
     assert zones.choose({"west": NO_READY_NODE, "east": 0.5}, 0.5, 0) == {"east"}
     assert zones.choose({"west": 0.5, "east": NO_READY_NODE}, 0.5, 0) == {"west"}
     nowhere = {"west": NO_READY_NODE, "east": NO_READY_NODE}
@@ -129,25 +130,36 @@
 
 
 def test_while_a_zone_drains_its_requests_spill_within_the_bound_and_all_come_back_at_once_after() -> None:
-    zones, drained = Wings(("west", "east"), Bounds(spill=0.5)), {Seen.DRAINS: 10}
+    zones, drained = ZonePreference(("west", "east"), Bounds(spill=0.5)), {NodeEvidence.DRAINS: 10}
     zones.look({"west": drained, "east": ALL}, 0)
     chosen = [zones.choose({"west": NO_READY_NODE, "east": 0.5}, 0.5, n) for n in range(100)]
     assert sum(c == {"east"} for c in chosen) == 50
     zones.look({"west": drained, "east": ALL}, 9 * SECOND)
-    assert zones.lives["west"].state is State.SOUND  # a drain is no loss, and has no way back
+    assert zones.health["west"].state is ZoneState.SOUND  # a drain is no loss, and has no way back
     assert zones.choose({"west": 0.5, "east": 0.5}, 0.99, 10 * SECOND) == {"west"}
 
 
 def test_draining_nodes_are_no_evidence_for_or_against_their_zone() -> None:
-    assert through(Life(Bounds()), 10, {Seen.DRAINS: 10}) == []
-    assert through(Life(Bounds()), 10, {Seen.DRAINS: 8, Seen.ANSWERS: 2}) == []
-    assert through(Life(Bounds()), 10, {Seen.DRAINS: 8, Seen.ANSWERS: 1, Seen.SILENT: 1}) == []
-    assert through(Life(Bounds()), 10, {Seen.DRAINS: 8, Seen.SILENT: 2}) == [State.CUT]
-    assert through(Life(Bounds()), 10, {Seen.DRAINS: 5, Seen.REFUSES: 5}) == [State.LOST]
+    assert through(ZoneHealth(Bounds()), 10, {NodeEvidence.DRAINS: 10}) == []
+    assert through(ZoneHealth(Bounds()), 10, {NodeEvidence.DRAINS: 8, NodeEvidence.ANSWERS: 2}) == []
+    assert (
+        through(
+            ZoneHealth(Bounds()),
+            10,
+            {NodeEvidence.DRAINS: 8, NodeEvidence.ANSWERS: 1, NodeEvidence.SILENT: 1},
+        )
+        == []
+    )
+    assert through(ZoneHealth(Bounds()), 10, {NodeEvidence.DRAINS: 8, NodeEvidence.SILENT: 2}) == [
+        ZoneState.CUT
+    ]
+    assert through(ZoneHealth(Bounds()), 10, {NodeEvidence.DRAINS: 5, NodeEvidence.REFUSES: 5}) == [
+        ZoneState.LOST
+    ]
 
 
 def test_a_returning_wing_gets_its_share_over_two_hundred_fronts_by_and_by() -> None:
-    fronts = [Wings(("west", "east"), Bounds(spill=1.0)) for _ in range(200)]
+    fronts = [ZonePreference(("west", "east"), Bounds(spill=1.0)) for _ in range(200)]
     rng, got = Random(5), list[int]()
     for second in range(60):
         now, sent = second * SECOND, 0
@@ -161,7 +173,7 @@
 
 
 def test_a_spill_window_passes() -> None:
-    spill = Spill(Bounds(spill=0.5, window=10))
+    spill = SpillWindow(Bounds(spill=0.5, window=10))
     assert not spill.may(0)
     spill.asked(False, 0)
     assert spill.may(0)
