--- /dev/null
+++ b/benchmarks/capacity/experiments.py
@@ -0,0 +1,91 @@
+"""What an experiment is, and how its runs become slopes on record."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Literal
+
+from benchmarks.capacity.slopes import LEAST_RUNS, Measurement, Slope, record
+
+ROOT = Path(__file__).parents[2]
+MEASURED_CODE = "oakcroft"
+SEEDS = tuple(range(1, LEAST_RUNS + 1))
+
+
+class DirtyError(Exception):
+    """The program to be measured is not what its commit says."""
+
+
+@dataclass(frozen=True)
+class Quantity:
+    """One thing that an experiment measures. `name` is the slope's."""
+
+    name: str
+    quantity: str
+    unit: str
+    note: str = ""
+
+
+@dataclass(frozen=True)
+class Experiment:
+    """Runs of one kind. `measure` takes a seed and gives, for each size, the quantities' values in their order."""
+
+    name: str
+    against: str
+    kind: Literal["measured", "simulated"]
+    quantities: tuple[Quantity, ...]
+    measure: Callable[[int], Mapping[int, Sequence[float]]]
+    seeds: tuple[int, ...] = SEEDS
+
+
+def commit() -> str:
+    """Of the last change to the program. DirtyError where the working tree differs from it."""
+    changed = git("status", "--porcelain", "--", MEASURED_CODE)
+    if changed:
+        raise DirtyError(f"uncommitted: {changed.splitlines()[0].strip()}")
+    return git("log", "-1", "--format=%h", "--abbrev=12", "--", MEASURED_CODE)
+
+
+def git(*arguments: str) -> str:
+    """What git says."""
+    done = subprocess.run(["git", *arguments], cwd=ROOT, check=True, capture_output=True, text=True)
+    return done.stdout.strip()
+
+
+def run(experiment: Experiment, say: Callable[[str], None]) -> list[Slope]:
+    """Runs it with each seed; the slopes, checked and not yet on record."""
+    text = commit()
+    runs = []
+    for seed in experiment.seeds:
+        found = experiment.measure(seed)
+        for size, values in found.items():
+            shown = "  ".join(
+                f"{q.name} {v:.4g} {q.unit}" for q, v in zip(experiment.quantities, values, strict=True)
+            )
+            say(f"{experiment.name}: seed {seed}, {size} {experiment.against}: {shown}")
+        runs.append(found)
+    return [slope(experiment, i, runs, text) for i in range(len(experiment.quantities))]
+
+
+def slope(
+    experiment: Experiment, index: int, runs: Sequence[Mapping[int, Sequence[float]]], text: str
+) -> Slope:
+    """One quantity of all runs."""
+    quantity = experiment.quantities[index]
+    sizes = sorted(set.intersection(*(set(found) for found in runs)))
+    measurements = tuple(Measurement(size, tuple(found[size][index] for found in runs)) for size in sizes)
+    command = f"python -m benchmarks.capacity slopes --only {experiment.name}"
+    return Slope(
+        quantity.name, quantity.quantity, quantity.unit, experiment.against, experiment.kind, "today", command,
+        experiment.seeds, text, os.cpu_count() or 1, measurements, quantity.note,
+    )  # fmt: skip
+
+
+def run_and_record(experiment: Experiment, say: Callable[[str], None]) -> None:
+    """The same, and puts its slopes on record."""
+    for one in run(experiment, say):
+        record(one)
--- /dev/null
+++ b/benchmarks/capacity/measure_process.py
@@ -0,0 +1,283 @@
+"""Slopes of one real front end process: connections, sessions, reports, ends passed on, nodes, arrivals."""
+
+from __future__ import annotations
+
+import select
+import time
+from collections.abc import Awaitable, Callable, Sequence
+
+import trio
+
+from benchmarks.capacity.experiments import Experiment, Quantity
+from benchmarks.capacity.platform_process import WARM_S, Emulators, FrontProcess, Viewer, line, running
+
+MB = 1e6
+CONNECTIONS = (500, 1_000, 2_000, 4_000, 8_000)
+SESSIONS = (500, 1_000, 2_000, 4_000)
+ENDS = (250, 500, 1_000, 2_000, 4_000)
+NODES = (100, 200, 400, 800, 1_600, 3_200)
+RATES = (25, 50, 100, 200)
+FEW_NODES = 40
+IDLE_S = 4.0
+REPORTS_S = 4.0
+REPORTS_PER_S = 1_000
+REPORT_TICK_S = 0.02
+ARRIVALS_S = 6.0
+SETTLE_S = 1.0
+AT_ONCE = 32
+TITLES = 500
+ENDS_WITHIN_S = 30.0
+DONE = 16
+
+Found = dict[int, Sequence[float]]
+Work = Callable[[FrontProcess, Emulators], Awaitable[Found]]
+
+
+def with_front(nodes: int, work: Work) -> Found:
+    """Does something with a front end and its emulators."""
+
+    async def main() -> Found:
+        async with trio.open_nursery() as nursery:
+            emulators = Emulators(nursery)
+            await emulators.start()
+            async with running(emulators, nodes) as front:
+                found = await work(front, emulators)
+            nursery.cancel_scope.cancel()
+        return found
+
+    return trio.run(main)
+
+
+async def connect_more(front: FrontProcess, viewers: list[Viewer], count: int) -> None:
+    """So many connections in all, each of which has said something."""
+
+    async def some(share: int) -> None:
+        for _ in range(share):
+            viewer = await Viewer.connect(front.port)
+            await viewer.test()
+            viewers.append(viewer)
+
+    more = count - len(viewers)
+    async with trio.open_nursery() as nursery:
+        for i in range(AT_ONCE):
+            nursery.start_soon(some, more // AT_ONCE + (i < more % AT_ONCE))
+
+
+async def play_more(
+    front: FrontProcess, emulators: Emulators, viewers: list[Viewer], count: int, title: str
+) -> None:
+    """So many sessions in all, one a connection. RuntimeError where one was refused."""
+
+    async def some(numbers: range) -> None:
+        for number in numbers:
+            viewer = await Viewer.connect(front.port)
+            if not await viewer.set_up(f"{number + 1:016x}", title or f"title-{number % TITLES}"):
+                raise RuntimeError(f"session {number} was refused")
+            viewers.append(viewer)
+
+    async with trio.open_nursery() as nursery:
+        for i in range(AT_ONCE):
+            nursery.start_soon(some, range(len(viewers) + i, count, AT_ONCE))
+
+
+def connections(_seed: int) -> Found:
+    """Idle connections: memory, share of a core, descriptors."""
+
+    async def work(front: FrontProcess, _emulators: Emulators) -> Found:
+        found, viewers = Found(), list[Viewer]()
+        for count in CONNECTIONS:
+            await connect_more(front, viewers, count)
+            await trio.sleep(SETTLE_S)
+            share = await front.share_over(IDLE_S)
+            found[count] = front.memory / MB, 100 * share, front.descriptors
+        return found
+
+    return with_front(FEW_NODES, work)
+
+
+def sessions(_seed: int) -> Found:
+    """Held sessions: memory, share of a core while idle, processor time of a set-up and of a node's report."""
+
+    async def work(front: FrontProcess, emulators: Emulators) -> Found:
+        await trio.sleep(WARM_S)
+        found, viewers = Found(), list[Viewer]()
+        for count in SESSIONS:
+            before, held = front.processor_s, len(viewers)
+            await play_more(front, emulators, viewers, count, "")
+            set_up_ms = 1e3 * (front.processor_s - before) / (count - held)
+            await trio.sleep(SETTLE_S)
+            idle = await front.share_over(IDLE_S)
+            busy = await report(front, emulators)
+            report_us = 1e6 * (busy - idle) / REPORTS_PER_S
+            found[count] = front.memory / MB, 100 * idle, set_up_ms, report_us
+        return found
+
+    return with_front(FEW_NODES, work)
+
+
+async def report(front: FrontProcess, emulators: Emulators) -> float:
+    """Nodes report so often on their sessions, in turn; the front end's share of a core meanwhile."""
+    some, share = list(emulators.sessions.items()), list[float]()
+
+    async def measure() -> None:
+        share.append(await front.share_over(REPORTS_S))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(measure)
+        each, sent, began = round(REPORTS_PER_S * REPORT_TICK_S), 0, trio.current_time()
+        while trio.current_time() < began + REPORTS_S:
+            for i in range(each):
+                session, stream = some[(sent + i) % len(some)]
+                await stream.send_all(line(msg="event", sid=session, attrs={"note": "local", "value": "0.3"}))
+            sent += each
+            await trio.sleep_until(began + sent / REPORTS_PER_S)
+    return share[0]
+
+
+def ends(_seed: int) -> Found:
+    """Sessions of one title, all ended by their nodes at once: time until the last viewer has heard, and processor time."""
+
+    async def work(front: FrontProcess, emulators: Emulators) -> Found:
+        await trio.sleep(WARM_S)
+        found = Found()
+        for count in ENDS:
+            viewers = list[Viewer]()
+            emulators.sessions.clear()
+            await play_more(front, emulators, viewers, count, "the-largest")
+            await trio.sleep(SETTLE_S)
+            before = front.processor_s
+            took = end_all(emulators, viewers)
+            found[count] = 1e3 * took, 1e6 * (front.processor_s - before) / count
+            for viewer in viewers:
+                viewer.close()
+            await trio.sleep(SETTLE_S)
+        return found
+
+    return with_front(FEW_NODES, work)
+
+
+def end_all(emulators: Emulators, viewers: list[Viewer]) -> float:
+    """Ends all sessions in one step; seconds until the last viewer has its release. Nothing else runs meanwhile."""
+    poll = select.epoll()
+    for viewer in viewers:
+        poll.register(viewer.sock.fileno(), select.EPOLLIN)
+    by_link: dict[trio.SocketStream, list[str]] = {}
+    for session, stream in emulators.sessions.items():
+        by_link.setdefault(stream, []).append(session)
+    messages = [
+        (stream.socket.fileno(), b"".join(line(msg="close", sid=s, attrs={}, code=DONE) for s in some))
+        for stream, some in by_link.items()
+    ]
+    began = time.perf_counter()
+    for descriptor, octets in messages:
+        write_all(descriptor, octets)
+    left = len(viewers)
+    while left and time.perf_counter() < began + ENDS_WITHIN_S:
+        for descriptor, _ in poll.poll(1.0):
+            poll.unregister(descriptor)
+            left -= 1
+    poll.close()
+    if left:
+        raise RuntimeError(f"{left} viewers heard nothing")
+    return time.perf_counter() - began
+
+
+def write_all(descriptor: int, octets: bytes) -> None:
+    """Writes to a socket that does not block, waiting where its buffer is full."""
+    import os
+
+    while octets:
+        select.select([], [descriptor], [], ENDS_WITHIN_S)
+        octets = octets[os.write(descriptor, octets) :]
+
+
+def nodes(_seed: int) -> Found:
+    """Nodes on the list: from start to ready, memory, and share of a core while nothing happens."""
+
+    async def work(front: FrontProcess, _emulators: Emulators) -> Found:
+        await trio.sleep(SETTLE_S)
+        share = await front.share_over(IDLE_S)
+        return {0: (front.ready_s, front.memory / MB, 100 * share)}
+
+    return {count: with_front(count, work)[0] for count in NODES}
+
+
+def arrivals(_seed: int) -> Found:
+    """Set-ups at a rate, each ended by its viewer's leaving and its node: share of a core."""
+
+    async def one(front: FrontProcess, emulators: Emulators, number: int) -> None:
+        viewer, session = await Viewer.connect(front.port), f"{number + 1:016x}"
+        if await viewer.set_up(session, f"title-{number % TITLES}"):
+            await emulators.sessions.pop(session).send_all(
+                line(msg="close", sid=session, attrs={}, code=DONE)
+            )
+            await viewer.hear()
+        viewer.close()
+
+    async def at_rate(front: FrontProcess, emulators: Emulators, rate: int, base: int) -> float:
+        share, began = list[float](), trio.current_time()
+
+        async def measure() -> None:
+            share.append(await front.share_over(ARRIVALS_S))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(measure)
+            for i in range(round(rate * ARRIVALS_S)):
+                await trio.sleep_until(began + i / rate)
+                nursery.start_soon(one, front, emulators, base + i)
+        return share[0]
+
+    async def work(front: FrontProcess, emulators: Emulators) -> Found:
+        await trio.sleep(WARM_S)
+        found = Found()
+        for rate in RATES:
+            found[rate] = (100 * await at_rate(front, emulators, rate, 1_000_000 * rate),)
+            await trio.sleep(SETTLE_S)
+        return found
+
+    return with_front(FEW_NODES, work)
+
+
+PROCESS_EXPERIMENTS = (
+    Experiment(
+        "front-connections", "idle connections", "measured",
+        (
+            Quantity("connections.memory", "resident memory of a front end", "MB"),
+            Quantity("connections.processor", "processor time of a front end, nothing happening", "% of a core"),
+            Quantity("connections.descriptors", "open descriptors of a front end", "descriptors"),
+        ),
+        connections,
+    ),
+    Experiment(
+        "front-sessions", "held sessions", "measured",
+        (
+            Quantity("sessions.memory", "resident memory of a front end, a connection each", "MB"),
+            Quantity("sessions.processor", "processor time of a front end, nothing happening", "% of a core"),
+            Quantity("sessions.set-up", "processor time of one set-up, while so many come to be held", "ms"),
+            Quantity("sessions.report", "processor time of one node's report on a session", "us"),
+        ),
+        sessions,
+    ),
+    Experiment(
+        "front-ends", "sessions of one title that end at once", "measured",
+        (
+            Quantity("ends.time", "from the nodes' word until the last viewer has its release", "ms"),
+            Quantity("ends.processor", "processor time of the front end for each", "us"),
+        ),
+        ends,
+    ),
+    Experiment(
+        "front-nodes", "nodes on the list", "measured",
+        (
+            Quantity("nodes.ready", "from the start of the process until it passes a test", "s"),
+            Quantity("nodes.memory", "resident memory of a front end", "MB"),
+            Quantity("nodes.processor", "processor time of a front end, nothing happening", "% of a core"),
+        ),
+        nodes,
+    ),
+    Experiment(
+        "front-arrivals", "set-ups a second", "measured",
+        (Quantity("arrivals.processor", "processor time of a front end, each session ended at once", "% of a core"),),
+        arrivals,
+    ),
+)  # fmt: skip
--- /dev/null
+++ b/benchmarks/capacity/measure_rollout.py
@@ -0,0 +1,165 @@
+"""Slopes of configuration distribution: today's staged rollout over simulated links, and the catalogue's text."""
+
+from __future__ import annotations
+
+import heapq
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from random import Random
+
+from benchmarks.capacity.experiments import Experiment, Quantity
+from oakcroft.catalogue.text import digest, read, write
+from oakcroft.decisions.fleet.rollout import Plan, Report, Rollout, Stage
+from oakcroft.decisions.routing.catalogue import Catalogue, Item, changed, takes_part
+from oakcroft.front.rolling import DUTY, ENCODER, ORDER_EVERY, ReportBody, plan_of, word_of
+from oakcroft.interface import MS, SECOND
+from oakcroft.peerwire.duties import DutyCodec, OrderWord, ReportWord
+from oakcroft.peerwire.sealing import Ring
+
+ROLLOUT_SIZES = (100, 200, 400, 800, 1_600, 2_700)
+TITLE_SIZES = (1_000, 10_000, 40_000, 170_000)
+LOSS = 0.01
+LATENCY = (MS, 5 * MS)
+IP_UDP = 28
+GIVE_UP = 300 * SECOND
+HOLDERS, NODES = 4, 2_700
+KB, MB = 1e3, 1e6
+
+Found = dict[int, Sequence[float]]
+
+
+class SimulatedRollout:
+    """One owner and its fronts. The owner's decisions, codec and pace are the program's; fronts do as they are told at once,
+    and texts take no time: what is left is what staging alone costs."""
+
+    def __init__(self, fronts: int, seed: int) -> None:
+        self.rng, self.now, self.number = Random(seed), 0, 0
+        self.names = [f"front-{i:04}" for i in range(fronts)]
+        self.codec = DutyCodec("oakcroft", Ring((b"k" * 32,)))
+        new, base = (write([(name, Item())], False) for name in ("new", "base"))
+        self.rollout = Rollout(Plan(1, digest(new), digest(base), Stage.HANDED, 1, 0))
+        self.in_force = dict.fromkeys(self.names, self.rollout.plan.base)
+        self.heap: list[tuple[int, int, Callable[[], None]]] = []
+        self.sent = self.received = 0
+        self.processor = 0.0
+
+    def play(self) -> None:
+        """Until all have the new version in force."""
+        turn = round(ORDER_EVERY * SECOND)
+        while any(digest != self.rollout.plan.digest for digest in self.in_force.values()):
+            if self.now > GIVE_UP:
+                raise RuntimeError("the rollout did not end")
+            self._order()
+            until = self.now + turn
+            while self.heap and self.heap[0][0] <= until:
+                self.now, _, event = heapq.heappop(self.heap)
+                event()
+            self.now = until
+
+    def _order(self) -> None:
+        """The owner's turn: on to the next stage where it is due, and an order to each front."""
+        began = time.process_time()
+        after = self.rollout.next(self.names, self.now)
+        if after is not None:
+            self.rollout.recorded(after)
+        word = OrderWord(DUTY, 7, self.rollout.plan.step, word_of(self.rollout.plan))
+        orders = [self.codec.order(self.names[0], 1, word) for _ in self.names]
+        self.processor += time.process_time() - began
+        for i, octets in enumerate(orders):
+            self.sent += len(octets) + IP_UDP
+            self._carry(lambda front=i, order=word: self._obey(front, order))  # type: ignore[misc]
+
+    def _carry(self, event: Callable[[], None]) -> None:
+        if self.rng.random() >= LOSS:
+            self.number += 1
+            heapq.heappush(self.heap, (self.now + self.rng.randint(*LATENCY), self.number, event))
+
+    def _obey(self, front: int, order: OrderWord) -> None:
+        """A front's part in `front/rolling.py`, without its record and its text."""
+        plan, name = plan_of(order.body), self.names[front]
+        takes = takes_part(front, len(self.names), int(plan.digest, 16), plan.part)
+        if takes and plan.stage in (Stage.TAKEN, Stage.DONE):
+            self.in_force[name] = plan.digest
+        body = ReportBody(plan.step, True, self.in_force[name], takes, "", 100, 1, False)
+        octets = self.codec.report(
+            name, 1, ReportWord(DUTY, order.number, order.step, True, ENCODER.encode(body))
+        )
+        self._carry(lambda: self._heard(name, octets, body))
+
+    def _heard(self, name: str, octets: bytes, body: ReportBody) -> None:
+        self.received += len(octets) + IP_UDP
+        began = time.process_time()
+        opened = self.codec.ring.open(octets, self.now)
+        assert opened is not None
+        self.codec.taken(opened)
+        report = Report(
+            body.step, body.holds, body.in_force, body.takes_part, "", body.answers, body.failures
+        )
+        self.rollout.heard(name, report, self.now)
+        self.processor += time.process_time() - began
+
+
+def rollout(seed: int) -> Found:
+    """One change to all fronts, its watch of 10 s a share kept."""
+    found = Found()
+    for fronts in ROLLOUT_SIZES:
+        played = SimulatedRollout(fronts, seed)
+        played.play()
+        seconds = played.now / SECOND
+        found[fronts] = (
+            seconds, played.sent / seconds / KB, played.received / seconds / KB, 100 * played.processor / seconds,
+        )  # fmt: skip
+    return found
+
+
+def texts(seed: int) -> Found:
+    """One title of a catalogue changed: what travels to each front, and what a front spends on it beside its loop."""
+    rng, found = Random(seed), Found()
+    for count in TITLE_SIZES:
+        titles = {f"lesson-{i}": item(rng) for i in range(count)}
+        before = Catalogue(1, "before", dict(titles), False)
+        text = write((titles | {"lesson-0": item(rng)}).items(), False)
+        began = time.process_time()
+        said = read(text)
+        laid_out = write(said.titles.items(), said.others)
+        after = Catalogue(2, digest(laid_out), said.titles, False)
+        names = changed(before, after)
+        processor = time.process_time() - began
+        assert names == ["lesson-0"]
+        tracemalloc.start()
+        held = read(text)
+        memory = tracemalloc.get_traced_memory()[0] / MB
+        tracemalloc.stop()
+        assert len(held.titles) == count
+        found[count] = len(text) / KB, 1e3 * processor, memory
+    return found
+
+
+def item(rng: Random) -> Item:
+    """A title on some nodes, in three renditions."""
+    holders = tuple(f"node-{n:05}" for n in rng.sample(range(NODES), HOLDERS))
+    return Item(holders, rates=(200.0, 400.0, 800.0))
+
+
+ROLLOUT_EXPERIMENTS = (
+    Experiment(
+        "rollout", "fronts", "simulated",
+        (
+            Quantity("rollout.time", "from a change's beginning until it is in force at all fronts, watches kept", "s"),
+            Quantity("rollout.sent", "sent by the lease holder meanwhile", "kB/s"),
+            Quantity("rollout.received", "received by the lease holder meanwhile", "kB/s"),
+            Quantity("rollout.processor", "processor time of the lease holder meanwhile", "% of a core"),
+        ),
+        rollout,
+    ),
+    Experiment(
+        "catalogue", "titles of the catalogue", "measured",
+        (
+            Quantity("catalogue.octets", "whole text that travels to a front for any change", "kB"),
+            Quantity("catalogue.processor", "processor time of a front for a change of one title", "ms"),
+            Quantity("catalogue.memory", "memory of one version at a front, without its text", "MB"),
+        ),
+        texts,
+    ),
+)  # fmt: skip
--- /dev/null
+++ b/benchmarks/capacity/measure_simulated.py
@@ -0,0 +1,209 @@
+"""Slopes of today's decisions among front ends, on simulated links: membership, leases, loads told, slow start, takeover.
+
+Processor time is this machine's own; octets, times and shares are simulated and the same for the same seed.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Sequence
+from random import Random
+from statistics import median
+
+from benchmarks.capacity import assumptions as assumed
+from benchmarks.capacity.experiments import Experiment, Quantity
+from benchmarks.capacity.targets import TARGET
+from benchmarks.cold_ramp import LOADS, SETTINGS, Day
+from benchmarks.figures import play
+from oakcroft.decisions.fleet.adopting import KEYS, SCAN, SLOTS, Adopting, Bounds
+from oakcroft.decisions.fleet.holding import Word
+from oakcroft.decisions.fleet.terms import Answer, Ask, Note, Step, Term
+from oakcroft.interface import MS, SECOND
+from oakcroft.peerwire.duties import DutyCodec
+from oakcroft.peerwire.sealing import Ring
+from oakcroft.rehearsal.many_owners import Fleet
+from oakcroft.rehearsal.many_views import Net, fleet
+
+LOSS = 0.01
+SEED_ADDRESSES = (("host-f0", 1), ("host-f1", 1))
+START_SIZES = (25, 50, 100, 200)
+CUT_SIZES = (25, 50, 100, 200)
+LEASE_SIZES = (25, 50, 100, 200, 400)
+LOAD_SIZES = (25, 50, 100, 200)
+COLD_SIZES = (25, 50, 100, 200)
+TAKEOVER_SIZES = (100, 200, 400, 800)
+START_SPREAD = 500 * MS
+WINDOW_S = 10
+CUT_S, HEALED_S, QUIET_S = 30, 30, 30
+KEEPERS, TERM = 5, 6 * SECOND
+TURN = 50 * MS
+GIVE_UP_S = 120
+NOTE_OCTETS, IP_UDP = 120, 28
+KB = 1e3
+
+Found = dict[int, Sequence[float]]
+
+
+def by_size(sizes: Sequence[int], measure: Callable[[int, int], Sequence[float]]) -> Callable[[int], Found]:
+    """An experiment that begins anew at each size."""
+    return lambda seed: {size: measure(size, seed) for size in sizes}
+
+
+def octets(net: Net) -> list[int]:
+    """What each front has sent so far."""
+    return [process.octets for process in net.processes.values()]
+
+
+def membership_start(size: int, seed: int) -> Sequence[float]:
+    """All fronts start at once: kB a second that a front sends in the first ten, the middle one and the worst."""
+    net = Net(seed, LOSS)
+    for i in range(size):
+        net.later(net.rng.randrange(START_SPREAD), lambda name=f"f{i}": net.start(name, SEED_ADDRESSES))  # type: ignore[misc]
+    net.run(WINDOW_S * SECOND)
+    rates = [sent / WINDOW_S / KB for sent in octets(net)]
+    return median(rates), max(rates)
+
+
+def membership_cut(size: int, seed: int) -> Sequence[float]:
+    """A region's share of the fronts is cut off and comes back: worst ten seconds of the middle front and of the worst, and
+    what a quiet second costs."""
+    net = fleet(size, seed, LOSS)
+    net.run(QUIET_S * SECOND)
+    before, began = sum(octets(net)), time.process_time()
+    net.run(QUIET_S * SECOND)
+    processor = (time.process_time() - began) / QUIET_S / size
+    quiet = (sum(octets(net)) - before) / QUIET_S / size / KB
+    region = {f"f{i}" for i in range(max(1, size // TARGET.regions))}
+    samples = [octets(net)]
+    net.cut = lambda one, other: (one in region) != (other in region)
+    sample(net, samples, CUT_S)
+    net.cut = lambda _one, _other: False
+    sample(net, samples, HEALED_S)
+    worst = worst_windows(samples)
+    return median(worst), max(worst), quiet, 100 * processor
+
+
+def sample(net: Net, samples: list[list[int]], seconds: int) -> None:
+    """Plays on, noting what each front has sent at each second's end."""
+    for _ in range(seconds):
+        net.run(SECOND)
+        samples.append(octets(net))
+
+
+def worst_windows(samples: list[list[int]]) -> list[float]:
+    """Of each front, kB a second in its worst ten seconds."""
+    windows = zip(samples, samples[WINDOW_S:], strict=False)
+    rates = [[(b - a) / WINDOW_S / KB for a, b in zip(*window, strict=True)] for window in windows]
+    return [max(column) for column in zip(*rates, strict=True)]
+
+
+def leases(size: int, seed: int) -> Sequence[float]:
+    """One lease under five quorum members in a quiet time: messages a second of all."""
+    some = Fleet(size, KEEPERS, TERM, LOSS, seed)
+    if not some.run(20 * SECOND, lambda: bool(some.began)):
+        raise RuntimeError("nobody took the lease")
+    some.run(5 * TERM)
+    some.messages = 0
+    some.run(10 * TERM)
+    messages = some.messages / (10 * TERM / SECOND)
+    return messages, messages / KEEPERS * lease_message_octets() / KB
+
+
+def lease_message_octets() -> float:
+    """A question and its answer on the wire, with a plan on record as a rollout has it: the mean of the two."""
+    codec, note = DutyCodec("oakcroft", Ring((b"k" * 32,))), Note(7, 1, b"p" * NOTE_OCTETS)
+    term = Term(7, "front-0001", 1)
+    question = codec.ask("front-0001", 1, Ask(Step.PROPOSE, "catalogue", term, 9, TERM, note))
+    epochs = tuple((f"front-{i:04}", 1) for i in range(KEEPERS - 1))
+    reply = Answer(Step.ACCEPTED, "catalogue", "front-0002", 1, 7, 9, 7, term, TERM, note, epochs)
+    return (len(question) + len(codec.answer("front-0002", 1, reply))) / 2 + IP_UDP
+
+
+def loads(size: int, seed: int) -> Sequence[float]:
+    """As many nodes as fronts: what a front sends, age of what it knows, and its processor time."""
+    found = play(size, size, LOSS, seed=seed)
+    return found.kilobytes, found.ages[1], found.core_ms / 10
+
+
+def cold(size: int, seed: int) -> Sequence[float]:
+    """Half of the nodes replaced: part of their cold budget that the fronts used."""
+    return (max(1e-4, Day(SETTINGS[0], size, LOADS[0], seed).play()[3]),)
+
+
+def takeover(size: int, seed: int) -> Sequence[float]:
+    """The largest zone's fronts gone, as many nodes as fronts: until one front has asked all that are its to ask."""
+    rng = Random(seed)
+    names, nodes = [f"f{i}" for i in range(size)], [f"n{i}" for i in range(size)]
+    rng.shuffle(names)
+    me, lost = names[-1], names[: max(1, round(size / TARGET.zones * assumed.LARGEST_ZONE_OVER_MEAN.value))]
+    course = Adopting(me, Bounds(0, GIVE_UP_S * SECOND, 10_000))
+    course.listed(nodes, 0)
+    course.sees((), names, 0)
+    course.sees(lost, [name for name in names if name not in lost], 0)
+    now = last = 0
+    began = time.process_time()
+    while now - last <= rotation(course) and now < GIVE_UP_S * SECOND:
+        now += TURN
+        for errand in course.due(now):
+            course.asked(errand, {pair.dead.name: Word.OLDER for pair in errand.pairs}, now)
+            last = now
+    return last / SECOND, 100 * (time.process_time() - began) / (now / SECOND), len(lost) * size
+
+
+def rotation(course: Adopting) -> int:
+    """In what time all pairs that are left have been looked at, and all lines reckoned."""
+    lines = SLOTS * len(course.nodes) // KEYS
+    return TURN * (lines + len(course.pairs) // SCAN + 2)
+
+
+SIMULATED_EXPERIMENTS = (
+    Experiment(
+        "membership-start", "fronts", "simulated",
+        (
+            Quantity("membership.start", "sent by the middle front in the first 10 s after all start", "kB/s"),
+            Quantity("membership.start-worst", "sent by the worst front in the first 10 s after all start", "kB/s"),
+        ),
+        by_size(START_SIZES, membership_start),
+    ),
+    Experiment(
+        "membership-cut", "fronts", "simulated",
+        (
+            Quantity("membership.cut", "sent by the middle front in its worst 10 s, a region cut off for 30 s", "kB/s"),
+            Quantity("membership.cut-worst", "sent by the worst front in its worst 10 s, a region cut off", "kB/s"),
+            Quantity("membership.quiet", "sent by a front in a quiet time", "kB/s"),
+            Quantity("membership.processor", "processor time of a front in a quiet time, its links' part", "% of a core"),
+        ),
+        by_size(CUT_SIZES, membership_cut),
+    ),
+    Experiment(
+        "leases", "fronts", "simulated",
+        (
+            Quantity("leases.messages", "messages for one lease under five quorum members, all together", "a second"),
+            Quantity("leases.octets", "sent and received by one quorum member for one lease", "kB/s"),
+        ),
+        by_size(LEASE_SIZES, leases),
+    ),
+    Experiment(
+        "loads", "fronts and nodes", "simulated",
+        (
+            Quantity("loads.octets", "sent by a front for nodes' loads", "kB/s"),
+            Quantity("loads.age", "age of what a front knows of a node, 99 in 100", "s"),
+            Quantity("loads.processor", "processor time of a front", "% of a core"),
+        ),
+        by_size(LOAD_SIZES, loads),
+    ),
+    Experiment(
+        "cold", "fronts", "simulated",
+        (Quantity("cold.used", "part of cold nodes' budget that is used", "of it"),),
+        by_size(COLD_SIZES, cold),
+    ),
+    Experiment(
+        "takeover", "fronts and nodes", "simulated",
+        (
+            Quantity("takeover.time", "until a front has asked all nodes that are its to ask, largest zone lost", "s"),
+            Quantity("takeover.processor", "its processor time meanwhile", "% of a core"),
+            Quantity("takeover.pairs", "pairs of lost front and node", "pairs"),
+        ),
+        by_size(TAKEOVER_SIZES, takeover),
+    ),
+)  # fmt: skip
--- /dev/null
+++ b/benchmarks/capacity/page.py
@@ -0,0 +1,168 @@
+"""The tables of docs/CAPACITY.md, made from the arithmetic and set between markers; what stands round them is by hand."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+from pathlib import Path
+
+from benchmarks.capacity import assumptions, demand, slopes
+from benchmarks.capacity.readings import Readings, number
+from benchmarks.capacity.roles_control import CONTROL_ROLES
+from benchmarks.capacity.roles_front import FRONT_ROLES
+from benchmarks.capacity.rows import Limit, Row, by_ratio
+from benchmarks.capacity.targets import BUDGET, TARGET
+
+FILE = Path(__file__).parents[2] / "docs" / "CAPACITY.md"
+BLOCK = re.compile(r"<!-- table: (?P<name>[a-z-]+) -->\n(?P<body>.*?)<!-- end -->", re.DOTALL)
+NOTHING = "not measured"
+
+
+class PageError(Exception):
+    """A page without the place for a table."""
+
+
+def rows(file: slopes.SlopeFile) -> list[Row]:
+    """All roles, the lowest carried / needed first."""
+    readings = Readings(file)
+    return by_ratio([role(readings) for role in (*FRONT_ROLES, *CONTROL_ROLES)])
+
+
+def table(head: Sequence[str], body: Sequence[Sequence[str]]) -> str:
+    """A table of Markdown."""
+    lines = [head, ["---"] * len(head), *body]
+    return "".join("| " + " | ".join(cells) + " |\n" for cells in lines)
+
+
+def ratio(limit: Limit | None) -> str:
+    """Carried over needed, for the page."""
+    if limit is None or limit.ratio is None:
+        return NOTHING
+    return number(limit.ratio)
+
+
+def carried(limit: Limit) -> str:
+    """What is carried and what is needed."""
+    known = NOTHING if limit.carried is None else number(limit.carried)
+    return f"{known} / {number(limit.needed)}"
+
+
+def summary(found: Sequence[Row]) -> str:
+    """One line a role."""
+    body = []
+    for row in found:
+        limit = row.tightest
+        after = ratio(row.tightest_with_mechanism) if row.with_mechanism else ""
+        if limit is None:
+            body.append([row.role, NOTHING, "", "", "", row.budget, row.mechanism, after])
+        else:
+            first = [
+                row.role,
+                f"**{ratio(limit)}**",
+                f"{limit.driver}: {carried(limit)}",
+                f"{limit.basis.value}: {limit.source}",
+            ]
+            body.append([*first, limit.breaks, row.budget, row.mechanism, after])
+    head = ("role", "carried / needed", "of what", "known by", "what breaks first", "budget", "mechanism",
+            "with the new mechanism")  # fmt: skip
+    return table(head, body)
+
+
+def loads(found: Sequence[Row]) -> str:
+    """What each role takes, today and at the target."""
+    body = [[row.role if i == 0 else "", load.resource, load.today, load.target]
+            for row in found for i, load in enumerate(row.loads)]  # fmt: skip
+    return table(("role", "what", "at today's 200 fronts", "at the target"), body)
+
+
+def limits(found: Sequence[Row]) -> str:
+    """Every limit of every role."""
+    body = []
+    for row in found:
+        marked = [("", limit) for limit in row.limits] + [
+            ("new mechanism: ", limit) for limit in row.with_mechanism
+        ]
+        for text, limit in marked:
+            known = f"{limit.basis.value}: {limit.source}"
+            body.append([row.role, text + limit.driver, carried(limit), ratio(limit), known, limit.breaks])
+    return table(("role", "driver", "carried / needed", "ratio", "known by", "past it"), body)
+
+
+def slopes_table(file: slopes.SlopeFile) -> str:
+    """Every slope on record with its fit."""
+    body = []
+    for one in file.slopes:
+        fitted = Readings(file)[one.name].fitted
+        points = ", ".join(f"{number(m.size)}: {number(m.middle)}" for m in one.measurements)
+        form = "no form describes it" if fitted is None else fitted.form
+        errors = "" if fitted is None else f"{fitted.residual:.0%}, {fitted.prediction:.0%}"
+        text = "" if one.text == "today" else " (new mechanism)"
+        body.append([f"`{one.name}`", f"{one.quantity}{text}, {one.unit}", f"{one.against}: {points}", one.kind, form, errors,
+                     f"{one.spread:.0%}", f"`{one.command.removeprefix('python -m benchmarks.capacity ')}`",
+                     f"{', '.join(map(str, one.seeds))}; {one.commit[:7]}; {one.cores}"])  # fmt: skip
+    head = ("slope", "quantity", "at sizes (median of the runs)", "kind", "form", "residual, error at the largest",
+            "spread of runs", "command", "seeds; commit; cores")  # fmt: skip
+    return table(head, body)
+
+
+def targets_table() -> str:
+    """The users' figures."""
+    target = [(name.replace("_", " "), f"{value:,}") for name, value in vars(TARGET).items()]
+    budget = [
+        (f"control budget: {name.replace('_', ' ')}", f"{value:,}") for name, value in vars(BUDGET).items()
+    ]
+    return table(("figure", "value"), [*target, *budget])
+
+
+def assumptions_table() -> str:
+    """What had to be assumed."""
+    body = [
+        [one.name, f"{number(one.value)} {one.unit}".strip(), one.why, one.doubled]
+        for one in assumptions.ASSUMPTIONS
+    ]
+    return table(("assumption", "value", "why", "if it is twice as large"), body)
+
+
+def demand_table() -> str:
+    """The derived load."""
+    body = [
+        [d.role, f"{d.quantity}, {d.unit}", number(d.mean), number(d.worst), d.worst_hour]
+        for d in demand.lines()
+    ]
+    return table(("role", "load", "mean", "worst hour", "which"), body)
+
+
+def tables(file: slopes.SlopeFile) -> dict[str, str]:
+    """All generated tables by name."""
+    found = rows(file)
+    return {
+        "targets": targets_table(),
+        "assumptions": assumptions_table(),
+        "demand": demand_table(),
+        "rows": summary(found),
+        "loads": loads(found),
+        "limits": limits(found),
+        "slopes": slopes_table(file),
+    }
+
+
+def rendered(text: str, made: dict[str, str]) -> str:
+    """A page with its tables made anew. PageError where one has no place, or a place has no table."""
+    places = [match["name"] for match in BLOCK.finditer(text)]
+    if sorted(places) != sorted(made):
+        raise PageError(f"the page has places for {sorted(places)}, the arithmetic makes {sorted(made)}")
+    return BLOCK.sub(lambda m: f"<!-- table: {m['name']} -->\n{made[m['name']]}<!-- end -->", text)
+
+
+def differences(file: Path = FILE, known: slopes.SlopeFile | None = None) -> list[str]:
+    """The tables of the page that the arithmetic would make otherwise."""
+    made = tables(known if known is not None else slopes.load())
+    text = file.read_text()
+    rendered(text, made)
+    return [f"{file.name}: table {m['name']} differs from the arithmetic" for m in BLOCK.finditer(text)
+            if m["body"] != made[m["name"]]]  # fmt: skip
+
+
+def write(file: Path = FILE) -> None:
+    """Makes the tables anew."""
+    file.write_text(rendered(file.read_text(), tables(slopes.load())))
--- /dev/null
+++ b/benchmarks/capacity/rows.py
@@ -0,0 +1,87 @@
+"""One row a role: what it takes at today's size and at the target, how much of the target it carries, what breaks first.
+
+Here stand the types; the roles stand in `roles_front.py` and `roles_control.py`, the readings of slopes in `readings.py`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Basis(Enum):
+    """How what is carried is known."""
+
+    CONSTANT = "constant in the code"
+    MEASURED = "measured"
+    SIMULATED = "simulated"
+    RECKONED = "reckoned from measured figures"
+    NOT_MEASURED = "not measured"
+    ABSENT = "does not exist"
+
+
+@dataclass(frozen=True)
+class Limit:
+    """One bound that a role meets on its way to the target: the largest value of its driver at which it still does its work
+    within the budget, and the value that is needed in the worst hour. `refuses`: past it work is refused or lost, or a
+    stated budget is passed; a bound past which a cache only forgets is no limit and has no entry."""
+
+    driver: str
+    carried: float | None
+    needed: float
+    basis: Basis
+    source: str
+    breaks: str
+
+    @property
+    def ratio(self) -> float | None:
+        """Carried over needed; None where nothing was measured."""
+        return None if self.carried is None else self.carried / self.needed
+
+
+@dataclass(frozen=True)
+class Load:
+    """What a role takes of one resource at today's size and at the target, as it is to be shown."""
+
+    resource: str
+    today: str
+    target: str
+
+
+@dataclass(frozen=True)
+class Row:
+    """One role. `limits`: of today's text; `with_mechanism`: the same limits once the new mechanism carries the role."""
+
+    role: str
+    budget: str
+    mechanism: str
+    loads: tuple[Load, ...]
+    limits: tuple[Limit, ...]
+    with_mechanism: tuple[Limit, ...] = ()
+
+    @property
+    def tightest(self) -> Limit | None:
+        """The limit with the lowest ratio; None where none was measured."""
+        return tightest(self.limits)
+
+    @property
+    def tightest_with_mechanism(self) -> Limit | None:
+        """The same with the new mechanism."""
+        return tightest(self.with_mechanism)
+
+
+def tightest(limits: tuple[Limit, ...]) -> Limit | None:
+    """The limit with the lowest carried / needed."""
+    known = [(limit.ratio, i) for i, limit in enumerate(limits) if limit.ratio is not None]
+    return limits[min(known)[1]] if known else None
+
+
+def by_ratio(rows: list[Row]) -> list[Row]:
+    """Rows by carried / needed, the lowest first; those without a figure last."""
+
+    def key(row: Row) -> float:
+        limit = row.tightest
+        ratio = limit.ratio if limit is not None else None
+        return float("inf") if ratio is None else ratio
+
+    return sorted(rows, key=key)
--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from random import Random
 
 from oakcroft.decisions.fleet.figures import Figures
@@ -27,9 +28,32 @@
         "datagrams and kB a second a front", "ms of a core a front a second")  # fmt: skip
 
 
-def play(fronts: int, nodes: int, lose: float, seconds: int = 60) -> list[str]:
+@dataclass(frozen=True)
+class Played:
+    """What one fleet did. Ages in s: median, 99th percentile and most; the rest for each front and second."""
+
+    fronts: int
+    nodes: int
+    lose: float
+    asks: float
+    ages: tuple[float, float, float]
+    unknown: float
+    datagrams: float
+    kilobytes: float
+    core_ms: float
+
+    def cells(self) -> list[str]:
+        """Its line of the table."""
+        ages = ", ".join(f"{age:.1f}" for age in self.ages)
+        return [
+            str(self.fronts), str(self.nodes), f"{self.lose:.0%}", f"{self.asks:.2f}", ages, f"{self.unknown:.1f}",
+            f"{self.datagrams:.1f}, {self.kilobytes:.2f}", f"{self.core_ms:.2f}",
+        ]  # fmt: skip
+
+
+def play(fronts: int, nodes: int, lose: float, seconds: int = 60, seed: int = 1) -> Played:
     """One fleet for so long, without traffic of its own; the first third is not counted."""
-    rng = Random(1)
+    rng = Random(seed)
     names, list_ = [f"f{i}" for i in range(fronts)], {f"n{i}": i + 1 for i in range(nodes)}
     all_ = {n: Figures(n, 2500 * MS, Random(i)) for i, n in enumerate(names)}
     codec = FigureCodec("oakcroft", Ring((b"x" * 32,)))
@@ -67,15 +91,15 @@
                 looks += 1
     ages.sort()
     span = seconds * 2 / 3
-    p = [ages[min(len(ages) - 1, int(q * len(ages)))] / 1e9 for q in (0.5, 0.99, 1)]
-    return [
-        str(fronts), str(nodes), f"{lose:.0%}", f"{asks / nodes / span:.2f}", f"{p[0]:.1f}, {p[1]:.1f}, {p[2]:.1f}",
-        f"{unknown / max(1, looks):.1f}", f"{datagrams / fronts / span:.1f}, {octets / fronts / span / 1000:.2f}",
-        f"{1000 * cost / fronts / span:.2f}",
-    ]  # fmt: skip
+    p50, p99, most = (ages[min(len(ages) - 1, int(q * len(ages)))] / 1e9 for q in (0.5, 0.99, 1))
+    each = fronts * span
+    return Played(
+        fronts, nodes, lose, asks / nodes / span, (p50, p99, most), unknown / max(1, looks), datagrams / each,
+        octets / each / 1000, 1000 * cost / each,
+    )  # fmt: skip
 
 
 if __name__ == "__main__":
     print(" | ".join(HEAD))
     for row in ROWS:
-        print(" | ".join(play(*row)), flush=True)
+        print(" | ".join(play(*row).cells()), flush=True)
--- /dev/null
+++ b/tests/test_capacity_page.py
@@ -0,0 +1,257 @@
+"""The capacity page: its fits, its file of slopes, its rows and its tables."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from benchmarks.capacity import demand, page, slopes
+from benchmarks.capacity.__main__ import main
+from benchmarks.capacity.assumptions import ASSUMPTIONS, TITLE_SKEW
+from benchmarks.capacity.fit import GUESS_FACTOR, FitError, Point, estimate, fit, largest_within
+from benchmarks.capacity.readings import Readings, number
+from benchmarks.capacity.rows import Basis, Limit, Row, by_ratio
+from benchmarks.capacity.slopes import Measurement, Slope, SlopeError, SlopeFile
+from benchmarks.capacity.targets import TARGET
+
+SIZES = (100, 200, 400, 800, 1_600)
+ROLES = {
+    "front end's data path",
+    "membership",
+    "leases and their quorum",
+    "configuration distribution",
+    "lists of nodes, placement of titles",
+    "probing and load reports",
+    "slow start of cold nodes",
+    "fan-out of the largest topic",
+    "takeover of sessions",
+    "regional control machine",
+    "wide-area links",
+}
+"""As issue 34 lists them."""
+
+
+def slope(name: str = "some", runs: int = 3, points: list[Point] | None = None) -> Slope:
+    """A slope that may be used."""
+    measured = points if points is not None else [(size, 2.0 * size) for size in SIZES]
+    return Slope(
+        name, "a cost", "ms", "fronts", "measured", "today", "python -m benchmarks.capacity slopes --only some", (1, 2, 3),
+        "414ace3", 8, tuple(Measurement(size, (value,) * runs) for size, value in measured),
+    )  # fmt: skip
+
+
+def noisy(points: list[Point], part: float) -> list[Point]:
+    """Points off by up to a part, the same every time."""
+    rng = Random(1)
+    return [(size, value * (1 + rng.uniform(-part, part))) for size, value in points]
+
+
+# Fits.
+
+
+@pytest.mark.parametrize("part", [0.0, 0.03])
+def test_a_line_is_recovered(part: float) -> None:
+    found = fit(noisy([(size, 7 + 0.5 * size) for size in SIZES], part))
+    assert found.form == "linear"
+    assert found.coefficients[1] == pytest.approx(0.5, rel=0.08)
+    assert found.at(3_200) == pytest.approx(1_607, rel=0.08)
+
+
+@pytest.mark.parametrize("exponent", [0.5, 1.5, 2.0])
+def test_a_power_is_recovered(exponent: float) -> None:
+    found = fit(noisy([(size, 3 * size**exponent) for size in SIZES], 0.02))
+    assert found.form != "linear"
+    assert found.at(3_200) == pytest.approx(3 * 3_200**exponent, rel=0.15)
+
+
+@pytest.mark.parametrize("base", [0.0, 5.0, 500.0])
+def test_quadratic_growth_is_not_called_linear(base: float) -> None:
+    found = fit([(size, base + 0.001 * size + 0.01 * size**2) for size in SIZES])
+    assert found.form in ("power", "quadratic")
+    assert found.at(6_400) == pytest.approx(base + 6.4 + 0.01 * 6_400**2, rel=0.05)
+
+
+def test_what_does_not_grow_is_constant() -> None:
+    found = fit(noisy([(size, 7.3) for size in SIZES], 0.04))
+    assert found.form == "constant"
+    assert found.at(1e6) == pytest.approx(7.3, rel=0.05)
+
+
+def test_no_parabola_that_turns_down_is_extended() -> None:
+    found = fit([(size, 100 * size - 0.03 * size**2) for size in SIZES])
+    assert found.form != "quadratic"
+
+
+def test_points_that_no_form_describes_are_not_extended() -> None:
+    with pytest.raises(FitError):
+        fit([(100, 1.0), (200, 900.0), (400, 3.0), (800, 40_000.0), (1_600, 0.1)])
+
+
+@pytest.mark.parametrize(
+    "points", [[(1, 1.0), (2, 2.0), (3, 3.0)], [(1, 1.0)] * 5, [(1, 0.0), (2, 1), (3, 1), (4, 1)]]
+)
+def test_too_few_sizes_and_zeros_are_refused(points: list[Point]) -> None:
+    with pytest.raises(FitError):
+        fit(points)
+
+
+def test_the_largest_size_within_a_budget_meets_it() -> None:
+    found = fit([(size, 7 + 0.5 * size) for size in SIZES])
+    assert largest_within(found, 407, 1e9) == pytest.approx(800)
+    assert largest_within(found, 5, 1e9) == 0
+    assert largest_within(found, 1e12, 2_700) == 2_700
+
+
+def test_an_estimate_far_beyond_the_measured_sizes_is_a_guess() -> None:
+    found = fit([(size, 2.0 * size) for size in SIZES])
+    within, beyond, far = (
+        estimate(found, size) for size in (800, 1_600 * GUESS_FACTOR, 1_601 * GUESS_FACTOR)
+    )
+    assert (within.extrapolated, within.guess) == (False, False)
+    assert (beyond.extrapolated, beyond.guess) == (True, False)
+    assert far.guess
+    readings = Readings(SlopeFile((slope(),)))
+    assert "a guess" in readings["some"].cell(33_000)
+    assert "from 100..1,600 to 3,200" in readings["some"].cell(3_200)
+    assert readings["some"].cell(800) == "1,600 ms"
+
+
+# The file of slopes.
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("command", ""), ("command", "by hand"), ("commit", ""), ("commit", "somewhere"), ("cores", 0), ("seeds", ()),
+        ("measurements", slope(points=[(size, 1.0) for size in SIZES[:3]]).measurements),
+        ("measurements", slope(runs=2).measurements),
+    ],
+)  # fmt: skip
+def test_a_slope_without_what_makes_it_a_measurement_is_refused(field: str, value: object) -> None:
+    broken = msgspec.structs.replace(slope(), **{field: value})
+    with pytest.raises(SlopeError, match="some"):
+        slopes.decode(msgspec.json.encode(SlopeFile((broken,))))
+
+
+def test_a_field_that_is_missing_or_unknown_is_refused() -> None:
+    fields = msgspec.to_builtins(slope())
+    for odd in ({k: v for k, v in fields.items() if k != "commit"}, fields | {"by": "me"}):
+        with pytest.raises(SlopeError):
+            slopes.decode(msgspec.json.encode({"slopes": [odd]}))
+
+
+def test_a_slope_on_record_replaces_the_one_of_its_name(tmp_path: Path) -> None:
+    file = tmp_path / "slopes.json"
+    slopes.record(slope("a"), file)
+    slopes.record(slope("b"), file)
+    slopes.record(slope("a", points=[(size, 5.0 * size) for size in SIZES]), file)
+    found = slopes.load(file)
+    assert [one.name for one in found.slopes] == ["a", "b"]
+    assert found.slopes[0].points[0] == (100, 500.0)
+    with pytest.raises(SlopeError):
+        slopes.record(slope("c", runs=1), file)
+    assert slopes.load(file) == found
+
+
+# Rows and the page.
+
+
+def test_every_role_has_a_row_with_and_without_slopes() -> None:
+    for file in (slopes.load(), SlopeFile()):
+        assert {row.role for row in page.rows(file)} == ROLES
+
+
+def test_what_was_not_measured_is_said_and_not_left_out() -> None:
+    found = page.rows(SlopeFile())
+    made = page.summary(found)
+    assert all(f"| {role} |" in made for role in ROLES)
+    assert "not measured" in page.loads(found)
+    unknown = [limit for row in found for limit in row.limits if limit.basis is Basis.NOT_MEASURED]
+    assert unknown
+    assert all(limit.carried is None and limit.ratio is None for limit in unknown)
+
+
+def test_rows_stand_by_their_lowest_limit_and_unmeasured_ones_last() -> None:
+    def row(name: str, *carried: float | None) -> Row:
+        limits = tuple(Limit("size", one, 100, Basis.MEASURED, "", "") for one in carried)
+        return Row(name, "", "", (), limits)
+
+    found = by_ratio([row("unknown", None), row("high", 90, None), row("low", 95, 3), row("middle", 20)])
+    assert [one.role for one in found] == ["low", "middle", "high", "unknown"]
+
+
+def test_the_page_on_record_is_what_the_arithmetic_makes() -> None:
+    assert page.differences() == []
+    assert CliRunner().invoke(main, ["page", "--check"]).exit_code == 0
+
+
+def test_a_planted_difference_is_found(tmp_path: Path) -> None:
+    copy = tmp_path / "CAPACITY.md"
+    text = page.FILE.read_text()
+    for at, planted in enumerate(page.BLOCK.findall(text)):
+        name, body = planted
+        copy.write_text(
+            text.replace(body, body.replace("|", "| 1", 1) if at % 2 else body[: len(body) // 2], 1)
+        )
+        assert page.differences(copy) == [f"CAPACITY.md: table {name} differs from the arithmetic"]
+
+
+def test_a_slope_that_changes_is_found_in_the_page() -> None:
+    known = slopes.load()
+    first = known.slopes[0]
+    faster = tuple(Measurement(m.size, tuple(run / 2 for run in m.runs)) for m in first.measurements)
+    other = SlopeFile((msgspec.structs.replace(first, measurements=faster), *known.slopes[1:]))
+    assert page.differences(known=other)
+
+
+def test_the_command_ends_with_1_where_the_page_differs(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    copy = tmp_path / "CAPACITY.md"
+    copy.write_text(page.FILE.read_text().replace("150,000,000", "160,000,000"))
+    monkeypatch.setattr(page, "differences", lambda check=page.differences: check(copy))
+    found = CliRunner().invoke(main, ["page", "--check"])
+    assert found.exit_code == 1
+    assert "table targets differs" in found.output
+
+
+def test_a_page_without_the_place_for_a_table_is_refused(tmp_path: Path) -> None:
+    copy = tmp_path / "CAPACITY.md"
+    copy.write_text(page.FILE.read_text().replace("<!-- table: rows -->", ""))
+    with pytest.raises(page.PageError):
+        page.differences(copy)
+
+
+# Targets and assumptions.
+
+
+def test_each_assumption_says_what_changes_if_it_is_twice_as_large() -> None:
+    assert len({one.name for one in ASSUMPTIONS}) == len(ASSUMPTIONS)
+    assert all(one.why and one.doubled for one in ASSUMPTIONS)
+
+
+def test_the_largest_title_has_the_listeners_that_the_users_name() -> None:
+    weights = [rank**-TITLE_SKEW.value for rank in range(1, TARGET.topic_shards + 1)]
+    largest = TARGET.largest_topic_listeners / TARGET.connections
+    assert 1 / sum(weights) == pytest.approx(largest, rel=0.05)
+
+
+def test_the_derived_load_follows_the_target() -> None:
+    assert demand.connections_per_front() == pytest.approx(55_556, abs=1)
+    assert demand.changes_per_s() * 86_400 == pytest.approx(14_000)
+    double = replace(TARGET, fronts=2 * TARGET.fronts)
+    assert demand.connections_per_front(double) == demand.connections_per_front() / 2
+    assert all(line.worst >= line.mean for line in demand.lines())
+
+
+@pytest.mark.parametrize(
+    ("value", "shown"),
+    [(0, "0"), (0.00333, "0.00333"), (27.07, "27.1"), (55_555.6, "55,600"), (100, "100"), (1234.5, "1,230")],
+)
+def test_figures_have_three_digits_that_count(value: float, shown: str) -> None:
+    assert number(value) == shown
