--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -16,12 +16,15 @@
 
 def experiments() -> dict[str, Experiment]:
     """All of them by name. Loaded late: `page` needs none of the program."""
+    from benchmarks.capacity.measure_fleet import FLEET_EXPERIMENTS
     from benchmarks.capacity.measure_module import MODULE_EXPERIMENTS
     from benchmarks.capacity.measure_process import PROCESS_EXPERIMENTS
     from benchmarks.capacity.measure_rollout import ROLLOUT_EXPERIMENTS
     from benchmarks.capacity.measure_simulated import SIMULATED_EXPERIMENTS
 
-    every = (*MODULE_EXPERIMENTS, *PROCESS_EXPERIMENTS, *ROLLOUT_EXPERIMENTS, *SIMULATED_EXPERIMENTS)
+    every = (
+        *FLEET_EXPERIMENTS, *MODULE_EXPERIMENTS, *PROCESS_EXPERIMENTS, *ROLLOUT_EXPERIMENTS, *SIMULATED_EXPERIMENTS,
+    )  # fmt: skip
     return {one.name: one for one in every}
 
 
--- a/benchmarks/capacity/experiments.py
+++ b/benchmarks/capacity/experiments.py
@@ -40,6 +40,7 @@
     quantities: tuple[Quantity, ...]
     measure: Callable[[int], Mapping[int, Sequence[float]]]
     seeds: tuple[int, ...] = SEEDS
+    text: Literal["today", "mechanism"] = "today"
 
 
 def commit() -> str:
@@ -80,7 +81,7 @@
     measurements = tuple(Measurement(size, tuple(found[size][index] for found in runs)) for size in sizes)
     command = f"python -m benchmarks.capacity slopes --only {experiment.name}"
     return Slope(
-        quantity.name, quantity.quantity, quantity.unit, experiment.against, experiment.kind, "today", command,
+        quantity.name, quantity.quantity, quantity.unit, experiment.against, experiment.kind, experiment.text, command,
         experiment.seeds, text, os.cpu_count() or 1, measurements, quantity.note,
     )  # fmt: skip
 
--- /dev/null
+++ b/benchmarks/capacity/measure_fleet.py
@@ -0,0 +1,86 @@
+"""Slopes of membership: what the simulated fleet of hollow front ends prints of a whole start and a region's cut."""
+
+from __future__ import annotations
+
+import re
+import subprocess
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from benchmarks.capacity.experiments import ROOT, Experiment, Quantity
+
+FLAT_SIZES = (32, 50, 100, 200)
+ZONED_SIZES = (100, 200, 400, 800)
+MINUTES, LOSS = 1.5, 0.01
+WITHIN_S = 170
+FIGURE = r"([\d.]+)"
+PATTERNS = (
+    rf"kB/s sent, whole start .* worst ten seconds {FIGURE}",
+    rf"kB/s sent, quiet +.*?: mean {FIGURE}",
+    rf"kB/s sent +median .*worst ten seconds of any {FIGURE}",
+    rf"kB/s received +median .*worst ten seconds of any {FIGURE}",
+    rf"share of a core +median .*?, worst front {FIGURE}%",
+    rf"MB a front +state of its own: .*largest {FIGURE}",
+)
+"""Of the lines of `python -m benchmarks.capacity fleet`, in the order of the quantities."""
+
+Found = dict[int, Sequence[float]]
+
+
+class FleetError(Exception):
+    """A fleet whose report lacks a line."""
+
+
+def read(report: str) -> Sequence[float]:
+    """The figures of a report. FleetError where one is missing."""
+    found = []
+    for pattern in PATTERNS:
+        match = re.search(pattern, report)
+        if match is None:
+            raise FleetError(f"no {pattern} in: {report[-500:]}")
+        found.append(float(match[1]))
+    return found
+
+
+def report(fronts: int, seed: int, membership: str, tree: Path) -> str:
+    """What the fleet prints; a missed budget is no failure here."""
+    arguments = {"fronts": fronts, "seed": seed, "minutes": MINUTES, "loss": LOSS, "fault": "region"}
+    options = [word for name, value in arguments.items() for word in (f"--{name}", str(value))]
+    command = [sys.executable, "-m", "benchmarks.capacity", "fleet", *options, "--membership", membership]
+    done = subprocess.run(command, cwd=tree, capture_output=True, text=True, timeout=WITHIN_S, check=False)
+    return done.stdout + done.stderr
+
+
+def quantities(prefix: str) -> tuple[Quantity, ...]:
+    """The same for each kind of membership."""
+    return (
+        Quantity(f"{prefix}.start", "sent by the worst front in its worst 10 s of a whole start", "kB/s"),
+        Quantity(f"{prefix}.quiet", "sent by a front in a quiet time, the mean", "kB/s"),
+        Quantity(
+            f"{prefix}.sent",
+            "sent by the worst front in its worst 10 s, whole start and a region's cut",
+            "kB/s",
+        ),
+        Quantity(f"{prefix}.received", "received by the worst front in its worst 10 s, the same", "kB/s"),
+        Quantity(
+            f"{prefix}.processor", "processor time of the worst front, host's work reckoned in", "% of a core"
+        ),
+        Quantity(f"{prefix}.memory", "state of the largest member", "MB"),
+    )
+
+
+def flat(seed: int, tree: Path = ROOT) -> Found:
+    """Today's membership, all front ends in one table."""
+    return {size: read(report(size, seed, "flat", tree)) for size in FLAT_SIZES}
+
+
+def zoned(seed: int, tree: Path = ROOT) -> Found:
+    """Membership by zone and region."""
+    return {size: read(report(size, seed, "zoned", tree)) for size in ZONED_SIZES}
+
+
+FLEET_EXPERIMENTS = (
+    Experiment("membership-flat", "fronts", "simulated", quantities("membership"), flat),
+    Experiment("membership-zoned", "fronts", "simulated", quantities("zoned"), zoned, text="mechanism"),
+)
--- a/benchmarks/capacity/measure_process.py
+++ b/benchmarks/capacity/measure_process.py
@@ -135,7 +135,7 @@
 
 
 def ends(_seed: int) -> Found:
-    """Sessions of one title, all ended by their nodes at once: time until the last viewer has heard, and processor time."""
+    """Sessions of one title, all ended by their nodes at once: time until the last viewer has heard, and cost."""
 
     async def work(front: FrontProcess, emulators: Emulators) -> Found:
         await trio.sleep(WARM_S)
