--- a/benchmarks/capacity/assumptions.py
+++ b/benchmarks/capacity/assumptions.py
@@ -44,6 +44,13 @@
     "a title with holders and renditions is 88 octets in a catalogue; a route or a plan some hundreds",
     "what a distribution by differences would send doubles; today's does not change, whole texts travel",
 )
+CATALOGUE_TITLES = Assumption(
+    "titles of the catalogue that a change is one of",
+    170_000.0,
+    "titles",
+    "one for each shard of a topic; a rollout sends the whole text to each front, whatever has changed in it",
+    "octets, processor time and memory of a change double",
+)
 BURST_OVER_MEAN = Assumption(
     "burst of changes over the mean",
     10.0,
@@ -94,11 +101,11 @@
     "the size at which wide-area links fill doubles",
 )
 COLD_BUDGET_USED = Assumption(
-    "part of a cold node's budget that is to be used",
+    "set-ups on a cold node, over those that one front end alone would send",
     0.5,
     "of it",
     "with less a replaced node is idle for most of its warm-up; no figure is given",
-    "nothing can be twice as large: 1 is all of it",
+    "all of it is wanted, and two fronts that share a node already send less",
 )
 LEASES = Assumption(
     "leases held at once",
@@ -127,6 +134,7 @@
     PEAK_OVER_MEAN,
     SESSION_LENGTH_S,
     CHANGE_OCTETS,
+    CATALOGUE_TITLES,
     BURST_OVER_MEAN,
     LARGEST_ZONE_OVER_MEAN,
     LARGEST_REGION_OVER_MEAN,
--- a/benchmarks/capacity/fit.py
+++ b/benchmarks/capacity/fit.py
@@ -60,13 +60,14 @@
 
     @property
     def factor(self) -> float:
-        """How many times the largest measured size this is; 1 within the measured range."""
-        return max(1.0, self.size / self.largest)
+        """How many times the size lies beyond the measured ones, at either end; 1 within them."""
+        below = self.smallest / self.size if self.size > 0 else 1.0
+        return max(1.0, self.size / self.largest, below)
 
     @property
     def extrapolated(self) -> bool:
         """Whether the size lies beyond those measured."""
-        return self.size > self.largest
+        return self.factor > 1
 
     @property
     def guess(self) -> bool:
--- a/benchmarks/capacity/measure_simulated.py
+++ b/benchmarks/capacity/measure_simulated.py
@@ -25,7 +25,7 @@
 LOSS = 0.01
 LEASE_SIZES = (25, 50, 100, 200, 400)
 LOAD_SIZES = (25, 50, 100, 200)
-COLD_SIZES = (25, 50, 100, 200)
+COLD_SIZES = (2, 5, 10, 25, 50, 100, 200)
 TAKEOVER_SIZES = (100, 200, 400, 800)
 KEEPERS, TERM = 5, 6 * SECOND
 TURN = 50 * MS
@@ -70,8 +70,10 @@
 
 
 def cold(size: int, seed: int) -> Sequence[float]:
-    """Half of the nodes replaced: part of their cold budget that the fronts used."""
-    return (max(1e-4, Day(SETTINGS[0], size, LOADS[0], seed).play()[3]),)
+    """Half of the nodes replaced: how much of their cold budget the fronts use, over how much one front alone uses that
+    has the same requests a node."""
+    alone, used = (Day(SETTINGS[0], fronts, LOADS[0], seed).play()[3] for fronts in (1, size))
+    return used / alone, used
 
 
 def takeover(size: int, seed: int) -> Sequence[float]:
@@ -120,7 +122,10 @@
     ),
     Experiment(
         "cold", "fronts", "simulated",
-        (Quantity("cold.used", "part of cold nodes' budget that is used", "of it"),),
+        (
+            Quantity("cold.sent", "set-ups on cold nodes, over those of one front alone", "of it"),
+            Quantity("cold.used", "part of cold nodes' budget that is used", "of it"),
+        ),
         by_size(COLD_SIZES, cold),
     ),
     Experiment(
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -52,23 +52,36 @@
     """One line a role."""
     body = []
     for row in found:
-        limit = row.tightest
-        after = ratio(row.tightest_with_mechanism) if row.with_mechanism else ""
+        limit, assumed = row.tightest, row.tightest_assumed
         if limit is None:
-            body.append([row.role, NOTHING, "", "", "", row.budget, row.mechanism, after])
+            first = ["not by the users' figures alone", "", "", ""]
         else:
             first = [
-                row.role,
                 f"**{ratio(limit)}**",
                 f"{limit.driver}: {carried(limit)}",
-                f"{limit.basis.value}: {limit.source}",
+                known_by(limit),
+                limit.breaks,
             ]
-            body.append([*first, limit.breaks, row.budget, row.mechanism, after])
-    head = ("role", "carried / needed", "of what", "known by", "what breaks first", "budget", "mechanism",
+        with_assumption = (
+            "" if assumed is None else f"{ratio(assumed)} ({assumed.driver}: {carried(assumed)})"
+        )
+        after = ratio(row.tightest_with_mechanism) if row.with_mechanism else ""
+        body.append([row.role, *first, with_assumption, after])
+    head = ("role", "carried / needed", "of what", "known by", "what breaks first", "lowest that rests on an assumption",
             "with the new mechanism")  # fmt: skip
     return table(head, body)
 
 
+def known_by(limit: Limit) -> str:
+    """How what is carried is known."""
+    return f"{limit.basis.value}: {limit.source}"
+
+
+def roles(found: Sequence[Row]) -> str:
+    """What each role may take, and where it stands."""
+    return table(("role", "budget", "mechanism"), [[row.role, row.budget, row.mechanism] for row in found])
+
+
 def loads(found: Sequence[Row]) -> str:
     """What each role takes, today and at the target."""
     body = [[row.role if i == 0 else "", load.resource, load.today, load.target]
@@ -84,9 +97,11 @@
             ("new mechanism: ", limit) for limit in row.with_mechanism
         ]
         for text, limit in marked:
-            known = f"{limit.basis.value}: {limit.source}"
-            body.append([row.role, text + limit.driver, carried(limit), ratio(limit), known, limit.breaks])
-    return table(("role", "driver", "carried / needed", "ratio", "known by", "past it"), body)
+            name = text + limit.driver
+            body.append(
+                [row.role, name, carried(limit), ratio(limit), known_by(limit), limit.assumes, limit.breaks]
+            )
+    return table(("role", "driver", "carried / needed", "ratio", "known by", "assumes", "past it"), body)
 
 
 def slopes_table(file: slopes.SlopeFile) -> str:
@@ -142,6 +157,7 @@
         "assumptions": assumptions_table(),
         "demand": demand_table(),
         "rows": summary(found),
+        "roles": roles(found),
         "loads": loads(found),
         "limits": limits(found),
         "slopes": slopes_table(file),
--- a/benchmarks/capacity/role_parts.py
+++ b/benchmarks/capacity/role_parts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from benchmarks.capacity import assumptions as assumed
 from benchmarks.capacity import bounds, demand
 from benchmarks.capacity.bounds import Bound
@@ -53,11 +55,10 @@
     driver: str,
     needed: float,
     breaks: str,
-    most: float | None = None,
 ) -> Limit:
     """The limit at which a slope meets a budget, looked for up to twice what is needed."""
     reading = slopes[name]
-    carried = reading.within(budget, most if most is not None else 2 * needed)
+    carried = reading.within(budget, 2 * needed)
     return Limit(driver, carried, needed, reading.basis, reading.source(carried), breaks)
 
 
@@ -67,7 +68,11 @@
     return Limit(driver, value, needed, basis, source, breaks)
 
 
-def constant(bound: Bound, driver: str, needed: float, breaks: str, carried: float | None = None) -> Limit:
+def assuming(assumption: assumed.Assumption, *limits: Limit) -> tuple[Limit, ...]:
+    """Limits that rest on an assumption."""
+    return tuple(replace(limit, assumes=assumption.name) for limit in limits)
+
+
+def constant(bound: Bound, driver: str, needed: float, breaks: str) -> Limit:
     """A limit that stands in the code."""
-    value = bound.value if carried is None else carried
-    return Limit(driver, value, needed, Basis.CONSTANT, bound.source, breaks)
+    return Limit(driver, bound.value, needed, Basis.CONSTANT, bound.source, breaks)
--- a/benchmarks/capacity/roles_control.py
+++ b/benchmarks/capacity/roles_control.py
@@ -15,6 +15,7 @@
     PER_CENT,
     THREE_PER_CENT,
     across,
+    assuming,
     constant,
     reckoned,
     within,
@@ -22,7 +23,7 @@
 from benchmarks.capacity.rows import Limit, Load, Row
 from benchmarks.capacity.targets import BUDGET, DAY_S, KB, MB, TARGET, TODAY_FRONTS
 
-TITLES = float(TARGET.topic_shards)
+TITLES = assumed.CATALOGUE_TITLES.value
 TODAY_TITLES = 10_000.0
 """A catalogue as it is tried today."""
 CHANGES = demand.changes_per_s()
@@ -77,6 +78,7 @@
     """Leases and their quorum."""
     each = slopes["leases.octets"].value(FRONTS)
     by_octets = None if each is None else CONTROL_KB / each
+    source = "`leases.octets`, 8 kB/s over that of one"
     return Row(
         "leases and their quorum",
         "8 kB/s and 3% of a core of a quorum member, which is a front",
@@ -88,13 +90,12 @@
             across("network of a quorum member, one lease", slopes["leases.octets"]),
         ),
         (
-            constant(bounds.LEASES, "leases", LEASES, "not granted"),
-            reckoned(
-                by_octets,
-                "`leases.octets`, 8 kB/s over that of one",
-                "leases, by a quorum member's octets",
-                LEASES,
-                "8 kB/s of a quorum member",
+            *assuming(
+                assumed.LEASES,
+                constant(bounds.LEASES, "leases", LEASES, "not granted"),
+                reckoned(
+                    by_octets, source, "leases, by a member's octets", LEASES, "8 kB/s of a quorum member"
+                ),
             ),
         ),
     )
@@ -122,32 +123,34 @@
 
 
 def text_limits(slopes: Readings) -> tuple[Limit, ...]:
-    """Limits that come of whole texts, if a change is one of a catalogue of all titles (assumed)."""
+    """Limits that come of whole texts, if a change is one of a catalogue of all titles."""
     text_kb, change_ms = slopes["catalogue.octets"].value(TITLES), slopes["catalogue.processor"].value(TITLES)
     by_octets = None if text_kb is None else CONTROL_KB / text_kb * DAY_S
     by_processor = None if change_ms is None else BUDGET.core_share * MS_PER_S / change_ms * DAY_S
     kept = None if text_kb is None else CONTROL_MB / (text_kb * KB / MB)
-    return (
+    a_day = TARGET.changes_per_day
+    return assuming(
+        assumed.CATALOGUE_TITLES,
         reckoned(
             by_octets,
             "`catalogue.octets`, 8 kB/s over one text",
-            "changes a day of a whole catalogue of all titles (assumed)",
-            TARGET.changes_per_day,
+            "changes a day, whole texts",
+            a_day,
             "8 kB/s of every front",
         ),
         reckoned(
             by_processor,
-            "`catalogue.processor`, 3% of a core over one change",
-            "the same by processor time",
-            TARGET.changes_per_day,
-            "3% of a core of every front",
+            "`catalogue.processor`, 3% of a core",
+            "changes a day, by processor time",
+            a_day,
+            THREE_PER_CENT,
         ),
         reckoned(
             kept,
             "`catalogue.octets`, 256 MB over one text",
-            "versions of it kept in memory",
+            "versions in memory",
             bounds.TEXTS_KEPT.value,
-            "256 MB of every front",
+            "256 MB",
         ),
     )
 
@@ -232,6 +235,8 @@
     fronts = None if sent_kb is None else link_kb / (sent_kb * AWAY)
     today_region = TODAY_FRONTS / TARGET.regions
     full = "the link is full: what is sent comes late"
+    texts_source = "`catalogue.octets`, a link over one text for each front of the largest region"
+    fronts_source = "`membership.quiet`, a link over what a front sends to other regions"
     return Row(
         "wide-area links",
         "100 Mbit/s of one region's link for control (assumed)",
@@ -251,19 +256,16 @@
             ),
         ),
         (
-            reckoned(
-                by_text,
-                "`catalogue.octets`, a link over one text for each front of the largest region",
-                "changes a day of a whole catalogue of all titles (assumed)",
-                TARGET.changes_per_day,
-                full,
-            ),
-            reckoned(
-                fronts,
-                "`membership.quiet`, a link over what a front sends to other regions",
-                "fronts of a region",
-                REGION,
-                full,
+            *assuming(
+                assumed.WIDE_AREA_OCTETS_PER_S,
+                reckoned(
+                    by_text,
+                    texts_source,
+                    "changes a day, whole texts of all titles",
+                    TARGET.changes_per_day,
+                    full,
+                ),
+                reckoned(fronts, fronts_source, "fronts of a region", REGION, full),
             ),
         ),
     )
--- a/benchmarks/capacity/roles_nodes.py
+++ b/benchmarks/capacity/roles_nodes.py
@@ -16,6 +16,7 @@
     THREE_PER_CENT,
     TODAY_NODES,
     across,
+    assuming,
     constant,
     reckoned,
     within,
@@ -53,6 +54,9 @@
     in_use = demand.titles_in_use(HELD_WORST)
     whole = slopes["list.octets"].within(bounds.LIST_OCTETS.value / KB)
     refused = "a whole list is refused, the one before stays"
+    title_refused = "a session of a further title is refused while all others are in use"
+    within_answer = f"`list.octets` within {bounds.LIST_OCTETS.source}"
+    in_release = "`list.rounds`, `list.change`, `list.title` in a release"
     return Row(
         "lists of nodes, placement of titles",
         "3% of a core with all other control; a list is taken whole",
@@ -72,29 +76,18 @@
             across("start to ready", slopes["nodes.ready"], TODAY_NODES, NODES),
         ),
         (
-            constant(
-                bounds.MOST_TITLES,
-                "titles in use at one front",
-                in_use,
-                "a session of a further title is refused while all others are in use",
+            *assuming(
+                assumed.TITLE_SKEW,
+                constant(bounds.MOST_TITLES, "titles in use at one front", in_use, title_refused),
             ),
-            reckoned(
-                whole,
-                f"`list.octets` within {bounds.LIST_OCTETS.source}",
-                "nodes on a whole list",
-                NODES,
-                refused,
-            ),
-            constant(bounds.LIST_NODES, "nodes on the list", NODES, refused),
-            reckoned(
-                carried,
-                "`list.rounds`, `list.change`, `list.title` in a release",
-                "nodes, by processor time",
-                NODES,
-                THREE_PER_CENT,
-            ),
-            within(
-                slopes, "nodes.processor", CONTROL_CORE, "nodes, a whole idle process", NODES, THREE_PER_CENT
+            *assuming(
+                assumed.PLAYOUT_NODES,
+                reckoned(whole, within_answer, "nodes on a whole list", NODES, refused),
+                constant(bounds.LIST_NODES, "nodes on the list", NODES, refused),
+                reckoned(carried, in_release, "nodes, by processor time", NODES, THREE_PER_CENT),
+                within(
+                    slopes, "nodes.processor", CONTROL_CORE, "nodes, an idle process", NODES, THREE_PER_CENT
+                ),
             ),
         ),
     )
@@ -102,24 +95,29 @@
 
 def slow_start(slopes: Readings) -> Row:
     """Set-ups on nodes that have just started."""
-    reading = slopes["cold.used"]
+    reading = slopes["cold.sent"]
+    unused = "cold nodes stand nearly unused until they are warm; no rule is broken"
     carried = reading.over(assumed.COLD_BUDGET_USED.value, FRONTS)
     return Row(
         "slow start of cold nodes",
-        "half of a cold node's budget used (assumed)",
+        "half of the set-ups that one front end alone would send to a cold node (assumed)",
         "`choice.py` `_warm_enough`",
         (
-            across("part of the budget used", reading),
+            across("set-ups on cold nodes, over those of one front alone", reading),
+            across("part of cold nodes' budget used", slopes["cold.used"]),
             Load("messages, processor, memory, network", "none of its own", "none of its own"),
         ),
         (
-            Limit(
-                "fronts that share a cold node",
-                carried,
-                FRONTS,
-                reading.basis,
-                reading.source(carried),
-                "cold nodes stand nearly unused until they are warm; no rule is broken",
+            *assuming(
+                assumed.COLD_BUDGET_USED,
+                Limit(
+                    "fronts that share a cold node",
+                    carried,
+                    FRONTS,
+                    reading.basis,
+                    reading.source(carried),
+                    unused,
+                ),
             ),
         ),
     )
--- a/benchmarks/capacity/roles_sessions.py
+++ b/benchmarks/capacity/roles_sessions.py
@@ -24,6 +24,7 @@
     TODAY_SESSIONS,
     US_PER_S,
     across,
+    assuming,
     constant,
     core_share,
     reckoned,
@@ -38,6 +39,9 @@
 DELIVERY_MS = TARGET.delivery_within_s * MS_PER_S
 REPORTS_EVERY_S = assumed.REPORTS_EVERY_S.value
 LATE = "a core is full: answers come late"
+LATE_EVENTS = "events wait in the inbox, 260 ms are missed"
+LATE_LISTENERS = "the last listeners hear after 260 ms"
+REFUSED = "further set-ups are refused"
 IN_LINE = 3
 """Front ends that ask a node for a lost front's sessions."""
 
@@ -46,6 +50,7 @@
     """Connections, sessions and deliveries."""
     event_us = slopes["ends.processor"].value(LISTENERS_WORST)
     deliveries = None if event_us is None else OWN_CORE / PER_CENT * US_PER_S / event_us
+    by_event = "`ends.processor`, a core over the time of one"
     at_target = f"{number(DELIVERIES)} deliveries a second, {number(DELIVERIES_WORST)} at worst"
     return Row(
         "front end's data path",
@@ -62,21 +67,24 @@
             Load("network", NOT_MEASURED, NOT_MEASURED),
         ),
         (
-            constant(bounds.MOST_SESSIONS, "sessions held", HELD_WORST, "further set-ups are refused"),
-            within(
-                slopes, "sessions.processor", OWN_CORE, "sessions held, idle processor time", HELD_WORST, LATE
+            constant(bounds.MOST_SESSIONS, "sessions held", HELD, REFUSED),
+            *assuming(
+                assumed.LARGEST_REGION_OVER_MEAN,
+                constant(bounds.MOST_SESSIONS, "sessions held, a region lost", HELD_WORST, REFUSED),
             ),
-            within(
-                slopes, "held.interval", OWN_CORE, "sessions held, the module's interval", HELD_WORST, LATE
+            within(slopes, "sessions.processor", OWN_CORE, "sessions held, idle processor time", HELD, LATE),
+            within(slopes, "held.interval", OWN_CORE, "sessions held, the module's interval", HELD, LATE),
+            reckoned(deliveries, by_event, "deliveries a second", DELIVERIES, LATE_EVENTS),
+            *assuming(
+                assumed.PEAK_OVER_MEAN,
+                reckoned(
+                    deliveries, by_event, "deliveries a second at the peak", DELIVERIES_WORST, LATE_EVENTS
+                ),
             ),
-            reckoned(
-                deliveries,
-                "`ends.processor`, a core over the time of one",
-                "deliveries a second",
-                DELIVERIES_WORST,
-                "events wait in the inbox, 260 ms are missed",
+            *assuming(
+                assumed.SESSION_LENGTH_S,
+                within(slopes, "arrivals.processor", OWN_CORE, "set-ups a second", SET_UPS_WORST, LATE),
             ),
-            within(slopes, "arrivals.processor", OWN_CORE, "set-ups a second", SET_UPS_WORST, LATE),
         ),
     )
 
@@ -92,7 +100,7 @@
     cost = slopes["sessions.report"]
     carried = None
     if cost.fitted is not None:
-        carried = largest_root(lambda held: report_share(slopes, held), CONTROL_CORE, HELD_WORST)
+        carried = largest_root(lambda held: report_share(slopes, held), CONTROL_CORE, HELD)
     too_old = "what is known of a node is too old to use; each front goes by its own traffic"
     return Row(
         "probing and load reports",
@@ -115,19 +123,21 @@
             across("network, loads told", slopes["loads.octets"], TODAY_NODES, NODES),
         ),
         (
-            reckoned(
-                carried,
-                "`sessions.report`, one a session in 3 s",
-                "sessions on which nodes report",
-                HELD_WORST,
-                THREE_PER_CENT,
-            ),
-            within(
-                slopes, "loads.age", bounds.LOADS_AGE_S.value, "nodes, loads told in 20 s", NODES, too_old
+            *assuming(
+                assumed.REPORTS_EVERY_S,
+                reckoned(
+                    carried, "`sessions.report`", "sessions on which nodes report", HELD, THREE_PER_CENT
+                ),
             ),
-            within(slopes, "loads.octets", CONTROL_KB, "fronts and nodes, loads told", NODES, EIGHT_KB),
-            within(
-                slopes, "loads.processor", CONTROL_CORE, "the same by processor time", NODES, THREE_PER_CENT
+            *assuming(
+                assumed.PLAYOUT_NODES,
+                within(
+                    slopes, "loads.age", bounds.LOADS_AGE_S.value, "nodes, loads told in 20 s", NODES, too_old
+                ),
+                within(slopes, "loads.octets", CONTROL_KB, "nodes, octets of loads told", NODES, EIGHT_KB),
+                within(
+                    slopes, "loads.processor", CONTROL_CORE, "nodes, by processor time", NODES, THREE_PER_CENT
+                ),
             ),
         ),
     )
@@ -161,9 +171,20 @@
                 slopes,
                 "ends.time",
                 DELIVERY_MS,
-                "listeners at one front, the last within 260 ms",
-                LISTENERS_WORST,
-                "the last listeners hear after 260 ms",
+                "listeners at a front, all within 260 ms",
+                LISTENERS,
+                LATE_LISTENERS,
+            ),
+            *assuming(
+                assumed.LARGEST_TOPIC_SKEW,
+                within(
+                    slopes,
+                    "ends.time",
+                    DELIVERY_MS,
+                    "the same at the worst front",
+                    LISTENERS_WORST,
+                    LATE_LISTENERS,
+                ),
             ),
         ),
     )
@@ -175,6 +196,7 @@
     noticed = bounds.NOTICED_WITHIN_S.value + bounds.ADOPTED_AFTER_S.value
     left_s = bounds.SESSIONS_LEASE_S.value - noticed
     lost = "sessions are left to their lease, and end"
+    in_time = f"fronts and nodes, all asked in the {left_s:g} s that the lease leaves"
     time, processor = slopes["takeover.time"], slopes["takeover.processor"]
     return Row(
         "takeover of sessions",
@@ -192,22 +214,13 @@
             Load("memory, network", NOT_MEASURED, NOT_MEASURED),
         ),
         (
-            constant(bounds.TAKEOVER_PAIRS, "pairs of lost front and node", pairs, lost),
-            within(
-                slopes,
-                "takeover.time",
-                left_s,
-                f"fronts and nodes, all asked in the {left_s:g} s that the lease leaves",
-                FRONTS,
-                lost,
-            ),
-            within(
-                slopes,
-                "takeover.processor",
-                CONTROL_CORE,
-                "the same by processor time",
-                FRONTS,
-                THREE_PER_CENT,
+            *assuming(
+                assumed.PLAYOUT_NODES,
+                constant(bounds.TAKEOVER_PAIRS, "pairs of lost front and node", pairs, lost),
+                within(slopes, "takeover.time", left_s, in_time, FRONTS, lost),
+                within(
+                    slopes, "takeover.processor", CONTROL_CORE, "by processor time", FRONTS, THREE_PER_CENT
+                ),
             ),
         ),
     )
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -23,8 +23,9 @@
 @dataclass(frozen=True)
 class Limit:
     """One bound that a role meets on its way to the target: the largest value of its driver at which it still does its
-    work within the budget, and the value that is needed in the worst hour. `breaks`: what happens past it. A bound past
-    which a cache only forgets is no limit and has no entry."""
+    work within the budget, and the value that is needed in the worst hour. `breaks`: what happens past it. `assumes`: the
+    assumption of this page that it rests on, where the users' figures alone do not give it. A bound past which a cache
+    only forgets is no limit and has no entry."""
 
     driver: str
     carried: float | None
@@ -32,6 +33,7 @@
     basis: Basis
     source: str
     breaks: str
+    assumes: str = ""
 
     @property
     def ratio(self) -> float | None:
@@ -61,8 +63,13 @@
 
     @property
     def tightest(self) -> Limit | None:
-        """The limit with the lowest ratio; None where none was measured."""
-        return tightest(self.limits)
+        """The limit with the lowest ratio of those that the users' figures give; None where none was measured."""
+        return tightest(tuple(limit for limit in self.limits if not limit.assumes))
+
+    @property
+    def tightest_assumed(self) -> Limit | None:
+        """The same of those that rest on an assumption."""
+        return tightest(tuple(limit for limit in self.limits if limit.assumes))
 
     @property
     def tightest_with_mechanism(self) -> Limit | None:
@@ -77,11 +84,12 @@
 
 
 def by_ratio(rows: list[Row]) -> list[Row]:
-    """Rows by carried / needed, the lowest first; those without a figure last."""
+    """Rows by carried / needed as the users' figures give it, the lowest first; then those that rest on assumptions
+    alone, by theirs; those without a figure last."""
 
-    def key(row: Row) -> float:
-        limit = row.tightest
+    def key(row: Row) -> tuple[bool, float]:
+        limit = row.tightest or row.tightest_assumed
         ratio = limit.ratio if limit is not None else None
-        return float("inf") if ratio is None else ratio
+        return row.tightest is None, float("inf") if ratio is None else ratio
 
     return sorted(rows, key=key)
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -201,6 +201,20 @@
     assert [one.role for one in found] == ["low", "middle", "high", "unknown"]
 
 
+def test_a_limit_that_rests_on_an_assumption_is_told_apart() -> None:
+    """It moves no row before one that the users' figures give, and is shown beside it."""
+
+    def limit(carried: float, assumes: str = "") -> Limit:
+        return Limit("size", carried, 100, Basis.MEASURED, "", "", assumes)
+
+    both = Row("both", "", "", (), (limit(40), limit(1, "a guess")))
+    alone = Row("assumed alone", "", "", (), (limit(2, "a guess"),))
+    assert both.tightest == limit(40)
+    assert both.tightest_assumed == limit(1, "a guess")
+    assert [row.role for row in by_ratio([alone, both])] == ["both", "assumed alone"]
+    assert "0.01 (size: 1 / 100)" in page.summary([both])
+
+
 def test_the_page_on_record_is_what_the_arithmetic_makes() -> None:
     """The check that CI runs."""
     assert page.differences() == []
