--- a/benchmarks/capacity/measure_rollout.py
+++ b/benchmarks/capacity/measure_rollout.py
@@ -17,7 +17,7 @@
 from oakcroft.peerwire.duties import DutyCodec, OrderWord, ReportWord
 from oakcroft.peerwire.sealing import Ring
 
-ROLLOUT_SIZES = (100, 200, 400, 800, 1_600, 2_700)
+ROLLOUT_SIZES = (10, 25, 50, 100, 200, 400, 800, 1_600, 2_700)
 TITLE_SIZES = (1_000, 10_000, 40_000, 170_000)
 LOSS = 0.01
 LATENCY = (MS, 5 * MS)
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -10,7 +10,7 @@
 import pytest
 from click.testing import CliRunner
 
-from benchmarks.capacity import demand, page, slopes
+from benchmarks.capacity import demand, experiments, measure_fleet, page, slopes
 from benchmarks.capacity.__main__ import main
 from benchmarks.capacity.assumptions import ASSUMPTIONS, TITLE_SKEW
 from benchmarks.capacity.fit import GUESS_FACTOR, FitError, Point, estimate, fit, largest_within
@@ -170,6 +170,60 @@
     assert slopes.load(file) == found
 
 
+def test_runs_of_an_experiment_become_slopes_of_the_sizes_that_all_of_them_have(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """With the command that gives them, and the commit of the program."""
+    monkeypatch.setattr(experiments, "commit", lambda: "414ace3")
+    two = (
+        experiments.Quantity("cost.time", "time", "ms"),
+        experiments.Quantity("cost.octets", "octets", "kB"),
+    )
+
+    def measure(seed: int) -> dict[int, tuple[float, float]]:
+        sizes = SIZES if seed > 1 else (*SIZES, 3_200)
+        return {size: (float(size * seed), float(size)) for size in sizes}
+
+    found = experiments.run(
+        experiments.Experiment("cost", "fronts", "measured", two, measure), lambda _line: None
+    )
+    assert [one.name for one in found] == ["cost.time", "cost.octets"]
+    assert [m.size for m in found[0].measurements] == list(SIZES)
+    assert found[0].measurements[0].runs == (100.0, 200.0, 300.0)
+    assert found[0].command == "python -m benchmarks.capacity slopes --only cost"
+    for one in found:
+        one.check()
+
+
+def test_a_changed_program_is_not_measured(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its commit would not say what was measured."""
+    monkeypatch.setattr(
+        experiments, "git", lambda *arguments: " M oakcroft/choice.py" if "status" in arguments else "414ace3"
+    )
+    with pytest.raises(experiments.DirtyError, match="choice"):
+        experiments.commit()
+
+
+REPORT = """
+kB/s sent                    median 2.78, worst front 4.45, worst ten seconds of any 14.99 (front-0007 from 31.0 s); budget 8  MISSED
+kB/s received                median 2.75, worst front 3.25, worst ten seconds of any 11.52 (front-0017 from 0.5 s); budget 8  MISSED
+  kB/s sent, whole start     0 to 20 s: mean 4.25, first ten seconds' mean 7.15, worst ten seconds 11.19
+  kB/s sent, quiet           20 to 30 s: mean 1.28, first ten seconds' mean 1.28, worst ten seconds 2.06
+  kB/s sent, region          30 to 60 s: mean 3.07, first ten seconds' mean 6.26, worst ten seconds 14.99
+share of a core              median 0.53%, worst front 0.59%: decisions (mean 0.02%), coding by 167 samples; budget 3%
+MB a front                   state of its own: median 0.05 (50 members), largest 0.06 (50); budget 256  within
+"""  # noqa: E501
+
+
+def test_the_fleet_s_report_is_read_or_refused() -> None:
+    """Each figure from its own line; none is made up where a line is missing."""
+    assert measure_fleet.read(REPORT) == [11.19, 1.28, 14.99, 11.52, 0.59, 0.06]
+    for line in REPORT.strip().splitlines():
+        if "region" not in line:
+            with pytest.raises(measure_fleet.FleetError):
+                measure_fleet.read(REPORT.replace(line, ""))
+
+
 # Rows and the page.
 
 
