--- /dev/null
+++ b/benchmarks/capacity/roles_control.py
@@ -0,0 +1,274 @@
+"""Rows of the roles that front ends play among themselves, and of what is to be done by control machines and links."""
+
+from __future__ import annotations
+
+from benchmarks.capacity import assumptions as assumed
+from benchmarks.capacity import bounds, demand
+from benchmarks.capacity.readings import NOT_MEASURED, Readings, number
+from benchmarks.capacity.role_parts import (
+    CONTROL_CORE,
+    CONTROL_KB,
+    CONTROL_MB,
+    EIGHT_KB,
+    FRONTS,
+    MS_PER_S,
+    PER_CENT,
+    THREE_PER_CENT,
+    across,
+    assuming,
+    constant,
+    reckoned,
+    within,
+)
+from benchmarks.capacity.rows import Limit, Load, Row
+from benchmarks.capacity.targets import BUDGET, DAY_S, KB, MB, TARGET, TODAY_FRONTS
+
+TITLES = assumed.CATALOGUE_TITLES.value
+TODAY_TITLES = 10_000.0
+"""A catalogue as it is tried today."""
+CHANGES = demand.changes_per_s()
+CHANGES_BURST = demand.burst_changes_per_s()
+REGION = demand.fronts_of_largest_region()
+AWAY = 1 - 1 / TARGET.regions
+"""Part of what goes to any front that goes to another region."""
+LEASES = assumed.LEASES.value
+HOLDER_KB = "8 kB/s of the front that holds the lease"
+
+
+def by_budget(slopes: Readings, prefix: str) -> tuple[Limit, ...]:
+    """The limits of one kind of membership by each budget."""
+    named = (
+        ("start", CONTROL_KB, "fronts, whole start, octets sent", EIGHT_KB),
+        ("sent", CONTROL_KB, "fronts, whole start and a region's cut, octets sent", EIGHT_KB),
+        ("received", CONTROL_KB, "the same, octets received", EIGHT_KB),
+        ("processor", CONTROL_CORE, "fronts, by processor time", THREE_PER_CENT),
+        ("memory", CONTROL_MB, "fronts, by memory", "256 MB"),
+    )
+    return tuple(
+        within(slopes, f"{prefix}.{name}", budget, driver, FRONTS, breaks)
+        for name, budget, driver, breaks in named
+    )
+
+
+def membership(slopes: Readings) -> Row:
+    """Who is there."""
+    built = slopes["zoned.sent"].slope is not None
+    return Row(
+        "membership",
+        "8 kB/s in any ten seconds, 3% of a core, 256 MB with all other control",
+        "`decisions/fleet/view.py`, `peers/speaker.py`",
+        (
+            Load("state", f"{TODAY_FRONTS} members", f"{number(FRONTS)} members"),
+            Load("messages", NOT_MEASURED, NOT_MEASURED),
+            across("processor, worst front", slopes["membership.processor"]),
+            across("memory", slopes["membership.memory"]),
+            across("network, quiet", slopes["membership.quiet"]),
+            across("network, whole start, worst front", slopes["membership.start"]),
+            across("network, a region's cut, worst front", slopes["membership.sent"]),
+        ),
+        (
+            *by_budget(slopes, "membership"),
+            constant(bounds.MEMBERS, "members", FRONTS, "newcomers are not taken in"),
+        ),
+        by_budget(slopes, "zoned") if built else (),
+    )
+
+
+def leases(slopes: Readings) -> Row:
+    """Leases and their quorum."""
+    each = slopes["leases.octets"].value(FRONTS)
+    by_octets = None if each is None else CONTROL_KB / each
+    source = "`leases.octets`, 8 kB/s over that of one"
+    return Row(
+        "leases and their quorum",
+        "8 kB/s and 3% of a core of a quorum member, which is a front",
+        "`decisions/fleet/keeping.py`, `decisions/fleet/owning.py`, `peers/duties.py`",
+        (
+            Load("state", "1 lease", f"{number(LEASES)} leases (assumed)"),
+            across("messages of all, one lease", slopes["leases.messages"]),
+            Load("processor, memory", NOT_MEASURED, NOT_MEASURED),
+            across("network of a quorum member, one lease", slopes["leases.octets"]),
+        ),
+        (
+            *assuming(
+                assumed.LEASES,
+                constant(bounds.LEASES, "leases", LEASES, "not granted"),
+                reckoned(
+                    by_octets, source, "leases, by a member's octets", LEASES, "8 kB/s of a quorum member"
+                ),
+            ),
+        ),
+    )
+
+
+def rollout_limits(slopes: Readings) -> tuple[Limit, ...]:
+    """Limits of today's staged rollout, whatever the size of its text."""
+    took = slopes["rollout.time"].value(FRONTS)
+    ended = slopes["rollout.ended"].value(FRONTS)
+    a_day = None if ended is None else DAY_S / ended
+    source = "`rollout.ended` at 2,700 fronts, one at a time"
+    refused = "a change is refused while another is under way"
+    in_burst = TARGET.changes_per_day * assumed.BURST_OVER_MEAN.value
+    return (
+        reckoned(a_day, source, "changes a day", TARGET.changes_per_day, refused),
+        reckoned(a_day, source, "changes a day's rate in a burst of ten times", in_burst, refused),
+        reckoned(
+            None if took is None else TARGET.change_within_s / took,
+            "20 s over `rollout.time` at 2,700 fronts",
+            "of the time that a change takes, what it may take",
+            1.0,
+            "a change is in force late: two shares are watched for 10 s each before the last",
+        ),
+    )
+
+
+def text_limits(slopes: Readings) -> tuple[Limit, ...]:
+    """Limits that come of whole texts, if a change is one of a catalogue of all titles."""
+    text_kb, change_ms = slopes["catalogue.octets"].value(TITLES), slopes["catalogue.processor"].value(TITLES)
+    by_octets = None if text_kb is None else CONTROL_KB / text_kb * DAY_S
+    by_processor = None if change_ms is None else BUDGET.core_share * MS_PER_S / change_ms * DAY_S
+    kept = None if text_kb is None else CONTROL_MB / (text_kb * KB / MB)
+    a_day = TARGET.changes_per_day
+    return assuming(
+        assumed.CATALOGUE_TITLES,
+        reckoned(
+            by_octets,
+            "`catalogue.octets`, 8 kB/s over one text",
+            "changes a day, whole texts",
+            a_day,
+            "8 kB/s of every front",
+        ),
+        reckoned(
+            by_processor,
+            "`catalogue.processor`, 3% of a core",
+            "changes a day, by processor time",
+            a_day,
+            THREE_PER_CENT,
+        ),
+        reckoned(
+            kept,
+            "`catalogue.octets`, 256 MB over one text",
+            "versions in memory",
+            bounds.TEXTS_KEPT.value,
+            "256 MB",
+        ),
+    )
+
+
+def configuration(slopes: Readings) -> Row:
+    """Changes of configuration, today as whole catalogues."""
+    octets = slopes["catalogue.octets"]
+    return Row(
+        "configuration distribution",
+        "in force everywhere in 20 s; 8 kB/s, 3% of a core, 256 MB with all other control",
+        "`front/rolling.py`, `decisions/fleet/rollout.py`, `front/catalogues.py`",
+        (
+            across("state, the whole text", octets, TODAY_TITLES, TITLES),
+            Load(
+                "messages",
+                "one rollout at a time",
+                f"{number(CHANGES)} changes a second, {number(CHANGES_BURST)} in a burst",
+            ),
+            across("time of a change, text apart", slopes["rollout.time"]),
+            across("processor of a change at a front", slopes["catalogue.processor"], TODAY_TITLES, TITLES),
+            across("memory of a version at a front", slopes["catalogue.memory"], TODAY_TITLES, TITLES),
+            Load(
+                "network of a front, 14,000 changes a day",
+                octets.cell(TODAY_TITLES, CHANGES, "kB/s"),
+                octets.cell(TITLES, CHANGES, "kB/s"),
+            ),
+        ),
+        (*rollout_limits(slopes), *text_limits(slopes)),
+    )
+
+
+def control_machine(slopes: Readings) -> Row:
+    """Machines set aside for control; today a front that holds the lease does their work."""
+    half_core = BUDGET.control_machine_share * PER_CENT
+    holder_core = "3% of a core of the front that holds the lease"
+    return Row(
+        "regional control machine",
+        "half of a control machine; as it is a front today, a front's 8 kB/s and 3% of a core",
+        "does not exist; `front/rolling.py` at the front that holds the lease",
+        (
+            Load("state", "none", f"{TARGET.control_machines} machines"),
+            Load("messages", "2 orders a second to each front, as many reports", "the same"),
+            across("processor, a rollout under way", slopes["rollout.processor"]),
+            Load("memory", NOT_MEASURED, NOT_MEASURED),
+            across("network sent, a rollout under way", slopes["rollout.sent"]),
+            across("network received, a rollout under way", slopes["rollout.received"]),
+            across("network sent, none under way", slopes["rollout.quiet"]),
+        ),
+        (
+            within(
+                slopes,
+                "rollout.sent",
+                CONTROL_KB,
+                "fronts that one holder orders, by octets",
+                FRONTS,
+                HOLDER_KB,
+            ),
+            within(
+                slopes, "rollout.quiet", CONTROL_KB, "the same with no rollout under way", FRONTS, HOLDER_KB
+            ),
+            within(
+                slopes, "rollout.processor", CONTROL_CORE, "the same by processor time", FRONTS, holder_core
+            ),
+            within(
+                slopes,
+                "rollout.processor",
+                half_core,
+                "the same on a machine of its own",
+                FRONTS,
+                "half of a core of a control machine",
+            ),
+        ),
+    )
+
+
+def wide_area(slopes: Readings) -> Row:
+    """Links between regions."""
+    octets, quiet = slopes["catalogue.octets"], slopes["membership.quiet"]
+    text_kb, sent_kb = octets.value(TITLES), quiet.value(FRONTS)
+    link_kb = assumed.WIDE_AREA_OCTETS_PER_S.value / KB
+    by_text = None if text_kb is None else link_kb / (text_kb * REGION * AWAY) * DAY_S
+    fronts = None if sent_kb is None else link_kb / (sent_kb * AWAY)
+    today_region = TODAY_FRONTS / TARGET.regions
+    full = "the link is full: what is sent comes late"
+    texts_source = "`catalogue.octets`, a link over one text for each front of the largest region"
+    fronts_source = "`membership.quiet`, a link over what a front sends to other regions"
+    return Row(
+        "wide-area links",
+        "100 Mbit/s of one region's link for control (assumed)",
+        "none: no region exists, a peer or a text's source is any front",
+        (
+            Load("state", "none", f"{TARGET.regions} regions"),
+            Load("messages, processor, memory", "none of their own", "none of their own"),
+            Load(
+                "network, membership in a quiet time",
+                quiet.cell(TODAY_FRONTS, today_region * AWAY),
+                quiet.cell(FRONTS, REGION * AWAY),
+            ),
+            Load(
+                "network, 14,000 whole texts a day",
+                octets.cell(TODAY_TITLES, CHANGES * today_region * AWAY, "kB/s"),
+                octets.cell(TITLES, CHANGES * REGION * AWAY, "kB/s"),
+            ),
+        ),
+        (
+            *assuming(
+                assumed.WIDE_AREA_OCTETS_PER_S,
+                reckoned(
+                    by_text,
+                    texts_source,
+                    "changes a day, whole texts of all titles",
+                    TARGET.changes_per_day,
+                    full,
+                ),
+                reckoned(fronts, fronts_source, "fronts of a region", REGION, full),
+            ),
+        ),
+    )
+
+
+CONTROL_ROLES = (membership, leases, configuration, control_machine, wide_area)
