--- a/benchmarks/capacity/measure_rollout.py
+++ b/benchmarks/capacity/measure_rollout.py
@@ -14,8 +14,9 @@
 from oakcroft.decisions.routing.catalogue import Catalogue, Item, changed, takes_part
 from oakcroft.front.rolling import DUTY, ENCODER, ORDER_EVERY, ReportBody, plan_of, word_of
 from oakcroft.interface import MS, SECOND
-from oakcroft.peerwire.duties import DutyCodec, OrderWord, ReportWord
-from oakcroft.peerwire.sealing import Ring
+from oakcroft.peerwire.lease_codec import LeaseCodec
+from oakcroft.peerwire.lease_wire import Order, OrderReport
+from oakcroft.peerwire.sealing import KeyRing
 
 ROLLOUT_SIZES = (10, 25, 50, 100, 200, 400, 800, 1_600, 2_700)
 TITLE_SIZES = (1_000, 10_000, 40_000, 170_000)
@@ -39,7 +40,7 @@
         self.rng, self.now, self.number = Random(seed), 0, 0
         self.names = [f"front-{i:04}" for i in range(fronts)]
         self.places = {name: i for i, name in enumerate(self.names)}
-        self.codec = DutyCodec("oakcroft", Ring((b"k" * 32,)))
+        self.codec = LeaseCodec("oakcroft", KeyRing((b"k" * 32,)))
         new, base = (write([(name, Item())], False) for name in ("new", "base"))
         self.rollout = Rollout(Plan(1, digest(new), digest(base), Stage.HANDED, 1, 0))
         self.in_force = dict.fromkeys(self.names, self.rollout.plan.base)
@@ -73,7 +74,7 @@
         plan, to = self.rollout.plan, self.names
         if plan.stage in ENDED:
             to = self.rollout.unconfirmed(to, self.now)
-        word = OrderWord(DUTY, 7, plan.step, word_of(plan))
+        word = Order(DUTY, 7, plan.step, word_of(plan))
         orders = [self.codec.order(self.names[0], 1, word) for _ in to]
         self.processor += time.process_time() - began
         for name, octets in zip(to, orders, strict=True):
@@ -85,7 +86,7 @@
             self.number += 1
             heapq.heappush(self.heap, (self.now + self.rng.randint(*LATENCY), self.number, event))
 
-    def _obey(self, front: int, order: OrderWord) -> None:
+    def _obey(self, front: int, order: Order) -> None:
         """A front's part in `front/rolling.py`, without its record and its text."""
         plan, name = plan_of(order.body), self.names[front]
         takes = takes_part(front, len(self.names), int(plan.digest, 16), plan.part)
@@ -93,7 +94,7 @@
             self.in_force[name] = plan.digest
         body = ReportBody(plan.step, True, self.in_force[name], takes, "", 100, 1, False)
         octets = self.codec.report(
-            name, 1, ReportWord(DUTY, order.number, order.step, True, ENCODER.encode(body))
+            name, 1, OrderReport(DUTY, order.number, order.step, True, ENCODER.encode(body))
         )
         self._carry(lambda: self._heard(name, octets, body))
 
--- a/benchmarks/capacity/measure_simulated.py
+++ b/benchmarks/capacity/measure_simulated.py
@@ -18,8 +18,8 @@
 from oakcroft.decisions.fleet.holding import Word
 from oakcroft.decisions.fleet.terms import Answer, Ask, Note, Step, Term
 from oakcroft.interface import MS, SECOND
-from oakcroft.peerwire.duties import DutyCodec
-from oakcroft.peerwire.sealing import Ring
+from oakcroft.peerwire.lease_codec import LeaseCodec
+from oakcroft.peerwire.sealing import KeyRing
 from oakcroft.rehearsal.many_owners import Fleet
 
 LOSS = 0.01
@@ -55,7 +55,7 @@
 
 def lease_message_octets() -> float:
     """A question and its answer on the wire, with a plan on record as a rollout has it: the mean of the two."""
-    codec, note = DutyCodec("oakcroft", Ring((b"k" * 32,))), Note(7, 1, b"p" * NOTE_OCTETS)
+    codec, note = LeaseCodec("oakcroft", KeyRing((b"k" * 32,))), Note(7, 1, b"p" * NOTE_OCTETS)
     term = Term(7, "front-0001", 1)
     question = codec.ask("front-0001", 1, Ask(Step.PROPOSE, "catalogue", term, 9, TERM, note))
     epochs = tuple((f"front-{i:04}", 1) for i in range(KEEPERS - 1))
--- a/tests/test_platform_terms.py
+++ b/tests/test_platform_terms.py
@@ -82,7 +82,9 @@
         assert len(node.got("open")) == before
         again = {"complete": True, "members": [rig.member(n) for n in rig.nodes]}
         rig.channel.cmds.append({"cursor": 3, "nodes": again})
-        await until(lambda: len(rig.owner.pools) == 2 and listed(rig, node.name) is Listing.READY)
+        await until(
+            lambda: len(rig.owner.pools) == len(rig.nodes) and listed(rig, node.name) is Listing.READY
+        )
 
     on_platform(test)
 
