Add a simulated fleet of hollow front ends that judges what membership costs

Cause: the figures for whole starts and partitions were taken from outside, on a network without zones, with one size for all messages.

--- /dev/null
+++ b/benchmarks/capacity/fleet_command.py
@@ -0,0 +1,156 @@
+"""`python -m benchmarks.capacity fleet`: thousands of hollow front ends, simulated, against the budgets."""
+
+from __future__ import annotations
+
+import gc
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import click
+
+from benchmarks.capacity.fleet_faults import Fault, FaultTerms, phases, schedule
+from benchmarks.capacity.fleet_flat import FlatImplementation
+from benchmarks.capacity.fleet_membership import Implementation
+from benchmarks.capacity.fleet_memory import resident_octets
+from benchmarks.capacity.fleet_report import Line, Measured, lines, link_line
+from benchmarks.capacity.fleet_simulation import FleetSimulation
+from benchmarks.capacity.fleet_sockets import compare, run_processes, simulated_loads, socket_loads
+from benchmarks.capacity.network import DEFAULT_LOSS, Network, NetworkTerms
+from benchmarks.capacity.network_check import sample_links
+from benchmarks.capacity.topology import Topology
+from oakcroft.interface import SECOND
+
+IMPLEMENTATIONS: dict[str, Callable[[Topology], Implementation]] = {"flat": FlatImplementation}
+
+DEFAULT_CUT_SECONDS = 30.0
+DEFAULT_RESTARTS_A_MINUTE = 60.0
+"""A release of 600 in an hour is ten a minute; its worst minutes are taken to have six times the mean."""
+
+DEFAULT_SPEED_UP = 100.0
+DEFAULT_WALL_SECONDS = 900.0
+DEFAULT_PROCESSES = 24
+
+
+@dataclass(frozen=True)
+class FleetRun:
+    """All parameters of one run."""
+
+    front_ends: int
+    seed: int
+    duration: int
+    network: NetworkTerms
+    fault: FaultTerms
+    membership: str
+    preloaded: bool
+    alone: bool
+    wall_seconds: float
+
+
+def play(run: FleetRun) -> tuple[list[str], list[Line], bool]:
+    """Simulates a fleet: what was played, what was found, and whether it came to its end."""
+    topology = Topology(run.front_ends)
+    parts = phases(run.fault, run.duration, run.preloaded)
+    links = link_line(sample_links(Network(topology, run.network, run.seed), topology, run.network))
+    gc.disable()  # the simulation makes no cycles, and looking for them takes a third of its time
+    try:
+        before = resident_octets()
+        simulation = FleetSimulation(
+            topology, run.network, IMPLEMENTATIONS[run.membership](topology), run.seed, run.duration
+        )
+        simulation.preload() if run.preloaded else simulation.start_all()
+        what = schedule(simulation, run.fault, parts)
+        finished = simulation.run(run.duration, time.monotonic() + run.wall_seconds)
+        simulation.knowledge.finish(simulation.queue.now)
+        measured = Measured(simulation, parts, simulation.queue.now, resident_octets() - before, run.alone)
+        return _head(run, simulation, what), [links, *lines(measured)], finished
+    finally:
+        gc.enable()
+
+
+def _head(run: FleetRun, simulation: FleetSimulation, what: str) -> list[str]:
+    counts = simulation.topology.zone_counts()
+    links = run.network
+    return [
+        f"membership {run.membership}, {run.front_ends} front ends, seed {run.seed}, simulated; {what}"
+        + (", preloaded" if run.preloaded else ""),
+        f"{len(counts)} zones of {min(counts)} to {max(counts)} front ends in "
+        f"{len(set(simulation.topology.region_of_zone))} regions; loss {links.inside_zone.loss:.1%} inside a zone, "
+        f"{links.between_zones.loss:.1%} between zones, {links.between_regions.loss:.1%} between regions",
+        f"played {simulation.queue.now / SECOND:g} of {run.duration / SECOND:g} s",
+    ]
+
+
+def losses(text: str) -> tuple[float, float, float]:
+    """One loss for all paths, or three: inside a zone, between zones, between regions."""
+    values = [float(part) for part in text.split(",")]
+    if len(values) not in (1, 3) or not all(0 <= value < 1 for value in values):
+        raise click.BadParameter("one share, or three with commas between")
+    return (values[0], values[0], values[0]) if len(values) == 1 else (values[0], values[1], values[2])
+
+
+@click.command()
+@click.option("--fronts", default=2_700, help="Front ends.")
+@click.option("--seed", default=1)
+@click.option("--minutes", default=2.0, help="Simulated.")
+@click.option("--fault", type=click.Choice([fault.value for fault in Fault]), default=Fault.NONE.value)
+@click.option("--cut-seconds", default=DEFAULT_CUT_SECONDS, help="Of a region's cut or a zone's loss.")
+@click.option("--restarts", default=DEFAULT_RESTARTS_A_MINUTE, help="A minute, of a release.")
+@click.option(
+    "--speed-up", default=DEFAULT_SPEED_UP, help="Of an ordinary day's failures and restarts (churn)."
+)
+@click.option("--membership", type=click.Choice(sorted(IMPLEMENTATIONS)), default="flat")
+@click.option(
+    "--loss", default=str(DEFAULT_LOSS), help="Of a datagram; or inside a zone,between zones,regions."
+)
+@click.option("--preloaded", is_flag=True, help="All list each other at the start: no whole start is played.")
+@click.option("--alone", is_flag=True, help="Nothing else runs on this machine: processor time is judged.")
+@click.option("--wall-seconds", default=DEFAULT_WALL_SECONDS, help="The run ends after so long.")
+@click.option(
+    "--sockets", is_flag=True, help="Over real sockets, beside the simulation; --fronts and --seed count."
+)
+@click.option("--processes", default=DEFAULT_PROCESSES, help="Of --sockets.")
+def fleet(
+    fronts: int,
+    seed: int,
+    minutes: float,
+    fault: str,
+    cut_seconds: float,
+    restarts: float,
+    speed_up: float,
+    membership: str,
+    loss: str,
+    preloaded: bool,
+    alone: bool,
+    wall_seconds: float,
+    sockets: bool,
+    processes: int,
+) -> None:
+    """Simulates a fleet of hollow front ends and judges what control costs. Exits 1 where a budget is missed."""
+    if sockets:
+        _compare_with_sockets(fronts, seed, processes)
+        return
+    fault_terms = FaultTerms(Fault(fault), round(cut_seconds * SECOND), restarts, speed_up)
+    duration = round(minutes * 60 * SECOND)
+    network = NetworkTerms.with_loss(*losses(loss))
+    run = FleetRun(fronts, seed, duration, network, fault_terms, membership, preloaded, alone, wall_seconds)
+    began = time.monotonic()
+    head, found, finished = play(run)
+    for text in (*head, *(line.show() for line in found)):
+        click.echo(text)
+    click.echo(f"took {time.monotonic() - began:.0f} s of wall time")
+    if not finished:
+        click.echo("NOT FINISHED: the wall time ran out; what stands above covers the part that was played")
+    if not finished or any(line.met is False for line in found):
+        raise SystemExit(1)
+
+
+def _compare_with_sockets(front_ends: int, seed: int, processes: int) -> None:
+    """Prints the fleet over sockets beside the simulated one; exits 1 where octets differ by more than a tenth."""
+    real = socket_loads(run_processes(front_ends, processes, seed), front_ends)
+    found = compare(simulated_loads(front_ends, seed), real)
+    click.echo(f"{front_ends} front ends in {processes} processes, means a front end, seed {seed}")
+    for line in found:
+        click.echo(line.show())
+    if any(line.met is False for line in found):
+        raise SystemExit(1)
--- /dev/null
+++ b/benchmarks/capacity/fleet_faults.py
@@ -0,0 +1,178 @@
+"""What goes wrong in a simulated fleet, and when."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+from benchmarks.capacity.fleet_front import HollowFront
+from benchmarks.capacity.fleet_simulation import FleetSimulation
+from oakcroft.interface import MS, SECOND
+
+MINUTE = 60 * SECOND
+DAY = 86_400 * SECOND
+
+WHOLE_START_TAKES = 20 * SECOND
+"""What happens so soon after a whole start is counted to the start."""
+
+FAULT_BEGINS = 30 * SECOND
+"""After a whole start and a quiet time of ten seconds, a window of which is then free of both."""
+
+FAULT_BEGINS_PRELOADED = 12 * SECOND
+
+AFTER_LAST_EVENT = 25 * SECOND
+"""Left at the end, so that the goal of 20 s to be known everywhere can be judged of each event."""
+
+RACK_SHARE = 10
+"""A rack or switch takes a tenth of its zone with it."""
+
+RESTART_TAKES = 2 * SECOND
+"""Between the last word of a front end's process and the start of the next."""
+
+LAST_WORDS_TAKE = 150 * MS
+
+REPAIR_TAKES = 60 * SECOND
+"""After which a failed machine's front end is started again (elsewhere, under its name)."""
+
+FAILURES_A_DAY = 25
+RESTARTS_A_DAY = 600
+"""The users' figures for an ordinary day."""
+
+
+class Fault(Enum):
+    """What goes wrong."""
+
+    NONE = "none"
+    REGION = "region"
+    ZONE = "zone"
+    RACK = "rack"
+    RELEASE = "release"
+    CHURN = "churn"
+
+
+@dataclass(frozen=True)
+class FaultTerms:
+    """A fault and its size. `lasts`: of a region's cut or a zone's loss; `restarts_a_minute`: of a release;
+    `speed_up`: of an ordinary day's failures and restarts."""
+
+    fault: Fault
+    lasts: int
+    restarts_a_minute: float
+    speed_up: float
+
+
+@dataclass(frozen=True)
+class Phase:
+    """A part of a run that is reported by itself."""
+
+    name: str
+    begin: int
+    end: int
+
+
+class DurationError(ValueError):
+    """A run too short for its fault."""
+
+
+def phases(terms: FaultTerms, duration: int, preloaded: bool) -> list[Phase]:
+    """The parts of a run: whole start, quiet, fault, and after it."""
+    begins = FAULT_BEGINS_PRELOADED if preloaded else FAULT_BEGINS
+    start_ends = 0 if preloaded else min(duration, WHOLE_START_TAKES)
+    parts = [] if preloaded else [Phase("whole start", 0, start_ends)]
+    if terms.fault is Fault.NONE:
+        return [*parts, Phase("quiet", start_ends, duration)]
+    ends = _fault_ends(terms, begins, duration)
+    if ends + AFTER_LAST_EVENT > duration or ends <= begins:
+        least = (begins + AFTER_LAST_EVENT + terms.lasts) / MINUTE
+        raise DurationError(f"fault {terms.fault.value} needs {least:.2f} minutes at least")
+    parts += [Phase("quiet", start_ends, begins), Phase(terms.fault.value, begins, ends)]
+    return [*parts, Phase("after it", ends, duration)]
+
+
+def _fault_ends(terms: FaultTerms, begins: int, duration: int) -> int:
+    if terms.fault in (Fault.REGION, Fault.ZONE):
+        return begins + terms.lasts
+    if terms.fault is Fault.RACK:
+        return begins + AFTER_LAST_EVENT
+    return duration - AFTER_LAST_EVENT
+
+
+def schedule(simulation: FleetSimulation, terms: FaultTerms, parts: list[Phase]) -> str:
+    """Puts a fault on the simulation's queue; says what it is."""
+    if terms.fault is Fault.NONE:
+        return "no fault"
+    part = next(phase for phase in parts if phase.name == terms.fault.value)
+    simulation.queue.schedule(part.begin, simulation.disturbed)
+    return _SCHEDULED_BY[terms.fault](simulation, terms, part)
+
+
+def _schedule_region(simulation: FleetSimulation, terms: FaultTerms, part: Phase) -> str:
+    topology = simulation.topology
+    region = topology.largest_region()
+    simulation.queue.schedule(part.begin, simulation.cut, region)
+    simulation.queue.schedule(part.end, simulation.heal, region)
+    members = len(topology.region_members(region))
+    return f"region {region + 1} of {members} front ends cut off for {terms.lasts / SECOND:g} s"
+
+
+def _schedule_zone(simulation: FleetSimulation, terms: FaultTerms, part: Phase) -> str:
+    zone = simulation.topology.largest_zone()
+    members = [simulation.fronts[site.index] for site in simulation.topology.zone_members(zone)]
+    chance = Random(f"zone {simulation.seed}")
+    for front in members:
+        simulation.queue.schedule(part.begin, simulation.crash, front)
+        simulation.queue.schedule(part.end + chance.randrange(SECOND), simulation.start, front)
+    simulation.queue.schedule(part.end, simulation.disturbed)
+    return f"zone {zone + 1} of {len(members)} front ends lost, and back after {terms.lasts / SECOND:g} s"
+
+
+def _schedule_rack(simulation: FleetSimulation, _terms: FaultTerms, part: Phase) -> str:
+    zone = simulation.topology.largest_zone()
+    members = [simulation.fronts[site.index] for site in simulation.topology.zone_members(zone)]
+    rack = Random(f"rack {simulation.seed}").sample(members, max(1, round(len(members) / RACK_SHARE)))
+    for front in rack:
+        simulation.queue.schedule(part.begin, simulation.crash, front)
+    return f"{len(rack)} of the {len(members)} front ends of zone {zone + 1} killed at once"
+
+
+def _schedule_release(simulation: FleetSimulation, terms: FaultTerms, part: Phase) -> str:
+    """Zone by zone, as a release goes."""
+    apart = round(MINUTE / terms.restarts_a_minute)
+    times = range(part.begin, part.end, apart)
+    for position, at in enumerate(times):
+        front = simulation.fronts[position % len(simulation.fronts)]
+        _schedule_restart(simulation, front, at)
+    simulation.queue.schedule(times[-1] + RESTART_TAKES, simulation.disturbed)
+    return f"{len(times)} restarts, {terms.restarts_a_minute:g} a minute, zone by zone"
+
+
+def _schedule_churn(simulation: FleetSimulation, terms: FaultTerms, part: Phase) -> str:
+    chance = Random(f"churn {simulation.seed}")
+    span = part.end - part.begin
+    failures = max(1, round(FAILURES_A_DAY * terms.speed_up * span / DAY))
+    restarts = max(1, round(RESTARTS_A_DAY * terms.speed_up * span / DAY))
+    many = min(failures + restarts, len(simulation.fronts))
+    for position, front in enumerate(chance.sample(simulation.fronts, many)):
+        at = part.begin + chance.randrange(span)
+        if position < failures:
+            simulation.queue.schedule(at, simulation.crash, front)
+            simulation.queue.schedule(at + REPAIR_TAKES, simulation.start, front)
+        else:
+            _schedule_restart(simulation, front, at)
+    simulation.queue.schedule(part.end, simulation.disturbed)
+    return f"{failures} failures and {many - failures} restarts, an ordinary day's rates times {terms.speed_up:g}"
+
+
+def _schedule_restart(simulation: FleetSimulation, front: HollowFront, at: int) -> None:
+    simulation.queue.schedule(at, simulation.stop, front)
+    simulation.queue.schedule(at + LAST_WORDS_TAKE + RESTART_TAKES, simulation.start, front)
+
+
+_SCHEDULED_BY = {
+    Fault.REGION: _schedule_region,
+    Fault.ZONE: _schedule_zone,
+    Fault.RACK: _schedule_rack,
+    Fault.RELEASE: _schedule_release,
+    Fault.CHURN: _schedule_churn,
+}
--- /dev/null
+++ b/benchmarks/capacity/fleet_flat.py
@@ -0,0 +1,156 @@
+"""The flat membership, in which each front end lists all others, as the hollow fleet runs it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import replace
+from random import Random
+
+import msgspec
+
+from benchmarks.capacity.fleet_flat_sizes import FlatSizes
+from benchmarks.capacity.fleet_membership import MemberState, Membership, Outgoing, StreamReply, Transition
+from benchmarks.capacity.topology import Site, Topology
+from oakcroft.decisions.fleet.member import News, Standing, commitment
+from oakcroft.decisions.fleet.view import Kind, Out, View
+from oakcroft.interface import SECOND
+from oakcroft.peerwire.messages import Codec
+from oakcroft.peerwire.sealing import Ring
+
+FLEET = "fleet"
+KEY = bytes(32)
+VERSION = "0.34.0"
+STREAMS_AT_ONCE = 8  # peers/speaker.py, MOST_STREAMS
+STREAM_WITHIN = 2 * SECOND  # peers/speaker.py
+
+STATES = {
+    "alive": MemberState.ALIVE,
+    "suspected": MemberState.SUSPECTED,
+    "gone": MemberState.FAILED,
+    "left": MemberState.LEFT,
+}
+
+
+class FlatDatagram(msgspec.Struct, frozen=True, gc=False):
+    """A datagram with the sender's own word at the time of sending."""
+
+    sender: News
+    message: Out
+
+
+class FlatMembership:
+    """One front end's flat membership."""
+
+    def __init__(self, view: View, sizes: FlatSizes) -> None:
+        self.view = view
+        self._sizes = sizes
+
+    @property
+    def due(self) -> int:
+        """When `tick` has something to do at the latest."""
+        return self.view.due
+
+    def tick(self, now: int) -> None:
+        """Does what is due."""
+        self.view.tick(now)
+
+    def receive(self, message: object, now: int) -> None:
+        """A datagram has come."""
+        assert isinstance(message, FlatDatagram)
+        out = message.message
+        self.view.heard(message.sender, out.kind, out.seq, out.to, out.about, out.news, now)
+
+    def answer_stream(self, message: object, now: int) -> StreamReply | None:
+        """Another's whole list has come: this one's goes back, as it is after taking that in."""
+        self.receive_reply(message, now)
+        mine = self.view.whole()
+        return StreamReply(mine, self._sizes.whole(mine))
+
+    def receive_reply(self, message: object, now: int) -> None:
+        """A whole list has come."""
+        assert isinstance(message, list)
+        self.view.exchanged(message[0], message, now)
+
+    def leave(self, now: int) -> None:
+        """Says that this front end leaves."""
+        self.view.leave()
+
+    def take_outgoing(self) -> Sequence[Outgoing]:
+        """What is to be sent since the last call."""
+        if not self.view.out:
+            return ()
+        messages, self.view.out = self.view.out, []
+        return [self._outgoing(message) for message in messages]
+
+    def _outgoing(self, message: Out) -> Outgoing:
+        if message.kind is Kind.EXCHANGE:
+            mine = self.view.whole()
+            return Outgoing(message.address, mine, self._sizes.whole(mine), True)
+        me = self.view.me
+        octets, fitting = self._sizes.datagram(me, message)
+        if fitting < len(message.news):
+            message = replace(message, news=message.news[:fitting])
+        return Outgoing(message.address, FlatDatagram(me, message), octets)
+
+    def take_transitions(self) -> Sequence[Transition]:
+        """What has changed since the last call."""
+        if not self.view.changes:
+            return ()
+        changes, self.view.changes = self.view.changes, []
+        me = self.view.me.name
+        return [Transition(c.name, STATES[c.now]) for c in changes if c.name != me]
+
+    def lists(self, member: str) -> bool:
+        """Whether a member is taken to be there."""
+        return self.view.standing(member) in (Standing.ALIVE, Standing.SUSPECTED)
+
+    def size(self) -> int:
+        """Entries in its list of members."""
+        return len(self.view.members)
+
+    def state(self) -> object:
+        """All that it holds."""
+        return self.view
+
+
+class FlatImplementation:
+    """Makes flat memberships and knows their encoding."""
+
+    name = "flat"
+    streams_at_once = STREAMS_AT_ONCE
+    stream_within = STREAM_WITHIN
+
+    def __init__(self, topology: Topology) -> None:
+        self._seeds = topology.seeds()
+        self._sizes = FlatSizes(FLEET)
+        self._codec = Codec(FLEET, Ring((KEY,)))
+
+    def create(self, site: Site, generation: int, random: Random, now: int) -> FlatMembership:
+        """The membership of one process that starts now."""
+        secret = random.randbytes(16)
+        host, port = site.address
+        me = News(
+            site.name, generation, 0, Standing.ALIVE, host, port, site.zone_name, VERSION, commitment(secret)
+        )
+        return FlatMembership(View(me, secret, random, now, self._seeds), self._sizes)
+
+    def preload(self, memberships: Sequence[Membership], now: int) -> None:
+        """Each takes the word of all in, and forgets that it would pass it on."""
+        flat = [membership for membership in memberships if isinstance(membership, FlatMembership)]
+        everybody = [membership.view.me for membership in flat]
+        for position, membership in enumerate(flat):
+            other = everybody[position - 1]
+            membership.view.exchanged(other, everybody, now)
+            membership.view.spreading.carried.clear()
+            membership.view.wanted.clear()
+
+    def encode(self, message: object) -> bytes:
+        """A datagram as it would go on the wire."""
+        assert isinstance(message, FlatDatagram)
+        out = message.message
+        return self._codec.datagram(message.sender, out.kind, out.seq, out.to, out.about, out.news)
+
+    def decode(self, octets: bytes) -> FlatDatagram:
+        """A datagram as it was sent."""
+        sender, kind, seq, to, about, news = self._codec.taken(octets, 0)
+        return FlatDatagram(sender, Out(kind, ("", 0), seq, to, about, news))
--- /dev/null
+++ b/benchmarks/capacity/fleet_report.py
@@ -0,0 +1,206 @@
+"""What a run of the hollow fleet found, as lines, each beside its budget or goal."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from statistics import median
+
+from benchmarks.capacity import fleet_budgets as budgets
+from benchmarks.capacity.fleet_faults import Phase
+from benchmarks.capacity.fleet_knowledge import Durations, EventKind
+from benchmarks.capacity.fleet_memory import private_octets
+from benchmarks.capacity.fleet_simulation import SHOWN_FALSE_FAILURES, FleetSimulation
+from benchmarks.capacity.fleet_traffic import BUCKET, WINDOW, busiest_window, mean_rate
+from benchmarks.capacity.network_check import LinkSample
+from oakcroft.interface import SECOND
+
+KILOBYTE = 1_000
+MEGABYTE = 1_000_000
+FIRST_SECONDS = 10 * SECOND
+
+
+@dataclass(frozen=True)
+class Line:
+    """One line of the report. `met`: whether its budget or goal is; None where it has none, or was not judged."""
+
+    name: str
+    text: str
+    met: bool | None = None
+
+    def show(self) -> str:
+        """The line as printed."""
+        verdict = {True: "  within", False: "  MISSED", None: ""}[self.met]
+        return f"{self.name:<28} {self.text}{verdict}"
+
+
+@dataclass(frozen=True)
+class Measured:
+    """What a run leaves beside the simulation itself. `ended`: how far it came; `resident`: octets it took."""
+
+    simulation: FleetSimulation
+    phases: Sequence[Phase]
+    ended: int
+    resident: int
+    alone: bool
+
+
+def lines(measured: Measured) -> list[Line]:
+    """All lines."""
+    found = [*_traffic_lines(measured), *_phase_lines(measured), _processor_line(measured)]
+    found += _memory_lines(measured)
+    found += _knowledge_lines(measured.simulation)
+    return [*found, _settling_line(measured.simulation), *_failure_lines(measured.simulation)]
+
+
+def link_line(samples: Sequence[LinkSample]) -> Line:
+    """What the links did, beside what is stated of them."""
+    wrong = [sample.kind for sample in samples if not sample.as_stated()]
+    text = "; ".join(sample.show() for sample in samples)
+    if wrong:
+        text += f"; not as stated: {', '.join(wrong)}"
+    return Line("links", text, not wrong)
+
+
+def _traffic_lines(measured: Measured) -> list[Line]:
+    fronts = measured.simulation.fronts
+    ways = {"sent": [f.traffic.sent for f in fronts], "received": [f.traffic.received for f in fronts]}
+    found = []
+    for way, buckets in ways.items():
+        rates = [mean_rate(own, 0, measured.ended) for own in buckets]
+        worst = busiest_window(buckets, 0, measured.ended)
+        met = worst.rate <= budgets.OCTETS_A_SECOND
+        text = (
+            f"median {median(rates) / KILOBYTE:.2f}, worst front {max(rates) / KILOBYTE:.2f}, worst ten seconds of any "
+            f"{worst.rate / KILOBYTE:.2f} ({fronts[worst.index].site.name} from {worst.began / SECOND:.1f} s); "
+            f"budget {budgets.OCTETS_A_SECOND / KILOBYTE:g}"
+        )
+        found.append(Line(f"kB/s {way}", text, met))
+    sent = sum(sum(own) for own in ways["sent"])
+    headers = sum(f.traffic.header_octets for f in fronts)
+    datagrams = sum(f.traffic.datagrams_sent for f in fronts)
+    rate = datagrams * SECOND / max(1, measured.ended) / len(fronts)
+    share = headers / sent if sent else 0.0
+    found.append(
+        Line(
+            "datagrams", f"{rate:.1f} a second a front; UDP, TCP and IP headers are {share:.0%} of the octets"
+        )
+    )
+    return found
+
+
+def _phase_lines(measured: Measured) -> list[Line]:
+    fronts = measured.simulation.fronts
+    buckets = [f.traffic.sent for f in fronts]
+    found = []
+    for phase in measured.phases:
+        end = min(phase.end, measured.ended)
+        if end <= phase.begin:
+            continue
+        rates = [mean_rate(own, phase.begin, end) for own in buckets]
+        worst = busiest_window(buckets, phase.begin, max(phase.begin + BUCKET, end - WINDOW + BUCKET))
+        first = [mean_rate(own, phase.begin, min(end, phase.begin + FIRST_SECONDS)) for own in buckets]
+        text = (
+            f"{phase.begin / SECOND:g} to {end / SECOND:g} s: mean {sum(rates) / len(rates) / KILOBYTE:.2f}, first ten "
+            f"seconds' mean {sum(first) / len(first) / KILOBYTE:.2f}, worst ten seconds {worst.rate / KILOBYTE:.2f}"
+        )
+        found.append(Line(f"  kB/s sent, {phase.name}", text))
+    return found
+
+
+def _processor_line(measured: Measured) -> Line:
+    simulation = measured.simulation
+    shares = [
+        (
+            front.busy
+            + simulation.sampling.coding_nanoseconds(
+                front.traffic.datagrams_sent, front.traffic.datagrams_received
+            )
+        )
+        / max(1, measured.ended)
+        for front in simulation.fronts
+    ]
+    decisions = sum(front.busy for front in simulation.fronts) / max(1, measured.ended) / len(shares)
+    text = (
+        f"median {median(shares):.2%}, worst front {max(shares):.2%}, mean of decisions alone {decisions:.2%}, the rest "
+        f"coding by {simulation.sampling.samples} samples, system calls not counted; budget {budgets.SHARE_OF_A_CORE:.0%}"
+    )
+    if not measured.alone:
+        return Line("share of a core", f"{text}; not alone, not judged")
+    return Line("share of a core", f"{text}; alone", max(shares) <= budgets.SHARE_OF_A_CORE)
+
+
+def _memory_lines(measured: Measured) -> list[Line]:
+    running = [f.membership for f in measured.simulation.fronts if f.membership is not None]
+    by_size = sorted(running, key=lambda membership: membership.size())
+    middle, largest = by_size[len(by_size) // 2], by_size[-1]
+    worst = private_octets(largest.state()) / MEGABYTE
+    text = (
+        f"state of its own: median {private_octets(middle.state()) / MEGABYTE:.2f} ({middle.size()} members), largest "
+        f"{worst:.2f} ({largest.size()}); budget {budgets.MEGABYTES:g}"
+    )
+    shared = measured.resident / len(measured.simulation.fronts) / MEGABYTE
+    return [
+        Line("MB a front", text, worst <= budgets.MEGABYTES),
+        Line(
+            "  resident",
+            f"{shared:.2f} MB a front in this one process, where they share what they have heard",
+        ),
+    ]
+
+
+def _durations(durations: Durations) -> str:
+    missing = f", {durations.missing} never" if durations.missing else ""
+    return (
+        f"p50 {durations.quantile(0.5):.2f} s, p99 {durations.quantile(0.99):.2f} s, most {durations.most:.2f} s "
+        f"({durations.count} cases{missing})"
+    )
+
+
+def _knowledge_lines(simulation: FleetSimulation) -> list[Line]:
+    own, known = simulation.knowledge.crash_in_own_zone, simulation.knowledge.everywhere
+    found = []
+    if own.count:
+        met = own.quantile(0.99) <= budgets.OWN_ZONE_WITHIN
+        text = f"{_durations(own)}; goal {budgets.OWN_ZONE_WITHIN:g} s p99"
+        found.append(Line("detection, own zone", text, met))
+    crash = known[EventKind.CRASH]
+    if crash.count:
+        met = crash.most <= budgets.EVERYWHERE_WITHIN
+        text = f"{_durations(crash)}; goal {budgets.EVERYWHERE_WITHIN:g} s"
+        found.append(Line("detection, everywhere", text, met))
+    else:
+        found.append(Line("detection", "no crash in this run"))
+    for kind in (EventKind.START, EventKind.STOP):
+        if known[kind].count:
+            found.append(Line(f"propagation, {kind.value}", _durations(known[kind])))
+    if len(found) == 1 and not crash.count:
+        found.append(Line("propagation", "no start and no stop after the whole start"))
+    return found
+
+
+def _settling_line(simulation: FleetSimulation) -> Line:
+    agreement = simulation.agreement
+    since = f"after the last disturbance at {agreement.disturbed_at / SECOND:g} s"
+    if agreement.settled_at is None:
+        share = agreement.wrong / max(1, agreement.pairs())
+        text = f"not settled {since}: {agreement.wrong} entries of lists are wrong ({share:.3%})"
+        return Line("settling", text, False)
+    took = agreement.settled_at - agreement.disturbed_at
+    text = (
+        f"{took / SECOND:.2f} s {since}; goal {budgets.SETTLED_WITHIN / SECOND:g} s; "
+        f"{agreement.wrong} entries of lists are wrong at the end"
+    )
+    return Line("settling", text, took <= budgets.SETTLED_WITHIN and agreement.wrong == 0)
+
+
+def _failure_lines(simulation: FleetSimulation) -> list[Line]:
+    false = simulation.false_failures
+    shown = "".join(
+        f"; {one.observer} of {one.member} at {one.at / SECOND:.1f} s" for one in false[:SHOWN_FALSE_FAILURES]
+    )
+    text = (
+        f"{len(false)} verdicts{shown}; apart from these {simulation.failed_across_cut} across a cut and "
+        f"{simulation.failed_of_former_process} of a process before"
+    )
+    return [Line("living called failed", text, not false)]
--- /dev/null
+++ b/benchmarks/capacity/fleet_simulation.py
@@ -0,0 +1,263 @@
+"""Hollow front ends on simulated links: the real membership code of each, without viewers.
+
+Seeded and without threads: the same parameters give the same events each run. What is measured of this machine, the
+processor time, decides nothing.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from benchmarks.capacity.fleet_agreement import Agreement
+from benchmarks.capacity.fleet_front import HollowFront
+from benchmarks.capacity.fleet_knowledge import EventKind, Knowledge
+from benchmarks.capacity.fleet_membership import Implementation, MemberState, Outgoing, Transition
+from benchmarks.capacity.fleet_sampling import Sampling
+from benchmarks.capacity.fleet_streams import Streams
+from benchmarks.capacity.network import DATAGRAM_HEADER_OCTETS, EventQueue, Network, NetworkTerms
+from benchmarks.capacity.topology import Topology
+from oakcroft.interface import MS, SECOND
+
+EPOCH_MICROSECONDS = 1_790_000_000_000_000
+"""Generations are microseconds since 1970, whose encoding has nine octets."""
+
+ALL_STARTED_WITHIN = 500 * MS
+"""Of a whole start: the processes of a fleet come up so far apart."""
+
+LAST_WORD_TIMES = 3
+LAST_WORD_APART = 50 * MS
+"""How often a front end that stops in order says so (peers/speaker.py)."""
+
+OVERDUE_AFTER = 20 * SECOND
+"""The goal for a crash to be known everywhere; what is not known by then counts as missing."""
+
+STALE_FOR = 30 * SECOND
+"""After a cut heals, or a member starts anew, a verdict may rest on what was seen before: a probe of 1 s and a
+suspicion of 6 s, four times as long where a front end finds itself slow, make 28 s."""
+
+SHOWN_FALSE_FAILURES = 3
+
+
+@dataclass(frozen=True)
+class FalseFailure:
+    """A running front end that another called failed, with no cut between them."""
+
+    at: int
+    observer: str
+    member: str
+
+
+class FleetSimulation:
+    """A fleet and the network between its members."""
+
+    def __init__(
+        self,
+        topology: Topology,
+        terms: NetworkTerms,
+        implementation: Implementation,
+        seed: int,
+        duration: int,
+    ) -> None:
+        self.topology, self.seed, self.duration = topology, seed, duration
+        self.implementation = implementation
+        self.queue = EventQueue()
+        self.network = Network(topology, terms, seed)
+        self.fronts = [HollowFront(site, duration) for site in topology.sites]
+        self._streams = Streams(
+            self.queue, self.network, topology, self.fronts, implementation, self._after_call
+        )
+        self.agreement = Agreement(len(self.fronts))
+        self.knowledge = Knowledge(lambda index: topology.sites[index].zone, OVERDUE_AFTER)
+        self.sampling = Sampling(implementation)
+        self.false_failures: list[FalseFailure] = []
+        self.failed_across_cut = 0
+        self.failed_of_former_process = 0
+        self._healed_at: dict[int, int] = {}
+        self._index = {site.name: site.index for site in topology.sites}
+
+    # Processes.
+
+    def start_all(self) -> None:
+        """All processes come up within `ALL_STARTED_WITHIN`, and know nothing but the seeds."""
+        chance = Random(f"start {self.seed}")
+        for front in self.fronts:
+            self.queue.schedule(chance.randrange(ALL_STARTED_WITHIN), self.start, front)
+
+    def preload(self) -> None:
+        """All run and list each other: a fleet that started long ago."""
+        for front in self.fronts:
+            self._create(front)
+        memberships = [front.membership for front in self.fronts if front.membership is not None]
+        self.implementation.preload(memberships, self.queue.now)
+        for front, membership in zip(self.fronts, memberships, strict=True):
+            membership.take_transitions()
+            membership.take_outgoing()
+            for site in self.topology.sites:
+                if membership.lists(site.name):
+                    self.agreement.seen(front.site.index, site.index, True)
+            self._after_call(front)
+
+    def start(self, front: HollowFront) -> None:
+        """A process starts; nothing where one runs already."""
+        if front.membership is not None:
+            return
+        if self.queue.now > ALL_STARTED_WITHIN:
+            self.knowledge.happened(
+                front.site.index, EventKind.START, self.queue.now, self._observers_of_start(front)
+            )
+        self._create(front)
+        self._after_call(front)
+
+    def _observers_of_start(self, front: HollowFront) -> list[int]:
+        """Its own zone, and whoever else does not take it to be there already."""
+        index, sites = front.site.index, self.topology.sites
+        return [
+            observer
+            for observer in self.agreement.running()
+            if observer != index
+            and (sites[observer].zone == front.site.zone or not self.agreement.lists(observer, index))
+        ]
+
+    def _create(self, front: HollowFront) -> None:
+        now = self.queue.now
+        front.process += 1
+        front.started_at, front.scheduled, front.streams = now, -1, 0
+        random = Random(f"{self.seed} {front.site.name} {front.process}")
+        generation = EPOCH_MICROSECONDS + now // 1_000 + 1
+        front.membership = self.implementation.create(front.site, generation, random, now)
+        self.agreement.started(front.site.index)
+
+    def crash(self, front: HollowFront) -> None:
+        """The process ends without a word."""
+        if front.membership is not None:
+            self._happened_to(front, EventKind.CRASH)
+            self._end(front)
+
+    def stop(self, front: HollowFront) -> None:
+        """The process says that it leaves, and ends."""
+        if front.membership is None:
+            return
+        self._happened_to(front, EventKind.STOP)
+        front.membership.leave(self.queue.now)
+        last_words = list(front.membership.take_outgoing())
+        self._end(front)
+        for time_said in range(LAST_WORD_TIMES):
+            at = self.queue.now + time_said * LAST_WORD_APART
+            self.queue.schedule(at, self._send_all, front, last_words)
+
+    def _happened_to(self, front: HollowFront, kind: EventKind) -> None:
+        """Those that list a member are to learn that it is gone."""
+        index = front.site.index
+        observers = [o for o in self.agreement.running() if o != index and self.agreement.lists(o, index)]
+        self.knowledge.happened(index, kind, self.queue.now, observers)
+
+    def _end(self, front: HollowFront) -> None:
+        front.membership = None
+        front.scheduled = -1
+        self.agreement.ended(front.site.index)
+        self.knowledge.observer_ended(front.site.index)
+
+    # Partitions.
+
+    def cut(self, region: int) -> None:
+        """A region loses all others."""
+        self.network.cut(region)
+
+    def heal(self, region: int) -> None:
+        """The region has them back."""
+        self.network.heal(region)
+        self._healed_at[region] = self.queue.now
+        self.disturbed()
+
+    def disturbed(self) -> None:
+        """Settling is counted from now."""
+        self.agreement.disturbed(self.queue.now)
+
+    # Time.
+
+    def run(self, until: int, wall_deadline: float = float("inf")) -> bool:
+        """Plays on to a time. False where the wall clock ran past its deadline first."""
+        return self.queue.run(min(until, self.duration), wall_deadline)
+
+    def _tick(self, front: HollowFront, due: int) -> None:
+        if front.scheduled != due or front.membership is None:
+            return  # there is an earlier one, or the process has ended
+        front.scheduled = -1
+        began = time.perf_counter_ns()
+        front.membership.tick(self.queue.now)
+        front.busy += time.perf_counter_ns() - began
+        self._after_call(front)
+
+    def _after_call(self, front: HollowFront) -> None:
+        """Carries out what a membership asks for, and sets its timer."""
+        membership, now = front.membership, self.queue.now
+        assert membership is not None
+        began = time.perf_counter_ns()
+        outgoing = membership.take_outgoing()
+        transitions = membership.take_transitions()
+        due = max(membership.due, now + MS)
+        front.busy += time.perf_counter_ns() - began
+        if outgoing:
+            self._send_all(front, outgoing)
+        for transition in transitions:
+            self._transition(front, transition)
+        if transitions:
+            self.agreement.look(now)
+        if front.scheduled < now or due < front.scheduled:
+            front.scheduled = due
+            self.queue.schedule(due, self._tick, front, due)
+
+    def _transition(self, front: HollowFront, transition: Transition) -> None:
+        observer, member = front.site.index, self._index[transition.member]
+        listed = transition.state in (MemberState.ALIVE, MemberState.SUSPECTED)
+        self.agreement.seen(observer, member, listed)
+        self.knowledge.learnt(observer, member, transition.state, self.queue.now)
+        if transition.state is MemberState.FAILED:
+            self._called_failed(front, self.fronts[member])
+
+    def _called_failed(self, observer: HollowFront, member: HollowFront) -> None:
+        """Judges a verdict on a member that runs."""
+        now = self.queue.now
+        if member.membership is None:
+            return
+        healed = max(self._healed_at.get(f.site.region, -STALE_FOR) for f in (observer, member))
+        across = observer.site.region != member.site.region and now - healed < STALE_FOR
+        if across or self.network.separated(observer.site, member.site):
+            self.failed_across_cut += 1
+        elif member.process > 1 and now - member.started_at < STALE_FOR:
+            self.failed_of_former_process += 1
+        else:
+            self.false_failures.append(FalseFailure(now, observer.site.name, member.site.name))
+
+    # Datagrams.
+
+    def _send_all(self, front: HollowFront, outgoing: Sequence[Outgoing]) -> None:
+        for message in outgoing:
+            if message.stream:
+                self._streams.open(front, message)
+            else:
+                self._send(front, message)
+
+    def _send(self, front: HollowFront, message: Outgoing) -> None:
+        now = self.queue.now
+        front.traffic.datagram_sent(now, message.octets, DATAGRAM_HEADER_OCTETS)
+        self.sampling.sent(message)
+        receiver = self.topology.by_address.get(message.address)
+        if receiver is None:
+            return
+        delay = self.network.datagram_delay(front.site, receiver)
+        if delay is not None:
+            self.queue.schedule(now + delay, self._arrive, self.fronts[receiver.index], message)
+
+    def _arrive(self, front: HollowFront, message: Outgoing) -> None:
+        if front.membership is None:
+            return
+        now = self.queue.now
+        front.traffic.datagram_received(now, message.octets + DATAGRAM_HEADER_OCTETS)
+        began = time.perf_counter_ns()
+        front.membership.receive(message.message, now)
+        front.busy += time.perf_counter_ns() - began
+        self._after_call(front)
--- /dev/null
+++ b/benchmarks/capacity/fleet_socket_host.py
@@ -0,0 +1,102 @@
+"""One process of the fleet over real sockets: dozens of hollow front ends in one loop.
+
+Each is the peers' part of a front end as it serves, with its own UDP socket and TCP listener on 127.0.0.0/8, and no
+viewers. The driver (`fleet_sockets.py`) writes the task to standard input, then a line that starts it.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections import Counter
+from collections.abc import Sequence
+from functools import partial
+
+import msgspec
+import structlog
+import trio
+
+from benchmarks.capacity.fleet_memory import resident_octets
+from benchmarks.capacity.fleet_socket_messages import HostResult, HostTask, Reading
+from benchmarks.capacity.topology import LOOPBACK_NETWORK, Site, Topology
+from oakcroft.config.told import PeersPlace
+from oakcroft.decisions.fleet.member import News
+from oakcroft.peers.speaker import Peers
+from oakcroft.peerwire.messages import Codec
+from oakcroft.peerwire.sealing import Ring
+from oakcroft.running.clock import Clock
+
+FLEET = "fleet"
+
+
+class CountingCodec(Codec):
+    """Counts the octets of whole lists, which go by stream."""
+
+    def __init__(self, fleet: str, ring: Ring) -> None:
+        super().__init__(fleet, ring)
+        self.stream_octets = 0
+
+    def whole(self, news: Sequence[News]) -> bytes:
+        """A whole list as it goes on a stream."""
+        octets = super().whole(news)
+        self.stream_octets += len(octets)
+        return octets
+
+
+class HostedFront:
+    """One front end's peers."""
+
+    def __init__(self, site: Site, task: HostTask, seeds: tuple[tuple[str, int], ...], clock: Clock) -> None:
+        place = PeersPlace(site.name, site.address, site.address, seeds, task.key_file, FLEET, "")
+        log = structlog.wrap_logger(None, processors=[_drop])
+        self.peers = Peers(place, site.zone_name, task.seed * task.front_ends + site.index, clock, log)
+        self.codec = self.peers.codec = CountingCodec(FLEET, self.peers.ring)
+
+
+def _drop(_logger: object, _method: str, _event: object) -> structlog.typing.ProcessorReturnValue:
+    raise structlog.DropEvent
+
+
+def reading(fronts: Sequence[HostedFront]) -> Reading:
+    """The totals of these front ends now."""
+    return Reading(
+        sum(front.peers.sent for front in fronts),
+        sum(front.peers.octets_out for front in fronts),
+        sum(front.codec.stream_octets for front in fronts),
+        time.process_time(),
+        resident_octets(),
+    )
+
+
+async def host(task: HostTask) -> HostResult:
+    """Runs the front ends of a task for its time. OSError where an address is taken."""
+    topology = Topology(task.front_ends, first_octet=LOOPBACK_NETWORK)
+    sites = topology.sites[task.first : task.first + task.count]
+    before = reading([])
+    clock = Clock()
+    fronts = [HostedFront(site, task, topology.seeds(), clock) for site in sites]
+    began = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for front in fronts:
+            await nursery.start(front.peers.run)
+        await trio.sleep_until(began + task.start_seconds)
+        started = reading(fronts)
+        await trio.sleep_until(began + task.start_seconds + task.quiet_seconds)
+        ended = reading(fronts)
+        listed = [len(front.peers.view.present()) for front in fronts]
+        nursery.cancel_scope.cancel()
+    dropped = sum((front.peers.dropped for front in fronts), Counter[str]())
+    return HostResult(before, started, ended, (min(listed), max(listed)), dict(dropped))
+
+
+def main() -> None:
+    """Reads the task, says that it is ready, waits for the word to start, and prints the result."""
+    task = msgspec.json.decode(sys.stdin.readline(), type=HostTask)
+    print("ready", flush=True)
+    if sys.stdin.readline():
+        result = trio.run(partial(host, task))
+        print(msgspec.json.encode(result).decode(), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/capacity/fleet_streams.py
@@ -0,0 +1,113 @@
+"""Streams between simulated front ends: one request and its answer, each on a connection of its own."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from benchmarks.capacity.fleet_front import HollowFront
+from benchmarks.capacity.fleet_membership import Implementation, Outgoing, StreamReply
+from benchmarks.capacity.network import CONNECTION_SEGMENTS, TCP_HEADER_OCTETS, EventQueue, Network
+from benchmarks.capacity.topology import Topology
+
+
+@dataclass(frozen=True)
+class _Stream:
+    """One connection, and which process stood at each end when it was opened."""
+
+    client: HollowFront
+    client_process: int
+    server: HollowFront
+    server_process: int
+    deadline: int
+
+    def client_runs(self) -> bool:
+        return self.client.membership is not None and self.client.process == self.client_process
+
+    def server_runs(self) -> bool:
+        return self.server.membership is not None and self.server.process == self.server_process
+
+
+class Streams:
+    """Carries all streams of a fleet. `after_call`: what is done after each call of a membership."""
+
+    def __init__(
+        self,
+        queue: EventQueue,
+        network: Network,
+        topology: Topology,
+        fronts: Sequence[HollowFront],
+        implementation: Implementation,
+        after_call: Callable[[HollowFront], None],
+    ) -> None:
+        self._queue, self._network, self._topology = queue, network, topology
+        self._fronts, self._implementation, self._after_call = fronts, implementation, after_call
+
+    def open(self, client: HollowFront, request: Outgoing) -> None:
+        """Connects to an address; the request follows once the connection stands."""
+        now = self._queue.now
+        site = self._topology.by_address.get(request.address)
+        there = self._network.stream_transfer(client.site, site, 0) if site is not None else None
+        if site is None or there is None or self._fronts[site.index].membership is None:
+            client.traffic.stream_sent(now, 0, TCP_HEADER_OCTETS)  # a SYN that nobody answers
+            return
+        back = self._network.stream_transfer(site, client.site, 0)
+        assert back is not None
+        server = self._fronts[site.index]
+        headers = CONNECTION_SEGMENTS * TCP_HEADER_OCTETS
+        for end in (client, server):
+            end.traffic.stream_sent(now, 0, headers)
+            end.traffic.stream_received(now, headers)
+        deadline = now + self._implementation.stream_within
+        stream = _Stream(client, client.process, server, server.process, deadline)
+        self._queue.schedule(now + there.delay + back.delay, self._send_request, stream, request)
+
+    def _send_request(self, stream: _Stream, request: Outgoing) -> None:
+        if not stream.client_runs() or not stream.server_runs():
+            return
+        if stream.server.streams >= self._implementation.streams_at_once:
+            return
+        delay = self._transfer(stream.client, stream.server, request.octets)
+        if delay is not None and self._queue.now + delay <= stream.deadline:
+            stream.server.streams += 1
+            self._queue.schedule(self._queue.now + delay, self._answer, stream, request.message)
+
+    def _answer(self, stream: _Stream, message: object) -> None:
+        server, now = stream.server, self._queue.now
+        if not stream.server_runs() or server.membership is None:
+            return
+        began = time.perf_counter_ns()
+        reply = server.membership.answer_stream(message, now)
+        server.busy += time.perf_counter_ns() - began
+        self._after_call(server)
+        delay = self._transfer(server, stream.client, reply.octets) if reply is not None else None
+        done = stream.deadline if delay is None else min(stream.deadline, now + delay)
+        self._queue.schedule(done, self._close, stream)
+        if reply is not None and delay is not None and now + delay <= stream.deadline:
+            self._queue.schedule(now + delay, self._receive_reply, stream, reply)
+
+    def _close(self, stream: _Stream) -> None:
+        if stream.server_runs():
+            stream.server.streams -= 1
+
+    def _receive_reply(self, stream: _Stream, reply: StreamReply) -> None:
+        client = stream.client
+        if not stream.client_runs() or client.membership is None:
+            return
+        began = time.perf_counter_ns()
+        client.membership.receive_reply(reply.message, self._queue.now)
+        client.busy += time.perf_counter_ns() - began
+        self._after_call(client)
+
+    def _transfer(self, sender: HollowFront, receiver: HollowFront, octets: int) -> int | None:
+        """Sends octets on an open stream; how long they take, None across a cut."""
+        transfer = self._network.stream_transfer(sender.site, receiver.site, octets)
+        if transfer is None:
+            return None
+        now = self._queue.now
+        sender.traffic.stream_sent(now, octets, transfer.forward_octets - octets)
+        receiver.traffic.stream_received(now, transfer.forward_octets)
+        receiver.traffic.stream_sent(now, 0, transfer.backward_octets)
+        sender.traffic.stream_received(now, transfer.backward_octets)
+        return transfer.delay
