--- a/benchmarks/capacity/fleet_flat.py
+++ b/benchmarks/capacity/fleet_flat.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from benchmarks.capacity.fleet_flat_sizes import FlatSizes
-from benchmarks.capacity.fleet_membership import MemberState, Membership, Outgoing, StreamReply, Transition
+from benchmarks.capacity.fleet_membership import ObservedState, Membership, Outgoing, StreamReply, Transition
 from benchmarks.capacity.topology import Site, Topology
 from oakcroft.decisions.fleet.member import News, Standing, commitment
 from oakcroft.decisions.fleet.view import Kind, Out, View
@@ -24,10 +24,10 @@
 STREAM_WITHIN = 2 * SECOND  # peers/speaker.py
 
 STATES = {
-    "alive": MemberState.ALIVE,
-    "suspected": MemberState.SUSPECTED,
-    "gone": MemberState.FAILED,
-    "left": MemberState.LEFT,
+    "alive": ObservedState.ALIVE,
+    "suspected": ObservedState.SUSPECTED,
+    "gone": ObservedState.FAILED,
+    "left": ObservedState.LEFT,
 }
 
 
--- a/benchmarks/capacity/fleet_knowledge.py
+++ b/benchmarks/capacity/fleet_knowledge.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 from enum import Enum
 
-from benchmarks.capacity.fleet_membership import MemberState
+from benchmarks.capacity.fleet_membership import ObservedState
 from oakcroft.interface import MS, SECOND
 
 RESOLUTION = 10 * MS
@@ -21,9 +21,9 @@
 
 
 TOLD_BY = {
-    EventKind.CRASH: (MemberState.FAILED, MemberState.UNREACHABLE),
-    EventKind.STOP: (MemberState.LEFT, MemberState.FAILED, MemberState.UNREACHABLE),
-    EventKind.START: (MemberState.ALIVE,),
+    EventKind.CRASH: (ObservedState.FAILED, ObservedState.UNREACHABLE),
+    EventKind.STOP: (ObservedState.LEFT, ObservedState.FAILED, ObservedState.UNREACHABLE),
+    EventKind.START: (ObservedState.ALIVE,),
 }
 
 
@@ -85,7 +85,7 @@
         self._close(member, now)
         self._open[member] = _Event(kind, now, self._zone_of(member), observers)
 
-    def learnt(self, observer: int, member: int, state: MemberState, now: int) -> None:
+    def learnt(self, observer: int, member: int, state: ObservedState, now: int) -> None:
         """An observer's list says so of a member."""
         event = self._open.get(member)
         if event is None or state not in TOLD_BY[event.kind] or observer not in event.waiting:
--- a/benchmarks/capacity/fleet_membership.py
+++ b/benchmarks/capacity/fleet_membership.py
@@ -17,7 +17,7 @@
 from benchmarks.capacity.topology import Address, Site
 
 
-class MemberState(Enum):
+class ObservedState(Enum):
     """How one member stands in the list of another."""
 
     ALIVE = "alive"
@@ -40,7 +40,7 @@
     """A change in a list of members: this member stands so from now on."""
 
     member: str
-    state: MemberState
+    state: ObservedState
 
 
 class StreamReply(msgspec.Struct, frozen=True, gc=False):
--- a/benchmarks/capacity/fleet_simulation.py
+++ b/benchmarks/capacity/fleet_simulation.py
@@ -14,7 +14,7 @@
 from benchmarks.capacity.fleet_agreement import Agreement
 from benchmarks.capacity.fleet_front import HollowFront
 from benchmarks.capacity.fleet_knowledge import EventKind, Knowledge
-from benchmarks.capacity.fleet_membership import Implementation, MemberState, Outgoing, Transition
+from benchmarks.capacity.fleet_membership import Implementation, ObservedState, Outgoing, Transition
 from benchmarks.capacity.fleet_sampling import Sampling
 from benchmarks.capacity.fleet_streams import Streams
 from benchmarks.capacity.network import DATAGRAM_HEADER_OCTETS, EventQueue, Network, NetworkTerms
@@ -212,10 +212,10 @@
 
     def _transition(self, front: HollowFront, transition: Transition) -> None:
         observer, member = front.site.index, self._index[transition.member]
-        listed = transition.state in (MemberState.ALIVE, MemberState.SUSPECTED)
+        listed = transition.state in (ObservedState.ALIVE, ObservedState.SUSPECTED)
         self.agreement.seen(observer, member, listed)
         self.knowledge.learnt(observer, member, transition.state, self.queue.now)
-        if transition.state is MemberState.FAILED:
+        if transition.state is ObservedState.FAILED:
             self._called_failed(front, self.fronts[member])
 
     def _called_failed(self, observer: HollowFront, member: HollowFront) -> None:
--- a/tests/test_capacity_fleet.py
+++ b/tests/test_capacity_fleet.py
@@ -17,7 +17,7 @@
 from benchmarks.capacity.fleet_flat import FLEET, FlatImplementation, FlatMembership
 from benchmarks.capacity.fleet_flat_sizes import FlatSizes
 from benchmarks.capacity.fleet_knowledge import Durations, EventKind, Knowledge
-from benchmarks.capacity.fleet_membership import MemberState, Outgoing, Transition
+from benchmarks.capacity.fleet_membership import ObservedState, Outgoing, Transition
 from benchmarks.capacity.fleet_report import link_line
 from benchmarks.capacity.fleet_sampling import SizeMismatchError
 from benchmarks.capacity.fleet_simulation import FleetSimulation
@@ -255,7 +255,7 @@
         if self.view.me.name != "front-0007" or self.told or self.view.last < 5 * SECOND:
             return transitions
         self.told = True
-        return [*transitions, Transition("front-0009", MemberState.FAILED)]
+        return [*transitions, Transition("front-0009", ObservedState.FAILED)]
 
 
 class BlindMembership(FlatMembership):
@@ -265,7 +265,7 @@
         transitions = super().take_transitions()
         if self.view.me.name != "front-0039":
             return transitions
-        return [transition for transition in transitions if transition.state is not MemberState.FAILED]
+        return [transition for transition in transitions if transition.state is not ObservedState.FAILED]
 
 
 def plant(monkeypatch: pytest.MonkeyPatch, planted: type[FlatMembership]) -> None:
@@ -421,9 +421,9 @@
     knowledge.happened(0, EventKind.CRASH, 0, [1, 2, 3, 4])
     knowledge.happened(5, EventKind.CRASH, 15 * SECOND, [1, 2])
 
-    knowledge.learnt(1, 0, MemberState.FAILED, 4 * SECOND)
-    knowledge.learnt(2, 0, MemberState.SUSPECTED, 4 * SECOND)
-    knowledge.learnt(3, 0, MemberState.UNREACHABLE, 5 * SECOND)
+    knowledge.learnt(1, 0, ObservedState.FAILED, 4 * SECOND)
+    knowledge.learnt(2, 0, ObservedState.SUSPECTED, 4 * SECOND)
+    knowledge.learnt(3, 0, ObservedState.UNREACHABLE, 5 * SECOND)
     knowledge.observer_ended(4)
     knowledge.finish(30 * SECOND)
 
