--- a/tests/test_capacity_fleet.py
+++ b/tests/test_capacity_fleet.py
@@ -138,7 +138,8 @@
     chance = Random(members)
     whole = [
         News(
-            f"front-{i}", chance.getrandbits(50), i, Standing.SUSPECTED, "10.1.2.3", 7_946, "zone-1", "1", bytes(16), "by"
+            f"front-{i}", chance.getrandbits(50), i, Standing.SUSPECTED, "10.1.2.3", 7_946, "zone-1", "1",
+            bytes(16), "by",
         )
         for i in range(members)
     ]  # fmt: skip
