--- a/benchmarks/capacity/fleet_agreement.py
+++ b/benchmarks/capacity/fleet_agreement.py
@@ -7,6 +7,7 @@
     """One row of listed members an observer, beside the truth. `wrong`: pairs of observer and member that differ."""
 
     def __init__(self, front_ends: int) -> None:
+        """Nobody runs, and nobody lists anybody."""
         self._runs = bytearray(front_ends)
         self._lists: list[bytearray | None] = [None] * front_ends
         self.wrong = 0
--- a/benchmarks/capacity/fleet_flat.py
+++ b/benchmarks/capacity/fleet_flat.py
@@ -42,6 +42,7 @@
     """One front end's flat membership."""
 
     def __init__(self, view: View, sizes: FlatSizes) -> None:
+        """A view, and the sizes that all front ends share."""
         self.view = view
         self._sizes = sizes
 
@@ -121,6 +122,7 @@
     stream_within = STREAM_WITHIN
 
     def __init__(self, topology: Topology) -> None:
+        """For the fleet of a topology, whose seeds are one front end of each region."""
         self._seeds = topology.seeds()
         self._sizes = FlatSizes(FLEET)
         self._codec = Codec(FLEET, Ring((KEY,)))
--- a/benchmarks/capacity/fleet_flat_sizes.py
+++ b/benchmarks/capacity/fleet_flat_sizes.py
@@ -57,6 +57,7 @@
     """Sizes of one fleet's messages."""
 
     def __init__(self, fleet: str) -> None:
+        """For the fleet of this name, which goes with each message."""
         self._base = MAC + FORM_OCTETS + array_octets(9) + string_octets(fleet)
         self._by_identity: dict[
             int, tuple[News, int]
--- a/benchmarks/capacity/fleet_front.py
+++ b/benchmarks/capacity/fleet_front.py
@@ -13,6 +13,7 @@
     __slots__ = ("busy", "membership", "process", "scheduled", "site", "started_at", "streams", "traffic")
 
     def __init__(self, site: Site, duration: int) -> None:
+        """No process runs yet; traffic is counted for so many nanoseconds."""
         self.site = site
         self.membership: Membership | None = None
         self.process = 0  # counts the processes that ran here
--- a/benchmarks/capacity/fleet_knowledge.py
+++ b/benchmarks/capacity/fleet_knowledge.py
@@ -31,6 +31,7 @@
     """A distribution of durations in steps of `RESOLUTION`. `missing`: those that did not end in time."""
 
     def __init__(self) -> None:
+        """None so far."""
         self.missing = 0
         self._counts: Counter[int] = Counter()
 
@@ -75,6 +76,7 @@
     """All events that are not known everywhere yet, the last of each member."""
 
     def __init__(self, zone_of: Callable[[int], int], overdue_after: int) -> None:
+        """`zone_of`: the zone of a front end; `overdue_after`: nanoseconds until what is not learnt counts as missing."""
         self._zone_of, self._overdue_after = zone_of, overdue_after
         self._open: dict[int, _Event] = {}
         self.everywhere = {kind: Durations() for kind in EventKind}
--- a/benchmarks/capacity/fleet_sampling.py
+++ b/benchmarks/capacity/fleet_sampling.py
@@ -19,6 +19,7 @@
     """The sample of one run."""
 
     def __init__(self, implementation: Implementation) -> None:
+        """Messages are coded by this implementation."""
         self._implementation = implementation
         self._seen = 0
         self.samples = 0
--- a/benchmarks/capacity/fleet_simulation.py
+++ b/benchmarks/capacity/fleet_simulation.py
@@ -61,6 +61,7 @@
         seed: int,
         duration: int,
     ) -> None:
+        """A fleet in which no process runs yet; `duration`: the most nanoseconds that it is played."""
         self.topology, self.seed, self.duration = topology, seed, duration
         self.implementation = implementation
         self.queue = EventQueue()
--- a/benchmarks/capacity/fleet_socket_host.py
+++ b/benchmarks/capacity/fleet_socket_host.py
@@ -33,6 +33,7 @@
     """Counts the octets of whole lists, which go by stream."""
 
     def __init__(self, fleet: str, ring: Ring) -> None:
+        """Nothing is counted yet."""
         super().__init__(fleet, ring)
         self.stream_octets = 0
 
@@ -47,6 +48,7 @@
     """One front end's peers."""
 
     def __init__(self, site: Site, task: HostTask, seeds: tuple[tuple[str, int], ...], clock: Clock) -> None:
+        """Listens at the address of its site once it runs."""
         place = PeersPlace(site.name, site.address, site.address, seeds, task.key_file, FLEET, "")
         log = structlog.wrap_logger(None, processors=[_drop])
         self.peers = Peers(place, site.zone_name, task.seed * task.front_ends + site.index, clock, log)
--- a/benchmarks/capacity/fleet_streams.py
+++ b/benchmarks/capacity/fleet_streams.py
@@ -41,6 +41,7 @@
         implementation: Implementation,
         after_call: Callable[[HollowFront], None],
     ) -> None:
+        """Between these front ends, on this network."""
         self._queue, self._network, self._topology = queue, network, topology
         self._fronts, self._implementation, self._after_call = fronts, implementation, after_call
 
--- a/benchmarks/capacity/fleet_traffic.py
+++ b/benchmarks/capacity/fleet_traffic.py
@@ -29,6 +29,7 @@
     )
 
     def __init__(self, duration: int) -> None:
+        """Nothing so far, with room for so many nanoseconds."""
         empty = bytes(8 * (duration // BUCKET + 1))
         self.sent = array("q", empty)
         self.received = array("q", empty)
--- a/benchmarks/capacity/network.py
+++ b/benchmarks/capacity/network.py
@@ -85,6 +85,7 @@
     """Events in order of time, then of being scheduled. `now`: simulated nanoseconds from 0."""
 
     def __init__(self) -> None:
+        """Empty, at time 0."""
         self.now = 0
         self.handled = 0
         self._number = 0
@@ -121,6 +122,7 @@
     """Latency, loss and partitions between the sites of a topology."""
 
     def __init__(self, topology: Topology, terms: NetworkTerms, seed: int) -> None:
+        """All links stand; latencies and losses are drawn by the seed."""
         self._random = Random(f"network {seed}")
         self._cut_regions: set[int] = set()
         regions = topology.region_of_zone
--- a/benchmarks/capacity/topology.py
+++ b/benchmarks/capacity/topology.py
@@ -56,6 +56,7 @@
         weights: Sequence[int] = ZONE_WEIGHTS,
         first_octet: int = PRIVATE_NETWORK,
     ) -> None:
+        """Places so many front ends. TopologyError where there are fewer than zones."""
         self.region_of_zone = [region for region, zones in enumerate(zones_by_region) for _ in range(zones)]
         sizes = zone_sizes(front_ends, len(self.region_of_zone), weights)
         self.sites: list[Site] = []
--- a/tests/test_capacity_fleet.py
+++ b/tests/test_capacity_fleet.py
@@ -40,21 +40,26 @@
 from oakcroft.peerwire.sealing import Ring
 
 FRONT_ENDS = 40
+LINES_AT_LEAST = 5
+TARGET_FRONT_ENDS, TARGET_REGIONS, TARGET_ZONES = 2_700, 9, 32
 TWO_PERCENT = NetworkTerms.with_loss(0.02, 0.02, 0.02)
 CODEC = Codec(FLEET, Ring((bytes(32),)))
 
 
 def fault_terms(fault: Fault, lasts: int = 10 * SECOND) -> FaultTerms:
+    """A fault of the usual size."""
     return FaultTerms(fault, lasts, restarts_a_minute=60.0, speed_up=100.0)
 
 
 def small_run(fault: Fault = Fault.NONE, seconds: int = 15, seed: int = 1) -> FleetRun:
+    """A short run of a small fleet at 2% loss."""
     return FleetRun(
         FRONT_ENDS, seed, seconds * SECOND, TWO_PERCENT, fault_terms(fault), "flat", fault is not Fault.NONE, False, 60.0
     )  # fmt: skip
 
 
 def simulated(seed: int) -> FleetSimulation:
+    """A small fleet after a whole start and one crash."""
     topology = Topology(FRONT_ENDS)
     simulation = FleetSimulation(topology, TWO_PERCENT, FlatImplementation(topology), seed, 12 * SECOND)
     simulation.start_all()
@@ -64,6 +69,7 @@
 
 
 def observed(simulation: FleetSimulation) -> list[object]:
+    """All that a simulation counted."""
     sent = [front.traffic.sent.tobytes() for front in simulation.fronts]
     received = [front.traffic.received.tobytes() for front in simulation.fronts]
     return [
@@ -76,10 +82,12 @@
 
 
 def invoked(*options: str) -> Result:
+    """The command with a small fleet and these options."""
     return CliRunner().invoke(fleet, ["--fronts", str(FRONT_ENDS), *options])
 
 
 def line(result: Result, name: str) -> str:
+    """The line of a report that begins with a name."""
     return next(text for text in result.output.splitlines() if text.startswith(name))
 
 
@@ -87,6 +95,7 @@
 
 
 def test_the_same_seed_gives_the_same_events_and_another_seed_others() -> None:
+    """Octets by time of each front end, events and lists repeat."""
     first = observed(simulated(1))
 
     assert observed(simulated(1)) == first
@@ -94,12 +103,13 @@
 
 
 def test_the_report_of_a_run_repeats_but_for_what_is_measured_of_the_machine() -> None:
+    """Processor time and memory alone may differ."""
     machine = ("share of a core", "  resident", "MB a front")
 
     reports = [[found for found in play(small_run())[1] if found.name not in machine] for _ in range(2)]
 
     assert reports[0] == reports[1]
-    assert len(reports[0]) > 5
+    assert len(reports[0]) > LINES_AT_LEAST
 
 
 # Octets.
@@ -122,6 +132,7 @@
 @given(updates, messages)
 @settings(max_examples=150, deadline=None)
 def test_counted_octets_of_a_datagram_are_those_of_its_encoding(sender: News, message: Out) -> None:
+    """With texts and integers on both sides of each boundary of MessagePack, and with updates that do not fit."""
     encoded = CODEC.datagram(sender, message.kind, message.seq, message.to, message.about, message.news)
 
     octets, fitting = FlatSizes(FLEET).datagram(sender, message)
@@ -135,6 +146,7 @@
 
 @pytest.mark.parametrize("members", [1, 2, 97, 98, 200, 1_500])
 def test_counted_octets_of_a_whole_list_are_those_of_its_encoding(members: int) -> None:
+    """In one part, and in several."""
     chance = Random(members)
     whole = [
         News(
@@ -152,6 +164,7 @@
 
 
 def test_a_size_that_is_counted_wrong_stops_the_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Planted: one octet too few."""
     exact = FlatSizes.datagram
     monkeypatch.setattr(
         FlatSizes, "datagram", lambda self, *given: (exact(self, *given)[0] - 1, exact(self, *given)[1])
@@ -166,6 +179,7 @@
 
 @given(st.integers(32, 3_000), st.lists(st.integers(1, 9), min_size=1, max_size=8))
 def test_zones_share_all_front_ends_and_none_is_empty(front_ends: int, weights: list[int]) -> None:
+    """For any number of them and any weights."""
     sizes = zone_sizes(front_ends, 32, weights)
 
     assert sum(sizes) == front_ends
@@ -173,11 +187,12 @@
 
 
 def test_the_target_has_2700_front_ends_in_9_regions_and_32_unequal_zones() -> None:
-    topology = Topology(2_700)
+    """The users' counts."""
+    topology = Topology(TARGET_FRONT_ENDS)
 
-    assert len({site.address for site in topology.sites}) == 2_700
-    assert len(set(topology.region_of_zone)) == 9
-    assert len(topology.zone_counts()) == 32
+    assert len({site.address for site in topology.sites}) == TARGET_FRONT_ENDS
+    assert len(set(topology.region_of_zone)) == TARGET_REGIONS
+    assert len(topology.zone_counts()) == TARGET_ZONES
     assert max(topology.zone_counts()) > 3 * min(topology.zone_counts())
     with pytest.raises(TopologyError):
         Topology(31)
@@ -187,6 +202,7 @@
     """Planted: each datagram takes three milliseconds more than stated."""
 
     def datagram_delay(self, sender: Site, receiver: Site) -> int | None:
+        """Later than stated."""
         delay = super().datagram_delay(sender, receiver)
         return None if delay is None else delay + 3 * MS
 
@@ -195,6 +211,7 @@
     """Planted: twice the stated loss."""
 
     def datagram_delay(self, sender: Site, receiver: Site) -> int | None:
+        """Lost more often than stated."""
         first = super().datagram_delay(sender, receiver)
         return None if first is None else super().datagram_delay(sender, receiver)
 
@@ -203,6 +220,7 @@
     ("network", "as_stated"), [(Network, True), (LateNetwork, False), (LossyNetwork, False)]
 )
 def test_links_that_are_not_as_stated_are_found(network: type[Network], as_stated: bool) -> None:
+    """By latency, and by loss."""
     topology = Topology(FRONT_ENDS)
 
     found = link_line(sample_links(network(topology, TWO_PERCENT, 1), topology, TWO_PERCENT))
@@ -211,6 +229,7 @@
 
 
 def test_a_run_on_links_that_are_not_as_stated_exits_1(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The command checks its own links."""
     monkeypatch.setattr(fleet_command, "Network", LateNetwork)
 
     result = invoked("--minutes", "0.1")
@@ -220,6 +239,7 @@
 
 
 def test_nothing_crosses_the_border_of_a_region_that_is_cut_off() -> None:
+    """Neither way, neither datagram nor stream; inside all goes on."""
     topology = Topology(FRONT_ENDS)
     network = Network(topology, NetworkTerms.with_loss(0, 0, 0), 1)
     inside, outside = topology.region_members(2), topology.region_members(3)
@@ -242,6 +262,7 @@
     """Planted: one front end says everything fifty times."""
 
     def take_outgoing(self) -> Sequence[Outgoing]:
+        """Fifty times over."""
         messages = super().take_outgoing()
         return [*messages] * 50 if self.view.me.name == "front-0007" else messages
 
@@ -252,6 +273,7 @@
     told = False
 
     def take_transitions(self) -> Sequence[Transition]:
+        """With a verdict of its own, once."""
         transitions = super().take_transitions()
         if self.view.me.name != "front-0007" or self.told or self.view.last < 5 * SECOND:
             return transitions
@@ -263,6 +285,7 @@
     """Planted: one front end never finds that another has failed."""
 
     def take_transitions(self) -> Sequence[Transition]:
+        """Without any failure."""
         transitions = super().take_transitions()
         if self.view.me.name != "front-0039":
             return transitions
@@ -270,6 +293,8 @@
 
 
 def plant(monkeypatch: pytest.MonkeyPatch, planted: type[FlatMembership]) -> None:
+    """Has the command run these in place of sound ones."""
+
     class Planted(FlatImplementation):
         def create(self, site: Site, generation: int, random: Random, now: int) -> FlatMembership:
             sound = super().create(site, generation, random, now)
@@ -279,6 +304,7 @@
 
 
 def test_a_sound_small_fleet_is_within_all_budgets() -> None:
+    """So that what the planted ones miss is theirs."""
     result = invoked("--minutes", "1.1", "--fault", "rack", "--preloaded", "--loss", "0.01")
 
     assert result.exit_code == 0, result.output
@@ -288,6 +314,7 @@
 
 
 def test_a_front_end_that_talks_too_much_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """By name, in the line of what is sent."""
     plant(monkeypatch, TalkativeMembership)
 
     result = invoked("--minutes", "0.2")
@@ -298,6 +325,7 @@
 
 
 def test_a_living_front_end_that_is_called_failed_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With who said it of whom; and the list that is wrong at the end."""
     plant(monkeypatch, SlanderousMembership)
 
     result = invoked("--minutes", "0.2")
@@ -308,6 +336,7 @@
 
 
 def test_a_crash_that_one_front_end_never_learns_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One observer of one crash is enough."""
     plant(monkeypatch, BlindMembership)
 
     result = invoked("--minutes", "1.1", "--fault", "rack", "--preloaded", "--loss", "0.01")
@@ -319,6 +348,7 @@
 
 
 def test_verdicts_across_a_cut_are_told_apart_from_false_ones() -> None:
+    """Both sides of a cut find each other failed, and nobody is blamed."""
     _, found, finished = play(small_run(Fault.REGION, 50))
     verdicts = next(one for one in found if one.name == "living called failed")
 
@@ -328,6 +358,7 @@
 
 
 def test_a_run_whose_wall_time_runs_out_says_so_and_exits_1() -> None:
+    """What was played is reported all the same."""
     result = invoked("--minutes", "30", "--wall-seconds", "0.2")
 
     assert result.exit_code == 1
@@ -336,6 +367,7 @@
 
 @pytest.mark.parametrize("fault", [fault for fault in Fault if fault is not Fault.NONE])
 def test_a_run_too_short_for_its_fault_is_refused(fault: Fault) -> None:
+    """Before anything is played."""
     with pytest.raises(DurationError):
         phases(fault_terms(fault), 30 * SECOND, preloaded=True)
 
@@ -344,6 +376,7 @@
 
 
 def loads(start: Load, quiet: Load) -> FleetLoads:
+    """A fleet with these loads."""
     return FleetLoads(start, quiet, 100_000, (40, 40))
 
 
@@ -357,6 +390,7 @@
     ],
 )
 def test_octets_over_sockets_that_differ_by_a_tenth_are_found(real: Load, names: set[str]) -> None:
+    """Each kind by itself."""
     simulated, quiet = Load(10.0, 5_000, 3_000, 0.002), Load(6.0, 800, 300, 0.001)
 
     found = compare(loads(simulated, quiet), loads(real, quiet))
@@ -365,6 +399,7 @@
 
 
 def test_a_fleet_over_sockets_is_bounded_in_processes() -> None:
+    """It is refused before any is started."""
     with pytest.raises(SocketFleetError):
         run_processes(FRONT_ENDS, MOST_PROCESSES + 1, 1)
 
@@ -380,6 +415,7 @@
 def test_disagreement_counted_change_by_change_is_that_of_all_lists(
     steps: list[tuple[str, int, int]],
 ) -> None:
+    """Against a count of all lists at the end."""
     agreement, runs, lists = Agreement(5), set[int](), dict[int, set[int]]()
 
     for what, one, other in steps:
@@ -400,6 +436,7 @@
 
 @given(st.lists(st.lists(st.integers(0, 9), min_size=45, max_size=45), min_size=1, max_size=3))
 def test_the_busiest_ten_seconds_are_those_of_a_look_at_each_window(fronts: list[list[int]]) -> None:
+    """Against a sum of each window."""
     width = WINDOW // BUCKET
     most = max(sum(own[begin : begin + width]) for own in fronts for begin in range(45))
 
@@ -407,6 +444,7 @@
 
 
 def test_a_share_of_durations_that_never_ended_makes_the_quantile_infinite() -> None:
+    """What never ended is the longest."""
     durations = Durations()
     for _ in range(98):
         durations.add(SECOND)
@@ -418,6 +456,7 @@
 
 
 def test_what_is_not_learnt_counts_as_missing_once_it_is_overdue_and_not_before() -> None:
+    """And only of those that run and list another state."""
     knowledge = Knowledge(lambda index: index // 2, 20 * SECOND)
     knowledge.happened(0, EventKind.CRASH, 0, [1, 2, 3, 4])
     knowledge.happened(5, EventKind.CRASH, 15 * SECOND, [1, 2])
@@ -434,6 +473,7 @@
 
 
 def test_octets_of_an_update_do_not_depend_on_what_was_counted_before() -> None:
+    """The cache goes by the update itself."""
     sizes = FlatSizes(FLEET)
     short = News("a", 1, 0, Standing.ALIVE, "10.0.0.1", 1, "z", "1", bytes(16))
 
