--- /dev/null
+++ b/tests/test_capacity_counts.py
@@ -0,0 +1,230 @@
+"""What the hollow fleet counts: octets as encoded, links as stated, and each number against a plain count of it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from benchmarks.capacity.fleet_agreement import Agreement
+from benchmarks.capacity.fleet_flat import FLEET
+from benchmarks.capacity.fleet_flat_sizes import FlatSizes
+from benchmarks.capacity.fleet_knowledge import Durations, EventKind, Knowledge
+from benchmarks.capacity.fleet_membership import ObservedState
+from benchmarks.capacity.fleet_report import link_line
+from benchmarks.capacity.fleet_traffic import BUCKET, WINDOW, busiest_window
+from benchmarks.capacity.network import Network, NetworkTerms
+from benchmarks.capacity.network_check import sample_links
+from benchmarks.capacity.topology import Site, Topology, TopologyError, zone_sizes
+from oakcroft.decisions.fleet.member import News, Standing
+from oakcroft.decisions.fleet.view import MOST_NEWS, Kind, Out
+from oakcroft.interface import MS, SECOND
+from oakcroft.peerwire.messages import Codec, Stream
+from oakcroft.peerwire.sealing import Ring
+
+FRONT_ENDS = 40
+TARGET_FRONT_ENDS, TARGET_REGIONS, TARGET_ZONES = 2_700, 9, 32
+TWO_PERCENT = NetworkTerms.with_loss(0.02, 0.02, 0.02)
+CODEC = Codec(FLEET, Ring((bytes(32),)))
+
+
+# Octets.
+
+texts = st.text(max_size=70)
+integers = st.one_of(
+    st.sampled_from([0, 127, 128, 255, 256, 65_535, 65_536, 2**32 - 1, 2**32]), st.integers(0, 2**56)
+)
+updates = st.builds(
+    News, texts, integers, integers, st.sampled_from(Standing), texts, st.integers(0, 65_535), texts, texts,
+    st.binary(max_size=300), texts,
+)  # fmt: skip
+targets = st.none() | st.tuples(texts, integers, st.tuples(texts, st.integers(0, 65_535)))
+messages = st.builds(
+    Out, st.sampled_from([Kind.PING, Kind.ACK, Kind.ASK, Kind.TELL]), st.just(("10.0.0.1", 1)), integers,
+    st.tuples(texts, integers), targets, st.lists(updates, max_size=MOST_NEWS + 4),
+)  # fmt: skip
+
+
+@given(updates, messages)
+@settings(max_examples=150, deadline=None)
+def test_counted_octets_of_a_datagram_are_those_of_its_encoding(sender: News, message: Out) -> None:
+    """With texts and integers on both sides of each boundary of MessagePack, and with updates that do not fit."""
+    encoded = CODEC.datagram(sender, message.kind, message.seq, message.to, message.about, message.news)
+
+    octets, fitting = FlatSizes(FLEET).datagram(sender, message)
+
+    assert octets == len(encoded)
+    shortened = CODEC.datagram(
+        sender, message.kind, message.seq, message.to, message.about, message.news[:fitting]
+    )
+    assert shortened == encoded
+
+
+@pytest.mark.parametrize("members", [1, 2, 97, 98, 200, 1_500])
+def test_counted_octets_of_a_whole_list_are_those_of_its_encoding(members: int) -> None:
+    """In one part, and in several."""
+    chance = Random(members)
+    whole = [
+        News(
+            f"front-{i}", chance.getrandbits(50), i, Standing.SUSPECTED, "10.1.2.3", 7_946, "zone-1", "1",
+            bytes(16), "by",
+        )
+        for i in range(members)
+    ]  # fmt: skip
+    encoded = CODEC.whole(whole)
+
+    assert FlatSizes(FLEET).whole(whole) == len(encoded)
+    heard = Stream(CODEC)
+    heard.receive_data(encoded, 0)
+    assert len(heard.news) == members - 1
+
+
+# Places and links.
+
+
+@given(st.integers(32, 3_000), st.lists(st.integers(1, 9), min_size=1, max_size=8))
+def test_zones_share_all_front_ends_and_none_is_empty(front_ends: int, weights: list[int]) -> None:
+    """For any number of them and any weights."""
+    sizes = zone_sizes(front_ends, 32, weights)
+
+    assert sum(sizes) == front_ends
+    assert min(sizes) >= 1
+
+
+def test_the_target_has_2700_front_ends_in_9_regions_and_32_unequal_zones() -> None:
+    """The users' counts."""
+    topology = Topology(TARGET_FRONT_ENDS)
+
+    assert len({site.address for site in topology.sites}) == TARGET_FRONT_ENDS
+    assert len(set(topology.region_of_zone)) == TARGET_REGIONS
+    assert len(topology.zone_counts()) == TARGET_ZONES
+    assert max(topology.zone_counts()) > 3 * min(topology.zone_counts())
+    with pytest.raises(TopologyError):
+        Topology(31)
+
+
+class LateNetwork(Network):
+    """Planted: each datagram takes three milliseconds more than stated."""
+
+    def datagram_delay(self, sender: Site, receiver: Site) -> int | None:
+        """Later than stated."""
+        delay = super().datagram_delay(sender, receiver)
+        return None if delay is None else delay + 3 * MS
+
+
+class LossyNetwork(Network):
+    """Planted: twice the stated loss."""
+
+    def datagram_delay(self, sender: Site, receiver: Site) -> int | None:
+        """Lost more often than stated."""
+        first = super().datagram_delay(sender, receiver)
+        return None if first is None else super().datagram_delay(sender, receiver)
+
+
+@pytest.mark.parametrize(
+    ("network", "as_stated"), [(Network, True), (LateNetwork, False), (LossyNetwork, False)]
+)
+def test_links_that_are_not_as_stated_are_found(network: type[Network], as_stated: bool) -> None:
+    """By latency, and by loss."""
+    topology = Topology(FRONT_ENDS)
+
+    found = link_line(sample_links(network(topology, TWO_PERCENT, 1), topology, TWO_PERCENT))
+
+    assert found.met is as_stated
+
+
+def test_nothing_crosses_the_border_of_a_region_that_is_cut_off() -> None:
+    """Neither way, neither datagram nor stream; inside all goes on."""
+    topology = Topology(FRONT_ENDS)
+    network = Network(topology, NetworkTerms.with_loss(0, 0, 0), 1)
+    inside, outside = topology.region_members(2), topology.region_members(3)
+
+    network.cut(2)
+    cut = [network.datagram_delay(inside[0], outside[0]), network.datagram_delay(outside[0], inside[0])]
+    within = network.datagram_delay(inside[0], inside[-1])
+    stream = network.stream_transfer(outside[0], inside[0], 1)
+    network.heal(2)
+
+    assert (cut, stream) == ([None, None], None)
+    assert within is not None
+    assert network.datagram_delay(inside[0], outside[0]) is not None
+
+
+# Counting.
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["start", "end", "see", "lose"]), st.integers(0, 4), st.integers(0, 4)), max_size=60
+    )
+)  # fmt: skip
+def test_disagreement_counted_change_by_change_is_that_of_all_lists(
+    steps: list[tuple[str, int, int]],
+) -> None:
+    """Against a count of all lists at the end."""
+    agreement, runs, lists = Agreement(5), set[int](), dict[int, set[int]]()
+
+    for what, one, other in steps:
+        if what == "start" and one not in runs:
+            agreement.started(one)
+            runs.add(one)
+            lists[one] = {one}
+        elif what == "end" and one in runs:
+            agreement.ended(one)
+            runs.discard(one)
+            del lists[one]
+        elif what in ("see", "lose") and one in runs and one != other:
+            agreement.seen(one, other, what == "see")
+            lists[one] = lists[one] | {other} if what == "see" else lists[one] - {other}
+
+    assert agreement.wrong == sum(len(own ^ runs) for own in lists.values())
+
+
+@given(st.lists(st.lists(st.integers(0, 9), min_size=45, max_size=45), min_size=1, max_size=3))
+def test_the_busiest_ten_seconds_are_those_of_a_look_at_each_window(fronts: list[list[int]]) -> None:
+    """Against a sum of each window."""
+    width = WINDOW // BUCKET
+    most = max(sum(own[begin : begin + width]) for own in fronts for begin in range(45))
+
+    assert busiest_window(fronts, 0, 45 * BUCKET).rate == most * SECOND / WINDOW
+
+
+def test_a_share_of_durations_that_never_ended_makes_the_quantile_infinite() -> None:
+    """What never ended is the longest."""
+    durations = Durations()
+    for _ in range(98):
+        durations.add(SECOND)
+    durations.missing = 2
+
+    assert durations.quantile(0.5) == pytest.approx(1.0, abs=0.02)
+    assert durations.quantile(0.99) == float("inf")
+    assert durations.most == float("inf")
+
+
+def test_what_is_not_learnt_counts_as_missing_once_it_is_overdue_and_not_before() -> None:
+    """And only of those that run and list another state."""
+    knowledge = Knowledge(lambda index: index // 2, 20 * SECOND)
+    knowledge.happened(0, EventKind.CRASH, 0, [1, 2, 3, 4])
+    knowledge.happened(5, EventKind.CRASH, 15 * SECOND, [1, 2])
+
+    knowledge.learnt(1, 0, ObservedState.FAILED, 4 * SECOND)
+    knowledge.learnt(2, 0, ObservedState.SUSPECTED, 4 * SECOND)
+    knowledge.learnt(3, 0, ObservedState.UNREACHABLE, 5 * SECOND)
+    knowledge.observer_ended(4)
+    knowledge.finish(30 * SECOND)
+
+    everywhere = knowledge.everywhere[EventKind.CRASH]
+    assert (everywhere.count, everywhere.missing) == (3, 1)
+    assert (knowledge.crash_in_own_zone.count, knowledge.crash_in_own_zone.missing) == (1, 0)
+
+
+def test_octets_of_an_update_do_not_depend_on_what_was_counted_before() -> None:
+    """The cache goes by the update itself."""
+    sizes = FlatSizes(FLEET)
+    short = News("a", 1, 0, Standing.ALIVE, "10.0.0.1", 1, "z", "1", bytes(16))
+
+    counted = [sizes.update(short), sizes.update(replace(short, name="a" * 9)), sizes.update(replace(short))]
+
+    assert counted == [counted[0], counted[0] + 8, counted[0]]
