--- a/benchmarks/capacity/fleet_flat.py
+++ b/benchmarks/capacity/fleet_flat.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import replace
 from random import Random
 
 import msgspec
@@ -88,9 +87,7 @@
             mine = self.view.whole()
             return Outgoing(message.address, mine, self._sizes.whole(mine), True)
         me = self.view.me
-        octets, fitting = self._sizes.datagram(me, message)
-        if fitting < len(message.news):
-            message = replace(message, news=message.news[:fitting])
+        message, octets = self._sizes.fitted(me, message)
         return Outgoing(message.address, FlatDatagram(me, message), octets)
 
     def take_transitions(self) -> Sequence[Transition]:
--- a/benchmarks/capacity/fleet_flat_sizes.py
+++ b/benchmarks/capacity/fleet_flat_sizes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 from oakcroft.decisions.fleet.member import News
 from oakcroft.decisions.fleet.view import Out
@@ -105,6 +106,13 @@
             updates -= self.update(message.news[fitting])
         return octets + array_octets(fitting) + updates, fitting
 
+    def fitted(self, sender: News, message: Out) -> tuple[Out, int]:
+        """A message without the words of news that do not fit into its datagram, and the datagram's octets."""
+        octets, fitting = self.datagram(sender, message)
+        if fitting < len(message.news):
+            message = replace(message, news=message.news[:fitting])
+        return message, octets
+
     def whole(self, news: Sequence[News]) -> int:
         """The octets of a whole list by stream, the sender's own word first."""
         sender, rest = news[0], news[1 : 1 + MOST_PARTS * WORDS_A_PART]
