--- a/benchmarks/capacity/fleet_command.py
+++ b/benchmarks/capacity/fleet_command.py
@@ -16,12 +16,16 @@
 from benchmarks.capacity.fleet_report import Line, Measured, lines, link_line
 from benchmarks.capacity.fleet_simulation import FleetSimulation
 from benchmarks.capacity.fleet_sockets import compare, run_processes, simulated_loads, socket_loads
+from benchmarks.capacity.fleet_zoned import ZonedImplementation
 from benchmarks.capacity.network import DEFAULT_LOSS, Network, NetworkTerms
 from benchmarks.capacity.network_check import sample_links
 from benchmarks.capacity.topology import Topology
 from oakcroft.interface import SECOND
 
-IMPLEMENTATIONS: dict[str, Callable[[Topology], Implementation]] = {"flat": FlatImplementation}
+IMPLEMENTATIONS: dict[str, Callable[[Topology], Implementation]] = {
+    "flat": FlatImplementation,
+    "zoned": ZonedImplementation,
+}
 
 DEFAULT_CUT_SECONDS = 30.0
 DEFAULT_RESTARTS_A_MINUTE = 60.0
--- a/benchmarks/capacity/fleet_flat.py
+++ b/benchmarks/capacity/fleet_flat.py
@@ -10,11 +10,12 @@
 from benchmarks.capacity.fleet_flat_sizes import FlatSizes
 from benchmarks.capacity.fleet_membership import ObservedState, Membership, Outgoing, StreamReply, Transition
 from benchmarks.capacity.topology import Site, Topology
-from oakcroft.decisions.fleet.member import News, Standing, commitment
-from oakcroft.decisions.fleet.view import Kind, Out, View
+from oakcroft.decisions.membership.member import MemberState, MemberUpdate, commitment
+from oakcroft.decisions.membership.membership import Membership as FlatState
+from oakcroft.decisions.membership.messages import Message, MessageKind
 from oakcroft.interface import SECOND
-from oakcroft.peerwire.messages import Codec
-from oakcroft.peerwire.sealing import Ring
+from oakcroft.peerwire.membership_codec import MembershipCodec
+from oakcroft.peerwire.sealing import KeyRing
 
 FLEET = "fleet"
 KEY = bytes(32)
@@ -33,14 +34,14 @@
 class FlatDatagram(msgspec.Struct, frozen=True, gc=False):
     """A datagram with the sender's own word at the time of sending."""
 
-    sender: News
-    message: Out
+    sender: MemberUpdate
+    message: Message
 
 
 class FlatMembership:
     """One front end's flat membership."""
 
-    def __init__(self, view: View, sizes: FlatSizes) -> None:
+    def __init__(self, view: FlatState, sizes: FlatSizes) -> None:
         """A view, and the sizes that all front ends share."""
         self.view = view
         self._sizes = sizes
@@ -58,7 +59,7 @@
         """A datagram has come."""
         assert isinstance(message, FlatDatagram)
         out = message.message
-        self.view.heard(message.sender, out.kind, out.seq, out.to, out.about, out.news, now)
+        self.view.heard(message.sender, out.kind, out.sequence, out.to, out.target, out.updates, now)
 
     def answer_stream(self, message: object, now: int) -> StreamReply | None:
         """Another's whole list has come: this one's goes back, as it is after taking that in."""
@@ -82,8 +83,8 @@
         messages, self.view.out = self.view.out, []
         return [self._outgoing(message) for message in messages]
 
-    def _outgoing(self, message: Out) -> Outgoing:
-        if message.kind is Kind.EXCHANGE:
+    def _outgoing(self, message: Message) -> Outgoing:
+        if message.kind is MessageKind.PUSH_PULL:
             mine = self.view.whole()
             return Outgoing(message.address, mine, self._sizes.whole(mine), True)
         me = self.view.me
@@ -100,7 +101,7 @@
 
     def lists(self, member: str) -> bool:
         """Whether a member is taken to be there."""
-        return self.view.standing(member) in (Standing.ALIVE, Standing.SUSPECTED)
+        return self.view.standing(member) in (MemberState.ALIVE, MemberState.SUSPECTED)
 
     def size(self) -> int:
         """Entries in its list of members."""
@@ -122,16 +123,24 @@
         """For the fleet of a topology, whose seeds are one front end of each region."""
         self._seeds = topology.seeds()
         self._sizes = FlatSizes(FLEET)
-        self._codec = Codec(FLEET, Ring((KEY,)))
+        self._codec = MembershipCodec(FLEET, KeyRing((KEY,)))
 
     def create(self, site: Site, generation: int, random: Random, now: int) -> FlatMembership:
         """The membership of one process that starts now."""
         secret = random.randbytes(16)
         host, port = site.address
-        me = News(
-            site.name, generation, 0, Standing.ALIVE, host, port, site.zone_name, VERSION, commitment(secret)
+        me = MemberUpdate(
+            site.name,
+            generation,
+            0,
+            MemberState.ALIVE,
+            host,
+            port,
+            site.zone_name,
+            VERSION,
+            commitment(secret),
         )
-        return FlatMembership(View(me, secret, random, now, self._seeds), self._sizes)
+        return FlatMembership(FlatState(me, secret, random, now, self._seeds), self._sizes)
 
     def preload(self, memberships: Sequence[Membership], now: int) -> None:
         """Each takes the word of all in, and forgets that it would pass it on."""
@@ -140,16 +149,17 @@
         for position, membership in enumerate(flat):
             other = everybody[position - 1]
             membership.view.exchanged(other, everybody, now)
-            membership.view.spreading.carried.clear()
-            membership.view.wanted.clear()
+            membership.view.table.queue.pending.clear()
+            membership.view.push_pull.wanted.clear()
 
     def encode(self, message: object) -> bytes:
         """A datagram as it would go on the wire."""
         assert isinstance(message, FlatDatagram)
         out = message.message
-        return self._codec.datagram(message.sender, out.kind, out.seq, out.to, out.about, out.news)
+        return self._codec.encode(message.sender, out)
 
     def decode(self, octets: bytes) -> FlatDatagram:
         """A datagram as it was sent."""
-        sender, kind, seq, to, about, news = self._codec.taken(octets, 0)
-        return FlatDatagram(sender, Out(kind, ("", 0), seq, to, about, news))
+        got = self._codec.decode(octets, 0)
+        message = Message(got.kind, got.sender.address, got.sequence, got.to, got.target, got.updates)
+        return FlatDatagram(got.sender, message)
--- a/benchmarks/capacity/fleet_flat_sizes.py
+++ b/benchmarks/capacity/fleet_flat_sizes.py
@@ -9,13 +9,13 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from oakcroft.decisions.fleet.member import News
-from oakcroft.decisions.fleet.view import Out
-from oakcroft.peerwire.messages import MOST_DATAGRAM, MOST_PARTS, WORDS_A_PART
-from oakcroft.peerwire.sealing import MAC
+from oakcroft.decisions.membership.member import MemberUpdate
+from oakcroft.decisions.membership.messages import Message
+from oakcroft.peerwire.membership_codec import MAX_DATAGRAM
+from oakcroft.peerwire.push_pull_stream import LENGTH_OCTETS, MAX_PARTS, UPDATES_A_PART
+from oakcroft.peerwire.sealing import SEAL_LENGTH
 
-FORM_OCTETS = 1
-PART_LENGTH_OCTETS = 2
+FORMAT_OCTETS = 1
 FIXED_ARRAY_MOST = 15
 FIXED_STRING_MOST = 31
 ONE_OCTET_MOST = 0xFF
@@ -59,12 +59,12 @@
 
     def __init__(self, fleet: str) -> None:
         """For the fleet of this name, which goes with each message."""
-        self._base = MAC + FORM_OCTETS + array_octets(9) + string_octets(fleet)
+        self._base = SEAL_LENGTH + FORMAT_OCTETS + array_octets(9) + string_octets(fleet)
         self._by_identity: dict[
-            int, tuple[News, int]
+            int, tuple[MemberUpdate, int]
         ] = {}  # keeps the update, so that no other gets its identity
 
-    def update(self, news: News) -> int:
+    def update(self, news: MemberUpdate) -> int:
         """One word of news."""
         known = self._by_identity.get(id(news))
         if known is not None:
@@ -74,65 +74,65 @@
         octets = (
             array_octets(10)
             + string_octets(news.name)
-            + integer_octets(news.start)
+            + integer_octets(news.generation)
             + integer_octets(news.incarnation)
-            + integer_octets(news.standing.value)
+            + integer_octets(news.state.value)
             + string_octets(news.host)
             + integer_octets(news.port)
-            + string_octets(news.wing)
+            + string_octets(news.zone)
             + string_octets(news.version)
             + binary_octets(news.proof)
-            + string_octets(news.by)
+            + string_octets(news.reported_by)
         )
         self._by_identity[id(news)] = (news, octets)
         return octets
 
-    def datagram(self, sender: News, message: Out) -> tuple[int, int]:
+    def datagram(self, sender: MemberUpdate, message: Message) -> tuple[int, int]:
         """The octets of one datagram, and how many of its words of news fit into it."""
         octets = (
             self._base
             + self.update(sender)
             + integer_octets(message.kind.value)
-            + integer_octets(message.seq)
+            + integer_octets(message.sequence)
             + string_octets(message.to[0])
             + integer_octets(message.to[1])
-            + _about_octets(message)
+            + _target_octets(message)
             + 1  # whether another part follows
         )
-        fitting = len(message.news)
-        updates = sum(map(self.update, message.news))
-        while fitting and octets + array_octets(fitting) + updates > MOST_DATAGRAM:
+        fitting = len(message.updates)
+        updates = sum(map(self.update, message.updates))
+        while fitting and octets + array_octets(fitting) + updates > MAX_DATAGRAM:
             fitting -= 1
-            updates -= self.update(message.news[fitting])
+            updates -= self.update(message.updates[fitting])
         return octets + array_octets(fitting) + updates, fitting
 
-    def fitted(self, sender: News, message: Out) -> tuple[Out, int]:
+    def fitted(self, sender: MemberUpdate, message: Message) -> tuple[Message, int]:
         """A message without the words of news that do not fit into its datagram, and the datagram's octets."""
         octets, fitting = self.datagram(sender, message)
-        if fitting < len(message.news):
-            message = replace(message, news=message.news[:fitting])
+        if fitting < len(message.updates):
+            message = replace(message, updates=message.updates[:fitting])
         return message, octets
 
-    def whole(self, news: Sequence[News]) -> int:
+    def whole(self, news: Sequence[MemberUpdate]) -> int:
         """The octets of a whole list by stream, the sender's own word first."""
-        sender, rest = news[0], news[1 : 1 + MOST_PARTS * WORDS_A_PART]
+        sender, rest = news[0], news[1 : 1 + MAX_PARTS * UPDATES_A_PART]
         each = self._base + self.update(sender) + 1 + 1 + 1 + 1 + 1  # kind, to, its start, about, more
         octets = 0
-        for number in range(max(1, -(-len(rest) // WORDS_A_PART))):
-            part = rest[number * WORDS_A_PART : (number + 1) * WORDS_A_PART]
-            octets += PART_LENGTH_OCTETS + each + integer_octets(number) + array_octets(len(part))
+        for number in range(max(1, -(-len(rest) // UPDATES_A_PART))):
+            part = rest[number * UPDATES_A_PART : (number + 1) * UPDATES_A_PART]
+            octets += LENGTH_OCTETS + each + integer_octets(number) + array_octets(len(part))
             octets += sum(map(self.update, part))
         return octets
 
 
-def _about_octets(message: Out) -> int:
-    if message.about is None:
+def _target_octets(message: Message) -> int:
+    if message.target is None:
         return 1
-    name, start, (host, port) = message.about
+    name, generation, (host, port) = message.target
     return (
         array_octets(4)
         + string_octets(name)
-        + integer_octets(start)
+        + integer_octets(generation)
         + string_octets(host)
         + integer_octets(port)
     )
--- a/benchmarks/capacity/fleet_socket_host.py
+++ b/benchmarks/capacity/fleet_socket_host.py
@@ -20,27 +20,29 @@
 from benchmarks.capacity.fleet_socket_messages import HostResult, HostTask, Reading
 from benchmarks.capacity.topology import LOOPBACK_NETWORK, Site, Topology
 from oakcroft.config.told import PeersPlace
-from oakcroft.decisions.fleet.member import News
-from oakcroft.peers.speaker import Peers
-from oakcroft.peerwire.messages import Codec
-from oakcroft.peerwire.sealing import Ring
+from oakcroft.peers.peer_endpoint import PeerEndpoint
+from oakcroft.decisions.membership.messages import MessageKind
+from oakcroft.peerwire.membership_codec import MembershipCodec, WireBody
+from oakcroft.peerwire.push_pull_stream import LENGTH_OCTETS
+from oakcroft.peerwire.sealing import KeyRing
 from oakcroft.running.clock import Clock
 
 FLEET = "fleet"
 
 
-class CountingCodec(Codec):
+class CountingCodec(MembershipCodec):
     """Counts the octets of whole lists, which go by stream."""
 
-    def __init__(self, fleet: str, ring: Ring) -> None:
+    def __init__(self, fleet: str, ring: KeyRing) -> None:
         """Nothing is counted yet."""
         super().__init__(fleet, ring)
         self.stream_octets = 0
 
-    def whole(self, news: Sequence[News]) -> bytes:
-        """A whole list as it goes on a stream."""
-        octets = super().whole(news)
-        self.stream_octets += len(octets)
+    def seal(self, body: WireBody) -> bytes:
+        """A body as sealed octets."""
+        octets = super().seal(body)
+        if body.kind == MessageKind.PUSH_PULL.value:
+            self.stream_octets += LENGTH_OCTETS + len(octets)
         return octets
 
 
@@ -51,8 +53,9 @@
         """Listens at the address of its site once it runs."""
         place = PeersPlace(site.name, site.address, site.address, seeds, task.key_file, FLEET, "")
         log = structlog.wrap_logger(None, processors=[_drop])
-        self.peers = Peers(place, site.zone_name, task.seed * task.front_ends + site.index, clock, log)
-        self.codec = self.peers.codec = CountingCodec(FLEET, self.peers.ring)
+        self.peers = PeerEndpoint(place, site.zone_name, task.seed * task.front_ends + site.index, clock, log)
+        self.codec = CountingCodec(FLEET, self.peers.codec.ring)
+        self.peers.codec = self.peers.push_pulls.codec = self.codec
 
 
 def _drop(_logger: object, _method: str, _event: object) -> structlog.typing.ProcessorReturnValue:
@@ -62,8 +65,8 @@
 def reading(fronts: Sequence[HostedFront]) -> Reading:
     """The totals of these front ends now."""
     return Reading(
-        sum(front.peers.sent for front in fronts),
-        sum(front.peers.octets_out for front in fronts),
+        sum(front.peers.datagrams.sent for front in fronts),
+        sum(front.peers.datagrams.octets_sent for front in fronts),
         sum(front.codec.stream_octets for front in fronts),
         time.process_time(),
         resident_octets(),
@@ -85,7 +88,7 @@
         started = reading(fronts)
         await trio.sleep_until(began + task.start_seconds + task.quiet_seconds)
         ended = reading(fronts)
-        listed = [len(front.peers.view.present()) for front in fronts]
+        listed = [len(front.peers.membership.present()) for front in fronts]
         nursery.cancel_scope.cancel()
     dropped = sum((front.peers.dropped for front in fronts), Counter[str]())
     return HostResult(before, started, ended, (min(listed), max(listed)), dict(dropped))
--- a/tests/test_capacity_counts.py
+++ b/tests/test_capacity_counts.py
@@ -18,16 +18,23 @@
 from benchmarks.capacity.network import Network, NetworkTerms
 from benchmarks.capacity.network_check import sample_links
 from benchmarks.capacity.topology import Site, Topology, TopologyError, zone_sizes
-from oakcroft.decisions.fleet.member import News, Standing
-from oakcroft.decisions.fleet.view import MOST_NEWS, Kind, Out
+from oakcroft.decisions.membership.member import MemberState, MemberUpdate
+from oakcroft.decisions.membership.messages import (
+    MAX_UPDATES,
+    MemberId,
+    Message,
+    MessageKind,
+    ProbeTarget,
+)
 from oakcroft.interface import MS, SECOND
-from oakcroft.peerwire.messages import Codec, Stream
-from oakcroft.peerwire.sealing import Ring
+from oakcroft.peerwire.membership_codec import MembershipCodec
+from oakcroft.peerwire.push_pull_stream import FullStateReader, write_full_state
+from oakcroft.peerwire.sealing import KeyRing
 
 FRONT_ENDS = 40
 TARGET_FRONT_ENDS, TARGET_REGIONS, TARGET_ZONES = 2_700, 9, 32
 TWO_PERCENT = NetworkTerms.with_loss(0.02, 0.02, 0.02)
-CODEC = Codec(FLEET, Ring((bytes(32),)))
+CODEC = MembershipCodec(FLEET, KeyRing((bytes(32),)))
 
 
 # Octets.
@@ -36,29 +43,30 @@
 integers = st.one_of(
     st.sampled_from([0, 127, 128, 255, 256, 65_535, 65_536, 2**32 - 1, 2**32]), st.integers(0, 2**56)
 )
+DATAGRAMS = [kind for kind in MessageKind if kind is not MessageKind.PUSH_PULL]
 updates = st.builds(
-    News, texts, integers, integers, st.sampled_from(Standing), texts, st.integers(0, 65_535), texts, texts,
+    MemberUpdate, texts, integers, integers, st.sampled_from(MemberState), texts, st.integers(0, 65_535), texts, texts,
     st.binary(max_size=300), texts,
 )  # fmt: skip
-targets = st.none() | st.tuples(texts, integers, st.tuples(texts, st.integers(0, 65_535)))
+targets = st.none() | st.builds(ProbeTarget, texts, integers, st.tuples(texts, st.integers(0, 65_535)))
 messages = st.builds(
-    Out, st.sampled_from([Kind.PING, Kind.ACK, Kind.ASK, Kind.TELL]), st.just(("10.0.0.1", 1)), integers,
-    st.tuples(texts, integers), targets, st.lists(updates, max_size=MOST_NEWS + 4),
+    Message, st.sampled_from(DATAGRAMS), st.just(("10.0.0.1", 1)), integers,
+    st.builds(MemberId, texts, integers), targets, st.lists(updates, max_size=MAX_UPDATES + 4),
 )  # fmt: skip
 
 
 @given(updates, messages)
 @settings(max_examples=150, deadline=None)
-def test_counted_octets_of_a_datagram_are_those_of_its_encoding(sender: News, message: Out) -> None:
+def test_counted_octets_of_a_datagram_are_those_of_its_encoding(
+    sender: MemberUpdate, message: Message
+) -> None:
     """With texts and integers on both sides of each boundary of MessagePack, and with updates that do not fit."""
-    encoded = CODEC.datagram(sender, message.kind, message.seq, message.to, message.about, message.news)
+    encoded = CODEC.encode(sender, message)
 
     octets, fitting = FlatSizes(FLEET).datagram(sender, message)
 
     assert octets == len(encoded)
-    shortened = CODEC.datagram(
-        sender, message.kind, message.seq, message.to, message.about, message.news[:fitting]
-    )
+    shortened = CODEC.encode(sender, replace(message, updates=message.updates[:fitting]))
     assert shortened == encoded
 
 
@@ -67,18 +75,18 @@
     """In one part, and in several."""
     chance = Random(members)
     whole = [
-        News(
-            f"front-{i}", chance.getrandbits(50), i, Standing.SUSPECTED, "10.1.2.3", 7_946, "zone-1", "1",
+        MemberUpdate(
+            f"front-{i}", chance.getrandbits(50), i, MemberState.SUSPECTED, "10.1.2.3", 7_946, "zone-1", "1",
             bytes(16), "by",
         )
         for i in range(members)
     ]  # fmt: skip
-    encoded = CODEC.whole(whole)
+    encoded = write_full_state(CODEC, whole)
 
     assert FlatSizes(FLEET).whole(whole) == len(encoded)
-    heard = Stream(CODEC)
+    heard = FullStateReader(CODEC)
     heard.receive_data(encoded, 0)
-    assert len(heard.news) == members - 1
+    assert len(heard.updates) == members - 1
 
 
 # Places and links.
@@ -223,7 +231,7 @@
 def test_octets_of_an_update_do_not_depend_on_what_was_counted_before() -> None:
     """The cache goes by the update itself."""
     sizes = FlatSizes(FLEET)
-    short = News("a", 1, 0, Standing.ALIVE, "10.0.0.1", 1, "z", "1", bytes(16))
+    short = MemberUpdate("a", 1, 0, MemberState.ALIVE, "10.0.0.1", 1, "z", "1", bytes(16))
 
     counted = [sizes.update(short), sizes.update(replace(short, name="a" * 9)), sizes.update(replace(short))]
 
--- a/tests/test_capacity_fleet.py
+++ b/tests/test_capacity_fleet.py
@@ -152,7 +152,7 @@
     def take_transitions(self) -> Sequence[Transition]:
         """With a verdict of its own, once."""
         transitions = super().take_transitions()
-        if self.view.me.name != "front-0007" or self.told or self.view.last < 5 * SECOND:
+        if self.view.me.name != "front-0007" or self.told or self.view.last_tick_at < 5 * SECOND:
             return transitions
         self.told = True
         return [*transitions, Transition("front-0009", ObservedState.FAILED)]
