--- a/benchmarks/capacity/fleet_command.py
+++ b/benchmarks/capacity/fleet_command.py
@@ -132,7 +132,7 @@
 ) -> None:
     """Simulates a fleet of hollow front ends and judges what control costs. Exits 1 where a budget is missed."""
     if sockets:
-        _compare_with_sockets(fronts, seed, processes)
+        _compare_with_sockets(membership, fronts, seed, processes)
         return
     fault_terms = FaultTerms(Fault(fault), round(cut_seconds * SECOND), restarts, speed_up)
     duration = round(minutes * 60 * SECOND)
@@ -149,11 +149,13 @@
         raise SystemExit(1)
 
 
-def _compare_with_sockets(front_ends: int, seed: int, processes: int) -> None:
+def _compare_with_sockets(membership: str, front_ends: int, seed: int, processes: int) -> None:
     """Prints the fleet over sockets beside the simulated one; exits 1 where octets differ by more than a tenth."""
-    real = socket_loads(run_processes(front_ends, processes, seed), front_ends)
-    found = compare(simulated_loads(front_ends, seed), real)
-    click.echo(f"{front_ends} front ends in {processes} processes, means a front end, seed {seed}")
+    real = socket_loads(run_processes(membership, front_ends, processes, seed), front_ends)
+    found = compare(simulated_loads(IMPLEMENTATIONS[membership], front_ends, seed), real)
+    click.echo(
+        f"membership {membership}, {front_ends} front ends in {processes} processes, means a front end, seed {seed}"
+    )
     for line in found:
         click.echo(line.show())
     if any(line.met is False for line in found):
--- a/benchmarks/capacity/fleet_socket_host.py
+++ b/benchmarks/capacity/fleet_socket_host.py
@@ -18,8 +18,9 @@
 
 from benchmarks.capacity.fleet_memory import resident_octets
 from benchmarks.capacity.fleet_socket_messages import HostResult, HostTask, Reading
+from benchmarks.capacity.fleet_zoned import seed_addresses
 from benchmarks.capacity.topology import LOOPBACK_NETWORK, Site, Topology
-from oakcroft.config.told import PeersPlace
+from oakcroft.config.told import OtherZone, PeersPlace
 from oakcroft.peers.peer_endpoint import PeerEndpoint
 from oakcroft.decisions.membership.messages import MessageKind
 from oakcroft.peerwire.membership_codec import MembershipCodec, WireBody
@@ -49,15 +50,33 @@
 class HostedFront:
     """One front end's peers."""
 
-    def __init__(self, site: Site, task: HostTask, seeds: tuple[tuple[str, int], ...], clock: Clock) -> None:
+    def __init__(self, site: Site, topology: Topology, task: HostTask, clock: Clock) -> None:
         """Listens at the address of its site once it runs."""
-        place = PeersPlace(site.name, site.address, site.address, seeds, task.key_file, FLEET, "")
+        place = _place(site, topology, task)
         log = structlog.wrap_logger(None, processors=[_drop])
-        self.peers = PeerEndpoint(place, site.zone_name, task.seed * task.front_ends + site.index, clock, log)
+        seed = task.seed * task.front_ends + site.index
+        self.peers = PeerEndpoint(place, site.zone_name, seed, clock, log)
         self.codec = CountingCodec(FLEET, self.peers.codec.ring)
         self.peers.codec = self.peers.push_pulls.codec = self.codec
 
 
+def _place(site: Site, topology: Topology, task: HostTask) -> PeersPlace:
+    """What a front end of this fleet is configured with."""
+    if task.membership == "flat":
+        return PeersPlace(site.name, site.address, site.address, topology.seeds(), task.key_file, FLEET, "")
+    zones = [topology.zone_members(zone) for zone in range(len(topology.region_of_zone))]
+    others = tuple(
+        OtherZone(members[0].zone_name, members[0].region_name, seed_addresses(members))
+        for members in zones
+        if members[0].zone != site.zone
+    )
+    seeds = seed_addresses(zones[site.zone])
+    return PeersPlace(
+        site.name, site.address, site.address, seeds, task.key_file, FLEET, "",
+        region=site.region_name, other_zones=others,
+    )  # fmt: skip
+
+
 def _drop(_logger: object, _method: str, _event: object) -> structlog.typing.ProcessorReturnValue:
     raise structlog.DropEvent
 
@@ -79,7 +98,7 @@
     sites = topology.sites[task.first : task.first + task.count]
     before = reading([])
     clock = Clock()
-    fronts = [HostedFront(site, task, topology.seeds(), clock) for site in sites]
+    fronts = [HostedFront(site, topology, task, clock) for site in sites]
     began = trio.current_time()
     async with trio.open_nursery() as nursery:
         for front in fronts:
--- a/benchmarks/capacity/fleet_socket_messages.py
+++ b/benchmarks/capacity/fleet_socket_messages.py
@@ -6,8 +6,10 @@
 
 
 class HostTask(msgspec.Struct, frozen=True):
-    """Which front ends a process hosts: `count` from `first` of a fleet of `front_ends`; and for how long."""
+    """Which front ends a process hosts: `count` from `first` of a fleet of `front_ends`, with a flat membership or one of
+    zones; and for how long."""
 
+    membership: str
     front_ends: int
     first: int
     count: int
--- a/benchmarks/capacity/fleet_sockets.py
+++ b/benchmarks/capacity/fleet_sockets.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,6 +18,8 @@
 import msgspec
 
 from benchmarks.capacity.fleet_flat import FlatImplementation
+from benchmarks.capacity.fleet_front import HollowFront
+from benchmarks.capacity.fleet_membership import Implementation
 from benchmarks.capacity.fleet_memory import private_octets
 from benchmarks.capacity.fleet_report import MICROSECOND, Line
 from benchmarks.capacity.fleet_simulation import FleetSimulation
@@ -92,24 +94,31 @@
             process.wait()
 
 
-def _tasks(front_ends: int, processes: int, seed: int, key_file: str) -> list[HostTask]:
+def _tasks(membership: str, front_ends: int, processes: int, seed: int, key_file: str) -> list[HostTask]:
     each = -(-front_ends // processes)
     return [
         HostTask(
-            front_ends, first, min(each, front_ends - first), seed, key_file, START_SECONDS, QUIET_SECONDS
+            membership,
+            front_ends,
+            first,
+            min(each, front_ends - first),
+            seed,
+            key_file,
+            START_SECONDS,
+            QUIET_SECONDS,
         )
         for first in range(0, front_ends, each)
     ]
 
 
-def run_processes(front_ends: int, processes: int, seed: int) -> list[HostResult]:
+def run_processes(membership: str, front_ends: int, processes: int, seed: int) -> list[HostResult]:
     """Plays the fleet over sockets. SocketFleetError where a process fails."""
     if not 0 < processes <= MOST_PROCESSES:
         raise SocketFleetError(f"{processes} processes; 1 to {MOST_PROCESSES} are allowed")
     with tempfile.TemporaryDirectory() as folder:
         key_file = Path(folder) / "peers.key"
         key_file.write_text(secrets.token_hex(32), encoding="ascii")
-        with _processes(_tasks(front_ends, processes, seed, str(key_file))) as running:
+        with _processes(_tasks(membership, front_ends, processes, seed, str(key_file))) as running:
             for process in running:
                 assert process.stdout is not None
                 if process.stdout.readline().strip() != "ready":
@@ -176,27 +185,40 @@
         )
 
 
-def simulated_loads(front_ends: int, seed: int) -> FleetLoads:
+def simulated_loads(make: Callable[[Topology], Implementation], front_ends: int, seed: int) -> FleetLoads:
     """The same fleet on simulated links as fast as loopback."""
     topology = Topology(front_ends, first_octet=LOOPBACK_NETWORK)
     terms = NetworkTerms(LOOPBACK, LOOPBACK, LOOPBACK, 0)
     started_at, ended_at = round(START_SECONDS * SECOND), round((START_SECONDS + QUIET_SECONDS) * SECOND)
-    simulation = FleetSimulation(topology, terms, FlatImplementation(topology), seed, ended_at)
+    simulation = FleetSimulation(topology, terms, make(topology), seed, ended_at)
     simulation.start_all()
     simulation.run(started_at)
     started = _Totals(simulation)
     simulation.run(ended_at)
     ended = _Totals(simulation)
-    memberships = [front.membership for front in simulation.fronts if front.membership is not None]
-    listed = [sum(membership.lists(site.name) for site in topology.sites) for membership in memberships]
+    running = [front for front in simulation.fronts if front.membership is not None]
+    listed = [_listed_in_pool(front, topology, simulation.implementation) for front in running]
     return FleetLoads(
         started.load(None, front_ends, START_SECONDS),
         ended.load(started, front_ends, QUIET_SECONDS),
-        private_octets(memberships[len(memberships) // 2].state()),
+        private_octets(_state(running[len(running) // 2])),
         (min(listed), max(listed)),
     )
 
 
+def _state(front: HollowFront) -> object:
+    assert front.membership is not None
+    return front.membership.state()
+
+
+def _listed_in_pool(front: HollowFront, topology: Topology, implementation: Implementation) -> int:
+    """How many a front end lists of those that its flat membership is for: the fleet, or its zone."""
+    assert front.membership is not None
+    is_flat = implementation.name == FlatImplementation.name
+    pool = topology.sites if is_flat else topology.zone_members(front.site.zone)
+    return sum(front.membership.lists(site.name) for site in pool)
+
+
 def compare(simulated: FleetLoads, real: FleetLoads) -> list[Line]:
     """Both beside each other. Octets and datagrams are judged; processor time and memory are told."""
     found = []
--- a/benchmarks/capacity/fleet_zoned.py
+++ b/benchmarks/capacity/fleet_zoned.py
@@ -18,7 +18,7 @@
 )
 from benchmarks.capacity.fleet_flat_sizes import FlatSizes, integer_octets, string_octets
 from benchmarks.capacity.fleet_membership import Membership, ObservedState, Outgoing, StreamReply, Transition
-from benchmarks.capacity.topology import Site, Topology
+from benchmarks.capacity.topology import Address, Site, Topology
 from oakcroft.decisions.membership.hierarchy import ZonedMembership
 from oakcroft.decisions.membership.member import MemberState, MemberUpdate, commitment
 from oakcroft.decisions.membership.member_table import PRESENT_STATES, StateChange
@@ -196,6 +196,11 @@
         return self.membership
 
 
+def seed_addresses(members: Sequence[Site]) -> tuple[Address, ...]:
+    """The addresses by which a zone is found, of all its sites."""
+    return tuple(site.address for site in members[:SEEDS_A_ZONE])
+
+
 class ZonedImplementation:
     """Makes memberships of two layers and knows their encoding."""
 
@@ -215,7 +220,7 @@
         self._seeds: dict[str, ZoneSeeds] = {}
         for zone in range(len(topology.region_of_zone)):
             members = topology.zone_members(zone)
-            addresses = tuple(site.address for site in members[:SEEDS_A_ZONE])
+            addresses = seed_addresses(members)
             first = members[0]
             self.names_of_zone[first.zone_name] = [site.name for site in members]
             self._seeds[first.zone_name] = ZoneSeeds(first.zone_name, first.region_name, addresses)
--- a/tests/test_capacity_fleet.py
+++ b/tests/test_capacity_fleet.py
@@ -279,4 +279,4 @@
 def test_a_fleet_over_sockets_is_bounded_in_processes() -> None:
     """It is refused before any is started."""
     with pytest.raises(SocketFleetError):
-        run_processes(FRONT_ENDS, MOST_PROCESSES + 1, 1)
+        run_processes("flat", FRONT_ENDS, MOST_PROCESSES + 1, 1)
