--- a/benchmarks/capacity/fleet_command.py
+++ b/benchmarks/capacity/fleet_command.py
@@ -9,7 +9,7 @@
 
 import click
 
-from benchmarks.capacity.fleet_faults import Fault, FaultTerms, phases, schedule
+from benchmarks.capacity.fleet_faults import DurationError, Fault, FaultTerms, phases, schedule
 from benchmarks.capacity.fleet_flat import FlatImplementation
 from benchmarks.capacity.fleet_membership import Implementation
 from benchmarks.capacity.fleet_memory import resident_octets
@@ -19,7 +19,7 @@
 from benchmarks.capacity.fleet_zoned import ZonedImplementation
 from benchmarks.capacity.network import DEFAULT_LOSS, Network, NetworkTerms
 from benchmarks.capacity.network_check import sample_links
-from benchmarks.capacity.topology import Topology
+from benchmarks.capacity.topology import Topology, TopologyError
 from oakcroft.interface import SECOND
 
 IMPLEMENTATIONS: dict[str, Callable[[Topology], Implementation]] = {
@@ -139,7 +139,10 @@
     network = NetworkTerms.with_loss(*losses(loss))
     run = FleetRun(fronts, seed, duration, network, fault_terms, membership, preloaded, alone, wall_seconds)
     began = time.monotonic()
-    head, found, finished = play(run)
+    try:
+        head, found, finished = play(run)
+    except (DurationError, TopologyError, NotImplementedError) as error:
+        raise click.UsageError(str(error)) from error
     for text in (*head, *(line.show() for line in found)):
         click.echo(text)
     click.echo(f"took {time.monotonic() - began:.0f} s of wall time")
--- a/tests/test_capacity_fleet.py
+++ b/tests/test_capacity_fleet.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from random import Random
 
+import click
 import pytest
 from click.testing import CliRunner, Result
 
@@ -250,6 +251,15 @@
         phases(fault_terms(fault), 30 * SECOND, preloaded=True)
 
 
+@pytest.mark.parametrize("options", [["--fronts", "31"], ["--minutes", "0.5", "--fault", "zone"]])
+def test_a_fleet_or_a_time_that_is_too_small_is_a_usage_error(options: list[str]) -> None:
+    """Told in a line, without a trace."""
+    result = invoked(*options)
+
+    assert result.exit_code == click.UsageError.exit_code
+    assert result.output.splitlines()[-1].startswith("Error: ")
+
+
 # Over sockets.
 
 
