--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -1,4 +1,4 @@
-"""Capacity from the command line: `python -m benchmarks.capacity page|slopes`."""
+"""Capacity from the command line: `python -m benchmarks.capacity page|slopes|fleet`."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 import click
 
 from benchmarks.capacity.experiments import Experiment, run_and_record
+from benchmarks.capacity.fleet_command import fleet
 
 
 @click.group()
@@ -59,5 +60,7 @@
     sys.exit(1 if found else 0)
 
 
+main.add_command(fleet)
+
 if __name__ == "__main__":
     main()
