--- /dev/null
+++ b/tests/test_capacity_fleet.py
@@ -0,0 +1,292 @@
+"""The hollow fleet: the same result each run, and each planted fault found."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+
+import click
+import pytest
+from click.testing import CliRunner, Result
+
+from benchmarks.capacity import fleet_command
+from benchmarks.capacity.fleet_command import FleetRun, fleet, play
+from benchmarks.capacity.fleet_faults import DurationError, Fault, FaultTerms, phases
+from benchmarks.capacity.fleet_flat import FlatImplementation, FlatMembership
+from benchmarks.capacity.fleet_flat_sizes import FlatSizes
+from benchmarks.capacity.fleet_membership import ObservedState, Outgoing, Transition
+from benchmarks.capacity.fleet_sampling import SizeMismatchError
+from benchmarks.capacity.fleet_simulation import FleetSimulation
+from benchmarks.capacity.fleet_sockets import (
+    MOST_PROCESSES,
+    FleetLoads,
+    Load,
+    SocketFleetError,
+    compare,
+    run_processes,
+)
+from benchmarks.capacity.network import Network, NetworkTerms
+from benchmarks.capacity.topology import Site, Topology
+from oakcroft.interface import MS, SECOND
+
+FRONT_ENDS = 40
+LINES_AT_LEAST = 5
+TWO_PERCENT = NetworkTerms.with_loss(0.02, 0.02, 0.02)
+
+
+def fault_terms(fault: Fault, lasts: int = 10 * SECOND) -> FaultTerms:
+    """A fault of the usual size."""
+    return FaultTerms(fault, lasts, restarts_a_minute=60.0, speed_up=100.0)
+
+
+def small_run(fault: Fault = Fault.NONE, seconds: int = 15, seed: int = 1) -> FleetRun:
+    """A short run of a small fleet at 2% loss."""
+    return FleetRun(
+        FRONT_ENDS, seed, seconds * SECOND, TWO_PERCENT, fault_terms(fault), "flat", fault is not Fault.NONE, False, 60.0
+    )  # fmt: skip
+
+
+def simulated(seed: int) -> FleetSimulation:
+    """A small fleet after a whole start and one crash."""
+    topology = Topology(FRONT_ENDS)
+    simulation = FleetSimulation(topology, TWO_PERCENT, FlatImplementation(topology), seed, 12 * SECOND)
+    simulation.start_all()
+    simulation.queue.schedule(8 * SECOND, simulation.crash, simulation.fronts[3])
+    simulation.run(12 * SECOND)
+    return simulation
+
+
+def observed(simulation: FleetSimulation) -> list[object]:
+    """All that a simulation counted."""
+    sent = [front.traffic.sent.tobytes() for front in simulation.fronts]
+    received = [front.traffic.received.tobytes() for front in simulation.fronts]
+    return [
+        sent,
+        received,
+        simulation.queue.handled,
+        simulation.agreement.wrong,
+        simulation.agreement.disturbances,
+    ]
+
+
+def invoked(*options: str) -> Result:
+    """The command with a small fleet and these options."""
+    return CliRunner().invoke(fleet, ["--fronts", str(FRONT_ENDS), *options])
+
+
+def line(result: Result, name: str) -> str:
+    """The line of a report that begins with a name."""
+    return next(text for text in result.output.splitlines() if text.startswith(name))
+
+
+# The same each run.
+
+
+def test_the_same_seed_gives_the_same_events_and_another_seed_others() -> None:
+    """Octets by time of each front end, events and lists repeat."""
+    first = observed(simulated(1))
+
+    assert observed(simulated(1)) == first
+    assert observed(simulated(2)) != first
+
+
+def test_the_report_of_a_run_repeats_but_for_what_is_measured_of_the_machine() -> None:
+    """Processor time and memory alone may differ."""
+    machine = ("share of a core", "  resident", "MB a front")
+
+    reports = [[found for found in play(small_run())[1] if found.name not in machine] for _ in range(2)]
+
+    assert reports[0] == reports[1]
+    assert len(reports[0]) > LINES_AT_LEAST
+
+
+# Counted wrong, or on other links than stated.
+
+
+def test_a_size_that_is_counted_wrong_stops_the_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Planted: one octet too few."""
+    exact = FlatSizes.datagram
+    monkeypatch.setattr(
+        FlatSizes, "datagram", lambda self, *given: (exact(self, *given)[0] - 1, exact(self, *given)[1])
+    )
+
+    with pytest.raises(SizeMismatchError):
+        play(small_run())
+
+
+class LateNetwork(Network):
+    """Planted: each datagram takes three milliseconds more than stated."""
+
+    def datagram_delay(self, sender: Site, receiver: Site) -> int | None:
+        """Later than stated."""
+        delay = super().datagram_delay(sender, receiver)
+        return None if delay is None else delay + 3 * MS
+
+
+def test_a_run_on_links_that_are_not_as_stated_exits_1(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The command checks its own links."""
+    monkeypatch.setattr(fleet_command, "Network", LateNetwork)
+
+    result = invoked("--minutes", "0.1")
+
+    assert result.exit_code == 1
+    assert "not as stated" in line(result, "links")
+
+
+# Faults that are planted in a membership.
+
+
+class TalkativeMembership(FlatMembership):
+    """Planted: one front end says everything fifty times."""
+
+    def take_outgoing(self) -> Sequence[Outgoing]:
+        """Fifty times over."""
+        messages = super().take_outgoing()
+        return [*messages] * 50 if self.view.me.name == "front-0007" else messages
+
+
+class SlanderousMembership(FlatMembership):
+    """Planted: one front end calls a living one failed."""
+
+    told = False
+
+    def take_transitions(self) -> Sequence[Transition]:
+        """With a verdict of its own, once."""
+        transitions = super().take_transitions()
+        if self.view.me.name != "front-0007" or self.told or self.view.last_tick_at < 5 * SECOND:
+            return transitions
+        self.told = True
+        return [*transitions, Transition("front-0009", ObservedState.FAILED)]
+
+
+class BlindMembership(FlatMembership):
+    """Planted: one front end never finds that another has failed."""
+
+    def take_transitions(self) -> Sequence[Transition]:
+        """Without any failure."""
+        transitions = super().take_transitions()
+        if self.view.me.name != "front-0039":
+            return transitions
+        return [transition for transition in transitions if transition.state is not ObservedState.FAILED]
+
+
+def plant(monkeypatch: pytest.MonkeyPatch, planted: type[FlatMembership]) -> None:
+    """Has the command run these in place of sound ones."""
+
+    class Planted(FlatImplementation):
+        def create(self, site: Site, generation: int, random: Random, now: int) -> FlatMembership:
+            sound = super().create(site, generation, random, now)
+            return planted(sound.view, self._sizes)
+
+    monkeypatch.setitem(fleet_command.IMPLEMENTATIONS, "flat", Planted)
+
+
+def test_a_sound_small_fleet_is_within_all_budgets() -> None:
+    """So that what the planted ones miss is theirs."""
+    result = invoked("--minutes", "1.1", "--fault", "rack", "--preloaded", "--loss", "0.01")
+
+    assert result.exit_code == 0, result.output
+    assert "MISSED" not in result.output
+    assert "not alone, not judged" in line(result, "share of a core")
+    assert line(result, "detection, everywhere").endswith("within")
+
+
+def test_a_front_end_that_talks_too_much_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """By name, in the line of what is sent."""
+    plant(monkeypatch, TalkativeMembership)
+
+    result = invoked("--minutes", "0.2")
+
+    assert result.exit_code == 1
+    assert line(result, "kB/s sent").endswith("MISSED")
+    assert "front-0007" in line(result, "kB/s sent")
+
+
+def test_a_living_front_end_that_is_called_failed_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With who said it of whom; and the list that is wrong at the end."""
+    plant(monkeypatch, SlanderousMembership)
+
+    result = invoked("--minutes", "0.2")
+
+    assert result.exit_code == 1
+    assert "front-0007 of front-0009" in line(result, "living called failed")
+    assert "1 entries of lists are wrong" in line(result, "agreement at the end")
+    assert line(result, "agreement at the end").endswith("MISSED")
+
+
+def test_a_crash_that_one_front_end_never_learns_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One observer of one crash is enough."""
+    plant(monkeypatch, BlindMembership)
+
+    result = invoked("--minutes", "1.1", "--fault", "rack", "--preloaded", "--loss", "0.01")
+
+    assert result.exit_code == 1
+    assert "1 never" in line(result, "detection, everywhere")
+    assert line(result, "detection, everywhere").endswith("MISSED")
+    assert line(result, "settling, loss of a rack").endswith("MISSED")
+
+
+def test_verdicts_across_a_cut_are_told_apart_from_false_ones() -> None:
+    """Both sides of a cut find each other failed, and nobody is blamed."""
+    _, found, finished = play(small_run(Fault.REGION, 50))
+    verdicts = next(one for one in found if one.name == "living called failed")
+
+    assert finished
+    assert verdicts.text.startswith("0 verdicts")
+    assert " 0 across" not in verdicts.text
+
+
+def test_a_run_whose_wall_time_runs_out_says_so_and_exits_1() -> None:
+    """What was played is reported all the same."""
+    result = invoked("--minutes", "30", "--wall-seconds", "0.2")
+
+    assert result.exit_code == 1
+    assert "NOT FINISHED" in result.output
+
+
+@pytest.mark.parametrize("fault", [fault for fault in Fault if fault is not Fault.NONE])
+def test_a_run_too_short_for_its_fault_is_refused(fault: Fault) -> None:
+    """Before anything is played."""
+    with pytest.raises(DurationError):
+        phases(fault_terms(fault), 30 * SECOND, preloaded=True)
+
+
+@pytest.mark.parametrize("options", [["--fronts", "31"], ["--minutes", "0.5", "--fault", "zone"]])
+def test_a_fleet_or_a_time_that_is_too_small_is_a_usage_error(options: list[str]) -> None:
+    """Told in a line, without a trace."""
+    result = invoked(*options)
+
+    assert result.exit_code == click.UsageError.exit_code
+    assert result.output.splitlines()[-1].startswith("Error: ")
+
+
+# Over sockets.
+
+
+def loads(start: Load, quiet: Load) -> FleetLoads:
+    """A fleet with these loads."""
+    return FleetLoads(start, quiet, 100_000, (40, 40))
+
+
+@pytest.mark.parametrize(
+    ("real", "names"),
+    [
+        (Load(10.0, 5_000, 3_000, 0.05), set[str]()),
+        (Load(11.5, 5_000, 3_000, 0.05), {"start, datagrams/s"}),
+        (Load(10.0, 7_000, 3_000, 0.05), {"start, datagram B/s", "start, all B/s"}),
+        (Load(10.0, 5_000, 3_400, 0.05), {"start, stream B/s"}),
+    ],
+)
+def test_octets_over_sockets_that_differ_by_a_tenth_are_found(real: Load, names: set[str]) -> None:
+    """Each kind by itself."""
+    simulated, quiet = Load(10.0, 5_000, 3_000, 0.002), Load(6.0, 800, 300, 0.001)
+
+    found = compare(loads(simulated, quiet), loads(real, quiet))
+
+    assert {one.name for one in found if one.met is False} == names
+
+
+def test_a_fleet_over_sockets_is_bounded_in_processes() -> None:
+    """It is refused before any is started."""
+    with pytest.raises(SocketFleetError):
+        run_processes("flat", FRONT_ENDS, MOST_PROCESSES + 1, 1)
