--- a/oakcroft/platform/viewers.py
+++ b/oakcroft/platform/viewers.py
@@ -9,9 +9,10 @@
 import structlog
 import trio
 
-from oakcroft.decisions.admission.eviction import IdleConnection, eviction_order
+from oakcroft.decisions.admission.eviction import IdleConnection
 from oakcroft.decisions.admission.patience import Stillness
 from oakcroft.interface import MS, SECOND
+from oakcroft.platform.idle_connections import IdleConnections
 from oakcroft.platform.link import READ, Link, prepared
 from oakcroft.platform.ticket import Asked, Ticket
 from oakcroft.platformwire import asking, framing
@@ -148,6 +149,7 @@
             log,
         )
         self.links: dict[ViewerLink, None] = {}
+        self.idle_connections = IdleConnections(self.links, clock)
         self.tested = self.ready = False
         self.accepting = True
         self.shed = 0
@@ -202,16 +204,11 @@
 
     def _make_room(self) -> bool:
         """Closes a connection without an open set-up, if there is one."""
-        now = self.clock.now()
-        idle = [link for link in self.links if link.idle]
-        for link in sorted(idle, key=lambda x: eviction_order(x.as_idle, now)):
-            was_partial = link.frames.partial
-            has_come = link.unread > 0
-            if has_come or link.frames.partial > was_partial:  # its request, or a part of it
-                continue
-            self._drop(link)
-            return True
-        return False
+        link = self.idle_connections.first()
+        if link is None:
+            return False
+        self._drop(link)
+        return True
 
     def _drop(self, link: ViewerLink) -> None:
         self.links.pop(link, None)
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -17,6 +17,7 @@
     target_order,
 )
 from oakcroft.interface import SECOND
+from oakcroft.platform.idle_connections import CANDIDATES, CANDIDATES_KEPT, IdleConnections
 
 NOW = 100 * SECOND
 
@@ -48,6 +49,66 @@
     assert min((newer, older), key=lambda one: eviction_order(one, NOW)) is older
 
 
+class HeldClock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        """It stands at `NOW`."""
+        self.at = NOW
+
+    def now(self) -> int:
+        """Its time."""
+        return self.at
+
+
+class FakeConnection:
+    """A connection that has asked once and plays nothing."""
+
+    def __init__(self, since: int) -> None:
+        """`since`: of its last message."""
+        self.open, self.idle, self.unread = True, True, 0
+        self.as_idle = connection(since=since)
+
+
+def evict(connections: IdleConnections[FakeConnection]) -> FakeConnection | None:
+    """Closes the first that makes room."""
+    found = connections.first()
+    if found is not None:
+        found.open = found.idle = False
+    return found
+
+
+def test_connections_make_room_in_order_though_found_several_at_once() -> None:
+    """More than one look finds."""
+    links = [FakeConnection(since) for since in range(3 * CANDIDATES)]
+    idle = IdleConnections(links, HeldClock())  # type: ignore[arg-type]
+    evicted = [evict(idle) for _ in links]
+    assert evicted == links
+
+
+def test_a_connection_that_came_to_use_since_it_was_found_stays() -> None:
+    """Each for another reason: a request under way, one unread, a part of one, a session; and one closed."""
+    links = [FakeConnection(since) for since in range(7)]
+    idle = IdleConnections(links, HeldClock())  # type: ignore[arg-type]
+    assert evict(idle) is links[0]
+    links[1].idle = False
+    links[2].unread = 1
+    links[3].as_idle = connection(since=3, partial=True)
+    links[4].as_idle = connection(since=4, sessions=1)
+    links[5].open = False
+    assert evict(idle) is links[6]
+
+
+def test_what_was_found_is_looked_for_anew_after_a_while() -> None:
+    """One that has been idle for longer is found then."""
+    links, clock = [FakeConnection(since) for since in range(10, 20)], HeldClock()
+    idle = IdleConnections(links, clock)  # type: ignore[arg-type]
+    assert evict(idle) is links[0]
+    links.append(FakeConnection(since=5))
+    clock.at += CANDIDATES_KEPT + 1
+    assert evict(idle) is links[-1]
+
+
 def test_an_end_is_sent_on_its_own_connection_then_on_those_that_were_served() -> None:
     """A stranger's connection is the last resort."""
     targets = [
