--- a/oakcroft/decisions/membership/zone_author.py
+++ b/oakcroft/decisions/membership/zone_author.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from oakcroft.decisions.membership.member import MemberState
 from oakcroft.decisions.membership.zone_directory import ZoneRecord
+from oakcroft.decisions.membership.zone_messages import MAX_PAYLOAD, change_size, summary_size
 from oakcroft.decisions.membership.zone_summary import (
     MAX_CHANGES,
     MAX_COUNTER,
@@ -95,14 +96,15 @@
                 del self.contested[change.name]
                 self.note(change, now)
 
-    def changes(self, now: int) -> tuple[MemberChange, ...]:
-        """The changes that a summary lists now, by name so that two authors write the same."""
+    def changes(self, room: int, now: int) -> tuple[MemberChange, ...]:
+        """The changes that a summary lists now, in so many octets; by name, so that two authors write the
+        same."""
         fresh = [recent for recent in self.recent.values() if now - recent.at < FRESH_TIME]
         older = [recent for recent in self.recent.values() if now - recent.at >= FRESH_TIME]
         padding = older[max(0, len(older) - max(0, LISTED_LATER - len(fresh))) :]
         # The earliest first within a state: in a mass failure a reader must find again what it is to confirm.
         fresh.sort(key=lambda recent: TOLD_FIRST.index(recent.change.state))
-        listed = [recent.change for recent in [*fresh, *padding][:MAX_CHANGES]]
+        listed = _fitting([recent.change for recent in [*fresh, *padding]], room)
         return tuple(sorted(listed, key=lambda change: change.name))
 
     # When it is told.
@@ -132,7 +134,19 @@
 
     def _content(self, local: LocalState, record: ZoneRecord | None, now: int) -> ZoneSummary:
         epoch, version = next_key(record.entry if record is not None else None, self.me.generation)
-        return ZoneSummary(
+        bare = ZoneSummary(
             self.me.zone, self.region, self.me.name, epoch, version, 0, local.counts, local.delegates,
-            local.member_digest, self.changes(now),
+            local.member_digest, (),
         )  # fmt: skip
+        return replace(bare, changes=self.changes(MAX_PAYLOAD - summary_size(bare), now))
+
+
+def _fitting(changes: Iterable[MemberChange], room: int) -> list[MemberChange]:
+    """As many changes as a summary may list and so many octets hold."""
+    listed: list[MemberChange] = []
+    for change in changes:
+        room -= change_size(change)
+        if room < 0 or len(listed) == MAX_CHANGES:
+            break
+        listed.append(change)
+    return listed
--- a/oakcroft/decisions/membership/zone_messages.py
+++ b/oakcroft/decisions/membership/zone_messages.py
@@ -103,14 +103,15 @@
     """Octets of a summary, estimated."""
     names = len(summary.zone) + len(summary.region) + len(summary.author)
     contacts = sum(_contact_size(contact) for contact in summary.delegates)
-    return SUMMARY_SIZE + names + contacts + sum(_change_size(change) for change in summary.changes)
+    return SUMMARY_SIZE + names + contacts + sum(change_size(change) for change in summary.changes)
 
 
 def _contact_size(contact: ZoneContact) -> int:
     return CONTACT_SIZE + len(contact.name) + len(contact.host)
 
 
-def _change_size(change: MemberChange) -> int:
+def change_size(change: MemberChange) -> int:
+    """Octets of a change in a summary, estimated."""
     return CHANGE_SIZE + len(change.name)
 
 
--- a/oakcroft/decisions/membership/zone_summary.py
+++ b/oakcroft/decisions/membership/zone_summary.py
@@ -19,8 +19,9 @@
 MAX_DELEGATES = 3
 """Of one zone: two may fail in one detection time and the zone still speaks."""
 
-MAX_CHANGES = 24
-"""Of members in one summary: with these it takes some 750 octets of a datagram's 1,400."""
+MAX_CHANGES = 32
+"""Of members in one summary: with these, and names of ten octets, it takes some 980 octets of a datagram's
+1,400."""
 
 MAX_ZONE_NAME_LENGTH = 32
 MAX_ZONE_MEMBERS = 256
--- a/tests/test_zone_membership.py
+++ b/tests/test_zone_membership.py
@@ -19,6 +19,7 @@
 from oakcroft.decisions.membership.member import MemberState
 from oakcroft.decisions.membership.paced_pool import PacedPool
 from oakcroft.decisions.membership.traffic_budget import BURST, RATE, TrafficBudget
+from oakcroft.decisions.membership.zone_author import LocalState, ZoneAuthor
 from oakcroft.decisions.membership.zone_directory import (
     MAX_REMEMBERED_CHANGES,
     MAX_ZONES,
@@ -28,7 +29,13 @@
     ZoneDirectory,
 )
 from oakcroft.decisions.membership.zone_lookup import LOOKUP_TIMEOUT, MAX_LOOKUPS
-from oakcroft.decisions.membership.zone_messages import ZoneDigest, ZoneRecords, ZoneRequest
+from oakcroft.decisions.membership.zone_messages import (
+    MAX_PAYLOAD,
+    ZoneDigest,
+    ZoneRecords,
+    ZoneRequest,
+    summary_size,
+)
 from oakcroft.decisions.membership.zone_reporter import ZoneReporter
 from oakcroft.decisions.membership.zone_summary import (
     MAX_CHANGES,
@@ -205,6 +212,19 @@
     assert directory.state("z", "a") is RemoteState.FAILED
 
 
+def test_a_summary_fits_a_datagram_whatever_the_names_and_however_many_fail() -> None:
+    """Failures go first; what does not fit is in the counts."""
+    contacts = tuple(ZoneContact(f"{i}".zfill(64), 1, "z" * 32, "h" * 39, 1) for i in range(3))
+    author = ZoneAuthor(contacts[0], "r" * 32, 0)
+    for i in range(100):
+        author.note(change(f"{i}".zfill(64), MemberState.FAILED if i % 2 else MemberState.LEFT), 0)
+    local = LocalState(StateCounts(1, 50, 50), contacts, 1)
+    told = author.next_summary(local, None, SECOND)
+    assert told is not None
+    assert summary_size(told) <= MAX_PAYLOAD
+    assert {each.state for each in told.changes} == {MemberState.FAILED}
+
+
 # Delegates and the budget.
 
 
