--- a/oakcroft/decisions/membership/hierarchy.py
+++ b/oakcroft/decisions/membership/hierarchy.py
@@ -179,7 +179,7 @@
         if self.reporter.differs_for(record.summary, now) >= DIFFERENCE_TOLERANCE:
             self.pool.differs(now)
         else:
-            self.pool.agrees()
+            self.pool.agrees(now)
 
     # What is received.
 
--- a/oakcroft/decisions/membership/paced_pool.py
+++ b/oakcroft/decisions/membership/paced_pool.py
@@ -1,8 +1,8 @@
 """The flat membership of one zone, with its traffic paced and members of other zones kept out.
 
 The flat protocol stands as it is. Here what can wait of its traffic (updates that ride along, gossip, whole
-tables) draws on the front's budget, and what comes of another zone is turned away before the protocol sees
-it."""
+tables) draws on the front's budget, and what comes of another zone is turned away before the protocol sees it.
+"""
 
 from __future__ import annotations
 
@@ -10,8 +10,7 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from oakcroft.decisions.membership.dissemination import UpdateQueue
-from oakcroft.decisions.membership.member import MemberState, MemberUpdate
+from oakcroft.decisions.membership.member import MemberUpdate
 from oakcroft.decisions.membership.membership import Membership
 from oakcroft.decisions.membership.messages import (
     MAX_UPDATES,
@@ -21,23 +20,11 @@
     MessageKind,
     ProbeTarget,
 )
+from oakcroft.decisions.membership.paced_queue import FLAT_MESSAGE_SIZE, UPDATE_SIZE, PacedUpdateQueue
 from oakcroft.decisions.membership.traffic_budget import TrafficBudget
 from oakcroft.decisions.membership.zone_summary import MAX_ZONE_MEMBERS
 from oakcroft.interface import SECOND
 
-FLAT_MESSAGE_SIZE = 130
-"""Octets of a flat message without updates, sealed."""
-
-UPDATE_SIZE = 78
-"""Octets of one update, for names of nine octets."""
-
-CROWDED_QUEUE = 24
-"""Updates under way past which each is carried fewer times: exchanges of tables bring the rest more
-cheaply."""
-
-CROWDED_MEMBERS = 9
-"""The size of a fleet whose number of retransmissions is taken then: four."""
-
 MAX_WAITING_EXCHANGES = 4
 
 START_EXCHANGE_INTERVAL = SECOND
@@ -55,6 +42,9 @@
 """Between two exchanges of a front whose members are not those that its zone's summary has; doubled while
 they bring nothing, so that a summary that is wrong costs little."""
 
+YOUNG_TIME = 45 * SECOND
+"""Of a front's own start, in which it goes on exchanging tables."""
+
 START_TIME = 15 * SECOND
 """In which the answers to probes introduce other members."""
 
@@ -80,39 +70,6 @@
 """Members in a part of a table, where tokens do not reach for all of it."""
 
 
-class PacedUpdateQueue(UpdateQueue):
-    """The flat protocol's updates, which wait for tokens. Guards the budget in a whole start, when each
-    member is news."""
-
-    def __init__(self, queue: UpdateQueue, own_name: str, budget: TrafficBudget) -> None:
-        """Takes over what waits in a queue."""
-        super().__init__()
-        self.pending = queue.pending
-        self.own_name = own_name
-        self.budget = budget
-        self.charged = 0
-        self.is_starting = True
-
-    def add(self, update: MemberUpdate) -> None:
-        """An update to be carried; not who lives while this front has just started and learns of all at
-        once."""
-        if update.name == self.own_name or update.state is not MemberState.ALIVE or not self.is_starting:
-            super().add(update)
-
-    def __bool__(self) -> bool:
-        """Whether any update waits and may be carried."""
-        return bool(self.pending) and self.budget.available >= FLAT_MESSAGE_SIZE
-
-    def take(self, most: int, members: int) -> list[MemberUpdate]:
-        """At most as many as there are tokens for."""
-        if len(self.pending) > CROWDED_QUEUE:
-            members = min(members, CROWDED_MEMBERS)
-        taken = super().take(min(most, self.budget.available // UPDATE_SIZE), members)
-        self.budget.charge(UPDATE_SIZE * len(taken))
-        self.charged += UPDATE_SIZE * len(taken)
-        return taken
-
-
 @dataclass
 class PoolCounters:
     """What was turned away, and why."""
@@ -147,6 +104,7 @@
         self.seeds = frozenset(seeds)
         self.started_at = now
         self._exchanges: dict[Address, None] = {}
+        self._asked: Address | None = None  # whose answer was last asked for
         self._start_exchanges = 0
         self._fruitless = 0
         self._next_start_exchange_at = now
@@ -191,18 +149,22 @@
         if self.is_starting or now < self._next_repair_at:
             return
         self._next_repair_at = now + self._repair_interval
-        self._repair_interval = min(2 * self._repair_interval, MAX_REPAIR_INTERVAL)
+        if now - self.started_at >= YOUNG_TIME:
+            self._repair_interval = min(2 * self._repair_interval, MAX_REPAIR_INTERVAL)
         self._want_any()
 
-    def agrees(self) -> None:
-        """They are."""
+    def agrees(self, now: int) -> None:
+        """They are. In a front's first minute that is no reason to stop: its zone's author may lack the same members."""
         self._repair_interval = REPAIR_INTERVAL
+        if now - self.started_at < YOUNG_TIME and not self.is_starting and now >= self._next_repair_at:
+            self._next_repair_at = now + REPAIR_INTERVAL
+            self._want_any()
 
     # What is received.
 
     def heard(
-        self, sender: MemberUpdate, kind: MessageKind, sequence: int, to: MemberId, target: ProbeTarget |
-        None, updates: Sequence[MemberUpdate], now: int,
+        self, sender: MemberUpdate, kind: MessageKind, sequence: int, to: MemberId, target: ProbeTarget | None,
+        updates: Sequence[MemberUpdate], now: int,
     ) -> None:  # fmt: skip
         """A datagram of the flat protocol."""
         if self._is_own(sender):
@@ -247,10 +209,11 @@
             return
         known = len(self.membership.members)
         self.membership.exchanged(sender, self._own(updates), now)
+        is_answer = sender.address == self._asked
         if len(self.membership.members) > known:
             self._fruitless = 0
             self._repair_interval = REPAIR_INTERVAL
-        else:
+        elif is_answer:
             self._fruitless += 1
 
     def _is_own(self, update: MemberUpdate) -> bool:
@@ -288,6 +251,7 @@
         while self._exchanges and self.budget.available >= _table_size(MIN_PART):
             address = next(iter(self._exchanges))
             del self._exchanges[address]
+            self._asked = address
             self.out.append(Message(MessageKind.PUSH_PULL, address))
 
     def _with_introductions(self, message: Message) -> Message:
