--- a/oakcroft/decisions/membership/delegates.py
+++ b/oakcroft/decisions/membership/delegates.py
@@ -1,59 +1,57 @@
 """Which members speak for their zone to other zones: rendezvous hashing with hysteresis, reckoned by each
 front alone.
 
-The members of the highest weight for the zone's name (Thaler and Ravishankar 1998) among those that have
-been present long enough. Nobody elects: where memberships differ for a while more than three act, and this
-costs messages only."""
+The members of the highest weight for the zone's name (Thaler and Ravishankar 1998) among those that have run
+long enough. Nobody elects: where memberships differ for a while more than three act, and this costs messages
+only. How long a member has run is read of its generation, the clock at its start, so that all fronts count
+the same, also one that has just started."""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping
 
 from oakcroft.decisions.membership.rendezvous import weight
 from oakcroft.decisions.membership.zone_summary import MAX_DELEGATES
-from oakcroft.interface import SECOND
 
-SETTLING_TIME = 30 * SECOND
-"""For which a member must have been present: guards the zone's voice against members that come and go. Who
-is found in a front's own first so many seconds counts as settled, since it may have been there for long."""
+SETTLING_TIME = 30_000_000
+"""Microseconds for which a member must have run: guards the zone's voice against members that come and go."""
+
+START_SPREAD = 10_000_000
+"""Microseconds after the zone's eldest within which a member counts as settled too: the members of a zone
+that starts as a whole are delegates at once, and none is displaced when the first of them settle."""
 
 
 class DelegateSelection:
-    """The delegates of one zone as one front sees them."""
+    """The delegates of one zone as one front sees them. Times are in microseconds of the clock, as
+    generations are."""
 
-    def __init__(self, zone: str, now: int) -> None:
+    def __init__(self, zone: str) -> None:
         """Nobody is observed yet."""
         self.zone = zone
-        self.started_at = now
-        self._settled_at: dict[str, int] = {}
+        self._generations: dict[str, int] = {}
         self._weights: dict[str, int] = {}
         self._ranked: tuple[str, ...] = ()
-        self._valid_until = now
+        self._valid_until = 0
 
-    def observe(self, present: Sequence[str], now: int) -> None:
+    def observe(self, generations: Mapping[str, int]) -> None:
         """Who is present, whenever that has changed. Suspected members count: a suspicion moves no
         delegate."""
-        names = set(present)
-        for name in [n for n in self._settled_at if n not in names]:
-            del self._settled_at[name]
-            del self._weights[name]
-        is_own_start = now - self.started_at < SETTLING_TIME
-        for name in present:
-            if name not in self._settled_at:
-                self._settled_at[name] = now if is_own_start else now + SETTLING_TIME
-                self._weights[name] = weight(self.zone, name)
-        self._valid_until = now
-
-    def delegates(self, now: int) -> tuple[str, ...]:
+        self._generations = dict(generations)
+        known = self._weights
+        self._weights = {name: known.get(name) or weight(self.zone, name) for name in generations}
+        self._valid_until = 0
+
+    def delegates(self, clock: int) -> tuple[str, ...]:
         """The delegates in rank, the first first; fewer than three where fewer are present."""
-        if now >= self._valid_until:
-            self._select(now)
+        if clock >= self._valid_until:
+            self._select(clock)
         return self._ranked
 
-    def _select(self, now: int) -> None:
-        settled = [name for name, at in self._settled_at.items() if at <= now]
-        candidates = settled if len(settled) >= MAX_DELEGATES else list(self._settled_at)
+    def _select(self, clock: int) -> None:
+        latest = max(clock - SETTLING_TIME, min(self._generations.values(), default=0) + START_SPREAD)
+        settled = [name for name, generation in self._generations.items() if generation <= latest]
+        candidates = settled if len(settled) >= MAX_DELEGATES else list(self._generations)
         ranked = sorted(candidates, key=lambda name: (-self._weights[name], name))
         self._ranked = tuple(ranked[:MAX_DELEGATES])
-        unsettled = [at for at in self._settled_at.values() if at > now]
-        self._valid_until = min(unsettled, default=now + SETTLING_TIME)
+        unsettled = [generation for generation in self._generations.values() if generation > latest]
+        self._valid_until = min(unsettled, default=clock) + SETTLING_TIME
--- a/oakcroft/decisions/membership/hierarchy.py
+++ b/oakcroft/decisions/membership/hierarchy.py
@@ -75,7 +75,7 @@
         self.gossip = ZoneGossip(self.directory, OtherZones(seeds), self.budget, rng, now)
         self.author = ZoneAuthor(contact_of(me), placement.region, now)
         self.reporter = ZoneReporter(self.local, self.author, now)
-        self.selection = DelegateSelection(me.zone, now)
+        self.selection = DelegateSelection(me.zone)
         self.lookups = ZoneLookups(rng)
         self.out: list[Message | ZoneOut] = []
         self.changes: list[StateChange | ZoneChange] = []
@@ -132,7 +132,7 @@
         """This front's rank among the delegates of its zone; None where it is none, or too young to act."""
         if now - self.started_at < QUIET_START or self.local.displaced or self.local.left:
             return None
-        delegates = self.selection.delegates(now)
+        delegates = self.selection.delegates(self._clock(now))
         own_name = self.local.me.name
         return delegates.index(own_name) if own_name in delegates else None
 
@@ -166,7 +166,7 @@
         if not self.author.is_due(rank, record, now):
             return
         self.reporter.report_refuted(now)
-        local = self.reporter.local_state(self.selection.delegates(now))
+        local = self.reporter.local_state(self.selection.delegates(self._clock(now)))
         summary = self.author.next_summary(local, record, now)
         if summary is not None:
             self.gossip.publish(summary, now)
@@ -251,12 +251,16 @@
         answer = LookupAnswer(request.number, request.zone, request.name, found)
         self.gossip.send_if_affordable(sender.address, answer)
 
-    def _latest_generation(self, now: int) -> int:
-        """The latest generation that a sound process can have by this front's clock: its own, which was read
-        of the clock, and the time since. A clock that is behind refuses others, which harms its own front
-        only."""
+    def _clock(self, now: int) -> int:
+        """The time in microseconds as generations count it: this front's own, which was read of the clock, and the time
+        since."""
         own = max(self.first_generation, self.local.me.generation)
-        return own + (now - self.started_at) // MICROSECOND + CLOCK_TOLERANCE
+        return own + (now - self.started_at) // MICROSECOND
+
+    def _latest_generation(self, now: int) -> int:
+        """The latest generation that a sound process can have. A clock that is behind refuses others, which harms its own
+        front only."""
+        return self._clock(now) + CLOCK_TOLERANCE
 
     # After each call.
 
@@ -265,9 +269,9 @@
         present = self.local.present()
         if present is not self._seen_present:
             self._seen_present = present
-            self.selection.observe(present, now)
             own_name = self.local.me.name
             members = self.local.members
+            self.selection.observe({name: members[name].latest.generation for name in present})
             self.gossip.local.peers = [members[name].latest.address for name in present if name != own_name]
         for change in self.local.changes:
             self.reporter.note(change, now)
--- a/oakcroft/decisions/membership/zone_reporter.py
+++ b/oakcroft/decisions/membership/zone_reporter.py
@@ -96,9 +96,21 @@
         if summary.author == self.membership.me.name:
             return
         for change in summary.changes:
+            self._adopt(change, now)
             if change.state is not MemberState.ALIVE:
                 self._examine(change, summary.author, now)
 
+    def _adopt(self, change: MemberChange, now: int) -> None:
+        """What another author lists and this front agrees with it will list as well, should it become the author: or what
+        waits for confirmation elsewhere would be dropped."""
+        member = self.membership.members.get(change.name)
+        recent = self.author.recent.get(change.name)
+        if member is None or (recent is not None and recent.change.precedence >= change.precedence):
+            return
+        latest = member.latest
+        if (latest.generation, latest.state) == (change.generation, change.state):
+            self.author.note(change, now)
+
     def _examine(self, change: MemberChange, author: str, now: int) -> None:
         member = self.membership.members.get(change.name)
         if member is None or member.latest.state not in PRESENT_STATES:
--- a/tests/test_zone_membership.py
+++ b/tests/test_zone_membership.py
@@ -228,30 +228,65 @@
 # Delegates and the budget.
 
 
+def settled_zone() -> tuple[DelegateSelection, dict[str, int]]:
+    """A zone of forty that has long run."""
+    selection = DelegateSelection("z")
+    generations = {f"f{i}": 1 + i for i in range(40)}
+    selection.observe(generations)
+    return selection, generations
+
+
 def test_a_newcomer_moves_no_delegate_for_thirty_seconds() -> None:
-    """Hysteresis: members that come and go do not change who speaks."""
-    selection = DelegateSelection("z", 0)
-    names = [f"f{i}" for i in range(40)]
-    selection.observe(names[:5], 0)
-    before = selection.delegates(SETTLING_TIME)
-    selection.observe(names, SETTLING_TIME)
-    assert selection.delegates(2 * SETTLING_TIME - 1) == before
-    assert selection.delegates(2 * SETTLING_TIME) != before
+    """Hysteresis: members that come and go do not change who speaks; a newcomer itself sees the same."""
+    began = 10 * SETTLING_TIME
+    first, generations = settled_zone()
+    before = first.delegates(began)
+    without = {name: g for name, g in generations.items() if name not in before}
+    first.observe(without)
+    others = first.delegates(began)
+    restarted = without | dict.fromkeys(before, began)
+    newcomer = DelegateSelection("z")
+    for selection in (first, newcomer):
+        selection.observe(restarted)
+        assert selection.delegates(began + SETTLING_TIME - 1) == others
+        assert selection.delegates(began + SETTLING_TIME) == before
+
+
+def test_a_zone_that_starts_as_a_whole_has_its_delegates_at_once_and_keeps_them() -> None:
+    """They are not displaced when the first members settle."""
+    selection, _ = settled_zone()
+    assert len({selection.delegates(SETTLING_TIME * i // 10) for i in range(1, 30)}) == 1
 
 
 def test_of_those_that_fail_only_delegates_are_replaced() -> None:
     """The delegates that remain keep their order."""
-    selection = DelegateSelection("z", 0)
-    names = [f"f{i}" for i in range(40)]
-    selection.observe(names, 0)
-    first, second, third = selection.delegates(0)
-    remaining = [name for name in names if name != second]
-    selection.observe(remaining, SECOND)
-    assert selection.delegates(SECOND)[:2] == (first, third)
-    bystander = next(name for name in remaining if name not in selection.delegates(SECOND))
-    before = selection.delegates(SECOND)
-    selection.observe([name for name in remaining if name != bystander], 2 * SECOND)
-    assert selection.delegates(2 * SECOND) == before
+    began = 10 * SETTLING_TIME
+    selection, generations = settled_zone()
+    first, second, third = selection.delegates(began)
+    del generations[second]
+    selection.observe(generations)
+    before = selection.delegates(began)
+    assert before[:2] == (first, third)
+    del generations[next(name for name in generations if name not in before)]
+    selection.observe(generations)
+    assert selection.delegates(began) == before
+
+
+def test_a_restarted_delegate_does_not_speak_before_it_has_settled() -> None:
+    """It would author without the recent changes, and failures that wait elsewhere would be dropped."""
+    fleet = small_fleet(21)
+    fleet.run(40 * SECOND)
+    first = fleet.fronts["r1z0f0"].membership
+    delegate = first.selection.delegates(first._clock(fleet.now))[0]
+    victim = next(name for name in fleet.names("r1z0") if name != delegate)
+    fleet.kill(delegate)
+    fleet.run(10 * SECOND)
+    fleet.start(delegate)
+    fleet.run(8 * SECOND)
+    fleet.kill(victim)
+    assert fleet.run(KNOWN_EVERYWHERE, lambda: fleet.known_failed(victim))
+    taken_back = [front.membership.directory.counts.taken_back for front in fleet.living()]
+    assert set(taken_back) == {0}
 
 
 @given(st.lists(st.tuples(st.integers(0, SECOND), st.integers(1, 3_000), st.booleans()), max_size=200))
@@ -341,7 +376,7 @@
     """The next in rank speak: the zone stays reachable, its failures are known everywhere."""
     fleet = small_fleet(2)
     speaker = next(front for front in fleet.living() if front.zone == "r1z0")
-    delegates = speaker.membership.selection.delegates(fleet.now)
+    delegates = speaker.membership.selection.delegates(speaker.membership._clock(fleet.now))
     for name in delegates:
         fleet.kill(name)
     assert fleet.run(KNOWN_EVERYWHERE, lambda: all(fleet.known_failed(name) for name in delegates))
