--- a/benchmarks/capacity/fleet_zoned.py
+++ b/benchmarks/capacity/fleet_zoned.py
@@ -114,8 +114,9 @@
         """Another's whole table has come: this one's goes back, where the budget allows it."""
         if not self.membership.accepts_exchange(now):
             return None
+        assert isinstance(message, list)
         self.receive_reply(message, now)
-        mine = self.membership.whole()
+        mine = self.membership.whole(message)
         return StreamReply(mine, self._fleet.flat_sizes.whole(mine))
 
     def receive_reply(self, message: object, now: int) -> None:
--- a/oakcroft/peers/push_pull_service.py
+++ b/oakcroft/peers/push_pull_service.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 
 import trio
 
 from oakcroft.decisions.membership.hierarchy import ZonedMembership
+from oakcroft.decisions.membership.member import MemberUpdate
 from oakcroft.decisions.membership.messages import Address
 from oakcroft.peers.membership_start import HostedMembership
 from oakcroft.peers.streams import STREAM_ERRORS, connect
@@ -35,8 +36,11 @@
         self.dropped = dropped
         self.merged = merged
 
-    def _own_state(self) -> bytes:
-        return write_full_state(self.codec, self.membership.whole())
+    def _own_state(self, asked_with: Sequence[MemberUpdate] | None = None) -> bytes:
+        """What is sent; to whoever has begun, what it lacks by what it `asked_with`."""
+        hosted = self.membership
+        state = hosted.whole(asked_with) if isinstance(hosted, ZonedMembership) else hosted.whole()
+        return write_full_state(self.codec, state)
 
     async def begin(self, address: Address) -> None:
         """A push-pull with whoever is at an address; one that fails is as good as lost."""
@@ -50,8 +54,9 @@
 
         Nobody is told anything who has not shown that he holds the key.
         """
-        if await self._receive(stream, first) and self._may_answer():
-            await stream.send_all(self._own_state())
+        received = await self._receive(stream, first)
+        if received is not None and self._may_answer():
+            await stream.send_all(self._own_state(received))
 
     def _may_answer(self) -> bool:
         """Whether the traffic budget of a zoned membership allows for a full state now; the other asks again."""
@@ -61,20 +66,20 @@
         self.dropped["exchange over budget"] += 1
         return False
 
-    async def _receive(self, stream: trio.SocketStream, first: bytes = b"") -> bool:
-        """Takes the other's full state; whether it was whole."""
+    async def _receive(self, stream: trio.SocketStream, first: bytes = b"") -> list[MemberUpdate] | None:
+        """Takes the other's full state, and returns it; None where it was not whole."""
         reader = FullStateReader(self.codec)
         try:
             reader.receive_data(first, self.now())
             while not reader.done:
                 octets = await stream.receive_some(MAX_PART)
                 if not octets:
-                    return False
+                    return None
                 reader.receive_data(octets, self.now())
         except MessageError as error:
             self.dropped[str(error)] += 1
-            return False
+            return None
         assert reader.sender is not None
         self.membership.exchanged(reader.sender, reader.updates, self.now())
         self.merged()
-        return True
+        return reader.updates
