--- a/oakcroft/decisions/membership/zone_directory.py
+++ b/oakcroft/decisions/membership/zone_directory.py
@@ -78,11 +78,14 @@
 
 @dataclass
 class ZoneRecord:
-    """One zone as this front knows it. `moved_at`: when its summary or heartbeat last grew here."""
+    """One zone as this front knows it. `moved_at`: when its summary or heartbeat last grew here. `offered`:
+    the greatest entry that was heard of; it may be a lie, so only entries of contents that are not held are
+    compared with it."""
 
     summary: ZoneSummary
     heartbeat: int
     moved_at: int
+    offered: DigestEntry
     is_reachable: bool = True
     members: dict[str, RemoteMember] = field(default_factory=dict)
 
@@ -154,11 +157,18 @@
     # Taking in.
 
     def advance(self, entry: DigestEntry, now: int) -> bool:
-        """A later heartbeat of the content that is held; whether it was one."""
+        """A later heartbeat of the content that is held; whether it was one. Of a later content, which may
+        yet have to come, it is a sign of life as well."""
         record = self.records.get(entry.zone)
-        if record is None or record.summary.entry.content_precedence != entry.content_precedence:
+        if record is None:
+            return False
+        held = record.summary.entry.content_precedence
+        if entry.content_precedence > held:
+            if entry.precedence > record.offered.precedence:
+                record.offered = entry
+                self._moved(record, now)
             return False
-        if entry.heartbeat <= record.heartbeat:
+        if entry.content_precedence < held or entry.heartbeat <= record.heartbeat:
             return False
         record.heartbeat = entry.heartbeat
         self._moved(record, now)
@@ -171,7 +181,7 @@
             if not self._has_room(summary.zone):
                 self.counts.zones_full += 1
                 return False
-            record = self.records[summary.zone] = ZoneRecord(summary, summary.heartbeat, now)
+            record = self.records[summary.zone] = ZoneRecord(summary, summary.heartbeat, now, summary.entry)
             self._tell(summary.zone, "", "", "reachable", f"told by {summary.author}")
         elif summary.entry.content_precedence <= record.summary.entry.content_precedence:
             self.advance(summary.entry, now)
--- a/oakcroft/decisions/membership/zone_gossip.py
+++ b/oakcroft/decisions/membership/zone_gossip.py
@@ -41,6 +41,9 @@
 """To how many a new content is forwarded: with three, some 94% are reached by forwarding alone (Kermarrec,
 Massoulié and Ganesh 2003), digests reach the rest."""
 
+FORWARDING_TIME = SECOND
+"""In which forwarding brings most contents; only then one is asked for."""
+
 REQUEST_SPACING = 500 * MS
 """Between two requests for one zone's summary: several members may offer it in one moment."""
 
@@ -87,6 +90,7 @@
         self.out: list[ZoneOut] = []
         self.counts = GossipCounters()
         self._requested_at: dict[str, int] = {}
+        self._offered_at: dict[str, int] = {}  # contents of known zones that are not held yet
         self._next_local_digest_at = now + rng.randrange(LOCAL_DIGEST_INTERVAL)
         self._next_remote_digest_at = now + rng.randrange(REMOTE_DIGEST_INTERVAL)
 
@@ -127,7 +131,8 @@
         for zone in self._other_zones():
             address = self._contact(zone)
             if address is not None:
-                self._send(address, ZoneDigest((summary.entry,), wants_answer=False))
+                # Not charged: an author's heartbeats would leave it no tokens to answer with.
+                self.out.append(ZoneOut(address, ZoneDigest((summary.entry,), wants_answer=False)))
 
     # What is received.
 
@@ -139,7 +144,8 @@
         self.counts.implausible += len(message.entries) - len(entries)
         wanted = []
         for entry in entries:
-            if not self.directory.advance(entry, now) and self.directory.is_newer_content(entry):
+            self.directory.advance(entry, now)
+            if self.directory.is_newer_content(entry) and self._is_overdue(entry.zone, now):
                 wanted.append(entry.zone)
         self._request(sender.address, wanted, now)
         if not message.wants_answer:
@@ -172,6 +178,7 @@
             is_first = summary.zone not in self.directory.records
             if not self.directory.take(summary, now):
                 continue
+            self._offered_at.pop(summary.zone, None)
             if summary.zone == self.directory.own_zone:
                 own.append(summary)
             if self.local.is_delegate or not is_first:
@@ -183,6 +190,13 @@
 
     # Sending.
 
+    def _is_overdue(self, zone: str, now: int) -> bool:
+        """Whether a newer content should have come by forwarding. Guards an author, whom each zone would ask
+        at once."""
+        if zone not in self.directory.records:
+            return True
+        return now - self._offered_at.setdefault(zone, now) >= FORWARDING_TIME
+
     def _request(self, address: Address, zones: Iterable[str], now: int) -> None:
         due = [zone for zone in zones if now - self._requested_at.get(zone, now - SECOND) >= REQUEST_SPACING]
         if not due:
--- a/oakcroft/decisions/membership/zone_reporter.py
+++ b/oakcroft/decisions/membership/zone_reporter.py
@@ -101,8 +101,8 @@
                 self._examine(change, summary.author, now)
 
     def _adopt(self, change: MemberChange, now: int) -> None:
-        """What another author lists and this front agrees with it will list as well, should it become the author: or what
-        waits for confirmation elsewhere would be dropped."""
+        """What another author lists and this front agrees with it will list as well, should it become the
+        author: or what waits for confirmation elsewhere would be dropped."""
         member = self.membership.members.get(change.name)
         recent = self.author.recent.get(change.name)
         if member is None or (recent is not None and recent.change.precedence >= change.precedence):
--- a/tests/test_zone_membership.py
+++ b/tests/test_zone_membership.py
@@ -225,6 +225,22 @@
     assert {each.state for each in told.changes} == {MemberState.FAILED}
 
 
+def test_a_heartbeat_of_a_content_that_has_not_come_yet_is_a_sign_of_life() -> None:
+    """A zone that lives is not unreachable because nobody has tokens to send its content; nor for good after a lie."""
+    directory = ZoneDirectory("own")
+    directory.take(summary(1), 0)
+    for heartbeat in range(1, 9):
+        directory.advance(replace(summary(2).entry, heartbeat=heartbeat), heartbeat * 3 * SECOND)
+        directory.tick(heartbeat * 3 * SECOND)
+    assert directory.records["z"].is_reachable
+    directory.advance(replace(summary(2).entry, version=MAX_COUNTER - 1), 25 * SECOND)
+    directory.tick(24 * SECOND + 2 * UNREACHABLE_TIME)
+    assert not directory.records["z"].is_reachable
+    directory.take(summary(2), 60 * SECOND)
+    directory.advance(replace(summary(2).entry, heartbeat=9), 61 * SECOND)
+    assert directory.records["z"].moved_at == 61 * SECOND
+
+
 # Delegates and the budget.
 
 
