--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -43,6 +43,7 @@
     cpu: float
 
     def show(self) -> str:
+        """The row as a line of the table."""
         return cells(
             self.size, f"{self.loss:.0%}", spread(self.first), spread(self.all_), f"{self.false} in {self.hours:.2f} h",
             *(f"{s:.1f}" for s in (self.join, self.mass, self.back, self.heal, self.datagrams)),
@@ -78,6 +79,7 @@
 
 
 def settle(net: Net) -> float:
+    """Seconds until all see just those alive that run; infinite where they do not within two minutes."""
     began = net.now
     if not net.run(120 * SECOND, net.settled):
         return float("inf")
--- a/oakcroft/rehearsal/many_views.py
+++ b/oakcroft/rehearsal/many_views.py
@@ -18,6 +18,7 @@
 from oakcroft.interface import MS, SECOND
 
 HEADER = 28 + 80  # octets of IP and UDP, and of a message without news, as sealed by peerwire
+MAX_WAITING = 256  # messages that wait for a process that stands still, as in its socket's buffer
 WORD = 78  # of one word of news, as measured of the codec for names of 9 octets
 
 
@@ -42,6 +43,7 @@
     def __init__(
         self, seed: int, loss: float = 0.0, double: float = 0.0, latency: tuple[int, int] = (MS, 5 * MS)
     ) -> None:
+        """A network of nobody. `loss` and `double` are chances for each message, `latency` its least and most in ns."""
         self.rng, self.loss, self.double, self.latency = Random(seed), loss, double, latency
         self.now, self.number = 0, 0
         self.heap: list[tuple[int, int, Callable[[], None]]] = []
@@ -176,7 +178,7 @@
             self._after(there)
 
         if there.stopped:
-            if len(there.waiting) < 256:
+            if len(there.waiting) < MAX_WAITING:
                 there.waiting.append(hear)
         else:
             hear()
