--- a/tests/test_zone_membership.py
+++ b/tests/test_zone_membership.py
@@ -19,6 +19,7 @@
 from oakcroft.decisions.membership.member import MemberState
 from oakcroft.decisions.membership.paced_pool import PacedPool
 from oakcroft.decisions.membership.traffic_budget import BURST, RATE, TrafficBudget
+from oakcroft.decisions.membership.zone_author import LocalState, ZoneAuthor
 from oakcroft.decisions.membership.zone_directory import (
     MAX_REMEMBERED_CHANGES,
     MAX_ZONES,
@@ -28,7 +29,13 @@
     ZoneDirectory,
 )
 from oakcroft.decisions.membership.zone_lookup import LOOKUP_TIMEOUT, MAX_LOOKUPS
-from oakcroft.decisions.membership.zone_messages import ZoneDigest, ZoneRecords, ZoneRequest
+from oakcroft.decisions.membership.zone_messages import (
+    MAX_PAYLOAD,
+    ZoneDigest,
+    ZoneRecords,
+    ZoneRequest,
+    summary_size,
+)
 from oakcroft.decisions.membership.zone_reporter import ZoneReporter
 from oakcroft.decisions.membership.zone_summary import (
     MAX_CHANGES,
@@ -205,33 +212,97 @@
     assert directory.state("z", "a") is RemoteState.FAILED
 
 
+def test_a_summary_fits_a_datagram_whatever_the_names_and_however_many_fail() -> None:
+    """Failures go first; what does not fit is in the counts."""
+    contacts = tuple(ZoneContact(f"{i}".zfill(64), 1, "z" * 32, "h" * 39, 1) for i in range(3))
+    author = ZoneAuthor(contacts[0], "r" * 32, 0)
+    for i in range(100):
+        author.note(change(f"{i}".zfill(64), MemberState.FAILED if i % 2 else MemberState.LEFT), 0)
+    local = LocalState(StateCounts(1, 50, 50), contacts, 1)
+    told = author.next_summary(local, None, SECOND)
+    assert told is not None
+    assert summary_size(told) <= MAX_PAYLOAD
+    assert {each.state for each in told.changes} == {MemberState.FAILED}
+
+
+def test_a_heartbeat_of_a_content_that_has_not_come_yet_is_a_sign_of_life() -> None:
+    """A zone that lives is not unreachable because nobody has tokens to send its content; nor for good after a lie."""
+    directory = ZoneDirectory("own")
+    directory.take(summary(1), 0)
+    for heartbeat in range(1, 9):
+        directory.advance(replace(summary(2).entry, heartbeat=heartbeat), heartbeat * 3 * SECOND)
+        directory.tick(heartbeat * 3 * SECOND)
+    assert directory.records["z"].is_reachable
+    directory.advance(replace(summary(2).entry, version=MAX_COUNTER - 1), 25 * SECOND)
+    directory.tick(24 * SECOND + 2 * UNREACHABLE_TIME)
+    assert not directory.records["z"].is_reachable
+    directory.take(summary(2), 60 * SECOND)
+    directory.advance(replace(summary(2).entry, heartbeat=9), 61 * SECOND)
+    assert directory.records["z"].moved_at == 61 * SECOND
+
+
 # Delegates and the budget.
 
 
+def settled_zone() -> tuple[DelegateSelection, dict[str, int]]:
+    """A zone of forty that has long run."""
+    selection = DelegateSelection("z")
+    generations = {f"f{i}": 1 + i for i in range(40)}
+    selection.observe(generations)
+    return selection, generations
+
+
 def test_a_newcomer_moves_no_delegate_for_thirty_seconds() -> None:
-    """Hysteresis: members that come and go do not change who speaks."""
-    selection = DelegateSelection("z", 0)
-    names = [f"f{i}" for i in range(40)]
-    selection.observe(names[:5], 0)
-    before = selection.delegates(SETTLING_TIME)
-    selection.observe(names, SETTLING_TIME)
-    assert selection.delegates(2 * SETTLING_TIME - 1) == before
-    assert selection.delegates(2 * SETTLING_TIME) != before
+    """Hysteresis: members that come and go do not change who speaks; a newcomer itself sees the same."""
+    began = 10 * SETTLING_TIME
+    first, generations = settled_zone()
+    before = first.delegates(began)
+    without = {name: g for name, g in generations.items() if name not in before}
+    first.observe(without)
+    others = first.delegates(began)
+    restarted = without | dict.fromkeys(before, began)
+    newcomer = DelegateSelection("z")
+    for selection in (first, newcomer):
+        selection.observe(restarted)
+        assert selection.delegates(began + SETTLING_TIME - 1) == others
+        assert selection.delegates(began + SETTLING_TIME) == before
+
+
+def test_a_zone_that_starts_as_a_whole_has_its_delegates_at_once_and_keeps_them() -> None:
+    """They are not displaced when the first members settle."""
+    selection, _ = settled_zone()
+    assert len({selection.delegates(SETTLING_TIME * i // 10) for i in range(1, 30)}) == 1
 
 
 def test_of_those_that_fail_only_delegates_are_replaced() -> None:
     """The delegates that remain keep their order."""
-    selection = DelegateSelection("z", 0)
-    names = [f"f{i}" for i in range(40)]
-    selection.observe(names, 0)
-    first, second, third = selection.delegates(0)
-    remaining = [name for name in names if name != second]
-    selection.observe(remaining, SECOND)
-    assert selection.delegates(SECOND)[:2] == (first, third)
-    bystander = next(name for name in remaining if name not in selection.delegates(SECOND))
-    before = selection.delegates(SECOND)
-    selection.observe([name for name in remaining if name != bystander], 2 * SECOND)
-    assert selection.delegates(2 * SECOND) == before
+    began = 10 * SETTLING_TIME
+    selection, generations = settled_zone()
+    first, second, third = selection.delegates(began)
+    del generations[second]
+    selection.observe(generations)
+    before = selection.delegates(began)
+    assert before[:2] == (first, third)
+    del generations[next(name for name in generations if name not in before)]
+    selection.observe(generations)
+    assert selection.delegates(began) == before
+
+
+def test_a_restarted_delegate_does_not_speak_before_it_has_settled() -> None:
+    """It would author without the recent changes, and failures that wait elsewhere would be dropped."""
+    fleet = small_fleet(21)
+    fleet.run(40 * SECOND)
+    first = fleet.fronts["r1z0f0"].membership
+    delegate = first.selection.delegates(first._clock(fleet.now))[0]
+    victim = next(name for name in fleet.names("r1z0") if name != delegate)
+    fleet.kill(delegate)
+    fleet.run(10 * SECOND)
+    fleet.start(delegate)
+    fleet.run(8 * SECOND)
+    fleet.kill(victim)
+    assert fleet.run(KNOWN_EVERYWHERE, lambda: fleet.known_failed(victim))
+    taken_back = [front.membership.directory.counts.taken_back for front in fleet.living()]
+    assert set(taken_back) == {0}
 
 
 @given(st.lists(st.tuples(st.integers(0, SECOND), st.integers(1, 3_000), st.booleans()), max_size=200))
@@ -321,7 +392,7 @@
     """The next in rank speak: the zone stays reachable, its failures are known everywhere."""
     fleet = small_fleet(2)
     speaker = next(front for front in fleet.living() if front.zone == "r1z0")
-    delegates = speaker.membership.selection.delegates(fleet.now)
+    delegates = speaker.membership.selection.delegates(speaker.membership._clock(fleet.now))
     for name in delegates:
         fleet.kill(name)
     assert fleet.run(KNOWN_EVERYWHERE, lambda: all(fleet.known_failed(name) for name in delegates))
