--- a/oakcroft/decisions/membership/zone_gossip.py
+++ b/oakcroft/decisions/membership/zone_gossip.py
@@ -126,7 +126,9 @@
         zone."""
         if self.directory.take(summary, now):
             # Forwarding has a head start: told of a new content at once, each zone would ask this front for it.
-            self._forward((summary,), except_for=None)
+            # It goes without tokens: nobody else could tell it.
+            for receiver in self._forward_addresses((summary,), None):
+                self._send(receiver, ZoneRecords((summary,)))
             return
         for zone in self._other_zones():
             address = self._contact(zone)
@@ -207,20 +209,25 @@
             }
             self._requested_at.update(dict.fromkeys(due, now))
 
-    def _forward(self, summaries: Sequence[ZoneSummary], except_for: Address | None) -> None:
-        """New contents, at once, to some members of the own zone and, from a delegate, to some other
-        zones."""
-        peers = [address for address in self.local.peers if address != except_for]
-        addresses = self.rng.sample(peers, min(LOCAL_FANOUT, len(peers)))
-        if self.local.is_delegate:
-            told_of = {summary.zone for summary in summaries}
-            zones = [zone for zone in self._other_zones() if zone not in told_of]
-            chosen = self.rng.sample(zones, min(REMOTE_FANOUT, len(zones)))
-            addresses += [address for zone in chosen if (address := self._contact(zone)) is not None]
-        for address in addresses:
+    def _forward(self, summaries: Sequence[ZoneSummary], except_for: Address) -> None:
+        """New contents, at once, as far as tokens reach."""
+        for address in self._forward_addresses(summaries, except_for):
             for part in _packed_summaries(summaries):
                 self.send_if_affordable(address, ZoneRecords(part))
 
+    def _forward_addresses(
+        self, summaries: Sequence[ZoneSummary], except_for: Address | None
+    ) -> list[Address]:
+        """Some members of the own zone and, from a delegate, some other zones."""
+        peers = [address for address in self.local.peers if address != except_for]
+        addresses = self.rng.sample(peers, min(LOCAL_FANOUT, len(peers)))
+        if not self.local.is_delegate:
+            return addresses
+        told_of = {summary.zone for summary in summaries}
+        zones = [zone for zone in self._other_zones() if zone not in told_of]
+        chosen = self.rng.sample(zones, min(REMOTE_FANOUT, len(zones)))
+        return addresses + [address for zone in chosen if (address := self._contact(zone)) is not None]
+
     def _other_zones(self) -> list[str]:
         own = self.directory.own_zone
         return sorted({*self.directory.records, *self.others.seeds} - {own})
