--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -11,7 +11,7 @@
 from benchmarks.capacity.roles_control import CONTROL_ROLES
 from benchmarks.capacity.roles_nodes import NODE_ROLES
 from benchmarks.capacity.roles_sessions import SESSION_ROLES
-from benchmarks.capacity.rows import Limit, Row, by_ratio
+from benchmarks.capacity.rows import ENOUGH, Limit, Row, by_ratio
 from benchmarks.capacity.targets import BUDGET, TARGET
 
 FILE = Path(__file__).parents[2] / "docs" / "CAPACITY.md"
@@ -39,13 +39,14 @@
     """Carried over needed, for the page."""
     if limit is None or limit.ratio is None:
         return NOTHING
-    return number(limit.ratio)
+    return f"{number(ENOUGH)} or more" if limit.ratio >= ENOUGH else number(limit.ratio)
 
 
 def carried(limit: Limit) -> str:
     """What is carried and what is needed."""
     known = NOTHING if limit.carried is None else number(limit.carried)
-    return f"{known} / {number(limit.needed)}"
+    more = " or more" if limit.ratio is not None and limit.ratio >= ENOUGH else ""
+    return f"{known}{more} / {number(limit.needed)}"
 
 
 def summary(found: Sequence[Row]) -> str:
--- a/benchmarks/capacity/role_parts.py
+++ b/benchmarks/capacity/role_parts.py
@@ -8,7 +8,7 @@
 from benchmarks.capacity import bounds, demand
 from benchmarks.capacity.bounds import Bound
 from benchmarks.capacity.readings import NOT_MEASURED, Reading, Readings, number
-from benchmarks.capacity.rows import Basis, Limit, Load
+from benchmarks.capacity.rows import ENOUGH, Basis, Limit, Load
 from benchmarks.capacity.targets import BUDGET, KB, MB, TARGET, TODAY_FRONTS
 
 PER_CENT = 100.0
@@ -56,9 +56,9 @@
     needed: float,
     breaks: str,
 ) -> Limit:
-    """The limit at which a slope meets a budget, looked for up to twice what is needed."""
+    """The limit at which a slope meets a budget, looked for up to what is enough."""
     reading = slopes[name]
-    carried = reading.within(budget, 2 * needed)
+    carried = reading.within(budget, ENOUGH * needed)
     return Limit(driver, carried, needed, reading.basis, reading.source(carried), breaks)
 
 
--- a/benchmarks/capacity/roles_nodes.py
+++ b/benchmarks/capacity/roles_nodes.py
@@ -21,7 +21,7 @@
     reckoned,
     within,
 )
-from benchmarks.capacity.rows import Limit, Load, Row
+from benchmarks.capacity.rows import ENOUGH, Limit, Load, Row
 from benchmarks.capacity.targets import KB
 
 LIST_CHANGES_WORST = demand.worst("lists of nodes", "changes of the list")
@@ -50,7 +50,7 @@
     today, target = list_share(slopes, TODAY_NODES), list_share(slopes, NODES)
     carried = None
     if target is not None:
-        carried = largest_root(lambda size: list_share(slopes, size) or 0.0, CONTROL_CORE, 2 * NODES)
+        carried = largest_root(lambda size: list_share(slopes, size) or 0.0, CONTROL_CORE, ENOUGH * NODES)
     in_use = demand.titles_in_use(HELD_WORST)
     whole = slopes["list.octets"].within(bounds.LIST_OCTETS.value / KB)
     refused = "a whole list is refused, the one before stays"
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -8,6 +8,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
+ENOUGH = 2.0
+"""Carried over needed past which it does not matter how much more would be; no size is looked for beyond it."""
+
 
 class Basis(Enum):
     """How what is carried is known."""
