--- a/benchmarks/capacity/measure_fleet.py
+++ b/benchmarks/capacity/measure_fleet.py
@@ -64,7 +64,9 @@
         ),
         Quantity(f"{prefix}.received", "received by the worst front in its worst 10 s, the same", "kB/s"),
         Quantity(
-            f"{prefix}.processor", "processor time of the worst front, host's work reckoned in", "% of a core"
+            f"{prefix}.processor",
+            "processor time of the worst front, the host's work included",
+            "% of a core",
         ),
         Quantity(f"{prefix}.memory", "state of the largest member", "MB"),
     )
--- a/benchmarks/capacity/measure_simulated.py
+++ b/benchmarks/capacity/measure_simulated.py
@@ -97,7 +97,7 @@
 
 
 def rotation(course: Adopting) -> int:
-    """In what time all pairs that are left have been looked at, and all lines reckoned."""
+    """In what time all pairs that are left have been looked at, and all lines computed."""
     lines = SLOTS * len(course.nodes) // KEYS
     return TURN * (lines + len(course.pairs) // SCAN + 2)
 
--- a/benchmarks/capacity/role_parts.py
+++ b/benchmarks/capacity/role_parts.py
@@ -36,7 +36,9 @@
 THREE_PER_CENT = "3% of a core of a front"
 
 
-def across(resource: str, reading: Reading, today: float = TODAY_FRONTS, target: float = FRONTS) -> Load:
+def load_at_both_sizes(
+    resource: str, reading: Reading, today: float = TODAY_FRONTS, target: float = FRONTS
+) -> Load:
     """What a slope says at today's size and at the target."""
     return Load(resource, reading.cell(today), reading.cell(target))
 
@@ -45,7 +47,7 @@
     """Processor time of so many a second, for the page."""
     if microseconds is None:
         return NOT_MEASURED
-    return f"{number(microseconds * per_s / US_PER_S * PER_CENT)} % of a core, reckoned"
+    return f"{number(microseconds * per_s / US_PER_S * PER_CENT)} % of a core, derived"
 
 
 def within(
@@ -62,9 +64,9 @@
     return Limit(driver, carried, needed, reading.basis, reading.source(carried), breaks)
 
 
-def reckoned(value: float | None, source: str, driver: str, needed: float, breaks: str) -> Limit:
+def derived(value: float | None, source: str, driver: str, needed: float, breaks: str) -> Limit:
     """A limit that follows from measured figures by a sum."""
-    basis = Basis.NOT_MEASURED if value is None else Basis.RECKONED
+    basis = Basis.NOT_MEASURED if value is None else Basis.DERIVED
     return Limit(driver, value, needed, basis, source, breaks)
 
 
--- a/benchmarks/capacity/roles_control.py
+++ b/benchmarks/capacity/roles_control.py
@@ -14,10 +14,10 @@
     MS_PER_S,
     PER_CENT,
     THREE_PER_CENT,
-    across,
     assuming,
     constant,
-    reckoned,
+    derived,
+    load_at_both_sizes,
     within,
 )
 from benchmarks.capacity.rows import Limit, Load, Row
@@ -60,11 +60,11 @@
         (
             Load("state", f"{TODAY_FRONTS} members", f"{number(FRONTS)} members"),
             Load("messages", NOT_MEASURED, NOT_MEASURED),
-            across("processor, worst front", slopes["membership.processor"]),
-            across("memory", slopes["membership.memory"]),
-            across("network, quiet", slopes["membership.quiet"]),
-            across("network, whole start, worst front", slopes["membership.start"]),
-            across("network, a region's cut, worst front", slopes["membership.sent"]),
+            load_at_both_sizes("processor, worst front", slopes["membership.processor"]),
+            load_at_both_sizes("memory", slopes["membership.memory"]),
+            load_at_both_sizes("network, quiet", slopes["membership.quiet"]),
+            load_at_both_sizes("network, whole start, worst front", slopes["membership.start"]),
+            load_at_both_sizes("network, a region's cut, worst front", slopes["membership.sent"]),
         ),
         (
             *by_budget(slopes, "membership"),
@@ -85,15 +85,15 @@
         "`decisions/fleet/keeping.py`, `decisions/fleet/owning.py`, `peers/duties.py`",
         (
             Load("state", "1 lease", f"{number(LEASES)} leases (assumed)"),
-            across("messages of all, one lease", slopes["leases.messages"]),
+            load_at_both_sizes("messages of all, one lease", slopes["leases.messages"]),
             Load("processor, memory", NOT_MEASURED, NOT_MEASURED),
-            across("network of a quorum member, one lease", slopes["leases.octets"]),
+            load_at_both_sizes("network of a quorum member, one lease", slopes["leases.octets"]),
         ),
         (
             *assuming(
                 assumed.LEASES,
                 constant(bounds.LEASES, "leases", LEASES, "not granted"),
-                reckoned(
+                derived(
                     by_octets, source, "leases, by a member's octets", LEASES, "8 kB/s of a quorum member"
                 ),
             ),
@@ -110,9 +110,9 @@
     refused = "a change is refused while another is under way"
     in_burst = TARGET.changes_per_day * assumed.BURST_OVER_MEAN.value
     return (
-        reckoned(a_day, source, "changes a day", TARGET.changes_per_day, refused),
-        reckoned(a_day, source, "changes a day's rate in a burst of ten times", in_burst, refused),
-        reckoned(
+        derived(a_day, source, "changes a day", TARGET.changes_per_day, refused),
+        derived(a_day, source, "changes a day's rate in a burst of ten times", in_burst, refused),
+        derived(
             None if took is None else TARGET.change_within_s / took,
             "20 s over `rollout.time` at 2,700 fronts",
             "of the time that a change takes, what it may take",
@@ -131,21 +131,21 @@
     a_day = TARGET.changes_per_day
     return assuming(
         assumed.CATALOGUE_TITLES,
-        reckoned(
+        derived(
             by_octets,
             "`catalogue.octets`, 8 kB/s over one text",
             "changes a day, whole texts",
             a_day,
             "8 kB/s of every front",
         ),
-        reckoned(
+        derived(
             by_processor,
             "`catalogue.processor`, 3% of a core",
             "changes a day, by processor time",
             a_day,
             THREE_PER_CENT,
         ),
-        reckoned(
+        derived(
             kept,
             "`catalogue.octets`, 256 MB over one text",
             "versions in memory",
@@ -163,15 +163,19 @@
         "in force everywhere in 20 s; 8 kB/s, 3% of a core, 256 MB with all other control",
         "`front/rolling.py`, `decisions/fleet/rollout.py`, `front/catalogues.py`",
         (
-            across("state, the whole text", octets, TODAY_TITLES, TITLES),
+            load_at_both_sizes("state, the whole text", octets, TODAY_TITLES, TITLES),
             Load(
                 "messages",
                 "one rollout at a time",
                 f"{number(CHANGES)} changes a second, {number(CHANGES_BURST)} in a burst",
             ),
-            across("time of a change, text apart", slopes["rollout.time"]),
-            across("processor of a change at a front", slopes["catalogue.processor"], TODAY_TITLES, TITLES),
-            across("memory of a version at a front", slopes["catalogue.memory"], TODAY_TITLES, TITLES),
+            load_at_both_sizes("time of a change, text apart", slopes["rollout.time"]),
+            load_at_both_sizes(
+                "processor of a change at a front", slopes["catalogue.processor"], TODAY_TITLES, TITLES
+            ),
+            load_at_both_sizes(
+                "memory of a version at a front", slopes["catalogue.memory"], TODAY_TITLES, TITLES
+            ),
             Load(
                 "network of a front, 14,000 changes a day",
                 octets.cell(TODAY_TITLES, CHANGES, "kB/s"),
@@ -193,11 +197,11 @@
         (
             Load("state", "none", f"{TARGET.control_machines} machines"),
             Load("messages", "2 orders a second to each front, as many reports", "the same"),
-            across("processor, a rollout under way", slopes["rollout.processor"]),
+            load_at_both_sizes("processor, a rollout under way", slopes["rollout.processor"]),
             Load("memory", NOT_MEASURED, NOT_MEASURED),
-            across("network sent, a rollout under way", slopes["rollout.sent"]),
-            across("network received, a rollout under way", slopes["rollout.received"]),
-            across("network sent, none under way", slopes["rollout.quiet"]),
+            load_at_both_sizes("network sent, a rollout under way", slopes["rollout.sent"]),
+            load_at_both_sizes("network received, a rollout under way", slopes["rollout.received"]),
+            load_at_both_sizes("network sent, none under way", slopes["rollout.quiet"]),
         ),
         (
             within(
@@ -258,14 +262,14 @@
         (
             *assuming(
                 assumed.WIDE_AREA_OCTETS_PER_S,
-                reckoned(
+                derived(
                     by_text,
                     texts_source,
                     "changes a day, whole texts of all titles",
                     TARGET.changes_per_day,
                     full,
                 ),
-                reckoned(fronts, fronts_source, "fronts of a region", REGION, full),
+                derived(fronts, fronts_source, "fronts of a region", REGION, full),
             ),
         ),
     )
--- a/benchmarks/capacity/roles_nodes.py
+++ b/benchmarks/capacity/roles_nodes.py
@@ -15,10 +15,10 @@
     PER_CENT,
     THREE_PER_CENT,
     TODAY_NODES,
-    across,
     assuming,
     constant,
-    reckoned,
+    derived,
+    load_at_both_sizes,
     within,
 )
 from benchmarks.capacity.rows import ENOUGH, Limit, Load, Row
@@ -42,7 +42,7 @@
 
 def share_cell(share: float | None) -> str:
     """The same for the page."""
-    return NOT_MEASURED if share is None else f"{number(share)} % of a core, reckoned"
+    return NOT_MEASURED if share is None else f"{number(share)} % of a core, derived"
 
 
 def lists(slopes: Readings) -> Row:
@@ -69,11 +69,13 @@
             ),
             Load("messages", NOT_MEASURED, f"{number(LIST_CHANGES_WORST)} changes a second in a release"),
             Load("processor", share_cell(today), share_cell(target)),
-            across("processor, order of one title", slopes["list.title"], TODAY_NODES, NODES),
-            across("memory of titles, 300 nodes' order each", slopes["titles.memory"], TODAY_TITLES, in_use),
-            across("memory of a front, nothing held", slopes["nodes.memory"], TODAY_NODES, NODES),
-            across("network, a whole list", slopes["list.octets"], TODAY_NODES, NODES),
-            across("start to ready", slopes["nodes.ready"], TODAY_NODES, NODES),
+            load_at_both_sizes("processor, order of one title", slopes["list.title"], TODAY_NODES, NODES),
+            load_at_both_sizes(
+                "memory of titles, 300 nodes' order each", slopes["titles.memory"], TODAY_TITLES, in_use
+            ),
+            load_at_both_sizes("memory of a front, nothing held", slopes["nodes.memory"], TODAY_NODES, NODES),
+            load_at_both_sizes("network, a whole list", slopes["list.octets"], TODAY_NODES, NODES),
+            load_at_both_sizes("start to ready", slopes["nodes.ready"], TODAY_NODES, NODES),
         ),
         (
             *assuming(
@@ -82,9 +84,9 @@
             ),
             *assuming(
                 assumed.PLAYOUT_NODES,
-                reckoned(whole, within_answer, "nodes on a whole list", NODES, refused),
+                derived(whole, within_answer, "nodes on a whole list", NODES, refused),
                 constant(bounds.LIST_NODES, "nodes on the list", NODES, refused),
-                reckoned(carried, in_release, "nodes, by processor time", NODES, THREE_PER_CENT),
+                derived(carried, in_release, "nodes, by processor time", NODES, THREE_PER_CENT),
                 within(
                     slopes, "nodes.processor", CONTROL_CORE, "nodes, an idle process", NODES, THREE_PER_CENT
                 ),
@@ -103,8 +105,8 @@
         "half of the set-ups that one front end alone would send to a cold node (assumed)",
         "`choice.py` `_warm_enough`",
         (
-            across("set-ups on cold nodes, over those of one front alone", reading),
-            across("part of cold nodes' budget used", slopes["cold.used"]),
+            load_at_both_sizes("set-ups on cold nodes, over those of one front alone", reading),
+            load_at_both_sizes("part of cold nodes' budget used", slopes["cold.used"]),
             Load("messages, processor, memory, network", "none of its own", "none of its own"),
         ),
         (
--- a/benchmarks/capacity/roles_sessions.py
+++ b/benchmarks/capacity/roles_sessions.py
@@ -23,11 +23,11 @@
     TODAY_NODES,
     TODAY_SESSIONS,
     US_PER_S,
-    across,
     assuming,
     constant,
     core_share,
-    reckoned,
+    derived,
+    load_at_both_sizes,
     within,
 )
 from benchmarks.capacity.rows import Load, Row
@@ -59,11 +59,13 @@
         (
             Load("state", f"{number(TODAY_SESSIONS)} sessions (the bound)", f"{number(HELD)} sessions"),
             Load("messages", NOT_MEASURED, at_target),
-            across("processor, idle", slopes["sessions.processor"], TODAY_SESSIONS, HELD),
-            across("processor, the module's interval", slopes["held.interval"], TODAY_SESSIONS, HELD),
+            load_at_both_sizes("processor, idle", slopes["sessions.processor"], TODAY_SESSIONS, HELD),
+            load_at_both_sizes(
+                "processor, the module's interval", slopes["held.interval"], TODAY_SESSIONS, HELD
+            ),
             Load("processor, deliveries", NOT_MEASURED, core_share(event_us, DELIVERIES)),
-            across("memory", slopes["sessions.memory"], TODAY_SESSIONS, HELD),
-            across("descriptors", slopes["connections.descriptors"], TODAY_SESSIONS, HELD),
+            load_at_both_sizes("memory", slopes["sessions.memory"], TODAY_SESSIONS, HELD),
+            load_at_both_sizes("descriptors", slopes["connections.descriptors"], TODAY_SESSIONS, HELD),
             Load("network", NOT_MEASURED, NOT_MEASURED),
         ),
         (
@@ -74,10 +76,10 @@
             ),
             within(slopes, "sessions.processor", OWN_CORE, "sessions held, idle processor time", HELD, LATE),
             within(slopes, "held.interval", OWN_CORE, "sessions held, the module's interval", HELD, LATE),
-            reckoned(deliveries, by_event, "deliveries a second", DELIVERIES, LATE_EVENTS),
+            derived(deliveries, by_event, "deliveries a second", DELIVERIES, LATE_EVENTS),
             *assuming(
                 assumed.PEAK_OVER_MEAN,
-                reckoned(
+                derived(
                     deliveries, by_event, "deliveries a second at the peak", DELIVERIES_WORST, LATE_EVENTS
                 ),
             ),
@@ -118,16 +120,14 @@
                 core_share(cost.value(TODAY_SESSIONS), TODAY_SESSIONS / REPORTS_EVERY_S),
                 core_share(cost.value(HELD), HELD / REPORTS_EVERY_S),
             ),
-            across("processor, loads told", slopes["loads.processor"], TODAY_NODES, NODES),
+            load_at_both_sizes("processor, loads told", slopes["loads.processor"], TODAY_NODES, NODES),
             Load("memory", NOT_MEASURED, NOT_MEASURED),
-            across("network, loads told", slopes["loads.octets"], TODAY_NODES, NODES),
+            load_at_both_sizes("network, loads told", slopes["loads.octets"], TODAY_NODES, NODES),
         ),
         (
             *assuming(
                 assumed.REPORTS_EVERY_S,
-                reckoned(
-                    carried, "`sessions.report`", "sessions on which nodes report", HELD, THREE_PER_CENT
-                ),
+                derived(carried, "`sessions.report`", "sessions on which nodes report", HELD, THREE_PER_CENT),
             ),
             *assuming(
                 assumed.PLAYOUT_NODES,
@@ -149,7 +149,7 @@
     busy = (
         "not measured"
         if event_us is None
-        else f"{number(event_us * LISTENERS_WORST / MS_PER_S)} ms of a core, reckoned"
+        else f"{number(event_us * LISTENERS_WORST / MS_PER_S)} ms of a core, derived"
     )
     return Row(
         "fan-out of the largest topic",
@@ -209,8 +209,8 @@
                 f"{number(pairs)} pairs of lost front and node",
             ),
             Load("messages", NOT_MEASURED, f"{number(pairs * IN_LINE / FRONTS)} questions a front"),
-            across("time until all is asked", time),
-            across("processor meanwhile", processor),
+            load_at_both_sizes("time until all is asked", time),
+            load_at_both_sizes("processor meanwhile", processor),
             Load("memory, network", NOT_MEASURED, NOT_MEASURED),
         ),
         (
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -18,7 +18,7 @@
     CONSTANT = "constant in the code"
     MEASURED = "measured"
     SIMULATED = "simulated"
-    RECKONED = "reckoned from measured figures"
+    DERIVED = "derived from measured figures"
     NOT_MEASURED = "not measured"
     ABSENT = "does not exist"
 
