--- a/benchmarks/capacity/assumptions.py
+++ b/benchmarks/capacity/assumptions.py
@@ -41,7 +41,7 @@
     "octets of a change",
     1_000.0,
     "octets",
-    "a title with holders and renditions is 88 octets in a catalogue; a route or a plan some hundreds",
+    "a title with four holders and three renditions is 114 octets in a catalogue; a route or a plan some hundreds",
     "what a distribution by differences would send doubles; today's does not change, whole texts travel",
 )
 CATALOGUE_TITLES = Assumption(
--- a/benchmarks/capacity/demand.py
+++ b/benchmarks/capacity/demand.py
@@ -87,7 +87,7 @@
     held, arrivals = connections_per_front(target), arrivals_per_front(target)
     reconnects = held * (surviving_share(region, target) - 1)
     missed = changes_per_s(target) * target.region_apart_s
-    topic = listeners_per_front(target)
+    topic, octets = listeners_per_front(target), assumed.CHANGE_OCTETS.value
     return [
         Demand("front end", "sessions held", "a front", held, held * surviving_share(region, target),
                "the largest region lost, its viewers spread over the rest"),
@@ -105,6 +105,8 @@
                EVENTS_A_RESTART * release_per_s(target), "a release of 600 nodes in an hour"),
         Demand("configuration", "changes", "a second", changes_per_s(target), burst_changes_per_s(target),
                "a burst of ten times the mean"),
+        Demand("configuration", "octets of changes alone", "a second", changes_per_s(target) * octets,
+               burst_changes_per_s(target) * octets, "the same"),
         Demand("configuration", "changes missed by a region", "changes", 0.0, missed, "a region back after an hour"),
         Demand("fan-out", "listeners of the largest topic", "a front", topic, topic * assumed.LARGEST_TOPIC_SKEW.value,
                "they gather in a few regions"),
--- a/benchmarks/capacity/roles_control.py
+++ b/benchmarks/capacity/roles_control.py
@@ -189,7 +189,9 @@
 def control_machine(slopes: Readings) -> Row:
     """Machines set aside for control; today a front that holds the lease does their work."""
     half_core = BUDGET.control_machine_share * PER_CENT
+    half_link_kb = BUDGET.control_machine_share * assumed.CONTROL_MACHINE_OCTETS_PER_S.value / KB
     holder_core = "3% of a core of the front that holds the lease"
+    half = "half of a control machine"
     return Row(
         "regional control machine",
         "half of a control machine; as it is a front today, a front's 8 kB/s and 3% of a core",
@@ -218,13 +220,19 @@
             within(
                 slopes, "rollout.processor", CONTROL_CORE, "the same by processor time", FRONTS, holder_core
             ),
-            within(
-                slopes,
-                "rollout.processor",
-                half_core,
-                "the same on a machine of its own",
-                FRONTS,
-                "half of a core of a control machine",
+            *assuming(
+                assumed.CONTROL_MACHINE_OCTETS_PER_S,
+                within(
+                    slopes,
+                    "rollout.processor",
+                    half_core,
+                    "on a machine of its own, by processor time",
+                    FRONTS,
+                    half,
+                ),
+                within(
+                    slopes, "rollout.sent", half_link_kb, "on a machine of its own, by octets", FRONTS, half
+                ),
             ),
         ),
     )
