--- a/oakcroft/decisions/membership/zone_directory.py
+++ b/oakcroft/decisions/membership/zone_directory.py
@@ -24,10 +24,9 @@
 """For which a failure told by another zone stays a suspicion. A refutation takes the way of any change: to
 the accused's zone, to the accused and back."""
 
-UNREACHABLE_TIME = 14 * SECOND
-"""Without a move of its heartbeat a zone counts as unreachable. Among zones of 85 at 2% loss two moves were
-at most 8.1 s apart at any front, 9.9 s when all delegates of a zone crashed (simulated,
-docs/membership.md)."""
+UNREACHABLE_TIME = 12 * SECOND
+"""Without a move of its heartbeat a zone counts as unreachable. In an hour of two zones of 85 at 2% loss two moves were
+at most 10.0 s apart at any front (simulated, docs/membership.md); a front that errs sees the zone again at the next."""
 
 FORGETTING_TIME = 86_400 * SECOND
 """After which an unreachable zone that is not configured makes room."""
