--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -15,7 +15,7 @@
 from benchmarks.capacity.assumptions import ASSUMPTIONS, TITLE_SKEW
 from benchmarks.capacity.fit import GUESS_FACTOR, FitError, Point, estimate, fit, largest_within
 from benchmarks.capacity.readings import Readings, number
-from benchmarks.capacity.rows import Basis, Limit, Row, by_ratio
+from benchmarks.capacity.rows import ENOUGH, Basis, Limit, Row, by_ratio
 from benchmarks.capacity.slopes import Measurement, Slope, SlopeError, SlopeFile
 from benchmarks.capacity.targets import TARGET
 
@@ -269,6 +269,22 @@
     assert "0.01 (size: 1 / 100)" in page.summary([both])
 
 
+def test_the_new_mechanism_stands_beside_today_s_text_and_not_in_its_place() -> None:
+    """Its slopes change the last column alone."""
+    today = [one for one in slopes.load().slopes if one.text == "today"]
+    names = ("start", "quiet", "sent", "received", "processor", "memory")
+    points: list[Point] = [(size, 0.0001 * size) for size in SIZES]
+    zoned = [
+        msgspec.structs.replace(slope(f"zoned.{name}", points=points), text="mechanism") for name in names
+    ]
+    before, after = (page.rows(SlopeFile(tuple(some))) for some in (today, today + zoned))
+    old, new = (next(row for row in found if row.role == "membership") for found in (before, after))
+    assert (old.with_mechanism, old.tightest) == ((), new.tightest)
+    assert new.tightest_with_mechanism is not None
+    assert new.tightest_with_mechanism.carried == TARGET.fronts * ENOUGH
+    assert page.summary(after).count("2 or more |\n") == 1
+
+
 def test_the_page_on_record_is_what_the_arithmetic_makes() -> None:
     """The check that CI runs."""
     assert page.differences() == []
