--- a/benchmarks/capacity/roles_control.py
+++ b/benchmarks/capacity/roles_control.py
@@ -32,6 +32,8 @@
 AWAY = 1 - 1 / TARGET.regions
 """Part of what goes to any front that goes to another region."""
 LEASES = assumed.LEASES.value
+FLAT_FILES = "`decisions/fleet/view.py`, `peers/speaker.py` (commit 414ace3)"
+ZONED_FILES = "`decisions/membership/hierarchy.py`"
 HOLDER_KB = "8 kB/s of the front that holds the lease"
 
 
@@ -56,7 +58,7 @@
     return Row(
         "membership",
         "8 kB/s in any ten seconds, 3% of a core, 256 MB with all other control",
-        "`decisions/fleet/view.py`, `peers/speaker.py`",
+        FLAT_FILES + (f"; new: {ZONED_FILES}" if built else ""),
         (
             Load("state", f"{TODAY_FRONTS} members", f"{number(FRONTS)} members"),
             Load("messages", NOT_MEASURED, NOT_MEASURED),
