--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -16,7 +16,7 @@
 
 import click
 
-from oakcroft.decisions.fleet.member import Standing
+from oakcroft.decisions.membership.member import MemberState
 from oakcroft.interface import MS, SECOND
 from oakcroft.rehearsal.many_views import HEADER, Net, fleet
 
@@ -43,6 +43,7 @@
     cpu: float
 
     def show(self) -> str:
+        """The row as a line of the table."""
         return cells(
             self.size, f"{self.loss:.0%}", spread(self.first), spread(self.all_), f"{self.false} in {self.hours:.2f} h",
             *(f"{s:.1f}" for s in (self.join, self.mass, self.back, self.heal, self.datagrams)),
@@ -71,13 +72,14 @@
     net.told.clear()
     began = net.now
     net.kill(name)
-    if not net.run(60 * SECOND, lambda: net.agree({name}, Standing.GONE)):
+    if not net.run(60 * SECOND, lambda: net.agree({name}, MemberState.FAILED)):
         raise click.ClickException(f"{name} was not seen as gone by all within a minute")
     first = min(t for t, _, about, _, now in net.told if about == name and now == "gone")
     return (first - began) / SECOND, (net.now - began) / SECOND
 
 
 def settle(net: Net) -> float:
+    """Seconds until all see just those alive that run; infinite where they do not within two minutes."""
     began = net.now
     if not net.run(120 * SECOND, net.settled):
         return float("inf")
--- a/oakcroft/front/serve.py
+++ b/oakcroft/front/serve.py
@@ -26,7 +26,7 @@
 from oakcroft.front.operators import PATH as OPERATORS, Operators
 from oakcroft.front.nodeleg import Standing
 from oakcroft.front.reducing import Reducing
-from oakcroft.front.siding import Siding
+from oakcroft.front.siding import ZoneRouting
 from oakcroft.front.steering import Bell, Decide
 from oakcroft.front.sockets import PATH, SessionApi
 from oakcroft.front.viewers import Viewers
@@ -39,10 +39,10 @@
 from oakcroft.store.writer import Store
 
 if TYPE_CHECKING:
-    from oakcroft.decisions.fleet.view import View
+    from oakcroft.decisions.membership.membership import Membership
     from oakcroft.front.adopting import Adopting
     from oakcroft.front.viewing import Viewing
-    from oakcroft.peers.speaker import Peers
+    from oakcroft.peers.peer_endpoint import PeerEndpoint
 
 
 class StateRecord:
@@ -105,9 +105,9 @@
             self.catalogues = catalogues = Catalogues(helm, self.log)
             core.reducing = reducing = Reducing(helm, Random(stand.seed + 4), self.log)
             nursery.start_soon(reducing.run)
-            core.siding = siding = Siding(helm, stand.zone, Random(stand.seed + 5), self.log)
-            nursery.start_soon(siding.run)
-            operators = Operators(helm, catalogues, reducing, siding)
+            core.zone_routing = zone_routing = ZoneRouting(helm, stand.zone, Random(stand.seed + 5), self.log)
+            nursery.start_soon(zone_routing.run)
+            operators = Operators(helm, catalogues, reducing, zone_routing)
             viewers = Viewers(core, (PATH, sessions.response), (OPERATORS, operators.handle))
             nursery.start_soon(sessions.look_after)
             self.sessions = sessions
@@ -156,37 +156,37 @@
             self.log.info("gone", unanswered=helm.unanswered, playing=helm.playing)
             nursery.cancel_scope.cancel()
 
-    def _peers(self, helm: Helm, clock: Clock) -> Peers | None:
+    def _peers(self, helm: Helm, clock: Clock) -> PeerEndpoint | None:
         """This front's part in the fleet's view, where the configuration has peers; it speaks later."""
         stand = self.told.stand
         if stand.peers is None:
             return None
-        from oakcroft.decisions.fleet.shares import parts
-        from oakcroft.peers.speaker import Peers
-        from oakcroft.peerwire.sealing import BadKeys
+        from oakcroft.decisions.membership.shares import rate_divisor
+        from oakcroft.peers.peer_endpoint import PeerEndpoint
+        from oakcroft.peerwire.sealing import KeyFileError
 
-        def changed(view: View) -> None:
-            into = parts(helm.site.terms.fronts, view.gone_for_good())
+        def changed(view: Membership) -> None:
+            into = rate_divisor(helm.site.terms.fronts, view.left_count())
             if helm.ledger.take_parts(into):
                 self.log.info(
-                    "shares of rates", parts=into, fronts=helm.site.terms.fronts, left=view.gone_for_good()
+                    "shares of rates", parts=into, fronts=helm.site.terms.fronts, left=view.left_count()
                 )
             if self.adopting is not None:
                 self.adopting.sees()
 
         try:
             record = StateRecord(helm.memory.store) if helm.memory is not None else None
-            peers = Peers(stand.peers, stand.zone, stand.seed + 6, clock, self.log, changed, record)
-        except BadKeys as fault:
+            peers = PeerEndpoint(stand.peers, stand.zone, stand.seed + 6, clock, self.log, changed, record)
+        except KeyFileError as fault:
             raise OSError(f"key file {stand.peers.key_file}: {fault}") from fault
         if stand.peers.adopts is not None:
-            view = peers.view
-            helm.standing = Standing(stand.peers.name, lambda: view.me.start, stand.peers.adopts.lease)
+            view = peers.membership
+            helm.standing = Standing(stand.peers.name, lambda: view.me.generation, stand.peers.adopts.lease)
         return peers
 
     async def _meet(
         self,
-        peers: Peers | None,
+        peers: PeerEndpoint | None,
         core: Core,
         operators: Operators,
         catalogues: Catalogues,
@@ -210,7 +210,7 @@
 
             seed = self.told.stand.seed + 8
             operators.probing = probing = Probing(helm, peers, place.name, place.probes, seed, self.log)
-            peers.figures = probing.heard
+            peers.on_loads = probing.heard
             nursery.start_soon(probing.run)
         if place.adopts is not None:
             from oakcroft.front.adopting import Adopting
@@ -219,7 +219,7 @@
                 core.publishing[v.pb.title.name] = v
 
             self.adopting = Adopting(
-                helm, peers.view, place.adopts, published, core.stopping.takes_new, self.log
+                helm, peers.membership, place.adopts, published, core.stopping.takes_new, self.log
             )
             operators.adopting = self.adopting
             nursery.start_soon(self.adopting.run)
--- /dev/null
+++ b/oakcroft/peers/leases.py
@@ -0,0 +1,295 @@
+"""The fleet's leases on one front: its candidates, its acceptor where it is one, and messages between them and others'.
+
+All messages go by the peers' own datagrams. Time is CLOCK_BOOTTIME: no step of the wall clock moves it, and it counts on
+while the machine sleeps, so a holder that slept knows that its term is over.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from random import Random
+
+import structlog
+import trio
+
+from oakcroft.config.told import PeersPlace
+from oakcroft.decisions.fleet.keeping import Keeper
+from oakcroft.decisions.fleet.owning import Candidate, Course, Word
+from oakcroft.decisions.membership.rendezvous import rank
+from oakcroft.decisions.fleet.terms import MOST_NUMBER, Answer, Ask, Step, Term, majority
+from oakcroft.decisions.membership.membership import Membership
+from oakcroft.interface import MS, SECOND
+from oakcroft.peers.lease_acceptor import AcceptorHost, Keeping
+from oakcroft.peers.lease_status import lease_status
+from oakcroft.peers.order_work import OrderWork
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.lease_codec import LeaseCodec
+from oakcroft.peerwire.lease_wire import Order, OrderReport, RecordPart, RecordQuestion
+from oakcroft.peerwire.sealing import KeyRing
+
+MAX_RANK = 5
+"""Fronts that ask for a lease, the first in line first: a fleet of 200 is not to ask its acceptors all the time."""
+
+TICK_INTERVAL = 50 * MS
+RECORD_CHECK_INTERVAL = 10 * MS
+
+
+def boot_time() -> int:
+    """Now: ns since the machine started, its sleep included."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+
+
+class LeaseHost:
+    """All leases of one front, by name ("duty" in the words of operators and of the wire)."""
+
+    def __init__(
+        self, place: PeersPlace, ring: KeyRing, membership: Membership, record: Keeping | None, seed: int,
+        send: Callable[[str, bytes], None], log: structlog.typing.FilteringBoundLogger,
+    ) -> None:  # fmt: skip
+        """`record` is the state file, which an acceptor needs; `send` takes octets to a front by name."""
+        self.place = place
+        self.membership = membership
+        self.log = log
+        self.send = send
+        self.codec = LeaseCodec(place.fleet, ring)
+        self.rng = Random(seed)
+        self.dropped: Counter[str] = Counter()
+        self.acceptor = self._make_acceptor(record)
+        self.candidates: dict[str, Candidate] = {}
+        self.wanted: set[str] = set()
+        self.ranked: list[str] | None = None  # the fronts by which `ranks` were found
+        self.ranks: dict[str, int] = {}
+        self.owned: dict[str, Term] = {}  # as the host was last told
+        self.order_work = OrderWork(self._send_report, log)
+        self.orders = self.order_work.by_duty
+        self.reports: dict[str, Callable[[str, OrderReport], None]] = {}
+        self.changed: dict[str, Callable[[Term | None], None]] = {}
+        self.floors: dict[str, dict[str, int]] = {}  # by duty and acceptor, the highest number promised
+        self.texts: Callable[[str], bytes | None] = lambda _: None  # what this front holds, by digest
+        self.nursery: trio.Nursery | None = None
+
+    def _make_acceptor(self, record: Keeping | None) -> AcceptorHost | None:
+        place, now = self.place, boot_time()
+        if place.name not in place.keepers or record is None:
+            return None
+        keeper = Keeper(place.name, place.keepers, place.term, self.membership.me.generation, now)
+        return AcceptorHost(
+            keeper, record, self.codec, self._name_and_generation, self._send_to, self.dropped, self.log, now
+        )
+
+    # What the front's own work asks for.
+
+    def want(self, duty: str) -> None:
+        """This front would have a lease when its turn in line comes."""
+        self.wanted.add(duty)
+        self.ranked = None
+
+    def term(self, duty: str) -> Term | None:
+        """The term of a lease, while this front may take itself for its holder."""
+        candidate = self.candidates.get(duty)
+        return candidate.owns(boot_time()) if candidate is not None else None
+
+    def note(self, duty: str) -> bytes:
+        """What the holders of a lease have put on record, as this holder found or wrote it."""
+        candidate = self.candidates.get(duty)
+        return candidate.note.body if candidate is not None else b""
+
+    async def put_on_record(self, duty: str, body: bytes) -> bool:
+        """Puts a note on record at a majority; False where the term ended first."""
+        candidate = self.candidates.get(duty)
+        if candidate is None or candidate.owns(boot_time()) is None:
+            return False
+        self._send_asks(candidate.record(body, boot_time()))
+        key, term = candidate.note.key, candidate.term
+        while candidate.owns(boot_time()) is not None and candidate.term == term:
+            if candidate.settled >= key:
+                return True
+            await trio.sleep(RECORD_CHECK_INTERVAL / SECOND)
+        return False
+
+    def owner(self, duty: str) -> Term | None:
+        """Who has a lease, as far as this front knows: by its own term, its acceptor, or what it was told."""
+        candidate, now = self.candidates.get(duty), boot_time()
+        seen = self.acceptor.keeper.runs(duty, now) if self.acceptor is not None else None
+        told = candidate.owner(now) if candidate is not None else None
+        return max((t for t in (seen, told) if t is not None), key=lambda t: t.number, default=None)
+
+    def outbid(self, duty: str, number: int) -> None:
+        """A resource has seen a higher number than this holder's: it asks for a term over that."""
+        candidate = self.candidates.get(duty)
+        if candidate is None or candidate.owns(boot_time()) is None:
+            return
+        candidate.highest = max(candidate.highest, min(number, MOST_NUMBER - 2))
+        self._send_asks(candidate.want(False, boot_time()))
+        candidate.want(True, boot_time())
+        self._tell_change(duty, candidate, boot_time())
+
+    def floor(self, duty: str) -> int | None:
+        """A number that no begun term of a lease is over, as a majority of acceptors says; None until one has."""
+        told = self.floors.get(duty, {})
+        return max(told.values()) if len(told) >= majority(len(self.place.keepers)) else None
+
+    def look_for_floor(self, duty: str) -> None:
+        """Asks the acceptors for it: a number as low as this is refused, with what was promised."""
+        ask = Ask(Step.PREPARE, duty, Term(1, *self.me))
+        self._send_asks([Word(k, ask) for k in self.place.keepers])
+
+    def give_back(self, duty: str) -> None:
+        """An operator has taken the lease from this front: it stands back for a few terms."""
+        if (candidate := self.candidates.get(duty)) is not None:
+            self._send_asks(candidate.want(False, boot_time()))
+            candidate.rank = MAX_RANK
+            candidate.want(True, boot_time())
+
+    # Messages received.
+
+    def taken(self, opened: bytes) -> None:
+        """A message that came by datagram. MessageError where it is none."""
+        received = self.codec.taken(opened)
+        if self.membership.displaced or self.membership.left:
+            return  # another process has this name: it speaks
+        sender, message, now = received.sender, received.message, boot_time()
+        if isinstance(message, Answer):
+            self._receive_answer(message, now)
+        elif isinstance(message, Order):
+            self.order_work.begin(received, message)
+        elif isinstance(message, OrderReport):
+            if (reported := self.reports.get(message.duty)) is not None:
+                reported(sender, message)
+        elif self.acceptor is not None:
+            self._pass_to_acceptor(self.acceptor, sender, message, now)
+
+    @staticmethod
+    def _pass_to_acceptor(
+        acceptor: AcceptorHost, sender: str, message: Ask | RecordQuestion | RecordPart, now: int
+    ) -> None:
+        if isinstance(message, Ask):
+            acceptor.receive_ask(sender, message, now)
+        elif isinstance(message, RecordQuestion):
+            acceptor.receive_question(sender, message.epoch)
+        else:
+            acceptor.receive_learnt(sender, message, now)
+
+    def _receive_answer(self, answer: Answer, now: int) -> None:
+        candidate = self.candidates.get(answer.duty)
+        if candidate is None:
+            return
+        if answer.keeper in self.place.keepers:
+            self.floors.setdefault(answer.duty, {})[answer.keeper] = answer.highest
+        self._send_asks(candidate.heard(answer, now))
+        self._tell_change(answer.duty, candidate, now)
+
+    # Messages sent.
+
+    @property
+    def me(self) -> tuple[str, int]:
+        """This front's name and generation."""
+        return self.membership.me.name, self.membership.me.generation
+
+    def _name_and_generation(self) -> tuple[str, int]:
+        return self.me
+
+    def _send_asks(self, words: list[Word]) -> None:
+        for word in words:
+            with suppress(MessageError):
+                self._send_to(word.to, self.codec.ask(*self.me, word.ask))
+
+    def order(self, to: str, word: Order) -> None:
+        """A holder's order to a front."""
+        self._send_to(to, self.codec.order(*self.me, word))
+
+    def _send_report(self, to: str, word: OrderReport) -> None:
+        self._send_to(to, self.codec.report(*self.me, word))
+
+    def _send_to(self, to: str, octets: bytes) -> None:
+        if to != self.membership.me.name:
+            self.send(to, octets)
+        elif self.nursery is not None:  # to itself: no way that can be cut, but the next turn
+            self.nursery.start_soon(self._receive_own, octets)
+
+    async def _receive_own(self, octets: bytes) -> None:
+        opened = self.codec.ring.open(octets, 0)
+        if opened is not None:
+            with suppress(MessageError):
+                self.taken(opened)
+
+    # Time.
+
+    async def run(self) -> None:
+        """Looks after all of it until it is cancelled."""
+        try:
+            async with trio.open_nursery() as nursery:
+                self._use_nursery(nursery)
+                while True:
+                    self.tick(boot_time())
+                    await trio.sleep(TICK_INTERVAL / SECOND)
+        finally:
+            self._use_nursery(None)
+
+    def _use_nursery(self, nursery: trio.Nursery | None) -> None:
+        self.nursery = self.order_work.nursery = nursery
+        if self.acceptor is not None:
+            self.acceptor.nursery = nursery
+
+    def tick(self, now: int) -> None:
+        """Does what is due."""
+        if self.acceptor is not None:
+            self.acceptor.tick(now)
+        if self.membership.displaced or self.membership.left:
+            for candidate in self.candidates.values():
+                self._send_asks(candidate.want(False, now))
+            return
+        self._rank()
+        for duty in sorted(self.wanted):
+            candidate = self._candidate(duty, now)
+            rank_now = self.ranks[duty]
+            if candidate.course is Course.IDLE or candidate.rank < MAX_RANK:
+                candidate.rank = rank_now
+            in_line = rank_now < MAX_RANK or candidate.owns(now) is not None
+            self._send_asks(candidate.want(in_line, now))
+            self._send_asks(candidate.tick(now))
+            self._tell_change(duty, candidate, now)
+
+    def _rank(self) -> None:
+        """The membership gives another list when it changes; hashes of all members at each tick are saved."""
+        present = self.membership.present()
+        if present is not self.ranked:
+            self.ranked = present
+            self.ranks = {duty: rank(duty, self.membership.me.name, present) for duty in self.wanted}
+
+    def _candidate(self, duty: str, now: int) -> Candidate:
+        known = self.candidates.get(duty)
+        generation = self.membership.me.generation
+        if known is not None and (known.start == generation or known.owns(now) is not None):
+            return known
+        place = self.place
+        self.candidates[duty] = candidate = Candidate(
+            duty, self.membership.me.name, generation, place.keepers, place.term, self.rng, generation, now
+        )
+        return candidate
+
+    def _tell_change(self, duty: str, candidate: Candidate, now: int) -> None:
+        """Tells of a change of holder, as far as this front is concerned."""
+        term, before = candidate.owns(now), self.owned.get(duty)
+        if term == before:
+            return
+        if term is not None:
+            self.owned[duty] = term
+            self.log.info("duty taken", duty=duty, number=term.number, terms=candidate.taken)
+        else:
+            self.owned.pop(duty, None)
+            self.log.info("duty over", duty=duty, number=before.number if before else 0)
+        if (tell := self.changed.get(duty)) is not None:
+            tell(term)
+
+    def status(self) -> dict[str, object]:
+        """Leases, holders and this front's acceptor, for operators."""
+        return lease_status(self, boot_time())
+
+    def leave(self) -> None:
+        """The front leaves: its leases pass on at once."""
+        for candidate in self.candidates.values():
+            self._send_asks(candidate.want(False, boot_time()))
--- /dev/null
+++ b/oakcroft/peerwire/lease_codec.py
@@ -0,0 +1,227 @@
+"""The messages of candidates and acceptors of leases, and of holders to the other fronts, as MessagePack under a seal.
+
+message = seal:16 format:1 body       body: an array [fleet, sender, generation, kind, payload]
+
+The payload is an array by kind. The format is another than that of the membership's messages, so a program that knows no
+leases drops them as `other form`. What can't be read, or is no sound value, is dropped with a reason to be counted by.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import TypeVar
+
+import msgspec
+
+from oakcroft.decisions.fleet.terms import Answer, Ask, Learnt, Step
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.lease_wire import (
+    Order,
+    OrderReport,
+    RecordPart,
+    RecordQuestion,
+    TextChunk,
+    TextQuestion,
+    WireAnswer,
+    WireAsk,
+    WireBody,
+    checked_name,
+    checked_number,
+    note_from_wire,
+    note_to_wire,
+    row_to_wire,
+    term_from_wire,
+    term_to_wire,
+)
+from oakcroft.peerwire.membership_codec import MAX_DATAGRAM
+from oakcroft.peerwire.push_pull_stream import frame
+from oakcroft.peerwire.sealing import KeyRing
+
+LEASE_FORMAT = 65
+MAX_ACCEPTORS = 7
+STEPS = {step.value: step for step in Step}
+ORDER, REPORT, TEXT_QUESTION, TEXT_CHUNK = 32, 33, 34, 35
+"""Kinds over those of `Step`: a holder's order to a front, and the front's report; by stream, a text by its digest."""
+
+CHUNK_OCTETS = 12_288
+MAX_TEXT = 16_777_216
+"""Octets of a text."""
+
+ENCODER = msgspec.msgpack.Encoder()
+BODY_DECODER = msgspec.msgpack.Decoder(WireBody)
+ASK_DECODER = msgspec.msgpack.Decoder(WireAsk)
+ANSWER_DECODER = msgspec.msgpack.Decoder(WireAnswer)
+QUESTION_DECODER = msgspec.msgpack.Decoder(RecordQuestion)
+PART_DECODER = msgspec.msgpack.Decoder(RecordPart)
+ORDER_DECODER = msgspec.msgpack.Decoder(Order)
+REPORT_DECODER = msgspec.msgpack.Decoder(OrderReport)
+TEXT_QUESTION_DECODER = msgspec.msgpack.Decoder(TextQuestion)
+TEXT_CHUNK_DECODER = msgspec.msgpack.Decoder(TextChunk)
+
+T = TypeVar("T")
+LeaseMessage = Ask | Answer | RecordQuestion | RecordPart | Order | OrderReport
+
+
+@dataclass(frozen=True)
+class ReceivedLeaseMessage:
+    """A message as it was read, and whose; `start` is the sender's generation."""
+
+    sender: str
+    start: int
+    message: LeaseMessage
+
+
+class LeaseCodec:
+    """Writes and reads the lease messages of one fleet. MessageError for whatever is none of them."""
+
+    def __init__(self, fleet: str, ring: KeyRing) -> None:
+        """`fleet` names the fleet, `ring` seals and opens."""
+        self.fleet = fleet
+        self.ring = ring
+
+    def _seal(self, sender: str, start: int, kind: int, payload: msgspec.Struct) -> bytes:
+        body = WireBody(self.fleet, sender, start, kind, msgspec.Raw(ENCODER.encode(payload)))
+        return self.ring.seal(bytes((LEASE_FORMAT,)) + ENCODER.encode(body))
+
+    def _datagram(self, sender: str, start: int, kind: int, payload: msgspec.Struct) -> bytes:
+        octets = self._seal(sender, start, kind, payload)
+        if len(octets) > MAX_DATAGRAM:
+            raise MessageError("too long")
+        return octets
+
+    def ask(self, sender: str, start: int, ask: Ask) -> bytes:
+        """A candidate's message to an acceptor."""
+        wire = WireAsk(ask.duty, term_to_wire(ask.term), ask.seq, ask.length, note_to_wire(ask.note))
+        return self._datagram(sender, start, ask.step.value, wire)
+
+    def answer(self, sender: str, start: int, answer: Answer) -> bytes:
+        """An acceptor's message to a candidate."""
+        running = None if answer.running is None else term_to_wire(answer.running)
+        wire = WireAnswer(
+            answer.duty, answer.epoch, answer.number, answer.seq, answer.highest, running, answer.left,
+            note_to_wire(answer.note), list(answer.epochs[:MAX_ACCEPTORS]),
+        )  # fmt: skip
+        return self._datagram(sender, start, answer.step.value, wire)
+
+    def learn(self, sender: str, start: int, epoch: int) -> bytes:
+        """The question of an acceptor that remembers nothing."""
+        return self._datagram(sender, start, Step.LEARN.value, RecordQuestion(epoch))
+
+    def learnt(self, sender: str, start: int, told: Learnt) -> list[bytes]:
+        """The answer to it, a row a datagram."""
+        parts = max(1, len(told.rows))
+        wire = [
+            RecordPart(told.epoch, told.sound, number, parts, row_to_wire(duty, row))
+            for number, (duty, row) in enumerate(told.rows)
+        ]
+        wire = wire or [RecordPart(told.epoch, told.sound, 0, 1)]
+        return [self._datagram(sender, start, Step.LEARNT.value, part) for part in wire]
+
+    def order(self, sender: str, start: int, order: Order) -> bytes:
+        """A holder's order."""
+        return self._datagram(sender, start, ORDER, order)
+
+    def report(self, sender: str, start: int, report: OrderReport) -> bytes:
+        """What became of an order."""
+        return self._datagram(sender, start, REPORT, report)
+
+    # By stream: each message behind its length in two octets.
+
+    def fetch(self, sender: str, start: int, digest: str) -> bytes:
+        """The question for a text."""
+        return frame(self._datagram(sender, start, TEXT_QUESTION, TextQuestion(digest)))
+
+    def chunks(self, sender: str, start: int, text: bytes) -> Iterator[bytes]:
+        """A text, part by part."""
+        offsets = range(0, max(1, len(text)), CHUNK_OCTETS)
+        for number, offset in enumerate(offsets):
+            more = number + 1 < len(offsets)
+            chunk = TextChunk(number, more, text[offset : offset + CHUNK_OCTETS])
+            yield frame(self._seal(sender, start, TEXT_CHUNK, chunk))
+
+    def asked_for(self, opened: bytes) -> str:
+        """The digest of the text that a stream's first message asks for."""
+        return self._payload(opened, TEXT_QUESTION, TEXT_QUESTION_DECODER).digest
+
+    def chunk(self, opened: bytes) -> TextChunk:
+        """One part of a text."""
+        return self._payload(opened, TEXT_CHUNK, TEXT_CHUNK_DECODER)
+
+    def _payload(self, opened: bytes, kind: int, decoder: msgspec.msgpack.Decoder[T]) -> T:
+        try:
+            body = BODY_DECODER.decode(opened[1:])
+            if opened[:1] != bytes((LEASE_FORMAT,)) or body.fleet != self.fleet or body.kind != kind:
+                raise MessageError("unknown kind")
+            return decoder.decode(bytes(body.payload))
+        except msgspec.MsgspecError as error:
+            raise MessageError("malformed") from error
+
+    def taken(self, opened: bytes) -> ReceivedLeaseMessage:
+        """What a message says that the ring has opened, its format first."""
+        try:
+            body = BODY_DECODER.decode(opened[1:])
+            if body.fleet != self.fleet:
+                raise MessageError("other fleet")
+            sender, start = checked_name(body.sender), checked_number(body.start)
+            return ReceivedLeaseMessage(sender, start, _read(body))
+        except msgspec.MsgspecError as error:
+            raise MessageError("malformed") from error
+
+
+def _read(body: WireBody) -> LeaseMessage:
+    reader = READERS.get(body.kind)
+    if reader is None:
+        raise MessageError("unknown kind")
+    return reader(body)
+
+
+def _read_order(body: WireBody) -> Order:
+    order = ORDER_DECODER.decode(body.payload)
+    _check_fence(order)
+    return order
+
+
+def _read_report(body: WireBody) -> OrderReport:
+    report = REPORT_DECODER.decode(body.payload)
+    _check_fence(report)
+    return report
+
+
+def _check_fence(message: Order | OrderReport) -> None:
+    checked_name(message.duty)
+    checked_number(message.number)
+    checked_number(message.step)
+
+
+def _read_ask(body: WireBody) -> Ask:
+    wire = ASK_DECODER.decode(body.payload)
+    return Ask(
+        STEPS[body.kind], checked_name(wire.duty), term_from_wire(wire.term), checked_number(wire.seq),
+        checked_number(wire.length), note_from_wire(wire.note),
+    )  # fmt: skip
+
+
+def _read_answer(body: WireBody) -> Answer:
+    wire = ANSWER_DECODER.decode(body.payload)
+    epochs = tuple((checked_name(name), checked_number(epoch)) for name, epoch in wire.epochs[:MAX_ACCEPTORS])
+    running = None if wire.running is None else term_from_wire(wire.running)
+    return Answer(
+        STEPS[body.kind], checked_name(wire.duty), checked_name(body.sender), checked_number(wire.epoch),
+        checked_number(wire.number), checked_number(wire.seq), checked_number(wire.highest), running,
+        checked_number(wire.left), note_from_wire(wire.note), epochs,
+    )  # fmt: skip
+
+
+READERS: dict[int, Callable[[WireBody], LeaseMessage]] = {
+    Step.PREPARE.value: _read_ask,
+    Step.PROPOSE.value: _read_ask,
+    Step.RELEASE.value: _read_ask,
+    Step.PROMISED.value: _read_answer,
+    Step.REFUSED.value: _read_answer,
+    Step.ACCEPTED.value: _read_answer,
+    Step.LEARN.value: lambda body: QUESTION_DECODER.decode(body.payload),
+    Step.LEARNT.value: lambda body: PART_DECODER.decode(body.payload),
+    ORDER: _read_order,
+    REPORT: _read_report,
+}
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -11,14 +11,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from oakcroft.decisions.fleet.rendezvous import line, rank
+from oakcroft.decisions.membership.rendezvous import line, rank
 from oakcroft.decisions.fleet.rollout import ENDED, SHARES, Plan, Report, Rollout, Stage, begins
 from oakcroft.decisions.fleet.terms import MOST_NOTE, Answer, Ask, Fence, Learnt, Note, Row, Step, Term
 from oakcroft.front.rolling import PLAN, plan_of, word_of
 from oakcroft.interface import SECOND
-from oakcroft.peerwire.duties import ChunkWord, DutyCodec, LearntWord, OrderWord, ReportWord, row_of
-from oakcroft.peerwire.messages import MOST_DATAGRAM, Dropped
-from oakcroft.peerwire.sealing import Ring
+from oakcroft.peerwire.lease_codec import LeaseCodec
+from oakcroft.peerwire.lease_wire import Order, OrderReport, RecordPart, TextChunk, row_from_wire
+from oakcroft.peerwire.errors import MessageError
+from oakcroft.peerwire.membership_codec import MAX_DATAGRAM
+from oakcroft.peerwire.sealing import KeyRing
 
 FRONTS = [f"f{i}" for i in range(10)]
 NEW, OLD = "new", "old"
@@ -187,12 +189,12 @@
 NOTE = Note(7, 2, b"plan")
 
 
-def codec(fleet: str = "oakcroft", key: bytes = KEY) -> DutyCodec:
-    return DutyCodec(fleet, Ring((key,)))
+def codec(fleet: str = "oakcroft", key: bytes = KEY) -> LeaseCodec:
+    return LeaseCodec(fleet, KeyRing((key,)))
 
 
 def opened(octets: bytes) -> bytes:
-    found = Ring((KEY,)).open(octets, 0)
+    found = KeyRing((KEY,)).open(octets, 0)
     assert found is not None
     return found
 
@@ -202,15 +204,18 @@
     ask = Ask(Step.PROPOSE, "catalogue", TERM, 3, 6 * SECOND, NOTE)
     answer = Answer(Step.REFUSED, "catalogue", "f1", 5, 6, 7, 8, TERM, 9, NOTE, (("f2", 3),))
     got = one.taken(opened(one.ask("f1", 99, ask)))
-    assert (got.sender, got.start, got.word) == ("f1", 99, ask)
-    assert one.taken(opened(one.answer("f1", 99, answer))).word == answer
-    order, report = OrderWord("catalogue", 5, 2, b"x" * 900), ReportWord("catalogue", 5, 2, True, b"y")
-    assert one.taken(opened(one.order("f1", 1, order))).word == order
-    assert one.taken(opened(one.report("f1", 1, report))).word == report
+    assert (got.sender, got.start, got.message) == ("f1", 99, ask)
+    assert one.taken(opened(one.answer("f1", 99, answer))).message == answer
+    order, report = Order("catalogue", 5, 2, b"x" * 900), OrderReport("catalogue", 5, 2, True, b"y")
+    assert one.taken(opened(one.order("f1", 1, order))).message == order
+    assert one.taken(opened(one.report("f1", 1, report))).message == report
     rows = tuple((f"d{i}", Row(i + 1, "f1/9", TERM, NOTE)) for i in range(64))
-    parts = [one.taken(opened(p)).word for p in one.learnt("f1", 1, Learnt("f1", 4, True, rows))]
+    parts = [one.taken(opened(p)).message for p in one.learnt("f1", 1, Learnt("f1", 4, True, rows))]
     assert len(parts) == 64
-    assert tuple((p.row.duty, row_of(p.row)) for p in parts if isinstance(p, LearntWord) and p.row) == rows
+    assert (
+        tuple((p.row.duty, row_from_wire(p.row)) for p in parts if isinstance(p, RecordPart) and p.row)
+        == rows
+    )
     assert len(one.learnt("f1", 1, Learnt("f1", 4, False, ()))) == 1
 
 
@@ -223,7 +228,7 @@
         codec().ask(name, 1 << 60, Ask(Step.PROPOSE, name, row, 1 << 60, 1 << 60, big)),
         codec().answer(name, 1 << 60, Answer(Step.REFUSED, name, name, 1, 1, 1, 1, row, 1, big, epochs)),
     ]
-    assert all(len(w) <= MOST_DATAGRAM for w in words), [len(w) for w in words]
+    assert all(len(w) <= MAX_DATAGRAM for w in words), [len(w) for w in words]
 
 
 def test_a_plan_fits_its_record_whatever_was_written_into_it() -> None:
@@ -260,7 +265,7 @@
 
 def test_texts_go_in_parts() -> None:
     one, text = codec(), Random(1).randbytes(50_000)
-    stream, parts = b"".join(one.chunks("f1", 1, text)), list[ChunkWord]()
+    stream, parts = b"".join(one.chunks("f1", 1, text)), list[TextChunk]()
     while stream:
         end = 2 + int.from_bytes(stream[:2], "big")
         parts.append(one.chunk(opened(stream[2:end])))
@@ -269,13 +274,13 @@
     assert [p.more for p in parts] == [True] * (len(parts) - 1) + [False]
     asked = one.fetch("f1", 1, "abc")
     assert one.asked_for(opened(asked[2:])) == "abc"
-    with pytest.raises(Dropped):
+    with pytest.raises(MessageError):
         one.chunk(opened(asked[2:]))
 
 
 @given(st.binary(max_size=200))
 def test_what_is_no_word_is_dropped(octets: bytes) -> None:
-    with pytest.raises(Dropped):
+    with pytest.raises(MessageError):
         codec().taken(bytes((65,)) + octets)
 
 
@@ -285,10 +290,10 @@
         opened(codec().ask("f1", 99, Ask(Step.PROPOSE, "catalogue", TERM, 3, 6 * SECOND, NOTE)))
     )
     octets[at % len(octets)] = value
-    with suppress(Dropped):
+    with suppress(MessageError):
         codec().taken(bytes(octets))
     other = codec("other").ask("f1", 99, Ask(Step.PREPARE, "d", TERM))
-    with pytest.raises(Dropped):
+    with pytest.raises(MessageError):
         codec().taken(opened(other))
 
 
