A zone's summary lists the latest returns first, so that a release is known as it goes

Cause: past the 32 changes of a summary the earliest of the last minute kept their places. In a release of a zone of more than 32, at a restart a second, the later members were told of as left (listed first) and their return was not listed until the earliest returns had aged past a minute.

Change: failures first, the earliest first, as before (a reader confirms one by finding it listed again); all else the latest first. No bound or interval is changed.

Measured: both new tests fail without the change and pass with it.

--- a/oakcroft/decisions/membership/zone_author.py
+++ b/oakcroft/decisions/membership/zone_author.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from oakcroft.decisions.membership.member import MemberState
@@ -41,9 +41,6 @@
 MAX_RECENT = 64
 MAX_CONTESTED = 256
 
-TOLD_FIRST = (MemberState.FAILED, MemberState.LEFT, MemberState.ALIVE)
-"""Which changes are listed where not all can be."""
-
 
 @dataclass(frozen=True)
 class RecentChange:
@@ -103,9 +100,7 @@
         fresh = [recent for recent in self.recent.values() if now - recent.at < FRESH_TIME]
         older = [recent for recent in self.recent.values() if now - recent.at >= FRESH_TIME]
         padding = older[max(0, len(older) - max(0, LISTED_LATER - len(fresh))) :]
-        # The earliest first within a state: in a mass failure a reader must find again what it is to confirm.
-        fresh.sort(key=lambda recent: TOLD_FIRST.index(recent.change.state))
-        listed = _fitting([recent.change for recent in [*fresh, *padding]], room)
+        listed = _fitting([recent.change for recent in [*_by_urgency(fresh), *padding]], room)
         return tuple(sorted(listed, key=lambda change: change.name))
 
     # When it is told.
@@ -152,6 +147,18 @@
         return replace(bare, changes=self.changes(MAX_PAYLOAD - summary_size(bare), now))
 
 
+def _by_urgency(recent: Sequence[RecentChange]) -> list[RecentChange]:
+    """Which changes are listed where not all can be; `recent` has the earliest first.
+
+    Failures, the earliest first: in a mass failure a reader must find again what it is to confirm. All else needs no
+    confirmation, so the latest first: guards a release of more members than a summary lists, whose last ones would
+    stay listed as left while returns that everybody has taken in hold the places.
+    """
+    failures = [each for each in recent if each.change.state is MemberState.FAILED]
+    others = [each for each in recent if each.change.state is not MemberState.FAILED]
+    return [*failures, *reversed(others)]
+
+
 def _fitting(changes: Iterable[MemberChange], room: int) -> list[MemberChange]:
     """As many changes as a summary may list and so many octets hold."""
     listed: list[MemberChange] = []
--- a/tests/test_zone_membership.py
+++ b/tests/test_zone_membership.py
@@ -52,6 +52,9 @@
 
 KNOWN_IN_ZONE = 6 * SECOND
 KNOWN_EVERYWHERE = 20 * SECOND
+TOLD_AFTER_RETURN = 6 * SECOND
+"""Some three contents of an author, with gossip."""
+
 BUDGET = 8_000
 """Octets a second, in any ten seconds of any front."""
 
@@ -225,6 +228,24 @@
     assert {each.state for each in told.changes} == {MemberState.FAILED}
 
 
+def test_past_the_bound_of_a_summary_the_first_failures_and_the_latest_returns_are_listed() -> None:
+    """Failures wait to be confirmed, so they stay; a return that was listed before makes room for one that was not."""
+    author = ZoneAuthor(ZoneContact("author", 1, "z", "h", 1), "r", 0)
+    for second in range(40):
+        if second % 10 == 0:
+            author.note(change(f"failed{second:02}", MemberState.FAILED), second * SECOND)
+        for state in (MemberState.LEFT, MemberState.ALIVE):
+            author.note(change(f"back{second:02}", state), second * SECOND)
+            listed = author.changes(MAX_PAYLOAD, second * SECOND)
+            assert change(f"back{second:02}", state) in listed
+            assert len(listed) <= MAX_CHANGES
+    told = author.changes(MAX_PAYLOAD, 40 * SECOND)
+    failures = [each.name for each in told if each.state is MemberState.FAILED]
+    assert failures == ["failed00", "failed10", "failed20", "failed30"]
+    returns = [each.name for each in told if each.state is MemberState.ALIVE]
+    assert returns == [f"back{second:02}" for second in range(12, 40)]
+
+
 def test_a_heartbeat_of_a_content_that_has_not_come_yet_is_a_sign_of_life() -> None:
     """A zone that lives is not unreachable because nobody has tokens to send its content; nor for good after a lie."""
     directory = ZoneDirectory("own")
@@ -520,6 +541,24 @@
     assert {f.membership.left_count() for f in fleet.living() if f.zone == "r1z0"} == {1}
 
 
+def test_a_release_of_more_members_than_a_summary_lists_is_known_elsewhere_as_it_goes() -> None:
+    """A whole zone is restarted, two members a second: none is taken to have left for long after it is back."""
+    fleet = ZoneFleet(23, regions=1, zones=2, members=MAX_CHANGES + 8, loss=0.02)
+    fleet.settle()
+    others = [front for front in fleet.living() if front.zone == "r0z1"]
+    released = fleet.names("r0z0")
+    for position, name in enumerate(released):
+        fleet.restart_at(fleet.now + position * SECOND // 2, name)
+    fleet.run((len(released) // 2 + 2) * SECOND)
+
+    def all_are_back() -> bool:
+        states = {f.membership.remote_state("r0z0", name) for f in others for name in released}
+        return states == {RemoteState.ALIVE}
+
+    assert fleet.run(TOLD_AFTER_RETURN, all_are_back)
+    assert fleet.called_failed() == []
+
+
 def test_a_front_whose_clock_is_days_behind_harms_itself_only() -> None:
     """It refuses what others' epochs say and sees no other zone; its own zone and the others go on."""
     fleet = ZoneFleet(20, regions=4, zones=2, members=6)
--- a/tests/zone_fleet.py
+++ b/tests/zone_fleet.py
@@ -27,6 +27,7 @@
 LOCAL_LATENCY = (200_000, MS)
 REMOTE_LATENCY = (20 * MS, 60 * MS)
 SEEDS_A_ZONE = 2
+RESTART_TAKES = 2 * SECOND
 
 
 @dataclass
@@ -166,6 +167,11 @@
         self._after(front)
         self.later(self.now + SECOND, lambda: setattr(front, "alive", False))
 
+    def restart_at(self, at: int, name: str) -> None:
+        """A front leaves in order then, and starts again under its name."""
+        self.later(at, lambda: self.leave(name))
+        self.later(at + RESTART_TAKES, self._starting(name))
+
     def living(self) -> list[Front]:
         """Those that run."""
         return [front for front in self.fronts.values() if front.alive]
