Make a hollow front end's own update in one place for both memberships

Cause: fleet_flat.py and fleet_zoned.py built the same update of a starting process, line for line. Change: own_update in fleet_flat.py serves both.

--- a/benchmarks/capacity/fleet_flat.py
+++ b/benchmarks/capacity/fleet_flat.py
@@ -31,6 +31,18 @@
 }
 
 
+SECRET_OCTETS = 16
+
+
+def own_update(site: Site, generation: int, secret: bytes) -> MemberUpdate:
+    """What a process says of itself when it starts at a site."""
+    host, port = site.address
+    proof = commitment(secret)
+    return MemberUpdate(
+        site.name, generation, 0, MemberState.ALIVE, host, port, site.zone_name, VERSION, proof
+    )
+
+
 class FlatDatagram(msgspec.Struct, frozen=True, gc=False):
     """A datagram with the sender's own word at the time of sending."""
 
@@ -127,19 +139,8 @@
 
     def create(self, site: Site, generation: int, random: Random, now: int) -> FlatMembership:
         """The membership of one process that starts now."""
-        secret = random.randbytes(16)
-        host, port = site.address
-        me = MemberUpdate(
-            site.name,
-            generation,
-            0,
-            MemberState.ALIVE,
-            host,
-            port,
-            site.zone_name,
-            VERSION,
-            commitment(secret),
-        )
+        secret = random.randbytes(SECRET_OCTETS)
+        me = own_update(site, generation, secret)
         return FlatMembership(FlatState(me, secret, random, now, self._seeds), self._sizes)
 
     def preload(self, memberships: Sequence[Membership], now: int) -> None:
--- a/benchmarks/capacity/fleet_zoned.py
+++ b/benchmarks/capacity/fleet_zoned.py
@@ -10,17 +10,17 @@
 from benchmarks.capacity.fleet_flat import (
     FLEET,
     KEY,
+    SECRET_OCTETS,
     STATES,
     STREAM_WITHIN,
     STREAMS_AT_ONCE,
-    VERSION,
+    own_update,
     FlatDatagram,
 )
 from benchmarks.capacity.fleet_flat_sizes import FlatSizes, integer_octets, string_octets
 from benchmarks.capacity.fleet_membership import Membership, ObservedState, Outgoing, StreamReply, Transition
 from benchmarks.capacity.topology import Address, Site, Topology
 from oakcroft.decisions.membership.hierarchy import ZonedMembership
-from oakcroft.decisions.membership.member import MemberState, MemberUpdate, commitment
 from oakcroft.decisions.membership.member_table import PRESENT_STATES, StateChange
 from oakcroft.decisions.membership.messages import Message, MessageKind
 from oakcroft.decisions.membership.zone_directory import RemoteState, ZoneChange
@@ -230,19 +230,8 @@
 
     def create(self, site: Site, generation: int, random: Random, now: int) -> HollowZonedMembership:
         """The membership of one process that starts now."""
-        secret = random.randbytes(16)
-        host, port = site.address
-        me = MemberUpdate(
-            site.name,
-            generation,
-            0,
-            MemberState.ALIVE,
-            host,
-            port,
-            site.zone_name,
-            VERSION,
-            commitment(secret),
-        )
+        secret = random.randbytes(SECRET_OCTETS)
+        me = own_update(site, generation, secret)
         others = tuple(seeds for zone, seeds in self._seeds.items() if zone != site.zone_name)
         placement = ZonePlacement(site.region_name, self._seeds[site.zone_name].addresses, others)
         return HollowZonedMembership(ZonedMembership(me, secret, random, now, placement), self)
