--- a/review/standins.py
+++ b/review/standins.py
@@ -27,14 +27,12 @@
 SETUP, ANSWER, RELEASE, HEARD, TEST, TESTED = 1, 9, 12, 16, 52, 53  # binary types
 CLASS, WAIT, TITLE, FIGURES, AWAY, HINT, CAUSE, TEXT = 100, 101, 104, 105, 106, 110, 114, 115  # parameters
 DONE, FULL, ERROR, CANCELLED = 16, 34, 47, 31  # causes of a playout node's releases
-GIVEN_UP = 16  # cause of a release before the answer
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
-FRONT_HOST, CHANNEL_HOST = "127.0.0.1", "127.0.0.2"
+FRONT_HOST, CHANNEL_HOST = "127.0.0.3", "127.0.0.2"  # outgoing connections have 127.0.0.1
 LISTEN_BACKLOG = 8
 MAX_SECONDS = 110
 SETTLE_S = 7.0
 MAX_RETRIES = 20
-Attributes = dict[str, Any]
 
 
 class CouldNotRunError(Exception):
@@ -233,7 +231,6 @@
         self.notes = 0
         self.refusal = 0  # the cause with which it refuses set-ups, if it does
         self.has_vanished = False
-        self.on_setup: Callable[[Link, dict[str, Any]], bool] | None = None
         self.listener = socket.socket()
         self.fillers: list[socket.socket] = []
         self.accept_task: asyncio.Task[None] | None = None
@@ -296,8 +293,6 @@
         if kind == "open":
             self.setups.append((self.record.now(), session_id))
             self.record.write(f"{self.name}: got the set-up of {session_id} {json.dumps(message['attrs'])}")
-            if self.on_setup is not None and self.on_setup(link, message):
-                return
             mine.append(session_id)
             self.open_setups[session_id] = asyncio.create_task(self._answer(link, session_id))
         elif kind == "close":
@@ -322,12 +317,6 @@
         link.send({"msg": "ready", "sid": session_id, "attrs": {"load": "x0:0.30"}, "text": text})
         link.send({"msg": "event", "sid": session_id, "attrs": {"note": "local", "value": "0.30"}})
 
-    def spoil(self, link: Link, session_id: str) -> None:
-        """Sends the beginning of an answer that stops short; the connection stays open and of no further use."""
-        self.record.write(f"{self.name}: {session_id} has run; its answer stops short")
-        link.writer.write(b'{"msg":"ready","sid":"' + session_id.encode())
-        link.is_dead = True
-
     def link_of(self, session: Standing) -> Link | None:
         """The connection for what concerns a session: that of its set-up, otherwise any open one."""
         if session.link.is_open:
@@ -511,7 +500,7 @@
         """Starts the process; the channel's events up to now are the known ones."""
         with (ROOT / "deploy" / "balancer.toml").open("rb") as file:
             command = tomllib.load(file)["run"]
-        configuration = {
+        configuration: dict[str, Any] = {
             "name": self.name,
             "listen": f"{FRONT_HOST}:{self.address[1]}",
             "seed": "8c1f30d27a5be964",
@@ -587,7 +576,6 @@
         self.channel = Channel(record)
         self.front = Front(record, folder)
         self.viewers = Viewers(record)
-        self.others: list[dict[str, Any]] = []  # listed as well; nobody listens there
         self.nodes = [
             Node(record, f"s-{number:08x}", f"127.0.1.{number + 1}", number // per_cell)
             for number in range(nodes)
@@ -599,7 +587,7 @@
             node.note_every_s = self.settings["familyInfo"]["reportsEveryMs"] / 1000
             await node.listen()
         await self.channel.listen()
-        self.channel.tell([node.member() for node in self.nodes] + self.others, complete=True)
+        self.channel.tell([node.member() for node in self.nodes], complete=True)
         self.front.start(self.channel, self.settings, limits)
         await self.front.wait_until_ready()
         await asyncio.sleep(settle_s)
