Count evicted connections by class, and releases by the connection that they are sent on

Change: the figures in the log have `evicted: CLASS`, `release sent: own connection | session | none` and `release: never confirmed`.

--- a/oakcroft/platform/idle_connections.py
+++ b/oakcroft/platform/idle_connections.py
@@ -52,8 +52,11 @@
         self._candidates = deque[tuple[ConnectionT, tuple[EvictionClass, int]]]()
         self._candidates_found_at = 0
 
-    def next_to_evict(self) -> ConnectionT | None:
-        """Returns the connection to evict next; None if each has an open set-up or an unhandled message."""
+    def next_to_evict(self) -> tuple[ConnectionT, EvictionClass] | None:
+        """Returns the connection to evict next, and why it may be closed.
+
+        Returns None if each connection has an open set-up or an unhandled message.
+        """
         now = self._clock.now()
         if now - self._candidates_found_at > CANDIDATES_VALID_NS:
             self._candidates.clear()
@@ -73,7 +76,7 @@
         self._candidates.extend(nsmallest(MAX_CANDIDATES, idle, key=lambda found: found[1]))
         self._candidates_found_at = now
 
-    def _next_candidate(self, now: int) -> ConnectionT | None:
+    def _next_candidate(self, now: int) -> tuple[ConnectionT, EvictionClass] | None:
         """Takes candidates until one is still as it was when it was found; None if there is none."""
         while self._candidates:
             connection, order = self._candidates.popleft()
@@ -81,7 +84,7 @@
                 continue
             # Counting unread messages reads the socket, so part of a request may have arrived since the first check.
             if self._is_unchanged(connection, order, now):
-                return connection
+                return connection, order[0]
         return None
 
     @staticmethod
--- a/oakcroft/platform/releases.py
+++ b/oakcroft/platform/releases.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from oakcroft.decisions.sessions.release_delivery import ReleaseTarget, UnconfirmedReleases, target_order
@@ -29,10 +29,13 @@
     the connection breaks.
     """
 
-    def __init__(self, clock: Clock, connections: Iterable[ViewerEndpoint]) -> None:
-        """Creates the queues; `connections` is a live view of the open connections."""
+    def __init__(
+        self, clock: Clock, connections: Iterable[ViewerEndpoint], count: Callable[[str, str], None]
+    ) -> None:
+        """Creates the queues; `connections` is a live view of the open connections, `count` counts events."""
         self.clock = clock
         self.connections = connections
+        self.count = count
         self.unsent = OrderedDict[str, _Release]()  # by session id, for the next connection that opens
         self.unconfirmed = UnconfirmedReleases()
         self._awaiting_confirmation: dict[str, _Release] = {}
@@ -67,6 +70,7 @@
             session_id for session_id in self._awaiting_confirmation if session_id not in self.unconfirmed
         ]:
             del self._awaiting_confirmation[session_id]
+            self.count("release", "never confirmed")
 
     def _attempt(self, session_id: str, release: _Release) -> bool:
         """Sends a release on the best usable connection that has not carried it; returns whether there was one."""
@@ -92,6 +96,10 @@
         if connection.is_at_end() or not connection.write(release.message):
             return False
         release.sent_on.append(connection)
+        if connection is release.own_connection:
+            self.count("release sent", "own connection")
+        else:
+            self.count("release sent", "session" if connection.has_served else "none")
         if connection is not release.own_connection:
             self._awaiting_confirmation[session_id] = release
             self.unconfirmed.record_sent(session_id, self.clock.now())
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -90,7 +90,7 @@
         self.sessions_by_playback: dict[Playback, PlaybackSession] = {}
         self.node_pools = NodePools(configuration, clock, nursery, self.submit, self)
         self.viewer_connections: dict[ViewerConnection, None] = {}
-        self.releases = Releases(clock, self.viewer_connections)
+        self.releases = Releases(clock, self.viewer_connections, self.count)
         self.handover = Handover()
         self.setup_count = 0
         self.description_chars = 0  # characters in the descriptions of open and queued set-ups
--- a/oakcroft/platform/viewers.py
+++ b/oakcroft/platform/viewers.py
@@ -42,7 +42,7 @@
         """A connection opened."""
 
     def count(self, category: str, detail: str = "") -> None:
-        """Counts an error of a client."""
+        """Counts an error of a client, or a connection that was closed for another."""
 
     def connection_closed(self, connection: ViewerConnection) -> None:
         """A connection closed."""
@@ -148,9 +148,11 @@
 
     def _make_room(self) -> bool:
         """Closes an idle connection; returns whether there was one."""
-        connection = self.idle_connections.next_to_evict()
-        if connection is None:
+        found = self.idle_connections.next_to_evict()
+        if found is None:
             return False
+        connection, eviction_class = found
+        self.coordinator.count("evicted", eviction_class.name.lower())
         self._shed_connection(connection)
         return True
 
--- a/tests/test_connection_selection.py
+++ b/tests/test_connection_selection.py
@@ -77,9 +77,11 @@
 def evict(connections: IdleConnections[FakeConnection]) -> FakeConnection | None:
     """Closes the first connection in the order of eviction and returns it."""
     found = connections.next_to_evict()
-    if found is not None:
-        found.is_open = found.is_idle = False
-    return found
+    if found is None:
+        return None
+    evicted, _ = found
+    evicted.is_open = evicted.is_idle = False
+    return evicted
 
 
 def test_connections_are_evicted_in_order_over_several_searches() -> None:
