Deliver a session's release until its viewer confirms it, and keep connections with sessions

(2) a release was dropped after four attempts on whatever was open, or on none left. (3) a release on the session's own connection was forgotten at once, and lost if that broke. Change: decisions/sessions/release_delivery.py owes a release until it is confirmed, 30 s and 4,096 at most. A connection has shown nothing, a valid request, or a session; four attempts go to those without evidence, the others get it as they show evidence, and a release on its own connection is owed again if that closes. decisions/admission/eviction.py keeps connections with sessions while they hold two thirds of the places (all that viewers may hold); newcomers, also those with half a request, are closed first. The oldest are no longer all sorted for each end.

--- a/oakcroft/platform/playback_session.py
+++ b/oakcroft/platform/playback_session.py
@@ -13,7 +13,6 @@
     """What a session needs of its viewer's connection."""
 
     session_count: int  # playing sessions whose set-up came on it
-    has_served: bool  # a set-up that came on it became a session
 
     @property
     def open_setups(self) -> dict[str, PlaybackSession]:
--- a/oakcroft/platform/releases.py
+++ b/oakcroft/platform/releases.py
@@ -2,105 +2,76 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 
-from oakcroft.decisions.sessions.release_delivery import ReleaseTarget, UnconfirmedReleases, target_order
+from oakcroft.decisions.sessions.release_delivery import OwedRelease, ReleaseDelivery, ViewerEvidence
 from oakcroft.platform.playback_session import ViewerEndpoint
 from oakcroft.running.clock import Clock
 
-MAX_UNSENT = 4_096  # releases that wait for a viewer connection; over the limit the oldest is dropped
-
-
-@dataclass
-class _Release:
-    """One release: the message, the connection of its session's set-up, and the connections it was sent on."""
-
-    message: bytes
-    own_connection: ViewerEndpoint | None
-    sent_on: list[ViewerEndpoint] = field(default_factory=list)
-
 
 class Releases:
-    """Delivers releases to viewers over the open connections.
-
-    A release that was sent on the connection of its session's set-up needs no confirmation: it arrives unless
-    the connection breaks.
-    """
+    """Delivers releases to viewers over the open connections."""
 
-    def __init__(
-        self, clock: Clock, connections: Iterable[ViewerEndpoint], count: Callable[[str, str], None]
-    ) -> None:
-        """Creates the queues; `connections` is a live view of the open connections, `count` counts events."""
+    def __init__(self, clock: Clock, count: Callable[[str, str], None]) -> None:
+        """Creates the queues; `count` counts what was sent, by category and detail."""
         self.clock = clock
-        self.connections = connections
         self.count = count
-        self.unsent = OrderedDict[str, _Release]()  # by session id, for the next connection that opens
-        self.unconfirmed = UnconfirmedReleases()
-        self._awaiting_confirmation: dict[str, _Release] = {}
+        self.delivery = ReleaseDelivery[ViewerEndpoint]()
 
     def send(self, session_id: str, message: bytes, own_connection: ViewerEndpoint | None) -> None:
-        """Sends a release on the session's own connection, else on another, else on the next one that opens."""
-        release = _Release(message, own_connection)
-        if self._attempt(session_id, release):
-            return
-        self.unsent[session_id] = release
-        if len(self.unsent) > MAX_UNSENT:
-            self.unsent.popitem(last=False)
+        """Sends a release on the session's own connection, else on another, else on one that opens later."""
+        release = self.delivery.add(session_id, message, own_connection, self.clock.now())
+        self._give_up()
+        self._attempt(release)
 
     def connection_opened(self, connection: ViewerEndpoint) -> None:
-        """Sends the releases that wait for a connection on one that has just opened."""
-        for session_id, release in list(self.unsent.items()):
-            if not self._send_on(connection, session_id, release):
-                return
-            del self.unsent[session_id]
+        """Sends releases that wait for a connection on one that has just opened."""
+        self._send_all(self.delivery.connection_opened(connection), connection)
 
-    def confirmed(self, session_id: str) -> None:
-        """A viewer's side has received the release."""
-        self.unconfirmed.confirm(session_id)
-        self._awaiting_confirmation.pop(session_id, None)
+    def evidence_found(self, connection: ViewerEndpoint, evidence: ViewerEvidence) -> None:
+        """Sends releases that wait for a connection from viewers on one that has shown to be one."""
+        self._send_all(self.delivery.evidence_found(connection, evidence), connection)
 
-    def resend_overdue(self) -> None:
-        """Sends unconfirmed releases again if there is another connection to send them on."""
-        for session_id in self.unconfirmed.overdue(self.clock.now()):
-            if not self._attempt(session_id, self._awaiting_confirmation[session_id]):
-                self.unconfirmed.confirm(session_id)
-        for session_id in [
-            session_id for session_id in self._awaiting_confirmation if session_id not in self.unconfirmed
-        ]:
-            del self._awaiting_confirmation[session_id]
-            self.count("release", "never confirmed")
+    def connection_closed(self, connection: ViewerEndpoint) -> None:
+        """Sends the releases that a closed connection may have lost on other connections."""
+        for release in self.delivery.connection_closed(connection):
+            self._attempt(release)
 
-    def _attempt(self, session_id: str, release: _Release) -> bool:
-        """Sends a release on the best usable connection that has not carried it; returns whether there was one."""
-        return any(self._send_on(connection, session_id, release) for connection in self._targets(release))
+    def confirmed(self, connection: ViewerEndpoint, session_id: str) -> None:
+        """A viewer's side has received a release, so it passes on others too."""
+        if self.delivery.remove(session_id):
+            self.evidence_found(connection, ViewerEvidence.SESSION)
+            self._send_all(self.delivery.sendable_on(connection), connection)
 
-    def _targets(self, release: _Release) -> list[ViewerEndpoint]:
-        """Returns the connections on which the release has not been sent, the best first."""
-        candidates = dict.fromkeys([release.own_connection, *self.connections])
-        untried = [
-            connection
-            for connection in candidates
-            if connection is not None and connection not in release.sent_on
-        ]
+    def resend_overdue(self) -> None:
+        """Sends unconfirmed releases again, and gives up those that were owed for too long."""
+        self._give_up()
+        for release in self.delivery.take_overdue(self.clock.now()):
+            self._attempt(release)
+
+    def _give_up(self) -> None:
+        """Removes the releases that are owed no longer, and counts them."""
+        for _ in range(self.delivery.take_given_up(self.clock.now())):
+            self.count("release", "never confirmed")
 
-        def order(connection: ViewerEndpoint) -> tuple[bool, bool, bool]:
-            is_own = connection is release.own_connection
-            return target_order(ReleaseTarget(is_own, connection.has_served, connection.session_count))
+    def _attempt(self, release: OwedRelease[ViewerEndpoint]) -> None:
+        """Sends a release on the best usable connection that has not carried it, if there is one."""
+        for connection in self.delivery.targets(release):
+            if self._send_on(connection, release):
+                return
 
-        return sorted(untried, key=order)
+    def _send_all(self, releases: Iterable[OwedRelease[ViewerEndpoint]], connection: ViewerEndpoint) -> None:
+        """Sends releases on one connection, as far as it is usable."""
+        for release in releases:
+            if not self._send_on(connection, release):
+                return
 
-    def _send_on(self, connection: ViewerEndpoint, session_id: str, release: _Release) -> bool:
+    def _send_on(self, connection: ViewerEndpoint, release: OwedRelease[ViewerEndpoint]) -> bool:
         """Sends a release on one connection; returns whether the connection was usable."""
         if connection.is_at_end() or not connection.write(release.message):
             return False
-        release.sent_on.append(connection)
-        if connection is release.own_connection:
-            self.count("release sent", "own connection")
-        else:
-            self.count("release sent", "session" if connection.has_served else "none")
-        if connection is not release.own_connection:
-            self._awaiting_confirmation[session_id] = release
-            self.unconfirmed.record_sent(session_id, self.clock.now())
+        is_own = connection is release.own_connection
+        detail = "own connection" if is_own else self.delivery.evidence_of(connection).name.lower()
+        self.count("release sent", detail)
+        self.delivery.record_sent(release, connection, self.clock.now())
         return True
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -22,6 +22,7 @@
     response_margin,
 )
 from oakcroft.decisions.routing.title_cache import TitleCache
+from oakcroft.decisions.sessions.release_delivery import ViewerEvidence
 from oakcroft.interface import (
     MS,
     SECOND,
@@ -90,7 +91,7 @@
         self.sessions_by_playback: dict[Playback, PlaybackSession] = {}
         self.node_pools = NodePools(configuration, clock, nursery, self.submit, self)
         self.viewer_connections: dict[ViewerConnection, None] = {}
-        self.releases = Releases(clock, self.viewer_connections, self.count)
+        self.releases = Releases(clock, self.count)
         self.handover = Handover()
         self.setup_count = 0
         self.description_chars = 0  # characters in the descriptions of open and queued set-ups
@@ -251,6 +252,7 @@
 
         Never waits, so that what arrives next on the connection, such as a release, is still read.
         """
+        self.releases.evidence_found(request.connection, ViewerEvidence.REQUEST)
         earlier = self.queued_requests.get(request.session_id)
         if earlier is not None and not earlier.withdrawn:
             self._reject_duplicate(request, earlier.connection)
@@ -352,6 +354,7 @@
             return
         session.pool, session.began_at = pool, now
         connection.session_count += 1
+        self.releases.evidence_found(connection, ViewerEvidence.SESSION)
         self.sessions[session.id] = self.sessions_by_playback[session.playback] = session
         pool.playing_sessions[session] = None
         self.controller.on_handed_over(session.playback, pool.node, now)
@@ -375,6 +378,7 @@
                 queued.withdrawn = True
             return
         if session.playback.state is PlaybackState.PLAYING:
+            self.releases.evidence_found(connection, ViewerEvidence.SESSION)
             self.controller.on_viewer_left(session.playback, self.clock.now())
             if session.pool is not None:
                 session.pool.send_message("close", session.id, {}, cause_codes.CANCELLED)
@@ -385,9 +389,9 @@
         elif session.viewer is connection:
             self._cancel_setup(session)
 
-    def release_confirmed(self, session_id: str) -> None:
+    def release_confirmed(self, connection: ViewerConnection, session_id: str) -> None:
         """Stops resending a release that a viewer has confirmed."""
-        self.releases.confirmed(session_id)
+        self.releases.confirmed(connection, session_id)
 
     def _end_unconfirmed_close(self, session: PlaybackSession) -> None:
         """Ends a playback that its viewer has ended and whose end the node has not confirmed in time."""
@@ -428,6 +432,7 @@
     def _handle_connection_closed(self, connection: ViewerConnection) -> None:
         """Cancels the set-ups of a closed connection, and answers them in case the peer has only half-closed it."""
         self.viewer_connections.pop(connection, None)
+        self.releases.connection_closed(connection)
         for request in connection.queued_requests.values():
             if not request.playing_node:  # a playback that plays already is not tied to a connection
                 request.withdrawn = True
@@ -555,8 +560,8 @@
         pool.playing_sessions[session] = None
         if session.viewer is not None:
             session.viewer.open_setups.pop(session.id, None)
-            session.viewer.has_served = True
             session.viewer.session_count += 1
+            self.releases.evidence_found(session.viewer, ViewerEvidence.SESSION)
             session.viewer.write(answer)
         self.controller.on_playing(session.playback, now)
 
--- a/oakcroft/platform/viewer_connection.py
+++ b/oakcroft/platform/viewer_connection.py
@@ -40,7 +40,6 @@
         self.written_at: int | None = None
         self.has_sent_message = False
         self.session_count = 0  # playing sessions whose set-up came on it
-        self.has_served = False  # a set-up that came on it became a session
         self.has_peer_left = False  # the peer has closed or reset it
         self.wait_scope = trio.CancelScope()
 
--- a/oakcroft/platform/viewers.py
+++ b/oakcroft/platform/viewers.py
@@ -50,7 +50,7 @@
     def release_received(self, connection: ViewerConnection, session_id: str) -> None:
         """A viewer cancels a set-up or ends a playback."""
 
-    def release_confirmed(self, session_id: str) -> None:
+    def release_confirmed(self, connection: ViewerConnection, session_id: str) -> None:
         """A viewer's side confirms that it has received a release."""
 
     def request_received(self, request: SetupRequest) -> None:
@@ -82,7 +82,7 @@
         )
         self.max_retry_after_ns = settings.max_retry_after_ns
         self.connections: dict[ViewerConnection, None] = {}
-        self.idle_connections = IdleConnections(self.connections, clock)
+        self.idle_connections = IdleConnections(self.connections, max_connections, clock)
         self.was_health_checked = False
         self.is_ready = False
         self.is_accepting = True
@@ -214,7 +214,7 @@
         elif kind == framing.RELEASE:
             coordinator.release_received(connection, session_id)
         elif kind == framing.RELEASE_CONFIRMED:
-            coordinator.release_confirmed(session_id)
+            coordinator.release_confirmed(connection, session_id)
         elif kind == framing.SET_UP:
             self._handle_setup(connection, session_id, parameters)
 
