Owe the release of a playback that is handed over in vain to any connection from viewers

Callers saw: after a restart of a front end a viewer hands its playback over, its connection closes while the handover waits in the inbox, and the playback cannot go on (its node is unknown or gone, or a limit is reached): the viewer is never told, and takes it for playing. Cause: `_accept_handed_over` and `_reject_at_capacity` wrote the release to the connection of the handover only, though what ends a playback belongs to no connection. Change: such a release goes through `Releases`, so it is owed until confirmed; it is not sent where the viewer itself has ended the playback meanwhile. Evidence: both cases of test_a_playback_handed_over_in_vain_is_released_on_another_connection fail on the text before, which holds the handover in the inbox, and pass.

--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -269,14 +269,23 @@
     def _reject_at_capacity(self, request: SetupRequest) -> None:
         """Rejects a request because a limit is reached."""
         self.count("turned away", "no place")
+        retry_after_ns = self.configuration.deployment_settings.max_retry_after_ns
+        if request.playing_node:
+            self._reject_handover(request, retry_after_ns)
+            return
         request.connection.write(
-            framing.encode_release(
-                request.session_id,
-                cause_codes.FAILED if request.playing_node else cause_codes.REJECTED,
-                self.configuration.deployment_settings.max_retry_after_ns,
-            )
+            framing.encode_release(request.session_id, cause_codes.REJECTED, retry_after_ns)
         )
 
+    def _reject_handover(self, request: SetupRequest, retry_after_ns: int = 0) -> None:
+        """Releases a playback that is handed over but cannot go on here, unless its viewer has ended it meanwhile.
+
+        Its viewer takes it for playing, so the release is owed even if the connection of the handover has closed.
+        """
+        if not request.withdrawn:
+            message = framing.encode_release(request.session_id, cause_codes.FAILED, retry_after_ns)
+            self.releases.send(request.session_id, message, request.connection)
+
     def _remove_from_queue(self, request: SetupRequest) -> None:
         """Removes a request from the tables of queued requests, unless a later one has taken its id."""
         self.description_chars -= len(request.description)
@@ -315,7 +324,7 @@
             request.connection,
         )
         if request.playing_node:
-            self._accept_handed_over(session, request.connection, request.playing_node, now)
+            self._accept_handed_over(session, request, now)
             if request.withdrawn:
                 self._handle_release(request.connection, request.session_id)
             return
@@ -343,18 +352,16 @@
         else:
             request.connection.write(framing.encode_release(request.session_id, cause_codes.FAILED))
 
-    def _accept_handed_over(
-        self, session: PlaybackSession, connection: ViewerEndpoint, node_name: str, now: int
-    ) -> None:
+    def _accept_handed_over(self, session: PlaybackSession, request: SetupRequest, now: int) -> None:
         """Accepts a playback that plays already, without an answer; if that fails, its viewer gets a release."""
-        pool = self.pools.get(node_name)
+        pool = self.pools.get(request.playing_node)
         if pool is None or pool.is_removed or self.handover.is_over(now):
             self.count("handed over in vain")
-            connection.write(framing.encode_release(session.id, cause_codes.FAILED))
+            self._reject_handover(request)
             return
         session.pool, session.began_at = pool, now
-        connection.session_count += 1
-        self.releases.evidence_found(connection, ViewerEvidence.SESSION)
+        request.connection.session_count += 1
+        self.releases.evidence_found(request.connection, ViewerEvidence.SESSION)
         self.sessions[session.id] = self.sessions_by_playback[session.playback] = session
         pool.playing_sessions[session] = None
         self.controller.on_handed_over(session.playback, pool.node, now)
--- a/tests/test_platform_viewer_leaving.py
+++ b/tests/test_platform_viewer_leaving.py
@@ -265,3 +265,23 @@
         assert not rig.nodes[0].received_messages("close")
 
     run_on_platform(test)
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_playback_handed_over_in_vain_is_released_on_another_connection(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a release that is written to the connection of the handover only, which has closed by then."""
+    coordinator_gate = gate_coordinator(monkeypatch)
+
+    async def test(rig: PlatformRig) -> None:
+        viewer, other = await rig.viewer(), await rig.viewer()
+        coordinator_gate.close()
+        await viewer.send_setup(A, at="unknown", wait="0")
+        await wait_until(lambda: A in rig.coordinator.queued_requests)
+        viewer.leave(how)
+        await wait_until(lambda: len(rig.coordinator.viewer_connections) == 1)
+        coordinator_gate.open()
+        assert (await other.receive() or ())[:3] == (framing.RELEASE, A, FAILED)
+
+    run_on_platform(test)
