Ignore the second handover of a playback whose first one waits in the inbox

Callers saw: a viewer whose connection has closed hands its playback over again on another one; if the first handover still waits in the inbox, the second is answered with a release, so the viewer ends a playback that goes on at its node. Cause: `request_received` rejects each id that waits in the inbox as used twice, though PROTOCOL lets a set-up with `at` name what the front end already holds. Change: a handover behind a waiting handover of the same id is ignored, as it already was once the first had been handled. Evidence: test_a_playback_handed_over_twice_at_once_plays_on fails on the text before and passes.

--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -255,7 +255,8 @@
         self.releases.evidence_found(request.connection, ViewerEvidence.REQUEST)
         earlier = self.queued_requests.get(request.session_id)
         if earlier is not None and not earlier.withdrawn:
-            self._reject_duplicate(request, earlier.connection)
+            if not (request.playing_node and earlier.playing_node):
+                self._reject_duplicate(request, earlier.connection)
             return
         try:
             self.event_sender.send_nowait(partial(self._process_request, request))
--- a/tests/test_platform_viewer_leaving.py
+++ b/tests/test_platform_viewer_leaving.py
@@ -285,3 +285,20 @@
         assert (await other.receive() or ())[:3] == (framing.RELEASE, A, FAILED)
 
     run_on_platform(test)
+
+
+def test_a_playback_handed_over_twice_at_once_plays_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a release for the second handover, sent while the first still waits in the inbox."""
+    coordinator_gate = gate_coordinator(monkeypatch)
+
+    async def test(rig: PlatformRig) -> None:
+        viewer, other = await rig.viewer(), await rig.viewer()
+        coordinator_gate.close()
+        for connection in (viewer, other):
+            await connection.send_setup(A, at="n0", wait="0")
+            await connection.send(framing.TEST, C, 0)
+            assert (await connection.receive() or ())[:2] == (framing.TESTED, C)  # and no release before it
+        coordinator_gate.open()
+        await wait_until(lambda: A in rig.coordinator.sessions)
+
+    run_on_platform(test)
