Repeat the close of a playback whose connection to the node has ended unconfirmed

Callers saw: a viewer ends its playback, the close is written to a connection that the node resets or closes at that moment, and the playback goes on at its node until its own end, holding its seat. Cause: `send_message` takes a write for a delivery; two seconds later the front end forgets the playback, confirmed or not. Change: when a connection to a node ends, the closes that the node has not confirmed are sent again on another connection, or on the one that is opened next. A repeated close costs a line, since a node ignores sessions that it does not have. Evidence: test_a_close_lost_with_its_connection_is_sent_on_another fails on the text before and passes; the node takes the close from no connection but the second.

--- a/oakcroft/platform/node_pool.py
+++ b/oakcroft/platform/node_pool.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from oakcroft.interface import MS, SECOND, NodeStatus, Node, Outcome
+from oakcroft.interface import MS, SECOND, NodeStatus, Node, Outcome, PlaybackState
 from oakcroft.platform.connection import connect
 from oakcroft.platform.node_connection import NodeConnection
 from oakcroft.platform.playback_session import PlaybackSession
@@ -206,9 +206,19 @@
         for connection in self.connections:
             if connection.is_open and not connection.is_at_end() and connection.write(message):
                 return
+        self._queue_for_new_connection(message)
+
+    def _queue_for_new_connection(self, message: bytes) -> None:
+        """Keeps a message for the next connection, and opens one if it may be."""
         self.unsent_messages.append(message)
         self.maintain(self.clock.now())
 
+    def _repeat_closes(self) -> None:
+        """Sends the closes again that the node has not confirmed, as a connection that has ended may have had them."""
+        for session in self.playing_sessions:
+            if session.playback.state is PlaybackState.VIEWER_LEFT:
+                self.send_message("close", session.id, {}, cause_codes.CANCELLED)
+
     def _open_connection(self, min_idle_ns: int = 0) -> None:
         """Starts a connect.
 
@@ -304,6 +314,7 @@
             self.needs_resync = True
         self._discard_connection(connection)
         if self.playing_sessions:
+            self._repeat_closes()
             self.maintain(self.clock.now())
 
     def _discard_connection(self, connection: NodeConnection) -> None:
--- a/tests/test_platform_node_connections.py
+++ b/tests/test_platform_node_connections.py
@@ -5,11 +5,13 @@
 from functools import partial
 
 import pytest
+import trio
 from platform_gates import (
     gate_connects,
     setup_count,
 )
 from platform_rig import A, B, C, PlatformRig, run_on_platform
+from platform_stubs import StubNode, StubViewer
 from rig import wait_until
 
 from oakcroft.interface import MS, PlaybackState
@@ -173,3 +175,34 @@
         assert all(node.received_messages("open") for node in rig.nodes)
 
     run_on_platform(test)
+
+
+async def playing_session(rig: PlatformRig) -> tuple[StubViewer, StubNode]:
+    """Returns the viewer of a playing session, and the node that it plays on."""
+    viewer = await rig.viewer()
+    await viewer.send_setup(A)
+    assert (await viewer.receive() or (0,))[0] == framing.ANSWER
+    return viewer, next(node for node in rig.nodes if node.received_messages("open", A))
+
+
+async def release_towards_dead_connection(viewer: StubViewer, node: StubNode) -> None:
+    """Lets a viewer end its session, whose close the node does not take from its connection; others are read."""
+    never = node.may_read = trio.Event()
+    await viewer.send(framing.RELEASE, A)
+    await wait_until(lambda: never.statistics().tasks_waiting)  # the close has arrived
+    node.may_read = trio.Event()
+    node.may_read.set()
+
+
+def test_a_close_lost_with_its_connection_is_sent_on_another() -> None:
+    """Guards against a playback that goes on at its node since the viewer's release was written to a dying connection."""
+
+    async def test(rig: PlatformRig) -> None:
+        viewer, node = await playing_session(rig)
+        await release_towards_dead_connection(viewer, node)
+        await trio.aclose_forcefully(node.streams[0])
+        await wait_until(lambda: node.received_messages("close", A))
+        await node.send(node.streams[-1], msg="close", sid=A, attrs={}, code=31)
+        await wait_until(lambda: not rig.coordinator.sessions)
+
+    run_on_platform(test)
