Send the close of a playback again on a new connection if its node does not confirm it

Callers saw: a viewer ends its playback, the close is written to a connection that is open here and dead at the other end (a cut-off machine, or a connection on which a spoilt answer was left), and the playback goes on at its node. Change: a close that is not confirmed within 1 s goes on a new connection as well, and waits for the next one if that cannot be opened. It was given up after 2 s, and the playback is still taken as over then. Evidence: test_a_close_that_the_node_does_not_confirm_is_sent_again_on_a_new_connection fails on the text before and passes.

--- a/oakcroft/platform/node_pool.py
+++ b/oakcroft/platform/node_pool.py
@@ -208,6 +208,13 @@
                 return
         self._queue_for_new_connection(message)
 
+    def send_on_new_connection(
+        self, kind: str, session_id: str, attributes: json_lines.Attributes, code: int | None = None
+    ) -> None:
+        """Sends a message about a playback on the next connection, which is opened now if there is room."""
+        self.needs_resync = True
+        self._queue_for_new_connection(json_lines.encode(kind, session_id, attributes, code))
+
     def _queue_for_new_connection(self, message: bytes) -> None:
         """Keeps a message for the next connection, and opens one if it may be."""
         self.unsent_messages.append(message)
--- a/oakcroft/platform/playback_session.py
+++ b/oakcroft/platform/playback_session.py
@@ -72,6 +72,11 @@
     ) -> None:
         """Sends a message about a playback."""
 
+    def send_on_new_connection(
+        self, kind: str, session_id: str, attributes: json_lines.Attributes, code: int | None = None
+    ) -> None:
+        """Sends a message about a playback on the next connection, which is opened now if there is room."""
+
     def maintain(self, now: int) -> None:
         """Keeps a connection open while sessions play there."""
 
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -61,6 +61,7 @@
 MAX_LOGGED_ENTRIES = 6  # of a list change
 MAINTENANCE_INTERVAL_S = 0.1
 MAINTENANCE_ROUNDS_PER_LOG = 50
+CLOSE_RESEND_DELAY_NS = SECOND  # after which a close that its node has not confirmed is sent again
 CLOSE_CONFIRMATION_TIMEOUT_NS = 2 * SECOND  # for a node to confirm a close
 NO_CAUSE = -1  # used for a close without a cause
 NO_RELEASE = 0  # used instead of a cause where no release is sent
@@ -388,12 +389,7 @@
         if session.playback.state is PlaybackState.PLAYING:
             self.releases.evidence_found(connection, ViewerEvidence.SESSION)
             self.controller.on_viewer_left(session.playback, self.clock.now())
-            if session.pool is not None:
-                session.pool.send_message("close", session.id, {}, cause_codes.CANCELLED)
-            self.timers.schedule(
-                self.clock.now() + CLOSE_CONFIRMATION_TIMEOUT_NS,
-                partial(self._end_unconfirmed_close, session),
-            )
+            self._close_at_node(session)
         elif session.viewer is connection:
             self._cancel_setup(session)
 
@@ -401,6 +397,25 @@
         """Stops resending a release that a viewer has confirmed."""
         self.releases.confirmed(connection, session_id)
 
+    def _close_at_node(self, session: PlaybackSession) -> None:
+        """Tells the node that a viewer has ended its playback, and again if the node does not confirm that."""
+        now = self.clock.now()
+        if session.pool is not None:
+            session.pool.send_message("close", session.id, {}, cause_codes.CANCELLED)
+        self.timers.schedule(now + CLOSE_RESEND_DELAY_NS, partial(self._resend_close, session))
+        self.timers.schedule(
+            now + CLOSE_CONFIRMATION_TIMEOUT_NS, partial(self._end_unconfirmed_close, session)
+        )
+
+    def _resend_close(self, session: PlaybackSession) -> None:
+        """Sends a close that its node has not confirmed again, on a new connection.
+
+        The first one may have gone to a connection that is open here and dead at the other end.
+        """
+        if session.playback.state is PlaybackState.VIEWER_LEFT and session.pool is not None:
+            self.count("close sent again")
+            session.pool.send_on_new_connection("close", session.id, {}, cause_codes.CANCELLED)
+
     def _end_unconfirmed_close(self, session: PlaybackSession) -> None:
         """Ends a playback that its viewer has ended and whose end the node has not confirmed in time."""
         if session.playback.state is PlaybackState.VIEWER_LEFT:
--- a/tests/test_platform_node_connections.py
+++ b/tests/test_platform_node_connections.py
@@ -206,3 +206,17 @@
         await wait_until(lambda: not rig.coordinator.sessions)
 
     run_on_platform(test)
+
+
+def test_a_close_that_the_node_does_not_confirm_is_sent_again_on_a_new_connection() -> None:
+    """Guards against a playback that goes on at its node since the connection of the close was dead at the other end."""
+
+    async def test(rig: PlatformRig) -> None:
+        viewer, node = await playing_session(rig)
+        await release_towards_dead_connection(viewer, node)
+        await wait_until(lambda: node.received_messages("close", A))
+        await node.send(node.streams[-1], msg="close", sid=A, attrs={}, code=31)
+        await wait_until(lambda: not rig.coordinator.sessions)
+        assert len(node.received_messages("close", A)) == 1
+
+    run_on_platform(test)
