Close a playback at its node if its answer never left for the viewer

Callers saw: a viewer that reads slowly loses its connection while the answer to its set-up is still in this process, and asks again; the playback of the first set-up goes on at its node with no viewer, and holds its seat until its own end. Cause: `_setup_answered` ignored that the write had failed, as the buffer was over its limit; and a connection that ended took its buffered answers with it, while what plays was taken to go on without a connection. Change: an answer whose write fails cancels the set-up, as for a viewer that has left; playbacks whose answer has not left in whole when the connection ends are ended like those that their viewers release.

--- a/oakcroft/decisions/sessions/release_delivery.py
+++ b/oakcroft/decisions/sessions/release_delivery.py
@@ -100,11 +100,6 @@
         """Number of releases without a connection to try."""
         return len(self._waiting) + len(self._waiting_for_evidence)
 
-    @property
-    def outstanding_count(self) -> int:
-        """Number of releases that were sent on a connection and whose confirmation is awaited."""
-        return len(self.owed) - self.waiting_count
-
     def evidence_of(self, connection: ConnectionT) -> ViewerEvidence:
         """Returns what a connection has shown."""
         return self._evidence.get(connection, ViewerEvidence.NONE)
--- a/oakcroft/platform/playback_session.py
+++ b/oakcroft/platform/playback_session.py
@@ -25,6 +25,9 @@
     def write(self, data: bytes) -> bool:
         """Sends or buffers data; returns whether the connection is still usable."""
 
+    def write_answer(self, session_id: str, answer: bytes) -> bool:
+        """Sends or buffers the answer that makes a session play; returns whether the connection is usable."""
+
     def is_at_end(self) -> bool:
         """Whether the peer has closed it and everything received has been read."""
 
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -456,6 +456,8 @@
         """Cancels the set-ups of a closed connection, and answers them in case the peer has only half-closed it."""
         self.viewer_connections.pop(connection, None)
         self.releases.connection_closed(connection)
+        for session_id in connection.unsent_answers:  # their viewers know of no playback
+            self._handle_release(connection, session_id)
         for request in connection.queued_requests.values():
             if not request.playing_node:  # a playback that plays already is not tied to a connection
                 request.withdrawn = True
@@ -577,6 +579,10 @@
             pool.cancel_setup(session)
             self.try_ended(session, Outcome.ERROR, None)
             return
+        if session.viewer is not None and not session.viewer.write_answer(session.id, answer):
+            self.count("try", "viewer gone")
+            self._cancel_setup(session)
+            return
         pool.setup_finished(session)
         session.began_at = now
         self._setup_finished(session)
@@ -585,7 +591,6 @@
             session.viewer.open_setups.pop(session.id, None)
             session.viewer.session_count += 1
             self.releases.evidence_found(session.viewer, ViewerEvidence.SESSION)
-            session.viewer.write(answer)
         self.controller.on_playing(session.playback, now)
 
     def _apply_note(self, session: PlaybackSession, attributes: json_lines.Attributes, now: int) -> None:
--- a/oakcroft/platform/viewer_connection.py
+++ b/oakcroft/platform/viewer_connection.py
@@ -42,6 +42,8 @@
         self.session_count = 0  # playing sessions whose set-up came on it
         self.has_peer_left = False  # the peer has closed or reset it
         self.wait_scope = trio.CancelScope()
+        # Ends of the answers that were not sent at once, by session id, as `queued_bytes` counts.
+        self._answer_ends: dict[str, int] = {}
 
     def receive_available(self) -> bool:
         """Receives what the socket holds, without waiting; returns whether there was anything.
@@ -87,6 +89,19 @@
             for kind, other_id in self.frames.pending_messages()
         )
 
+    def write_answer(self, session_id: str, answer: bytes) -> bool:
+        """Sends or buffers the answer that makes a session play; returns whether the connection is usable."""
+        is_usable = self.write(answer)
+        self._answer_ends = {other: end for other, end in self._answer_ends.items() if end > self.sent_bytes}
+        if self.send_buffer:
+            self._answer_ends[session_id] = self.queued_bytes
+        return is_usable
+
+    @property
+    def unsent_answers(self) -> list[str]:
+        """The sessions whose answer the peer cannot have received in whole, as it is still buffered or was dropped."""
+        return [session_id for session_id, end in self._answer_ends.items() if end > self.sent_bytes]
+
     @property
     def is_idle(self) -> bool:
         """Whether no set-up is open or queued on it."""
--- a/tests/test_platform_viewer_leaving.py
+++ b/tests/test_platform_viewer_leaving.py
@@ -18,7 +18,7 @@
     setup_count,
 )
 from platform_rig import FAILED, REJECTED, A, B, C, PlatformRig, run_on_platform
-from platform_stubs import StubNode
+from platform_stubs import StubNode, StubViewer
 from rig import wait_until
 
 from oakcroft.interface import NodeStatus, PlaybackState
@@ -302,3 +302,41 @@
         await wait_until(lambda: A in rig.coordinator.sessions)
 
     run_on_platform(test)
+
+
+async def viewer_with_full_connection(rig: PlatformRig, room: int) -> tuple[StubViewer, StubNode]:
+    """Returns a viewer that does not read, whose set-up waits for the node's answer, and the node.
+
+    Its connection takes at most `room` bytes more.
+    """
+    viewer = await rig.viewer()
+    for node in rig.nodes:
+        node.script = ["silence"]
+    await viewer.send_setup(A, "paid")
+    await wait_until(lambda: setup_count(rig))
+    connection = next(iter(rig.coordinator.viewer_connections))
+    padding = framing.encode(framing.PROGRESS, C, (framing.TEXT, b"x" * 1_000))
+    await fill_send_buffer(connection, padding)
+    while len(connection.send_buffer) < connection.max_buffered_bytes - room:
+        connection.send_buffer += b"x"
+        connection.queued_bytes += 1
+    return viewer, next(node for node in rig.nodes if node.received_messages("open"))
+
+
+@pytest.mark.parametrize("room", [10, 4_000], ids=["dropped", "buffered"])
+def test_a_playback_whose_answer_never_left_is_closed_at_its_node(room: int) -> None:
+    """Guards against a playback that no viewer knows of, as its answer was still here when the connection ended."""
+
+    async def test(rig: PlatformRig) -> None:
+        viewer, node = await viewer_with_full_connection(rig, room)
+        await node.send(node.streams[-1], msg="ready", sid=A, attrs={}, text="answer")
+        is_buffered = room > len("answer") + framing.LENGTH_BYTES + framing.MIN_MESSAGE_LENGTH
+        if is_buffered:
+            await wait_until(lambda: rig.coordinator.sessions[A].began_at)
+            viewer.leave("reset")
+        await wait_until(lambda: node.received_messages("close", A))
+        await node.send(node.streams[-1], msg="close", sid=A, attrs={}, code=31)
+        await wait_until(lambda: not rig.coordinator.sessions)
+        assert has_no_open_setups(rig)
+
+    run_on_platform(test)
--- a/tests/test_release_delivery.py
+++ b/tests/test_release_delivery.py
@@ -129,9 +129,9 @@
     release = delivery.add("a", b"", own, NOW)
     assert sent_to(delivery, release, NOW) is own
     assert delivery.take_overdue(NOW + RELEASE_LIFETIME_NS) == []
-    assert delivery.outstanding_count == 1
+    assert delivery.waiting_count == 0
     assert delivery.connection_closed(own) == [release]
-    assert delivery.outstanding_count == 0
+    assert delivery.waiting_count == 1
     assert sent_to(delivery, release, NOW) is other
 
 
