Let a third of any number of descriptors fit into the share of connections with sessions

Cause: two thirds of the places were rounded down; with 255 descriptors viewers may hold 85 connections and the share was 84, so one connection with sessions could be closed for newcomers. Change: a third of the places, rounded down, is for newcomers, and the rest for connections with sessions. Evidence: test_all_connections_that_viewers_may_hold_fit_into_the_share_of_those_with_sessions, whose case of 255 descriptors gives 1 on the text before.

--- a/oakcroft/decisions/admission/eviction.py
+++ b/oakcroft/decisions/admission/eviction.py
@@ -15,12 +15,11 @@
 FIRST_REQUEST_EXPECTED_NS = 500 * MS
 """Time within which a client that connects sends its first request: several round trips between distant regions."""
 
-PROTECTED_PLACES_NUMERATOR = 2
-PROTECTED_PLACES_DENOMINATOR = 3
-"""Share of the places for connections that those with sessions may hold before newcomers come first.
+NEWCOMERS_SHARE_DIVISOR = 3
+"""A third of the places for connections is for newcomers, and the rest for connections with sessions.
 
 Viewers hold a third of the descriptors at most, and half of the descriptors are places, so all of their connections
-fit into this share; the rest is for newcomers.
+fit into that rest.
 """
 
 
@@ -30,12 +29,12 @@
     NO_REQUEST = 0  # no request since it connected, for longer than a first request takes
     ANSWERED = 1  # all its requests are answered, and none of them plays
     EXCESS_SESSIONS = (
-        2  # like `HAS_SESSIONS`, while such connections hold more than their share of the places
+        2  # has sessions, and connections with sessions hold more than their share of the places
     )
     NEW = 3  # its first request may be on its way
     PARTIAL_REQUEST = 4  # part of a request has arrived
     UNSENT_ANSWER = 5  # part of an answer waits for the peer to read
-    HAS_SESSIONS = 6  # sessions set up on it are live, and their ends are sent on it; it is not closed
+    HAS_SESSIONS = 6  # sessions set up on it are live, and their ends are sent on it; never closed
 
 
 @dataclass(frozen=True)
@@ -57,7 +56,7 @@
 
 def excess_session_connections(connection_count: int, max_connections: int) -> int:
     """Returns by how many the connections with sessions exceed their share of `max_connections` places."""
-    share = max_connections * PROTECTED_PLACES_NUMERATOR // PROTECTED_PLACES_DENOMINATOR
+    share = max_connections - max_connections // NEWCOMERS_SHARE_DIVISOR
     return max(0, connection_count - share)
 
 
--- a/tests/test_connection_selection.py
+++ b/tests/test_connection_selection.py
@@ -137,6 +137,14 @@
     assert evict(idle) is None
 
 
+@pytest.mark.parametrize("descriptors", [64, 255, 256, 1_024])
+def test_all_connections_that_viewers_may_hold_fit_into_the_share_of_those_with_sessions(
+    descriptors: int,
+) -> None:
+    """Viewers hold a third of the descriptors at most, and places are half of them."""
+    assert excess_session_connections(descriptors // 3, descriptors // 2) == 0
+
+
 def test_connections_with_sessions_over_their_share_are_evicted_before_newcomers() -> None:
     """Guards against connections with sessions that leave no place for newcomers; the longest idle go first."""
     playing = [FakeConnection(since, sessions=1) for since in range(8)]
