Move viewers' waiting requests out of the session coordinator

Change: platform/request_queue.py queues, withdraws and rejects requests; the coordinator passes them on. The rejection of a set-up, written three times, stands once. Tests name the new table; no check is changed.

--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -40,6 +40,7 @@
 from oakcroft.platform.node_connection import NodeConnection
 from oakcroft.platform.node_pool import NodePool
 from oakcroft.platform.releases import Releases
+from oakcroft.platform.request_queue import RequestQueue
 from oakcroft.platform.playback_session import SetupRequest, PlaybackSession, ViewerEndpoint
 from oakcroft.platform.viewer_connection import ViewerConnection
 from oakcroft.platformwire import cause_codes, command_channel, framing, json_lines
@@ -95,10 +96,16 @@
         self.releases = Releases(clock, self.count)
         self.handover = Handover()
         self.setup_count = 0
-        self.description_chars = 0  # characters in the descriptions of open and queued set-ups
+        self.open_description_chars = 0  # characters in the descriptions of open set-ups
         self.max_description_chars = configuration.memory_bytes // DESCRIPTION_MEMORY_DIVISOR
         self.counts: dict[str, int] = {}
-        self.queued_requests: dict[str, SetupRequest] = {}  # by session id; they wait in the inbox
+        self.request_queue = RequestQueue(
+            self.event_sender.send_nowait,
+            self._process_request,
+            self.releases,
+            configuration.deployment_settings.max_retry_after_ns,
+            self.count,
+        )
         # Ids whose set-up was sent and must not be repeated, the oldest first.
         self.non_repeatable_ids = OrderedDict[str, None]()
         # Both are set by the stop signal.
@@ -122,6 +129,11 @@
             self._log_mode,
         )
 
+    @property
+    def description_chars(self) -> int:
+        """Characters in the descriptions of open and queued set-ups."""
+        return self.open_description_chars + self.request_queue.description_chars
+
     @property
     def unsent_count(self) -> int:
         """Number of nodes with messages that wait for a connection or for the node to read."""
@@ -249,71 +261,27 @@
         self.releases.connection_opened(connection)
 
     def request_received(self, request: SetupRequest) -> None:
-        """Queues a set-up request in the inbox, or rejects it at once if the inbox is full.
+        """Queues a set-up request, or rejects it at once if the inbox is full.
 
         Never waits, so that what arrives next on the connection, such as a release, is still read.
         """
-        self.releases.evidence_found(request.connection, ViewerEvidence.REQUEST)
-        earlier = self.queued_requests.get(request.session_id)
-        if earlier is not None and not earlier.withdrawn:
-            if not (request.playing_node and earlier.playing_node):
-                self._reject_duplicate(request, earlier.connection)
-            return
-        try:
-            self.event_sender.send_nowait(partial(self._process_request, request))
-        except trio.WouldBlock:
-            self._reject_at_capacity(request)
-            return
-        self.queued_requests[request.session_id] = request
-        request.connection.queued_requests[request.session_id] = request
-        self.description_chars += len(request.description)
-
-    def _reject_at_capacity(self, request: SetupRequest) -> None:
-        """Rejects a request because a limit is reached."""
-        self.count("turned away", "no place")
-        retry_after_ns = self.configuration.deployment_settings.max_retry_after_ns
-        if request.playing_node:
-            self._reject_handover(request, retry_after_ns)
-            return
-        request.connection.write(
-            framing.encode_release(request.session_id, cause_codes.REJECTED, retry_after_ns)
-        )
-
-    def _reject_handover(self, request: SetupRequest, retry_after_ns: int = 0) -> None:
-        """Releases a playback that is handed over but cannot go on here, unless its viewer has ended it meanwhile.
-
-        Its viewer takes it for playing, so the release is owed even if the connection of the handover has closed.
-        """
-        if not request.withdrawn:
-            message = framing.encode_release(request.session_id, cause_codes.FAILED, retry_after_ns)
-            self.releases.send(request.session_id, message, request.connection)
-
-    def _remove_from_queue(self, request: SetupRequest) -> None:
-        """Removes a request from the tables of queued requests, unless a later one has taken its id."""
-        self.description_chars -= len(request.description)
-        if self.queued_requests.get(request.session_id) is request:
-            del self.queued_requests[request.session_id]
-        if request.connection.queued_requests.get(request.session_id) is request:
-            del request.connection.queued_requests[request.session_id]
+        self.request_queue.add(request)
 
     def _process_request(self, request: SetupRequest) -> None:
         """Processes a request that has reached the head of the inbox."""
-        self._remove_from_queue(request)
-        if request.withdrawn and not request.playing_node:
-            return
         now = self.clock.now()
         known_session = self.sessions.get(request.session_id)
         if known_session is not None:
             if not (request.playing_node and known_session.began_at):
-                self._reject_duplicate(request, known_session.viewer)
+                self.request_queue.reject_duplicate(request, known_session.viewer)
             return
         title = self.titles.get(request.title_name, request.home_cell, request.copies)
         plan = self.configuration.plans[request.plan_name]
         if title is None or not self._has_room_for(request):
-            self._reject_at_capacity(request)
+            self.request_queue.reject_at_capacity(request)
             return
         if request.session_id in self.non_repeatable_ids:
-            self._reject_duplicate(request, None)
+            self.request_queue.reject_duplicate(request, None)
             return
         margin_ns = response_margin(ANSWER_MARGIN_NS, self.lag_ns)
         deadline = request_deadline(request.written_at, request.wait_ns, [], margin_ns)
@@ -334,7 +302,7 @@
         self.sessions_by_playback[session.playback] = session
         request.connection.open_setups[request.session_id] = session
         self.setup_count += 1
-        self.description_chars += len(request.description)
+        self.open_description_chars += len(request.description)
         self.controller.on_request(session.playback, now)
 
     def _has_room_for(self, request: SetupRequest) -> bool:
@@ -345,21 +313,12 @@
             return True
         return self.setup_count < MAX_OPEN_SETUPS and request.written_at <= self.setups_close_at
 
-    def _reject_duplicate(self, request: SetupRequest, first_connection: ViewerEndpoint | None) -> None:
-        """Rejects a request whose id is already in use, without affecting the first request."""
-        self.count("id used twice")
-        if first_connection is request.connection:
-            # On this connection a release would pass for the answer to the first request.
-            request.connection.close()
-        else:
-            request.connection.write(framing.encode_release(request.session_id, cause_codes.FAILED))
-
     def _accept_handed_over(self, session: PlaybackSession, request: SetupRequest, now: int) -> None:
         """Accepts a playback that plays already, without an answer; if that fails, its viewer gets a release."""
         pool = self.pools.get(request.playing_node)
         if pool is None or pool.is_removed or self.handover.is_over(now):
             self.count("handed over in vain")
-            self._reject_handover(request)
+            self.request_queue.reject_handover(request)
             return
         session.pool, session.began_at = pool, now
         request.connection.session_count += 1
@@ -382,9 +341,7 @@
         """
         session = self.sessions.get(session_id)
         if session is None:
-            queued = self.queued_requests.get(session_id)
-            if queued is not None and (queued.connection is connection or queued.playing_node):
-                queued.withdrawn = True
+            self.request_queue.withdraw(connection, session_id)
             return
         if session.playback.state is PlaybackState.PLAYING:
             self.releases.evidence_found(connection, ViewerEvidence.SESSION)
@@ -458,16 +415,7 @@
         self.releases.connection_closed(connection)
         for session_id in connection.unsent_answers:  # their viewers know of no playback
             self._handle_release(connection, session_id)
-        for request in connection.queued_requests.values():
-            if not request.playing_node:  # a playback that plays already is not tied to a connection
-                request.withdrawn = True
-                connection.write(
-                    framing.encode_release(
-                        request.session_id,
-                        cause_codes.REJECTED,
-                        self.configuration.deployment_settings.max_retry_after_ns,
-                    )
-                )
+        self.request_queue.withdraw_setups(connection)
         for session in list(connection.open_setups.values()):
             nothing_ran = not session.playback.tries
             retry_after_ns = self.configuration.deployment_settings.max_retry_after_ns if nothing_ran else 0
@@ -501,7 +449,7 @@
     def _setup_finished(self, session: PlaybackSession) -> None:
         """Frees the description and the timer of a set-up that has become a playback or has ended."""
         self.setup_count -= 1
-        self.description_chars -= len(session.description)
+        self.open_description_chars -= len(session.description)
         session.description = ""
         self.timers.cancel(session.timer_id)
 
--- a/oakcroft/platform/viewers.py
+++ b/oakcroft/platform/viewers.py
@@ -35,9 +35,12 @@
 
     configuration: Configuration
     pause_detector: PauseDetector
-    description_chars: int
     max_description_chars: int
 
+    @property
+    def description_chars(self) -> int:
+        """Characters in the descriptions of open and queued set-ups."""
+
     def connection_opened(self, connection: ViewerConnection) -> None:
         """A connection opened."""
 
--- a/tests/platform_gates.py
+++ b/tests/platform_gates.py
@@ -88,7 +88,10 @@
     """Returns whether no table holds anything of an open set-up."""
     coordinator = rig.coordinator
     connections = [connection for pool in coordinator.pools.values() for connection in pool.connections]
-    held: list[Any] = [coordinator.queued_requests, *(p.waiting_setups for p in coordinator.pools.values())]
+    held: list[Any] = [
+        coordinator.request_queue.requests,
+        *(p.waiting_setups for p in coordinator.pools.values()),
+    ]
     held += [
         [session for session in coordinator.sessions.values() if not session.began_at],
         [session for session in coordinator.sessions_by_playback.values() if not session.began_at],
--- a/tests/test_platform_shutdown.py
+++ b/tests/test_platform_shutdown.py
@@ -48,7 +48,7 @@
             viewer = StubViewer(stream, rig.facts, rig.answered_ids)
         else:
             viewer.send_setup_now(A)
-            await wait_until(lambda: where == "socket" or A in rig.coordinator.queued_requests)
+            await wait_until(lambda: where == "socket" or A in rig.coordinator.request_queue.requests)
             rig.stop.set()
             with trio.move_on_after(0.5):  # the front end must not exit meanwhile
                 await rig.ended.wait()
--- a/tests/test_platform_viewer_leaving.py
+++ b/tests/test_platform_viewer_leaving.py
@@ -62,14 +62,16 @@
         for _ in range(1_000):
             rig.coordinator.event_sender.send_nowait(lambda: None)
         await viewer.send_setup(A, "paid")
-        await wait_until(lambda: A in rig.coordinator.queued_requests)
+        await wait_until(lambda: A in rig.coordinator.request_queue.requests)
         if not leaving_is_read:
             reader_gate.close()
         viewer.leave(how, A)
         if leaving_is_read:
-            await wait_until(lambda: rig.coordinator.queued_requests[A].withdrawn)
+            await wait_until(lambda: rig.coordinator.request_queue.requests[A].withdrawn)
         coordinator_gate.open()
-        await wait_until(lambda: not rig.coordinator.queued_requests and not rig.coordinator.setup_count)
+        await wait_until(
+            lambda: not rig.coordinator.request_queue.requests and not rig.coordinator.setup_count
+        )
         reader_gate.open()
         await check_cleaned_up(rig)
         assert setup_count(rig) == 0
@@ -211,7 +213,10 @@
         viewer.send_setup_now(A, at="n0", wait="0")
         viewer.leave("release", A)
         await wait_until(
-            lambda: A in rig.coordinator.queued_requests and rig.coordinator.queued_requests[A].withdrawn
+            lambda: (
+                A in rig.coordinator.request_queue.requests
+                and rig.coordinator.request_queue.requests[A].withdrawn
+            )
         )
         coordinator_gate.open()
         await wait_until(lambda: rig.nodes[0].received_messages("close", A))
@@ -256,7 +261,7 @@
         viewer = await rig.viewer()
         coordinator_gate.close()
         await viewer.send_setup(A, at="n0", wait="0")
-        await wait_until(lambda: A in rig.coordinator.queued_requests)
+        await wait_until(lambda: A in rig.coordinator.request_queue.requests)
         viewer.leave(how)
         await wait_until(lambda: not rig.coordinator.viewer_connections)
         coordinator_gate.open()
@@ -278,7 +283,7 @@
         viewer, other = await rig.viewer(), await rig.viewer()
         coordinator_gate.close()
         await viewer.send_setup(A, at="unknown", wait="0")
-        await wait_until(lambda: A in rig.coordinator.queued_requests)
+        await wait_until(lambda: A in rig.coordinator.request_queue.requests)
         viewer.leave(how)
         await wait_until(lambda: len(rig.coordinator.viewer_connections) == 1)
         coordinator_gate.open()
