--- a/oakcroft/decisions/admission/eviction.py
+++ b/oakcroft/decisions/admission/eviction.py
@@ -28,9 +28,7 @@
 
     NO_REQUEST = 0  # no request since it connected, for longer than a first request takes
     ANSWERED = 1  # all its requests are answered, and none of them plays
-    EXCESS_SESSIONS = (
-        2  # has sessions, and connections with sessions hold more than their share of the places
-    )
+    EXCESS_SESSIONS = 2  # has sessions, and such connections hold more than their share of the places
     NEW = 3  # its first request may be on its way
     PARTIAL_REQUEST = 4  # part of a request has arrived
     UNSENT_ANSWER = 5  # part of an answer waits for the peer to read
--- a/oakcroft/decisions/sessions/release_delivery.py
+++ b/oakcroft/decisions/sessions/release_delivery.py
@@ -91,9 +91,8 @@
         self._evidence = dict[ConnectionT, ViewerEvidence]()
         # The connections with each evidence; those that have shown it last come last.
         self._connections = {evidence: dict[ConnectionT, None]() for evidence in ViewerEvidence}
-        self._sent_on = dict[
-            ConnectionT, dict[str, None]
-        ]()  # sessions by the connection that carried the release
+        # The sessions whose releases each connection has carried.
+        self._sent_on = dict[ConnectionT, dict[str, None]]()
 
     @property
     def waiting_count(self) -> int:
