Keep a seat on record until the end of its session is confirmed

A front end killed before the node had confirmed the end came back without the seat, and gave it to another viewer.

Change: `front/unconfirmed_ends.py` puts a record beside it, of the kind that a try of unknown outcome has, and drops it once the policy counts the seat no more. After a restart the seat is held and the node asked, as for such a try.

--- a/oakcroft/decisions/state/promise.py
+++ b/oakcroft/decisions/state/promise.py
@@ -114,13 +114,13 @@
     return outcome in (Outcome.RESET, Outcome.LATE, Outcome.WITHDRAWN)
 
 
-def unproven_try(intent: Promise, try_number: int) -> Promise:
+def unproven_try(intent: Promise, label: int | str) -> Promise:
     """Returns the promise of a try that may still run, to be kept beside that of its request.
 
     `intent` is the promise of the request as it was at this try. The new one keeps a seat and binds no key: the request
-    answers for its key, so an id of its own stands in its place.
+    answers for its key, so an id of its own stands in its place; `label` tells the promises of a request apart.
     """
-    own_id = f"{intent.id}.{try_number}"
+    own_id = f"{intent.id}.{label}"
     return replace(intent, id=own_id, key=own_id, setup_key=intent.key, effect=Effect.FREE.value)
 
 
--- a/oakcroft/front/durable_state.py
+++ b/oakcroft/front/durable_state.py
@@ -47,7 +47,8 @@
 from oakcroft.front.recovered_session import restore_aborted_key
 from oakcroft.front.state_restoration import StateRestoration
 from oakcroft.front.uncertain_intents import UncertainIntents
-from oakcroft.interface import MS, SECOND, Node, Outcome
+from oakcroft.front.unconfirmed_ends import UnconfirmedEnds
+from oakcroft.interface import MS, SECOND, Node, Outcome, Playback
 from oakcroft.store.changes import (
     ALIVE_KEY,
     COMPLETE_KEY,
@@ -80,6 +81,7 @@
         self.records = PromiseRecords(store)
         self.uncertain = UncertainIntents(coordinator, self.records, log)
         self.restoration = StateRestoration(store, coordinator, self.records, self.uncertain, log)
+        self.unconfirmed_ends = UnconfirmedEnds(coordinator, self.records)
         self.stored_penalties: dict[str, NodePenalty] = {}
         self.recovery = Recovery(store.retention_ns, coordinator.clock.now())
         self.alive_recorded_at = 0
@@ -175,6 +177,7 @@
             ):
                 self.update_promise(promise)
         elif (earlier := self.promises.get(session.id)) is not None:
+            self.unconfirmed_ends.hold_seat(session)
             self.update_promise(after_answer(earlier, final, self.coordinator.clock.now()))
 
     def session_moved(self, session: PlaybackSession) -> None:
@@ -195,9 +198,14 @@
             and promise is not None
             and promise.mark is PromiseState.PLAYS
         ):
+            self.unconfirmed_ends.hold_seat(session)
             mark = PromiseState.ABORTED if promise.must_not_repeat else PromiseState.GONE
             self.update_promise(replace(promise, mark=mark, answer="", changed=self.coordinator.clock.now()))
 
+    def seat_released(self, playback: Playback) -> None:
+        """The policy counts the seat of a playback no more."""
+        self.unconfirmed_ends.release(playback)
+
     def move_started(self, session: PlaybackSession, copy: PlaybackSession) -> None:
         """Records that a move may set up a copy of a session from now on."""
         self.store.enqueue(MoveRecord(session.id, copy.key, self.coordinator.clock.now()))
--- a/oakcroft/front/session_coordinator.py
+++ b/oakcroft/front/session_coordinator.py
@@ -657,6 +657,8 @@
             return
         if self.sessions_by_playback.pop(session.playback, None) is None:
             return
+        if self.durable_state is not None:
+            self.durable_state.seat_released(session.playback)
         self._release_limits(session)
         if session.final_answer is FinalAnswer.PLAYS and session.copy_of is None:
             self.playing_count -= 1
--- a/tests/test_unproven_tries.py
+++ b/tests/test_unproven_tries.py
@@ -38,13 +38,14 @@
 from oakcroft.front.node_client import NodeClient, NodeEvent, TryResult
 from oakcroft.front.playback_session import PlaybackSession
 from oakcroft.front.uncertain_intents import MAX_SEAT_HOLD_NS
-from oakcroft.interface import SECOND, Effect, Outcome, PlaybackState
+from oakcroft.interface import MS, SECOND, Effect, Outcome, PlaybackState
 from oakcroft.standins.playout import PlayoutNode
 
 PATH = "/whep/seats/t"
 SEATS = 2
 """Path of a title in a plan with seats, and their number on each title."""
 
+SLOW_SETUP_NS = 100 * MS
 UNKNOWN_SHARE = 0.3
 """Share of the tries that end with an unknown outcome."""
 
@@ -384,3 +385,71 @@
     earlier_type = make_dataclass("EarlierPromise", [(name, hints[name]) for name in names])
     earlier: Any = msgspec.msgpack.decode(msgspec.msgpack.encode(promise), type=earlier_type)
     assert all(getattr(earlier, name) == getattr(promise, name) for name in names)
+
+
+def test_a_kill_before_an_abandoned_set_up_has_ended_gives_its_seat_to_nobody(tmp_path: Path) -> None:
+    """Guards against a third playback on two seats: the record of a request went when its viewer had left.
+
+    The set-up of a viewer that left succeeds, and the front end is killed before the node has confirmed its end.
+    """
+
+    async def test() -> None:
+        async with trio.open_nursery() as nursery, running_front_end(tmp_path, with_state=True) as rig:
+            await wait_until_recovered(rig)
+            for node in rig.fleet.nodes.values():
+                node.setup_duration_ns = (SLOW_SETUP_NS, SLOW_SETUP_NS)
+            for client in rig.coordinator().node_clients.values():
+                client.end_session = never_confirmed  # type: ignore[method-assign]
+            async with trio.open_nursery() as viewers:
+                viewers.start_soon(rig.request_playback_ignoring_errors, PATH, key_header("k1"))
+                await wait_until(lambda: rig.recorded("setup"))
+                viewers.cancel_scope.cancel()
+            await wait_until(lambda: rig.recorded("ran"))
+            (node,) = rig.nodes_in_use()
+            await wait_until(lambda: rig.coordinator().pending_session_ends)
+            await wait_until(lambda: not durable_state_of(rig).store.queue)
+            rig.front_end_scope.cancel()
+            await rig.exited.wait()
+            set_reachable(node, False)
+            await start_front_end(nursery, rig, with_state=True)
+            await wait_until_recovered(rig)
+            assert seats_taken(rig) == 1
+            assert len(durable_state_of(rig).uncertain) == 1
+            set_reachable(node, True)
+            await wait_until(lambda: not node.sessions)
+            await wait_until(lambda: seats_taken(rig) == 0)
+            assert not durable_state_of(rig).promises
+            nursery.cancel_scope.cancel()
+
+    run_async_test(test)
+
+
+def test_a_kill_before_a_session_of_a_silent_node_has_ended_gives_its_seat_to_nobody(tmp_path: Path) -> None:
+    """Guards against a seat given away while a node that was taken for lost still runs its session.
+
+    The session is closed towards its viewer at once, and the front end is killed while its node does not answer.
+    """
+
+    async def test() -> None:
+        async with trio.open_nursery() as nursery, running_front_end(tmp_path, with_state=True) as rig:
+            await wait_until_recovered(rig)
+            assert (await rig.request_playback(PATH, **key_header("k1"))).status == CREATED
+            (node,) = rig.nodes_in_use()
+            await wait_until(lambda: rig.coordinator().node_clients[node.name].stream_health.process)
+            set_reachable(node, False)
+            await wait_until(lambda: not rig.coordinator().sessions_by_id)
+            await wait_until(lambda: not durable_state_of(rig).store.queue)
+            assert seats_taken(rig) == 1
+            rig.front_end_scope.cancel()
+            await rig.exited.wait()
+            assert node.sessions
+            await start_front_end(nursery, rig, with_state=True)
+            await wait_until_recovered(rig)
+            assert seats_taken(rig) == 1
+            set_reachable(node, True)
+            await wait_until(lambda: seats_taken(rig) == 0)
+            assert not node.sessions
+            assert not durable_state_of(rig).promises
+            nursery.cancel_scope.cancel()
+
+    run_async_test(test)
