--- a/oakcroft/decisions/admission/deadlines.py
+++ b/oakcroft/decisions/admission/deadlines.py
@@ -53,6 +53,13 @@
         self.last_heartbeat_at = max(self.last_heartbeat_at, now)
         return pause
 
+    def paused_since(self, start: int, now: int) -> int:
+        """Returns for how much of the time from `start` to `now` the process was paused. Times in ns."""
+        pauses = list(self.pauses)
+        if now - self.last_heartbeat_at > PAUSE_HEARTBEATS * HEARTBEAT_INTERVAL_NS:
+            pauses.append((self.last_heartbeat_at, now))  # no heartbeat has recorded its end yet
+        return sum(max(0, min(end, now) - max(begin, start)) for begin, end in pauses)
+
     def earliest_written_at(self, read_at: int, idle_before: int) -> int:
         """Returns the earliest time at which a request read now may have been written. Times in ns.
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -158,10 +158,15 @@
         now += HEARTBEAT_INTERVAL_NS
         assert detector.heartbeat(now) == 0
     assert detector.earliest_written_at(now, 0) == now
+    assert detector.paused_since(0, now) == 0
     resumed_at = now + 2 * SECOND
+    assert detector.paused_since(now - MS, resumed_at) == 2 * SECOND
     # Read before the first heartbeat after the pause.
     assert detector.earliest_written_at(resumed_at, 0) == now
     assert detector.heartbeat(resumed_at) == 2 * SECOND
+    assert detector.paused_since(now - MS, resumed_at + MS) == 2 * SECOND
+    assert detector.paused_since(resumed_at - SECOND, resumed_at + MS) == SECOND
+    assert detector.paused_since(resumed_at, resumed_at + MS) == 0
     assert detector.earliest_written_at(resumed_at + MS, 0) == now
     # Its connection was accepted during the pause.
     assert detector.earliest_written_at(resumed_at + MS, resumed_at - SECOND) == resumed_at - SECOND
--- a/tests/test_platform_node_connections.py
+++ b/tests/test_platform_node_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from functools import partial
 
 import pytest
@@ -17,6 +18,11 @@
 from oakcroft.interface import MS, PlaybackState
 from oakcroft.platformwire import framing
 
+PAUSE_SECONDS = 0.3
+"""Longer than a try of the free plan may take, which is 160 ms."""
+
+TIMERS_FIRE_SECONDS = 0.03
+
 
 def test_a_waiting_set_up_is_sent_on_a_connection_that_becomes_free(monkeypatch: pytest.MonkeyPatch) -> None:
     """A set-up that waits for a connect is sent on a connection that becomes free first."""
@@ -139,6 +145,26 @@
     run_on_platform(test)
 
 
+def test_a_pause_of_the_front_end_does_not_end_a_try_as_late() -> None:
+    """Guards against a second set-up, and a node taken out of use, for a try that fell due in a pause of the process."""
+
+    async def test(rig: PlatformRig) -> None:
+        viewer = await rig.viewer()
+        for node in rig.nodes:
+            node.script = ["silence"] * 3
+        await viewer.send_setup(A, "free")
+        await wait_until(lambda: setup_count(rig))
+        time.sleep(PAUSE_SECONDS)  # blocks the process, as a pause does
+        await trio.sleep(TIMERS_FIRE_SECONDS)
+        node = next(n for n in rig.nodes if n.received_messages("open"))
+        node.streams[0].socket._sock.send(b'{"msg":"ready","sid":"%b","attrs":{},"text":"x"}\n' % A.encode())  # type: ignore[attr-defined]
+        assert (await viewer.receive() or ())[:2] == (framing.ANSWER, A)
+        assert setup_count(rig) == 1
+        assert "try:_late" not in rig.coordinator.counts
+
+    run_on_platform(test)
+
+
 @pytest.mark.parametrize(("report_interval_ms", "tolerated_ms"), [(1000.0, 1_800), (0.0, 4_000)])
 def test_a_node_without_reports_may_be_silent_for_longer(
     report_interval_ms: float, tolerated_ms: int
