Measure pauses in one place for both ways in

Cause: a total of pauses for setup tries stood beside PauseDetector. Change: the total goes; time limits ask PauseDetector.paused_since, as the platform's try timer does.

--- a/oakcroft/front/node_client.py
+++ b/oakcroft/front/node_client.py
@@ -41,7 +41,7 @@
 from oakcroft.front.playback_session import UpstreamSession, PlaybackSession
 from oakcroft.httpwire.client import CONNECTION_REFUSED, ExchangeError, HttpClient
 from oakcroft.httpwire.message import Headers, Response
-from oakcroft.httpwire.time_limits import PauseTotal, cancel_at_deadline
+from oakcroft.httpwire.time_limits import PausedSince, cancel_at_deadline
 from oakcroft.interface import SECOND, Outcome
 from oakcroft.signalling import http_formats, sdp, takeover_messages
 
@@ -137,7 +137,7 @@
 
     def __init__(
         self, name: str, host: str, port: int, pseudonym: str, clock: Clock, rng: Random, connect_timeout_ns: int,
-        timeouts: StreamTimeouts, claim_timeout_ns: int,
+        timeouts: StreamTimeouts, claim_timeout_ns: int, paused_since: PausedSince,
     ) -> None:  # fmt: skip
         """Creates the client; `watch` has to run before events come. Times are in nanoseconds."""
         self.name = name
@@ -145,8 +145,8 @@
         self.clock = clock
         self.rng = rng
         self.address = (host, port)
-        self.pauses = PauseTotal()
-        self.peer = HttpClient(host, port, connect_timeout_ns / 1e9, pauses=self.pauses)
+        self.paused_since = paused_since
+        self.peer = HttpClient(host, port, connect_timeout_ns / 1e9, paused_since=paused_since)
         self.stream_health = EventStreamHealth(timeouts, clock.now())
         self.node_sessions = NodeSessions(claim_timeout_ns)
         self.events_path = ""
@@ -156,6 +156,7 @@
         self.stream_scope: trio.CancelScope | None = None
         self.is_reopening = False
         self.watch_scope = trio.CancelScope()  # of the watch task
+        self.detect_pause: Callable[[int], None] = lambda _: None  # called before elapsed time is judged
         self.identity: FrontIdentity | None = None  # where sessions are to outlive this front end
 
     def _headers(self, **extra_headers: str) -> Headers:
@@ -169,7 +170,6 @@
 
     def discount_pause(self, pause_ns: int) -> None:
         """Excludes a pause of this process from all times by which the node is judged."""
-        self.pauses.add(pause_ns)
         self.node_sessions.discount_pause(pause_ns)
         self.stream_health.discount_pause(pause_ns)
 
@@ -182,7 +182,9 @@
         async with trio.open_nursery() as nursery:
             deadline = self.clock.trio_time(ends_at)
             last_deadline = self.clock.trio_time(session.playback.abandon_at - TRY_END_MARGIN_NS)
-            nursery.start_soon(cancel_at_deadline, nursery.cancel_scope, deadline, last_deadline, self.pauses)
+            nursery.start_soon(
+                cancel_at_deadline, nursery.cancel_scope, deadline, last_deadline, self.paused_since
+            )
             try:
                 headers = self._headers(
                     Content_Type=sdp.MEDIA_TYPE, Idempotency_Key=http_formats.quoted_string(session.key)
@@ -386,7 +388,7 @@
         while True:
             await self.stream_wanted.wait()
             cause = await self._read_stream(on_event, backoff)
-            self.pauses.detect()
+            self.detect_pause(self.clock.now())
             loss = self.stream_health.stream_broken(cause, self.clock.now())
             if loss is not None:
                 await on_lost(loss, cause.value)
--- a/oakcroft/front/node_list_updates.py
+++ b/oakcroft/front/node_list_updates.py
@@ -122,7 +122,8 @@
             site.connect_timeout_ns,
             timeouts,
             claim_timeout_ns,
+            self.coordinator.paused_since,
         )
         node_client.identity = self.coordinator.identity
-        node_client.pauses.detect = lambda: self.coordinator.discount_pause(self.coordinator.clock.now())
+        node_client.detect_pause = self.coordinator.discount_pause
         self.coordinator.node_clients[listed_node.name] = node_client
--- a/oakcroft/front/protocols.py
+++ b/oakcroft/front/protocols.py
@@ -192,6 +192,9 @@
     def discount_pause(self, now: int) -> None:
         """Detects a pause of the process that ends now, and excludes its duration from all node timeouts."""
 
+    def paused_since(self, start: float) -> float:
+        """Returns for how many seconds the process has been paused since a time on trio's clock."""
+
     def request_placement(self, session: PlaybackSession) -> None:
         """Asks the policy to place a session."""
 
--- a/oakcroft/front/session_coordinator.py
+++ b/oakcroft/front/session_coordinator.py
@@ -211,6 +211,12 @@
             for node_client in self.node_clients.values():
                 node_client.discount_pause(pause_ns)
 
+    def paused_since(self, start: float) -> float:
+        """Returns for how many seconds the process has been paused since a time on trio's clock."""
+        now = self.clock.now()
+        paused_ns = self.pause_detector.paused_since(now - round((trio.current_time() - start) * 1e9), now)
+        return paused_ns / 1e9
+
     async def run_maintenance(self) -> None:
         """Checks periodically for silent nodes and for sessions that no setup try has claimed."""
         while True:
--- a/oakcroft/httpwire/client.py
+++ b/oakcroft/httpwire/client.py
@@ -19,7 +19,7 @@
 
 from oakcroft.decisions.sessions.setup_outcome import RequestEnd, RequestStage, RequestProgress
 from oakcroft.httpwire.message import Headers, Response
-from oakcroft.httpwire.time_limits import PauseTotal, cancel_at_deadline
+from oakcroft.httpwire.time_limits import PausedSince, cancel_at_deadline, never_paused
 
 MAX_RESPONSE_BYTES = 262_144
 MAX_HEAD_BYTES = 32_768
@@ -74,13 +74,13 @@
         max_concurrent: int = 512,
         max_idle: int = 32,
         idle_timeout_s: float = 10.0,
-        pauses: PauseTotal | None = None,
+        paused_since: PausedSince = never_paused,
     ) -> None:
-        """Creates a client without connections. `pauses` of this process do not count as time to connect."""
+        """Creates a client without connections. Pauses of this process do not count as time to connect."""
         self.host = host
         self.port = port
         self.connect_timeout_s = connect_timeout_s
-        self.pauses = pauses or PauseTotal()
+        self.paused_since = paused_since
         self.max_idle = max_idle
         self.idle_timeout_s = idle_timeout_s
         self.idle: deque[PooledConnection] = deque()
@@ -176,7 +176,9 @@
         deadline = trio.current_time() + self.connect_timeout_s
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(cancel_at_deadline, nursery.cancel_scope, deadline, math.inf, self.pauses)
+                nursery.start_soon(
+                    cancel_at_deadline, nursery.cancel_scope, deadline, math.inf, self.paused_since
+                )
                 try:
                     stream = await trio.open_tcp_stream(self.host, self.port)
                 except OSError as error:
--- a/oakcroft/httpwire/time_limits.py
+++ b/oakcroft/httpwire/time_limits.py
@@ -10,35 +10,25 @@
 
 import trio
 
+PausedSince = Callable[[float], float]
+"""Returns for how many seconds the process has been paused since a time on trio's clock."""
 
-class PauseTotal:
-    """Total of the pauses of this process. `detect` adds one that ends now, if there is one."""
 
-    def __init__(self) -> None:
-        """Begins without pauses; `detect` is set by whoever measures them."""
-        self.detect: Callable[[], None] = lambda: None
-        self.total_ns = 0
-
-    def add(self, pause_ns: int) -> None:
-        """Adds a pause."""
-        self.total_ns += pause_ns
-
-    def read(self) -> float:
-        """Returns the total in seconds, with a pause that ends now."""
-        self.detect()
-        return self.total_ns / 1e9
+def never_paused(start: float) -> float:
+    """Pauses where nobody measures them."""
+    return 0.0
 
 
 async def cancel_at_deadline(
-    scope: trio.CancelScope, deadline: float, last_deadline: float, pauses: PauseTotal
+    scope: trio.CancelScope, deadline: float, last_deadline: float, paused_since: PausedSince
 ) -> None:
-    """Cancels a scope at `deadline`, later by the pauses meanwhile, but not past `last_deadline`.
+    """Cancels a scope at `deadline`, later by the pauses from now on, but not past `last_deadline`.
 
     Times in seconds on trio's clock. A last deadline before `deadline` has no effect.
     """
-    paused_before = pauses.read()
+    start = trio.current_time()
     extended = deadline
     while trio.current_time() < extended:
         await trio.sleep_until(extended)
-        extended = max(deadline, min(deadline + pauses.read() - paused_before, last_deadline))
+        extended = max(deadline, min(deadline + paused_since(start), last_deadline))
     scope.cancel()
