--- a/tests/test_platform_channel.py
+++ b/tests/test_platform_channel.py
@@ -38,7 +38,7 @@
         rig.add_list_change(second_cursor, rig.member(rig.nodes[1], "draining"))
         await wait_until(lambda: rig.channel.corrupted_count and follower.last_cursor == second_cursor, 6)
         assert all(pool.node.status is NodeStatus.DRAINING for pool in rig.coordinator.pools.values())
-        assert rig.channel.polls[-1] == second_cursor
+        await wait_until(lambda: rig.channel.polls[-1] == second_cursor)  # in the poll that follows
 
     run_on_platform(test)
 
--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -92,6 +92,12 @@
             while not condition():
                 await trio.sleep(0.02)
 
+    async def wait_until_playing(self, name: str, count: int, timeout_s: float = 10) -> None:
+        """Waits until a front end has that many sessions of its own."""
+        with trio.fail_after(timeout_s):
+            while (await self.status(name)).get("playing", 0) < count:
+                await trio.sleep(0.05)
+
     async def request_ignoring_errors(self, name: str, method: str, path: str) -> None:
         """Sends a request that the front end may never answer."""
         with trio.move_on_after(20), suppress(ExchangeError, OSError):
@@ -234,6 +240,9 @@
         await rig.start("f3")
         await rig.wait_until_held_by(keys["f3"], set(rig.names))
         await rig.wait_until(lambda: len(rig.facts("passed")) >= 4)
+        await rig.wait_until_playing(
+            "f3", 4
+        )  # the node's record comes before the front end has read its answer
         new_holders = {fact["front"] for fact in rig.facts("passed")}
         assert all(m.startswith("front-3-") for m in new_holders), new_holders
         repeated = await rig.request_playback("f3", "/whep/open/t0", keys["f3"][0])
