--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -14,7 +14,7 @@
 import trio
 
 from oakcroft import terms
-from oakcroft.choice import TRY_END_MARGIN_NS, Controller
+from oakcroft.choice import Controller
 from oakcroft.decisions.admission.deadlines import (
     HEARTBEAT_INTERVAL_NS,
     PauseDetector,
@@ -566,33 +566,17 @@
         )
 
     def _try_timed_out(self, session: PlaybackSession, try_count: int) -> None:
-        """Ends a try that has run out of time, unless it has ended already.
-
-        A pause of this process extends the time up to the viewer's own last moment: the node may have answered.
-        """
+        """Ends a try that has run out of time, unless it has ended already."""
         if (
             session.playback.state is not PlaybackState.SETTING_UP
             or len(session.playback.tries) != try_count
             or session.pool is None
         ):
             return
-        if self._extend_try_by_pauses(session, try_count):
-            return
         self.try_ended(
             session, Outcome.NO_CONNECTION if session.pool.cancel_setup(session) else Outcome.LATE, None
         )
 
-    def _extend_try_by_pauses(self, session: PlaybackSession, try_count: int) -> bool:
-        """Gives a try the time back in which this process was paused; returns whether any is left of it."""
-        now = self.clock.now()
-        paused_ns = self.pause_detector.paused_since(session.playback.tries[-1][1], now)
-        last_end = session.playback.abandon_at - TRY_END_MARGIN_NS
-        extended = min(session.abandon_at + paused_ns, last_end)
-        if not paused_ns or extended <= now:
-            return False
-        session.timer_id = self.timers.schedule(extended, partial(self._try_timed_out, session, try_count))
-        return True
-
     def _session_ended(
         self, session: PlaybackSession, outcome: Outcome, cause: int, load_report: dict[str, float] | None
     ) -> None:
