--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -13,6 +13,9 @@
 from pathlib import Path
 
 MAX_LISTED = 3
+REASON_FIELDS = 2
+"""Fields after the name: cause and issue."""
+
 COMMAND_PREFIX = "$ "
 MAX_COMMAND_SECONDS = 300
 FAILED = 1
@@ -42,8 +45,8 @@
 
 def parse_line(line: str) -> Entry:
     """Returns the entry of a line. Raises ListError for a malformed one."""
-    name, *reasons = line.rsplit(": ", 2)
-    if len(reasons) != 2 or not all(field.strip() for field in (name, *reasons)):  # noqa: PLR2004 - cause and issue
+    name, *reasons = line.rsplit(": ", REASON_FIELDS)
+    if len(reasons) != REASON_FIELDS or not all(field.strip() for field in (name, *reasons)):
         raise ListError(f"not `TEST: cause: issue`: {line}")
     is_command = name.startswith(COMMAND_PREFIX)
     return Entry(name.removeprefix(COMMAND_PREFIX), is_command, line)
