Serve both of each pair that the work on pauses and seats wrote twice

Cause, seen on rereading: a block with a limit that pauses extend stood in HttpClient and NodeClient, the promise of a session's last try in uncertain_intents.py and unconfirmed_ends.py, and the least length of a pause in three places of PauseDetector. A test wrote to a node's socket where the stub has a method.

Change: `move_on_at`, `last_try_promise` and MIN_PAUSE_NS; the test calls the stub's `send`, its assertions as they were.

--- a/oakcroft/decisions/admission/deadlines.py
+++ b/oakcroft/decisions/admission/deadlines.py
@@ -19,6 +19,9 @@
 PAUSE_HEARTBEATS = 4
 """Missed heartbeats that count as a pause; fewer are scheduling jitter."""
 
+MIN_PAUSE_NS = PAUSE_HEARTBEATS * HEARTBEAT_INTERVAL_NS
+"""Time between two heartbeats up to which there was no pause."""
+
 PAUSE_COUNTS_FOR_NS = SECOND
 """Time after a pause in which a request that is read may have been in the buffer throughout the pause."""
 
@@ -47,7 +50,7 @@
     def heartbeat(self, now: int) -> int:
         """Records a heartbeat; returns the length of the pause before it in ns, 0 if there was none."""
         gap = now - self.last_heartbeat_at
-        pause = gap if gap > PAUSE_HEARTBEATS * HEARTBEAT_INTERVAL_NS else 0
+        pause = gap if gap > MIN_PAUSE_NS else 0
         if pause:
             self.pauses.append((self.last_heartbeat_at, now))
         self.last_heartbeat_at = max(self.last_heartbeat_at, now)
@@ -56,7 +59,7 @@
     def paused_since(self, start: int, now: int) -> int:
         """Returns for how much of the time from `start` to `now` the process was paused. Times in ns."""
         pauses = list(self.pauses)
-        if now - self.last_heartbeat_at > PAUSE_HEARTBEATS * HEARTBEAT_INTERVAL_NS:
+        if now - self.last_heartbeat_at > MIN_PAUSE_NS:
             pauses.append((self.last_heartbeat_at, now))  # no heartbeat has recorded its end yet
         return sum(max(0, min(end, now) - max(begin, start)) for begin, end in pauses)
 
@@ -70,7 +73,7 @@
         """
         gap = read_at - self.last_heartbeat_at
         since = read_at
-        if gap > PAUSE_HEARTBEATS * HEARTBEAT_INTERVAL_NS:  # a pause whose end no heartbeat has recorded yet
+        if gap > MIN_PAUSE_NS:  # a pause whose end no heartbeat has recorded yet
             since = self.last_heartbeat_at
         else:
             for start, end in reversed(self.pauses):
--- a/oakcroft/front/node_client.py
+++ b/oakcroft/front/node_client.py
@@ -41,7 +41,7 @@
 from oakcroft.front.playback_session import UpstreamSession, PlaybackSession
 from oakcroft.httpwire.client import CONNECTION_REFUSED, ExchangeError, HttpClient
 from oakcroft.httpwire.message import Headers, Response
-from oakcroft.httpwire.time_limits import PausedSince, cancel_at_deadline
+from oakcroft.httpwire.time_limits import PausedSince, move_on_at
 from oakcroft.interface import SECOND, Outcome
 from oakcroft.signalling import http_formats, sdp, takeover_messages
 
@@ -179,12 +179,9 @@
         end = RequestEnd.TIMED_OUT
         cause = ""
         response = None
-        async with trio.open_nursery() as nursery:
-            deadline = self.clock.trio_time(ends_at)
-            last_deadline = self.clock.trio_time(session.playback.abandon_at - TRY_END_MARGIN_NS)
-            nursery.start_soon(
-                cancel_at_deadline, nursery.cancel_scope, deadline, last_deadline, self.paused_since
-            )
+        deadline = self.clock.trio_time(ends_at)
+        last_deadline = self.clock.trio_time(session.playback.abandon_at - TRY_END_MARGIN_NS)
+        async with move_on_at(deadline, last_deadline, self.paused_since):
             try:
                 headers = self._headers(
                     Content_Type=sdp.MEDIA_TYPE, Idempotency_Key=http_formats.quoted_string(session.key)
@@ -200,7 +197,6 @@
             except ExchangeError as ended:
                 end = ended.end
                 cause = ended.cause
-            nursery.cancel_scope.cancel()
         load_report = http_formats.LoadReport()
         upstream = None
         if response is not None:
--- a/oakcroft/front/promise_records.py
+++ b/oakcroft/front/promise_records.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from oakcroft.decisions.state.promise import PromiseState, Promise, transition
+from oakcroft.decisions.state.promise import PromiseState, Promise, transition, unproven_try
 from oakcroft.front.playback_session import PlaybackSession, UpstreamSession
 from oakcroft.front.protocols import Coordinator
 from oakcroft.store.changes import PutPromise
@@ -82,6 +82,13 @@
     )
 
 
+def last_try_promise(coordinator: Coordinator, session: PlaybackSession, label: int | str) -> Promise:
+    """The promise of a session's last try, which may still run; `label` tells it from others of the request."""
+    node, sent_at = session.playback.tries[-1]
+    intent = intent_promise(coordinator, session, node.name, session.playback.rung)
+    return unproven_try(replace(intent, sent_at=sent_at), label)
+
+
 def promise_on_upstream(
     coordinator: Coordinator, session: PlaybackSession, upstream: UpstreamSession
 ) -> Promise:
--- a/oakcroft/front/uncertain_intents.py
+++ b/oakcroft/front/uncertain_intents.py
@@ -13,7 +13,7 @@
 
 from oakcroft.decisions.fleet.backoff import SESSION_END_RETRY
 from oakcroft.decisions.sessions.answers import FinalAnswer
-from oakcroft.decisions.state.promise import Promise, unproven_try
+from oakcroft.decisions.state.promise import Promise
 from oakcroft.decisions.state.recovery import (
     NodeReport,
     PromiseVerdict,
@@ -23,7 +23,7 @@
 )
 from oakcroft.front.node_client import NodeClient
 from oakcroft.front.playback_session import PlaybackSession
-from oakcroft.front.promise_records import PromiseRecords, intent_promise
+from oakcroft.front.promise_records import PromiseRecords, last_try_promise
 from oakcroft.front.protocols import Coordinator
 from oakcroft.interface import SECOND, Playback, PlaybackState
 
@@ -65,15 +65,13 @@
         request = session.playback
         if not request.tries:
             return
-        node, sent_at = request.tries[-1]
-        intent = intent_promise(self.coordinator, session, node.name, request.rung)
-        promise = unproven_try(replace(intent, sent_at=sent_at), len(request.tries))
+        promise = last_try_promise(self.coordinator, session, len(request.tries))
         self.sessions[promise.id] = session_of_try(session, promise)
         self.seats_held.add(promise.id)
         request.title.seats_taken[request.plan] = request.title.seats_taken.get(request.plan, 0) + 1
         self.proof_due_at[promise.id] = proof_possible_at(promise)
         self.records.update(promise)
-        if node_client := self.coordinator.node_clients.get(node.name):
+        if node_client := self.coordinator.node_clients.get(promise.node):
             events_path = node_client.events_path or f"/events/{self.coordinator.pseudonym}"
             self.coordinator.follow_events(node_client, events_path)
 
--- a/oakcroft/front/unconfirmed_ends.py
+++ b/oakcroft/front/unconfirmed_ends.py
@@ -11,9 +11,9 @@
 from dataclasses import replace
 
 from oakcroft.choice import SEAT_HOLDING_STATES
-from oakcroft.decisions.state.promise import PromiseState, unproven_try
+from oakcroft.decisions.state.promise import PromiseState
 from oakcroft.front.playback_session import PlaybackSession
-from oakcroft.front.promise_records import PromiseRecords, intent_promise
+from oakcroft.front.promise_records import PromiseRecords, last_try_promise
 from oakcroft.front.protocols import Coordinator
 from oakcroft.interface import Playback
 
@@ -32,12 +32,11 @@
     def hold_seat(self, session: PlaybackSession) -> None:
         """Records that a session may still run, if the policy counts a seat for it on a node."""
         playback = session.playback
-        if not playback.plan.seats or playback.node is None or playback.state not in SEAT_HOLDING_STATES:
+        if not playback.plan.seats or playback.state not in SEAT_HOLDING_STATES:
             return
         if playback in self.promise_ids:
             return
-        intent = intent_promise(self.coordinator, session, playback.node.name, playback.rung)
-        promise = unproven_try(replace(intent, sent_at=playback.tries[-1][1]), END_LABEL)
+        promise = last_try_promise(self.coordinator, session, END_LABEL)
         self.promise_ids[playback] = promise.id
         self.records.update(promise)
 
--- a/oakcroft/httpwire/client.py
+++ b/oakcroft/httpwire/client.py
@@ -19,7 +19,7 @@
 
 from oakcroft.decisions.sessions.setup_outcome import RequestEnd, RequestStage, RequestProgress
 from oakcroft.httpwire.message import Headers, Response
-from oakcroft.httpwire.time_limits import PausedSince, cancel_at_deadline, never_paused
+from oakcroft.httpwire.time_limits import PausedSince, move_on_at, never_paused
 
 MAX_RESPONSE_BYTES = 262_144
 MAX_HEAD_BYTES = 32_768
@@ -175,15 +175,11 @@
         failure: OSError | None = None
         deadline = trio.current_time() + self.connect_timeout_s
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    cancel_at_deadline, nursery.cancel_scope, deadline, math.inf, self.paused_since
-                )
+            async with move_on_at(deadline, math.inf, self.paused_since):
                 try:
                     stream = await trio.open_tcp_stream(self.host, self.port)
                 except OSError as error:
                     failure = error
-                nursery.cancel_scope.cancel()
         except trio.Cancelled:  # the caller's own time is up
             if stream is not None:
                 stream.socket.close()
--- a/oakcroft/httpwire/time_limits.py
+++ b/oakcroft/httpwire/time_limits.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 import trio
 
@@ -19,6 +20,18 @@
     return 0.0
 
 
+@asynccontextmanager
+async def move_on_at(deadline: float, last_deadline: float, paused_since: PausedSince) -> AsyncIterator[None]:
+    """Leaves its block at `deadline`, later by the pauses from now on, but not past `last_deadline`.
+
+    An error that leaves the block comes in an ExceptionGroup. Times in seconds on trio's clock.
+    """
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(cancel_at_deadline, nursery.cancel_scope, deadline, last_deadline, paused_since)
+        yield
+        nursery.cancel_scope.cancel()
+
+
 async def cancel_at_deadline(
     scope: trio.CancelScope, deadline: float, last_deadline: float, paused_since: PausedSince
 ) -> None:
--- a/tests/test_platform_node_connections.py
+++ b/tests/test_platform_node_connections.py
@@ -157,7 +157,7 @@
         time.sleep(PAUSE_SECONDS)  # blocks the process, as a pause does
         await trio.sleep(TIMERS_FIRE_SECONDS)
         node = next(n for n in rig.nodes if n.received_messages("open"))
-        node.streams[0].socket._sock.send(b'{"msg":"ready","sid":"%b","attrs":{},"text":"x"}\n' % A.encode())  # type: ignore[attr-defined]
+        await node.send(node.streams[0], msg="ready", sid=A, attrs={}, text="x")
         assert (await viewer.receive() or ())[:2] == (framing.ANSWER, A)
         assert setup_count(rig) == 1
         assert "try:_late" not in rig.coordinator.counts
