--- a/oakcroft/platform/node_pool.py
+++ b/oakcroft/platform/node_pool.py
@@ -85,6 +85,7 @@
         self.consecutive_failures = 0
         self.last_connect_at = 0
         self.last_activity_at = 0  # time of the last message or successful connect
+        self.first_check_silence_ns = 0  # how long the node had been silent when a connect first checked it
         # Connections that are only read, and since when.
         self.retired_connections: dict[NodeConnection, int] = {}
         self.needs_resync = False  # messages may be lost; the node repeats them on the next connection
@@ -368,6 +369,8 @@
             ):
                 self._retire_connection(unused_connections[0], now)
             self.needs_resync = False
+            if not self.consecutive_failures:
+                self.first_check_silence_ns = now - self.last_activity_at
             self._open_connection(RETIRED_CLOSE_TIMEOUT_NS)
 
     def _retire_connection(self, connection: NodeConnection, now: int) -> None:
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -241,7 +241,13 @@
         """Ends all sessions on a node whose process is gone."""
         if pool.playing_sessions:
             self.logger.warning(
-                "node lost", node=pool.node.name, why=reason, playing=len(pool.playing_sessions)
+                "node lost",
+                node=pool.node.name,
+                why=reason,
+                playing=len(pool.playing_sessions),
+                silent_ms=(self.clock.now() - pool.last_activity_at) // MS,
+                first_check_ms=pool.first_check_silence_ns // MS,
+                failed_connects=pool.consecutive_failures,
             )
         for session in list(pool.playing_sessions):
             pool.send_message("close", session.id, {}, cause_codes.CANCELLED)
