Tell viewers of a vanished node within 8 s, and take no node for gone for slow connects

Cause: three limits added up with no bound between them. A connect checked a silent node after 1.5 report intervals and more (8.2 s in the case) or when the idle connection was retired (8.0 s), and five connects of 250 ms each had to fail one after the other (1.5 s). The same counter took failed connects of set-ups and, where no connection was open, needed no silence at all: a node that lives was taken for gone when its idle connections ended and five new ones came up later than 250 ms.

Evidence: the log of the case with the fields of: silent_ms 9457, first_check_ms 7998.

Change: `decisions/sessions/node_liveness.py` decides it, without I/O. Checks begin 5.8 s after the last message at the latest; each has 1.25 s; the first is alone, so that a node that lives costs one connect, and if it is not up in the next round three more follow together. Four unanswered checks of one silence are a loss. Connects of set-ups no longer count, errors that come at once are given the same time, and a node whose messages lie unread in a socket is not lost. Silent nodes get a descriptor for a check where all are in use (an idle connection's, its own, or one of a small reserve). `platform/node_checks.py` makes the connects; the counters `node check: ...` say how they end.

Why this works: 5.8 s, one round and 1.25 s leave 0.7 s of the 8 s for the loop's lag and the releases, and nothing but the silence decides when they begin.

--- a/oakcroft/platform/connection.py
+++ b/oakcroft/platform/connection.py
@@ -92,6 +92,14 @@
         except OSError:
             return True
 
+    def has_unread_input(self) -> bool:
+        """Whether data of the peer, or the end of the connection, has arrived and was not read."""
+        if not self.is_open:
+            return False
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)  # POLLERR and POLLHUP are always reported
+        return bool(poll.poll(0))
+
     def retract(self, queued_range: range) -> bool:
         """Removes bytes that were queued, if the kernel has accepted none of them; returns whether it did.
 
--- a/oakcroft/platform/node_pool.py
+++ b/oakcroft/platform/node_pool.py
@@ -10,13 +10,15 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
-from typing import Protocol
 
 import trio
 
+from oakcroft.decisions.sessions.node_liveness import CheckResult, NodeLiveness
 from oakcroft.interface import MS, SECOND, NodeStatus, Node, Outcome, PlaybackState
 from oakcroft.platform.connection import connect
+from oakcroft.platform.node_checks import NodeChecks, is_local_shortage
 from oakcroft.platform.node_connection import NodeConnection
+from oakcroft.platform.node_pool_listener import NodePoolListener
 from oakcroft.platform.playback_session import PlaybackSession
 from oakcroft.platformwire import cause_codes, json_lines
 from oakcroft.platformwire.framing import ProtocolError
@@ -24,11 +26,6 @@
 from oakcroft.running.inbox import Event
 
 RETIRE_IDLE_SHARE = 0.6  # share of the idle timeout; the node must not close a connection that is in use here
-# Consecutive failed connects after which a node's process counts as gone.
-REFUSALS_UNTIL_LOST = 2
-FAILURES_UNTIL_LOST = 5
-# Errors of a connect that are due to this machine, not to the node.
-LOCAL_SHORTAGE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 MAX_UNSENT_MESSAGES = 512  # per node; over the limit the oldest is dropped
 RETIRED_CLOSE_TIMEOUT_NS = 2 * SECOND  # for the node to close its side of a retired connection
 MAINTENANCE_CONNECT_INTERVAL_NS = 300 * MS  # minimum time between two connects that no set-up needs
@@ -42,7 +39,7 @@
     streams_per_connection: int  # set-ups that may await an answer on one connection
     idle_timeout_ns: int  # after which a node closes an idle connection
     connect_timeout_ns: int
-    silence_timeout_ns: int  # after which a connect checks whether a node is still there
+    silence_until_check_ns: int  # after which a connect checks whether a node is still there
 
 
 class NodePool:
@@ -60,7 +57,7 @@
         clock: Clock,
         nursery: trio.Nursery,
         submit: Callable[[Event], Awaitable[None]],
-        listener: NodePoolListener,
+        listener: NodePoolListener[NodePool],
     ) -> None:
         """Creates a pool without connections."""
         self.node = node
@@ -69,42 +66,44 @@
         self.streams_per_connection = settings.streams_per_connection
         self.idle_timeout_ns = settings.idle_timeout_ns
         self.connect_timeout_ns = settings.connect_timeout_ns
-        self.silence_timeout_ns = settings.silence_timeout_ns
         self.clock = clock
         self.nursery = nursery
         self.submit = submit
         self.listener = listener
         self.connections: list[NodeConnection] = []
-        self.opening_count = 0
+        self.opening_for_setups = 0
         # Set-ups that wait for a connection being opened.
         self.waiting_setups: dict[PlaybackSession, None] = {}
         self.playing_sessions: dict[PlaybackSession, None] = {}
         # To be sent on the next connection that opens.
         self.unsent_messages: deque[bytes] = deque(maxlen=MAX_UNSENT_MESSAGES)
-        self.consecutive_refusals = 0
-        self.consecutive_failures = 0
+        self.liveness = NodeLiveness(settings.silence_until_check_ns)
+        self.checks = NodeChecks(self.liveness, clock, nursery, submit, self)
         self.last_connect_at = 0
-        self.last_activity_at = 0  # time of the last message or successful connect
-        self.first_check_silence_ns = 0  # how long the node had been silent when a connect first checked it
         # Connections that are only read, and since when.
         self.retired_connections: dict[NodeConnection, int] = {}
         self.needs_resync = False  # messages may be lost; the node repeats them on the next connection
         self.is_removed = False  # removed from the list, or its name has another address
 
+    @property
+    def opening_count(self) -> int:
+        """Number of connections being opened."""
+        return self.opening_for_setups + self.liveness.open_checks
+
     def send_setup(self, session: PlaybackSession) -> None:
         """Sends a set-up: on a connection without one, else on a new connection, else on the least used."""
         connection = self._least_used_connection()
         while connection is not None and (
             not connection.pending_setups
-            or len(self.connections) + self.opening_count >= self.max_connections
+            or len(self.connections) + self.opening_for_setups >= self.max_connections
         ):
             if self._write_setup(connection, session):
                 return
             connection = self._least_used_connection()
         self.waiting_setups[session] = None
-        has_room = len(self.connections) + self.opening_count < self.max_connections
-        if (connection is None and not self.opening_count) or (
-            self.opening_count < len(self.waiting_setups) and has_room
+        has_room = len(self.connections) + self.opening_for_setups < self.max_connections
+        if (connection is None and not self.opening_for_setups) or (
+            self.opening_for_setups < len(self.waiting_setups) and has_room
         ):
             self._open_connection()
 
@@ -227,14 +226,11 @@
             if session.playback.state is PlaybackState.VIEWER_LEFT:
                 self.send_message("close", session.id, {}, cause_codes.CANCELLED)
 
-    def _open_connection(self, min_idle_ns: int = 0) -> None:
-        """Starts a connect.
-
-        If no descriptor is free, closes a connection to another node that was idle for `min_idle_ns`.
-        """
-        self.opening_count += 1
+    def _open_connection(self) -> None:
+        """Starts a connect for the waiting set-ups; if no descriptor is free, closes an idle connection."""
+        self.opening_for_setups += 1
         self.last_connect_at = self.clock.now()
-        if self.listener.make_room_for_connection(self, min_idle_ns):
+        if self.listener.make_room_for_connection(self, 0):
             self.nursery.start_soon(self._connect)
         else:
             no_descriptor = OSError(errno.EMFILE, "connections to nodes have their part of the descriptors")
@@ -249,14 +245,22 @@
             return
         connection = NodeConnection(sock, self.nursery, self.clock.now())
         await self.submit(partial(self._on_connected, connection))
-        await self._read_messages(connection)
+        await self.read_messages(connection)
 
     def _on_connected(self, connection: NodeConnection) -> None:
+        """Handles the end of a connect for set-ups."""
+        self.opening_for_setups -= 1
+        self.liveness.connected(self.clock.now())
+        self._add_connection(connection)
+
+    def check_connected(self, connection: NodeConnection, *, is_surplus: bool) -> None:
+        """Takes the connection of a check; one too many is only read, in case the node has sent something on it."""
+        self._add_connection(connection)
+        if is_surplus and not connection.pending_setups and len(self.connections) > 1:
+            self._retire_connection(connection, self.clock.now())
+
+    def _add_connection(self, connection: NodeConnection) -> None:
         """Adds a new connection to the pool, and sends the messages and set-ups that wait for one."""
-        self.opening_count -= 1
-        self.consecutive_refusals = 0
-        self.consecutive_failures = 0
-        self.last_activity_at = self.clock.now()
         if self.is_removed and not self.playing_sessions and not self.waiting_setups:
             connection.close()
             return
@@ -264,7 +268,7 @@
         while self.unsent_messages and connection.write(self.unsent_messages[0]):
             self.unsent_messages.popleft()
         for session in list(self.waiting_setups):
-            if connection.pending_setups and self.opening_count:
+            if connection.pending_setups and self.opening_for_setups:
                 break  # the other set-ups wait for connections that are being opened
             del self.waiting_setups[session]
             if not self._write_setup(connection, session):
@@ -273,39 +277,43 @@
 
     def _on_connect_failed(self, error: Exception) -> None:
         """Sends the waiting set-ups on a connection in use or ends them; reports the node as lost if it is."""
-        self.opening_count -= 1
-        is_local_shortage = isinstance(error, OSError) and error.errno in LOCAL_SHORTAGE_ERRNOS
-        if is_local_shortage:
+        self.opening_for_setups -= 1
+        outcome = Outcome.NO_CONNECTION
+        if is_local_shortage(error):
+            outcome = Outcome.NOT_SENT
             self.listener.node_failed(self, "no descriptor left")
         else:
-            self.consecutive_refusals = (
-                self.consecutive_refusals + 1 if isinstance(error, ConnectionRefusedError) else 0
-            )
-            self.consecutive_failures += 1
-        if not self.opening_count:
+            self.liveness.connect_failed(is_refused=isinstance(error, ConnectionRefusedError))
+        if not self.opening_for_setups:
             unsent_setups, self.waiting_setups = list(self.waiting_setups), {}
             for session in unsent_setups:
                 # A connection in use is acceptable when no other can be opened.
                 connection = self._least_used_connection()
                 if connection is None or not self._write_setup(connection, session):
-                    self.listener.try_ended(
-                        session, Outcome.NOT_SENT if is_local_shortage else Outcome.NO_CONNECTION, None
-                    )
-        is_alive = (
-            any(candidate.is_open for candidate in self.connections)
-            and self.clock.now() - self.last_activity_at <= self.silence_timeout_ns
-        )
-        if not is_alive and (
-            self.consecutive_refusals >= REFUSALS_UNTIL_LOST
-            or self.consecutive_failures >= FAILURES_UNTIL_LOST
-        ):
-            self.listener.node_lost(self, "no connection")
+                    self.listener.try_ended(session, outcome, None)
+        self._report_if_lost()
+
+    def check_ended(self, result: CheckResult) -> None:
+        """Counts the end of a check; reports the node as lost if it is."""
+        self.listener.check_ended(self, result)
+        self._report_if_lost()
+
+    def _report_if_lost(self) -> None:
+        """Reports the node as lost if it is, and nothing that it has sent is still to be read."""
+        has_open_connection = any(candidate.is_open for candidate in self.connections)
+        if not self.liveness.is_lost(self.clock.now(), has_open_connection=has_open_connection):
+            return
+        if any(candidate.has_unread_input() for candidate in [*self.connections, *self.retired_connections]):
+            return
+        self.liveness.loss_reported()  # the closes of its sessions lead to another round of maintenance
+        self.listener.node_lost(self, "no connection")
 
-    async def _read_messages(self, connection: NodeConnection) -> None:
+    async def read_messages(self, connection: NodeConnection) -> None:
         """Submits the messages of a connection until it ends; closes it if the data is unreadable."""
         decoder, reason = json_lines.LineDecoder(), ""
         try:
             while data := await connection.read():
+                self.liveness.message_received(self.clock.now())
                 decoder.receive_data(data)
                 while (event := decoder.next_event()) is not None:
                     await self.submit(partial(self.listener.message_received, self, connection, *event))
@@ -342,8 +350,8 @@
     def maintain(self, now: int) -> None:
         """Maintains the connections.
 
-        Retires connections before the node closes them, keeps a fresh one while sessions play, and opens
-        another to a node that has been silent for too long, which shows whether it is still there.
+        Retires connections before the node closes them, keeps a fresh one while sessions play, and checks a node
+        that has been silent for too long.
         """
         for connection in list(self.connections):
             if not connection.pending_setups and self._is_due_to_retire(connection):
@@ -351,27 +359,45 @@
         for connection, since in list(self.retired_connections.items()):
             if now - since > RETIRED_CLOSE_TIMEOUT_NS:
                 connection.close()
-        if (
-            self.is_removed
-            or self.opening_count
-            or not self.playing_sessions
-            or now - self.last_connect_at < MAINTENANCE_CONNECT_INTERVAL_NS
-        ):
+        if self.is_removed or not self.playing_sessions:
             return
-        if (
-            not self.connections
-            or self.needs_resync
-            or (self.consecutive_failures or now - self.last_activity_at > self.silence_timeout_ns)
+        if checks_due := self.liveness.checks_due(now):
+            self._start_checks(checks_due, now)
+        elif (
+            not self.opening_count
+            and now - self.last_connect_at >= MAINTENANCE_CONNECT_INTERVAL_NS
+            and (not self.connections or self.needs_resync or self.liveness.has_failed_connect)
         ):
-            unused_connections = [candidate for candidate in self.connections if not candidate.pending_setups]
-            if unused_connections and len(self.connections) >= max(
-                MIN_CONNECTIONS_FOR_RETIREMENT, self.max_connections
-            ):
-                self._retire_connection(unused_connections[0], now)
-            self.needs_resync = False
-            if not self.consecutive_failures:
-                self.first_check_silence_ns = now - self.last_activity_at
-            self._open_connection(RETIRED_CLOSE_TIMEOUT_NS)
+            self._start_checks(1, now)
+        self._report_if_lost()
+
+    def _start_checks(self, count: int, now: int) -> None:
+        """Opens connections that show whether the node is there, and on which it repeats what may be lost."""
+        if len(self.connections) >= max(MIN_CONNECTIONS_FOR_RETIREMENT, self.max_connections):
+            unused_connection = self._unused_connection()
+            if unused_connection is not None:
+                self._retire_connection(unused_connection, now)
+        self.last_connect_at = now
+        for _ in range(count):
+            self.checks.start()
+        self.needs_resync = False
+
+    def make_room_for_check(self) -> bool:
+        """Returns whether a descriptor is free for a check that has been started."""
+        if self.liveness.is_silent(self.clock.now()):
+            return self.listener.make_room_for_check(self)
+        return self.listener.make_room_for_connection(self, RETIRED_CLOSE_TIMEOUT_NS)
+
+    def _unused_connection(self) -> NodeConnection | None:
+        """Returns the oldest connection on which no set-up awaits its answer; None if there is none."""
+        return next((candidate for candidate in self.connections if not candidate.pending_setups), None)
+
+    def close_unused_connection(self) -> bool:
+        """Closes a connection without set-ups to free its descriptor; returns whether there was one."""
+        connection = self._unused_connection()
+        if connection is not None:
+            self.close_idle_connection(connection)
+        return connection is not None
 
     def _retire_connection(self, connection: NodeConnection, now: int) -> None:
         """Half-closes a connection, which is only read from now on.
@@ -415,39 +441,3 @@
     def is_listed(self) -> bool:
         """Whether the node is on the list."""
         return self.node.status is not NodeStatus.GONE and not self.is_removed
-
-
-class NodePoolListener(Protocol):
-    """Receives the events of a pool; implemented by the session coordinator."""
-
-    def make_room_for_connection(self, pool: NodePool, min_idle_ns: int) -> bool:
-        """Returns whether a descriptor is free for one more connection.
-
-        If none is, closes a connection to another node that was idle for `min_idle_ns`.
-        """
-
-    def cancel_if_viewer_gone(self, session: PlaybackSession) -> bool:
-        """Cancels a set-up that is about to be sent if its viewer has left; returns whether it did."""
-
-    def message_received(
-        self,
-        pool: NodePool,
-        connection: NodeConnection,
-        kind: str,
-        session_id: str,
-        attributes: json_lines.Attributes,
-        code: int | None,
-        text: str | None,
-    ) -> None:
-        """A message arrived from the node."""
-
-    def try_ended(
-        self, session: PlaybackSession, outcome: Outcome, load_report: dict[str, float] | None
-    ) -> None:
-        """A setup try ended without an answer."""
-
-    def node_lost(self, pool: NodePool, reason: str) -> None:
-        """The node's process is gone, with all sessions that played there."""
-
-    def node_failed(self, pool: NodePool, reason: str) -> None:
-        """The node sent unreadable data, or could not be reached for lack of local resources."""
--- a/oakcroft/platform/node_pools.py
+++ b/oakcroft/platform/node_pools.py
@@ -7,39 +7,28 @@
 
 import trio
 
-from oakcroft.interface import SECOND, DeploymentSettings, Node, NodeEntry, NodeStatus
+from oakcroft.decisions.sessions.node_liveness import silence_until_check_ns
+from oakcroft.interface import Node, NodeEntry, NodeStatus
 from oakcroft.platform.node_connection import NodeConnection
-from oakcroft.platform.node_pool import NodePool, NodePoolListener, NodePoolSettings
+from oakcroft.platform.node_pool import NodePool, NodePoolSettings
+from oakcroft.platform.node_pool_listener import NodePoolListener
 from oakcroft.platformwire import command_channel
 from oakcroft.platformwire.configuration import Configuration
 from oakcroft.running.clock import Clock
 from oakcroft.running.inbox import Event
 
 MAX_CONNECTIONS_PER_NODE = 16
-SILENCE_TOLERANCE_NS = SECOND // 4  # for the delay of reports beyond the configured one
-# Leaves time for the connects that show a node to be gone: the ends of its sessions are due within 8 s.
-SILENCE_WITHOUT_REPORTS_NS = 4 * SECOND
 DESCRIPTOR_SHARE_DIVISOR = 3  # a third of the descriptors is for connections to nodes
+CHECK_RESERVE_DIVISOR = 64  # part of the descriptors beyond that share, for checks of silent nodes
 
 
-class NodePoolsListener(NodePoolListener, Protocol):
+class NodePoolsListener(NodePoolListener[NodePool], Protocol):
     """Receives the events of all pools; implemented by the session coordinator."""
 
     def node_restarted(self, pool: NodePool, started_at: int) -> None:
         """Another process has the node's name; sessions that began before `started_at` are over."""
 
 
-def silence_timeout_ns(settings: DeploymentSettings) -> int:
-    """Returns the time without a message after which a connect checks whether a node is still there.
-
-    Nodes report the link load of each playback at a fixed interval, so one that is silent for longer may be gone.
-    Where nodes send no reports, silence is normal, and a connect checks the node less often.
-    """
-    if not settings.report_interval_ns:
-        return SILENCE_WITHOUT_REPORTS_NS
-    return 3 * settings.report_interval_ns // 2 + settings.report_delay_ns + SILENCE_TOLERANCE_NS
-
-
 class NodePools:
     """One pool for each listed node, by the node's name.
 
@@ -60,15 +49,17 @@
         self.nursery = nursery
         self.submit = submit
         self.listener = listener
+        settings = configuration.deployment_settings
         self.pool_settings = NodePoolSettings(
             configuration.streams_per_connection,
             configuration.idle_timeout_ns,
             configuration.connect_timeout_ns,
-            silence_timeout_ns(configuration.deployment_settings),
+            silence_until_check_ns(settings.report_interval_ns, settings.report_delay_ns),
         )
         self.by_name: dict[str, NodePool] = {}
         self.replaced: dict[NodePool, None] = {}  # pools of former addresses of nodes
         self.max_connections = max(1, configuration.max_sockets // DESCRIPTOR_SHARE_DIVISOR)
+        self.check_reserve = configuration.max_sockets // CHECK_RESERVE_DIVISOR
 
     def __iter__(self) -> Iterator[NodePool]:
         """All pools; those of former addresses come last."""
@@ -177,7 +168,7 @@
         connections allowed. The drawback: reports of the node whose connection was closed arrive later.
         """
         # The descriptors include that of the new connection.
-        if sum(other.descriptor_count for other in self) <= self.max_connections:
+        if self._descriptor_count() <= self.max_connections:
             return True
         idle = self._longest_idle_connection(pool, min_idle_ns)
         if idle is None:
@@ -186,6 +177,21 @@
         holder.close_idle_connection(connection)
         return True
 
+    def make_room_for_check(self, pool: NodePool) -> bool:
+        """Returns whether a descriptor is free for a connect that checks a silent node.
+
+        If none is free, closes any idle connection to another node, else one to the silent node, which repeats what
+        may be lost on the next connection. A small reserve beyond the share of nodes is for the case that there is
+        neither: without checks the viewers of a lost node would not be told.
+        """
+        if self.make_room_for_connection(pool, 0) or pool.close_unused_connection():
+            return True
+        return self._descriptor_count() <= self.max_connections + self.check_reserve
+
+    def _descriptor_count(self) -> int:
+        """Number of descriptors in use for connections to nodes, including those of new connections."""
+        return sum(pool.descriptor_count for pool in self)
+
     def _longest_idle_connection(
         self, requesting_pool: NodePool, min_idle_ns: int
     ) -> tuple[NodePool, NodeConnection] | None:
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -22,6 +22,7 @@
     response_margin,
 )
 from oakcroft.decisions.routing.title_cache import TitleCache
+from oakcroft.decisions.sessions.node_liveness import CheckResult
 from oakcroft.decisions.sessions.release_delivery import ViewerEvidence
 from oakcroft.interface import (
     MS,
@@ -245,9 +246,8 @@
                 node=pool.node.name,
                 why=reason,
                 playing=len(pool.playing_sessions),
-                silent_ms=(self.clock.now() - pool.last_activity_at) // MS,
-                first_check_ms=pool.first_check_silence_ns // MS,
-                failed_connects=pool.consecutive_failures,
+                silent_ms=(self.clock.now() - pool.liveness.last_activity_at) // MS,
+                first_check_ms=(pool.liveness.first_check_at - pool.liveness.last_activity_at) // MS,
             )
         for session in list(pool.playing_sessions):
             pool.send_message("close", session.id, {}, cause_codes.CANCELLED)
@@ -257,6 +257,14 @@
         """Returns whether a descriptor is free for one more connection to a node; see `NodePools`."""
         return self.node_pools.make_room_for_connection(pool, min_idle_ns)
 
+    def make_room_for_check(self, pool: NodePool) -> bool:
+        """Returns whether a descriptor is free for a check of a silent node; see `NodePools`."""
+        return self.node_pools.make_room_for_check(pool)
+
+    def check_ended(self, pool: NodePool, result: CheckResult) -> None:
+        """Counts the results of checks of nodes."""
+        self.count("node check", result.value)
+
     def node_failed(self, pool: NodePool, reason: str) -> None:
         """Counts a node that sent unreadable data, or that cannot be reached for lack of local resources."""
         self.count("node", reason)
@@ -471,7 +479,6 @@
     ) -> None:
         """Handles a message of a node; ignores it if it is late, repeated, or on a session of another node."""
         now = self.clock.now()
-        pool.last_activity_at = now
         session = self.sessions.get(session_id)
         if session is None and kind in ("event", "close") and not self.handover.is_over(now):
             early = partial(
--- a/tests/platform_gates.py
+++ b/tests/platform_gates.py
@@ -13,6 +13,7 @@
 
 from oakcroft.platform import (
     connection as connection_module,
+    node_checks,
     node_pool,
     session_coordinator,
     viewer_connection,
@@ -62,10 +63,27 @@
         await gate.released.wait()
         return await connect(address, within)
 
-    monkeypatch.setattr(node_pool, "connect", late)
+    for module in (node_pool, node_checks):
+        monkeypatch.setattr(module, "connect", late)
     return gate
 
 
+def delay_connects(monkeypatch: pytest.MonkeyPatch) -> dict[int, float]:
+    """Returns by how many seconds connects to a node come up late, by its port; a test adds to it."""
+    delays = dict[int, float]()
+    connect = connection_module.connect
+
+    async def late(address: tuple[str, int], within: float) -> socket.socket:
+        began = trio.current_time()
+        with trio.fail_after(within):
+            await trio.sleep(delays.get(address[1], 0))
+        return await connect(address, within + began - trio.current_time())
+
+    for module in (node_pool, node_checks):
+        monkeypatch.setattr(module, "connect", late)
+    return delays
+
+
 def gate_viewer_readers(monkeypatch: pytest.MonkeyPatch) -> Gate:
     """Returns a gate before the tasks that read viewers' connections."""
     gate = Gate()
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from typing import Any
 
 import orjson
@@ -78,6 +79,7 @@
         self.host, self.port = "127.0.0.1", 0
         self.platform: PlatformFrontEnd
         self.info: dict[str, Any] = dict(SETTINGS["familyInfo"])
+        self.permissions: dict[str, Any] = dict(SETTINGS["permissions"])
 
     @property
     def coordinator(self) -> SessionCoordinator:
@@ -115,7 +117,7 @@
             "limits": {"sockets": 64, "memory_mb": 64},
             "channel": f"127.0.0.1:{self.channel.port}",
             "known": known,
-            "settings": SETTINGS | {"familyInfo": self.info},
+            "settings": SETTINGS | {"familyInfo": self.info, "permissions": self.permissions},
         }
 
     async def start(self, dead: int = -1) -> None:
@@ -171,6 +173,20 @@
     return [breach for finding in check_rules(rig.facts, rule_settings()) for breach in finding.breaches]
 
 
+@asynccontextmanager
+async def running_platform(
+    info: dict[str, Any] | None = None, permissions: dict[str, Any] | None = None
+) -> AsyncIterator[PlatformRig]:
+    """Runs one front end with its stubs while the block runs; `info` and `permissions` replace settings."""
+    async with trio.open_nursery() as nursery:
+        rig = PlatformRig(nursery)
+        rig.info |= info or {}
+        rig.permissions |= permissions or {}
+        await rig.start()
+        yield rig
+        nursery.cancel_scope.cancel()
+
+
 def run_on_platform(
     test: Callable[[PlatformRig], Awaitable[None]],
     dead: int = -1,
--- a/tests/test_platform_node_connections.py
+++ b/tests/test_platform_node_connections.py
@@ -181,7 +181,7 @@
         pool = next(p for p in rig.coordinator.pools.values() if p.playing_sessions)
         now, pool.last_connect_at = rig.coordinator.clock.now(), 0
         for silent_ms in (tolerated_ms - 100, tolerated_ms + 100):
-            pool.last_activity_at = now - silent_ms * MS
+            pool.liveness.last_activity_at = now - silent_ms * MS
             pool.maintain(now)
             assert pool.opening_count == (silent_ms > tolerated_ms)
 
