Count a node of serve as lost after lost-after without data, however its stream breaks

And a new stream had the connect timeout of 250 ms: at a node whose connections come up 1 s late it never opened, and its playbacks were given up though it lives.

Change: silence counts from the last data alone and is judged when it is over; opening a stream has the time of a check, 1.25 s.

--- a/oakcroft/decisions/sessions/event_stream_health.py
+++ b/oakcroft/decisions/sessions/event_stream_health.py
@@ -70,7 +70,6 @@
         self.state = StreamState.UNOPENED
         self.process = ""
         self.last_message_at = now
-        self.broken_at = 0
         self.refusals = 0
         self.loss: LossCertainty | None = None  # reset when a stream of the node opens again
 
@@ -85,7 +84,6 @@
         if self.state in (StreamState.UNOPENED, StreamState.LOST):
             self._set_state(StreamState.UNOPENED)
             self.last_message_at = now
-            self.broken_at = 0
             self.refusals = 0
 
     def stream_opened(self, process: str, now: int) -> LossCertainty | None:
@@ -93,7 +91,6 @@
         is_new_process = bool(self.process) and process != self.process
         self.process = process
         self.last_message_at = now
-        self.broken_at = 0
         self.refusals = 0
         self.loss = None
         self._set_state(StreamState.ALIVE)
@@ -102,14 +99,12 @@
     def message_received(self, now: int) -> None:
         """Handles a message on the stream. `now`: ns."""
         self.last_message_at = now
-        self.broken_at = 0
         self._set_state(StreamState.ALIVE)
 
     def stream_broken(self, cause: StreamBreak, now: int) -> LossCertainty | None:
         """Handles a stream that ended or could not be opened; returns the loss of the playbacks, if any."""
         if self.state is StreamState.LOST:
             return None
-        self.broken_at = self.broken_at or now
         self.refusals = self.refusals + 1 if cause is StreamBreak.REFUSED else 0
         if cause is StreamBreak.SESSIONS_UNKNOWN or self.refusals >= MAX_REFUSALS:
             return self._mark_lost(LossCertainty.PROVEN)
@@ -122,8 +117,11 @@
         This guards against a front end that ends all its playbacks after a pause longer than `lost_after`.
         """
         self.last_message_at += pause_ns
-        if self.broken_at:
-            self.broken_at += pause_ns
+
+    @property
+    def lost_at(self) -> int:
+        """When the node counts as lost if nothing is received until then, in ns; breaks of the stream do not move it."""
+        return self.last_message_at + self.timeouts.lost_after
 
     def check(self, now: int) -> LossCertainty | None:
         """Checks the timeouts; returns the presumed loss of the playbacks after `lost_after`. `now`: ns."""
@@ -131,8 +129,7 @@
             return None
         if now - self.last_message_at > self.timeouts.silent_after:
             self._set_state(StreamState.SILENT)
-        since = self.broken_at or self.last_message_at
-        return self._mark_lost(LossCertainty.PRESUMED) if now - since > self.timeouts.lost_after else None
+        return self._mark_lost(LossCertainty.PRESUMED) if now >= self.lost_at else None
 
     def _mark_lost(self, loss: LossCertainty) -> LossCertainty | None:
         """Marks the node as lost; returns the loss, or None if it was marked before."""
--- a/oakcroft/front/node_client.py
+++ b/oakcroft/front/node_client.py
@@ -27,6 +27,7 @@
     RUNG_CHANGE_RETRY,
     RetryBackoff,
 )
+from oakcroft.decisions.sessions.node_liveness import CHECK_TIMEOUT_NS
 from oakcroft.decisions.sessions.node_sessions import NodeSessions
 from oakcroft.decisions.sessions.setup_outcome import RequestEnd, RequestProgress, setup_outcome
 from oakcroft.decisions.sessions.event_stream_health import (
@@ -391,7 +392,9 @@
             if self.stream_health.state is StreamState.LOST:
                 self.stream_wanted = trio.Event()  # set again by the next successful set-up
                 continue
-            await trio.sleep((backoff.record_failure(self.clock.now()) or 0) / 1e9)
+            now = self.clock.now()
+            delay = min(backoff.record_failure(now) or 0, max(0, self.stream_health.lost_at - now))
+            await trio.sleep(delay / 1e9)
 
     async def _read_stream(self, on_event: EventHandler, backoff: RetryBackoff) -> StreamBreak:
         """Reads one event stream to its end; returns how it ended."""
@@ -402,15 +405,17 @@
             with trio.CancelScope() as silence:
                 self.stream_scope = silence
                 self.is_reopening = False
-                silence.deadline = trio.current_time() + self._silence_seconds()
-                async with self.peer.stream("GET", self.events_path, headers) as (head, chunks):
+                silence.deadline = self._silence_deadline()
+                async with self.peer.stream(
+                    "GET", self.events_path, headers, connect_timeout_s=CHECK_TIMEOUT_NS / SECOND
+                ) as (head, chunks):
                     if head.status in (HTTPStatus.NOT_FOUND, HTTPStatus.GONE):
                         return StreamBreak.SESSIONS_UNKNOWN
                     if head.status != HTTPStatus.OK:
                         return StreamBreak.CLOSED
                     async for chunk in chunks:
-                        silence.deadline = trio.current_time() + self._silence_seconds()
                         self.stream_health.message_received(self.clock.now())
+                        silence.deadline = self._silence_deadline()
                         for name, data in parser.feed(chunk):
                             await self._handle_event(name, data, on_event, backoff)
             if silence.cancelled_caught:
@@ -435,9 +440,10 @@
         elif name in EVENT_NAMES:
             await on_event(name, msgspec.json.decode(data, type=NodeEvent))
 
-    def _silence_seconds(self) -> float:
-        """Seconds without data after which the stream is reopened."""
-        return self.stream_health.timeouts.silent_after / 1e9
+    def _silence_deadline(self) -> float:
+        """When the stream is reopened or the node is lost unless data comes, on trio's clock in seconds."""
+        silent_at = self.clock.now() + self.stream_health.timeouts.silent_after
+        return self.clock.trio_time(min(silent_at, self.stream_health.lost_at))
 
 
 def is_valid_value(value: float | None) -> bool:
--- a/oakcroft/httpwire/client.py
+++ b/oakcroft/httpwire/client.py
@@ -120,10 +120,13 @@
 
     @asynccontextmanager
     async def stream(
-        self, method: str, target: str, headers: Headers, body: bytes = b""
+        self, method: str, target: str, headers: Headers, body: bytes = b"", connect_timeout_s: float = 0.0
     ) -> AsyncIterator[tuple[Response, AsyncIterator[bytes]]]:
-        """Runs an exchange with a streamed response on a new connection; yields its head and its body's chunks."""
-        connection = await self._connection(new_connection=True)
+        """Runs an exchange with a streamed response on a new connection; yields its head and its body's chunks.
+
+        `connect_timeout_s` replaces that of the client if it is longer.
+        """
+        connection = await self._new_connection(max(connect_timeout_s, self.connect_timeout_s))
         try:
             progress = RequestProgress()
             progress.advance(RequestStage.CONNECTED)
@@ -165,15 +168,19 @@
             if is_fresh and not has_pending_input(connection.stream):
                 return connection
             await trio.aclose_forcefully(connection.stream)
-        return PooledConnection(
-            await self._connect(), h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES), now
-        )
+        return await self._new_connection(self.connect_timeout_s)
+
+    async def _new_connection(self, connect_timeout_s: float) -> PooledConnection:
+        """Returns a new connection; raises ExchangeError where none comes about within the timeout."""
+        stream = await self._connect(connect_timeout_s)
+        http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        return PooledConnection(stream, http, trio.current_time())
 
-    async def _connect(self) -> trio.SocketStream:
+    async def _connect(self, connect_timeout_s: float) -> trio.SocketStream:
         """Opens a connection; raises ExchangeError where none comes about within the timeout."""
         stream: trio.SocketStream | None = None
         failure: OSError | None = None
-        deadline = trio.current_time() + self.connect_timeout_s
+        deadline = trio.current_time() + connect_timeout_s
         try:
             async with move_on_at(deadline, math.inf, self.paused_since):
                 try:
