--- a/oakcroft/platform/decision_host.py
+++ b/oakcroft/platform/decision_host.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Mapping
 from functools import partial
 
+from oakcroft.choice import TRY_END_MARGIN_NS
 from oakcroft.interface import Node, Playback, PlaybackState
 from oakcroft.platform.node_pool import NodePool
 from oakcroft.platform.playback_session import PlaybackSession
@@ -26,14 +27,16 @@
         sessions: Mapping[Playback, PlaybackSession],
         pools: Mapping[str, NodePool],
         timers: TimerQueue,
-        on_try_timeout: Callable[[PlaybackSession, int], None],
+        on_try_timeout: Callable[[PlaybackSession], None],
         on_final_answer: Callable[[PlaybackSession], None],
         on_timer: Event,
         log_mode: Callable[[str], None],
+        paused_since: Callable[[int, int], int],
     ) -> None:
         """Creates a host with an empty queue; `sessions` and `pools` are live views.
 
-        `on_try_timeout` gets the session and its number of tries when a try has run out of time.
+        `on_try_timeout` gets the session of a try that has run out of time; `paused_since` tells for how much of the
+        time between two times, in ns, this process was paused.
         """
         self.pending = deque[Event]()
         self.sessions = sessions
@@ -43,6 +46,7 @@
         self.on_final_answer = on_final_answer
         self.on_timer = on_timer
         self.log_mode = log_mode
+        self.paused_since = paused_since
 
     def send_setup(self, playback: Playback, node: Node, abandon_at: int) -> None:
         """Sends a setup try to a node."""
@@ -52,11 +56,31 @@
         """Starts the try's timer and passes the set-up to the node's pool."""
         pool = self.pools[node.name]
         session.pool, session.abandon_at = pool, abandon_at
+        self._start_try_timer(session, abandon_at)
+        pool.send_setup(session)
+
+    def _start_try_timer(self, session: PlaybackSession, due_at: int) -> None:
+        """Starts the timer of a session's current try, in place of an earlier one."""
         self.timers.cancel(session.timer_id)
         session.timer_id = self.timers.schedule(
-            abandon_at, partial(self.on_try_timeout, session, len(session.playback.tries))
+            due_at, partial(self._try_due, session, len(session.playback.tries))
         )
-        pool.send_setup(session)
+
+    def _try_due(self, session: PlaybackSession, try_count: int) -> None:
+        """Ends a try that has run out of time, unless it has ended already.
+
+        A pause of this process extends its time up to the viewer's own last moment: the node may have answered.
+        """
+        playback = session.playback
+        if playback.state is not PlaybackState.SETTING_UP or len(playback.tries) != try_count:
+            return
+        now = self.timers.clock.now()
+        paused_ns = self.paused_since(playback.tries[-1][1], now)
+        extended = min(session.abandon_at + paused_ns, playback.abandon_at - TRY_END_MARGIN_NS)
+        if paused_ns and extended > now:
+            self._start_try_timer(session, extended)
+        else:
+            self.on_try_timeout(session)
 
     def reject(self, playback: Playback, retry_after_ns: int) -> None:
         """Answers that the playback is rejected, and that the viewer should not retry for a time."""
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -128,6 +128,7 @@
             self._forget_session,
             self._on_decision_timer,
             self._log_mode,
+            self.pause_detector.paused_since,
         )
 
     @property
@@ -578,13 +579,9 @@
             session.playback, outcome, False, *terms.load_report_values(load_report), self.clock.now()
         )
 
-    def _try_timed_out(self, session: PlaybackSession, try_count: int) -> None:
-        """Ends a try that has run out of time, unless it has ended already."""
-        if (
-            session.playback.state is not PlaybackState.SETTING_UP
-            or len(session.playback.tries) != try_count
-            or session.pool is None
-        ):
+    def _try_timed_out(self, session: PlaybackSession) -> None:
+        """Ends a try that has run out of time."""
+        if session.pool is None:
             return
         self.try_ended(
             session, Outcome.NO_CONNECTION if session.pool.cancel_setup(session) else Outcome.LATE, None
--- a/tests/test_platform_node_connections.py
+++ b/tests/test_platform_node_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from functools import partial
 
@@ -16,12 +17,15 @@
 from rig import wait_until
 
 from oakcroft.interface import MS, PlaybackState
+from oakcroft.platform import connection
 from oakcroft.platformwire import framing
 
 PAUSE_SECONDS = 0.3
 """Longer than a try of the free plan may take, which is 160 ms."""
 
 TIMERS_FIRE_SECONDS = 0.03
+CONNECT_TIMEOUT_SECONDS = 0.25
+CONNECTS = 20
 
 
 def test_a_waiting_set_up_is_sent_on_a_connection_that_becomes_free(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -132,9 +136,7 @@
         node.streams[0].socket._sock.send(b'{"msg":"ready","sid":"%b","attrs":{},"text":"x"}\n' % A.encode())  # type: ignore[attr-defined]
         session = rig.coordinator.sessions[A]
         # In one step with the answer.
-        rig.coordinator._handle_event(
-            partial(rig.coordinator._try_timed_out, session, len(session.playback.tries))
-        )
+        rig.coordinator._handle_event(partial(rig.coordinator._try_timed_out, session))
         for n in rig.nodes:
             n.script.clear()
         assert (await viewer.receive() or (0, ""))[1] == A
@@ -165,6 +167,30 @@
     run_on_platform(test)
 
 
+def test_a_connection_that_comes_up_in_a_pause_of_the_front_end_is_used() -> None:
+    """Guards against a node out of use, or taken for gone, for connects that fell due in a pause of the process."""
+
+    async def test() -> None:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        sockets = list[socket.socket]()
+
+        async def connect_to_node() -> None:
+            address = listener.socket.getsockname()
+            sockets.append(await connection.connect(address, CONNECT_TIMEOUT_SECONDS))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(CONNECTS):
+                nursery.start_soon(connect_to_node)
+            await trio.lowlevel.checkpoint()
+            time.sleep(PAUSE_SECONDS)  # blocks the process, as a pause does
+        assert len(sockets) == CONNECTS
+        for sock in sockets:
+            sock.close()
+        await listener.aclose()
+
+    trio.run(test)
+
+
 @pytest.mark.parametrize(("report_interval_ms", "tolerated_ms"), [(1000.0, 1_800), (0.0, 4_000)])
 def test_a_node_without_reports_may_be_silent_for_longer(
     report_interval_ms: float, tolerated_ms: int
