Start the other checks of a silent node a moment after the first, not in the same step

Cause: maintenance also runs for each playback that is handed over and each message that waits for a connection, so a node that had never been heard of got four connects at once at the start of a front end. Besides, refusals from before a message still counted, and `first_check_ms` was negative where a node was lost without a check.

Change: the first check has 75 ms alone; a message ends the count of refusals; no check is logged as 0.

--- a/oakcroft/decisions/sessions/node_liveness.py
+++ b/oakcroft/decisions/sessions/node_liveness.py
@@ -20,6 +20,9 @@
 CHECK_TIMEOUT_NS = 1250 * MS
 """Time for the connect of a check: one whose first packet is lost comes up after a second (RFC 6298, section 2)."""
 
+FIRST_CHECK_LEAD_NS = 75 * MS
+"""Time that the first check of a silence has alone; a node that lives answers it within a few milliseconds."""
+
 CHECK_ROUND_NS = 200 * MS
 """Longest time from the first check of a silent node to the others, which follow if it has not come up."""
 
@@ -61,7 +64,7 @@
 class NodeLiveness:
     """Decides when a node is checked by a connect, and when it counts as lost. All times in ns.
 
-    - Lost at once: two refused connects in a row, unless a connection was heard of recently.
+    - Lost at once: two refused connects without a message since, unless an open connection was heard of recently.
     - Lost by silence: `CHECKS_UNTIL_LOST` checks that began in the present silence were unanswered. The first is
       made alone, so that a node that lives costs one connect; the others follow together in the next round.
     - A connect for a set-up has less time than a check, so one that is unanswered does not count.
@@ -77,19 +80,19 @@
         self.has_failed_connect = False
         self.open_checks = 0
         self.unanswered_checks = 0
-        self.first_check_at = 0  # of the present silence; meaningless before its first check
+        self.first_check_at = 0  # of the present silence; not after the last activity if there was none
         self.consecutive_refusals = 0
 
     def message_received(self, now: int) -> None:
-        """Handles any data from the node."""
+        """Handles any data from the node, which proves that its process lives."""
         self.last_activity_at = now
         self.unanswered_checks = 0
+        self.consecutive_refusals = 0
 
     def connected(self, now: int) -> None:
         """Handles a connect that has come up."""
         self.message_received(now)
         self.has_failed_connect = False
-        self.consecutive_refusals = 0
 
     def connect_failed(self, *, is_refused: bool) -> None:
         """Handles the failure of a connect, for a set-up or for a check, that is due to the node."""
@@ -117,6 +120,11 @@
         self.unanswered_checks = 0
         self.consecutive_refusals = 0
 
+    @property
+    def silence_before_check(self) -> int:
+        """How long the node had been silent when the first check of this silence began; 0 if there was none."""
+        return max(0, self.first_check_at - self.last_activity_at)
+
     def is_silent(self, now: int) -> bool:
         """Whether the node has been silent for so long that it has to be checked."""
         return now - self.last_activity_at > self.silence_until_check
@@ -127,6 +135,8 @@
             return 0
         if not self.open_checks and not self.unanswered_checks:
             return 1
+        if now - self.first_check_at < FIRST_CHECK_LEAD_NS:
+            return 0
         return max(0, CHECKS_UNTIL_LOST - self.open_checks - self.unanswered_checks)
 
     def is_lost(self, now: int, *, has_open_connection: bool) -> bool:
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -248,7 +248,7 @@
                 why=reason,
                 playing=len(pool.playing_sessions),
                 silent_ms=(self.clock.now() - pool.liveness.last_activity_at) // MS,
-                first_check_ms=(pool.liveness.first_check_at - pool.liveness.last_activity_at) // MS,
+                first_check_ms=pool.liveness.silence_before_check // MS,
             )
         for session in list(pool.playing_sessions):
             pool.send_message("close", session.id, {}, cause_codes.CANCELLED)
--- a/tests/test_node_liveness.py
+++ b/tests/test_node_liveness.py
@@ -12,6 +12,7 @@
     CHECK_TIMEOUT_NS,
     CHECKS_UNTIL_LOST,
     LATEST_CHECK_NS,
+    REFUSALS_UNTIL_LOST,
     SILENCE_WITHOUT_REPORTS_NS,
     CheckResult,
     NodeLiveness,
@@ -126,6 +127,24 @@
     assert node.check_count <= 60 * SECOND // SILENCE_WITHOUT_REPORTS_NS
 
 
+def test_several_rounds_at_one_moment_start_one_check() -> None:
+    """Guards against four connects to each node for the playbacks that are handed over to a front end at its start."""
+    node = SimulatedNode(NodeLiveness(SECOND), lambda: 3 * MS, now=100 * SECOND)
+    for _ in range(20):
+        node.round()
+    assert node.check_count == 1
+
+
+def test_a_refusal_before_a_message_does_not_count() -> None:
+    """Guards against a node taken for gone for refusals that it has outlived."""
+    liveness = NodeLiveness(silence_until_check_ns(3000 * MS, 900 * MS))
+    for _ in range(REFUSALS_UNTIL_LOST):
+        liveness.connect_failed(is_refused=True)
+    assert liveness.is_lost(SECOND, has_open_connection=False)
+    liveness.message_received(SECOND)
+    assert not liveness.is_lost(SECOND, has_open_connection=False)
+
+
 def test_connects_that_fail_at_once_do_not_shorten_the_time_for_checks() -> None:
     """Guards against a loss by a route that is missing for a moment, with an error at once instead of no answer."""
     liveness = NodeLiveness(silence_until_check_ns(3000 * MS, 900 * MS))
