Do not count a node of serve as lost for want of a descriptor here

Change: a lack of descriptors or memory here leaves the node the time from silent to lost. `running/local_shortage.py` tells such errors for both ways in, also inside the groups in which trio reports them.

--- a/oakcroft/decisions/sessions/event_stream_health.py
+++ b/oakcroft/decisions/sessions/event_stream_health.py
@@ -29,6 +29,7 @@
     RESET = "connection reset"
     CLOSED = "ended in order"
     TIMED_OUT = "no answer in time"
+    LOCAL_SHORTAGE = "no descriptor left here"
     SESSIONS_UNKNOWN = "the node knows no session of this front"
 
 
@@ -56,6 +57,7 @@
     - Proven loss: the node names a new process, refuses two connections in a row (nothing listens there), or
       says that it knows no session of this front end.
     - A reset may concern the stream alone, so the stream is opened again first.
+    - A stream that this machine has no descriptor for says nothing of the node.
     - Presumed loss: silence for `lost_after`. That is long, because admission control stops sending set-ups
       to a silent node much sooner. The node may play on, so its seats stay taken until it has confirmed the
       end or had time for it.
@@ -106,11 +108,17 @@
         if self.state is StreamState.LOST:
             return None
         self.refusals = self.refusals + 1 if cause is StreamBreak.REFUSED else 0
+        if cause is StreamBreak.LOCAL_SHORTAGE:
+            self._count_silence_anew(now)
         if cause is StreamBreak.SESSIONS_UNKNOWN or self.refusals >= MAX_REFUSALS:
             return self._mark_lost(LossCertainty.PROVEN)
         self._set_state(StreamState.SILENT)
         return self.check(now)
 
+    def _count_silence_anew(self, now: int) -> None:
+        """Leaves the node the time from silent to lost, since this front end could not listen until now."""
+        self.last_message_at = max(self.last_message_at, now - self.timeouts.silent_after)
+
     def discount_pause(self, pause_ns: int) -> None:
         """Discounts a pause of the front end, during which it read no messages of the node.
 
--- a/oakcroft/front/node_client.py
+++ b/oakcroft/front/node_client.py
@@ -39,6 +39,7 @@
 )
 from oakcroft.decisions.sessions.session_resource import SDPFRAG_MEDIA_TYPE
 from oakcroft.running.clock import Clock
+from oakcroft.running.local_shortage import is_local_shortage
 from oakcroft.front.playback_session import UpstreamSession, PlaybackSession
 from oakcroft.httpwire.client import CONNECTION_REFUSED, ExchangeError, HttpClient
 from oakcroft.httpwire.message import Headers, Response
@@ -421,6 +422,8 @@
             if silence.cancelled_caught:
                 return StreamBreak.CLOSED if self.is_reopening else StreamBreak.TIMED_OUT
         except ExchangeError as ended:
+            if is_local_shortage(ended):
+                return StreamBreak.LOCAL_SHORTAGE
             return StreamBreak.REFUSED if ended.cause == CONNECTION_REFUSED else StreamBreak.RESET
         except (ValueError, msgspec.DecodeError):
             return StreamBreak.RESET
--- a/oakcroft/platform/node_checks.py
+++ b/oakcroft/platform/node_checks.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Protocol
@@ -15,9 +14,7 @@
 from oakcroft.platform.node_connection import NodeConnection
 from oakcroft.running.clock import Clock
 from oakcroft.running.inbox import Event
-
-# Errors of a connect that are due to this machine, not to the node.
-LOCAL_SHORTAGE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+from oakcroft.running.local_shortage import is_local_shortage
 
 
 class CheckedPool(Protocol):
@@ -38,11 +35,6 @@
         """Reads the messages of a connection until it ends."""
 
 
-def is_local_shortage(error: Exception) -> bool:
-    """Whether a connect failed for lack of a descriptor or of memory here."""
-    return isinstance(error, OSError) and error.errno in LOCAL_SHORTAGE_ERRNOS
-
-
 class NodeChecks:
     """The checks of one node. Their ends are submitted to the coordinator as events."""
 
--- a/oakcroft/platform/node_pool.py
+++ b/oakcroft/platform/node_pool.py
@@ -16,7 +16,7 @@
 from oakcroft.decisions.sessions.node_liveness import CheckResult, NodeLiveness
 from oakcroft.interface import MS, SECOND, NodeStatus, Node, Outcome, PlaybackState
 from oakcroft.platform.connection import connect
-from oakcroft.platform.node_checks import NodeChecks, is_local_shortage
+from oakcroft.platform.node_checks import NodeChecks
 from oakcroft.platform.node_connection import NodeConnection
 from oakcroft.platform.node_pool_listener import NodePoolListener
 from oakcroft.platform.playback_session import PlaybackSession
@@ -24,6 +24,7 @@
 from oakcroft.platformwire.framing import ProtocolError
 from oakcroft.running.clock import Clock
 from oakcroft.running.inbox import Event
+from oakcroft.running.local_shortage import is_local_shortage
 
 RETIRE_IDLE_SHARE = 0.6  # share of the idle timeout; the node must not close a connection that is in use here
 MAX_UNSENT_MESSAGES = 512  # per node; over the limit the oldest is dropped
--- a/tests/test_event_stream_timeouts.py
+++ b/tests/test_event_stream_timeouts.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import math
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+import resource
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from random import Random
 
@@ -34,10 +35,23 @@
     client: NodeClient
     streams: list[trio.SocketStream] = field(default_factory=list)
     connect_seconds: float = 0.0
+    has_descriptors: bool = True
     losses: list[tuple[float, LossCertainty]] = field(default_factory=list)
     """When each loss was reported, on trio's clock, and how certain it was."""
 
 
+@contextmanager
+def limited_descriptors(has_descriptors: bool) -> Iterator[None]:
+    """Lets this process open no descriptor while the block runs, unless it has some."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if not has_descriptors:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (0, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 @asynccontextmanager
 async def watched_node(
     monkeypatch: pytest.MonkeyPatch, timeouts: StreamTimeouts
@@ -54,7 +68,8 @@
 
         async def open_late(host: str, port: int) -> trio.SocketStream:
             await trio.sleep(node.connect_seconds)
-            return await open_stream(host, port)
+            with limited_descriptors(node.has_descriptors):
+                return await open_stream(host, port)
 
         async def serve(stream: trio.SocketStream) -> None:
             node.streams.append(stream)
@@ -115,3 +130,21 @@
             assert not node.losses
 
     trio.run(test)
+
+
+def test_a_node_is_not_lost_while_this_process_has_no_descriptor(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against playbacks given up at a node that lives, since no new stream to it could be opened from here."""
+
+    async def test() -> None:
+        async with watched_node(monkeypatch, StreamTimeouts(SILENT_AFTER_NS, 2 * SECOND)) as node:
+            node.has_descriptors = False
+            await trio.aclose_forcefully(node.streams[0])
+            await trio.sleep(4)
+            assert not node.losses
+            node.has_descriptors = True
+            with trio.fail_after(2):
+                while len(node.streams) < len(("broken", "new")):
+                    await trio.sleep(0.01)
+            assert not node.losses
+
+    trio.run(test)
