Open a new connection to a node beside a check that is not up after 0.3 s

Cause: since a check has 1.25 s, a connect that never comes up kept the next one waiting for as long, and with it a release that the node repeats on its next connection; such releases are due within 1 s.

Measured: test_a_new_connection_does_not_wait_for_one_that_never_comes_up failed before and holds; 120 tests of the platform passed.

--- a/oakcroft/platform/node_pool.py
+++ b/oakcroft/platform/node_pool.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from oakcroft.decisions.sessions.node_liveness import CheckResult, NodeLiveness
+from oakcroft.decisions.sessions.node_liveness import CHECKS_UNTIL_LOST, CheckResult, NodeLiveness
 from oakcroft.interface import MS, SECOND, NodeStatus, Node, Outcome, PlaybackState
 from oakcroft.platform.connection import connect
 from oakcroft.platform.node_checks import NodeChecks
@@ -297,6 +297,8 @@
     def check_ended(self, result: CheckResult) -> None:
         """Counts the end of a check; reports the node as lost if it is."""
         self.listener.check_ended(self, result)
+        if result is CheckResult.NO_DESCRIPTOR:
+            self.needs_resync = True  # what the node repeats still waits for a new connection
         self._report_if_lost()
 
     def _report_if_lost(self) -> None:
@@ -364,14 +366,24 @@
             return
         if checks_due := self.liveness.checks_due(now):
             self._start_checks(checks_due, now)
-        elif (
-            not self.opening_count
-            and now - self.last_connect_at >= MAINTENANCE_CONNECT_INTERVAL_NS
-            and (not self.connections or self.needs_resync or self.liveness.has_failed_connect)
-        ):
+        elif self._needs_new_connection() and now - self.last_connect_at >= MAINTENANCE_CONNECT_INTERVAL_NS:
             self._start_checks(1, now)
         self._report_if_lost()
 
+    def _needs_new_connection(self) -> bool:
+        """Whether a connection is to be opened although the node is not silent and no set-up waits for one.
+
+        A check that is not up yet may never come up, and a release of the node may wait for it.
+        """
+        if self.opening_for_setups or self.liveness.open_checks >= CHECKS_UNTIL_LOST:
+            return False
+        return (
+            not self.connections
+            or self.needs_resync
+            or self.liveness.has_failed_connect
+            or self.liveness.open_checks > 0
+        )
+
     def _start_checks(self, count: int, now: int) -> None:
         """Opens connections that show whether the node is there, and on which it repeats what may be lost."""
         if len(self.connections) >= max(MIN_CONNECTIONS_FOR_RETIREMENT, self.max_connections):
@@ -379,9 +391,9 @@
             if unused_connection is not None:
                 self._retire_connection(unused_connection, now)
         self.last_connect_at = now
+        self.needs_resync = False
         for _ in range(count):
             self.checks.start()
-        self.needs_resync = False
 
     def make_room_for_check(self) -> bool:
         """Returns whether a descriptor is free for a check that has been started."""
--- a/tests/test_platform_node_liveness.py
+++ b/tests/test_platform_node_liveness.py
@@ -28,6 +28,7 @@
 
 OBSERVED_SECONDS = 9.0
 NOTE_INTERVAL_SECONDS = 0.5
+NEXT_CONNECT_SECONDS = 0.7
 SETUP_INTERVAL_SECONDS = 0.2
 PLAY_LIMIT_SECONDS = 30
 CHECK_RESERVE = 4
@@ -189,6 +190,22 @@
     run_concurrently([partial(play, living) for living in LIVINGS])
 
 
+def test_a_new_connection_does_not_wait_for_one_that_never_comes_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against releases that come over 1 s late: the node repeats them on the next connection."""
+    delays = delay_connects(monkeypatch)
+
+    async def test(rig: PlatformRig) -> None:
+        viewer, node = await rig.viewer(), rig.nodes[0]
+        await standing_session(rig, viewer, node, A)
+        delays[node.port] = math.inf
+        await trio.aclose_forcefully(node.streams[0])
+        await wait_until(lambda: rig.coordinator.pools["n0"].liveness.open_checks)
+        delays[node.port] = 0.0
+        await wait_until(lambda: node.streams, NEXT_CONNECT_SECONDS)
+
+    run_on_platform(test)
+
+
 def test_a_pause_of_the_front_end_does_not_make_a_node_lost() -> None:
     """Guards against nodes taken for gone since the front end itself was paused for longer than they may be silent."""
 
