End the other connects to a node when one check has come up

Cause: checks that were out beside the one that came up were kept too.

Change: the first check that comes up cancels the others; the rule by which surplus connections were retired goes.

--- a/oakcroft/decisions/sessions/node_liveness.py
+++ b/oakcroft/decisions/sessions/node_liveness.py
@@ -47,6 +47,7 @@
     REFUSED = "refused"
     UNANSWERED = "unanswered"
     NO_DESCRIPTOR = "no descriptor"
+    SUPERSEDED = "superseded"
 
 
 def silence_until_check_ns(report_interval_ns: int, report_delay_ns: int) -> int:
@@ -110,7 +111,7 @@
         self.open_checks -= 1
         if result is CheckResult.CONNECTED:
             self.connected(now)
-        elif result is not CheckResult.NO_DESCRIPTOR:
+        elif result in (CheckResult.REFUSED, CheckResult.UNANSWERED):
             self.connect_failed(is_refused=result is CheckResult.REFUSED)
         if result is CheckResult.UNANSWERED and started_at > self.last_activity_at:
             self.unanswered_checks += 1
--- a/oakcroft/platform/node_checks.py
+++ b/oakcroft/platform/node_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Protocol
@@ -25,8 +26,8 @@
     def make_room_for_check(self) -> bool:
         """Returns whether a descriptor is free for a check that has been started."""
 
-    def check_connected(self, connection: NodeConnection, *, is_surplus: bool) -> None:
-        """Takes the connection of a check; a surplus one began before another came up."""
+    def add_connection(self, connection: NodeConnection) -> None:
+        """Adds the connection of a check."""
 
     def check_ended(self, result: CheckResult) -> None:
         """Handles the end of a check, after the liveness has changed."""
@@ -36,7 +37,10 @@
 
 
 class NodeChecks:
-    """The checks of one node. Their ends are submitted to the coordinator as events."""
+    """The checks of one node. Their ends are submitted to the coordinator as events.
+
+    The first that comes up ends the others, so that a node which is slow gets one connection.
+    """
 
     def __init__(
         self,
@@ -52,7 +56,7 @@
         self.nursery = nursery
         self.submit = submit
         self.pool = pool
-        self.last_connected_at = 0  # when the last check came up
+        self.open_connects = dict[trio.CancelScope, None]()
 
     def start(self) -> None:
         """Starts a check; without a descriptor it ends at once, and proves nothing."""
@@ -65,26 +69,33 @@
 
     async def _check(self, started_at: int) -> None:
         """Connects, and reads the messages of the connection until it ends."""
+        sock: socket.socket | None = None
+        result = CheckResult.SUPERSEDED
         try:
-            sock = await connect(self.pool.address, CHECK_TIMEOUT_NS / SECOND)
+            with trio.CancelScope() as scope:
+                self.open_connects[scope] = None
+                sock = await connect(self.pool.address, CHECK_TIMEOUT_NS / SECOND)
         except (OSError, trio.TooSlowError) as error:
             result = CheckResult.UNANSWERED
             if is_local_shortage(error):
                 result = CheckResult.NO_DESCRIPTOR
             elif isinstance(error, ConnectionRefusedError):
                 result = CheckResult.REFUSED
+        finally:
+            del self.open_connects[scope]
+        if sock is None:
             await self.submit(partial(self._ended, started_at, result))
             return
+        for open_connect in self.open_connects:
+            open_connect.cancel()
         connection = NodeConnection(sock, self.nursery, self.clock.now())
         await self.submit(partial(self._connected, started_at, connection))
         await self.pool.read_messages(connection)
 
     def _connected(self, started_at: int, connection: NodeConnection) -> None:
         """Passes a new connection on to the pool."""
-        is_surplus = started_at < self.last_connected_at
-        self.last_connected_at = self.clock.now()
         self._ended(started_at, CheckResult.CONNECTED)
-        self.pool.check_connected(connection, is_surplus=is_surplus)
+        self.pool.add_connection(connection)
 
     def _ended(self, started_at: int, result: CheckResult) -> None:
         """Handles the end of a check."""
--- a/oakcroft/platform/node_pool.py
+++ b/oakcroft/platform/node_pool.py
@@ -252,15 +252,9 @@
         """Handles the end of a connect for set-ups."""
         self.opening_for_setups -= 1
         self.liveness.connected(self.clock.now())
-        self._add_connection(connection)
+        self.add_connection(connection)
 
-    def check_connected(self, connection: NodeConnection, *, is_surplus: bool) -> None:
-        """Takes the connection of a check; one too many is only read, in case the node has sent something on it."""
-        self._add_connection(connection)
-        if is_surplus and not connection.pending_setups and len(self.connections) > 1:
-            self._retire_connection(connection, self.clock.now())
-
-    def _add_connection(self, connection: NodeConnection) -> None:
+    def add_connection(self, connection: NodeConnection) -> None:
         """Adds a new connection to the pool, and sends the messages and set-ups that wait for one."""
         if self.is_removed and not self.playing_sessions and not self.waiting_setups:
             connection.close()
