--- a/tests/test_platform_node_liveness.py
+++ b/tests/test_platform_node_liveness.py
@@ -29,6 +29,7 @@
 OBSERVED_SECONDS = 9.0
 NOTE_INTERVAL_SECONDS = 0.5
 NEXT_CONNECT_SECONDS = 0.7
+LONG_PAUSE_SECONDS = 1.9
 SETUP_INTERVAL_SECONDS = 0.2
 PLAY_LIMIT_SECONDS = 30
 CHECK_RESERVE = 4
@@ -243,3 +244,23 @@
         assert trio.current_time() - vanished_at <= RELEASE_LIMIT_SECONDS
 
     run_on_platform(test, info={"reportsEveryMs": 4500.0, "seenAfterMs": 1200.0})
+
+
+def test_a_pause_after_the_first_check_does_not_delay_the_loss_of_a_node(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against releases over 8 s late since the front end was paused before the other checks began."""
+    delays = delay_connects(monkeypatch)
+
+    async def test(rig: PlatformRig) -> None:
+        viewer = await rig.viewer()
+        await standing_session(rig, viewer, rig.nodes[0], A)
+        await send_note(rig.nodes[0], A)
+        vanished_at = trio.current_time()
+        delays[rig.nodes[0].port] = math.inf
+        await wait_until(lambda: rig.coordinator.pools["n0"].liveness.open_checks, RELEASE_LIMIT_SECONDS)
+        time.sleep(LONG_PAUSE_SECONDS)
+        assert (await viewer.receive() or ())[:2] == (framing.RELEASE, A)
+        assert trio.current_time() - vanished_at <= RELEASE_LIMIT_SECONDS
+
+    run_on_platform(test, info={"reportsEveryMs": 4500.0, "seenAfterMs": 1200.0})
