List a stream of the stand-in node only once it is served, in the test that failed the landing

Cause: the node listed a stream when it accepted the connection, and the test breaks the newest listed stream, looking every 10 ms. Where the client's request came later than that, the test closed the socket on which the node still waited for the request. Traced by putting 0.1 s between the connection and its request: the old test fails with this very error, 4 of 4 runs.

Change: the node lists a stream after its hello, and the test puts in that 0.1 s, so that the order which failed occurs each time. It also waits for each new stream to be alive. All assertions stay.

--- a/tests/test_event_stream_timeouts.py
+++ b/tests/test_event_stream_timeouts.py
@@ -26,6 +26,7 @@
 TOLERANCE_SECONDS = 0.3
 CONNECT_TIMEOUT_NS = 250 * MS
 SLOW_CONNECT_SECONDS = 1.0
+LATE_REQUEST_SECONDS = 0.1
 
 
 @dataclass
@@ -34,7 +35,12 @@
 
     client: NodeClient
     streams: list[trio.SocketStream] = field(default_factory=list)
+    """Those on which the node has said hello, the newest last."""
+
     connect_seconds: float = 0.0
+    request_seconds: float = 0.0
+    """From a connection that has come up to the request on it."""
+
     has_descriptors: bool = True
     losses: list[tuple[float, LossCertainty]] = field(default_factory=list)
     """When each loss was reported, on trio's clock, and how certain it was."""
@@ -69,12 +75,14 @@
         async def open_late(host: str, port: int) -> trio.SocketStream:
             await trio.sleep(node.connect_seconds)
             with limited_descriptors(node.has_descriptors):
-                return await open_stream(host, port)
+                stream = await open_stream(host, port)
+            await trio.sleep(node.request_seconds)
+            return stream
 
         async def serve(stream: trio.SocketStream) -> None:
-            node.streams.append(stream)
             await stream.receive_some()
             await stream.send_all(HELLO)
+            node.streams.append(stream)
             await trio.sleep_forever()
 
         async def on_event(name: str, event: NodeEvent) -> None:
@@ -120,10 +128,13 @@
     async def test() -> None:
         async with watched_node(monkeypatch, StreamTimeouts(2 * SECOND, 4 * SECOND)) as node:
             node.connect_seconds = SLOW_CONNECT_SECONDS
+            node.request_seconds = LATE_REQUEST_SECONDS
             for count in (1, 2, 3):
                 await trio.aclose_forcefully(node.streams[-1])
                 with trio.fail_after(4 * SLOW_CONNECT_SECONDS):
-                    while len(node.streams) == count:
+                    while (
+                        len(node.streams) == count or node.client.stream_health.state is not StreamState.ALIVE
+                    ):
                         await trio.sleep(0.01)
             await trio.sleep(TOLERANCE_SECONDS)
             assert node.client.stream_health.state is StreamState.ALIVE
