Pause in the step of a check's connect in the two tests of pauses amid checks

Cause: both tests looked every 10 ms whether a check was open and then paused. By reading; not seen. They were also copies of each other.

Change: `delay_connects` calls back in the step in which a late connect has begun, and both tests pause there, by one function. The bound, the pauses and the assertions stay; that the pause took place is asserted as well.

--- a/tests/platform_gates.py
+++ b/tests/platform_gates.py
@@ -68,15 +68,23 @@
     return gate
 
 
-def delay_connects(monkeypatch: pytest.MonkeyPatch) -> dict[int, float]:
-    """Returns by how many seconds connects to a node come up late, by its port; a test adds to it."""
+def delay_connects(
+    monkeypatch: pytest.MonkeyPatch, on_delayed: Callable[[], None] = lambda: None
+) -> dict[int, float]:
+    """Returns by how many seconds connects to a node come up late, by its port; a test adds to it.
+
+    `on_delayed` is called in the step in which a late connect has begun.
+    """
     delays = dict[int, float]()
     connect = connection_module.connect
 
     async def late(address: tuple[str, int], within: float) -> socket.socket:
         began = trio.current_time()
+        delay_seconds = delays.get(address[1], 0)
         with trio.fail_after(within):
-            await trio.sleep(delays.get(address[1], 0))
+            if delay_seconds:
+                on_delayed()
+            await trio.sleep(delay_seconds)
         return await connect(address, within + began - trio.current_time())
 
     for module in (node_pool, node_checks):
--- a/tests/test_platform_node_liveness.py
+++ b/tests/test_platform_node_liveness.py
@@ -225,42 +225,38 @@
     run_on_platform(test)
 
 
-def test_a_pause_amid_the_checks_does_not_delay_the_loss_of_a_node(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against releases over 8 s late since the front end was paused while it checked a vanished node."""
-    delays = delay_connects(monkeypatch)
+def run_with_pause(monkeypatch: pytest.MonkeyPatch, check_number: int, pause_seconds: float) -> None:
+    """Lets a node vanish, and the process pause once that many checks have begun; the release has to be in time."""
+    started_checks = 0
+
+    def pause_at_check() -> None:
+        nonlocal started_checks
+        started_checks += 1
+        if started_checks == check_number:
+            time.sleep(pause_seconds)  # blocks the process, as a pause does
+
+    delays = delay_connects(monkeypatch, pause_at_check)
 
     async def test(rig: PlatformRig) -> None:
-        viewer = await rig.viewer()
-        await standing_session(rig, viewer, rig.nodes[0], A)
-        await send_note(rig.nodes[0], A)
+        viewer, node = await rig.viewer(), rig.nodes[0]
+        await standing_session(rig, viewer, node, A)
+        await send_note(node, A)
         vanished_at = trio.current_time()
-        delays[rig.nodes[0].port] = math.inf
-        await wait_until(
-            lambda: rig.coordinator.pools["n0"].liveness.open_checks == CHECKS_UNTIL_LOST,
-            RELEASE_LIMIT_SECONDS,
-        )
-        time.sleep(CHECK_TIMEOUT_NS / SECOND + NOTE_INTERVAL_SECONDS)
-        assert (await viewer.receive() or ())[:2] == (framing.RELEASE, A)
+        delays[node.port] = math.inf
+        assert (await viewer.receive(math.inf) or ())[:2] == (framing.RELEASE, A)
+        assert started_checks >= check_number
         assert trio.current_time() - vanished_at <= RELEASE_LIMIT_SECONDS
 
     run_on_platform(test, info={"reportsEveryMs": 4500.0, "seenAfterMs": 1200.0})
 
 
+def test_a_pause_amid_the_checks_does_not_delay_the_loss_of_a_node(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against releases over 8 s late since the front end was paused while it checked a vanished node."""
+    run_with_pause(monkeypatch, CHECKS_UNTIL_LOST, CHECK_TIMEOUT_NS / SECOND + NOTE_INTERVAL_SECONDS)
+
+
 def test_a_pause_after_the_first_check_does_not_delay_the_loss_of_a_node(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against releases over 8 s late since the front end was paused before the other checks began."""
-    delays = delay_connects(monkeypatch)
-
-    async def test(rig: PlatformRig) -> None:
-        viewer = await rig.viewer()
-        await standing_session(rig, viewer, rig.nodes[0], A)
-        await send_note(rig.nodes[0], A)
-        vanished_at = trio.current_time()
-        delays[rig.nodes[0].port] = math.inf
-        await wait_until(lambda: rig.coordinator.pools["n0"].liveness.open_checks, RELEASE_LIMIT_SECONDS)
-        time.sleep(LONG_PAUSE_SECONDS)
-        assert (await viewer.receive() or ())[:2] == (framing.RELEASE, A)
-        assert trio.current_time() - vanished_at <= RELEASE_LIMIT_SECONDS
-
-    run_on_platform(test, info={"reportsEveryMs": 4500.0, "seenAfterMs": 1200.0})
+    run_with_pause(monkeypatch, 1, LONG_PAUSE_SECONDS)
