Give three benchmarks of the decision module one plain deployment to vary

Cause: mass_drain_simulation, unreported_loads and cold_ramp_simulation each wrote out all 21 settings of a deployment; what they vary could not be seen.

Change: PLAIN_DEPLOYMENT in benchmarks/decision_module.py, of which each replaces what it varies.

The benchmarks were not run.

--- a/benchmarks/cold_ramp_simulation.py
+++ b/benchmarks/cold_ramp_simulation.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import NamedTuple
 
-from benchmarks.decision_module import NullHost, create_plan
+from benchmarks.decision_module import PLAIN_DEPLOYMENT, NullHost, create_plan
 from oakcroft.choice import Controller
 from oakcroft.interface import (
     MS,
@@ -161,28 +161,15 @@
 
 def create_settings(setting: Setting, fronts: int, nodes: int) -> DeploymentSettings:
     """Returns the settings of a fleet of this size."""
-    return DeploymentSettings(
+    return replace(
+        PLAIN_DEPLOYMENT,
         front_count=fronts,
-        front_index=0,
-        must_subscribe=False,
-        subscribe_within_ns=0,
         cell_count=nodes,
         rack_count=3,
-        rung_rates=(100.0, 200.0, 400.0),
-        rung_revenue_shares=(0.3, 0.6, 1.0),
-        uplink_capacity=0.0,
-        join_rate_share=1.0,
-        report_delay_ns=SECOND,
-        report_interval_ns=3 * SECOND,
-        max_tries=3,
-        max_retry_after_ns=SECOND,
         cold_pace_share=setting.cold_pace_share,
         cold_duration_ns=setting.cold_duration_ns,
         overload_multiple=setting.overload_multiple,
         overload_window_ns=setting.overload_window_ns,
-        retry_budget_base=None,
-        retry_budget_share=0.0,
-        retry_budget_window_ns=0,
     )
 
 
--- a/benchmarks/decision_module.py
+++ b/benchmarks/decision_module.py
@@ -1,8 +1,33 @@
-"""Shared by the benchmarks that run the decision module without a front: a plan, and a host that does nothing."""
+"""Shared by the benchmarks that run the decision module without a front: settings, a plan and a host."""
 
 from __future__ import annotations
 
-from oakcroft.interface import SECOND, Effect, KeyScope, Node, Plan, Playback
+from oakcroft.interface import SECOND, DeploymentSettings, Effect, KeyScope, Node, Plan, Playback
+
+PLAIN_DEPLOYMENT = DeploymentSettings(
+    front_count=1,
+    front_index=0,
+    must_subscribe=False,
+    subscribe_within_ns=0,
+    cell_count=1,
+    rack_count=1,
+    rung_rates=(100.0, 200.0, 400.0),
+    rung_revenue_shares=(0.3, 0.6, 1.0),
+    uplink_capacity=0.0,
+    join_rate_share=1.0,
+    report_delay_ns=SECOND,
+    report_interval_ns=3 * SECOND,
+    max_tries=3,
+    max_retry_after_ns=SECOND,
+    cold_pace_share=0.5,
+    cold_duration_ns=SECOND,
+    overload_multiple=2.5,
+    overload_window_ns=SECOND,
+    retry_budget_base=None,
+    retry_budget_share=0.0,
+    retry_budget_window_ns=0,
+)
+"""A deployment of one front end without limits on uplinks or retries; benchmarks replace what they vary."""
 
 
 def create_plan(
--- a/benchmarks/mass_drain_simulation.py
+++ b/benchmarks/mass_drain_simulation.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 from random import Random
 from typing import NamedTuple
 
-from benchmarks.decision_module import NullHost, create_plan
+from benchmarks.decision_module import PLAIN_DEPLOYMENT, NullHost, create_plan
 from oakcroft.choice import Controller
 from oakcroft.decisions.moving.move_scheduler import MoveScheduler, MoveLimits, MoveReason
 from oakcroft.interface import (
@@ -48,21 +49,15 @@
 
 def front_settings(fronts: int, front: int, cells: int) -> DeploymentSettings:
     """Returns the deployment settings of one front."""
-    return DeploymentSettings(
+    return replace(
+        PLAIN_DEPLOYMENT,
         front_count=fronts,
         front_index=front,
-        must_subscribe=False,
-        subscribe_within_ns=0,
         cell_count=cells,
-        rack_count=1,
         rung_rates=RUNG_RATES,
         rung_revenue_shares=RUNG_REVENUE_SHARES,
-        uplink_capacity=0.0,
-        join_rate_share=1.0,
         report_delay_ns=600 * MS,
         report_interval_ns=2500 * MS,
-        max_tries=3,
-        max_retry_after_ns=SECOND,
         cold_pace_share=COLD_PACE_SHARE,
         cold_duration_ns=COLD_DURATION_NS,
         overload_multiple=OVERLOAD_MULTIPLE,
--- a/benchmarks/unreported_loads.py
+++ b/benchmarks/unreported_loads.py
@@ -17,7 +17,7 @@
 from random import Random
 from typing import NamedTuple
 
-from benchmarks.decision_module import NullHost, create_plan
+from benchmarks.decision_module import PLAIN_DEPLOYMENT, NullHost, create_plan
 from oakcroft.choice import Controller
 from oakcroft.interface import (
     MS,
@@ -215,28 +215,19 @@
 
 def create_settings(fronts: int, nodes: int, racks: int, uplink: float) -> DeploymentSettings:
     """Returns the settings of a deployment; `uplink` is the capacity of a rack's uplink in kB/s."""
-    return DeploymentSettings(
+    return replace(
+        PLAIN_DEPLOYMENT,
         front_count=fronts,
-        front_index=0,
-        must_subscribe=False,
-        subscribe_within_ns=0,
         cell_count=nodes,
         rack_count=racks,
         rung_rates=RUNG_RATES,
         rung_revenue_shares=RUNG_REVENUE_SHARES,
         uplink_capacity=uplink,
-        join_rate_share=1.0,
         report_delay_ns=REPORT_DELAY_NS,
         report_interval_ns=0,
         max_tries=4,
         max_retry_after_ns=500 * MS,
-        cold_pace_share=0.5,
-        cold_duration_ns=SECOND,
-        overload_multiple=2.5,
         overload_window_ns=1500 * MS,
-        retry_budget_base=None,
-        retry_budget_share=0.0,
-        retry_budget_window_ns=0,
     )
 
 
