Release the sessions of a hung node within 8 s, judged by what its process sends

Cause: a connect that came up counted as a message of the node; a kernel takes connects for a process that hangs.

Change, where it is decided: decisions/sessions/node_liveness.py counts only what the process has sent: messages, the answer to a test (where permissions.probing allows one), or the end of its side of a connection that the front end has ended. Data read after a pause counts from before it.

--- a/oakcroft/platform/connection.py
+++ b/oakcroft/platform/connection.py
@@ -29,6 +29,8 @@
         self.sent_bytes = 0
         self.is_open = True
         self.is_flushing = False
+        self.has_received_end = False  # the peer has closed its side in order
+        self.was_ended_by_peer = False  # in order or by a reset
 
     def write(self, data: bytes) -> bool:
         """Sends the data and buffers what the kernel does not accept; returns whether the connection is usable."""
@@ -55,6 +57,7 @@
         except BlockingIOError:
             pass
         except OSError:
+            self.was_ended_by_peer = True
             self.close()
 
     async def _flush_when_writable(self) -> None:
@@ -72,11 +75,15 @@
         """Waits for data and returns it; returns no bytes once the connection was closed or has failed."""
         while self.is_open:
             try:
-                return self.sock.recv(RECEIVE_BYTES)
+                data = self.sock.recv(RECEIVE_BYTES)
             except BlockingIOError:
                 pass
             except OSError:
+                self.was_ended_by_peer = True
                 return b""
+            else:
+                self.has_received_end = self.was_ended_by_peer = not data
+                return data
             try:
                 await trio.lowlevel.wait_readable(self.sock)
             except (trio.ClosedResourceError, OSError):
@@ -92,6 +99,10 @@
         except OSError:
             return True
 
+    def is_ended_by_peer(self) -> bool:
+        """Whether the peer has closed or reset the connection, as far as is known; not if it was closed here."""
+        return self.was_ended_by_peer or self.is_at_end()
+
     def has_unread_input(self) -> bool:
         """Whether data of the peer, or the end of the connection, has arrived and was not read."""
         if not self.is_open:
--- a/oakcroft/platform/node_connection.py
+++ b/oakcroft/platform/node_connection.py
@@ -18,7 +18,10 @@
         super().__init__(sock, nursery)
         # With the bytes of each, as counted by `queued_bytes`.
         self.pending_setups: dict[PlaybackSession, range] = {}
+        self.opened_at = now
         self.last_used_at = now
+        self.last_read_at = now  # until then, all that the node had sent was read
+        self.last_written_at = now  # when the node wrote what was read last, at the earliest
 
     def retract_setup(self, session: PlaybackSession) -> bool:
         """Removes a set-up from the send buffer; returns whether the node cannot have received all of it.
--- a/oakcroft/platform/node_pool.py
+++ b/oakcroft/platform/node_pool.py
@@ -13,12 +13,19 @@
 
 import trio
 
-from oakcroft.decisions.sessions.node_liveness import CHECKS_UNTIL_LOST, CheckResult, NodeLiveness
+from oakcroft.decisions.sessions.node_liveness import (
+    CHECKS_UNTIL_LOST,
+    RELEASE_LIMIT_NS,
+    CheckResult,
+    LivenessTimeouts,
+    NodeLiveness,
+)
 from oakcroft.interface import MS, SECOND, NodeStatus, Node, Outcome, PlaybackState
 from oakcroft.platform.connection import connect
 from oakcroft.platform.node_checks import NodeChecks
 from oakcroft.platform.node_connection import NodeConnection
-from oakcroft.platform.node_pool_listener import NodePoolListener
+from oakcroft.platform.node_evidence import NodeEvidence
+from oakcroft.platform.node_pool_listener import NodeLoss, NodePoolListener
 from oakcroft.platform.playback_session import PlaybackSession
 from oakcroft.platformwire import cause_codes, json_lines
 from oakcroft.platformwire.framing import ProtocolError
@@ -40,7 +47,8 @@
     streams_per_connection: int  # set-ups that may await an answer on one connection
     idle_timeout_ns: int  # after which a node closes an idle connection
     connect_timeout_ns: int
-    silence_until_check_ns: int  # after which a connect checks whether a node is still there
+    liveness_timeouts: LivenessTimeouts  # after which a node is asked whether it is still there
+    earliest_written_at: Callable[[int, int], int]  # of data read at a time, not before another; for pauses
 
 
 class NodePool:
@@ -78,7 +86,9 @@
         self.playing_sessions: dict[PlaybackSession, None] = {}
         # To be sent on the next connection that opens.
         self.unsent_messages: deque[bytes] = deque(maxlen=MAX_UNSENT_MESSAGES)
-        self.liveness = NodeLiveness(settings.silence_until_check_ns)
+        self.evidence = NodeEvidence(settings.liveness_timeouts)
+        self.earliest_written_at = settings.earliest_written_at
+        self.may_test = settings.liveness_timeouts.until_test is not None
         self.checks = NodeChecks(self.liveness, clock, nursery, submit, self)
         self.last_connect_at = 0
         # Connections that are only read, and since when.
@@ -86,6 +96,17 @@
         self.needs_resync = False  # messages may be lost; the node repeats them on the next connection
         self.is_removed = False  # removed from the list, or its name has another address
 
+    @property
+    def liveness(self) -> NodeLiveness:
+        """When the node is asked for a sign of life, and whether it is lost."""
+        return self.evidence.liveness
+
+    def add_playing_session(self, session: PlaybackSession, now: int) -> None:
+        """Registers a session that plays at the node from now on."""
+        if not self.playing_sessions:
+            self.evidence.first_session_began(now)
+        self.playing_sessions[session] = None
+
     @property
     def opening_count(self) -> int:
         """Number of connections being opened."""
@@ -251,7 +272,7 @@
     def _on_connected(self, connection: NodeConnection) -> None:
         """Handles the end of a connect for set-ups."""
         self.opening_for_setups -= 1
-        self.liveness.connected(self.clock.now())
+        self.liveness.connected()
         self.add_connection(connection)
 
     def add_connection(self, connection: NodeConnection) -> None:
@@ -260,6 +281,7 @@
             connection.close()
             return
         self.connections.append(connection)
+        self.evidence.connection_opened(connection, self.clock.now())
         while self.unsent_messages and connection.write(self.unsent_messages[0]):
             self.unsent_messages.popleft()
         for session in list(self.waiting_setups):
@@ -297,20 +319,37 @@
 
     def _report_if_lost(self) -> None:
         """Reports the node as lost if it is, and nothing that it has sent is still to be read."""
-        has_open_connection = any(candidate.is_open for candidate in self.connections)
-        if not self.liveness.is_lost(self.clock.now(), has_open_connection=has_open_connection):
+        now = self.clock.now()
+        opened_at = [candidate.opened_at for candidate in self.connections if candidate.is_open]
+        if not self.liveness.is_lost(
+            now, has_open_connection=bool(opened_at), connected_since=min(opened_at, default=now)
+        ):
             return
         if any(candidate.has_unread_input() for candidate in [*self.connections, *self.retired_connections]):
             return
-        self.liveness.loss_reported()  # the closes of its sessions lead to another round of maintenance
-        self.listener.node_lost(self, "no connection")
+        loss = self.describe_loss("no sign of life", self.evidence.identity.unknown_since)
+        self.evidence.sessions_lost(now)  # the closes of its sessions lead to another round of maintenance
+        self.listener.node_lost(self, loss)
+
+    def describe_loss(self, reason: str, replaced_since: int | None = None) -> NodeLoss:
+        """Describes the loss of the node's process at this moment."""
+        return NodeLoss(
+            reason,
+            self.clock.now() - self.liveness.last_activity_at,
+            self.liveness.silence_before_check,
+            len(self.evidence.tested_at),
+            replaced_since,
+        )
 
     async def read_messages(self, connection: NodeConnection) -> None:
         """Submits the messages of a connection until it ends; closes it if the data is unreadable."""
         decoder, reason = json_lines.LineDecoder(), ""
         try:
             while data := await connection.read():
-                self.liveness.message_received(self.clock.now())
+                now = self.clock.now()
+                written_at = self.earliest_written_at(now, connection.last_read_at)
+                connection.last_read_at = now
+                self.evidence.data_received(connection, written_at)
                 decoder.receive_data(data)
                 while (event := decoder.next_event()) is not None:
                     await self.submit(partial(self.listener.message_received, self, connection, *event))
@@ -323,19 +362,25 @@
         """Removes a connection that has ended, and ends its tries."""
         if reason:
             self.listener.node_failed(self, reason)
-        if self.retired_connections.pop(connection, None) is None:
+        was_retired = self.retired_connections.pop(connection, None) is not None
+        if not was_retired:
             self.needs_resync = True
-        self._discard_connection(connection)
+        self._discard_connection(connection, was_retired=was_retired)
         if self.playing_sessions:
             self._repeat_closes()
             self.maintain(self.clock.now())
 
-    def _discard_connection(self, connection: NodeConnection) -> None:
+    def _discard_connection(self, connection: NodeConnection, *, was_retired: bool = False) -> None:
         """Closes a connection and ends its tries: `RESET` if the kernel accepted part of one, else `NOT_SENT`."""
         if connection in self.connections:
             self.connections.remove(connection)
         pending, connection.pending_setups = connection.pending_setups, {}
+        is_idle_end = connection.has_received_end and not pending and self._is_due_to_retire(connection)
+        is_in_order = was_retired or is_idle_end or not connection.is_ended_by_peer()
         connection.close()
+        self.evidence.connection_ended(
+            connection, self.clock.now(), was_retired=was_retired, is_in_order=is_in_order
+        )
         for session, queued_range in pending.items():
             session.node_connection = None
             self.listener.try_ended(
@@ -354,16 +399,35 @@
             if not connection.pending_setups and self._is_due_to_retire(connection):
                 self._retire_connection(connection, now)
         for connection, since in list(self.retired_connections.items()):
-            if now - since > RETIRED_CLOSE_TIMEOUT_NS:
+            if self._has_ended_or_never_will(since, now):
                 connection.close()
         if self.is_removed or not self.playing_sessions:
             return
+        self._ask_if_silent(now)
         if checks_due := self.liveness.checks_due(now):
             self._start_checks(checks_due, now)
         elif self._needs_new_connection() and now - self.last_connect_at >= MAINTENANCE_CONNECT_INTERVAL_NS:
             self._start_checks(1, now)
         self._report_if_lost()
 
+    def _has_ended_or_never_will(self, retired_at: int, now: int) -> bool:
+        """Whether the node has had time to end its side of a retired connection; a silent one may still do so."""
+        is_silent = bool(self.playing_sessions) and self.liveness.last_activity_at < retired_at
+        return now - retired_at > (RELEASE_LIMIT_NS if is_silent else RETIRED_CLOSE_TIMEOUT_NS)
+
+    def _ask_if_silent(self, now: int) -> None:
+        """Asks a silent node for a sign of life, by a test or by the end of a connection beside another one."""
+        self.evidence.confirm_end(self.connections, now)
+        self.evidence.test_if_due(self.connections, now)
+        if self.may_test or not self.liveness.is_silent(now):
+            return
+        is_asked = any(since > self.liveness.last_activity_at for since in self.retired_connections.values())
+        if is_asked or len(self.connections) < MIN_CONNECTIONS_FOR_RETIREMENT:
+            return
+        connection = self.evidence.oldest_known(self.connections)
+        if connection is not None:
+            self._retire_connection(connection, now)
+
     def _needs_new_connection(self) -> bool:
         """Whether a connection is to be opened although the node is not silent and no set-up waits for one.
 
@@ -414,6 +478,7 @@
         self.connections.remove(connection)
         self.retired_connections[connection] = now
         connection.shut_down_writing()
+        self.liveness.question_sent(now)  # a process that lives ends its side as well
 
     def close(self) -> None:
         """Closes all connections of a node that is gone."""
--- a/oakcroft/platform/node_pool_listener.py
+++ b/oakcroft/platform/node_pool_listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
 from oakcroft.decisions.sessions.node_liveness import CheckResult
@@ -13,6 +14,24 @@
 PoolT = TypeVar("PoolT", contravariant=True)
 
 
+@dataclass(frozen=True)
+class NodeLoss:
+    """The loss of a node's process. Times in ns."""
+
+    reason: str
+    silent_ns: int
+    """Since its last sign of life."""
+
+    first_check_ns: int
+    """Silence at which it was first checked by a connect; 0 if it was not."""
+
+    test_count: int
+    """Tests that were unanswered."""
+
+    replaced_since: int | None = None
+    """When a connection came up that may lead to another process, at which later sessions stand; None if none did."""
+
+
 class NodePoolListener(Protocol[PoolT]):
     """Receives the events of a pool; implemented by the session coordinator."""
 
@@ -42,7 +61,7 @@
     ) -> None:
         """A setup try ended without an answer."""
 
-    def node_lost(self, pool: PoolT, reason: str) -> None:
+    def node_lost(self, pool: PoolT, loss: NodeLoss) -> None:
         """The node's process is gone, with all sessions that played there."""
 
     def node_failed(self, pool: PoolT, reason: str) -> None:
--- a/oakcroft/platform/node_pools.py
+++ b/oakcroft/platform/node_pools.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from oakcroft.decisions.sessions.node_liveness import silence_until_check_ns
+from oakcroft.decisions.sessions.node_liveness import liveness_timeouts
 from oakcroft.interface import Node, NodeEntry, NodeStatus
 from oakcroft.platform.node_connection import NodeConnection
 from oakcroft.platform.node_pool import NodePool, NodePoolSettings
@@ -42,8 +42,12 @@
         nursery: trio.Nursery,
         submit: Callable[[Event], Awaitable[None]],
         listener: NodePoolsListener,
+        earliest_written_at: Callable[[int, int], int],
     ) -> None:
-        """Creates no pools yet; `submit` takes what arrives from nodes."""
+        """Creates no pools yet; `submit` takes what arrives from nodes.
+
+        `earliest_written_at` tells when data read at a time was written at the earliest, not before another time.
+        """
         self.configuration = configuration
         self.clock = clock
         self.nursery = nursery
@@ -54,7 +58,10 @@
             configuration.streams_per_connection,
             configuration.idle_timeout_ns,
             configuration.connect_timeout_ns,
-            silence_until_check_ns(settings.report_interval_ns, settings.report_delay_ns),
+            liveness_timeouts(
+                settings.report_interval_ns, settings.report_delay_ns, may_test=configuration.may_test_nodes
+            ),
+            earliest_written_at,
         )
         self.by_name: dict[str, NodePool] = {}
         self.replaced: dict[NodePool, None] = {}  # pools of former addresses of nodes
@@ -111,7 +118,7 @@
             node = old_pool.node
             old_pool.is_removed = True
             self.replaced[old_pool] = None
-            self.listener.node_lost(old_pool, "another address")
+            self.listener.node_lost(old_pool, old_pool.describe_loss("another address"))
         pool = self.by_name[name] = self._create_pool(node, address)
         return pool
 
@@ -137,7 +144,7 @@
         for pool in self.by_name.values():
             if pool.node.status is NodeStatus.GONE and not pool.is_removed:
                 pool.is_removed = True
-                self.listener.node_lost(pool, "removed")
+                self.listener.node_lost(pool, pool.describe_loss("removed"))
             if pool.node.status is not NodeStatus.READY:
                 pool.cancel_unsent_setups()
         for pool in self.replaced:
--- a/oakcroft/platform/playback_session.py
+++ b/oakcroft/platform/playback_session.py
@@ -80,6 +80,9 @@
     ) -> None:
         """Sends a message about a playback on the next connection, which is opened now if there is room."""
 
+    def add_playing_session(self, session: PlaybackSession, now: int) -> None:
+        """Registers a session that plays there from now on."""
+
     def maintain(self, now: int) -> None:
         """Keeps a connection open while sessions play there."""
 
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -40,6 +40,7 @@
 from oakcroft.platform.node_pools import NodePools
 from oakcroft.platform.node_connection import NodeConnection
 from oakcroft.platform.node_pool import NodePool
+from oakcroft.platform.node_pool_listener import NodeLoss
 from oakcroft.platform.releases import Releases
 from oakcroft.platform.request_queue import RequestQueue
 from oakcroft.platform.playback_session import SetupRequest, PlaybackSession, ViewerEndpoint
@@ -92,7 +93,9 @@
         self.titles = TitleCache(MAX_TITLES, configuration.deployment_settings.cell_count, 0, {})
         self.sessions: dict[str, PlaybackSession] = {}
         self.sessions_by_playback: dict[Playback, PlaybackSession] = {}
-        self.node_pools = NodePools(configuration, clock, nursery, self.submit, self)
+        self.node_pools = NodePools(
+            configuration, clock, nursery, self.submit, self, self.pause_detector.earliest_written_at
+        )
         self.viewer_connections: dict[ViewerConnection, None] = {}
         self.releases = Releases(clock, self.count)
         self.handover = Handover()
@@ -239,18 +242,25 @@
         for session in [session for session in pool.playing_sessions if session.began_at < started_at]:
             self._session_ended(session, Outcome.RESET, cause_codes.FAILED, None)
 
-    def node_lost(self, pool: NodePool, reason: str) -> None:
-        """Ends all sessions on a node whose process is gone."""
-        if pool.playing_sessions:
+    def node_lost(self, pool: NodePool, loss: NodeLoss) -> None:
+        """Ends all sessions on a node whose process is gone, but those at another process that is at its address."""
+        over = [
+            session
+            for session in pool.playing_sessions
+            if loss.replaced_since is None or session.began_at < loss.replaced_since
+        ]
+        if over:
             self.logger.warning(
                 "node lost",
                 node=pool.node.name,
-                why=reason,
-                playing=len(pool.playing_sessions),
-                silent_ms=(self.clock.now() - pool.liveness.last_activity_at) // MS,
-                first_check_ms=pool.liveness.silence_before_check // MS,
+                why=loss.reason,
+                playing=len(over),
+                silent_ms=loss.silent_ns // MS,
+                first_check_ms=loss.first_check_ns // MS,
+                tests=loss.test_count,
+                replaced=loss.replaced_since is not None,
             )
-        for session in list(pool.playing_sessions):
+        for session in over:
             pool.send_message("close", session.id, {}, cause_codes.CANCELLED)
             self._session_ended(session, Outcome.RESET, cause_codes.FAILED, None)
 
@@ -339,7 +349,7 @@
         request.connection.session_count += 1
         self.releases.evidence_found(request.connection, ViewerEvidence.SESSION)
         self.sessions[session.id] = self.sessions_by_playback[session.playback] = session
-        pool.playing_sessions[session] = None
+        pool.add_playing_session(session, now)
         self.controller.on_handed_over(session.playback, pool.node, now)
         for message in self.handover.take_messages(session.id):
             message()
@@ -495,6 +505,8 @@
             self.handover.keep_message(session_id, early)
         if session is None or session.pool is not pool:
             return
+        if session.began_at:
+            pool.evidence.session_named(connection, session.began_at)
         if session.node_connection is connection and session.playback.state is PlaybackState.SETTING_UP:
             self._handle_setup_reply(session, pool, kind, json_lines.load_report(attributes), code, text, now)
         elif session.began_at and kind == "close":
@@ -548,7 +560,7 @@
         pool.setup_finished(session)
         session.began_at = now
         self._setup_finished(session)
-        pool.playing_sessions[session] = None
+        pool.add_playing_session(session, now)
         if session.viewer is not None:
             session.viewer.open_setups.pop(session.id, None)
             session.viewer.session_count += 1
--- a/oakcroft/platformwire/cause_codes.py
+++ b/oakcroft/platformwire/cause_codes.py
@@ -9,3 +9,6 @@
 
 # Closes to nodes.
 CANCELLED = 16  # the set-up was cancelled, or the viewer has ended the playback
+
+# Tests of nodes.
+TEST = 0
--- a/oakcroft/platformwire/configuration.py
+++ b/oakcroft/platformwire/configuration.py
@@ -70,6 +70,7 @@
         self.idle_timeout_ns = terms.ms_to_ns(permissions["connIdleMs"])
         self.connect_timeout_ns = terms.ms_to_ns(permissions["dialTimeoutMs"])
         self.streams_per_connection = int(permissions["streamsPerConn"])
+        self.may_test_nodes = permissions.get("probing") is True
         self.max_sessions = int(permissions["maxOpen"])
 
 
--- a/tests/test_node_liveness.py
+++ b/tests/test_node_liveness.py
@@ -12,11 +12,13 @@
     CHECK_TIMEOUT_NS,
     CHECKS_UNTIL_LOST,
     LATEST_CHECK_NS,
+    LOSS_SILENCE_NS,
     REFUSALS_UNTIL_LOST,
     SILENCE_WITHOUT_REPORTS_NS,
     CheckResult,
+    LivenessTimeouts,
     NodeLiveness,
-    silence_until_check_ns,
+    liveness_timeouts,
 )
 from oakcroft.interface import MS, SECOND
 
@@ -36,6 +38,9 @@
     connect_time_ns: Callable[[], int]
     """Draws the time that a connect takes; NEVER for one that does not come up."""
 
+    answers: bool = True
+    """Whether the process answers once a connect has come up; one that hangs does not."""
+
     now: int = SECOND
     check_count: int = 0
     open_checks: list[tuple[int, int]] = field(default_factory=list)
@@ -47,6 +52,8 @@
             started_at, connected_at = check
             if connected_at <= min(self.now, started_at + CHECK_TIMEOUT_NS):
                 self.liveness.check_ended(started_at, CheckResult.CONNECTED, self.now)
+                if self.answers:
+                    self.liveness.message_received(self.now)
             elif started_at + CHECK_TIMEOUT_NS <= self.now:
                 self.liveness.check_ended(started_at, CheckResult.UNANSWERED, self.now)
             else:
@@ -70,7 +77,8 @@
 
 def node_heard_now(interval_ns: int, delay_ns: int, connect_time_ns: Callable[[], int]) -> SimulatedNode:
     """Returns a node whose last message has just arrived."""
-    node = SimulatedNode(NodeLiveness(silence_until_check_ns(interval_ns, delay_ns)), connect_time_ns)
+    timeouts = liveness_timeouts(interval_ns, delay_ns, may_test=False)
+    node = SimulatedNode(NodeLiveness(timeouts), connect_time_ns)
     node.liveness.message_received(node.now)
     return node
 
@@ -102,6 +110,29 @@
     assert not node.pass_time(3600 * SECOND)
 
 
+@pytest.mark.parametrize("interval_ns", INTERVALS)
+def test_a_hung_node_whose_kernel_takes_connects_is_lost_in_time(interval_ns: int) -> None:
+    """Guards against a node that counts as alive for ever since connects to it come up (issue 51)."""
+    node = node_heard_now(interval_ns, 1400 * MS, lambda: 3 * MS)
+    node.answers = False
+    heard_at = node.now
+    assert node.pass_time(RELEASE_LIMIT_NS)
+    assert node.now - heard_at <= RELEASE_LIMIT_NS - SECOND // 2
+    assert node.check_count <= CHECKS_UNTIL_LOST
+
+
+@pytest.mark.parametrize("may_test", [False, True])
+@pytest.mark.parametrize("interval_ns", INTERVALS)
+def test_no_node_is_lost_before_the_latest_time_for_its_releases(interval_ns: int, may_test: bool) -> None:
+    """Guards against sessions cut off at a node that hangs for a few seconds, also where its listen queue is full."""
+    for connect_time_ns in (3 * MS, NEVER):
+        timeouts = liveness_timeouts(interval_ns, 400 * MS, may_test=may_test)
+        node = SimulatedNode(NodeLiveness(timeouts), lambda: connect_time_ns, answers=False)  # noqa: B023
+        node.liveness.message_received(node.now)
+        node.liveness.question_sent(node.now + ROUND_NS)
+        assert not node.pass_time(LOSS_SILENCE_NS - ROUND_NS)
+
+
 def test_unanswered_checks_of_earlier_silences_do_not_add_up() -> None:
     """Guards against a loss by checks that failed in several silences, each ended by a message."""
     node = node_heard_now(3000 * MS, 900 * MS, lambda: NEVER)
@@ -129,7 +160,7 @@
 
 def test_several_rounds_at_one_moment_start_one_check() -> None:
     """Guards against four connects to each node for the playbacks that are handed over to a front end at its start."""
-    node = SimulatedNode(NodeLiveness(SECOND), lambda: 3 * MS, now=100 * SECOND)
+    node = SimulatedNode(NodeLiveness(LivenessTimeouts(SECOND)), lambda: 3 * MS, now=100 * SECOND)
     for _ in range(20):
         node.round()
     assert node.check_count == 1
@@ -137,7 +168,7 @@
 
 def test_a_refusal_before_a_message_does_not_count() -> None:
     """Guards against a node taken for gone for refusals that it has outlived."""
-    liveness = NodeLiveness(silence_until_check_ns(3000 * MS, 900 * MS))
+    liveness = NodeLiveness(liveness_timeouts(3000 * MS, 900 * MS, may_test=False))
     for _ in range(REFUSALS_UNTIL_LOST):
         liveness.connect_failed(is_refused=True)
     assert liveness.is_lost(SECOND, has_open_connection=False)
@@ -147,7 +178,7 @@
 
 def test_connects_that_fail_at_once_do_not_shorten_the_time_for_checks() -> None:
     """Guards against a loss by a route that is missing for a moment, with an error at once instead of no answer."""
-    liveness = NodeLiveness(silence_until_check_ns(3000 * MS, 900 * MS))
+    liveness = NodeLiveness(liveness_timeouts(3000 * MS, 900 * MS, may_test=False))
     liveness.message_received(SECOND)
     now = 10 * SECOND
     for _ in range(CHECKS_UNTIL_LOST):
@@ -159,7 +190,7 @@
 
 def test_checks_without_a_descriptor_prove_nothing() -> None:
     """Guards against nodes that count as lost since this process has no descriptor to check them with."""
-    liveness = NodeLiveness(silence_until_check_ns(3000 * MS, 900 * MS))
+    liveness = NodeLiveness(liveness_timeouts(3000 * MS, 900 * MS, may_test=False))
     liveness.message_received(SECOND)
     now = 10 * SECOND
     for _ in range(2 * CHECKS_UNTIL_LOST):
@@ -171,7 +202,7 @@
 
 def test_unanswered_connects_for_set_ups_do_not_make_a_node_lost() -> None:
     """Guards against a loss amid set-ups: their connects have less time than a slow one takes."""
-    liveness = NodeLiveness(silence_until_check_ns(3000 * MS, 900 * MS))
+    liveness = NodeLiveness(liveness_timeouts(3000 * MS, 900 * MS, may_test=False))
     liveness.message_received(SECOND)
     for _ in range(2 * CHECKS_UNTIL_LOST):
         liveness.connect_failed(is_refused=False)
