Take no process at a node's address for the one of the sessions without proof

Callers saw: viewers of sessions at a node were never told when another process had taken its address, by a hang or a death that discovery did not tell. Cause: whatever answered at the address counted as the node.

Neither a stop of 3 s nor five resets of all connections, 2.3 s apart, cuts a session in the ten deployments.

--- a/oakcroft/decisions/sessions/node_identity.py
+++ b/oakcroft/decisions/sessions/node_identity.py
@@ -10,6 +10,11 @@
 from enum import Enum
 from typing import Generic, TypeVar
 
+from oakcroft.interface import SECOND
+
+DEATH_NS = SECOND
+"""Time within which all connections to a process that has died end."""
+
 ConnectionT = TypeVar("ConnectionT", bound=Hashable)
 
 
@@ -24,11 +29,9 @@
     """Tells the connections that lead to the known process from those of which that is not known.
 
     - The first connection is known; so is a new one after the last known one has ended in order.
-    - A connection opened beside known ones is known once one of these brings data: the process lives, so the
-      address is still its own.
-    - When the last known connection breaks, the process may have died. If nodes report in time on each session, a new
-      connection is known once it brings a message on a session from before; else it counts as known, since nothing
-      can prove it.
+    - If nodes report in time on each session, any other connection is known once it brings a message on a session from
+      before it. Else one that was opened beside known ones is known once one of these brings data, since the process
+      lives; and so is one that follows on a break, since nothing can prove it.
 
     Drawback: without reports, a process that is replaced at once by another one at its address is not noticed.
     """
@@ -37,7 +40,7 @@
         """Starts without a connection; `can_be_proven` says whether nodes report on sessions often enough."""
         self.can_be_proven = can_be_proven
         self.is_unbroken = True
-        self.has_broken = False  # a known connection, since the process was last heard of
+        self.last_break_at = -DEATH_NS  # of a known connection, ns
         self.known = dict[ConnectionT, None]()
         self.unknown = dict[ConnectionT, int]()  # and when it was opened, ns
 
@@ -52,7 +55,8 @@
         """Handles data on a connection; returns whether the known process has sent it."""
         if connection not in self.known:
             return False
-        self._accept_all()
+        if not self.can_be_proven:
+            self._accept_all()
         return True
 
     def session_named(self, connection: ConnectionT, began_at: int) -> bool:
@@ -66,16 +70,21 @@
         self._accept_all()
         return True
 
-    def ended(self, connection: ConnectionT, end: ConnectionEnd) -> None:
-        """Removes a connection that is over."""
+    def ended(self, connection: ConnectionT, end: ConnectionEnd, now: int) -> None:
+        """Removes a connection that is over since `now`, ns."""
         self.unknown.pop(connection, None)
         if connection not in self.known:
             return
         del self.known[connection]
-        self.has_broken = self.has_broken or end is ConnectionEnd.BROKEN
-        if not self.known and self.has_broken and self.can_be_proven:
+        if end is ConnectionEnd.BROKEN:
+            self.last_break_at = now
+        if not self.known and self.may_have_died(now) and self.can_be_proven:
             self.is_unbroken = False
 
+    def may_have_died(self, now: int) -> bool:
+        """Whether a connection has just broken, so that the end of another one is none in order. `now`: ns."""
+        return now - self.last_break_at < DEATH_NS
+
     @property
     def unknown_since(self) -> int | None:
         """When the first of the connections came up that may lead to another process, ns; None if there is none."""
@@ -88,6 +97,5 @@
     def _accept_all(self) -> None:
         """Takes all connections for known."""
         self.is_unbroken = True
-        self.has_broken = False
         self.known.update(dict.fromkeys(self.unknown))
         self.unknown.clear()
--- a/oakcroft/platform/node_evidence.py
+++ b/oakcroft/platform/node_evidence.py
@@ -62,13 +62,13 @@
         self.tested_at.pop(connection, None)
         if not is_in_order:
             self.ended_in_order_at = 0
-        elif was_retired and connection.has_received_end and self._is_known_process(connection):
+        elif was_retired and connection.has_received_end and self._is_known_process(connection, now):
             self.ended_in_order_at = now
-        self.identity.ended(connection, ConnectionEnd.IN_ORDER if is_in_order else ConnectionEnd.BROKEN)
+        self.identity.ended(connection, ConnectionEnd.IN_ORDER if is_in_order else ConnectionEnd.BROKEN, now)
 
-    def _is_known_process(self, connection: NodeConnection) -> bool:
-        """Whether the node's process has just ended a connection, and has not died since it was last heard of."""
-        return not self.identity.has_broken and self.identity.data_received(connection)
+    def _is_known_process(self, connection: NodeConnection, now: int) -> bool:
+        """Whether the node's process has ended a connection, which was not one of several that broke at its death."""
+        return not self.identity.may_have_died(now) and self.identity.data_received(connection)
 
     def confirm_end(self, connections: list[NodeConnection], now: int) -> None:
         """Takes an end in order for a sign of life, unless it was one of many: those of a process that has died."""
--- a/tests/node_process.py
+++ b/tests/node_process.py
@@ -1,13 +1,16 @@
 """A playout node as a process of its own, which a test can stop, continue, kill and replace.
 
 `python node_process.py SETTINGS` takes its settings as JSON, and prints a line of JSON for its port and for each message
-that it gets. SIGUSR1 makes it close its listener, so that another process can take its address.
+that it gets. SIGUSR1 makes it close its listener, so that another process can take its address; SIGUSR2 makes it reset
+its connections.
 """
 
 from __future__ import annotations
 
 import json
 import signal
+import socket
+import struct
 import subprocess
 import sys
 from contextlib import asynccontextmanager, suppress
@@ -76,6 +79,12 @@
             async with self.sending:
                 await stream.send_all(json.dumps(message).encode() + b"\n")
 
+    def reset_connections(self) -> None:
+        """Resets all connections; the sessions stand on."""
+        for stream in self.streams:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            stream.socket.close()
+
     async def send_notes(self) -> None:
         """Tells how full the link is at a fixed interval, on each session."""
         while True:
@@ -99,7 +108,7 @@
     async with trio.open_nursery() as nursery:
         if settings.note_interval_seconds:
             nursery.start_soon(node.send_notes)
-        with trio.open_signal_receiver(signal.SIGUSR1) as signals:
+        with trio.open_signal_receiver(signal.SIGUSR1, signal.SIGUSR2) as signals:
             accepting = trio.CancelScope()
 
             async def accept() -> None:
@@ -107,7 +116,10 @@
                     await trio.serve_listeners(node.serve, [listener], handler_nursery=nursery)
 
             nursery.start_soon(accept)
-            async for _ in signals:
+            async for number in signals:
+                if number == signal.SIGUSR2:
+                    node.reset_connections()
+                    continue
                 accepting.cancel()
                 await listener.aclose()
                 report({"closed": True})
--- a/tests/test_platform_node_hangs.py
+++ b/tests/test_platform_node_hangs.py
@@ -9,10 +9,12 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
+import pytest
 import trio
 from node_process import NodeProcess, NodeSettings, running_node
 from platform_rig import A, B, PlatformRig
 from platform_stubs import StubViewer
+from rig import wait_until
 from test_platform_process import connect_when_listening, running_process
 
 from oakcroft.platformwire import framing
@@ -22,6 +24,10 @@
 SETTLE_SECONDS = 2.0
 SHORT_HANG_SECONDS = 3.0
 OBSERVED_SECONDS = 14.0
+RESETS = 5
+RESET_INTERVAL_SECONDS = 2.3
+RESET_SECONDS = 0.1
+CONFIRMED_SECONDS = 2.0
 SETUP_INTERVAL_SECONDS = 0.2
 SESSION_IDS = (A, B)
 
@@ -52,13 +58,13 @@
 Play = Callable[[Deployment, Path], Awaitable[None]]
 
 
-def play_deployments(play: Play, folder: Path) -> None:
-    """Plays all deployments at the same time, since each play takes seconds."""
+def play_deployments(play: Play, folder: Path, deployments: list[Deployment]) -> None:
+    """Plays deployments at the same time, since each play takes seconds."""
 
     async def play_all() -> None:
         with trio.fail_after(PLAY_LIMIT_SECONDS):
             async with trio.open_nursery() as nursery:
-                for number, deployment in enumerate(DEPLOYMENTS):
+                for number, deployment in enumerate(deployments):
                     own_folder = folder / str(number)
                     own_folder.mkdir()
                     nursery.start_soon(play, deployment, own_folder)
@@ -131,37 +137,128 @@
         nursery.cancel_scope.cancel()
 
 
-def test_sessions_of_a_hung_node_are_released_within_8_s(tmp_path: Path) -> None:
-    """Guards against viewers never told: a node hangs, sessions there end, and its kernel goes on taking connects."""
+async def release_of(running: ProcessRig, node: NodeProcess) -> float:
+    """Returns after how many seconds the last session at a node was released; infinity if it was not."""
+    sessions = {session_id for session_id in SESSION_IDS if running.node_of[session_id] is node}
+    return await running.release_after(sessions, 1.5 * RELEASE_LIMIT_SECONDS)
+
+
+async def release_of_hung_node(running: ProcessRig, deployment: Deployment) -> float:
+    """Stops a node's process; its kernel takes connects."""
+    hung = running.node_of[A]
+    hung.send_signal(signal.SIGSTOP)
+    return await release_of(running, hung)
+
+
+async def release_of_hung_node_with_taken_address(running: ProcessRig, deployment: Deployment) -> float:
+    """Stops a node's process after another one has taken its address."""
+    hung = running.node_of[A]
+    async with taken_address(hung, deployment):
+        hung.send_signal(signal.SIGSTOP)
+        return await release_of(running, hung)
+
+
+async def release_of_replaced_node(running: ProcessRig, deployment: Deployment) -> float:
+    """Kills a node's process after another one has taken its address."""
+    killed = running.node_of[A]
+    async with taken_address(killed, deployment):
+        killed.send_signal(signal.SIGKILL)
+        return await release_of(running, killed)
+
+
+async def release_of_node_that_hangs_and_resets(running: ProcessRig, deployment: Deployment) -> float:
+    """Resets the connections of a node and stops its process at once."""
+    hung = running.node_of[A]
+    hung.send_signal(signal.SIGUSR2)
+    await trio.sleep(RESET_SECONDS)
+    hung.send_signal(signal.SIGSTOP)
+    return await release_of(running, hung)
+
+
+def proven_only(deployments: list[Deployment]) -> list[Deployment]:
+    """Returns those with notes; else nothing tells a new process from one that has reset its connections."""
+    return [deployment for deployment in deployments if deployment.note_interval_seconds]
+
+
+@pytest.mark.parametrize(
+    ("play_loss", "deployments"),
+    [
+        (release_of_hung_node, DEPLOYMENTS),
+        (release_of_hung_node_with_taken_address, DEPLOYMENTS),
+        (release_of_replaced_node, proven_only(DEPLOYMENTS)),
+        (release_of_node_that_hangs_and_resets, DEPLOYMENTS),
+    ],
+)
+def test_sessions_of_a_hung_or_replaced_node_are_released_within_8_s(
+    play_loss: Callable[[ProcessRig, Deployment], Awaitable[float]],
+    deployments: list[Deployment],
+    tmp_path: Path,
+) -> None:
+    """Guards against viewers never told of sessions that are over, while something takes connects at their node."""
     released_after = dict[Deployment, float]()
 
     async def play(deployment: Deployment, folder: Path) -> None:
         async with running_front(deployment, folder) as running:
             await trio.sleep(SETTLE_SECONDS)
-            hung = running.node_of[A]
-            sessions = {session_id for session_id in SESSION_IDS if running.node_of[session_id] is hung}
-            hung.send_signal(signal.SIGSTOP)
-            released_after[deployment] = await running.release_after(sessions, 1.5 * RELEASE_LIMIT_SECONDS)
+            released_after[deployment] = await play_loss(running, deployment)
 
-    play_deployments(play, tmp_path)
+    play_deployments(play, tmp_path, deployments)
     late = {key: seconds for key, seconds in released_after.items() if seconds > RELEASE_LIMIT_SECONDS}
     assert not late
-    assert len(released_after) == len(DEPLOYMENTS)
+    assert len(released_after) == len(deployments)
+
+
+async def hang_shortly(node: NodeProcess) -> None:
+    """Stops a node's process for some seconds."""
+    node.send_signal(signal.SIGSTOP)
+    await trio.sleep(SHORT_HANG_SECONDS)
+    node.send_signal(signal.SIGCONT)
 
 
-def test_a_node_that_hangs_for_3_s_loses_no_session(tmp_path: Path) -> None:
-    """Guards against sessions cut off at a node that lives, and hangs for a few seconds now and then."""
+async def reset_often(node: NodeProcess) -> None:
+    """Resets all connections of a node several times."""
+    for _ in range(RESETS):
+        node.send_signal(signal.SIGUSR2)
+        await trio.sleep(RESET_INTERVAL_SECONDS)
+
+
+@pytest.mark.parametrize("trouble", [hang_shortly, reset_often])
+def test_a_node_that_lives_loses_no_session(
+    trouble: Callable[[NodeProcess], Awaitable[None]], tmp_path: Path
+) -> None:
+    """Guards against sessions cut off at a node that hangs for 3 s, or that resets its connections."""
     released = list[Deployment]()
 
     async def play(deployment: Deployment, folder: Path) -> None:
         async with running_front(deployment, folder) as running:
             await trio.sleep(SETTLE_SECONDS)
-            hung = running.node_of[A]
-            hung.send_signal(signal.SIGSTOP)
-            await trio.sleep(SHORT_HANG_SECONDS)
-            hung.send_signal(signal.SIGCONT)
+            await trouble(running.node_of[A])
             if await running.release_after({A}, OBSERVED_SECONDS) < math.inf:
                 released.append(deployment)
 
-    play_deployments(play, tmp_path)
+    play_deployments(play, tmp_path, DEPLOYMENTS)
     assert not released
+
+
+def test_a_node_that_wakes_after_its_sessions_were_released_ends_them(tmp_path: Path) -> None:
+    """Guards against sessions that go on at a node that woke too late, and against a second release for them."""
+
+    async def play(deployment: Deployment, folder: Path) -> None:
+        async with running_front(deployment, folder) as running:
+            hung = running.node_of[A]
+            assert await release_of_hung_node(running, deployment) <= RELEASE_LIMIT_SECONDS
+            hung.send_signal(signal.SIGCONT)
+            await wait_until(lambda: any(close["sid"] == A for close in hung.messages("close")))
+            assert await running.release_after({A}, CONFIRMED_SECONDS) == math.inf
+
+    play_deployments(play, tmp_path, DEPLOYMENTS[:2])
+
+
+@asynccontextmanager
+async def taken_address(node: NodeProcess, deployment: Deployment) -> AsyncIterator[NodeProcess]:
+    """Lets another process listen at the address of a node, which keeps its connections."""
+    node.send_signal(signal.SIGUSR1)
+    await node.has_closed_listener.wait()
+    settings = NodeSettings("n9", node.port, deployment.note_interval_seconds, deployment.answers_tests)
+    async with running_node(settings) as other:
+        yield other
