Hear a slow command channel within 6 s: more time for polls, overdue ones kept

Cause: a fixed patience; a channel that is slower than it is never heard.

Change: decisions/fleet/poll_patience.py. The first overdue poll is given up (a connection may have died); from then on, until an answer comes in time again, a poll has 1.95 s past its wait (a stop counts as told 2 s past it), and up to two overdue ones are read beside the next until they are 4.5 s old. platform/channel_connection.py is the connection, split off the follower.

--- a/oakcroft/platform/channel_follower.py
+++ b/oakcroft/platform/channel_follower.py
@@ -11,14 +11,15 @@
 import trio
 
 from oakcroft.decisions.fleet.node_list_freshness import NodeListFreshness
-from oakcroft.platform.connection import BufferedConnection, connect
+from oakcroft.decisions.fleet.poll_patience import KEPT_POLL_NS, SLOW_LATENESS_NS, PollPatience
+from oakcroft.interface import MS, SECOND
+from oakcroft.platform.channel_connection import Answer, ChannelConnection
+from oakcroft.platform.connection import connect
 from oakcroft.platform.session_coordinator import SessionCoordinator
 from oakcroft.platformwire import command_channel
-from oakcroft.platformwire.long_poll import LongPollConnection
 
 POLL_WAIT_MS = 1_000  # longest time for which the channel may hold a poll
-POLL_OVERDUE_S = 0.4  # after that time; a channel that has not answered by then counts as silent
-RECEIVE_BYTES = 65_536
+POLL_OVERDUE_S = SLOW_LATENESS_NS / SECOND  # after that time a channel counts as silent at the latest
 MAX_LOGGED_ERROR_LENGTH = 200
 CONNECT_TIMEOUT_S = 0.5
 # Between connection attempts; the delay doubles with each failure.
@@ -48,10 +49,11 @@
         self.log = log
         self.freshness = NodeListFreshness(coordinator.clock.now(), startup_duration_ns)
         self.confirmed = trio.Event()  # the first answer since the start has been applied
-        self.connection: BufferedConnection | None = None
-        self.long_poll = LongPollConnection(*address)
+        self.connection: ChannelConnection | None = None
+        # With overdue polls, which are read beside the next one.
+        self.kept_connections = dict[ChannelConnection, None]()
+        self.patience = PollPatience(POLL_WAIT_MS * MS)
         self.poll_overdue_at = 0.0  # trio time at which the open poll is overdue
-        self.failure = ""  # error that made the connection unusable; empty while it is usable
         self.connection_scope = trio.CancelScope()
 
     def switch_address(self, address: tuple[str, int]) -> None:
@@ -61,6 +63,8 @@
             self.address = address
             self.freshness.record_loss()
             self.connection_scope.cancel()
+            for connection in self.kept_connections:
+                connection.close()
 
     async def run(self) -> None:
         """Follows the channel until it is cancelled."""
@@ -91,47 +95,57 @@
         """
         address = self.address
         sock = await connect(address, CONNECT_TIMEOUT_S)
-        self.connection = BufferedConnection(sock, self.coordinator.nursery)
-        self.long_poll = LongPollConnection(*address)
-        self.failure = ""
+        coordinator = self.coordinator
+        connection = ChannelConnection(
+            sock, address, coordinator.clock, coordinator.nursery, self._answer_received
+        )
+        self.connection = connection
+        is_kept = False
         try:
-            self._send_poll()
-            while self.connection.is_open and trio.current_time() < self.poll_overdue_at:
-                with trio.move_on_at(self.poll_overdue_at):
-                    await trio.lowlevel.wait_readable(sock)
-                self._read_answers()
+            self._send_poll(connection)
+            while connection.is_open and trio.current_time() < self.poll_overdue_at:
+                await connection.wait_until(self.poll_overdue_at)
+            is_silent = connection.is_open
+            is_kept = is_silent and self.patience.overdue(len(self.kept_connections))
+            if is_kept:
+                self.kept_connections[connection] = None
+                coordinator.nursery.start_soon(self._read_kept, connection)
         finally:
-            silent = self.connection.is_open
-            self.connection.close()
             self.connection = None
-        if self.failure:
-            raise command_channel.ChannelError(self.failure)
-        return silent
+            if not is_kept:
+                connection.close()
+        if connection.failure:
+            raise command_channel.ChannelError(connection.failure)
+        return is_silent
 
-    def _send_poll(self) -> None:
+    def _send_poll(self, connection: ChannelConnection) -> None:
         """Sends the next poll and sets the time at which it is overdue."""
-        assert self.connection is not None
         wait_ms = self.freshness.poll_timeout_ms(POLL_WAIT_MS)
-        self.poll_overdue_at = trio.current_time() + POLL_WAIT_MS / 1e3 + POLL_OVERDUE_S
-        self.connection.write(self.long_poll.poll(self.last_cursor, wait_ms))
-
-    def _read_answers(self) -> None:
-        """Reads and applies everything that has arrived, and polls again. Never waits."""
-        while self.connection is not None and self.connection.is_open:
-            try:
-                data = self.connection.sock.recv(RECEIVE_BYTES)
-                self.long_poll.receive_data(data)
-                while self.connection.is_open and (answer := self.long_poll.next_answer()) is not None:
-                    self._apply_answer(*answer)
-                    if self.long_poll.is_ready:
-                        self._send_poll()
-                    else:
-                        self.connection.close()  # the channel closes the connection after this answer
-            except BlockingIOError:
-                return
-            except (OSError, command_channel.ChannelError) as error:
-                self.failure = str(error) or repr(error)
-                self.connection.close()
+        time_for_answer_ns = self.patience.time_for_answer(wait_ms * MS)
+        self.poll_overdue_at = trio.current_time() + time_for_answer_ns / SECOND
+        connection.send_poll(self.last_cursor, wait_ms)
+
+    async def _read_kept(self, connection: ChannelConnection) -> None:
+        """Waits for the answer to an overdue poll, and closes its connection."""
+        age_ns = self.coordinator.clock.now() - connection.polled_at
+        deadline = trio.current_time() + max(0, KEPT_POLL_NS - age_ns) / SECOND
+        try:
+            while connection.is_open and trio.current_time() < deadline:
+                await connection.wait_until(deadline)
+        except trio.ClosedResourceError:
+            pass
+        finally:
+            connection.close()
+            del self.kept_connections[connection]
+
+    def _answer_received(self, connection: ChannelConnection, answer: Answer) -> None:
+        """Applies an answer, and polls again on the same connection unless it answers an overdue poll."""
+        self._apply_answer(*answer)
+        self.patience.answered(connection.wait_ns, self.coordinator.clock.now() - connection.polled_at)
+        if connection is self.connection and connection.can_poll:
+            self._send_poll(connection)
+        else:
+            connection.close()  # the channel closes it after this answer, or it has another one beside it
 
     def _apply_answer(self, last_cursor: int, changes: list[command_channel.ListChange]) -> None:
         """Applies the events of one answer that are newer than the last cursor."""
--- a/tests/platform_stubs.py
+++ b/tests/platform_stubs.py
@@ -145,6 +145,7 @@
         self.polls: list[int] = []
         self.is_silent = False
         self.closes_after_answer = False
+        self.answers_late_by = 0.0  # seconds from when an answer is made until it is sent
         self.truncated_answers = 0
         self.port = 0
         self.corruptions = list[str]()  # how the next answers are damaged: "half", "break", "again", "back"
@@ -172,6 +173,7 @@
                     await trio.sleep_forever()
                 later = [c for c in self.cmds if c["cursor"] > after]
                 body = orjson.dumps({"cursor": max([after, *(c["cursor"] for c in later)]), "cmds": later})
+                await trio.sleep(self.answers_late_by)
                 corruption = self.corruptions.pop(0) if self.corruptions and later else ""
                 self.corrupted_count += bool(corruption)
                 if corruption in (
--- a/tests/test_platform_channel.py
+++ b/tests/test_platform_channel.py
@@ -19,6 +19,7 @@
 from oakcroft.platform.playback_session import SetupRequest
 from oakcroft.platformwire import framing
 
+TOLD_AFTER_S = 6  # after a call that was given up, a change counts as told
 DELIVERY_TIMEOUT_S = 2  # after the wait that a poll asks for, an event counts as delivered
 
 
@@ -43,16 +44,24 @@
     run_on_platform(test)
 
 
+async def two_polls(rig: PlatformRig, silences: int) -> tuple[trio.SocketStream, trio.SocketStream]:
+    """Returns the connections of an overdue poll and of the next, after as many overdue polls."""
+    rig.channel.is_silent = True
+    overdue = rig.channel.stream
+    for _ in range(silences):
+        overdue = rig.channel.stream
+        await wait_until(lambda: rig.channel.stream is not overdue, 6)  # noqa: B023
+    assert overdue is not None
+    assert rig.channel.stream is not None
+    return overdue, rig.channel.stream
+
+
 def test_an_answer_to_an_abandoned_poll_is_ignored() -> None:
-    """An answer on the connection of an abandoned poll is ignored."""
+    """An answer on the connection of an abandoned poll, the first that is overdue, is ignored."""
 
     async def test(rig: PlatformRig) -> None:
-        rig.channel.is_silent = True
-        rig.channel.polls.clear()
-        await wait_until(lambda: rig.channel.polls)
-        abandoned_stream = rig.channel.stream
-        await wait_until(lambda: rig.channel.stream is not abandoned_stream, 6)
-        current_stream, rig.channel.stream = rig.channel.stream, abandoned_stream
+        abandoned_stream, current_stream = await two_polls(rig, 1)
+        rig.channel.stream = abandoned_stream
         with suppress(OSError):
             rig.channel.answer_now(2, rig.member(rig.nodes[0], "draining"))
         rig.channel.stream = current_stream
@@ -63,6 +72,59 @@
     run_on_platform(test)
 
 
+def test_an_answer_to_a_kept_poll_does_not_undo_later_changes() -> None:
+    """An answer to an overdue poll that is read beside the next one is ignored once a later one was applied."""
+
+    async def test(rig: PlatformRig) -> None:
+        follower = rig.platform.channel_follower
+        assert follower is not None
+        kept_stream, current_stream = await two_polls(rig, 2)
+        assert follower.kept_connections
+        rig.channel.stream = current_stream
+        rig.channel.answer_now(3, rig.member(rig.nodes[0], "draining"))
+        await wait_until(lambda: rig.coordinator.pools["n0"].node.status is NodeStatus.DRAINING)
+        rig.channel.stream = kept_stream
+        rig.channel.answer_now(2, rig.member(rig.nodes[0], "up"))
+        await wait_until(lambda: not follower.kept_connections)
+        assert rig.coordinator.pools["n0"].node.status is NodeStatus.DRAINING
+        assert follower.last_cursor == 3  # noqa: PLR2004
+
+    run_on_platform(test)
+
+
+@pytest.mark.parametrize("answers_late_by", [0.5, 1.5, 2.5, 4.0])
+def test_a_slow_channel_is_heard_within_6_s(answers_late_by: float) -> None:
+    """Guards against set-ups at draining nodes since each call is given up before its answer (review/3)."""
+
+    async def test(rig: PlatformRig) -> None:
+        follower = rig.platform.channel_follower
+        assert follower is not None
+        rig.channel.answers_late_by = answers_late_by
+        rig.channel.polls.clear()
+        await wait_until(lambda: len(rig.channel.polls) > 1, 2 * TOLD_AFTER_S)
+        for cursor in (2, 3):
+            rig.add_list_change(cursor, rig.member(rig.nodes[cursor - 2], "draining"))
+            await wait_until(lambda expected=cursor: follower.last_cursor == expected, TOLD_AFTER_S)  # type: ignore[misc]
+        rig.channel.answers_late_by = 0.0
+        await wait_until(lambda: follower.freshness.is_current, TOLD_AFTER_S)
+        assert all(pool.node.status is NodeStatus.DRAINING for pool in rig.coordinator.pools.values())
+
+    run_on_platform(test)
+
+
+def test_a_silent_channel_is_asked_again_within_2_s_of_the_wait() -> None:
+    """Guards against drains heard too late since a channel that has stopped is waited for as if it were slow."""
+
+    async def test(rig: PlatformRig) -> None:
+        rig.channel.is_silent = True
+        rig.channel.polls.clear()
+        for _ in range(3):
+            await wait_until(lambda: rig.channel.polls, DELIVERY_TIMEOUT_S + 1)
+            rig.channel.polls.clear()
+
+    run_on_platform(test)
+
+
 def test_the_list_changes_while_serving_and_a_new_node_may_take_an_address() -> None:
     """Removals, drains and restarts on the command channel apply while it is served, also after a damaged
     answer.
