--- a/oakcroft/decisions/sessions/node_liveness.py
+++ b/oakcroft/decisions/sessions/node_liveness.py
@@ -195,6 +195,14 @@
         """How long the node had been silent when the first check of this silence began; 0 if there was none."""
         return max(0, self.first_check_at - self.last_activity_at)
 
+    def silent_for(self, now: int) -> int:
+        """Returns how long the node has given no sign of life while sessions were there, ns."""
+        return now - max(self.last_activity_at, self.watched_since)
+
+    def unanswered_for(self, now: int) -> int:
+        """Returns for how long the first question of the present silence has been unanswered, ns; 0 if there is none."""
+        return now - self.first_question_at if self.first_question_at > self.last_activity_at else 0
+
     def is_silent(self, now: int) -> bool:
         """Whether the node has been silent for so long that it has to be checked."""
         return now - self.last_activity_at > self.timeouts.until_check
@@ -225,7 +233,7 @@
         if self.consecutive_refusals >= REFUSALS_UNTIL_LOST:
             return self.is_silent(now) or not has_open_connection
         silent_since = max(self.last_activity_at, self.watched_since)
-        if now - silent_since < LOSS_SILENCE_NS:
+        if self.silent_for(now) < LOSS_SILENCE_NS:
             return False
         if (
             self.first_question_at > self.last_activity_at
--- a/oakcroft/platform/node_pool.py
+++ b/oakcroft/platform/node_pool.py
@@ -93,6 +93,7 @@
         self.last_connect_at = 0
         # Connections that are only read, and since when.
         self.retired_connections: dict[NodeConnection, int] = {}
+        self.has_handed_over = False  # sessions from before the start of this front end
         self.needs_resync = False  # messages may be lost; the node repeats them on the next connection
         self.is_removed = False  # removed from the list, or its name has another address
 
@@ -101,10 +102,18 @@
         """When the node is asked for a sign of life, and whether it is lost."""
         return self.evidence.liveness
 
-    def add_playing_session(self, session: PlaybackSession, now: int) -> None:
-        """Registers a session that plays at the node from now on."""
+    def add_playing_session(
+        self, session: PlaybackSession, now: int, connection: NodeConnection | None = None
+    ) -> None:
+        """Registers a session that plays at the node from now on; one without a connection was handed over."""
         if not self.playing_sessions:
             self.evidence.first_session_began(now)
+        if connection is None and not self.has_handed_over:
+            self.has_handed_over = True
+            if self.evidence.former_session_handed_over(now):
+                for other in self.playing_sessions:
+                    other.node_process += 1
+        session.node_process = self.evidence.identity.process_of(connection)
         self.playing_sessions[session] = None
 
     @property
@@ -281,7 +290,7 @@
             connection.close()
             return
         self.connections.append(connection)
-        self.evidence.connection_opened(connection, self.clock.now())
+        self.evidence.connection_opened(connection)
         while self.unsent_messages and connection.write(self.unsent_messages[0]):
             self.unsent_messages.popleft()
         for session in list(self.waiting_setups):
@@ -327,18 +336,20 @@
             return
         if any(candidate.has_unread_input() for candidate in [*self.connections, *self.retired_connections]):
             return
-        loss = self.describe_loss("no sign of life", self.evidence.identity.unknown_since)
+        if self.evidence.trust_handover(now, has_seen_reports=self.listener.has_seen_reports):
+            return
+        loss = self.describe_loss("no sign of life", self.evidence.identity.known_process)
         self.evidence.sessions_lost(now)  # the closes of its sessions lead to another round of maintenance
         self.listener.node_lost(self, loss)
 
-    def describe_loss(self, reason: str, replaced_since: int | None = None) -> NodeLoss:
+    def describe_loss(self, reason: str, last_process: int | None = None) -> NodeLoss:
         """Describes the loss of the node's process at this moment."""
         return NodeLoss(
             reason,
-            self.clock.now() - self.liveness.last_activity_at,
+            self.liveness.silent_for(self.clock.now()),
             self.liveness.silence_before_check,
             len(self.evidence.tested_at),
-            replaced_since,
+            last_process,
         )
 
     async def read_messages(self, connection: NodeConnection) -> None:
@@ -363,8 +374,8 @@
         if reason:
             self.listener.node_failed(self, reason)
         was_retired = self.retired_connections.pop(connection, None) is not None
-        if not was_retired:
-            self.needs_resync = True
+        if not was_retired or not connection.has_received_end:
+            self.needs_resync = True  # what the node has sent there may be lost
         self._discard_connection(connection, was_retired=was_retired)
         if self.playing_sessions:
             self._repeat_closes()
@@ -376,7 +387,8 @@
             self.connections.remove(connection)
         pending, connection.pending_setups = connection.pending_setups, {}
         is_idle_end = connection.has_received_end and not pending and self._is_due_to_retire(connection)
-        is_in_order = was_retired or is_idle_end or not connection.is_ended_by_peer()
+        is_answered_end = was_retired and connection.has_received_end
+        is_in_order = is_answered_end or is_idle_end or not connection.is_ended_by_peer()
         connection.close()
         self.evidence.connection_ended(
             connection, self.clock.now(), was_retired=was_retired, is_in_order=is_in_order
@@ -411,14 +423,20 @@
         self._report_if_lost()
 
     def _has_ended_or_never_will(self, retired_at: int, now: int) -> bool:
-        """Whether the node has had time to end its side of a retired connection; a silent one may still do so."""
-        is_silent = bool(self.playing_sessions) and self.liveness.last_activity_at < retired_at
-        return now - retired_at > (RELEASE_LIMIT_NS if is_silent else RETIRED_CLOSE_TIMEOUT_NS)
+        """Whether a retired connection is closed although the node has not ended its side.
+
+        One that hangs has time for it, since it may still send there what it could not send meanwhile.
+        """
+        has_lived_since = self.liveness.last_activity_at - retired_at > RETIRED_CLOSE_TIMEOUT_NS
+        is_unused = has_lived_since or not self.playing_sessions
+        return now - retired_at > (RETIRED_CLOSE_TIMEOUT_NS if is_unused else RELEASE_LIMIT_NS)
 
     def _ask_if_silent(self, now: int) -> None:
         """Asks a silent node for a sign of life, by a test or by the end of a connection beside another one."""
         self.evidence.confirm_end(self.connections, now)
         self.evidence.test_if_due(self.connections, now)
+        if self.evidence.is_resync_due(now):
+            self.needs_resync = True
         if self.may_test or not self.liveness.is_silent(now):
             return
         is_asked = any(since > self.liveness.last_activity_at for since in self.retired_connections.values())
--- a/oakcroft/platform/node_pool_listener.py
+++ b/oakcroft/platform/node_pool_listener.py
@@ -28,13 +28,16 @@
     test_count: int
     """Tests that were unanswered."""
 
-    replaced_since: int | None = None
-    """When a connection came up that may lead to another process, at which later sessions stand; None if none did."""
+    last_process: int | None = None
+    """Number of the last process that is lost; sessions at later ones play on. None if all are lost."""
 
 
 class NodePoolListener(Protocol[PoolT]):
     """Receives the events of a pool; implemented by the session coordinator."""
 
+    has_seen_reports: bool
+    """Whether any node has sent a report since the start."""
+
     def make_room_for_connection(self, pool: PoolT, min_idle_ns: int) -> bool:
         """Returns whether a descriptor is free for one more connection.
 
--- a/oakcroft/platform/playback_session.py
+++ b/oakcroft/platform/playback_session.py
@@ -80,9 +80,6 @@
     ) -> None:
         """Sends a message about a playback on the next connection, which is opened now if there is room."""
 
-    def add_playing_session(self, session: PlaybackSession, now: int) -> None:
-        """Registers a session that plays there from now on."""
-
     def maintain(self, now: int) -> None:
         """Keeps a connection open while sessions play there."""
 
@@ -126,4 +123,5 @@
         self.node_connection: NodeEndpoint | None = None  # on which its set-up awaits an answer
         self.abandon_at = 0  # time at which its current try ends
         self.timer_id = 0  # timer of its current try
+        self.node_process = 0  # number of the process at its node's address at which it stands
         self.began_at = 0  # time at which it began to play here; 0 until then
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -90,6 +90,7 @@
         self.timers = TimerQueue(clock, self.submit)
         self.pause_detector = PauseDetector(clock.now())
         self.lag_ns = 0
+        self.has_seen_reports = False
         self.titles = TitleCache(MAX_TITLES, configuration.deployment_settings.cell_count, 0, {})
         self.sessions: dict[str, PlaybackSession] = {}
         self.sessions_by_playback: dict[Playback, PlaybackSession] = {}
@@ -247,7 +248,7 @@
         over = [
             session
             for session in pool.playing_sessions
-            if loss.replaced_since is None or session.began_at < loss.replaced_since
+            if loss.last_process is None or session.node_process <= loss.last_process
         ]
         if over:
             self.logger.warning(
@@ -258,7 +259,7 @@
                 silent_ms=loss.silent_ns // MS,
                 first_check_ms=loss.first_check_ns // MS,
                 tests=loss.test_count,
-                replaced=loss.replaced_since is not None,
+                elsewhere=len(pool.playing_sessions) - len(over),
             )
         for session in over:
             pool.send_message("close", session.id, {}, cause_codes.CANCELLED)
@@ -490,6 +491,7 @@
     ) -> None:
         """Handles a message of a node; ignores it if it is late, repeated, or on a session of another node."""
         now = self.clock.now()
+        self.has_seen_reports = self.has_seen_reports or kind == "event"
         session = self.sessions.get(session_id)
         if session is None and kind in ("event", "close") and not self.handover.is_over(now):
             early = partial(
@@ -506,9 +508,11 @@
         if session is None or session.pool is not pool:
             return
         if session.began_at:
-            pool.evidence.session_named(connection, session.began_at)
+            pool.evidence.session_named(connection, session.node_process)
         if session.node_connection is connection and session.playback.state is PlaybackState.SETTING_UP:
-            self._handle_setup_reply(session, pool, kind, json_lines.load_report(attributes), code, text, now)
+            self._handle_setup_reply(
+                session, pool, connection, kind, json_lines.load_report(attributes), code, text, now
+            )
         elif session.began_at and kind == "close":
             outcome = terms.ENDS_BY_CAUSE.get(code if code is not None else NO_CAUSE, Outcome.RESET)
             cause = RELEASE_CAUSES.get(outcome, cause_codes.FAILED)
@@ -520,6 +524,7 @@
         self,
         session: PlaybackSession,
         pool: NodePool,
+        connection: NodeConnection,
         kind: str,
         load_report: dict[str, float] | None,
         code: int | None,
@@ -528,9 +533,13 @@
     ) -> None:
         """Handles a message of the node on a set-up that awaits its answer."""
         is_closed_in_order = kind == "close" and terms.ENDS_BY_CAUSE.get(code or NO_CAUSE) is Outcome.DONE
-        if kind == "ready" or (is_closed_in_order and text):
+        if kind == "ready" and pool.is_removed:
+            # What stands at a node that is gone is over, and another process may have its address.
+            pool.cancel_setup(session)
+            self.try_ended(session, Outcome.RESET, None)
+        elif kind == "ready" or (is_closed_in_order and text):
             # A close with a description is an answer as well: the playback was set up and is already over.
-            self._setup_answered(session, text, now)
+            self._setup_answered(session, pool, connection, text, now)
             if kind == "close" and session.began_at:
                 self._session_ended(session, Outcome.DONE, cause_codes.ENDED, load_report)
         elif kind == "close":
@@ -538,10 +547,10 @@
             cause = code if code is not None else NO_CAUSE
             self.try_ended(session, terms.REFUSALS_BY_CAUSE.get(cause, Outcome.RESET), load_report)
 
-    def _setup_answered(self, session: PlaybackSession, text: str | None, now: int) -> None:
+    def _setup_answered(
+        self, session: PlaybackSession, pool: NodePool, connection: NodeConnection, text: str | None, now: int
+    ) -> None:
         """Passes a node's answer to the viewer and registers the playback as playing."""
-        pool = session.pool
-        assert pool is not None
         if self.cancel_if_viewer_gone(session):  # otherwise it would play without a viewer
             return
         try:
@@ -560,7 +569,7 @@
         pool.setup_finished(session)
         session.began_at = now
         self._setup_finished(session)
-        pool.add_playing_session(session, now)
+        pool.add_playing_session(session, now, connection)
         if session.viewer is not None:
             session.viewer.open_setups.pop(session.id, None)
             session.viewer.session_count += 1
--- a/oakcroft/platform/viewer_connection.py
+++ b/oakcroft/platform/viewer_connection.py
@@ -71,7 +71,9 @@
         return has_received
 
     async def wait_for_data(self) -> None:
-        """Waits until data arrives, or until another task has received it."""
+        """Waits until data arrives, until another task has received it, or not at all once it is closed."""
+        if not self.is_open:
+            return
         with trio.CancelScope() as self.wait_scope, suppress(trio.ClosedResourceError, OSError):
             await trio.lowlevel.wait_readable(self.sock)
 
--- a/tests/test_platform_node_connections.py
+++ b/tests/test_platform_node_connections.py
@@ -272,3 +272,31 @@
         assert len(node.received_messages("close", A)) == 1
 
     run_on_platform(test)
+
+
+@pytest.mark.parametrize("plan", ["paid", "free"])
+def test_an_answer_of_a_removed_node_leaves_no_session_behind(plan: str) -> None:
+    """Guards against sessions that are never released: they were answered after their node was removed (dense trial)."""
+
+    async def test(rig: PlatformRig) -> None:
+        for node in rig.nodes:
+            node.script = ["silence"]
+        viewer = await rig.viewer()
+        await viewer.send_setup(A, plan)
+        await wait_until(lambda: setup_count(rig))
+        node = next(node for node in rig.nodes if node.received_messages("open"))
+        rig.add_list_change(2, rig.member(node, "removed"), rig.member(node, "up", "n9"))
+        await wait_until(lambda: "n9" in rig.coordinator.pools)
+        await node.send(node.streams[0], msg="ready", sid=A, attrs={}, text="of a node that is gone")
+        await wait_until(lambda: node.received_messages("close", A))
+        reply = await viewer.receive()
+        assert reply is not None
+        assert reply[3] != b"of a node that is gone"
+        if plan == "paid":
+            assert reply[:2] == (framing.RELEASE, A)
+        await wait_until(lambda: all(not pool.is_removed for pool in rig.coordinator.node_pools))
+        assert all(
+            session.pool in rig.coordinator.pools.values() for session in rig.coordinator.sessions.values()
+        )
+
+    run_on_platform(test)
