Test that serve counts a hung node as lost after lost-after, and a replaced one at once

Both hold without a change; three tests show it (a hang with an open and with a broken stream, another process at the address).

--- a/tests/test_event_stream_timeouts.py
+++ b/tests/test_event_stream_timeouts.py
@@ -42,6 +42,13 @@
     """From a connection that has come up to the request on it."""
 
     has_descriptors: bool = True
+    is_hung: bool = False
+    """Connections come up, and nothing is answered."""
+
+    process: bytes = b"p"
+    hellos: list[NodeEvent] = field(default_factory=list)
+    """Those reported, by which the sessions that a node no longer names are ended."""
+
     losses: list[tuple[float, LossCertainty]] = field(default_factory=list)
     """When each loss was reported, on trio's clock, and how certain it was."""
 
@@ -81,12 +88,14 @@
 
         async def serve(stream: trio.SocketStream) -> None:
             await stream.receive_some()
-            await stream.send_all(HELLO)
+            if node.is_hung:
+                await trio.sleep_forever()
+            await stream.send_all(HELLO.replace(b'"p"', b'"%b"' % node.process))
             node.streams.append(stream)
             await trio.sleep_forever()
 
         async def on_event(name: str, event: NodeEvent) -> None:
-            pass
+            node.hellos.append(event)
 
         async def on_lost(loss: LossCertainty, reason: str) -> None:
             node.losses.append((trio.current_time(), loss))
@@ -122,6 +131,41 @@
     trio.run(test)
 
 
+@pytest.mark.parametrize("breaks_stream", [False, True])
+def test_a_hung_node_that_takes_connects_is_lost_after_the_configured_time(
+    breaks_stream: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against playbacks that count as playing for ever at a node whose kernel takes connects (issue 51)."""
+
+    async def test() -> None:
+        async with watched_node(monkeypatch, StreamTimeouts(SILENT_AFTER_NS, LOST_AFTER_NS)) as node:
+            last_message_at = trio.current_time()
+            node.is_hung = True
+            if breaks_stream:
+                await trio.aclose_forcefully(node.streams[-1])
+            await trio.sleep(2 * LOST_AFTER_NS / SECOND)
+            (lost_at, certainty), *others = node.losses
+            assert not others
+            assert certainty is LossCertainty.PRESUMED
+            assert abs(lost_at - last_message_at - LOST_AFTER_NS / SECOND) < TOLERANCE_SECONDS
+
+    trio.run(test)
+
+
+def test_another_process_at_the_address_proves_the_loss(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against playbacks of a process that was replaced unannounced: the stream names the process."""
+
+    async def test() -> None:
+        async with watched_node(monkeypatch, StreamTimeouts(SILENT_AFTER_NS, LOST_AFTER_NS)) as node:
+            node.process = b"q"
+            await trio.aclose_forcefully(node.streams[-1])
+            await trio.sleep(LOST_AFTER_NS / SECOND)
+            assert [hello.why for hello in node.hellos[:2]] == ["", LossCertainty.PROVEN.value]
+            assert not node.hellos[1].sessions
+
+    trio.run(test)
+
+
 def test_a_node_whose_stream_breaks_and_comes_up_late_is_not_lost(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against playbacks that are given up at a node that lives, since its new stream takes a second to open."""
 
