--- a/tests/dense_judge.py
+++ b/tests/dense_judge.py
@@ -42,6 +42,7 @@
 ) -> list[str]:
     """Returns the breaches of the rules. `stops`: when the front end got SIGTERM."""
     return [
+        *record.unreadable_lines,
         *judge_answers(record, stops, ended_at),
         *judge_tries(record),
         *judge_releases(record, ended_at),
--- a/tests/dense_peers.py
+++ b/tests/dense_peers.py
@@ -109,6 +109,9 @@
     requests: dict[str, Request] = field(default_factory=dict)
     tries: list[Try] = field(default_factory=list)
     sessions: list[Standing] = field(default_factory=list)
+    unreadable_lines: list[str] = field(default_factory=list)
+    """Lines of a front end to a node that are no messages."""
+
     events: list[tuple[float, str]] = field(default_factory=list)
 
     def write(self, text: str) -> None:
@@ -172,7 +175,7 @@
                 *lines, remainder = (remainder + data).split(b"\n")
                 for line in lines:
                     if stream.socket.fileno() >= 0:  # its process has not died meanwhile
-                        await self._handle(stream, json.loads(line), nursery)
+                        await self._handle_line(stream, line, nursery)
             await self.awake.wait()
         self.streams.pop(stream, None)
         for session_id, (attempt, other) in list(self.open_tries.items()):
@@ -182,6 +185,15 @@
                 del self.open_tries[session_id]
         await trio.aclose_forcefully(stream)
 
+    async def _handle_line(self, stream: trio.SocketStream, line: bytes, nursery: trio.Nursery) -> None:
+        """Handles one line of a front end, which is to be a message."""
+        try:
+            message = json.loads(line)
+        except ValueError:
+            self.record.unreadable_lines.append(f"{self.name} got {line[:200]!r}")
+            return
+        await self._handle(stream, message, nursery)
+
     async def _handle(
         self, stream: trio.SocketStream, message: dict[str, Any], nursery: trio.Nursery
     ) -> None:
