End the front end of a dense trial that fails, and name the cursors of a channel test

Ten front ends of dense trials that had ended by an error were still running, 43 to 51 min old, and called the ports of their channels, which other tests had by then. Ended by id; a trial now ends its front end in any case. No file of the program changes.

--- a/tests/dense_trial.py
+++ b/tests/dense_trial.py
@@ -148,6 +148,14 @@
         return False
 
     async def play(self) -> TrialResult:
+        """Plays the trial; ends the front end's process in any case, which else would go on to call others' ports."""
+        try:
+            return await self._play()
+        finally:
+            if self.process is not None and self.process.poll() is None:
+                self.process.kill()
+
+    async def _play(self) -> TrialResult:
         """Plays the trial."""
         async with trio.open_nursery() as nursery:
             for node in self.nodes:
--- a/tests/test_platform_channel.py
+++ b/tests/test_platform_channel.py
@@ -81,13 +81,14 @@
         kept_stream, current_stream = await two_polls(rig, 2)
         assert follower.kept_connections
         rig.channel.stream = current_stream
-        rig.channel.answer_now(3, rig.member(rig.nodes[0], "draining"))
+        earlier_cursor, later_cursor = 2, 3
+        rig.channel.answer_now(later_cursor, rig.member(rig.nodes[0], "draining"))
         await wait_until(lambda: rig.coordinator.pools["n0"].node.status is NodeStatus.DRAINING)
         rig.channel.stream = kept_stream
-        rig.channel.answer_now(2, rig.member(rig.nodes[0], "up"))
+        rig.channel.answer_now(earlier_cursor, rig.member(rig.nodes[0], "up"))
         await wait_until(lambda: not follower.kept_connections)
         assert rig.coordinator.pools["n0"].node.status is NodeStatus.DRAINING
-        assert follower.last_cursor == 3  # noqa: PLR2004
+        assert follower.last_cursor == later_cursor
 
     run_on_platform(test)
 
