--- a/review/rig2.py
+++ b/review/rig2.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -86,7 +87,7 @@
         self.changed = asyncio.Event()
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
-        self.port = 0
+        self.port = free_port()
         self.polls: list[tuple[float, int, int]] = []  # time, resume, octets of the answer
         self.is_down = False
         self.way = 0.0  # seconds that each poll and each answer is under way
@@ -188,6 +189,7 @@
         self.port = 0
         self.host = HOST
         self.opens: list[tuple[float, str, str]] = []  # time, session, class of each set-up received
+        self.opened_titles: list[tuple[float, str, str]] = []  # the same with the title
         self.standing: dict[str, Standing] = {}
         self.pending: dict[str, asyncio.StreamWriter] = {}
         self.writers: dict[asyncio.StreamWriter, None] = {}
@@ -273,6 +275,7 @@
         if kind == "open":
             self.opens.append((time.time(), session, message["attrs"]["class"]))
             self.record.add(f"node {self.name} gets open {session} {message['attrs']['class']}")
+            self.opened_titles.append((time.time(), session, message["attrs"]["key"]))
             self.pending[session] = writer
             if self.on_open is None or not await self.on_open(self, session, message, writer):
                 self._spawn(self._answer(session, message, writer))
@@ -574,10 +577,20 @@
 
 
 def free_port() -> int:
-    """A port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+    """A port that is free now, below those that the kernel gives to outgoing connections."""
+    while True:
+        port = random.randrange(10_000, 30_000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            return port
+
+
+def plan(name: str, effect: str, target_ms: float, deadline_ms: float, worth: float) -> dict[str, Any]:
+    """A class of the settings. `effect`: `free`, or `single_shot` for one that is paid for at set-up."""
+    return {
+        "deadlineMs": deadline_ms, "effect": effect, "group": "all", "keyTtlMs": 5000.0, "lateShare": 0.0,
+        "name": name, "objectiveMs": target_ms, "streamed": True, "worth": worth,
+    }  # fmt: skip
 
 
 def settings(**families: Any) -> dict[str, Any]:
@@ -585,10 +598,8 @@
     base: dict[str, Any] = {
         "balancers": 2,
         "classes": [
-            {"deadlineMs": 5000.0, "effect": "free", "group": "all", "keyTtlMs": 5000.0, "lateShare": 0.0,
-             "name": "live", "objectiveMs": 800.0, "streamed": True, "worth": 1.0},
-            {"deadlineMs": 4000.0, "effect": "free", "group": "all", "keyTtlMs": 5000.0, "lateShare": 0.0,
-             "name": "recorded", "objectiveMs": 1500.0, "streamed": True, "worth": 2.0},
+            plan("live", "free", 800.0, 5000.0, 1.0),
+            plan("recorded", "free", 1500.0, 4000.0, 2.0),
         ],
         "clients": {"marksRetry": False},
         "customers": [],
