Add review case 7: bad clients make answers to others come after their time

Cause: set-ups, answers of nodes and timers wait in one inbox in order of arrival, and each unknown title costs a sort of all nodes.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,144 +1,113 @@
-"""A front end that stood still sends set-ups to nodes that it was told drain. See claim.txt."""
+"""Bad clients make a front end answer the usual viewers long after their time. See claim.txt."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import random
-import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+import fleet2
 import rig2
 
-NODES = 14
-REPLACED = 13  # 93 in 100; the page allows up to 94
-AT_A_TIME = 2  # 14 in 100; the page allows up to 20
-STILL = (1.5, 2.0)  # seconds that the front end stands still; the page has 1,100 to 2,000 ms
-EVERY = (2.1, 3.0)  # seconds from one stand to the next; the page has 2.1 to 3.9 s
-GRACE = 0.25 + rig2.SLACK
-LIFE = (1.5, 3.0)
-CONNECTIONS = 8  # of viewers to each front end; many sessions share one (PROTOCOL)
-WAY = 0.002  # seconds between the halls, one way; the page has 1.4 to 2.6 ms
-SETTLE = 8.0
-OTHERS = 0.2  # part of the viewers that ask the front end that never stands still
+NODES = 3_200  # the page has 3,200 at most
+CLIENTS = 8  # "some clients"
+AT_ONCE = 250  # "hundreds of requests at once"
+SETTLE = 9.0
+FLOOD = 10.0
+WATCH = 12.0  # after the flood, so that all answers fall due
+LATE = 0.5 + rig2.SLACK  # after its time an answer only earns nothing; later it is lost
 WORST_LAG = 0.25  # of this script, in seconds; past it the case counts as not run
-DEPLOY = 30.0
-ASKS_PER_SECOND = 25.0  # the busiest front end (DAYS)
+MAX_SAID = 15
+PLANS = [("course-lesson", 5.0), ("open-lesson", 4.0)]
 
 
-async def stand_still(
-    front: rig2.Front, rng: random.Random, until: float, stands: list[tuple[float, float]]
-) -> None:
-    """Stops and continues the front end again and again."""
+async def be_viewers(viewers: rig2.Viewers, rng: random.Random, until: float) -> None:
+    """The usual viewers; each waits for its answer."""
     while time.time() < until:
-        began = time.time()
-        if rig2.TROUBLE:
-            front.signal(signal.SIGSTOP)
-        await asyncio.sleep(rng.uniform(*STILL))
-        if rig2.TROUBLE:
-            front.signal(signal.SIGCONT)
-            stands.append((began, time.time()))
-        await asyncio.sleep(max(0.1, rng.uniform(*EVERY) - (time.time() - began)))
-
-
-async def replace(
-    channel: rig2.Channel,
-    nodes: list[rig2.Node],
-    record: rig2.Record,
-    rng: random.Random,
-    drained: dict[str, float],
-) -> None:
-    """The rolling deploy: each node is listed as draining, ends two seconds later, and has a cold successor."""
-    step = DEPLOY / (REPLACED / AT_A_TIME)
-    for first in range(0, REPLACED, AT_A_TIME):
-        for node in nodes[first : min(first + AT_A_TIME, REPLACED)]:
-            node.phase = "draining"
-            channel.tell([node.member("draining")])
-            drained[node.name] = time.time()
-            record.add(f"channel has: {node.name} drains")
-            await asyncio.sleep(0.3)
-            successor = rig2.Node(f"s-{rng.getrandbits(32):08x}", record, rng, cell=node.cell, life=LIFE)
-            successor.up_since_ms = int(time.time() * 1000)
-            await successor.start()
-            nodes.append(successor)
-            channel.tell([successor.member()])
-            await asyncio.sleep(step / AT_A_TIME - 0.3)
-        for node in nodes[max(0, first - AT_A_TIME) : first]:
-            node.die()
-            channel.tell([node.member("removed")])
+        plan, wait = rng.choice(PLANS)
+        connection = await viewers.shared(8)
+        if connection is not None:
+            await viewers.ask(plan, f"{rng.randrange(30):016x}", wait, connection=connection)
+        await asyncio.sleep(rng.expovariate(20.0))
 
 
-async def be_viewers(viewers: list[rig2.Viewers], rng: random.Random, until: float) -> None:
-    """Sends set-ups on a few connections, most of them to the first front end."""
-    while time.time() < until:
-        plan = rng.choice(["live", "live", "recorded"])
-        own = viewers[rng.random() < OTHERS]
-        connection = await own.shared(CONNECTIONS)
-        if connection is not None:
-            title = f"{rng.randrange(30):016x}"
-            await own.ask(plan, title, 5.0 if plan == "live" else 4.0, connection=connection)
-        await asyncio.sleep(rng.expovariate(ASKS_PER_SECOND))
+async def be_bad(front: rig2.Front, record: rig2.Record) -> None:
+    """The bad clients, in a process of their own."""
+    words = [front.port, CLIENTS, AT_ONCE, FLOOD, "open-lesson", 4000, 40]
+    command = [sys.executable, str(fleet2.REVIEW / "flood2.py"), *map(str, words)]
+    record.add("the bad clients begin")
+    process = await asyncio.create_subprocess_exec(*command, stdout=asyncio.subprocess.PIPE)
+    output, _ = await process.communicate()
+    record.say(f"the bad clients end: {json.loads(output)}")
 
 
 async def play(record: rig2.Record, folder: Path) -> int:
     """Plays the case."""
-    rng = random.Random(7)
+    rng = random.Random(9)
     channel = rig2.Channel(record)
-    channel.way = WAY  # it stands in the other hall
     await channel.start()
-    nodes = [
-        rig2.Node(f"s-{rng.getrandbits(32):08x}", record, rng, cell=cell, life=LIFE) for cell in range(NODES)
-    ]
-    for node in nodes:
-        await node.start()
-    channel.tell([node.member() for node in nodes], complete=True)
-    config = rig2.configuration(channel, rig2.settings())
-    fronts = [rig2.Front(f"n{index}", index, record, folder, config) for index in range(2)]
-    for front in fronts:
-        await front.start()
+    nodes = [fleet2.HostedNode(f"s-{rng.getrandbits(32):08x}", number % 40) for number in range(NODES)]
+    await fleet2.start_hosts(nodes)
+    channel.tell([node.member("up") for node in nodes], complete=True)
+    deployment = rig2.settings(
+        classes=[
+            rig2.plan("course-lesson", "single_shot", 1000.0, 5000.0, 2.0),
+            rig2.plan("open-lesson", "free", 1500.0, 4000.0, 1.0),
+        ],
+        models=["three-core"],
+        zone="east-wing",
+        zones=["east-wing", "west-wing"],
+        familyInfo={
+            "cells": 40,
+            "groups": 40,
+            "classSeats": [0, 0],
+            "classTop": [4, 4],
+            "floorByClass": [0, 0],
+            "live": [False, False],
+            "rateFactor": [1.2, 0.7],
+            "uplinkKb": 0.0,
+        },
+    )
+    front = rig2.Front("n0", 0, record, folder, rig2.configuration(channel, deployment, 192, 1024))
+    await front.start()
+    viewers = rig2.Viewers(front, record, "a000", "home:0;copies:40")
     lag = rig2.LagMeter()
     meter = asyncio.ensure_future(lag.run())
-    viewers = [rig2.Viewers(front, record, f"a{index:03x}") for index, front in enumerate(fronts)]
-    drained: dict[str, float] = {}
-    stands: list[tuple[float, float]] = []
-
-    asking = asyncio.ensure_future(be_viewers(viewers, rng, time.time() + SETTLE + DEPLOY + 2))
+    asking = asyncio.ensure_future(be_viewers(viewers, rng, time.time() + SETTLE + FLOOD + 1))
     await asyncio.sleep(SETTLE)
-    still = asyncio.ensure_future(stand_still(fronts[0], rng, time.time() + DEPLOY, stands))
-    deploy = asyncio.ensure_future(replace(channel, nodes, record, rng, drained))
-    await asyncio.gather(asking, still, deploy)
+    if rig2.TROUBLE:
+        await be_bad(front, record)
+    else:
+        await asyncio.sleep(FLOOD)
+    await asking
+    await asyncio.sleep(WATCH)
     meter.cancel()
-    requests = [request for own in viewers for request in own.requests.values()]
-    record.say(f"{len(requests)} set-ups asked, {sum(one.answer == 'served' for one in requests)} served")
     if lag.worst > WORST_LAG:
         raise rig2.CannotRunError(f"this script itself ran {lag.worst:.2f} s late")
-    return judge(record, nodes, drained, stands, lag)
-
-
-def judge(
-    record: rig2.Record,
-    nodes: list[rig2.Node],
-    drained: dict[str, float],
-    stands: list[tuple[float, float]],
-    lag: rig2.LagMeter,
-) -> int:
-    """Judges the set-ups at the nodes that drain."""
-    late = [
-        (at, node.name, session)
-        for node in nodes
-        for at, session, _ in node.opens
-        if at > drained.get(node.name, at) + GRACE and not lag.was_late_at(at)
-    ]
-    for at, name, session in sorted(late):
-        went_on_at = max((end for _, end in stands if end <= at), default=0.0)
+    return judge(record, viewers)
+
+
+def judge(record: rig2.Record, viewers: rig2.Viewers) -> int:
+    """Judges the answers to the usual viewers; one whose connection ended is not judged."""
+    lost = []
+    for request in viewers.requests.values():
+        answered_at = request.messages[0][0] if request.messages else float("inf")
+        if answered_at > request.give_up_at + LATE and not request.ended.is_set():
+            lost.append((answered_at - request.sent_at, request))
+    for took, request in sorted(lost, key=lambda found: -found[0])[:MAX_SAID]:
+        wait = request.give_up_at - request.sent_at
         record.say(
-            f"BROKEN: {name} got set-up {session} {at - drained[name]:.3f} s after the channel had its drain,"
-            f" {at - went_on_at:.4f} s after the front end went on"
+            f"BROKEN: {request.session} waits {wait:.0f} s, and is told '{request.answer}' after {took:.2f} s"
         )
-    return rig2.BROKEN if late else rig2.HELD
+    told = [request.answer for request in viewers.requests.values()]
+    counts = ", ".join(f"{told.count(answer)} {answer}" for answer in sorted(set(told)))
+    record.say(f"usual viewers: {counts}; {len(lost)} answered over 0.55 s after their time, or never")
+    return rig2.BROKEN if lost else rig2.HELD
 
 
 rig2.main(str(Path(__file__).resolve().parent), play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -93,8 +93,8 @@
     )
     front = rig2.Front("n0", 0, record, folder, rig2.configuration(channel, deployment))
     await front.start()
-    usual = rig2.Viewers(front, record, "a000")
-    bad = rig2.Viewers(front, record, "bad0")
+    usual = rig2.Viewers(front, record, "a000", "")
+    bad = rig2.Viewers(front, record, "bad0", "")
     until = time.time() + SETTLE + PLAY
     work = [be_viewers(usual, rng, until)]
     if rig2.TROUBLE:
--- a/review/nodes2.py
+++ b/review/nodes2.py
@@ -12,11 +12,25 @@
 import random
 import sys
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
 import rig2
 
+UNKNOWN_TITLES_FROM = 1 << 32  # as in flood2.py
+
+
+async def refuse_unknown_title(
+    node: rig2.Node, session: str, message: dict[str, Any], writer: asyncio.StreamWriter
+) -> bool:
+    """Answers 'error' to a set-up for a title that no node knows."""
+    if int(message["attrs"]["key"], 16) < UNKNOWN_TITLES_FROM:
+        return False
+    del node.pending[session]
+    node.send(writer, "close", session, {"load": node.load()}, code=47)
+    return True
+
 
 async def host() -> None:
     """Hosts the nodes until standard input ends."""
@@ -25,6 +39,7 @@
     record.add = lambda text: None  # type: ignore[method-assign]
     nodes = {name: rig2.Node(name, record, rng, life=(1.5, 3.0)) for name in sys.argv[2:]}
     for node in nodes.values():
+        node.on_open = refuse_unknown_title
         await node.start()
     print(json.dumps({name: node.port for name, node in nodes.items()}), flush=True)
     reader = asyncio.StreamReader()
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -464,8 +464,12 @@
 class Viewers:
     """The viewers of one front end. One connection carries `per_connection` open set-ups at most."""
 
-    def __init__(self, front: Front, record: Record, prefix: str) -> None:
-        """Creates viewers without connections; `prefix` (4 hex digits) begins their ids."""
+    def __init__(self, front: Front, record: Record, prefix: str, extras: str) -> None:
+        """Creates viewers without connections; `prefix` (4 hex digits) begins their ids.
+
+        `extras` names the cells that hold the titles, as in `home:0;copies:14`, where `ask` does not.
+        """
+        self.extras = extras
         self.front = front
         self.record = record
         self.prefix = prefix
@@ -513,7 +517,7 @@
             connection.writer.write(encode_frame(CONFIRMED, session))
 
     async def ask(
-        self, plan: str, title: str, wait: float, top: int = 4, extras: str = "home:0;copies:0",
+        self, plan: str, title: str, wait: float, top: int = 4, extras: str = "",
         connection: ViewerConnection | None = None, at: str = "", session: str = "",
     ) -> Request | None:  # fmt: skip
         """Sends a set-up; returns None if no connection could be opened."""
@@ -529,7 +533,7 @@
         connection.writer.write(
             encode_frame(
                 SET_UP, session, (100, plan.encode()), (101, str(round(wait * 1000)).encode()),
-                (104, title.encode()), (105, f"{extras};top:{top};viewer:{session}{more}".encode()),
+                (104, title.encode()), (105, f"{extras or self.extras};top:{top};viewer:{session}{more}".encode()),
                 (115, b"c=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"),
             )
         )  # fmt: skip
