--- a/review/rig2.py
+++ b/review/rig2.py
@@ -91,6 +91,7 @@
         self.polls: list[tuple[float, int, int]] = []  # time, resume, octets of the answer
         self.is_down = False
         self.way = 0.0  # seconds that each poll and each answer is under way
+        self.late_by = 0.0  # seconds that an answer takes to be made
 
     async def start(self) -> None:
         """Listens; keeps its port over a restart."""
@@ -137,6 +138,7 @@
                         await asyncio.wait_for(self.changed.wait(), left)
                     except TimeoutError:
                         break
+                await asyncio.sleep(self.late_by)
                 later = self.events[after:]
                 body = json.dumps({"cursor": max(after, len(self.events)), "cmds": later}).encode()
                 self.polls.append((asked_at, after, len(body)))
