--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,10 +1,9 @@
-"""A front end that stood still sends set-ups to nodes that it was told drain. See claim.txt."""
+"""A bad client's figures decide where the set-ups of other viewers go. See claim.txt."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-import signal
 import sys
 import time
 from pathlib import Path
@@ -13,135 +12,113 @@
 
 import rig2
 
-NODES = 14
-REPLACED = 13  # 93 in 100; the page allows up to 94
-AT_A_TIME = 2  # 14 in 100; the page allows up to 20
-STILL = (1.5, 2.0)  # seconds that the front end stands still; the page has 1,100 to 2,000 ms
-EVERY = (2.1, 3.0)  # seconds from one stand to the next; the page has 2.1 to 3.9 s
-GRACE = 0.25 + rig2.SLACK
-LIFE = (1.5, 3.0)
-CONNECTIONS = 8  # of viewers to each front end; many sessions share one (PROTOCOL)
-WAY = 0.002  # seconds between the halls, one way; the page has 1.4 to 2.6 ms
-SETTLE = 8.0
-OTHERS = 0.2  # part of the viewers that ask the front end that never stands still
-WORST_LAG = 0.25  # of this script, in seconds; past it the case counts as not run
-DEPLOY = 30.0
-ASKS_PER_SECOND = 25.0  # the busiest front end (DAYS)
-
-
-async def stand_still(
-    front: rig2.Front, rng: random.Random, until: float, stands: list[tuple[float, float]]
-) -> None:
-    """Stops and continues the front end again and again."""
+CELLS = 14
+COPIES = 4  # cells that hold a title; the page has three at least
+TITLES = 24
+BAD_COPIES = ("0", "1")  # out of range: the page has three at least
+SETTLE = 7.0
+PLAY = 20.0
+
+
+def home_of(title: int) -> int:
+    """The first cell that holds a title."""
+    return title * 5 % CELLS
+
+
+def holds(cell: int, title: int) -> bool:
+    """Whether a cell holds a title."""
+    return (cell - home_of(title)) % CELLS < COPIES
+
+
+async def answer_error_elsewhere(
+    node: rig2.Node, session: str, message: dict, writer: asyncio.StreamWriter
+) -> bool:
+    """A node that does not hold the title answers 'error'; else it answers as usual."""
+    if holds(node.cell, int(message["attrs"]["key"], 16)):
+        return False
+    del node.pending[session]
+    node.record.add(f"node {node.name} in cell {node.cell} does not hold {message['attrs']['key']}: error")
+    node.send(writer, "close", session, {}, code=47)
+    return True
+
+
+async def be_bad(viewers: rig2.Viewers, until: float) -> None:
+    """A bad client asks for each title with figures that are out of range."""
+    title = 0
     while time.time() < until:
-        began = time.time()
-        if rig2.TROUBLE:
-            front.signal(signal.SIGSTOP)
-        await asyncio.sleep(rng.uniform(*STILL))
-        if rig2.TROUBLE:
-            front.signal(signal.SIGCONT)
-            stands.append((began, time.time()))
-        await asyncio.sleep(max(0.1, rng.uniform(*EVERY) - (time.time() - began)))
-
-
-async def replace(
-    channel: rig2.Channel,
-    nodes: list[rig2.Node],
-    record: rig2.Record,
-    rng: random.Random,
-    drained: dict[str, float],
-) -> None:
-    """The rolling deploy: each node is listed as draining, ends two seconds later, and has a cold successor."""
-    step = DEPLOY / (REPLACED / AT_A_TIME)
-    for first in range(0, REPLACED, AT_A_TIME):
-        for node in nodes[first : min(first + AT_A_TIME, REPLACED)]:
-            node.phase = "draining"
-            channel.tell([node.member("draining")])
-            drained[node.name] = time.time()
-            record.add(f"channel has: {node.name} drains")
-            await asyncio.sleep(0.3)
-            successor = rig2.Node(f"s-{rng.getrandbits(32):08x}", record, rng, cell=node.cell, life=LIFE)
-            successor.up_since_ms = int(time.time() * 1000)
-            await successor.start()
-            nodes.append(successor)
-            channel.tell([successor.member()])
-            await asyncio.sleep(step / AT_A_TIME - 0.3)
-        for node in nodes[max(0, first - AT_A_TIME) : first]:
-            node.die()
-            channel.tell([node.member("removed")])
-
-
-async def be_viewers(viewers: list[rig2.Viewers], rng: random.Random, until: float) -> None:
-    """Sends set-ups on a few connections, most of them to the first front end."""
+        extras = f"home:{(home_of(title) + CELLS // 2) % CELLS};copies:{BAD_COPIES[title % 2]}"
+        await viewers.ask("live-class", f"{title % TITLES:016x}", 5.0, extras=extras)
+        title += 1
+        await asyncio.sleep(0.25)
+
+
+async def be_viewers(viewers: rig2.Viewers, rng: random.Random, until: float) -> None:
+    """The usual viewers ask with the figures of the title."""
     while time.time() < until:
-        plan = rng.choice(["live", "live", "recorded"])
-        own = viewers[rng.random() < OTHERS]
-        connection = await own.shared(CONNECTIONS)
+        title = min(rng.randrange(TITLES), rng.randrange(TITLES))
+        plan = rng.choice(["live-class", "recorded-class"])
+        connection = await viewers.shared(6)
+        extras = f"home:{home_of(title)};copies:{COPIES}"
         if connection is not None:
-            title = f"{rng.randrange(30):016x}"
-            await own.ask(plan, title, 5.0 if plan == "live" else 4.0, connection=connection)
-        await asyncio.sleep(rng.expovariate(ASKS_PER_SECOND))
+            await viewers.ask(plan, f"{title:016x}", 5.0, extras=extras, connection=connection)
+        await asyncio.sleep(rng.expovariate(10.0))
 
 
 async def play(record: rig2.Record, folder: Path) -> int:
     """Plays the case."""
-    rng = random.Random(7)
+    rng = random.Random(9)
     channel = rig2.Channel(record)
-    channel.way = WAY  # it stands in the other hall
     await channel.start()
     nodes = [
-        rig2.Node(f"s-{rng.getrandbits(32):08x}", record, rng, cell=cell, life=LIFE) for cell in range(NODES)
+        rig2.Node(f"s-{rng.getrandbits(32):08x}", record, rng, cell=cell, kind="std-3core", life=(2.0, 4.0))
+        for cell in range(CELLS)
     ]
     for node in nodes:
+        node.on_open = answer_error_elsewhere
         await node.start()
     channel.tell([node.member() for node in nodes], complete=True)
-    config = rig2.configuration(channel, rig2.settings())
-    fronts = [rig2.Front(f"n{index}", index, record, folder, config) for index in range(2)]
-    for front in fronts:
-        await front.start()
-    lag = rig2.LagMeter()
-    meter = asyncio.ensure_future(lag.run())
-    viewers = [
-        rig2.Viewers(front, record, f"a{index:03x}", f"home:0;copies:{NODES}")
-        for index, front in enumerate(fronts)
-    ]
-    drained: dict[str, float] = {}
-    stands: list[tuple[float, float]] = []
-
-    asking = asyncio.ensure_future(be_viewers(viewers, rng, time.time() + SETTLE + DEPLOY + 2))
-    await asyncio.sleep(SETTLE)
-    still = asyncio.ensure_future(stand_still(fronts[0], rng, time.time() + DEPLOY, stands))
-    deploy = asyncio.ensure_future(replace(channel, nodes, record, rng, drained))
-    await asyncio.gather(asking, still, deploy)
-    meter.cancel()
-    requests = [request for own in viewers for request in own.requests.values()]
-    record.say(f"{len(requests)} set-ups asked, {sum(one.answer == 'served' for one in requests)} served")
-    if lag.worst > WORST_LAG:
-        raise rig2.CannotRunError(f"this script itself ran {lag.worst:.2f} s late")
-    return judge(record, nodes, drained, stands, lag)
-
-
-def judge(
-    record: rig2.Record,
-    nodes: list[rig2.Node],
-    drained: dict[str, float],
-    stands: list[tuple[float, float]],
-    lag: rig2.LagMeter,
-) -> int:
-    """Judges the set-ups at the nodes that drain."""
-    late = [
-        (at, node.name, session)
-        for node in nodes
-        for at, session, _ in node.opens
-        if at > drained.get(node.name, at) + GRACE and not lag.was_late_at(at)
-    ]
-    for at, name, session in sorted(late):
-        went_on_at = max((end for _, end in stands if end <= at), default=0.0)
-        record.say(
-            f"BROKEN: {name} got set-up {session} {at - drained[name]:.3f} s after the channel had its drain,"
-            f" {at - went_on_at:.4f} s after the front end went on"
-        )
-    return rig2.BROKEN if late else rig2.HELD
+    deployment = rig2.settings(
+        classes=[
+            rig2.plan("live-class", "free", 800.0, 5000.0, 3.0),
+            rig2.plan("recorded-class", "free", 800.0, 5000.0, 1.0),
+        ],
+        models=["std-3core"],
+        familyInfo={
+            "classSeats": [0, 0],
+            "floorByClass": [0, 0],
+            "classTop": [4, 3],
+            "rateFactor": [1.4, 0.7],
+        },
+        rules={"drainGraceMs": 2000.0, "overloadForMs": 3000.0},
+    )
+    front = rig2.Front("n0", 0, record, folder, rig2.configuration(channel, deployment))
+    await front.start()
+    usual = rig2.Viewers(front, record, "a000", "")
+    bad = rig2.Viewers(front, record, "bad0", "")
+    until = time.time() + SETTLE + PLAY
+    work = [be_viewers(usual, rng, until)]
+    if rig2.TROUBLE:
+        work.append(be_bad(bad, until))
+    await asyncio.gather(*work)
+    await asyncio.sleep(1.0)
+    return judge(record, nodes, usual)
+
+
+def judge(record: rig2.Record, nodes: list[rig2.Node], usual: rig2.Viewers) -> int:
+    """Judges where the set-ups of the usual viewers went."""
+    broken = 0
+    for node in nodes:
+        for _, session, title in node.opened_titles:
+            if session in usual.requests and not holds(node.cell, int(title, 16)):
+                broken += 1
+                asked = f"home:{home_of(int(title, 16))};copies:{COPIES}"
+                record.say(
+                    f"BROKEN: {session} asked with {asked}, and went to {node.name} in cell {node.cell}"
+                )
+    told = [request.answer for request in usual.requests.values()]
+    counts = ", ".join(f"{told.count(answer)} {answer}" for answer in sorted(set(told)))
+    record.say(f"usual viewers: {counts}; {broken} of their set-ups at nodes that do not hold the title")
+    return rig2.BROKEN if broken else rig2.HELD
 
 
 rig2.main(str(Path(__file__).resolve().parent), play)
