--- a/review/8/case.py
+++ b/review/8/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+import subprocess
 import sys
 import time
 from pathlib import Path
@@ -41,8 +42,9 @@
     words = [front.port, CLIENTS, AT_ONCE, FLOOD, "open-lesson", 4000, 40]
     command = [sys.executable, str(fleet2.REVIEW / "flood2.py"), *map(str, words)]
     record.add("the bad clients begin")
-    process = await asyncio.create_subprocess_exec(*command, stdout=asyncio.subprocess.PIPE)
-    output, _ = await process.communicate()
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    rig2.RUNNING.append(process)
+    output, _ = await asyncio.to_thread(process.communicate)
     record.say(f"the bad clients end: {json.loads(output)}")
 
 
