--- a/review/9/case.py
+++ b/review/9/case.py
@@ -15,7 +15,7 @@
 CELLS = 14
 COPIES = 4  # cells that hold a title; the page has three at least
 TITLES = 24
-BAD_COPIES = ("0", "1")  # out of range: the page has three at least
+BAD_COPIES = ("1", "2")  # out of range: the page has three at least
 SETTLE = 7.0
 PLAY = 20.0
 
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -669,17 +670,17 @@
 
 def main(folder: str, play: Callable[[Record, Path], Awaitable[int]], limit: float = 112.0) -> None:
     """Plays a case: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     record = Record(Path(folder).resolve())
     code = COULD_NOT_RUN
     with tempfile.TemporaryDirectory() as temporary:
         try:
             code = asyncio.run(asyncio.wait_for(play(record, Path(temporary)), limit))
-        except (CannotRunError, TimeoutError, OSError, AssertionError) as error:
+        except Exception as error:  # a fault of the case itself must not pass for a broken rule
             record.say(f"could not run: {error!r}")
         finally:
-            os.dup2(
-                os.open(os.devnull, os.O_WRONLY), 2
-            )  # what asyncio says of connections left open is of no use
+            # What asyncio says of connections that are left open is of no use.
+            os.dup2(os.open(os.devnull, os.O_WRONLY), 2)
             end_processes()
             for log in sorted(Path(temporary).glob("*.log")):
                 record.lines.append(f"--- {log.name}")
