--- a/benchmarks/capacity/measure_module.py
+++ b/benchmarks/capacity/measure_module.py
@@ -4,7 +4,7 @@
 
 import time
 import tracemalloc
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 from functools import partial
 from random import Random
@@ -27,10 +27,12 @@
     NodeStatus,
     NodeListKind,
     Node,
+    Placement,
     Playback,
     PlaybackState,
     Title,
 )
+from oakcroft.platform.list_updates import ListUpdates
 from oakcroft.platform.session_coordinator import SessionCoordinator
 from oakcroft.platformwire import command_channel, configuration
 from oakcroft.running.clock import Clock
@@ -66,18 +68,26 @@
     return 1e3 * (time.process_time() - started_at) / times
 
 
+async def async_cpu_milliseconds(work: Callable[[], Awaitable[None]], times: int) -> float:
+    """Returns the mean CPU time of one call of an asynchronous function in milliseconds."""
+    started_at = time.process_time()
+    for _ in range(times):
+        await work()
+    return 1e3 * (time.process_time() - started_at) / times
+
+
 def measure_lists(_seed: int) -> ValuesBySize:
     """Measures a whole list, a change of it, ordering the holders of a title after it, and the periodic passes."""
 
     async def main() -> ValuesBySize:
         """Measures each number of nodes; the coordinator needs a nursery."""
         async with trio.open_nursery() as nursery:
-            return {count: measure_list(count, nursery) for count in NODES}
+            return {count: await measure_list(count, nursery) for count in NODES}
 
     return trio.run(main)
 
 
-def measure_list(count: int, nursery: trio.Nursery) -> Sequence[float]:
+async def measure_list(count: int, nursery: trio.Nursery) -> Sequence[float]:
     """Measures all quantities of `measure_lists` at one number of nodes."""
     coordinator = SessionCoordinator(
         front_configuration(), Clock(), nursery, structlog.wrap_logger(structlog.ReturnLogger())
@@ -85,16 +95,19 @@
     whole = channel_answer(1, True, node_members([1], count))
     change = channel_answer(2, False, node_members([1], count)[:1])
 
-    def apply_answer(octets: bytes) -> None:
+    list_updates = ListUpdates(coordinator)
+
+    async def apply_answer(octets: bytes) -> None:
         """Decodes an answer of the command channel and applies its lists."""
-        for _, complete, listed in command_channel.decode_events(octets)[1]:
-            coordinator.apply_list_immediately(complete, listed)
+        await list_updates.apply(command_channel.decode_events(octets)[1])
 
-    whole_ms = cpu_milliseconds(lambda: apply_answer(whole), LIST_REPEATS)
-    change_ms = cpu_milliseconds(lambda: apply_answer(change), CHANGE_REPEATS)
+    whole_ms = await async_cpu_milliseconds(lambda: apply_answer(whole), LIST_REPEATS)
+    change_ms = await async_cpu_milliseconds(lambda: apply_answer(change), CHANGE_REPEATS)
     title_numbers = iter(range(1_000_000))
+    holder_orders = coordinator.controller.holder_orders
     title_ms = cpu_milliseconds(
-        lambda: coordinator.controller._holders(Title(f"title-{next(title_numbers)}", 0, 0)), ORDERED_TITLES
+        lambda: next(holder_orders.holders(Title(f"title-{next(title_numbers)}", 0, 0), Placement(0, 0))),
+        ORDERED_TITLES,
     )
 
     def run_one_second() -> None:
@@ -173,8 +186,7 @@
         while cached < count:
             title = title_cache.get(f"title-{cached}", 0)
             assert title is not None
-            title.holders = list(controller.nodes)
-            title.holders_version = controller.list_version
+            next(controller.holder_orders.holders(title, Placement(0, 0)))
             cached += 1
         found[count] = ((tracemalloc.get_traced_memory()[0] - memory_before) / MB,)
     tracemalloc.stop()
--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -32,9 +32,12 @@
 
 import hashlib
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
 from random import Random
 
+from oakcroft.decisions.routing.holder_order import HolderOrders
+from oakcroft.decisions.routing.listed_nodes import ListedNodes
 from oakcroft.interface import (
     MS,
     SECOND,
@@ -52,7 +55,6 @@
     PlaybackMetric,
     PlaybackState,
     Rack,
-    Title,
 )
 
 # Parameters that the paper leaves open.
@@ -197,6 +199,16 @@
 """States in which a playback holds a seat and adds to its node's load."""
 
 
+@dataclass(frozen=True)
+class LoadBasis:
+    """What the estimates of all links' loads have in common at one time; rates in kB/s."""
+
+    assumed_load: float
+    own_rate: float
+    own_rate_history: tuple[tuple[int, float], ...]
+    total_link_capacity: float
+
+
 class Controller:
     """Takes the decisions of one front end; its host calls the public methods, one at a time."""
 
@@ -208,9 +220,12 @@
         self.started_at = now
         self.interval_ends_at = now + SAMPLE_INTERVAL_NS
         # Node list.
-        self.racks = [Rack() for _ in range(settings.rack_count)]
-        self.nodes: dict[Node, None] = {}
-        self.list_version = 0  # incremented with each list or change applied
+        self.link_load_version = 0  # incremented when the loads of all links are estimated anew
+        self.carried_rate_version = 0  # incremented with each list or change applied
+        self.racks = [Rack(self) for _ in range(settings.rack_count)]
+        self.listed = ListedNodes(settings.cell_count, self.racks)
+        self.nodes = self.listed.nodes
+        self.holder_orders = HolderOrders(self.listed)
         self.subscribed_at = now  # time of the last request to subscribe
         self.is_subscribed = False
         self.total_link_capacity = 1.0
@@ -233,6 +248,7 @@
         self.recent_requests = DecayingSum()
         self.request_times = deque[int]()
         self.retry_times = deque[int]()
+        self.load_basis = self._current_load_basis()
         if settings.must_subscribe:
             host.subscribe_to_nodes()
         host.set_timer(self.interval_ends_at)
@@ -245,21 +261,20 @@
         if kind is NodeListKind.FAILED:
             return  # `on_timer` subscribes again
         missing = dict(self.nodes) if kind is not NodeListKind.CHANGES else {}
+        changed = dict[Node, None]()
         for entry in entries:
             missing.pop(entry.node, None)
             self._apply_entry(entry, now)
+            changed[entry.node] = None
         for node in missing:
             node.status = NodeStatus.GONE
-        self.nodes = {node: None for node in self.nodes if node.status is not NodeStatus.GONE}
-        for index, rack in enumerate(self.racks):
-            rack.nodes = [node for node in self.nodes if node.cell % self.settings.rack_count == index]
-        self.list_version += 1
-        self.total_link_capacity = max(1.0, sum(node.link_capacity for node in self.nodes))
+        self.listed.update([*changed, *missing])
+        self.total_link_capacity = max(1.0, self.listed.link_capacity)
         if not self.assumed_load_is_measured:
             self.assumed_load = self._initial_assumed_load()
-            for node in self.nodes:
-                node.estimated_load = self._estimate_link_load(node)
-        self._update_carried_rates()
+            self.load_basis = self._current_load_basis()
+            self.link_load_version += 1
+        self.carried_rate_version += 1
 
     def _apply_entry(self, entry: NodeEntry, now: int) -> None:
         """Applies one entry of the node list."""
@@ -279,22 +294,13 @@
         node.started_at = max(node.started_at, started_at)
         node.link_capacity = max(1.0, entry.link_capacity)
         node.playback_capacity = entry.playback_capacity
+        node.load_estimator = self
         node.estimated_load = self._estimate_link_load(node)
         node.rack = self.racks[node.cell % self.settings.rack_count]
-        self.nodes[node] = None
-
-    def _holders(self, title: Title) -> list[Node]:
-        """Nodes that hold a title, sorted by a hash so that the order is the same on all front ends."""
-        if title.holders_version != self.list_version:
-            cells = self.settings.cell_count
-            copies = title.copies if 0 < title.copies < cells else cells
-            holders = [node for node in self.nodes if (node.cell - title.home_cell) % cells < copies]
-            if (names := title.holder_names) is not None:
-                holders = [node for node in self.nodes if node.name.partition("+")[0] in names]
-            holders.sort(key=lambda node: stable_hash(f"{title.name}\0{node.name}"))
-            title.holders = holders
-            title.holders_version = self.list_version
-        return title.holders
+
+    def _holders(self, playback: Playback) -> Iterator[Node]:
+        """Nodes that hold a playback's title, in the order that is the same on all front ends."""
+        return self.holder_orders.holders(playback.title, playback.placement)
 
     # Load.
 
@@ -309,16 +315,34 @@
         joins = playback.plan.shares_stream and (playback.title, playback.plan, rung) in running
         return self._playback_rate(playback, rung) * (self.settings.join_rate_share if joins else 1.0)
 
-    def _estimate_link_load(self, node: Node) -> float:
-        """Demand on the link over its capacity, from the last report and own changes since then."""
+    def _current_load_basis(self) -> LoadBasis:
+        """What the loads of all links are estimated from at this moment."""
+        return LoadBasis(
+            self.assumed_load, self.own_rate, tuple(self.own_rate_history), self.total_link_capacity
+        )
+
+    def link_load(self, node: Node) -> float:
+        """Load of a node's link as of the last change of the node list that made it outdated."""
+        return self._estimate_link_load(node, self.load_basis)
+
+    def carried_rate(self, rack: Rack) -> float:
+        """Rate that the links of a rack carry, kB/s."""
+        return sum(min(node.estimated_load, MAX_CARRIED_LOAD) * node.link_capacity for node in rack.nodes)
+
+    def _estimate_link_load(self, node: Node, basis: LoadBasis | None = None) -> float:
+        """Demand on the link over its capacity, from the last report and own changes since then.
+
+        `basis` is what all estimates have in common, by default as of now.
+        """
+        assumed_load = self.assumed_load if basis is None else basis.assumed_load
         if not node.load_known:
             own_rate = sum(self._playback_rate(playback, playback.rung) for playback in node.playbacks)
             # One front end of many sees too little of a node: the more there are, the more the assumed load counts.
-            excess = own_rate * self.settings.front_count / node.link_capacity - self.assumed_load
-            return self.assumed_load + excess / (1 + self.settings.front_count / MEAN_LOAD_WEIGHT_FRONTS)
+            excess = own_rate * self.settings.front_count / node.link_capacity - assumed_load
+            return assumed_load + excess / (1 + self.settings.front_count / MEAN_LOAD_WEIGHT_FRONTS)
         reported_at = node.load_reported_at
         own_change = sum(rate for at, rate in node.own_rate_changes if at > reported_at) / node.link_capacity
-        return max(0.0, node.reported_load + own_change + self._unreported_load_of_peers(reported_at))
+        return max(0.0, node.reported_load + own_change + self._unreported_load_of_peers(reported_at, basis))
 
     def _initial_assumed_load(self) -> float:
         """Load to assume for links while none has reported.
@@ -333,26 +357,24 @@
             usable_share = 1.0
         return DEFAULT_ASSUMED_LOAD * min(1.0, usable_share)
 
-    def _unreported_load_of_peers(self, since: int) -> float:
+    def _unreported_load_of_peers(self, since: int, basis: LoadBasis | None = None) -> float:
         """Link load that the other front ends have added since `since`, extrapolated from this one's own change.
 
         Covers crowds that arrive between two reports, and links that a loss has emptied while their last report
         reports them as full: any change that all front ends see alike. Drawback: viewers that move from one front end to
         another count as new.
         """
-        history = self.own_rate_history
+        own_rate = self.own_rate
+        history: Sequence[tuple[int, float]] = self.own_rate_history
+        total_link_capacity = self.total_link_capacity
+        if basis is not None:
+            own_rate, history = basis.own_rate, basis.own_rate_history
+            total_link_capacity = basis.total_link_capacity
         earlier_rate = next((rate for at, rate in reversed(history) if at <= since), history[0][1])
-        change = self.own_rate - earlier_rate
+        change = own_rate - earlier_rate
         typical_rate = self.settings.rung_rates[len(self.settings.rung_rates) // 2]
         confidence = abs(change) / (abs(change) + typical_rate)  # a single playback may be chance
-        return confidence * change * (self.settings.front_count - 1) / self.total_link_capacity
-
-    def _update_carried_rates(self) -> None:
-        """Recomputes the rate that the links of each rack carry."""
-        for rack in self.racks:
-            rack.carried_rate = sum(
-                min(node.estimated_load, MAX_CARRIED_LOAD) * node.link_capacity for node in rack.nodes
-            )
+        return confidence * change * (self.settings.front_count - 1) / total_link_capacity
 
     def _effective_load(self, node: Node, now: int, added_rate: float = 0.0) -> float:
         """Load that limits a playback on this node (the higher of link and uplink), with `added_rate` kB/s on top."""
@@ -365,11 +387,13 @@
 
     def _add_own_rate_change(self, node: Node, rate_change: float, now: int) -> None:
         """Records a change of what a node carries, in kB/s, that no report covers yet."""
+        carried_rate = node.rack.carried_rate
+        estimated_load = node.estimated_load
         node.own_rate_changes.append((now, rate_change))
         while node.own_rate_changes[0][0] < now - OWN_CHANGES_KEPT_NS:
             node.own_rate_changes.popleft()
-        node.estimated_load = max(0.0, node.estimated_load + rate_change / node.link_capacity)
-        node.rack.carried_rate += rate_change
+        node.estimated_load = max(0.0, estimated_load + rate_change / node.link_capacity)
+        node.rack.carried_rate = carried_rate + rate_change
 
     def _record_link_load(
         self, node: Node, link_load: float, report_age_ns: int, now: int, is_inferred: bool = False
@@ -381,6 +405,7 @@
         if now - report_age_ns < node.load_reported_at and not node.load_from_peer:
             return
         earlier_load = node.estimated_load
+        carried_rate = node.rack.carried_rate
         node.load_known = True
         node.reported_load = link_load
         node.load_reported_at = now - report_age_ns
@@ -388,7 +413,7 @@
         node.has_reported_load |= not is_inferred
         node.estimated_load = self._estimate_link_load(node)
         change = min(node.estimated_load, MAX_CARRIED_LOAD) - min(earlier_load, MAX_CARRIED_LOAD)
-        node.rack.carried_rate += change * node.link_capacity
+        node.rack.carried_rate = carried_rate + change * node.link_capacity
 
     def on_peer_load(self, node: Node, link_load: float, report_age_ns: int, now: int) -> None:
         """Records the load of a link that was reported to another front end `report_age_ns` ago.
@@ -537,12 +562,14 @@
         if now - self.started_at <= UPTIME_UNKNOWN_NS:
             self.own_rate_history.clear()
         self.own_rate_history.append((now, self.own_rate))
+        self.listed.sum_link_capacity()
+        self.total_link_capacity = max(1.0, self.listed.link_capacity)
         for node in self.nodes:
             if now - node.load_reported_at > self.max_report_age_ns:  # its reports have stopped
                 node.load_known = False
                 node.load_samples = []
             node.estimated_load = self._estimate_link_load(node)
-        self._update_carried_rates()
+        self.carried_rate_version += 1
 
     def _sample_loads(self, nodes: list[Node], now: int) -> None:
         """Adds a load sample to each node and forecasts its load at the end of the next interval."""
@@ -712,7 +739,7 @@
         candidates = list[Node]()
         last_candidates = list[Node]()
         if not plan.seats or playback.title.seats_taken.get(plan, 0) < plan.seats:
-            for node in self._holders(playback.title):
+            for node in self._holders(playback):
                 if not self._has_room(playback, node, now):
                     continue
                 # Without load reports, all front ends would fill a title's first holders without noticing. So a holder
@@ -873,7 +900,9 @@
         # that; a single first request is not yet a rate.
         counted_share: float = 1 - 0.5 ** max(1.0, (now - self.started_at) / settings.overload_window_ns)
         requests = self.recent_requests.read(now, settings.overload_window_ns) / counted_share
-        requests_per_holder = DEMAND_SKEW * requests / len(self._holders(playback.title))
+        requests_per_holder = (
+            DEMAND_SKEW * requests / self.holder_orders.count(playback.title, playback.placement)
+        )
         if allowed < MIN_BUDGET_FOR_RANDOM_SETUPS:
             return False
         return self.rng.random() * requests_per_holder * settings.front_count < allowed / 2
@@ -1042,6 +1071,7 @@
         current_node = playback.node
         if current_node is None:
             return
+        current_node.refresh_estimated_load()  # before the playbacks that it depends on change
         playback.title.has_played |= state is PlaybackState.PLAYING
         if state is PlaybackState.SETTING_UP:
             current_node.pending_setups[playback] = now
--- a/oakcroft/decisions/routing/title_cache.py
+++ b/oakcroft/decisions/routing/title_cache.py
@@ -91,7 +91,7 @@
             title.home_cell = home
             title.copies = copies
             title.holder_names = holder_names
-            title.holders_version = -1
+            title.holder_orders.clear()
         title.rung_rates = catalogue_title.rates if catalogue_title is not None else ()
 
     def _evict_unused(self) -> bool:
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 MS = 1_000_000
 """Nanoseconds in a millisecond."""
@@ -177,17 +177,52 @@
     ABORTED = "aborted"
 
 
+class LoadEstimator(Protocol):
+    """Computes the estimated loads that a change of the node list has made outdated, when they are next read.
+
+    So a change of one node costs the same in any fleet. A value is outdated if its version differs from the present one.
+    """
+
+    link_load_version: int
+    carried_rate_version: int
+
+    def link_load(self, node: Node) -> float:
+        """Load of a node's link at the time of the last change, demand over capacity."""
+        ...
+
+    def carried_rate(self, rack: Rack) -> float:
+        """Rate that the links of a rack's nodes carry, kB/s."""
+        ...
+
+
 class Rack:
     """Nodes behind one uplink, the rate that they carry, and how far the uplink's load is underestimated."""
 
-    def __init__(self) -> None:
+    def __init__(self, load_estimator: LoadEstimator | None = None) -> None:
         """Starts without nodes and load."""
-        self.nodes: list[Node] = []
-        self.carried_rate = 0.0  # estimated rate that the links of its nodes carry, kB/s
+        self.nodes: dict[Node, None] = {}  # the listed ones
+        self.load_estimator = load_estimator
+        self._carried_rate = 0.0
+        self._carried_rate_version = 0
         self.recent_carried_rates = [0.0]  # `carried_rate` at the ends of the last sample intervals
         self.uplink_correction = 1.0  # factor on the estimated load of the uplink
         self.logged_as_overloaded = False  # whether its uplink was last logged as overloaded
 
+    @property
+    def carried_rate(self) -> float:
+        """Estimated rate that the links of its nodes carry, kB/s."""
+        estimator = self.load_estimator
+        if estimator is not None and self._carried_rate_version != estimator.carried_rate_version:
+            self.carried_rate = estimator.carried_rate(self)
+        return self._carried_rate
+
+    @carried_rate.setter
+    def carried_rate(self, carried_rate: float) -> None:
+        """Sets the rate, which is up to date from now on."""
+        self._carried_rate = carried_rate
+        if self.load_estimator is not None:
+            self._carried_rate_version = self.load_estimator.carried_rate_version
+
 
 class Node:
     """A playout node, with what is reported to one front end and what the front end infers about it."""
@@ -218,7 +253,9 @@
         self.load_reported_at = 0
         self.load_from_peer = False  # whether the last report came from another front end
         self.has_reported_load = False  # whether its load was ever reported and not only inferred
-        self.estimated_load = 0.0  # for the present moment
+        self.load_estimator: LoadEstimator | None = None  # set when it is first listed
+        self._estimated_load = 0.0
+        self._estimated_load_version = 0
         self.load_samples: list[float] = []  # load at the ends of the last sample intervals
         self.load_forecast = 0.0  # for the end of the next sample interval
         # Delivery.
@@ -231,6 +268,51 @@
         self.cold_slot = -1  # last time slot of the cold pace with set-ups
         self.cold_slot_setups = 0  # set-ups sent in it
 
+    @property
+    def estimated_load(self) -> float:
+        """Load of its link for the present moment, demand over capacity."""
+        self.refresh_estimated_load()
+        return self._estimated_load
+
+    @estimated_load.setter
+    def estimated_load(self, estimated_load: float) -> None:
+        """Sets the load, which is up to date from now on."""
+        self._estimated_load = estimated_load
+        if self.load_estimator is not None:
+            self._estimated_load_version = self.load_estimator.link_load_version
+
+    def refresh_estimated_load(self) -> None:
+        """Estimates its load anew if a change of the node list has made the estimate outdated."""
+        estimator = self.load_estimator
+        if estimator is not None and self._estimated_load_version != estimator.link_load_version:
+            self.estimated_load = estimator.link_load(self)
+
+
+class Placement(NamedTuple):
+    """The cells that hold a title: `copies` cells in a row from `home_cell` on, or all cells with 0 copies."""
+
+    home_cell: int
+    copies: int
+
+
+RankedHolder = tuple[bytes, Node]
+"""Digest of a title and a node, by which the holders of the title are sorted, and the node."""
+
+
+@dataclass(eq=False, slots=True)
+class HolderOrder:
+    """The first holders of a title in one placement, in the order in which they are tried."""
+
+    first: list[RankedHolder]
+    last_digest: bytes
+    """All holders with a digest up to this one are among the first."""
+    version: int
+    """Version of the node list that it belongs to."""
+    remaining_version: int = -1
+    """Version of the node list for which the other holders were last computed; -1: none."""
+    has_played: bool = False
+    """Whether the title has played in this placement, which proves that it is there."""
+
 
 class Title:
     """A title that viewers watch, the cells that hold it, and the seats taken in each plan."""
@@ -242,10 +324,8 @@
         self.copies = copies
         self.seats_taken: dict[Plan, int] = {}  # seats taken in each plan
         self.has_played = False  # whether it ever played, which proves that it exists
-        self.holders: list[Node] = []
-        self.holders_version = (
-            -1
-        )  # version of the node list that `holders` was computed from; -1: not computed
+        # By the cells of the placement; None for the order of `holder_names`.
+        self.holder_orders: dict[Placement | None, HolderOrder] = {}
         self.holder_names: frozenset[str] | None = None  # names of its holders; None: the nodes in its cells
         self.rung_rates: tuple[float, ...] = ()  # of its own rungs, kB/s; empty: those of the deployment
 
@@ -277,6 +357,11 @@
         self.copy_of: Playback | None = None
         self.node_filter: Callable[[Node], bool] | None = None  # the nodes it may use; None: all holders
 
+    @property
+    def placement(self) -> Placement:
+        """The cells that hold its title."""
+        return Placement(self.title.home_cell, self.title.copies)
+
 
 @dataclass(frozen=True)
 class NodeEntry:
--- a/oakcroft/platform/channel_connection.py
+++ b/oakcroft/platform/channel_connection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -27,9 +27,12 @@
         address: tuple[str, int],
         clock: Clock,
         nursery: trio.Nursery,
-        on_answer: Callable[[ChannelConnection, Answer], None],
+        on_answer: Callable[[ChannelConnection, Answer], Awaitable[None]],
     ) -> None:
-        """Wraps a connected socket; `on_answer` is called in the step that has read an answer."""
+        """Wraps a connected socket; `on_answer` is called in the step that has read an answer.
+
+        The connection is not read again before it has returned.
+        """
         self.sock = sock
         self.connection = BufferedConnection(sock, nursery)
         self.long_poll = LongPollConnection(*address)
@@ -59,15 +62,15 @@
         """Waits for data until a trio time, and reads it."""
         with trio.move_on_at(deadline):
             await trio.lowlevel.wait_readable(self.sock)
-        self.read_answers()
+        await self.read_answers()
 
-    def read_answers(self) -> None:
-        """Reads everything that has arrived. Never waits."""
+    async def read_answers(self) -> None:
+        """Reads everything that has arrived, without waiting for more."""
         while self.connection.is_open:
             try:
                 self.long_poll.receive_data(self.connection.sock.recv(RECEIVE_BYTES))
                 while self.connection.is_open and (answer := self.long_poll.next_answer()) is not None:
-                    self.on_answer(self, answer)
+                    await self.on_answer(self, answer)
             except BlockingIOError:
                 return
             except (OSError, command_channel.ChannelError) as error:
--- a/oakcroft/platform/channel_follower.py
+++ b/oakcroft/platform/channel_follower.py
@@ -1,8 +1,8 @@
 """Follows the command channel by long polls, starting after the last event that was received completely.
 
-List changes take precedence over all other events: they are read and applied in one step and bypass the
-inbox. So even a front end that is overloaded or was paused uses an outdated node list for at most one batch
-of events (5 ms) after the update has reached its socket.
+List changes take precedence over all other events: they bypass the inbox, and drains are applied first. So even a
+front end that is overloaded or was paused uses an outdated node list for at most one batch of events (5 ms) after the
+update has reached its socket, or for a few of them where thousands of changes come at once.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from oakcroft.interface import MS, SECOND
 from oakcroft.platform.channel_connection import Answer, ChannelConnection
 from oakcroft.platform.connection import connect
+from oakcroft.platform.list_updates import ListUpdates
 from oakcroft.platform.session_coordinator import SessionCoordinator
 from oakcroft.platformwire import command_channel
 
@@ -47,6 +48,8 @@
         self.last_cursor = last_cursor
         self.coordinator = coordinator
         self.log = log
+        self.list_updates = ListUpdates(coordinator)
+        self.apply_lock = trio.Lock()  # answers to overdue polls are read beside the next one
         self.freshness = NodeListFreshness(coordinator.clock.now(), startup_duration_ns)
         self.confirmed = trio.Event()  # the first answer since the start has been applied
         self.connection: ChannelConnection | None = None
@@ -138,22 +141,28 @@
             connection.close()
             del self.kept_connections[connection]
 
-    def _answer_received(self, connection: ChannelConnection, answer: Answer) -> None:
+    async def _answer_received(self, connection: ChannelConnection, answer: Answer) -> None:
         """Applies an answer, and polls again on the same connection unless it answers an overdue poll."""
-        self._apply_answer(*answer)
-        self.patience.answered(connection.wait_ns, self.coordinator.clock.now() - connection.polled_at)
+        answered_at = self.coordinator.clock.now()
+        with trio.CancelScope(shield=True):  # what has been received is applied even if the channel moves
+            async with self.apply_lock:
+                await self._apply_answer(*answer)
+        self.patience.answered(connection.wait_ns, answered_at - connection.polled_at)
         if connection is self.connection and connection.can_poll:
             self._send_poll(connection)
         else:
             connection.close()  # the channel closes it after this answer, or it has another one beside it
 
-    def _apply_answer(self, last_cursor: int, changes: list[command_channel.ListChange]) -> None:
+    async def _apply_answer(self, last_cursor: int, changes: list[command_channel.ListChange]) -> None:
         """Applies the events of one answer that are newer than the last cursor."""
-        for number, complete, members in changes:
-            if number > self.last_cursor:
-                self.last_cursor = number
-                self.coordinator.apply_list_immediately(complete, members)
-        self.last_cursor = max(self.last_cursor, last_cursor)
+        newer = list[command_channel.ListChange]()
+        newest_cursor = self.last_cursor
+        for change in changes:
+            if change.cursor > newest_cursor:
+                newest_cursor = change.cursor
+                newer.append(change)
+        await self.list_updates.apply(newer)
+        self.last_cursor = max(newest_cursor, last_cursor)
         if not self.freshness.is_current and self.freshness.is_confirmed:
             self.log.info("channel back", after=self.last_cursor)
         self.freshness.record_answer()
--- a/oakcroft/platform/node_pools.py
+++ b/oakcroft/platform/node_pools.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from typing import Protocol
 
 import trio
@@ -65,7 +65,9 @@
         )
         self.by_name: dict[str, NodePool] = {}
         self.replaced: dict[NodePool, None] = {}  # pools of former addresses of nodes
+        self._newly_replaced = list[NodePool]()  # since the last entries were applied
         self.max_connections = max(1, configuration.max_sockets // DESCRIPTOR_SHARE_DIVISOR)
+        self.connections_per_node = MAX_CONNECTIONS_PER_NODE
         self.check_reserve = configuration.max_sockets // CHECK_RESERVE_DIVISOR
 
     def __iter__(self) -> Iterator[NodePool]:
@@ -87,7 +89,15 @@
         """Number of open connections to listed nodes."""
         return sum(len(pool.connections) for pool in self.by_name.values())
 
-    def list_entries(self, members: list[command_channel.NodeMember]) -> list[NodeEntry]:
+    def entries(self, names: Iterable[str], status: NodeStatus) -> list[NodeEntry]:
+        """Entries that give listed nodes another status, and change nothing else of them."""
+        nodes = [self.by_name[name].node for name in names]
+        return [
+            NodeEntry(node, status, node.started_at, node.link_capacity, node.playback_capacity)
+            for node in nodes
+        ]
+
+    def list_entries(self, members: Iterable[command_channel.NodeMember]) -> list[NodeEntry]:
         """Converts a list or its changes for the decision module, and creates the pools of new nodes."""
         found = [self._list_entry(member) for member in members]
         return [entry for entry in found if entry is not None]
@@ -118,6 +128,7 @@
             node = old_pool.node
             old_pool.is_removed = True
             self.replaced[old_pool] = None
+            self._newly_replaced.append(old_pool)
             self.listener.node_lost(old_pool, old_pool.describe_loss("another address"))
         pool = self.by_name[name] = self._create_pool(node, address)
         return pool
@@ -127,7 +138,7 @@
         return NodePool(
             node,
             address,
-            MAX_CONNECTIONS_PER_NODE,
+            self.connections_per_node,
             self.pool_settings,
             self.clock,
             self.nursery,
@@ -135,23 +146,32 @@
             self.listener,
         )
 
-    def list_applied(self) -> None:
-        """Follows a list that the decision module has applied.
+    def list_applied(self, entries: Iterable[NodeEntry]) -> None:
+        """Follows entries that the decision module has applied.
 
         Set-ups that wait for nodes which are no longer ready are cancelled, and the connections are divided
         among the listed nodes again.
         """
-        for pool in self.by_name.values():
-            if pool.node.status is NodeStatus.GONE and not pool.is_removed:
+        for node in dict.fromkeys(entry.node for entry in entries):
+            pool = self.by_name[node.name]
+            if node.status is NodeStatus.GONE and not pool.is_removed:
                 pool.is_removed = True
                 self.listener.node_lost(pool, pool.describe_loss("removed"))
-            if pool.node.status is not NodeStatus.READY:
+            if node.status is not NodeStatus.READY:
                 pool.cancel_unsent_setups()
-        for pool in self.replaced:
+        for pool in self._newly_replaced:
             pool.cancel_unsent_setups()
+        self._newly_replaced.clear()
+        self._divide_connections()
+
+    def _divide_connections(self) -> None:
+        """Sets the largest number of connections to one node, by the number of nodes."""
         fair_share = self.max_connections // max(1, len(self.by_name))
-        for pool in self.by_name.values():
-            pool.max_connections = max(1, min(MAX_CONNECTIONS_PER_NODE, fair_share))
+        connections_per_node = max(1, min(MAX_CONNECTIONS_PER_NODE, fair_share))
+        if connections_per_node != self.connections_per_node:
+            self.connections_per_node = connections_per_node
+            for pool in self.by_name.values():
+                pool.max_connections = connections_per_node
 
     def maintain(self, now: int) -> None:
         """Maintains each pool's connections and closes pools that are no longer needed."""
--- a/oakcroft/platform/serve.py
+++ b/oakcroft/platform/serve.py
@@ -18,6 +18,7 @@
 from oakcroft.interface import MS, SECOND
 from oakcroft.platform.channel_follower import ChannelFollower
 from oakcroft.platform.connection import configure_socket
+from oakcroft.platform.list_updates import ListUpdates
 from oakcroft.platform.session_coordinator import SessionCoordinator
 from oakcroft.platform.viewers import LISTEN_BACKLOG, ViewerServer
 from oakcroft.platformwire.configuration import Configuration, ConfigurationError, decode
@@ -91,8 +92,7 @@
             nursery.start_soon(coordinator.timers.run)
             nursery.start_soon(coordinator.run_maintenance)
             _, known_changes = self.configuration.known_events
-            for _, complete, members in known_changes:
-                coordinator.apply_list_immediately(complete, members)
+            await ListUpdates(coordinator).apply(known_changes)
             nursery.start_soon(channel_follower.run)
             nursery.start_soon(self._open_listener, listener, shutdown, clock, nursery, ready)
             await self._run_until_gone(shutdown, clock)
@@ -198,7 +198,7 @@
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
             async for number in received:
                 if number == signal.SIGHUP:
-                    self.reload()
+                    await self.reload()
                 else:
                     self._begin_stop(shutdown, clock, signal.Signals(number).name)
 
@@ -219,17 +219,14 @@
             self.coordinator.setups_close_at = now + ACCEPT_AFTER_STOP_NS
             self.coordinator.last_answer_at = now + self.kill_after_ns - LAST_ANSWER_BEFORE_KILL_NS
 
-    def reload(self) -> None:
+    async def reload(self) -> None:
         """Reads the configuration file again. Only the command channel's address may change; a faulty file
         changes nothing.
         """
         assert self.channel_follower is not None
         try:
-            configuration = (
-                decode(self.configuration_file.read_bytes())
-                if self.configuration_file is not None
-                else self.configuration
-            )
+            # In a thread, since the node list that it holds may be long.
+            configuration = await trio.to_thread.run_sync(self._read_configuration)
         except (OSError, ConfigurationError) as error:
             self.log.warning("configuration not taken", why=str(error)[:200])
             return
@@ -241,6 +238,12 @@
         )
         self.channel_follower.switch_address(configuration.channel_address)
 
+    def _read_configuration(self) -> Configuration:
+        """Reads the configuration file; raises OSError or ConfigurationError if that fails."""
+        if self.configuration_file is None:
+            return self.configuration
+        return decode(self.configuration_file.read_bytes())
+
 
 def main() -> int:
     """Serves with the configuration that PROXY_CONFIG names until a stop signal; returns the exit code."""
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -8,6 +8,7 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Sequence
 from functools import partial
 
 import structlog
@@ -28,7 +29,9 @@
     MS,
     SECOND,
     Effect,
+    NodeEntry,
     NodeListKind,
+    NodeStatus,
     Outcome,
     Playback,
     PlaybackMetric,
@@ -218,25 +221,38 @@
         if name in self.counts or len(self.counts) < MAX_COUNTERS:
             self.counts[name] = self.counts.get(name, 0) + 1
 
-    def apply_list_immediately(self, complete: bool, members: list[command_channel.NodeMember]) -> None:
-        """Applies list changes at once, before the events in the inbox. Never called from within an event.
+    @property
+    def listed_pools(self) -> dict[str, NodePool]:
+        """The pools of all nodes that are or were listed, by name."""
+        return self.node_pools.by_name
+
+    def apply_members(self, members: Sequence[command_channel.NodeMember]) -> None:
+        """Applies entries of the node list at once, before the events in the inbox. Never called from within an event.
 
         If list changes waited in the inbox, an overloaded or previously paused front end would go on sending
         set-ups to draining nodes. The drawback: if the end of a playback is still queued when the removal of its
         node is applied, the playback counts as cut off.
         """
-        self._handle_event(partial(self.apply_list, complete, members))
-
-    def apply_list(self, complete: bool, members: list[command_channel.NodeMember]) -> None:
-        """Applies a list or its changes to the pools and the decision module."""
-        entries = self.node_pools.list_entries(members)
-        kind = NodeListKind.WHOLE if complete else NodeListKind.CHANGES
-        self.controller.on_node_list(kind, entries, self.clock.now())
-        self.node_pools.list_applied()
+        self._handle_event(lambda: self._apply_entries(self.node_pools.list_entries(members)))
+
+    def remove_members(self, names: Sequence[str]) -> None:
+        """Removes nodes that a whole list does not name, like `apply_members`."""
+        self._handle_event(lambda: self._apply_entries(self.node_pools.entries(names, NodeStatus.GONE)))
+
+    def withhold_setups(self, names: Sequence[str]) -> None:
+        """Sends no new set-ups to nodes whose drain, removal or move is still to be applied."""
+        if names:
+            entries = self.node_pools.entries(names, NodeStatus.DRAINING)
+            self._handle_event(partial(self._apply_entries, entries))
+
+    def _apply_entries(self, entries: list[NodeEntry]) -> None:
+        """Applies entries of the node list to the decision module and the pools."""
+        self.controller.on_node_list(NodeListKind.CHANGES, entries, self.clock.now())
+        self.node_pools.list_applied(entries)
         summary = ", ".join(
             f"{entry.node.name} {entry.status.value}" for entry in entries[:MAX_LOGGED_ENTRIES]
         )
-        self.logger.info("list", whole=complete, changed=len(entries), nodes=len(self.pools), changes=summary)
+        self.logger.info("list", changed=len(entries), nodes=len(self.pools), changes=summary)
 
     def node_restarted(self, pool: NodePool, started_at: int) -> None:
         """Ends the sessions of a node's previous process, after another process has taken its name."""
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -42,7 +42,9 @@
 )
 from oakcroft.decisions.routing.title_cache import TitleCache
 from oakcroft.httpwire.message import Response
+from oakcroft.interface import HolderOrder, Placement
 
+KEPT_VERSION = 5
 SNAPSHOT = FleetSnapshot(frozenset({"n1", "n2+1"}), frozenset({"n1", "n2+1", "n3"}), 3, 4, {"course": 0})
 OPERATORS_FORM = '(operators (secret "operators-secret"))'
 HIGH_PLAN_FORM = """(plan high (effect free) (startup-target 400ms) (abandon 1500ms) (revenue 1) (floor 2))
@@ -238,17 +240,19 @@
     plain, stated = cache.get("plain", 9), cache.get("stated", 0)
     assert plain
     assert stated
+    plain.holder_orders = {Placement(1, 2): HolderOrder([], b"", KEPT_VERSION)}
+    stated.holder_orders = dict(plain.holder_orders)
     old, new = (
         Catalogue(),
         make_catalogue(1, plain=CatalogueTitle(("n1+2",), rates=(1.0,)), other=CatalogueTitle((), 1, 1)),
     )
     cache.apply_catalogue(new.titles, changed_titles(old, new))
-    assert (plain.holder_names, plain.rung_rates, plain.holders_version) == (frozenset({"n1"}), (1.0,), -1)
+    assert (plain.holder_names, plain.rung_rates, plain.holder_orders) == (frozenset({"n1"}), (1.0,), {})
     assert (stated.home_cell, stated.copies, stated.holder_names) == (3, 1, None)
-    stated.holders_version = 5
+    assert stated.holder_orders[Placement(1, 2)].version == KEPT_VERSION
     cache.apply_catalogue({}, changed_titles(new, Catalogue()))
     assert (plain.holder_names, plain.rung_rates, plain.home_cell, plain.copies) == (None, (), 1, 2)
-    assert stated.holders_version == 5
+    assert stated.holder_orders[Placement(1, 2)].version == KEPT_VERSION
 
 
 async def send_catalogue(
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -43,6 +43,14 @@
 }
 
 
+CHOICE_IMPORTS = {
+    "oakcroft.interface",
+    "oakcroft.decisions.routing.holder_order",
+    "oakcroft.decisions.routing.listed_nodes",
+}
+"""What choice.py may import of the project: the interface, and the indexes of listed nodes."""
+
+
 KNOWN_CYCLES: set[frozenset[str]] = set()
 """Modules that import each other and are still to be separated. The set only shrinks."""
 
@@ -149,7 +157,15 @@
         top = name.split(".")[0]
         allowed = top in PURE or name == "oakcroft.interface" or name.startswith("oakcroft.decisions.")
         assert allowed, f"{path.name} imports {name}"
-        assert top != "oakcroft" or "decisions" in path.parts or name == "oakcroft.interface"
+        assert top != "oakcroft" or "decisions" in path.parts or name in CHOICE_IMPORTS
+
+
+def test_what_the_decision_module_imports_needs_only_the_interface() -> None:
+    """Guards against hosts, I/O or further decisions that reach the decision module by way of what it imports."""
+    for name in CHOICE_IMPORTS - {"oakcroft.interface"}:
+        path = ROOT.parent / (name.replace(".", "/") + ".py")
+        own_imports = {imported for imported in imported_names(path) if imported.startswith("oakcroft")}
+        assert own_imports <= CHOICE_IMPORTS, name
 
 
 @pytest.mark.parametrize("package", ALLOWED_PACKAGES)
--- a/tests/test_platform_channel.py
+++ b/tests/test_platform_channel.py
@@ -166,7 +166,7 @@
     async def test(rig: PlatformRig) -> None:
         rig.platform.configuration_file = tmp_path / "config.json"
         rig.platform.configuration_file.write_bytes(b"{")
-        rig.platform.reload()
+        await rig.platform.reload()
         configuration = rig.configuration()
         rig.channel.polls.clear()
         await wait_until(lambda: rig.channel.polls)
@@ -174,7 +174,7 @@
         rig.platform.configuration_file.write_bytes(
             orjson.dumps(configuration | {"channel": f"127.0.0.1:{old.port}"})
         )
-        rig.platform.reload()
+        await rig.platform.reload()
         assert rig.platform.channel_follower is not None
         assert rig.platform.channel_follower.address[1] == old.port
         rig.add_list_change(2, rig.member(rig.nodes[0], "removed"))
--- a/tests/test_platform_terms.py
+++ b/tests/test_platform_terms.py
@@ -53,7 +53,7 @@
         rig.platform.configuration_file.write_bytes(
             orjson.dumps(configuration | {"channel": f"127.0.0.1:{new_port}"})
         )
-        rig.platform.reload()
+        await rig.platform.reload()
         if how == "drain on the new channel":
             rig.add_list_change(2, rig.member(rig.nodes[0], "draining"))
             await wait_until(lambda: node_status(rig, "n0") is NodeStatus.DRAINING)
