--- a/oakcroft/decisions/admission/deadlines.py
+++ b/oakcroft/decisions/admission/deadlines.py
@@ -31,6 +31,9 @@
 MAX_LOOP_LAG_NS = 150 * MS
 """Largest lag of the event loop that the margin covers; a larger one is handled as a pause."""
 
+MIN_SETUP_TIME_NS = 50 * MS
+"""Time before a deadline in which no set-up is begun that has waited for its turn until then."""
+
 PREFER_WAIT_PATTERN = re.compile(r"^\s*wait\s*=\s*\"?(\d{1,9})\"?\s*(?:;.*)?$", re.IGNORECASE)
 
 
@@ -131,6 +134,14 @@
     return return_time + min(lag, MAX_LOOP_LAG_NS)
 
 
+def turn_deadline(written_at: int, answer_by: int) -> int:
+    """Returns when a request has to have its turn, or else be rejected, to be answered in time. Times in ns.
+
+    `MIN_SETUP_TIME_NS` before its answer is due, but at most half of its time, for clients that wait for less.
+    """
+    return answer_by - min(MIN_SETUP_TIME_NS, (answer_by - written_at) // 2)
+
+
 def is_too_late(deadline: Deadline, now: int, min_setup_time: int) -> bool:
     """Whether no set-up can end in the time that is left, so that the request is answered at once.
 
--- a/oakcroft/decisions/routing/title_cache.py
+++ b/oakcroft/decisions/routing/title_cache.py
@@ -8,14 +8,18 @@
 from oakcroft.decisions.routing.catalogue import CatalogueTitle
 from oakcroft.interface import Title
 
+MAX_NEVER_PLAYED_SHARE = 0.5
+"""Share of the cache from which titles that have never played take no place of one that has."""
+
 
 class TitleCache:
     """Titles by name.
 
     The decision module stores seats and holders on a title, so a title in use must stay the same object. The bound
     protects against clients that request ever new names. When the cache is full, the least recently used title without
-    a seat taken is evicted; where all are in use, a new title is refused. Drawback: the holder order of a rarely used
-    title is computed again.
+    a seat taken is evicted; where all are in use, a new title is refused. Titles that have never played, which may not
+    exist, are evicted first, and take no more than half of the cache from those that have. Drawback: the holder order
+    of a rarely used title is computed again.
     """
 
     def __init__(
@@ -31,6 +35,7 @@
         self.default_copies = default_copies
         self.configured_placements = configured_placements
         self.titles: OrderedDict[str, Title] = OrderedDict()
+        self.never_played = OrderedDict[str, None]()  # titles that had not played when last asked for
         # (home cell, copies) by title, as passed to `get`.
         self.requested_placements: dict[str, tuple[int, int | None]] = {}
         self.catalogue_titles: Mapping[str, CatalogueTitle] = {}  # of the active catalogue
@@ -48,7 +53,12 @@
             title = self.titles[name] = Title(name, 0, 0)
             self.requested_placements[name] = home, copies
             self._update_placement(title)
+            self.never_played[name] = None
         self.titles.move_to_end(name)
+        if title.has_played:
+            self.never_played.pop(name, None)
+        else:
+            self.never_played.move_to_end(name)
         return title
 
     def apply_configuration(
@@ -95,10 +105,19 @@
         title.rung_rates = catalogue_title.rates if catalogue_title is not None else ()
 
     def _evict_unused(self) -> bool:
-        """Evicts the least recently used title without a seat taken; False if there is none."""
-        for name, title in self.titles.items():
-            if not any(title.seats_taken.values()):
+        """Evicts a title without a seat taken; False if there is none that a new one may take the place of."""
+        if self._evict_first(name for name in self.never_played if not self.titles[name].has_played):
+            return True
+        if len(self.never_played) >= self.max_titles * MAX_NEVER_PLAYED_SHARE:
+            return False
+        return self._evict_first(self.titles)
+
+    def _evict_first(self, names: Iterable[str]) -> bool:
+        """Evicts the first of some titles that has no seat taken; False if there is none."""
+        for name in names:
+            if not any(self.titles[name].seats_taken.values()):
                 del self.titles[name]
                 del self.requested_placements[name]
+                self.never_played.pop(name, None)
                 return True
         return False
--- a/oakcroft/platform/node_pools.py
+++ b/oakcroft/platform/node_pools.py
@@ -66,6 +66,8 @@
         self.by_name: dict[str, NodePool] = {}
         self.replaced: dict[NodePool, None] = {}  # pools of former addresses of nodes
         self._newly_replaced = list[NodePool]()  # since the last entries were applied
+        # Pools that may have descriptors in use; so a search for one costs the same in any fleet.
+        self._with_descriptors: dict[NodePool, None] = {}
         self.max_connections = max(1, configuration.max_sockets // DESCRIPTOR_SHARE_DIVISOR)
         self.connections_per_node = MAX_CONNECTIONS_PER_NODE
         self.check_reserve = configuration.max_sockets // CHECK_RESERVE_DIVISOR
@@ -179,6 +181,7 @@
             pool.maintain(now)
             if not pool.is_listed and pool.is_unused:
                 self._remove_pool(pool)
+        self._with_descriptors = {pool: None for pool in self._with_descriptors if pool.descriptor_count}
 
     def _remove_pool(self, pool: NodePool) -> None:
         """Closes a pool and removes it."""
@@ -194,6 +197,7 @@
         leaves enough descriptors for viewers and the command channel even if there are more nodes than
         connections allowed. The drawback: reports of the node whose connection was closed arrive later.
         """
+        self._with_descriptors[pool] = None
         # The descriptors include that of the new connection.
         if self._descriptor_count() <= self.max_connections:
             return True
@@ -217,7 +221,7 @@
 
     def _descriptor_count(self) -> int:
         """Number of descriptors in use for connections to nodes, including those of new connections."""
-        return sum(pool.descriptor_count for pool in self)
+        return sum(pool.descriptor_count for pool in self._with_descriptors)
 
     def _longest_idle_connection(
         self, requesting_pool: NodePool, min_idle_ns: int
@@ -229,7 +233,7 @@
         now = self.clock.now()
         idle = [
             (bool(pool.playing_sessions), connection.last_used_at, number, pool, connection)
-            for number, pool in enumerate(self)
+            for number, pool in enumerate(self._with_descriptors)
             for connection in pool.connections
             if pool is not requesting_pool
             and not connection.pending_setups
--- a/oakcroft/platform/playback_session.py
+++ b/oakcroft/platform/playback_session.py
@@ -20,7 +20,7 @@
 
     @property
     def queued_requests(self) -> dict[str, SetupRequest]:
-        """The requests from it that wait in the coordinator's inbox, by session id."""
+        """The requests from it that wait for their turn, by session id."""
 
     def write(self, data: bytes) -> bool:
         """Sends or buffers data; returns whether the connection is still usable."""
@@ -100,6 +100,8 @@
     description: str
     playing_node: str  # the node on which it plays already; "" for a new set-up
     withdrawn: bool = False  # its viewer has left or released it
+    turn_by: int = 0  # time until which a set-up waits for its turn
+    timer_id: int = 0  # timer of that time
 
 
 class PlaybackSession:
--- a/oakcroft/platform/serve.py
+++ b/oakcroft/platform/serve.py
@@ -216,8 +216,9 @@
         if shutdown.handle_stop_signal(now):
             self.log.info("stop signal", signal=signal_name, course=shutdown.state.value)
         if shutdown.state is FrontState.DRAINING and shutdown.state_since == now:
-            self.coordinator.setups_close_at = now + ACCEPT_AFTER_STOP_NS
-            self.coordinator.last_answer_at = now + self.kill_after_ns - LAST_ANSWER_BEFORE_KILL_NS
+            self.coordinator.begin_shutdown(
+                now + ACCEPT_AFTER_STOP_NS, now + self.kill_after_ns - LAST_ANSWER_BEFORE_KILL_NS
+            )
 
     async def reload(self) -> None:
         """Reads the configuration file again. Only the command channel's address may change; a faulty file
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -1,7 +1,8 @@
 """Owns the state of all sessions: passes events to the decision module and carries out its decisions.
 
 Only one task changes this state. All others submit their events through one bounded inbox, in order of
-arrival. List changes, releases and closed connections do not pass through the inbox but take effect at once.
+arrival. Requests wait in a queue of their own, whose turns are events of the inbox. List changes, releases and closed
+connections do not pass through the inbox but take effect at once.
 """
 
 from __future__ import annotations
@@ -21,7 +22,9 @@
     PauseDetector,
     request_deadline,
     response_margin,
+    turn_deadline,
 )
+from oakcroft.decisions.admission.open_setups import may_open
 from oakcroft.decisions.routing.title_cache import TitleCache
 from oakcroft.decisions.sessions.node_liveness import CheckResult
 from oakcroft.decisions.sessions.release_delivery import ViewerEvidence
@@ -90,7 +93,7 @@
         self.nursery = nursery
         self.logger = log
         self.event_sender, self.inbox = trio.open_memory_channel[Event](MAX_QUEUED_EVENTS)
-        self.timers = TimerQueue(clock, self.submit)
+        self.timers = TimerQueue(clock, self.submit, self.event_sender.send_nowait)
         self.pause_detector = PauseDetector(clock.now())
         self.lag_ns = 0
         self.has_seen_reports = False
@@ -109,7 +112,10 @@
         self.counts: dict[str, int] = {}
         self.request_queue = RequestQueue(
             self.event_sender.send_nowait,
+            self._submit_later,
             self._process_request,
+            lambda request: turn_deadline(request.written_at, self._answer_by(request)),
+            self.timers,
             self.releases,
             configuration.deployment_settings.max_retry_after_ns,
             self.count,
@@ -184,6 +190,10 @@
         """Submits an event; waits while the inbox is full."""
         await self.event_sender.send(event)
 
+    def _submit_later(self, event: Event) -> None:
+        """Submits an event as soon as the inbox has room."""
+        self.nursery.start_soon(self.submit, event)
+
     async def monitor_lag(self) -> None:
         """Measures how late this process runs its tasks, and detects pauses of the whole process."""
         while True:
@@ -303,14 +313,14 @@
         self.releases.connection_opened(connection)
 
     def request_received(self, request: SetupRequest) -> None:
-        """Queues a set-up request, or rejects it at once if the inbox is full.
+        """Queues a set-up request, or rejects it at once if the queue is full.
 
         Never waits, so that what arrives next on the connection, such as a release, is still read.
         """
         self.request_queue.add(request)
 
     def _process_request(self, request: SetupRequest) -> None:
-        """Processes a request that has reached the head of the inbox."""
+        """Processes a request whose turn has come."""
         now = self.clock.now()
         known_session = self.sessions.get(request.session_id)
         if known_session is not None:
@@ -325,12 +335,9 @@
         if request.session_id in self.non_repeatable_ids:
             self.request_queue.reject_duplicate(request, None)
             return
-        margin_ns = response_margin(ANSWER_MARGIN_NS, self.lag_ns)
-        deadline = request_deadline(request.written_at, request.wait_ns, [], margin_ns)
-        abandon_at = min(deadline.abandon_at, self.last_answer_at)
         session = PlaybackSession(
             request.session_id,
-            Playback(title, plan, request.top_rung, abandon_at, False),
+            Playback(title, plan, request.top_rung, self._answer_by(request), False),
             request.plan_name,
             request.description,
             request.connection,
@@ -347,13 +354,31 @@
         self.open_description_chars += len(request.description)
         self.controller.on_request(session.playback, now)
 
+    def _answer_by(self, request: SetupRequest) -> int:
+        """Time by which a request has to be answered, in ns."""
+        margin_ns = response_margin(ANSWER_MARGIN_NS, self.lag_ns)
+        deadline = request_deadline(request.written_at, request.wait_ns, [], margin_ns)
+        return min(deadline.abandon_at, self.last_answer_at)
+
+    def begin_shutdown(self, setups_close_at: int, last_answer_at: int) -> None:
+        """Takes no set-ups that are written after `setups_close_at`, and answers all by `last_answer_at`. Times in ns."""
+        self.setups_close_at = setups_close_at
+        self.last_answer_at = last_answer_at
+        self.timers.schedule(last_answer_at, self.request_queue.expire_all)
+
     def _has_room_for(self, request: SetupRequest) -> bool:
         """Whether the limits allow one more session; those of set-ups do not apply to playbacks handed over."""
         if len(self.sessions) >= min(MAX_SESSIONS, self.configuration.max_sessions):
             return False
         if request.playing_node:
             return True
-        return self.setup_count < MAX_OPEN_SETUPS and request.written_at <= self.setups_close_at
+        has_place = may_open(
+            len(request.connection.open_setups),
+            self.setup_count,
+            MAX_OPEN_SETUPS,
+            len(self.viewer_connections),
+        )
+        return has_place and request.written_at <= self.setups_close_at
 
     def _accept_handed_over(self, session: PlaybackSession, request: SetupRequest, now: int) -> None:
         """Accepts a playback that plays already, without an answer; if that fails, its viewer gets a release."""
@@ -569,6 +594,12 @@
         """Passes a node's answer to the viewer and registers the playback as playing."""
         if self.cancel_if_viewer_gone(session):  # otherwise it would play without a viewer
             return
+        if (
+            now > session.playback.abandon_at
+        ):  # the timer of the try is due as well, and waits behind this answer
+            pool.cancel_setup(session)
+            self.try_ended(session, Outcome.LATE, None)
+            return
         try:
             answer = framing.encode(framing.ANSWER, session.id, (framing.TEXT, (text or "").encode()))
         except ValueError:
--- a/oakcroft/platform/timers.py
+++ b/oakcroft/platform/timers.py
@@ -20,10 +20,19 @@
     entries are cancelled.
     """
 
-    def __init__(self, clock: Clock, submit: Callable[[Event], Awaitable[None]]) -> None:
-        """Creates an empty queue; `submit` receives each event when it is due."""
+    def __init__(
+        self,
+        clock: Clock,
+        submit: Callable[[Event], Awaitable[None]],
+        submit_nowait: Callable[[Event], None],
+    ) -> None:
+        """Creates an empty queue; `submit_nowait` receives each event when it is due.
+
+        It raises trio.WouldBlock while there is no room, for which `submit` waits.
+        """
         self.clock = clock
         self.submit = submit
+        self.submit_nowait = submit_nowait
         self.heap: list[tuple[int, int]] = []
         self.events: dict[int, Event] = {}  # by timer id; a cancelled timer has no entry
         self.last_id = 0
@@ -57,8 +66,18 @@
             while self.heap and self.heap[0][0] <= self.clock.now():
                 event = self.events.pop(heapq.heappop(self.heap)[1], None)
                 if event is not None:
-                    await self.submit(event)
+                    await self._fire(event)
             self.earliest_changed = trio.Event()
             wake_at = self.clock.trio_time(self.heap[0][0]) if self.heap else float("inf")
             with trio.move_on_at(wake_at):
                 await self.earliest_changed.wait()
+
+    async def _fire(self, event: Event) -> None:
+        """Submits an event; waits only while there is no room.
+
+        So all timers that are due fire in one round of a loaded event loop, not one in each.
+        """
+        try:
+            self.submit_nowait(event)
+        except trio.WouldBlock:
+            await self.submit(event)
--- a/oakcroft/platform/viewer_connection.py
+++ b/oakcroft/platform/viewer_connection.py
@@ -32,7 +32,7 @@
         self.pause_detector = pause_detector
         self.frames = FrameDecoder()
         self.open_setups: dict[str, PlaybackSession] = {}
-        self.queued_requests: dict[str, SetupRequest] = {}  # queued in the coordinator's inbox
+        self.queued_requests: dict[str, SetupRequest] = {}  # waiting for their turn
         now = clock.now()
         self.idle_since = now  # time of the last complete message
         self.known_empty_at = now  # last time at which the socket was known to be empty
