--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -1035,15 +1035,21 @@
             ):
                 node.failed_at = now
             score.add(FAILED_TRY_SCORE, now, FAILURE_SCORE_HALF_LIFE_NS)
-        elif outcome is Outcome.ERROR and playback.title.has_played:
-            # Only for titles that have played: requests for titles that don't exist would otherwise raise the score
-            # of good nodes. Drawback: a node that answers everything with errors is found only once it is asked for a
-            # title that has played.
+        elif outcome is Outcome.ERROR and self._is_known_to_exist(playback):
+            # Only for titles that have played: requests for titles that don't exist, or are not where the request says,
+            # would otherwise raise the score of good nodes. Drawback: a node that answers everything with errors is found
+            # only once it is asked for a title that has played.
             score.add(ERROR_SCORE, now, FAILURE_SCORE_HALF_LIFE_NS)
         elif outcome is Outcome.FULL:
             # It holds as many playbacks as it can, even if its link has room.
             self._record_link_load(node, max(node.estimated_load, T1), 0, now, is_inferred=True)
 
+    def _is_known_to_exist(self, playback: Playback) -> bool:
+        """Whether a playback's title has played where the playback looks for it."""
+        if playback.own_placement is None:
+            return playback.title.has_played
+        return self.holder_orders.has_played(playback.title, playback.own_placement)
+
     def on_viewer_left(self, playback: Playback, now: int) -> None:
         """Handles a viewer that leaves; the end of a pending try is still reported."""
         if playback.state in (PlaybackState.SETTING_UP, PlaybackState.PLAYING):
@@ -1072,7 +1078,9 @@
         if current_node is None:
             return
         current_node.refresh_estimated_load()  # before the playbacks that it depends on change
-        playback.title.has_played |= state is PlaybackState.PLAYING
+        if state is PlaybackState.PLAYING:
+            playback.title.has_played = True
+            self.holder_orders.record_playing(playback.title, playback.placement)
         if state is PlaybackState.SETTING_UP:
             current_node.pending_setups[playback] = now
         else:
--- a/oakcroft/decisions/routing/holder_order.py
+++ b/oakcroft/decisions/routing/holder_order.py
@@ -75,9 +75,7 @@
             self._make_room(title)
             title.holder_orders[key] = order
         elif order.version != self.listed.version and not self._catch_up(title, placement, order):
-            has_played = order.has_played
             order = title.holder_orders[key] = self._compute(title, placement)
-            order.has_played = has_played
         return order
 
     def _key(self, title: Title, placement: Placement) -> Placement | None:
@@ -85,17 +83,26 @@
         return None if title.holder_names is not None else Placement(*self._cells(placement))
 
     def record_playing(self, title: Title, placement: Placement) -> None:
-        """Keeps the order of a placement in which a title has played rather than those in which it has not."""
-        order = title.holder_orders.get(self._key(title, placement))
-        if order is not None:
-            order.has_played = True
+        """Records that a title has played in a placement, which proves that it is there."""
+        key = self._key(title, placement)
+        title.played_placements.pop(key, None)
+        title.played_placements[key] = None
+        if len(title.played_placements) > MAX_ORDERS_PER_TITLE:
+            del title.played_placements[next(iter(title.played_placements))]
+
+    def has_played(self, title: Title, placement: Placement) -> bool:
+        """Whether a title has played in a placement lately."""
+        return self._key(title, placement) in title.played_placements
 
     def _make_room(self, title: Title) -> None:
-        """Drops an order of a title if it has too many: the oldest of those in which it has not played."""
-        if len(title.holder_orders) >= MAX_ORDERS_PER_TITLE:
-            orders = title.holder_orders
+        """Drops an order of a title if it has too many: the oldest of those in which it has not played.
+
+        So requests with ever new figures push out none of those whose figures are true.
+        """
+        orders = title.holder_orders
+        if len(orders) >= MAX_ORDERS_PER_TITLE:
             oldest = next(iter(orders))
-            del orders[next((key for key, order in orders.items() if not order.has_played), oldest)]
+            del orders[next((key for key in orders if key not in title.played_placements), oldest)]
 
     def _candidates(self, title: Title, placement: Placement) -> Iterator[tuple[Node, bytes]]:
         """The holders of a title in a placement with their encoded names, unordered."""
--- a/oakcroft/decisions/routing/title_cache.py
+++ b/oakcroft/decisions/routing/title_cache.py
@@ -44,7 +44,8 @@
         """Returns a title; None where it is new and the cache is full of titles in use.
 
         `home` is the first cell that holds it and `copies` the number of cells, None for the default. A placement in the
-        configuration or the catalogue takes precedence.
+        configuration or the catalogue takes precedence. Those of the first request hold for playbacks that state none of
+        their own.
         """
         title = self.titles.get(name)
         if title is None:
@@ -88,10 +89,12 @@
             requested_home % self.cell_count,
             self.default_copies if requested_copies is None else requested_copies,
         )
+        title.is_placed = title.name in self.configured_placements
         home, copies = self.configured_placements.get(title.name, default_placement)
         if catalogue_title is not None and catalogue_title.home >= 0:
             home = catalogue_title.home
             copies = catalogue_title.copies
+            title.is_placed = True
         holder_names = (
             frozenset(holder.partition("+")[0] for holder in catalogue_title.holders)
             if catalogue_title is not None and catalogue_title.holders
--- a/oakcroft/interface.py
+++ b/oakcroft/interface.py
@@ -310,8 +310,6 @@
     """Version of the node list that it belongs to."""
     remaining_version: int = -1
     """Version of the node list for which the other holders were last computed; -1: none."""
-    has_played: bool = False
-    """Whether the title has played in this placement, which proves that it is there."""
 
 
 class Title:
@@ -324,8 +322,10 @@
         self.copies = copies
         self.seats_taken: dict[Plan, int] = {}  # seats taken in each plan
         self.has_played = False  # whether it ever played, which proves that it exists
-        # By the cells of the placement; None for the order of `holder_names`.
+        self.is_placed = False  # whether the configuration or the catalogue says where it is
+        # Both by the cells of the placement; None for the holders in `holder_names`.
         self.holder_orders: dict[Placement | None, HolderOrder] = {}
+        self.played_placements: dict[Placement | None, None] = {}  # where it has played last, oldest first
         self.holder_names: frozenset[str] | None = None  # names of its holders; None: the nodes in its cells
         self.rung_rates: tuple[float, ...] = ()  # of its own rungs, kB/s; empty: those of the deployment
 
@@ -334,12 +334,19 @@
     """A viewer's request, and the playback that results from it."""
 
     def __init__(
-        self, title: Title, plan: Plan, top_rung: int, abandon_at: int, comes_from_move: bool
+        self,
+        title: Title,
+        plan: Plan,
+        top_rung: int,
+        abandon_at: int,
+        comes_from_move: bool,
+        requested_placement: Placement | None = None,
     ) -> None:
         """Creates the playback of a request that has arrived.
 
         Its highest rung is `top_rung` within the plan's bounds; the viewer gives up at `abandon_at`. A request that
-        `comes_from_move` is not rejected in the band (T1 to T2, see choice.py).
+        `comes_from_move` is not rejected in the band (T1 to T2, see choice.py). `requested_placement` is where the
+        request says that its title is; it holds for this playback alone.
         """
         self.title = title
         self.plan = plan
@@ -356,11 +363,17 @@
         # The playback that this one, a copy on another node, will replace; it continues to play meanwhile.
         self.copy_of: Playback | None = None
         self.node_filter: Callable[[Node], bool] | None = None  # the nodes it may use; None: all holders
+        self._requested_placement = requested_placement
+
+    @property
+    def own_placement(self) -> Placement | None:
+        """Where its request says that its title is; None if it does not say, or the title has a place."""
+        return None if self.title.is_placed else self._requested_placement
 
     @property
     def placement(self) -> Placement:
         """The cells that hold its title."""
-        return Placement(self.title.home_cell, self.title.copies)
+        return self.own_placement or Placement(self.title.home_cell, self.title.copies)
 
 
 @dataclass(frozen=True)
--- a/oakcroft/platform/session_coordinator.py
+++ b/oakcroft/platform/session_coordinator.py
@@ -36,6 +36,7 @@
     NodeListKind,
     NodeStatus,
     Outcome,
+    Placement,
     Playback,
     PlaybackMetric,
     PlaybackState,
@@ -337,7 +338,14 @@
             return
         session = PlaybackSession(
             request.session_id,
-            Playback(title, plan, request.top_rung, self._answer_by(request), False),
+            Playback(
+                title,
+                plan,
+                request.top_rung,
+                self._answer_by(request),
+                False,
+                Placement(request.home_cell, request.copies),
+            ),
             request.plan_name,
             request.description,
             request.connection,
--- a/oakcroft/rehearsal/baseline.py
+++ b/oakcroft/rehearsal/baseline.py
@@ -48,12 +48,12 @@
     def on_request(self, playback: Playback, now: int) -> None:
         """Sends a request to any ready node that has its title, or rejects it if there is none."""
         cell_count = self.terms.cell_count
-        copies = playback.title.copies if 0 < playback.title.copies < cell_count else cell_count
+        home_cell, copies = playback.placement
+        copies = copies if 0 < copies < cell_count else cell_count
         ready = [
             node
             for node in self.nodes
-            if node.status is NodeStatus.READY
-            and (node.cell - playback.title.home_cell) % cell_count < copies
+            if node.status is NodeStatus.READY and (node.cell - home_cell) % cell_count < copies
         ]
         if not ready:
             playback.state = PlaybackState.REJECTED
--- a/oakcroft/wirehost/front_end.py
+++ b/oakcroft/wirehost/front_end.py
@@ -6,7 +6,7 @@
 
 from oakcroft import terms
 from oakcroft.choice import Controller
-from oakcroft.interface import Node, NodeEntry, NodeListKind, Playback, Title
+from oakcroft.interface import Node, NodeEntry, NodeListKind, Placement, Playback, Title
 from oakcroft.wirehost import codes
 
 Message = dict[str, Any]
@@ -139,11 +139,12 @@
     def _new_playback(self, event: Message, now: int) -> Playback:
         """Creates the playback of a request."""
         name = event["programme"]
+        placement = Placement(event["home"], event["copies"])
         if name not in self.titles:
-            self.titles[name] = Title(name, event["home"], event["copies"])
+            self.titles[name] = Title(name, *placement)
         playback = Playback(
             self.titles[name], self.plans[event["profile"]], event["topRung"],
-            now + terms.ms_to_ns(event["budgetMs"]), event["backFromMove"],
+            now + terms.ms_to_ns(event["budgetMs"]), event["backFromMove"], placement,
         )  # fmt: skip
         self.playbacks[event["rid"]] = playback
         self.request_ids[playback] = event["rid"]
