--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -93,6 +93,16 @@
         if warm:
             self.now += 20 * SECOND
 
+    @classmethod
+    def with_cells(cls, node_count: int, rack_count: int) -> ControllerHarness:
+        """A decision module with one node in each of many cells."""
+        harness = cls(0, replace(TERMS, cell_count=node_count, rack_count=rack_count))
+        harness.nodes = [Node(f"n{cell}") for cell in range(node_count)]
+        for cell, node in enumerate(harness.nodes):
+            node.cell = cell
+        harness.apply_list(NodeListKind.WHOLE)
+        return harness
+
     def apply_list(
         self, kind: NodeListKind, started_at: int = 0, listing: NodeStatus = NodeStatus.READY
     ) -> None:
--- a/tests/test_large_node_lists.py
+++ b/tests/test_large_node_lists.py
@@ -50,12 +50,8 @@
 
 def event_seconds(node_count: int, rack_count: int) -> float:
     """Shortest processor time of an event that drains one node and the set-up after it."""
-    harness = ControllerHarness(0, replace(TERMS, cell_count=node_count, rack_count=rack_count))
-    nodes = [Node(f"n{i}") for i in range(node_count)]
-    for cell, node in enumerate(nodes):
-        node.cell = cell
-    entries = [NodeEntry(node, NodeStatus.READY, 0, 4000.0, 12.0) for node in nodes]
-    harness.controller.on_node_list(NodeListKind.WHOLE, entries, harness.now)
+    harness = ControllerHarness.with_cells(node_count, rack_count)
+    entries = [NodeEntry(node, NodeStatus.READY, 0, 4000.0, 12.0) for node in harness.nodes]
     title = Title("t", 0, 0)
     harness.request(title=title)
     found = list[float]()
--- a/tests/test_title_placements.py
+++ b/tests/test_title_placements.py
@@ -4,17 +4,13 @@
 
 from dataclasses import replace
 
-from helpers import FREE, TERMS, ControllerHarness
+from helpers import FREE, ControllerHarness
 from platform_rig import A, B, C, PlatformRig, run_on_platform
 
 from oakcroft.decisions.routing.holder_order import MAX_ORDERS_PER_TITLE
 from oakcroft.decisions.routing.title_cache import TitleCache
 from oakcroft.interface import (
     SECOND,
-    Node,
-    NodeEntry,
-    NodeListKind,
-    NodeStatus,
     Outcome,
     Placement,
     Playback,
@@ -32,17 +28,6 @@
     return playback
 
 
-def wide_harness() -> ControllerHarness:
-    """A decision module with one node in each of many cells."""
-    harness = ControllerHarness(0, replace(TERMS, cell_count=CELLS, rack_count=CELLS))
-    nodes = [Node(f"n{cell}") for cell in range(CELLS)]
-    for cell, node in enumerate(nodes):
-        node.cell = cell
-    entries = [NodeEntry(node, NodeStatus.READY, 0, 4000.0, 12.0) for node in nodes]
-    harness.controller.on_node_list(NodeListKind.WHOLE, entries, harness.now)
-    return harness
-
-
 def test_a_set_up_goes_where_it_says_that_its_title_is() -> None:
     """Guards against a title that stays where the first set-up, a bad client's too, has put it (review/9)."""
 
@@ -79,7 +64,7 @@
 
 def test_ever_new_figures_fill_no_memory_and_push_out_no_true_ones() -> None:
     """Guards against a client whose figures for one title fill the memory, or cost others their order."""
-    harness, title = wide_harness(), Title("t", 0, 0)
+    harness, title = ControllerHarness.with_cells(CELLS, CELLS), Title("t", 0, 0)
     true_placement = Placement(3, 4)
     playback = request(harness, title, true_placement)
     harness.controller.on_playing(playback, harness.now)
@@ -94,7 +79,7 @@
 
 def test_a_title_that_is_not_where_a_request_says_speaks_against_no_node() -> None:
     """Guards against good nodes taken out of use for errors that false figures have caused."""
-    harness, title = wide_harness(), Title("t", 0, 0)
+    harness, title = ControllerHarness.with_cells(CELLS, CELLS), Title("t", 0, 0)
     harness.controller.on_playing(request(harness, title, Placement(3, 4)), harness.now)
     for _ in range(5):
         playback = request(harness, title, Placement(20, 1))
@@ -109,7 +94,7 @@
 
 def test_seats_are_counted_by_title_whatever_the_figures() -> None:
     """Guards against more playbacks of a title than there are seats, one for each placement that is stated."""
-    harness, title = wide_harness(), Title("t", 0, 0)
+    harness, title = ControllerHarness.with_cells(CELLS, CELLS), Title("t", 0, 0)
     plan = replace(FREE, seats=1)
     playbacks = [
         Playback(title, plan, 2, harness.now + 4 * SECOND, False, Placement(home, 2)) for home in (3, 9)
