--- a/oakcroft/choice.py
+++ b/oakcroft/choice.py
@@ -249,6 +249,8 @@
         self.request_times = deque[int]()
         self.retry_times = deque[int]()
         self.load_basis = self._current_load_basis()
+        self.peer_load = 0.0  # as last computed, from `peer_load_basis`
+        self.peer_load_basis: tuple[float, tuple[int, float], float] | None = None
         if settings.must_subscribe:
             host.subscribe_to_nodes()
         host.set_timer(self.interval_ends_at)
@@ -311,6 +313,8 @@
 
     def _added_rate(self, playback: Playback, node: Node, rung: int) -> float:
         """Rate that a set-up would add to a node, in kB/s; smaller where it joins a running stream."""
+        if not node.playbacks:
+            return self._playback_rate(playback, rung)
         running = ((other.title, other.plan, other.rung) for other in node.playbacks)
         joins = playback.plan.shares_stream and (playback.title, playback.plan, rung) in running
         return self._playback_rate(playback, rung) * (self.settings.join_rate_share if joins else 1.0)
@@ -376,9 +380,20 @@
         confidence = abs(change) / (abs(change) + typical_rate)  # a single playback may be chance
         return confidence * change * (self.settings.front_count - 1) / total_link_capacity
 
+    def _current_peer_load(self) -> float:
+        """Link load that the other front ends have added since the last interval; kept while what it follows from stays.
+
+        A set-up reads it for each holder that it looks at.
+        """
+        basis = (self.own_rate, self.own_rate_history[-1], self.total_link_capacity)
+        if basis != self.peer_load_basis:
+            self.peer_load_basis = basis
+            self.peer_load = self._unreported_load_of_peers(self.own_rate_history[-1][0])
+        return self.peer_load
+
     def _effective_load(self, node: Node, now: int, added_rate: float = 0.0) -> float:
         """Load that limits a playback on this node (the higher of link and uplink), with `added_rate` kB/s on top."""
-        peer_load = self._unreported_load_of_peers(self.own_rate_history[-1][0])
+        peer_load = self._current_peer_load()
         load = node.estimated_load + added_rate / node.link_capacity + peer_load
         if self.settings.uplink_capacity > 0:
             uplink_rate = (node.rack.carried_rate + added_rate) * node.rack.uplink_correction
@@ -816,11 +831,13 @@
 
     def _may_try(self, playback: Playback, node: Node, now: int) -> bool:
         """Whether the rules, the failure score and the cold pace allow a try on this node now."""
-        if node.status is not NodeStatus.READY or any(tried_node is node for tried_node, _ in playback.tries):
+        if node.status is not NodeStatus.READY:
+            return False
+        if playback.tries and any(tried_node is node for tried_node, _ in playback.tries):
             return False
         if playback.node_filter is not None and not playback.node_filter(node):
             return False
-        if not all(
+        if playback.may_have_run and not all(
             self._may_repeat_on(playback, earlier_node, sent_at, node, now)
             for earlier_node, sent_at in playback.may_have_run
         ):
@@ -846,6 +863,8 @@
 
     def _is_healthy(self, node: Node, now: int) -> bool:
         """Whether a node answers in time and its failure score is under the limit."""
+        if not node.pending_setups and not node.failure_score.value:
+            return True
         answers_in_time = all(
             now - sent_at <= MAX_ANSWER_DELAY_NS for sent_at in node.pending_setups.values()
         )
--- a/oakcroft/decisions/routing/holder_order.py
+++ b/oakcroft/decisions/routing/holder_order.py
@@ -26,8 +26,8 @@
 """Holders past which an order is computed again, after many nodes have joined."""
 MAX_ORDERS_PER_TITLE = 4
 """Placements of one title whose orders are kept."""
-MAX_COMPLETE_ORDERS = 64
-"""Complete orders that are kept, of titles whose first holders had no room."""
+MAX_COMPLETE_ORDERS = 1_024
+"""Complete orders that are kept, of titles of which more than the first holders were looked at."""
 LAST_DIGEST = b"\xff" * DIGEST_BYTES
 
 
@@ -43,6 +43,8 @@
         """Starts without orders."""
         self.listed = listed
         self._remaining_holders = OrderedDict[HolderOrder, list[Node]]()
+        # All holders of the order that was computed last, since a set-up may go on to the others at once.
+        self._last_computed: tuple[HolderOrder, list[RankedHolder]] | None = None
 
     def holders(self, title: Title, placement: Placement) -> Iterator[Node]:
         """The nodes that hold a title in a placement, in order."""
@@ -132,11 +134,13 @@
                 first, last_digest = ranked, LAST_DIGEST
         else:
             first = ranked
-        first.sort(key=digest_of)
-        return HolderOrder(first, last_digest, self.listed.version)
+        order = HolderOrder(sorted(first, key=digest_of), last_digest, self.listed.version)
+        self._last_computed = order, ranked
+        return order
 
     def _catch_up(self, title: Title, placement: Placement, order: HolderOrder) -> bool:
         """Applies the changes of the node list to an order; returns False if it has to be computed again."""
+        self._last_computed = None
         changed = self.listed.changed_since(order.version)
         if changed is None:
             return False
@@ -169,7 +173,8 @@
         """The holders behind those that are kept, in order."""
         remaining = self._remaining_holders.pop(order, None)
         if remaining is None or order.remaining_version != self.listed.version:
-            behind = [holder for holder in self._rank_all(title, placement) if holder[0] > order.last_digest]
+            ranked = self._take_last_computed(order) or self._rank_all(title, placement)
+            behind = [holder for holder in ranked if holder[0] > order.last_digest]
             behind.sort(key=digest_of)
             remaining = [node for _, node in behind]
             order.remaining_version = self.listed.version
@@ -177,3 +182,10 @@
         if len(self._remaining_holders) > MAX_COMPLETE_ORDERS:
             self._remaining_holders.popitem(last=False)
         return remaining
+
+    def _take_last_computed(self, order: HolderOrder) -> list[RankedHolder] | None:
+        """All holders of an order if it was computed last, and no change of the node list was applied since."""
+        last_computed, self._last_computed = self._last_computed, None
+        if last_computed is None or last_computed[0] is not order:
+            return None
+        return last_computed[1]
