--- a/tests/test_title_placements.py
+++ b/tests/test_title_placements.py
@@ -19,6 +19,8 @@
 from oakcroft.platformwire import framing
 
 CELLS = 40
+FALSE_HOME = 20
+"""A cell that does not hold the title."""
 
 
 def request(harness: ControllerHarness, title: Title, placement: Placement | None) -> Playback:
@@ -82,12 +84,12 @@
     harness, title = ControllerHarness.with_cells(CELLS, CELLS), Title("t", 0, 0)
     harness.controller.on_playing(request(harness, title, Placement(3, 4)), harness.now)
     for _ in range(5):
-        playback = request(harness, title, Placement(20, 1))
+        playback = request(harness, title, Placement(FALSE_HOME, 1))
         harness.controller.on_try_ended(playback, Outcome.ERROR, False, None, None, None, harness.now)
-    node = next(node for node in harness.controller.nodes if node.cell == 20)  # noqa: PLR2004
+    node = next(node for node in harness.controller.nodes if node.cell == FALSE_HOME)
     assert node.failure_score.value == 0
-    harness.controller.on_playing(request(harness, title, Placement(20, 1)), harness.now)
-    playback = request(harness, title, Placement(20, 1))
+    harness.controller.on_playing(request(harness, title, Placement(FALSE_HOME, 1)), harness.now)
+    playback = request(harness, title, Placement(FALSE_HOME, 1))
     harness.controller.on_try_ended(playback, Outcome.ERROR, False, None, None, None, harness.now)
     assert node.failure_score.value > 0
 
